Add the thin path: callers through entries to endpoints, one confirmed drain

Cause: nothing ran yet. Change: lemonstreamd, lemonctl and lemonstandin as separate processes; make demo drives them with an entry and an endpoint killed, the table away for 3 s, a configuration, a drain and a maintenance. Not proved yet: no tests stand; the promises rest on the demo alone.

--- /dev/null
+++ b/carry/plugin.go
@@ -0,0 +1,122 @@
+package carry
+
+import (
+	"log/slog"
+	"time"
+
+	"go.uber.org/fx"
+
+	"lemonstream.dev/lemonstream/clock"
+	"lemonstream.dev/lemonstream/control"
+	"lemonstream.dev/lemonstream/entry"
+	"lemonstream.dev/lemonstream/fleet"
+	"lemonstream.dev/lemonstream/kernel"
+	"lemonstream.dev/lemonstream/lease"
+	"lemonstream.dev/lemonstream/member"
+	"lemonstream.dev/lemonstream/platform"
+	"lemonstream.dev/lemonstream/settings"
+	"lemonstream.dev/lemonstream/state"
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Name:    "carry",
+		Stage:   kernel.StageDuties,
+		Options: options,
+	})
+}
+
+// configEverywhere reports whether every entry that may be alive tells of the
+// version or a later one.
+func configEverywhere(w *state.Watch, p *member.Peers, version int64) bool {
+	if w.View().Config.Version < version {
+		return false
+	}
+	for _, peer := range p.Live() {
+		if peer.Hello.Config < version {
+			return false
+		}
+	}
+	return true
+}
+
+func newDuty(store *control.Store, leases *lease.Holder, p platform.Platform, w *state.Watch, peers *member.Peers, s *entry.Services, c clock.Clock, log *slog.Logger, d settings.Daemon) *Duty {
+	outside := Outside{
+		View:             w.View,
+		Quiet:            func(id string) bool { return quiet(w, peers, s, id) },
+		Reboot:           p.Instances.Reboot,
+		Healthy:          Connects,
+		ConfigEverywhere: func(version int64) bool { return configEverywhere(w, peers, version) },
+	}
+	return New(store, leases, outside, c, log, roundPause(d))
+}
+
+func newStore(p platform.Platform, c clock.Clock, w *state.Watch, peers *member.Peers, s *entry.Services) *control.Store {
+	return control.NewStore(p.Table, c, control.Source{
+		View:     w.View,
+		ListedAt: w.ListedAt,
+		Suspects: func() map[string]bool { return suspects(peers, s) },
+		Refresh:  w.Poke,
+		Tell:     peers.TellRows,
+	})
+}
+
+func options() fx.Option {
+	return fx.Options(
+		fx.Provide(
+			newStore,
+			newDuty,
+			func(p platform.Platform, c clock.Clock, self fleet.Self, d settings.Daemon) *lease.Holder {
+				return lease.NewHolder(p.Table, c, self.Incarnation, d.LeaseLength)
+			},
+		),
+		fx.Invoke(func(lc fx.Lifecycle, g *kernel.Group, duty *Duty, store *control.Store, leases *lease.Holder, w *state.Watch, log *slog.Logger, d settings.Daemon) {
+			enroller := NewEnroller(store, leases, w.View, log, roundPause(d))
+			lc.Append(fx.StartHook(func() {
+				g.Go("carry", duty.Run)
+				g.Go("enroll", enroller.Run)
+			}))
+		}),
+	)
+}
+
+// quiet reports whether every entry that may be alive tells that it keeps new
+// work from the instance and waits for nothing from it. An entry that tells
+// nothing is not quiet.
+func quiet(w *state.Watch, p *member.Peers, s *entry.Services, id string) bool {
+	view := w.View()
+	version := view.Rows[fleet.InstanceKey(id)].Version
+	if !lets(s.Held(view), id, version) {
+		return false
+	}
+	for _, peer := range p.Live() {
+		if !lets(peer.Hello.Held, id, version) {
+			return false
+		}
+	}
+	return true
+}
+
+// lets reports whether an entry's word covers the instance's row at version
+// and nothing is in flight.
+func lets(held map[string]member.Hold, id string, version int64) bool {
+	hold, told := held[id]
+	return told && hold.Version >= version && hold.Count == 0
+}
+
+func roundPause(d settings.Daemon) time.Duration {
+	return max(d.PollInterval/2, 50*time.Millisecond)
+}
+
+func suspects(p *member.Peers, s *entry.Services) map[string]bool {
+	all := make(map[string]bool)
+	for _, id := range s.Suspects() {
+		all[id] = true
+	}
+	for _, peer := range p.Heard() {
+		for _, id := range peer.Hello.Suspects {
+			all[id] = true
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/cmd/lemonstandin/platformcmd.go
@@ -0,0 +1,40 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"net/http"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"lemonstream.dev/lemonstream/internal/standin"
+)
+
+func newPlatformCmd() *ffcli.Command {
+	flags := flag.NewFlagSet("lemonstandin platform", flag.ContinueOnError)
+	listen := flags.String("listen", "127.0.0.1:7000", "address to listen on")
+	lag := flags.Duration("lag", 500*time.Millisecond, "how late the list shows what is")
+	return &ffcli.Command{
+		Name:      "platform",
+		ShortHelp: "Stand in for the table, the object store and the instance list.",
+		FlagSet:   flags,
+		Exec: func(ctx context.Context, _ []string) error {
+			gin.SetMode(gin.ReleaseMode)
+			engine := gin.New()
+			standin.NewPlatform(*lag).Routes(engine)
+			server := &http.Server{
+				Addr:              *listen,
+				Handler:           engine,
+				ReadHeaderTimeout: time.Minute,
+			}
+			context.AfterFunc(ctx, func() { _ = server.Close() })
+			if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+				return err
+			}
+			return nil
+		},
+	}
+}
--- /dev/null
+++ b/entry/plugin.go
@@ -0,0 +1,122 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"net/netip"
+	"time"
+
+	"go.uber.org/fx"
+
+	"lemonstream.dev/lemonstream/clock"
+	"lemonstream.dev/lemonstream/fleet"
+	"lemonstream.dev/lemonstream/kernel"
+	"lemonstream.dev/lemonstream/member"
+	"lemonstream.dev/lemonstream/once"
+	"lemonstream.dev/lemonstream/settings"
+	"lemonstream.dev/lemonstream/state"
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Name:    "entry-state",
+		Stage:   kernel.StageDuties,
+		Options: stateOptions,
+	})
+	kernel.Register(kernel.Plugin{
+		Name:    "entry",
+		Stage:   kernel.StageCallers,
+		Options: serverOptions,
+	})
+}
+
+func newHandler(s *Services, h *once.Homes, c clock.Clock, log *slog.Logger, d settings.Daemon) *Handler {
+	claims := Claims{
+		Claim:   h.Claim,
+		Release: h.Release,
+	}
+	return NewHandler(s, claims, c, log, Limits{
+		BufferBody: d.BufferBody,
+		MaxBody:    d.MaxBody,
+	})
+}
+
+func newServices(w *state.Watch, p *member.Peers, c clock.Clock, d settings.Daemon) *Services {
+	services := NewServices(c, d.QueueLength, d.Entries)
+	w.OnChange(services.Update)
+	p.Contribute(func(hello *member.Hello) {
+		view := w.View()
+		hello.Held = services.Held(view)
+		hello.Suspects = services.Suspects()
+	})
+	return services
+}
+
+func serverOptions() fx.Option {
+	return fx.Invoke(func(lc fx.Lifecycle, g *kernel.Group, h *Handler, r *Readiness, log *slog.Logger, d settings.Daemon) {
+		server := NewServer(h, ServerOptions{
+			Address:    d.Callers,
+			MaxCallers: d.MaxCallers,
+		})
+		lc.Append(fx.Hook{
+			OnStart: func(context.Context) error {
+				if err := server.Listen(); err != nil {
+					return err
+				}
+				g.Go("callers", server.Serve)
+				return nil
+			},
+			OnStop: func(ctx context.Context) error {
+				return stopServer(ctx, server, h, r, log, d.StopTimeout)
+			},
+		})
+	})
+}
+
+func stateOptions() fx.Option {
+	return fx.Options(
+		fx.Provide(
+			newServices,
+			newHandler,
+			NewReadiness,
+		),
+		fx.Invoke(func(lc fx.Lifecycle, g *kernel.Group, s *Services, w *state.Watch, p *member.Peers, c clock.Clock, self fleet.Self, d settings.Daemon) {
+			shares := NewShares(s, w, p, c, self.ID, d.TellInterval)
+			p.Contribute(func(hello *member.Hello) { hello.Demands = shares.Told() })
+			lc.Append(fx.StartHook(func() { g.Go("shares", shares.Run) }))
+		}),
+	)
+}
+
+// stopServer stops the entry without cutting a request: first the balancer is
+// told, then new work is refused as not run, then what is in flight ends.
+func stopServer(ctx context.Context, server *Server, h *Handler, r *Readiness, log *slog.Logger, timeout time.Duration) error {
+	r.Leave()
+	server.CloseAfterAnswer()
+	wait(ctx, leaveNotice)
+	h.Stop()
+	finishing, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	err := server.Shutdown(finishing)
+	if err != nil {
+		log.Warn("requests were still in flight at the end of the stop timeout", "error", err)
+	}
+	return err
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// ServerOptions are the settings of the callers' server.
+type ServerOptions struct {
+	Address netip.AddrPort
+
+	// MaxCallers bounds the open connections.
+	MaxCallers int
+}
--- /dev/null
+++ b/entry/readiness.go
@@ -0,0 +1,53 @@
+package entry
+
+import (
+	"sync/atomic"
+	"time"
+
+	"lemonstream.dev/lemonstream/clock"
+	"lemonstream.dev/lemonstream/member"
+	"lemonstream.dev/lemonstream/state"
+)
+
+// unheardLimit is how long an entry may go without any word of newer
+// configurations, from the table or from peers, before it says so.
+const unheardLimit = 16 * time.Second
+
+// Readiness answers whether the balancer should send callers here.
+type Readiness struct {
+	watch   *state.Watch
+	peers   *member.Peers
+	clock   clock.Clock
+	leaving atomic.Bool
+}
+
+// NewReadiness returns the readiness of the entry.
+func NewReadiness(w *state.Watch, p *member.Peers, c clock.Clock) *Readiness {
+	return &Readiness{
+		watch: w,
+		peers: p,
+		clock: c,
+	}
+}
+
+// Check returns whether the entry is ready, and why not or what is amiss. An
+// entry that may miss newer configurations stays ready, since serving from
+// the last known state beats not serving; it only says so.
+func (r *Readiness) Check() (ready bool, note string) {
+	if r.leaving.Load() {
+		return false, "the entry stops"
+	}
+	if !r.watch.View().Ready() {
+		return false, "no configuration or no instance is known yet"
+	}
+	heard := len(r.peers.Heard()) > 0
+	if r.clock.Now().Sub(r.watch.FreshAt()) > unheardLimit && !heard {
+		return true, "newer configurations may be missed: neither the table nor a peer answers"
+	}
+	return true, ""
+}
+
+// Leave makes the entry not ready for good.
+func (r *Readiness) Leave() {
+	r.leaving.Store(true)
+}
--- /dev/null
+++ b/entry/services.go
@@ -0,0 +1,249 @@
+package entry
+
+import (
+	"sort"
+	"sync"
+	"sync/atomic"
+
+	"github.com/cespare/xxhash/v2"
+
+	"lemonstream.dev/lemonstream/admit"
+	"lemonstream.dev/lemonstream/burn"
+	"lemonstream.dev/lemonstream/clock"
+	"lemonstream.dev/lemonstream/fleet"
+	"lemonstream.dev/lemonstream/forward"
+	"lemonstream.dev/lemonstream/member"
+	"lemonstream.dev/lemonstream/platform"
+	"lemonstream.dev/lemonstream/route"
+	"lemonstream.dev/lemonstream/state"
+)
+
+// service is one service as the request path sees it.
+type service struct {
+	domain fleet.Service
+	route  *route.Service
+	gate   *admit.Gate
+	retry  *forward.RetryBudget
+	sender *forward.Sender
+	count  *burn.Recorder
+
+	// mostRetries bounds the repeats of one request.
+	mostRetries int
+}
+
+// snapshot is what the request path reads; it is never changed once built.
+type snapshot struct {
+	services map[string]*service
+	quotas   map[string]*admit.Quota
+}
+
+// Services builds the request path's snapshot from each new view. What has a
+// history, such as endpoints and gates, is carried over from the one before.
+type Services struct {
+	clock       clock.Clock
+	queueLength int
+	entries     int
+
+	current atomic.Pointer[snapshot]
+
+	mu sync.Mutex
+
+	// endpoints maps an instance to its endpoint; an endpoint whose boot or
+	// address changed is replaced.
+	endpoints map[string]*route.Endpoint
+	senders   map[int]*forward.Sender
+	stopping  bool
+}
+
+// NewServices returns services without any yet. entries is the largest number
+// of entries that share an endpoint's connections.
+func NewServices(c clock.Clock, queueLength, entries int) *Services {
+	s := &Services{
+		clock:       c,
+		queueLength: queueLength,
+		entries:     max(entries, 1),
+		endpoints:   make(map[string]*route.Endpoint),
+		senders:     make(map[int]*forward.Sender),
+	}
+	s.current.Store(&snapshot{
+		services: make(map[string]*service),
+		quotas:   make(map[string]*admit.Quota),
+	})
+	return s
+}
+
+// Counts returns the counts of each service since the start.
+func (s *Services) Counts() map[string]*burn.Recorder {
+	counts := make(map[string]*burn.Recorder)
+	for name, one := range s.current.Load().services {
+		counts[name] = one.count
+	}
+	return counts
+}
+
+// Held returns the entry's word on each instance that takes no new work.
+func (s *Services) Held(view *state.View) map[string]member.Hold {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held := make(map[string]member.Hold)
+	for id, instance := range view.Instances {
+		endpoint := s.endpoints[id]
+		if instance.Phase == fleet.PhaseServing {
+			continue
+		}
+		if endpoint == nil || !endpoint.Closed() {
+			continue
+		}
+		held[id] = member.Hold{
+			Version: view.Rows[fleet.InstanceKey(id)].Version,
+			Count:   endpoint.InFlight(),
+		}
+	}
+	return held
+}
+
+// Stop refuses what waits and what comes.
+func (s *Services) Stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopping = true
+	for _, one := range s.current.Load().services {
+		one.gate.Stop()
+	}
+}
+
+// Suspects returns the instances that this entry sees failing, sorted.
+func (s *Services) Suspects() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var suspects []string
+	for id, endpoint := range s.endpoints {
+		if endpoint.Ejected(clock.Millis(s.clock.Now())) {
+			suspects = append(suspects, id)
+		}
+	}
+	sort.Strings(suspects)
+	return suspects
+}
+
+// Update builds the snapshot of the view.
+func (s *Services) Update(view *state.View) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := s.current.Load()
+	next := &snapshot{
+		services: make(map[string]*service, len(view.Config.Services)),
+		quotas:   make(map[string]*admit.Quota, len(view.Config.Teams)),
+	}
+	s.updateEndpoints(view)
+	for name, domain := range view.Config.Services {
+		next.services[name] = s.build(view, domain, before.services[name])
+	}
+	for name, quota := range view.Config.Teams {
+		next.quotas[name] = s.quota(quota.Rate, quota.Burst, before.quotas[name])
+	}
+	s.current.Store(next)
+}
+
+func (s *Services) build(view *state.View, domain fleet.Service, before *service) *service {
+	next := &service{
+		domain:      domain,
+		sender:      s.sender(max(domain.ConnsPerInstance/s.entries, 1)),
+		mostRetries: view.Config.Retry.Most,
+	}
+	var endpoints []*route.Endpoint
+	for _, id := range view.InPool(domain.Pool) {
+		if endpoint := s.endpoints[id]; endpoint != nil && takesWork(view, id) {
+			endpoints = append(endpoints, endpoint)
+		}
+	}
+	next.route = route.NewService(domain.Name, endpoints, view.Config.Routing.EjectMost)
+	if before != nil {
+		next.gate = before.gate
+		next.retry = before.retry
+		next.count = before.count
+		return next
+	}
+	next.gate = admit.NewGate(0, s.queueLength)
+	next.retry = forward.NewRetryBudget(view.Config.Retry.Share)
+	next.count = burn.NewRecorder()
+	if s.stopping {
+		next.gate.Stop()
+	}
+	return next
+}
+
+func (s *Services) quota(rate, burst float64, before *admit.Quota) *admit.Quota {
+	if before != nil {
+		return before
+	}
+	share := 1 / float64(s.entries)
+	return admit.NewQuota(rate*share, burst*share, s.clock.Now())
+}
+
+func (s *Services) sender(conns int) *forward.Sender {
+	sender, found := s.senders[conns]
+	if !found {
+		sender = forward.NewSender(conns)
+		s.senders[conns] = sender
+	}
+	return sender
+}
+
+// updateEndpoints keeps one endpoint for each boot of an instance.
+func (s *Services) updateEndpoints(view *state.View) {
+	for id, instance := range view.Instances {
+		line := view.Listed[id]
+		address := instance.Address
+		if line.Address.IsValid() {
+			address = line.Address
+		}
+		endpoint := s.endpoints[id]
+		if endpoint == nil || endpoint.Address != address || endpoint.Boot != line.Boot {
+			endpoint = route.NewEndpoint(id, instance.Zone, address, line.Boot)
+			s.endpoints[id] = endpoint
+		}
+		if takesWork(view, id) {
+			endpoint.Open()
+		} else {
+			endpoint.Close()
+		}
+	}
+	for id := range s.endpoints {
+		if _, found := view.Instances[id]; !found {
+			delete(s.endpoints, id)
+		}
+	}
+}
+
+// takesWork reports whether the instance may get new requests: its row says
+// that it serves, and the list doesn't say that it leaves.
+func takesWork(view *state.View, id string) bool {
+	if view.Instances[id].Phase != fleet.PhaseServing {
+		return false
+	}
+	line, found := view.Listed[id]
+	return !found || line.State == platform.ListedLive
+}
+
+// setShares sets the limits of every service and quota by the claims.
+func (s *Services) setShares(view *state.View, entry string, claims func(name string) []admit.Claim) {
+	current := s.current.Load()
+	for name, one := range current.services {
+		total := 0
+		claimed := claims(name)
+		for _, endpoint := range one.route.Endpoints() {
+			slots := admit.Slots(entry, one.domain.SlotsPerInstance, claimed, func(other string) uint64 {
+				return xxhash.Sum64String(endpoint.ID + "/" + other)
+			})
+			endpoint.SetLimit(slots)
+			total += slots
+		}
+		one.gate.SetLimit(total)
+	}
+	for name, quota := range current.quotas {
+		share := admit.Share(entry, claims("team/"+name))
+		configured := view.Config.Teams[name]
+		quota.Set(configured.Rate*share, configured.Burst*share)
+	}
+}
--- /dev/null
+++ b/internal/standin/faults.go
@@ -0,0 +1,123 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"lemonstream.dev/lemonstream/platform"
+)
+
+// Faults of the platform.
+const (
+	// FaultDown answers nothing.
+	FaultDown Fault = "down"
+
+	// FaultLate lets a write take effect after its caller gave up.
+	FaultLate Fault = "late"
+
+	// FaultLose lets a write take effect and loses its answer.
+	FaultLose Fault = "lose"
+
+	// FaultNone is the ordinary course.
+	FaultNone Fault = ""
+
+	// FaultSlow answers after a while.
+	FaultSlow Fault = "slow"
+)
+
+// slowBy is how long a slow platform takes.
+const slowBy = 500 * time.Millisecond
+
+// Fault is a way in which the platform fails.
+type Fault string
+
+// Switch holds the fault in force.
+type Switch struct {
+	fault atomic.Pointer[Fault]
+}
+
+var errSwitched = errors.New("switched off")
+
+// Get returns the fault in force.
+func (s *Switch) Get() Fault {
+	fault := s.fault.Load()
+	if fault == nil {
+		return FaultNone
+	}
+	return *fault
+}
+
+// Set puts a fault in force.
+func (s *Switch) Set(fault Fault) {
+	s.fault.Store(&fault)
+}
+
+// InMemory returns a platform over table and objects that fails as the switch
+// says. late receives writes that are to take effect later.
+func InMemory(table *Table, faults *Switch, late *Late) platform.Table {
+	return platform.Table{
+		Read: func(_ context.Context, key string) (platform.Row, error) {
+			if err := faults.hit("read"); err != nil {
+				return platform.Row{}, err
+			}
+			return table.Read(key), nil
+		},
+		Scan: func(_ context.Context, prefix string, after int64) (platform.Page, error) {
+			if err := faults.hit("scan"); err != nil {
+				return platform.Page{}, err
+			}
+			return table.Scan(prefix, after), nil
+		},
+		Transact: func(_ context.Context, tx platform.Transaction) (int64, error) {
+			if err := faults.hit("transact"); err != nil {
+				return 0, err
+			}
+			switch faults.Get() {
+			case FaultLose:
+				_, _ = table.Transact(tx)
+				return 0, unavailable("transact")
+			case FaultLate:
+				late.add(tx)
+				return 0, unavailable("transact")
+			default:
+				return table.Transact(tx)
+			}
+		},
+	}
+}
+
+// Late holds writes that take effect later.
+type Late struct {
+	held []platform.Transaction
+}
+
+// Apply lets the held writes take effect, oldest first.
+func (l *Late) Apply(table *Table) {
+	for _, tx := range l.held {
+		_, _ = table.Transact(tx)
+	}
+	l.held = nil
+}
+
+func (l *Late) add(tx platform.Transaction) {
+	l.held = append(l.held, tx)
+}
+
+func (s *Switch) hit(call string) error {
+	switch s.Get() {
+	case FaultDown:
+		return unavailable(call)
+	case FaultSlow:
+		time.Sleep(slowBy)
+	}
+	return nil
+}
+
+func unavailable(call string) error {
+	return &platform.UnavailableError{
+		Call:  call,
+		Cause: errSwitched,
+	}
+}
--- /dev/null
+++ b/lease/lease.go
@@ -0,0 +1,132 @@
+// Package lease decides which entry works on a duty. A lease only saves work:
+// two holders at once must do no harm, because every promise is carried by a
+// conditional transaction.
+package lease
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/google/uuid"
+
+	"lemonstream.dev/lemonstream/clock"
+	"lemonstream.dev/lemonstream/fleet"
+	"lemonstream.dev/lemonstream/platform"
+)
+
+// Lease is the value of a lease's row.
+type Lease struct {
+	// Epoch grows with each change of holder.
+	Epoch  int64  `json:"epoch"`
+	Holder string `json:"holder"`
+
+	// Until is when the lease lapses, in milliseconds since the Unix epoch.
+	Until int64 `json:"until"`
+}
+
+// Holder takes and keeps the leases of one entry. It keeps no state of its own.
+type Holder struct {
+	table  platform.Table
+	clock  clock.Clock
+	id     string
+	length time.Duration
+}
+
+// NewHolder returns a holder that takes leases of the given length under id,
+// which is unique to the process.
+func NewHolder(table platform.Table, c clock.Clock, id string, length time.Duration) *Holder {
+	return &Holder{
+		table:  table,
+		clock:  c,
+		id:     id,
+		length: length,
+	}
+}
+
+// Hold takes or renews the lease called name. It returns the lease and whether
+// this entry holds it now; an error means that the table gave no answer. The
+// end of a renewed lease is reckoned from before the call.
+func (h *Holder) Hold(ctx context.Context, name string) (Lease, bool, error) {
+	now := h.clock.Now()
+	key := fleet.LeasePrefix + name
+	row, err := h.table.Read(ctx, key)
+	if err != nil {
+		return Lease{}, false, err
+	}
+	current, err := decode(row)
+	if err != nil {
+		return Lease{}, false, err
+	}
+	if current.Holder != h.id && clock.Millis(now) < current.Until {
+		return current, false, nil
+	}
+	if h.fresh(current, now) {
+		return current, true, nil
+	}
+	next := Lease{
+		Epoch:  current.Epoch,
+		Holder: h.id,
+		Until:  clock.Millis(now.Add(h.length)),
+	}
+	if current.Holder != h.id {
+		next.Epoch++
+	}
+	return h.write(ctx, row, next)
+}
+
+// Release lets another entry take the lease at once.
+func (h *Holder) Release(ctx context.Context, name string) error {
+	row, err := h.table.Read(ctx, fleet.LeasePrefix+name)
+	if err != nil {
+		return err
+	}
+	current, err := decode(row)
+	if err != nil || current.Holder != h.id {
+		return err
+	}
+	current.Until = 0
+	_, _, err = h.write(ctx, row, current)
+	return err
+}
+
+// fresh reports whether the lease needs no renewal yet.
+func (h *Holder) fresh(current Lease, now time.Time) bool {
+	return current.Holder == h.id && clock.FromMillis(current.Until).Sub(now) > h.length/2
+}
+
+func (h *Holder) write(ctx context.Context, row platform.Row, next Lease) (Lease, bool, error) {
+	value, err := json.Marshal(next)
+	if err != nil {
+		return Lease{}, false, fmt.Errorf("encoding lease: %w", err)
+	}
+	_, err = h.table.Commit(ctx, platform.Transaction{
+		Op: uuid.NewString(),
+		Checks: []platform.Check{{
+			Key:     row.Key,
+			Version: row.Version,
+		}},
+		Puts: []platform.Put{{
+			Key:   row.Key,
+			Value: value,
+		}},
+	})
+	var conflict *platform.ConflictError
+	if errors.As(err, &conflict) {
+		return Lease{}, false, nil
+	}
+	return next, err == nil, err
+}
+
+func decode(row platform.Row) (Lease, error) {
+	var lease Lease
+	if row.Version == 0 {
+		return lease, nil
+	}
+	if err := json.Unmarshal(row.Value, &lease); err != nil {
+		return lease, fmt.Errorf("decoding lease %s: %w", row.Key, err)
+	}
+	return lease, nil
+}
--- /dev/null
+++ b/state/watch.go
@@ -0,0 +1,203 @@
+package state
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"sort"
+	"sync/atomic"
+	"time"
+
+	"lemonstream.dev/lemonstream/clock"
+	"lemonstream.dev/lemonstream/fleet"
+	"lemonstream.dev/lemonstream/platform"
+	"lemonstream.dev/lemonstream/ring"
+)
+
+// incomingCapacity is the number of batches of rows from peers and writers
+// that may wait for the watch.
+const incomingCapacity = 256
+
+// Watch is the duty that keeps the view: it polls the table and the list,
+// takes in rows from peers, and publishes a new view after each change.
+type Watch struct {
+	platform platform.Platform
+	clock    clock.Clock
+	log      *slog.Logger
+	interval time.Duration
+
+	// cache and listed belong to the duty's goroutine.
+	cache  *Cache
+	listed []platform.Listed
+
+	view atomic.Pointer[View]
+	rows atomic.Pointer[[]platform.Row]
+
+	// freshAt and listedAt are when the table and the list last answered, in
+	// milliseconds since the Unix epoch; 0 before the first answer.
+	freshAt  atomic.Int64
+	listedAt atomic.Int64
+
+	incoming *ring.Ring[[]platform.Row]
+	poke     chan struct{}
+
+	// onChange is called by the duty after each new view; it must not block.
+	onChange []func(*View)
+}
+
+// NewWatch returns a watch that polls every interval.
+func NewWatch(p platform.Platform, c clock.Clock, log *slog.Logger, interval time.Duration) *Watch {
+	w := &Watch{
+		platform: p,
+		clock:    c,
+		log:      log,
+		interval: interval,
+		cache:    NewCache(),
+		incoming: ring.New[[]platform.Row](incomingCapacity),
+		poke:     make(chan struct{}, 1),
+	}
+	w.publish()
+	return w
+}
+
+// FreshAt returns when the table last answered; zero before the first answer.
+func (w *Watch) FreshAt() time.Time {
+	return instant(w.freshAt.Load())
+}
+
+// ListedAt returns when the list was last read; zero before the first answer.
+func (w *Watch) ListedAt() time.Time {
+	return instant(w.listedAt.Load())
+}
+
+// Offer hands rows to the watch. A row that is refused because the ring is
+// full comes again with the next poll.
+func (w *Watch) Offer(rows []platform.Row) error {
+	return w.incoming.Push(rows)
+}
+
+// OnChange has f called after each new view. It must be called before Run.
+func (w *Watch) OnChange(f func(*View)) {
+	w.onChange = append(w.onChange, f)
+}
+
+// Poke makes the watch poll the table now.
+func (w *Watch) Poke() {
+	select {
+	case w.poke <- struct{}{}:
+	default:
+	}
+}
+
+// RowsAfter returns the known rows with a version above the given one, in
+// order of version.
+func (w *Watch) RowsAfter(version int64) []platform.Row {
+	rows := *w.rows.Load()
+	first := sort.Search(len(rows), func(i int) bool { return rows[i].Version > version })
+	return rows[first:]
+}
+
+// Run polls until ctx ends.
+func (w *Watch) Run(ctx context.Context) error {
+	w.poll(ctx)
+	ticker := time.NewTicker(w.interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			w.poll(ctx)
+		case <-w.poke:
+			w.poll(ctx)
+		case <-w.incoming.Ready():
+			w.takeIncoming()
+		}
+	}
+}
+
+// Row returns the newest known row at key; its Version is 0 where none is
+// known.
+func (w *Watch) Row(key string) platform.Row {
+	row, found := w.View().Rows[key]
+	if !found {
+		return platform.Row{
+			Key: key,
+		}
+	}
+	return row
+}
+
+// View returns the newest view; it is never nil.
+func (w *Watch) View() *View {
+	return w.view.Load()
+}
+
+func (w *Watch) poll(ctx context.Context) {
+	changed := w.pollTable(ctx)
+	changed = w.pollList(ctx) || changed
+	if changed {
+		w.publish()
+	}
+}
+
+// pollList reads the list; it reports whether the view must be built anew.
+func (w *Watch) pollList(ctx context.Context) bool {
+	listed, err := w.platform.Instances.List(ctx)
+	if err != nil {
+		w.log.Debug("instance list not read", "error", err)
+		return false
+	}
+	w.listedAt.Store(clock.Millis(w.clock.Now()))
+	if slices.Equal(w.listed, listed) {
+		return false
+	}
+	w.listed = listed
+	return true
+}
+
+// pollTable reads the rows that changed; it reports whether the view
+// must be built anew.
+func (w *Watch) pollTable(ctx context.Context) bool {
+	page, err := w.platform.Table.Scan(ctx, fleet.StatePrefix, w.cache.Revision())
+	if err != nil {
+		w.log.Debug("table not read", "error", err)
+		return false
+	}
+	w.freshAt.Store(clock.Millis(w.clock.Now()))
+	return len(w.cache.MergePage(page)) > 0
+}
+
+// publish builds the view and hands it out. A row that cannot be decoded
+// leaves the earlier view in force.
+func (w *Watch) publish() {
+	all := w.cache.All()
+	view, err := BuildView(all, w.listed)
+	if err != nil {
+		w.log.Error("view not built; the earlier one stays in force", "error", err)
+		return
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].Version < all[j].Version })
+	w.rows.Store(&all)
+	w.view.Store(view)
+	for _, f := range w.onChange {
+		f(view)
+	}
+}
+
+func (w *Watch) takeIncoming() {
+	news := 0
+	for _, rows := range w.incoming.Drain() {
+		news += len(w.cache.Merge(rows))
+	}
+	if news > 0 {
+		w.publish()
+	}
+}
+
+func instant(ms int64) time.Time {
+	if ms == 0 {
+		return time.Time{}
+	}
+	return clock.FromMillis(ms)
+}
