Prove at most once with a state machine of homes

Change: homes and claims take what is outside of them as function fields; a state machine with stale rows, skewed clocks, lost and late writes, crashes and hand-overs asks any entry for any identity, right or wrong. Ruled out: with as many crashes as claims the machine hardly ever granted, and the issue range looked unneeded; crashes are rarer now. Before: no test. After: guards issue-range and memory on=held off=violated on=held.

--- a/entry/plugin.go
+++ b/entry/plugin.go
@@ -30,10 +30,10 @@
 	})
 }
 
-func newHandler(s *Services, h *once.Homes, c clock.Clock, log *slog.Logger, d settings.Daemon) *Handler {
+func newHandler(s *Services, o *once.Claims, c clock.Clock, log *slog.Logger, d settings.Daemon) *Handler {
 	claims := Claims{
-		Claim:   h.Claim,
-		Release: h.Release,
+		Claim:   o.Claim,
+		Release: o.Release,
 	}
 	return NewHandler(s, claims, c, log, Limits{
 		BufferBody: d.BufferBody,
--- a/forward/sender.go
+++ b/forward/sender.go
@@ -117,7 +117,9 @@
 			}
 		},
 	})
-	request, err := http.NewRequestWithContext(traced, method, "http://"+to.String()+path, once{Reader: body.Reader})
+	request, err := http.NewRequestWithContext(traced, method, "http://"+to.String()+path, once{
+		Reader: body.Reader,
+	})
 	if err != nil {
 		return nil, &SendError{
 			Address: to,
--- /dev/null
+++ b/internal/prove/prove.go
@@ -0,0 +1,149 @@
+// Package prove runs the tests that show what carries a promise. Each guard of
+// a promise is tried three times: on, replaced by one that always agrees, and
+// on again. A guard whose absence nothing notices is not proved. The way of
+// proving is that of section 3 of "Working Around the Compute Ceiling"
+// (Corbenic AI, 2026), which tries each defence on, off and restored.
+package prove
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"runtime"
+	"strings"
+	"testing"
+
+	"golang.org/x/sync/errgroup"
+	"pgregory.net/rapid"
+)
+
+// seed starts every property, so that a run has the same verdict each time.
+const seed = "20261202"
+
+// ChecksVariable names the environment variable that sets how many runs a
+// property gets; without it a property gets defaultChecks.
+const ChecksVariable = "PROVE_CHECKS"
+
+const (
+	defaultChecks = "200"
+	defaultSteps  = "150"
+)
+
+// Promises of the brief by their slugs.
+const (
+	AtMostOnce    = "at-most-once"
+	Budget        = "budget"
+	Configuration = "configuration"
+	Leaving       = "leaving"
+	NotRun        = "not-run"
+	OnePool       = "one-pool"
+	PlannedStop   = "planned-stop"
+	WholeAnswer   = "whole-answer"
+)
+
+// recorder notes whether a property failed instead of failing a test.
+type recorder struct {
+	*testing.T
+
+	failed bool
+	text   strings.Builder
+}
+
+// Guard tries the property with the guard on, off and on again, and prints one
+// line. It fails the test unless the property holds with the guard and is
+// violated without it.
+func Guard(t *testing.T, promise, guard string, property func(on bool) func(*rapid.T)) {
+	t.Helper()
+	verdicts := make([]string, 0, 3)
+	texts := make([]string, 0, 3)
+	for _, on := range []bool{true, false, true} {
+		verdict, text := try(t, property(on))
+		verdicts = append(verdicts, verdict)
+		texts = append(texts, text)
+	}
+	fmt.Printf("promise=%s guard=%s on=%s off=%s on=%s test=%s\n", promise, guard, verdicts[0], verdicts[1], verdicts[2], t.Name())
+	if verdicts[0] != "held" || verdicts[1] != "violated" || verdicts[2] != "held" {
+		t.Errorf("guard %s of %s: %v\n%s", guard, promise, verdicts, strings.Join(texts, "\n"))
+	}
+}
+
+// Property checks a property with fixed seeds.
+func Property(t *testing.T, property func(*rapid.T)) {
+	t.Helper()
+	fix(t)
+	rapid.Check(t, property)
+}
+
+// Errorf implements rapid.TB.
+func (r *recorder) Errorf(format string, args ...any) {
+	r.failed = true
+	fmt.Fprintf(&r.text, format+"\n", args...)
+}
+
+// Fail implements rapid.TB.
+func (r *recorder) Fail() {
+	r.failed = true
+}
+
+// FailNow implements rapid.TB.
+func (r *recorder) FailNow() {
+	r.failed = true
+	runtime.Goexit()
+}
+
+// Failed implements rapid.TB.
+func (r *recorder) Failed() bool {
+	return r.failed
+}
+
+// Fatalf implements rapid.TB.
+func (r *recorder) Fatalf(format string, args ...any) {
+	r.Errorf(format, args...)
+	runtime.Goexit()
+}
+
+// Helper implements rapid.TB.
+func (r *recorder) Helper() {}
+
+// Logf implements rapid.TB.
+func (r *recorder) Logf(string, ...any) {}
+
+// fix sets rapid's flags.
+func fix(t *testing.T) {
+	t.Helper()
+	checks := os.Getenv(ChecksVariable)
+	if checks == "" {
+		checks = defaultChecks
+	}
+	values := map[string]string{
+		"rapid.seed":       seed,
+		"rapid.checks":     checks,
+		"rapid.steps":      defaultSteps,
+		"rapid.nofailfile": "true",
+		"rapid.shrinktime": "2s",
+	}
+	for name, value := range values {
+		if err := flag.Set(name, value); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// try runs the property in a goroutine of its own, which a failure ends.
+func try(t *testing.T, property func(*rapid.T)) (verdict, text string) {
+	t.Helper()
+	fix(t)
+	r := &recorder{
+		T: t,
+	}
+	var running errgroup.Group
+	running.Go(func() error {
+		rapid.Check(r, property)
+		return nil
+	})
+	_ = running.Wait()
+	if r.failed {
+		return "violated", r.text.String()
+	}
+	return "held", ""
+}
--- a/internal/standin/callers.go
+++ b/internal/standin/callers.go
@@ -185,7 +185,9 @@
 func (c *Callers) try(ctx context.Context, entry netip.AddrPort, service string, header http.Header, body []byte) attemptEnd {
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry.String()+"/call/"+service+"/work", struct{ io.Reader }{bytes.NewReader(body)})
 	if err != nil {
-		return attemptEnd{end: EndRefused}
+		return attemptEnd{
+			end: EndRefused,
+		}
 	}
 	request.Header = header.Clone()
 	request.ContentLength = int64(len(body))
@@ -195,17 +197,28 @@
 	response, err := c.client.Do(request)
 	if err != nil {
 		if errors.Is(err, syscall.ECONNREFUSED) {
-			return attemptEnd{end: EndRefused}
+			return attemptEnd{
+				end: EndRefused,
+			}
+		}
+		return attemptEnd{
+			end:       EndUnknown,
+			connected: true,
 		}
-		return attemptEnd{end: EndUnknown, connected: true}
 	}
 	defer func() { _ = response.Body.Close() }()
 	answer, err := io.ReadAll(response.Body)
 	if err != nil {
 		if c.options.Killed[entry] {
-			return attemptEnd{end: EndUnknown, connected: true}
+			return attemptEnd{
+				end:       EndUnknown,
+				connected: true,
+			}
+		}
+		return attemptEnd{
+			end:       EndCut,
+			connected: true,
 		}
-		return attemptEnd{end: EndCut, connected: true}
 	}
 	return judge(response, answer, header.Get("Idempotency-Key"), body)
 }
@@ -214,9 +227,15 @@
 func judge(response *http.Response, answer []byte, key string, body []byte) attemptEnd {
 	if response.StatusCode == http.StatusOK {
 		if bytes.Equal(answer, Expected(key, body)) {
-			return attemptEnd{end: EndWhole, connected: true}
+			return attemptEnd{
+				end:       EndWhole,
+				connected: true,
+			}
+		}
+		return attemptEnd{
+			end:       EndWrong,
+			connected: true,
 		}
-		return attemptEnd{end: EndWrong, connected: true}
 	}
 	seconds, err := strconv.Atoi(response.Header.Get("Retry-After"))
 	if err != nil {
@@ -225,9 +244,17 @@
 	retry := time.Duration(seconds) * time.Second
 	var told problem
 	if err := json.Unmarshal(answer, &told); err != nil || told.Outcome != "not-run" {
-		return attemptEnd{end: EndUnknown, connected: true, retry: retry}
+		return attemptEnd{
+			end:       EndUnknown,
+			connected: true,
+			retry:     retry,
+		}
+	}
+	return attemptEnd{
+		end:       EndRefused,
+		connected: true,
+		retry:     retry,
 	}
-	return attemptEnd{end: EndRefused, connected: true, retry: retry}
 }
 
 // Verdict is what the callers and the endpoints saw together.
--- a/member/peers.go
+++ b/member/peers.go
@@ -192,7 +192,9 @@
 	if err := p.watch.Offer(rows); err != nil {
 		p.log.Debug("rows left to the next poll", "error", err)
 	}
-	body, err := Encode(Rows{Rows: rows})
+	body, err := Encode(Rows{
+		Rows: rows,
+	})
 	if err != nil {
 		p.log.Error("rows not told", "error", err)
 		return
@@ -247,7 +249,9 @@
 		return nil, err
 	}
 	if len(message.Rows) == 0 {
-		return Encode(Rows{Rows: p.watch.RowsAfter(0)})
+		return Encode(Rows{
+			Rows: p.watch.RowsAfter(0),
+		})
 	}
 	return nil, p.watch.Offer(message.Rows)
 }
--- a/member/transport.go
+++ b/member/transport.go
@@ -135,11 +135,8 @@
 func (t *Transport) Run(ctx context.Context) error {
 	for {
 		conn, err := t.listener.Accept(ctx)
-		if ctx.Err() != nil || errors.Is(err, quic.ErrServerClosed) {
-			return nil
-		}
 		if err != nil {
-			return fmt.Errorf("accepting peers: %w", err)
+			return acceptError(ctx, err)
 		}
 		t.group.Go("peer connection", func(ctx context.Context) error {
 			t.serve(ctx, conn)
@@ -166,7 +163,10 @@
 		_ = stream.SetDeadline(deadline)
 	}
 	defer stream.CancelRead(0)
-	if err := t.write(stream, envelope{Kind: kind, Body: body}); err != nil {
+	if err := t.write(stream, envelope{
+		Kind: kind,
+		Body: body,
+	}); err != nil {
 		t.forget(to, conn)
 		return envelope{}, err
 	}
@@ -255,6 +255,14 @@
 	return stream.Close()
 }
 
+// acceptError returns nil for an error that only says that the entry stops.
+func acceptError(ctx context.Context, err error) error {
+	if ctx.Err() != nil || errors.Is(err, quic.ErrServerClosed) {
+		return nil //nolint:nilerr // The listener was closed on purpose.
+	}
+	return fmt.Errorf("accepting peers: %w", err)
+}
+
 func quicConfig() *quic.Config {
 	return &quic.Config{
 		HandshakeIdleTimeout: handshakeTimeout,
--- /dev/null
+++ b/once/homes_test.go
@@ -0,0 +1,245 @@
+package once_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"pgregory.net/rapid"
+
+	"lemonstream.dev/lemonstream/internal/prove"
+	"lemonstream.dev/lemonstream/internal/standin"
+	"lemonstream.dev/lemonstream/once"
+	"lemonstream.dev/lemonstream/platform"
+)
+
+const (
+	interval = 10 * time.Second
+	nodes    = 3
+)
+
+// node is one entry with its own copy of the rows and its own clock.
+type node struct {
+	number int
+	boot   int
+	homes  *once.Homes
+	rows   map[string]platform.Row
+	skew   time.Duration
+
+	// alone is whether the entry hears no other.
+	alone bool
+}
+
+// cluster is the state machine: entries that act only when they are picked,
+// so that every pause, however long, and every order of steps can come up.
+type cluster struct {
+	table   *standin.Table
+	faults  *standin.Switch
+	late    *standin.Late
+	objects map[string][]byte
+	now     *standin.Manual
+	guards  once.Guards
+	nodes   []*node
+	random  uint64
+
+	// granted is the oracle: the attempts that may run each identity.
+	granted map[once.Key]map[string]bool
+	keys    []once.Key
+}
+
+func TestFrozenHomeCannotGrantTwice(t *testing.T) {
+	guards := map[string]func(*once.Guards){
+		"issue-range": func(g *once.Guards) { g.Covers = func(int64, int64, int64) bool { return true } },
+		"memory":      func(g *once.Guards) { g.Free = func(string, string) bool { return true } },
+	}
+	for name, remove := range guards {
+		t.Run(name, func(t *testing.T) {
+			prove.Guard(t, prove.AtMostOnce, name, func(on bool) func(*rapid.T) {
+				used := once.AllGuards()
+				if !on {
+					remove(&used)
+				}
+				return func(t *rapid.T) { runCluster(t, used) }
+			})
+		})
+	}
+}
+
+func runCluster(t *rapid.T, guards once.Guards) {
+	c := &cluster{
+		table:   standin.NewTable(),
+		faults:  &standin.Switch{},
+		late:    &standin.Late{},
+		objects: make(map[string][]byte),
+		now:     standin.NewManual(time.UnixMilli(1_000_000_000)),
+		guards:  guards,
+		granted: make(map[once.Key]map[string]bool),
+	}
+	for number := range nodes {
+		c.nodes = append(c.nodes, &node{
+			number: number,
+		})
+		c.restart(c.nodes[number])
+	}
+	t.Repeat(map[string]func(*rapid.T){
+		"":         c.check,
+		"advance":  func(t *rapid.T) { c.now.Step(time.Duration(rapid.IntRange(1, 6000).Draw(t, "ms")) * time.Millisecond) },
+		"claim":    c.claim,
+		"claim 2":  c.claim,
+		"fault":    c.fault,
+		"hear":     func(t *rapid.T) { n := c.pick(t); n.alone = !n.alone },
+		"late":     func(*rapid.T) { c.late.Apply(c.table) },
+		"refresh":  func(t *rapid.T) { c.refresh(c.pick(t)) },
+		"repeat":   c.repeat,
+		"repeat 2": c.repeat,
+		"repeat 3": c.repeat,
+		"stop":     c.stop,
+		"tend":     func(t *rapid.T) { n := c.pick(t); c.refresh(n); n.homes.Tend(context.Background()) },
+		"tend 2":   func(t *rapid.T) { n := c.pick(t); c.refresh(n); n.homes.Tend(context.Background()) },
+		"tend old": func(t *rapid.T) { c.pick(t).homes.Tend(context.Background()) },
+	})
+}
+
+// check is the oracle.
+func (c *cluster) check(t *rapid.T) {
+	for key, attempts := range c.granted {
+		if len(attempts) > 1 {
+			t.Fatalf("identity %x was granted to %d attempts", key, len(attempts))
+		}
+	}
+}
+
+func (c *cluster) claim(t *rapid.T) {
+	offset := time.Duration(rapid.IntRange(-12_000, 2000).Draw(t, "issued"))
+	key := c.key(c.now.Clock(func() time.Duration { return 0 }).Now().Add(offset * time.Millisecond))
+	c.keys = append(c.keys, key)
+	c.ask(c.pick(t), key)
+}
+
+func (c *cluster) repeat(t *rapid.T) {
+	if len(c.keys) > 0 {
+		c.ask(c.pick(t), c.keys[len(c.keys)-1-rapid.IntRange(0, min(len(c.keys)-1, 6)).Draw(t, "key")])
+	}
+}
+
+// fault switches a fault of the table, mostly off.
+func (c *cluster) fault(t *rapid.T) {
+	faults := []standin.Fault{standin.FaultNone, standin.FaultNone, standin.FaultNone, standin.FaultNone, standin.FaultDown, standin.FaultLose, standin.FaultLate}
+	c.faults.Set(rapid.SampledFrom(faults).Draw(t, "fault"))
+}
+
+// stop is a crash, a planned stop or a step of the entry's clock.
+func (c *cluster) stop(t *rapid.T) {
+	n := c.pick(t)
+	switch rapid.IntRange(0, 5).Draw(t, "how") {
+	case 0:
+		c.restart(n)
+	case 1:
+		c.refresh(n)
+		_ = n.homes.HandOver(context.Background())
+	case 2:
+		n.skew = time.Duration(rapid.IntRange(-20, 20).Draw(t, "s")) * time.Second
+	}
+}
+
+// ask claims with a new attempt, at whichever entry was picked, right or wrong.
+func (c *cluster) ask(n *node, key once.Key) {
+	c.random++
+	attempt := fmt.Sprint(c.random)
+	if n.homes.Claim(key, attempt) != once.Granted {
+		return
+	}
+	if c.granted[key] == nil {
+		c.granted[key] = make(map[string]bool)
+	}
+	c.granted[key][attempt] = true
+}
+
+// key makes an identity issued at the instant, always of partition 0.
+func (c *cluster) key(at time.Time) once.Key {
+	ms := at.UnixMilli()
+	for {
+		c.random++
+		var id uuid.UUID
+		for i := range 6 {
+			id[i] = byte(ms >> (8 * (5 - i)))
+		}
+		id[6] = 0x70
+		for i := range 8 {
+			id[8+i] = byte(c.random >> (8 * i))
+		}
+		if key := once.Key(id); key.Partition() == 0 {
+			return key
+		}
+	}
+}
+
+func (c *cluster) pick(t *rapid.T) *node {
+	return c.nodes[rapid.IntRange(0, nodes-1).Draw(t, "node")]
+}
+
+// refresh brings the entry's copy of the rows up to date.
+func (c *cluster) refresh(n *node) {
+	for _, row := range c.table.Scan("", 0).Rows {
+		n.rows[row.Key] = row
+	}
+}
+
+// restart is a crash: everything that the entry remembered is gone.
+func (c *cluster) restart(n *node) {
+	n.boot++
+	n.rows = make(map[string]platform.Row)
+	table := standin.InMemory(c.table, c.faults, c.late)
+	outside := once.Outside{
+		Row: func(partition int) platform.Row {
+			row, found := n.rows[once.RowKey(partition)]
+			if !found {
+				row.Key = once.RowKey(partition)
+			}
+			return row
+		},
+		Known: func() bool { return true },
+		Candidates: func() []string {
+			var all []string
+			for _, other := range c.nodes {
+				if other == n || !n.alone {
+					all = append(all, incarnation(other))
+				}
+			}
+			return all
+		},
+		Commit: table.Transact,
+		Objects: platform.Objects{
+			Get: func(_ context.Context, key string) ([]byte, error) {
+				if body, found := c.objects[key]; found {
+					return body, nil
+				}
+				return nil, &platform.NotFoundError{
+					Key: key,
+				}
+			},
+			Put: func(_ context.Context, key string, body []byte) error {
+				c.objects[key] = body
+				return nil
+			},
+		},
+		Refresh: func() {},
+		Tell: func(rows []platform.Row) {
+			for _, row := range rows {
+				n.rows[row.Key] = row
+			}
+		},
+	}
+	n.homes = once.NewHomes(outside, c.now.Clock(func() time.Duration { return n.skew }), slog.New(slog.DiscardHandler), once.HomesOptions{
+		Incarnation: incarnation(n),
+		Interval:    interval,
+		Guards:      c.guards,
+	})
+}
+
+func incarnation(n *node) string {
+	return fmt.Sprintf("%d/%d", n.number, n.boot)
+}
--- a/once/plugin.go
+++ b/once/plugin.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"net/netip"
 
 	"go.uber.org/fx"
 
@@ -25,7 +26,10 @@
 
 func options() fx.Option {
 	return fx.Options(
-		fx.Provide(newHomes),
+		fx.Provide(
+			newHomes,
+			newClaims,
+		),
 		fx.Invoke(func(lc fx.Lifecycle, g *kernel.Group, h *Homes, log *slog.Logger) {
 			lc.Append(fx.Hook{
 				OnStart: func(context.Context) error {
@@ -43,10 +47,40 @@
 	)
 }
 
-func newHomes(p platform.Platform, w *state.Watch, t *member.Transport, peers *member.Peers, c clock.Clock, log *slog.Logger, self fleet.Self, d settings.Daemon) *Homes {
-	return NewHomes(p, w, t, peers, c, log, HomesOptions{
+func newClaims(h *Homes, w *state.Watch, t *member.Transport, log *slog.Logger, self fleet.Self) *Claims {
+	home := func(partition int) (netip.AddrPort, bool) {
+		home, found := w.View().Homes[PartitionName(partition)]
+		if !found || home.Holder == "" || home.Holder == self.Incarnation {
+			return netip.AddrPort{}, false
+		}
+		address, err := netip.ParseAddrPort(home.Address)
+		return address, err == nil
+	}
+	return NewClaims(h, home, t, log)
+}
+
+func newHomes(p platform.Platform, w *state.Watch, peers *member.Peers, c clock.Clock, log *slog.Logger, self fleet.Self, d settings.Daemon) *Homes {
+	outside := Outside{
+		Row:   func(partition int) platform.Row { return w.Row(RowKey(partition)) },
+		Known: func() bool { return !w.FreshAt().IsZero() },
+		Candidates: func() []string {
+			candidates := []string{self.Incarnation}
+			for _, heard := range peers.Heard() {
+				candidates = append(candidates, heard.Hello.Incarnation)
+			}
+			return candidates
+		},
+		Commit:  p.Table.Commit,
+		Objects: p.Objects,
+		Refresh: w.Poke,
+		Tell:    peers.TellRows,
+	}
+	homes := NewHomes(outside, c, log, HomesOptions{
 		Incarnation: self.Incarnation,
 		Address:     self.Peers,
 		Interval:    d.HomeInterval,
+		Guards:      AllGuards(),
 	})
+	w.OnChange(homes.LookAgain)
+	return homes
 }
--- a/once/tend.go
+++ b/once/tend.go
@@ -25,21 +25,19 @@
 	seen []Grant
 }
 
-// tend brings the partitions to where they should be: what is free and meant
-// for this entry is taken, what is held is extended.
-func (h *Homes) tend(ctx context.Context) {
+// Tend brings the partitions to where they should be: what is free and meant
+// for this entry is taken, what is held is extended, and what is meant for
+// another entry is handed to it.
+func (h *Homes) Tend(ctx context.Context) {
 	now := clock.Millis(h.clock.Now())
-	if h.watch.FreshAt().IsZero() || h.isStopped() {
+	if !h.outside.Known() || h.isStopped() {
 		return
 	}
-	candidates := []string{h.incarnation}
-	for _, heard := range h.peers.Heard() {
-		candidates = append(candidates, heard.Hello.Incarnation)
-	}
+	candidates := h.outside.Candidates()
 	h.dropLost()
 	var changes []change
 	for partition := range Partitions {
-		next, wanted := h.next(ctx, partition, h.row(partition), candidates, now)
+		next, wanted := h.next(ctx, partition, h.outside.Row(partition), candidates, now)
 		if wanted {
 			changes = append(changes, next)
 		}
@@ -74,7 +72,7 @@
 	rows, err := h.write(ctx, changes)
 	var conflict *platform.ConflictError
 	if errors.As(err, &conflict) && len(changes) > 1 {
-		h.watch.Poke()
+		h.outside.Refresh()
 		for _, one := range changes {
 			h.apply(ctx, []change{one})
 		}
@@ -82,11 +80,11 @@
 	}
 	if err != nil {
 		h.log.Warn("homes not written", "partitions", len(changes), "error", err)
-		h.watch.Poke()
+		h.outside.Refresh()
 		return
 	}
 	h.adopt(changes, rows[0].Version)
-	h.peers.TellRows(rows)
+	h.outside.Tell(rows)
 }
 
 // adopt opens or extends the windows of changes that took effect at the
@@ -100,7 +98,7 @@
 	for _, c := range changes {
 		window := h.held[c.partition].window
 		if window == nil {
-			window = NewWindow(c.home.Start, c.home.End, c.seen)
+			window = NewWindow(h.guards, c.home.Start, c.home.End, c.seen)
 		}
 		window.Extend(c.home.End)
 		h.held[c.partition] = holding{
@@ -115,7 +113,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for partition, one := range h.held {
-		row := h.row(partition)
+		row := h.outside.Row(partition)
 		home, err := decodeHome(row)
 		if err == nil && row.Version > one.version && home.Holder != h.incarnation {
 			delete(h.held, partition)
@@ -123,12 +121,6 @@
 	}
 }
 
-func (h *Homes) isStopped() bool {
-	h.mu.RLock()
-	defer h.mu.RUnlock()
-	return h.stopped
-}
-
 // next returns the change that the partition's row needs, if any.
 func (h *Homes) next(ctx context.Context, partition int, row platform.Row, candidates []string, now int64) (change, bool) {
 	home, err := decodeHome(row)
@@ -141,7 +133,11 @@
 		held := h.window(partition) != nil
 		home.End = max(home.End, end)
 		due := home.End-h.endOf(row) > h.interval.Milliseconds()/4
-		return change{partition: partition, row: row, home: home}, held && due
+		return change{
+			partition: partition,
+			row:       row,
+			home:      home,
+		}, held && due
 	}
 	lapsed := home.Holder == "" || home.End <= now
 	if !lapsed || h.target(partition, candidates) != h.incarnation {
@@ -172,7 +168,12 @@
 		}
 	}
 	next.End = max(next.End, next.Start)
-	return change{partition: partition, row: row, home: next, seen: seen}, true
+	return change{
+		partition: partition,
+		row:       row,
+		home:      next,
+		seen:      seen,
+	}, true
 }
 
 func (h *Homes) endOf(row platform.Row) int64 {
@@ -186,7 +187,7 @@
 // load reads the grants of an earlier home of the partition; an object that
 // fails its check is not used.
 func (h *Homes) load(ctx context.Context, object string, partition int) ([]Grant, error) {
-	sealed, err := h.platform.Objects.Get(ctx, object)
+	sealed, err := h.outside.Objects.Get(ctx, object)
 	if err != nil {
 		return nil, err
 	}
@@ -227,7 +228,7 @@
 			Value: value,
 		})
 	}
-	revision, err := h.platform.Table.Commit(ctx, tx)
+	revision, err := h.outside.Commit(ctx, tx)
 	if err != nil {
 		return nil, err
 	}
--- a/once/window.go
+++ b/once/window.go
@@ -36,11 +36,33 @@
 	Attempt string `cbor:"2,keyasint"`
 }
 
+// Guards are the checks that carry the promise of at most once. Each is a
+// field, so that a test can replace it by one that always agrees and see the
+// promise break.
+type Guards struct {
+	// Covers decides whether a home with the range from start to end may
+	// grant what was issued then; all are in milliseconds.
+	Covers func(issued, start, end int64) bool
+
+	// Free decides whether attempt may have an identity that holder has.
+	Free func(holder, attempt string) bool
+}
+
+// AllGuards returns the guards that hold the promise.
+func AllGuards() Guards {
+	return Guards{
+		Covers: func(issued, start, end int64) bool { return start <= issued && issued < end },
+		Free:   func(holder, attempt string) bool { return holder == attempt },
+	}
+}
+
 // Verdict is the answer to a claim.
 type Verdict int
 
 // Window is what a home knows of one partition.
 type Window struct {
+	guards Guards
+
 	mu sync.Mutex
 
 	// start and end bound the issue times that may be granted, in
@@ -48,6 +70,9 @@
 	start int64
 	end   int64
 
+	// closed is set when the window was handed over.
+	closed bool
+
 	// slots maps an issue time divided by slotMillis to the grants issued in
 	// it; no slot ends before start.
 	slots map[int64]map[Key]string
@@ -58,11 +83,12 @@
 
 // NewWindow returns a window over the given range which has already granted
 // what seen lists.
-func NewWindow(start, end int64, seen []Grant) *Window {
+func NewWindow(guards Guards, start, end int64, seen []Grant) *Window {
 	w := &Window{
-		start: start,
-		end:   end,
-		slots: make(map[int64]map[Key]string),
+		guards: guards,
+		start:  start,
+		end:    end,
+		slots:  make(map[int64]map[Key]string),
 	}
 	for _, grant := range seen {
 		w.put(grant.Key, grant.Attempt)
@@ -77,11 +103,11 @@
 	defer w.mu.Unlock()
 	w.forget(now)
 	issued := key.Issued()
-	if issued < w.start || issued >= w.end {
+	if w.closed || !w.guards.Covers(issued, w.start, w.end) {
 		return NotCovered
 	}
 	if holder, found := w.slots[issued/slotMillis][key]; found {
-		if holder == attempt {
+		if w.guards.Free(holder, attempt) {
 			return Granted
 		}
 		return Duplicate
@@ -94,7 +120,7 @@
 func (w *Window) Close() []Grant {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.end = w.start
+	w.closed = true
 	grants := make([]Grant, 0, w.count)
 	for _, slot := range w.slots {
 		for key, attempt := range slot {
@@ -166,5 +192,5 @@
 		w.slots[slot] = grants
 	}
 	grants[key] = attempt
-	w.count = w.count + 1
+	w.count++
 }
--- a/settings/daemon.go
+++ b/settings/daemon.go
@@ -61,8 +61,20 @@
 				Name: "log",
 				Doc:  "Where and how the daemon logs; it writes to standard error.",
 				Keys: []Key{
-					{Name: "format", Kind: KindChoice, Default: "json", Choices: []string{"json", "text"}, Doc: "Form of a log line."},
-					{Name: "level", Kind: KindChoice, Default: "info", Choices: []string{"debug", "info", "warn", "error"}, Doc: "Least level that is logged."},
+					{
+						Name:    "format",
+						Kind:    KindChoice,
+						Default: "json",
+						Choices: []string{"json", "text"},
+						Doc:     "Form of a log line.",
+					},
+					{
+						Name:    "level",
+						Kind:    KindChoice,
+						Default: "info",
+						Choices: []string{"debug", "info", "warn", "error"},
+						Doc:     "Least level that is logged.",
+					},
 				},
 			},
 		},
@@ -158,10 +170,30 @@
 		Required: true,
 		Doc:      "What this entry is.",
 		Keys: []Key{
-			{Name: "id", Kind: KindName, Required: true, Doc: "Name of the entry, unique in the deployment."},
-			{Name: "zone", Kind: KindName, Required: true, Doc: "Availability zone of the entry."},
-			{Name: "region", Kind: KindName, Default: "", Doc: "Region of the entry."},
-			{Name: "platform", Kind: KindAddress, Required: true, Doc: "Address of the platform's table, object store and instance list."},
+			{
+				Name:     "id",
+				Kind:     KindName,
+				Required: true,
+				Doc:      "Name of the entry, unique in the deployment.",
+			},
+			{
+				Name:     "zone",
+				Kind:     KindName,
+				Required: true,
+				Doc:      "Availability zone of the entry.",
+			},
+			{
+				Name:    "region",
+				Kind:    KindName,
+				Default: "",
+				Doc:     "Region of the entry.",
+			},
+			{
+				Name:     "platform",
+				Kind:     KindAddress,
+				Required: true,
+				Doc:      "Address of the platform's table, object store and instance list.",
+			},
 		},
 	}
 }
@@ -171,11 +203,46 @@
 		Name: "limits",
 		Doc:  "Bounds of what one entry takes on.",
 		Keys: []Key{
-			{Name: "entries", Kind: KindCount, Default: "9", Min: 1, Max: 64, Doc: "Most entries that share an endpoint's connections."},
-			{Name: "max_body", Kind: KindBytes, Default: "8MiB", Min: 1 << 10, Max: 1 << 30, Doc: "Largest body of a request or an answer."},
-			{Name: "buffer_body", Kind: KindBytes, Default: "64KiB", Min: 0, Max: 1 << 20, Doc: "Bodies up to this size are held whole; larger ones are streamed."},
-			{Name: "max_callers", Kind: KindCount, Default: "6000", Min: 1, Max: 100000, Doc: "Most caller connections open at once."},
-			{Name: "queue_length", Kind: KindCount, Default: "256", Min: 0, Max: 100000, Doc: "Most requests of a service that wait for a slot."},
+			{
+				Name:    "entries",
+				Kind:    KindCount,
+				Default: "9",
+				Min:     1,
+				Max:     64,
+				Doc:     "Most entries that share an endpoint's connections.",
+			},
+			{
+				Name:    "max_body",
+				Kind:    KindBytes,
+				Default: "8MiB",
+				Min:     1 << 10,
+				Max:     1 << 30,
+				Doc:     "Largest body of a request or an answer.",
+			},
+			{
+				Name:    "buffer_body",
+				Kind:    KindBytes,
+				Default: "64KiB",
+				Min:     0,
+				Max:     1 << 20,
+				Doc:     "Bodies up to this size are held whole; larger ones are streamed.",
+			},
+			{
+				Name:    "max_callers",
+				Kind:    KindCount,
+				Default: "6000",
+				Min:     1,
+				Max:     100000,
+				Doc:     "Most caller connections open at once.",
+			},
+			{
+				Name:    "queue_length",
+				Kind:    KindCount,
+				Default: "256",
+				Min:     0,
+				Max:     100000,
+				Doc:     "Most requests of a service that wait for a slot.",
+			},
 		},
 	}
 }
@@ -186,9 +253,24 @@
 		Required: true,
 		Doc:      "Addresses the entry listens on.",
 		Keys: []Key{
-			{Name: "callers", Kind: KindAddress, Required: true, Doc: "HTTP for callers."},
-			{Name: "operators", Kind: KindAddress, Required: true, Doc: "HTTP for operators, metrics and health."},
-			{Name: "peers", Kind: KindAddress, Required: true, Doc: "QUIC for other entries."},
+			{
+				Name:     "callers",
+				Kind:     KindAddress,
+				Required: true,
+				Doc:      "HTTP for callers.",
+			},
+			{
+				Name:     "operators",
+				Kind:     KindAddress,
+				Required: true,
+				Doc:      "HTTP for operators, metrics and health.",
+			},
+			{
+				Name:     "peers",
+				Kind:     KindAddress,
+				Required: true,
+				Doc:      "QUIC for other entries.",
+			},
 		},
 	}
 }
@@ -199,10 +281,30 @@
 		Required: true,
 		Doc:      "Other entries and the keys that entries know each other by.",
 		Keys: []Key{
-			{Name: "seeds", Kind: KindAddressList, Default: "", Doc: "Peer addresses tried at the start."},
-			{Name: "certificate", Kind: KindFile, Required: true, Doc: "PEM file of this entry's certificate, read again when it changes."},
-			{Name: "key", Kind: KindFile, Required: true, Doc: "PEM file of its private key."},
-			{Name: "authority", Kind: KindFile, Required: true, Doc: "PEM file of the authority that signed the entries' certificates."},
+			{
+				Name:    "seeds",
+				Kind:    KindAddressList,
+				Default: "",
+				Doc:     "Peer addresses tried at the start.",
+			},
+			{
+				Name:     "certificate",
+				Kind:     KindFile,
+				Required: true,
+				Doc:      "PEM file of this entry's certificate, read again when it changes.",
+			},
+			{
+				Name:     "key",
+				Kind:     KindFile,
+				Required: true,
+				Doc:      "PEM file of its private key.",
+			},
+			{
+				Name:     "authority",
+				Kind:     KindFile,
+				Required: true,
+				Doc:      "PEM file of the authority that signed the entries' certificates.",
+			},
 		},
 	}
 }
@@ -212,12 +314,54 @@
 		Name: "times",
 		Doc:  "Intervals and patience.",
 		Keys: []Key{
-			{Name: "stop_timeout", Kind: KindDuration, Default: "30s", Min: 100, Max: 300000, Doc: "Longest wait for requests in flight at a planned stop."},
-			{Name: "home_interval", Kind: KindDuration, Default: "1m", Min: 1000, Max: 3600000, Doc: "How far ahead a home may grant unrepeatable requests; the time its keys are refused after its sudden death, and the table outage it rides out."},
-			{Name: "lease_length", Kind: KindDuration, Default: "6s", Min: 500, Max: 600000, Doc: "Length of a control lease."},
-			{Name: "poll_interval", Kind: KindDuration, Default: "1s", Min: 50, Max: 60000, Doc: "Pause between two looks at the table and the list."},
-			{Name: "tell_interval", Kind: KindDuration, Default: "1s", Min: 50, Max: 60000, Doc: "Pause between two messages to a peer."},
-			{Name: "silent_after", Kind: KindDuration, Default: "5s", Min: 200, Max: 600000, Doc: "A peer that is silent this long counts as gone."},
+			{
+				Name:    "stop_timeout",
+				Kind:    KindDuration,
+				Default: "30s",
+				Min:     100,
+				Max:     300000,
+				Doc:     "Longest wait for requests in flight at a planned stop.",
+			},
+			{
+				Name:    "home_interval",
+				Kind:    KindDuration,
+				Default: "1m",
+				Min:     1000,
+				Max:     3600000,
+				Doc:     "How far ahead a home may grant unrepeatable requests; the time its keys are refused after its sudden death, and the table outage it rides out.",
+			},
+			{
+				Name:    "lease_length",
+				Kind:    KindDuration,
+				Default: "6s",
+				Min:     500,
+				Max:     600000,
+				Doc:     "Length of a control lease.",
+			},
+			{
+				Name:    "poll_interval",
+				Kind:    KindDuration,
+				Default: "1s",
+				Min:     50,
+				Max:     60000,
+				Doc:     "Pause between two looks at the table and the list.",
+			},
+			{
+				Name:    "tell_interval",
+				Kind:    KindDuration,
+				Default: "1s",
+				Min:     50,
+				Max:     60000,
+				Doc:     "Pause between two messages to a peer.",
+			},
+			{
+				Name:    "silent_after",
+				Kind:    KindDuration,
+				Default: "5s",
+				Min:     200,
+				Max:     600000,
+				Doc:     "A peer that is silent this long counts as gone.",
+			},
 		},
 	}
 }
--- a/settings/schema.go
+++ b/settings/schema.go
@@ -149,9 +149,18 @@
 		suffix string
 		size   int64
 	}{
-		{suffix: "KiB", size: 1 << 10},
-		{suffix: "MiB", size: 1 << 20},
-		{suffix: "B", size: 1},
+		{
+			suffix: "KiB",
+			size:   1 << 10,
+		},
+		{
+			suffix: "MiB",
+			size:   1 << 20,
+		},
+		{
+			suffix: "B",
+			size:   1,
+		},
 	}
 	for _, unit := range units {
 		digits, found := strings.CutSuffix(value, unit.suffix)
