--- a/carry/plugin.go
+++ b/carry/plugin.go
@@ -86,24 +86,19 @@
 func quiet(w *state.Watch, p *member.Peers, s *entry.Services, id string) bool {
 	view := w.View()
 	version := view.Rows[fleet.InstanceKey(id)].Version
-	if !lets(s.Held(view), id, version) {
+	hold, told := s.Held(view)[id]
+	if !Lets(hold, told, version) {
 		return false
 	}
 	for _, peer := range p.Live() {
-		if !lets(peer.Hello.Held, id, version) {
+		hold, told := peer.Hello.Held[id]
+		if !Lets(hold, told, version) {
 			return false
 		}
 	}
 	return true
 }
 
-// lets reports whether an entry's word covers the instance's row at version
-// and nothing is in flight.
-func lets(held map[string]member.Hold, id string, version int64) bool {
-	hold, told := held[id]
-	return told && hold.Version >= version && hold.Count == 0
-}
-
 func roundPause(d settings.Daemon) time.Duration {
 	return max(d.PollInterval/2, 50*time.Millisecond)
 }
--- a/carry/step.go
+++ b/carry/step.go
@@ -9,6 +9,7 @@
 	"lemonstream.dev/lemonstream/clock"
 	"lemonstream.dev/lemonstream/fleet"
 	"lemonstream.dev/lemonstream/intent"
+	"lemonstream.dev/lemonstream/member"
 	"lemonstream.dev/lemonstream/platform"
 )
 
@@ -24,6 +25,13 @@
 	return conn.Close() == nil
 }
 
+// Lets reports whether an entry's word covers the instance's row at version
+// and nothing of the entry is in flight there. An entry that told nothing lets
+// nothing go.
+func Lets(hold member.Hold, told bool, version int64) bool {
+	return told && hold.Version >= version && hold.Count == 0
+}
+
 // step does the next step of an instance that the plan took out, if it can be
 // done now.
 func (d *Duty) step(ctx context.Context, plan *intent.Plan, instance fleet.Instance) error {
--- a/internal/prove/prove.go
+++ b/internal/prove/prove.go
@@ -11,6 +11,7 @@
 	"os"
 	"runtime"
 	"strings"
+	"sync"
 	"testing"
 
 	"golang.org/x/sync/errgroup"
@@ -25,8 +26,8 @@
 const ChecksVariable = "PROVE_CHECKS"
 
 const (
-	defaultChecks = "200"
-	defaultSteps  = "150"
+	defaultChecks = "100"
+	defaultSteps  = "100"
 )
 
 // Promises of the brief by their slugs.
@@ -49,6 +50,27 @@
 	text   strings.Builder
 }
 
+// fixed sets rapid's flags on its first call.
+var fixed = sync.OnceValue(func() error {
+	checks := os.Getenv(ChecksVariable)
+	if checks == "" {
+		checks = defaultChecks
+	}
+	values := map[string]string{
+		"rapid.seed":       seed,
+		"rapid.checks":     checks,
+		"rapid.steps":      defaultSteps,
+		"rapid.nofailfile": "true",
+		"rapid.shrinktime": "1s",
+	}
+	for name, value := range values {
+		if err := flag.Set(name, value); err != nil {
+			return err
+		}
+	}
+	return nil
+})
+
 // Guard tries the property with the guard on, off and on again, and prints one
 // line. It fails the test unless the property holds with the guard and is
 // violated without it.
@@ -108,24 +130,11 @@
 // Logf implements rapid.TB.
 func (r *recorder) Logf(string, ...any) {}
 
-// fix sets rapid's flags.
+// fix sets rapid's flags, once for all tests of a package.
 func fix(t *testing.T) {
 	t.Helper()
-	checks := os.Getenv(ChecksVariable)
-	if checks == "" {
-		checks = defaultChecks
-	}
-	values := map[string]string{
-		"rapid.seed":       seed,
-		"rapid.checks":     checks,
-		"rapid.steps":      defaultSteps,
-		"rapid.nofailfile": "true",
-		"rapid.shrinktime": "2s",
-	}
-	for name, value := range values {
-		if err := flag.Set(name, value); err != nil {
-			t.Fatal(err)
-		}
+	if err := fixed(); err != nil {
+		t.Fatal(err)
 	}
 }
 
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -20,6 +20,9 @@
 	// FaultLose lets a write take effect and loses its answer.
 	FaultLose Fault = "lose"
 
+	// FaultLoseOnce loses one answer and then goes away.
+	FaultLoseOnce Fault = "lose-once"
+
 	// FaultNone is the ordinary course.
 	FaultNone Fault = ""
 
@@ -75,7 +78,10 @@
 				return 0, err
 			}
 			switch faults.Get() {
-			case FaultLose:
+			case FaultLose, FaultLoseOnce:
+				if faults.Get() == FaultLoseOnce {
+					faults.Set(FaultNone)
+				}
 				_, _ = table.Transact(tx)
 				return 0, unavailable("transact")
 			case FaultLate:
@@ -85,6 +91,7 @@
 				return table.Transact(tx)
 			}
 		},
+		Pause: func(context.Context, time.Duration) bool { return true },
 	}
 }
 
--- a/once/homes_test.go
+++ b/once/homes_test.go
@@ -57,6 +57,7 @@
 	}
 	for name, remove := range guards {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			prove.Guard(t, prove.AtMostOnce, name, func(on bool) func(*rapid.T) {
 				used := once.AllGuards()
 				if !on {
