Give the caller what came of the last try when no endpoint is left

Cause: after a refused connection the retry found no other endpoint and said that all slots are taken, 503 now and then instead of 502. Change: a try that finds no endpoint does not replace the answer to the one before. The test's half answer closes its connection as it says. After: green twice with -race.

--- a/entry/handler.go
+++ b/entry/handler.go
@@ -210,22 +210,20 @@
 }
 
 // sendUntilAnswered tries endpoints until one answers or nothing more may be
-// tried.
+// tried. Where no endpoint is left to try, the caller gets what came of the
+// last try.
 func (h *Handler) sendUntilAnswered(ctx context.Context, a *attempt) (*answer, *Problem) {
-	for retries := 0; ; retries++ {
-		result, problem, again := h.try(ctx, a)
-		if problem == nil && !again {
-			return result, nil
-		}
-		last := retries >= a.service.mostRetries || ctx.Err() != nil
-		if !again || last || !a.service.retry.Take() {
-			h.settle(ctx, a)
-			return result, problem
-		}
-		if result != nil && result.rest != nil {
-			_ = result.rest.Close()
+	defer h.settle(ctx, a)
+	result, problem, again := h.try(ctx, a)
+	for retries := 0; again && retries < a.service.mostRetries && ctx.Err() == nil && a.service.retry.Take(); retries++ {
+		next, nextProblem, nextAgain := h.try(ctx, a)
+		if nextProblem != nil && nextProblem.untried {
+			break
 		}
+		result.discard()
+		result, problem, again = next, nextProblem, nextAgain
 	}
+	return result, problem
 }
 
 // try sends the request to one endpoint. It reports whether another try is
@@ -406,6 +404,13 @@
 	return OutcomeNotRun
 }
 
+// discard closes an answer that nobody gets.
+func (r *answer) discard() {
+	if r != nil && r.rest != nil {
+		_ = r.rest.Close()
+	}
+}
+
 // releasingBody gives the endpoint's slot back when the answer is closed.
 type releasingBody struct {
 	io.ReadCloser
--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -259,7 +260,7 @@
 			if answer == "" {
 				return
 			}
-			if _, err := io.WriteString(conn, answer); err != nil {
+			if _, err := io.WriteString(conn, answer); err != nil || strings.Contains(answer, "Connection: close") {
 				return
 			}
 		}
--- a/entry/problem.go
+++ b/entry/problem.go
@@ -38,6 +38,9 @@
 
 	// RetryAfter is when to come back; 0 where coming back is of no use.
 	RetryAfter time.Duration `json:"-"`
+
+	// untried marks a try that found no endpoint to send to.
+	untried bool
 }
 
 // burnOutcome returns how the report counts the problem.
@@ -145,6 +148,7 @@
 		Detail:     "service " + service + ": " + reason,
 		Outcome:    outcome,
 		RetryAfter: time.Second,
+		untried:    true,
 	}
 }
 
--- a/entry/refusal_test.go
+++ b/entry/refusal_test.go
@@ -188,7 +188,7 @@
 		if err != nil {
 			return
 		}
-		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s", len(got), got)
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s", len(got), got)
 	})
 	got := p.send([]byte(body), nil)
 	is.NoErr(got.err)
