Prove the whole path with real processes under kills, freezes and outages

Cause: the state machines have no sockets, signals or schedulers. Change: package proof starts endpoints and entries as processes: planned stop, SIGKILL with restart, SIGSTOP past the home's range, table down with an entry starting meanwhile, a maintenance through entries' deaths and lost answers, operators racing over one rack. Found: a plan proposed and confirmed at once was not known yet (the view is published by its own duty); calls wait up to a second for it. Not done: peers cut in one direction only.

--- a/carry/carry_test.go
+++ b/carry/carry_test.go
@@ -276,6 +276,7 @@
 		Suspects: func() map[string]bool { return nil },
 		Refresh:  func() {},
 		Tell:     func(rows []platform.Row) { w.merge(o, rows) },
+		Wait:     func(_ context.Context, condition func(*state.View) bool) bool { return condition(o.view) },
 	}, w.guards.control)
 	// A lease this short lets every entry act at every step.
 	leases := lease.NewHolder(table, clock, fmt.Sprint(len(w.operators)), 0)
@@ -357,7 +358,7 @@
 
 func (w *world) confirm(t *rapid.T) {
 	o := w.pick(t)
-	if plan, err := o.store.Plan(w.plan); err == nil {
+	if plan, err := o.store.Plan(context.Background(), w.plan); err == nil {
 		_, _ = o.store.Confirm(context.Background(), w.plan, plan.Digest)
 	}
 }
--- a/carry/plugin.go
+++ b/carry/plugin.go
@@ -58,6 +58,7 @@
 		Suspects: func() map[string]bool { return suspects(peers, s) },
 		Refresh:  w.Poke,
 		Tell:     peers.TellRows,
+		Wait:     w.Wait,
 	})
 }
 
--- a/control/plans.go
+++ b/control/plans.go
@@ -42,6 +42,7 @@
 // time. It fails with *intent.DigestError, *intent.StateError,
 // *intent.ChangedError, *intent.ConflictError or an error of the table.
 func (s *Store) Confirm(ctx context.Context, id, digest string) (*intent.Plan, error) {
+	s.expectPlan(ctx, id)
 	c := s.begin("confirm " + id)
 	plan, err := planIn(c.view, id)
 	if err != nil {
@@ -76,6 +77,7 @@
 
 // Apply carries out a verb on the plan.
 func (s *Store) Apply(ctx context.Context, id string, verb Verb, operator string) (*intent.Plan, error) {
+	s.expectPlan(ctx, id)
 	c := s.begin(string(verb) + " " + id + " by " + operator)
 	plan, err := planIn(c.view, id)
 	if err != nil {
--- a/control/store.go
+++ b/control/store.go
@@ -61,6 +61,10 @@
 
 	// Tell hands on the rows that a transaction wrote.
 	Tell func(rows []platform.Row)
+
+	// Wait waits a moment for the view to fulfil a condition and reports
+	// whether it does.
+	Wait func(ctx context.Context, condition func(*state.View) bool) bool
 }
 
 // Store makes the changes.
@@ -116,11 +120,26 @@
 	}
 }
 
-// Plan returns the plan as the newest view knows it.
-func (s *Store) Plan(id string) (*intent.Plan, error) {
+// Plan returns the plan as the newest view knows it. A plan that another entry
+// has just made may take a moment to be known here.
+func (s *Store) Plan(ctx context.Context, id string) (*intent.Plan, error) {
+	s.expectPlan(ctx, id)
 	return planIn(s.source.View(), id)
 }
 
+// expectPlan gives a plan that is not known here a moment to become so.
+func (s *Store) expectPlan(ctx context.Context, id string) {
+	known := func(view *state.View) bool {
+		_, found := view.Rows[fleet.PlanKey(id)]
+		return found
+	}
+	if known(s.source.View()) {
+		return
+	}
+	s.source.Refresh()
+	s.source.Wait(ctx, known)
+}
+
 // Plans returns every plan that is known, in no order. A row that can't be
 // decoded is left out.
 func (s *Store) Plans() []*intent.Plan {
@@ -223,6 +242,8 @@
 		})
 	}
 	s.source.Tell(rows)
+	// The change is done; waiting only lets the next call here see it.
+	s.source.Wait(ctx, func(view *state.View) bool { return view.Revision >= revision })
 	return nil
 }
 
--- a/operate/handler.go
+++ b/operate/handler.go
@@ -112,7 +112,7 @@
 }
 
 func (h *Handler) plan(c *gin.Context) {
-	plan, err := h.store.Plan(c.Param("id"))
+	plan, err := h.store.Plan(c.Request.Context(), c.Param("id"))
 	h.answerPlan(c, plan, err)
 }
 
--- /dev/null
+++ b/proof/process_test.go
@@ -0,0 +1,142 @@
+package proof_test
+
+import (
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lemonstream.dev/lemonstream/intent"
+	"lemonstream.dev/lemonstream/internal/standin"
+)
+
+// holds fails the test unless no promise broke.
+func holds(t *testing.T, verdict standin.Verdict) {
+	t.Helper()
+	is := is.New(t)
+	is.True(verdict.Holds())       // Nothing lost, doubled, cut or wrong.
+	is.True(verdict.Whole > 0)     // Something was served.
+	is.True(verdict.Requests > 50) // Callers were busy.
+}
+
+func TestPlannedStopOfEntryCutsNothing(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleet(t, 4, 3, "10s")
+	wait := f.callers(8 * time.Second)
+	time.Sleep(2 * time.Second)
+	f.signal(f.entries[1], syscall.SIGTERM)
+	_ = f.entries[1].command.Wait()
+	is.Equal(f.entries[1].command.ProcessState.ExitCode(), 0)
+	verdict := wait()
+	holds(t, verdict)
+	is.Equal(verdict.Unknown, 0) // Nothing failed, so nothing may be in doubt.
+}
+
+func TestKilledEntryAndEndpoint(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 6, 3, "4s")
+	wait := f.callers(10*time.Second, f.entries[2])
+	time.Sleep(2 * time.Second)
+	f.signal(f.entries[2], syscall.SIGKILL)
+	time.Sleep(time.Second)
+	f.signal(f.endpoints[0], syscall.SIGKILL)
+	_ = f.entries[2].command.Wait()
+	time.Sleep(2 * time.Second)
+	f.run(f.entries[2])
+	f.until("the restarted entry", func() bool { return f.ready(f.entries[2]) })
+	holds(t, wait())
+}
+
+func TestFrozenEntryWakesPastItsLease(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 4, 3, "2s")
+	wait := f.callers(12*time.Second, f.entries[0])
+	time.Sleep(2 * time.Second)
+	f.signal(f.entries[0], syscall.SIGSTOP)
+	time.Sleep(5 * time.Second)
+	f.signal(f.entries[0], syscall.SIGCONT)
+	holds(t, wait())
+}
+
+func TestTableOutage(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleet(t, 4, 3, "3s")
+	f.signal(f.entries[2], syscall.SIGTERM)
+	_ = f.entries[2].command.Wait()
+	wait := f.callers(10 * time.Second)
+	f.platform.Faults.Set(standin.FaultDown)
+	// A new entry starts while the table is down, with what peers know.
+	f.run(f.entries[2])
+	f.until("the new entry during the outage", func() bool { return f.ready(f.entries[2]) })
+	time.Sleep(5 * time.Second)
+	f.platform.Faults.Set(standin.FaultNone)
+	verdict := wait()
+	holds(t, verdict)
+	is.True(verdict.Whole > verdict.Requests/2) // Callers were served throughout.
+}
+
+func TestMaintenanceWhileEntriesDie(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleet(t, 6, 3, "2s")
+	before := make(map[string]int64)
+	for _, one := range f.instances("serving") {
+		before[one.ID] = one.Boot
+	}
+	wait := f.callers(30*time.Second, f.entries[0], f.entries[1])
+	plan := f.confirm(intent.Intent{
+		Kind:  intent.Maintain,
+		Scope: intent.ScopeAll,
+	})
+	f.until("the first instance out", func() bool { return len(f.instances("serving")) < 6 })
+	f.signal(f.entries[0], syscall.SIGKILL)
+	f.platform.Faults.Set(standin.FaultLose)
+	time.Sleep(2 * time.Second)
+	f.platform.Faults.Set(standin.FaultNone)
+	f.signal(f.entries[1], syscall.SIGSTOP)
+	time.Sleep(3 * time.Second)
+	f.signal(f.entries[1], syscall.SIGCONT)
+	f.until("the maintenance", func() bool { return f.done(plan) })
+	for _, one := range f.instances("serving") {
+		is.Equal(one.Boot, before[one.ID]+1) // Each rebooted exactly once.
+	}
+	is.Equal(len(f.instances("serving")), 6)
+	holds(t, wait())
+}
+
+func TestRacingOperators(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleet(t, 6, 3, "5s")
+	drain := intent.Intent{
+		Kind:     intent.Drain,
+		Scope:    intent.ScopeRack,
+		Name:     "r0",
+		Operator: "ana",
+	}
+	first, err := f.client.Propose(t.Context(), drain)
+	is.NoErr(err)
+	drain.Operator = "bob"
+	second, err := f.client.Propose(t.Context(), drain)
+	is.NoErr(err)
+	_, err = f.client.Confirm(t.Context(), first.ID, "of another plan")
+	is.True(err != nil) // A digest names exactly one plan.
+	_, err = f.client.Confirm(t.Context(), first.ID, first.Digest)
+	is.NoErr(err)
+	_, err = f.client.Confirm(t.Context(), second.ID, second.Digest)
+	is.True(err != nil) // The second is refused with the reason.
+	_, err = f.client.Confirm(t.Context(), first.ID, first.Digest)
+	is.NoErr(err) // Twice is once.
+	f.until("the drain", func() bool { return f.done(first.ID) })
+	is.Equal(len(f.instances("drained")), 2)
+	back := f.confirm(intent.Intent{
+		Kind:  intent.Return,
+		Scope: intent.ScopeRack,
+		Name:  "r0",
+	})
+	f.until("the return", func() bool { return f.done(back) })
+	is.Equal(len(f.instances("serving")), 6)
+}
--- a/state/watch.go
+++ b/state/watch.go
@@ -18,6 +18,13 @@
 // that may wait for the watch.
 const incomingCapacity = 256
 
+// waitMost bounds the wait for a view, waitPause is the pause between two
+// looks.
+const (
+	waitMost  = time.Second
+	waitPause = 2 * time.Millisecond
+)
+
 // Watch is the duty that keeps the view: it polls the table and the list,
 // takes in rows from peers, and publishes a new view after each change.
 type Watch struct {
@@ -133,6 +140,23 @@
 	return w.view.Load()
 }
 
+// Wait waits a moment for the view to fulfil the condition and reports whether
+// it does.
+func (w *Watch) Wait(ctx context.Context, condition func(*View) bool) bool {
+	waiting, cancel := context.WithTimeout(ctx, waitMost)
+	defer cancel()
+	ticker := time.NewTicker(waitPause)
+	defer ticker.Stop()
+	for !condition(w.View()) {
+		select {
+		case <-waiting.Done():
+			return false
+		case <-ticker.C:
+		}
+	}
+	return true
+}
+
 func (w *Watch) poll(ctx context.Context) {
 	changed := w.pollTable(ctx)
 	changed = w.pollList(ctx) || changed
