Bring control's traffic at rest under the users' bound

Cause: at 9 entries and 700 instances each entry sent 267,705 B/s to its peers; 47,675 B/s at 50 instances. A peer that knew any newer row was asked for all rows, and member rows are renewed all the time. At rest only; churn is not measured yet.

--- a/Makefile
+++ b/Makefile
@@ -35,6 +35,9 @@
 drift: build
 	./bin/lemonstreamd reference | diff -u docs/operators/settings.md -
 
+capacity: build
+	./scripts/capacity.sh
+
 bench:
 	go test -run '^$$' -bench . -benchtime 1s ./...
 
--- a/cmd/lemonstandin/platformcmd.go
+++ b/cmd/lemonstandin/platformcmd.go
@@ -17,6 +17,8 @@
 	flags := flag.NewFlagSet("lemonstandin platform", flag.ContinueOnError)
 	listen := flags.String("listen", "127.0.0.1:7000", "address to listen on")
 	lag := flags.Duration("lag", 500*time.Millisecond, "how late the list shows what is")
+	phantoms := flags.Int("phantoms", 0, "instances that are listed and do not exist")
+	pools := flags.Int("pools", 1, "pools that phantoms are spread over")
 	return &ffcli.Command{
 		Name:      "platform",
 		ShortHelp: "Stand in for the table, the object store and the instance list.",
@@ -24,7 +26,9 @@
 		Exec: func(ctx context.Context, _ []string) error {
 			gin.SetMode(gin.ReleaseMode)
 			engine := gin.New()
-			standin.NewPlatform(*lag).Routes(engine)
+			outside := standin.NewPlatform(*lag)
+			outside.AddPhantoms(*phantoms, *pools)
+			outside.Routes(engine)
 			server := &http.Server{
 				Addr:              *listen,
 				Handler:           engine,
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -24,6 +24,10 @@
 	_ "lemonstream.dev/lemonstream/state"
 )
 
+// incarnationLength is the length of what tells two incarnations of an entry
+// apart, in hexadecimal digits; it travels in every message and row.
+const incarnationLength = 8
+
 // NewLogger returns the logger that the settings ask for. Every line carries
 // the entry's id.
 func NewLogger(d settings.Daemon) *slog.Logger {
@@ -47,7 +51,7 @@
 	self := fleet.Self{
 		ID:          d.ID,
 		Zone:        d.Zone,
-		Incarnation: d.ID + "/" + uuid.NewString(),
+		Incarnation: d.ID + "/" + uuid.NewString()[:incarnationLength],
 		Peers:       d.Peers,
 		Operators:   d.Operators,
 	}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/netip"
 	"net/url"
 	"sort"
 	"strconv"
@@ -32,6 +33,9 @@
 // goneAfter is how long after its last beat an instance leaves the list.
 const goneAfter = 1500 * time.Millisecond
 
+// phantomLife keeps phantoms on the list for longer than any measure.
+const phantomLife = 24 * time.Hour
+
 // Beat is what an instance tells, and BeatAnswer what it is told.
 type Beat struct {
 	Listed platform.Listed `json:"listed"`
@@ -81,6 +85,28 @@
 	}
 }
 
+// AddPhantoms lists instances that do not exist, four to a rack over eight
+// availability zones, for measures of what only the list and the rows cost.
+func (p *Platform) AddPhantoms(count, pools int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for number := range count {
+		id := fmt.Sprintf("phantom-%04d", number)
+		p.instances[id] = &instance{
+			listed: platform.Listed{
+				ID:      id,
+				Pool:    fmt.Sprintf("pool-%02d", number%pools),
+				Rack:    fmt.Sprintf("rack-%03d", number/4),
+				Zone:    fmt.Sprintf("zone-%d", number%8),
+				Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), 9),
+				State:   platform.ListedLive,
+			},
+			beat:    time.Now().Add(phantomLife),
+			reboots: make(map[string]bool),
+		}
+	}
+}
+
 // Routes adds the platform's routes.
 func (p *Platform) Routes(engine *gin.Engine) {
 	engine.POST(PathFault, func(c *gin.Context) { p.Faults.Set(Fault(c.Query("mode"))) })
--- a/member/message.go
+++ b/member/message.go
@@ -75,9 +75,13 @@
 // Kind names the handler of a message.
 type Kind int
 
-// Rows carries rows of the table.
+// Rows carries rows of the table. Without rows it asks for those that the peer
+// knows above a version.
 type Rows struct {
 	Rows []platform.Row `cbor:"1,keyasint"`
+
+	// After is the version asked from; it is 0 in a message with rows.
+	After int64 `cbor:"2,keyasint,omitempty"`
 }
 
 // envelope is what goes over a stream.
@@ -119,18 +123,17 @@
 	return body, nil
 }
 
-func readEnvelope(from io.Reader) (envelope, int, error) {
+func readEnvelope(from io.Reader) (envelope, error) {
 	body, err := io.ReadAll(io.LimitReader(from, maxMessage+1))
 	if err != nil {
-		return envelope{}, len(body), err
+		return envelope{}, err
 	}
 	if len(body) > maxMessage {
-		return envelope{}, len(body), &MessageError{
+		return envelope{}, &MessageError{
 			Reason: "too large",
 		}
 	}
-	message, err := Decode[envelope](body)
-	return message, len(body), err
+	return Decode[envelope](body)
 }
 
 func (e envelope) err() error {
--- a/member/peers.go
+++ b/member/peers.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"bytes"
 	"context"
 	"log/slog"
 	"maps"
@@ -23,6 +24,16 @@
 // callTimeout bounds one message of the duty.
 const callTimeout = time.Second
 
+const (
+	// lateTicks is the number of intervals after which a peer that should
+	// have started the talk is late.
+	lateTicks = quietTicks + 1
+
+	// quietTicks is the number of intervals between two messages of an entry
+	// that has no news. It keeps control's bytes low at rest.
+	quietTicks = 3
+)
+
 // Heard is what a peer last told and when.
 type Heard struct {
 	Hello Hello
@@ -172,12 +183,21 @@
 	return hello
 }
 
-// Run tells every peer what the entry is, once in an interval, until ctx ends.
+// Run tells every peer what the entry is until ctx ends: at the next tick when
+// there is news, and once in quietTicks when there is none.
 func (p *Peers) Run(ctx context.Context) error {
 	ticker := time.NewTicker(p.interval)
 	defer ticker.Stop()
+	quiet := 0
+	var told []byte
 	for {
-		p.tellAll()
+		news := p.news()
+		quiet++
+		if quiet >= quietTicks || !bytes.Equal(news, told) {
+			p.tellAll()
+			quiet = 0
+			told = news
+		}
 		select {
 		case <-ctx.Done():
 			return nil
@@ -242,7 +262,8 @@
 	return Encode(p.Own())
 }
 
-// handleRows takes in rows; an empty message asks for those the entry has.
+// handleRows takes in rows; a message without any asks for those the entry has
+// above a version.
 func (p *Peers) handleRows(_ context.Context, body []byte) ([]byte, error) {
 	message, err := Decode[Rows](body)
 	if err != nil {
@@ -250,12 +271,24 @@
 	}
 	if len(message.Rows) == 0 {
 		return Encode(Rows{
-			Rows: p.watch.RowsAfter(0),
+			Rows: p.watch.RowsAfter(message.After),
 		})
 	}
 	return nil, p.watch.Offer(message.Rows)
 }
 
+// news returns what the entry would tell, without the revision, which grows
+// whenever any entry writes.
+func (p *Peers) news() []byte {
+	own := p.Own()
+	own.Revision = 0
+	body, err := Encode(own)
+	if err != nil {
+		p.log.Error("hello not encoded", "error", err)
+	}
+	return body
+}
+
 func (p *Peers) remember(hello Hello) {
 	now := p.clock.Now()
 	p.mu.Lock()
@@ -302,18 +335,43 @@
 	if hello.Revision <= own.Revision {
 		return
 	}
-	empty, err := Encode(Rows{})
+	p.fetch(ctx, to)
+}
+
+// fetch asks a peer for the rows above what the table itself has told, which
+// is all rows for an entry that never heard the table.
+func (p *Peers) fetch(ctx context.Context, to netip.AddrPort) {
+	question, err := Encode(Rows{
+		After: p.watch.Revision(),
+	})
 	if err != nil {
 		return
 	}
-	if rows, err := Decode[Rows](p.send(ctx, to, KindRows, empty)); err == nil && len(rows.Rows) > 0 {
+	if rows, err := Decode[Rows](p.send(ctx, to, KindRows, question)); err == nil && len(rows.Rows) > 0 {
 		_ = p.watch.Offer(rows.Rows)
 	}
 }
 
+// starts reports whether this entry starts the talk with the peer at the
+// address. Of two entries the one with the lower id does, since the answer
+// tells as much; the other one starts too while it hears nothing.
+func (p *Peers) starts(address netip.AddrPort, heard []Heard) bool {
+	for _, peer := range heard {
+		if peer.Hello.Peers == address.String() {
+			late := p.clock.Now().Sub(peer.At) > lateTicks*p.interval
+			return late || p.self.ID < peer.Hello.ID
+		}
+	}
+	return true
+}
+
 func (p *Peers) tellAll() {
 	own := p.Own()
+	heard := p.Heard()
 	for _, address := range p.addresses() {
+		if !p.starts(address, heard) {
+			continue
+		}
 		p.group.Go("tell peer", func(ctx context.Context) error {
 			p.tell(ctx, address, own)
 			return nil
--- a/member/registrar.go
+++ b/member/registrar.go
@@ -22,6 +22,11 @@
 	// registerEvery is the pause between two writes of the row.
 	registerEvery = 4 * time.Second
 
+	// operationLength keeps the operation id of the row short, because every
+	// entry reads the row of every other one again and again. The id need
+	// only differ from those of this row's last writes.
+	operationLength = 8
+
 	// registerRetry is the pause after a write that failed.
 	registerRetry = time.Second
 )
@@ -87,7 +92,7 @@
 		return fmt.Errorf("encoding member row: %w", err)
 	}
 	tx := platform.Transaction{
-		Op: "member " + r.self.ID + "/" + uuid.NewString(),
+		Op: "member/" + uuid.NewString()[:operationLength],
 		Checks: []platform.Check{{
 			Key:     key,
 			Version: row.Version,
--- a/member/transport.go
+++ b/member/transport.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/netip"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/quic-go/quic-go"
@@ -44,9 +43,8 @@
 	mu    sync.Mutex
 	conns map[netip.AddrPort]*quic.Conn
 
-	// sent and received count bytes of messages, without those of QUIC.
-	sent     atomic.Int64
-	received atomic.Int64
+	// socket counts what goes out; what comes in goes out at a peer.
+	socket *countingSocket
 
 	// Drop, when set, makes a message to the address vanish; it is a seam for
 	// tests of cut peers.
@@ -65,8 +63,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("listening for peers on %s: %w", address, err)
 	}
+	counting := &countingSocket{
+		UDPConn: socket,
+	}
 	transport := &quic.Transport{
-		Conn: socket,
+		Conn: counting,
 	}
 	listener, err := transport.Listen(keys.server(), quicConfig())
 	if err != nil {
@@ -76,6 +77,7 @@
 	return &Transport{
 		quic:     transport,
 		listener: listener,
+		socket:   counting,
 		keys:     keys,
 		group:    group,
 		log:      log,
@@ -94,9 +96,9 @@
 	return e.Cause
 }
 
-// Bytes returns the bytes of messages sent and received so far.
-func (t *Transport) Bytes() (sent, received int64) {
-	return t.sent.Load(), t.received.Load()
+// Sent returns the bytes sent to peers so far, with the headers of UDP and IP.
+func (t *Transport) Sent() int64 {
+	return t.socket.sent.Load()
 }
 
 // Call sends a message and waits for the answer until ctx ends. An
@@ -170,8 +172,7 @@
 		t.forget(to, conn)
 		return envelope{}, err
 	}
-	answer, size, err := readEnvelope(stream)
-	t.received.Add(int64(size))
+	answer, err := readEnvelope(stream)
 	if err != nil {
 		t.forget(to, conn)
 	}
@@ -223,8 +224,7 @@
 
 func (t *Transport) serveStream(ctx context.Context, stream *quic.Stream) {
 	_ = stream.SetDeadline(time.Now().Add(idleTimeout))
-	message, size, err := readEnvelope(stream)
-	t.received.Add(int64(size))
+	message, err := readEnvelope(stream)
 	if err != nil {
 		stream.CancelWrite(0)
 		return
@@ -248,7 +248,6 @@
 	if err != nil {
 		return err
 	}
-	t.sent.Add(int64(len(body)))
 	if _, err := stream.Write(body); err != nil {
 		return err
 	}
--- a/operate/handler.go
+++ b/operate/handler.go
@@ -30,6 +30,7 @@
 	watch     *state.Watch
 	peers     *member.Peers
 	readiness *entry.Readiness
+	platform  platform.Platform
 	reporter  *Reporter
 	clock     clock.Clock
 	log       *slog.Logger
--- a/operate/metrics.go
+++ b/operate/metrics.go
@@ -42,9 +42,8 @@
 	gauge("instances", int64(len(view.Instances)))
 	gauge("peers_heard", int64(len(h.peers.Heard())))
 	gauge("table_silent_ms", h.clock.Now().Sub(h.watch.FreshAt()).Milliseconds())
-	sent, received := h.reporter.transport.Bytes()
-	gauge("peer_sent_bytes", sent)
-	gauge("peer_received_bytes", received)
+	gauge("peer_sent_bytes", h.reporter.transport.Sent())
+	gauge("platform_bytes", h.platform.Bytes())
 	for service, recorder := range h.reporter.services.Counts() {
 		for outcome, count := range recorder.Total() {
 			gauge(fmt.Sprintf("requests{service=%q,outcome=%q}", service, outcomeNames[outcome]), count)
--- a/operate/plugin.go
+++ b/operate/plugin.go
@@ -18,6 +18,7 @@
 	"lemonstream.dev/lemonstream/fleet"
 	"lemonstream.dev/lemonstream/kernel"
 	"lemonstream.dev/lemonstream/member"
+	"lemonstream.dev/lemonstream/platform"
 	"lemonstream.dev/lemonstream/settings"
 	"lemonstream.dev/lemonstream/state"
 )
@@ -38,12 +39,13 @@
 	})
 }
 
-func newHandler(store *control.Store, w *state.Watch, p *member.Peers, r *entry.Readiness, reporter *Reporter, c clock.Clock, log *slog.Logger, self fleet.Self) *Handler {
+func newHandler(store *control.Store, w *state.Watch, p *member.Peers, r *entry.Readiness, outside platform.Platform, reporter *Reporter, c clock.Clock, log *slog.Logger, self fleet.Self) *Handler {
 	return &Handler{
 		store:     store,
 		watch:     w,
 		peers:     p,
 		readiness: r,
+		platform:  outside,
 		reporter:  reporter,
 		clock:     c,
 		log:       log,
--- a/settings/daemon.go
+++ b/settings/daemon.go
@@ -147,8 +147,8 @@
 	if d.PollInterval*2 > d.LeaseLength {
 		clash("times", "poll_interval", d.PollInterval, "must be at most half of lease_length")
 	}
-	if d.TellInterval*3 > d.SilentAfter {
-		clash("times", "silent_after", d.SilentAfter, "must be at least three times tell_interval")
+	if d.TellInterval*5 > d.SilentAfter {
+		clash("times", "silent_after", d.SilentAfter, "must be at least five times tell_interval")
 	}
 	if len(list) == 0 {
 		return nil
@@ -341,7 +341,7 @@
 			{
 				Name:    "poll_interval",
 				Kind:    KindDuration,
-				Default: "1s",
+				Default: "2s",
 				Min:     50,
 				Max:     60000,
 				Doc:     "Pause between two looks at the table and the list.",
@@ -357,7 +357,7 @@
 			{
 				Name:    "silent_after",
 				Kind:    KindDuration,
-				Default: "5s",
+				Default: "6s",
 				Min:     200,
 				Max:     600000,
 				Doc:     "A peer that is silent this long counts as gone.",
--- a/state/watch.go
+++ b/state/watch.go
@@ -40,6 +40,9 @@
 	view atomic.Pointer[View]
 	rows atomic.Pointer[[]platform.Row]
 
+	// revision is that of the last scan: every row up to it is known.
+	revision atomic.Int64
+
 	// freshAt and listedAt are when the table and the list last answered, in
 	// milliseconds since the Unix epoch; 0 before the first answer.
 	freshAt  atomic.Int64
@@ -104,25 +107,36 @@
 	return rows[first:]
 }
 
-// Run polls until ctx ends.
+// Run polls until ctx ends: the table once in an interval, and the list as
+// often as the configuration's bound on leaving endpoints asks for.
 func (w *Watch) Run(ctx context.Context) error {
 	w.poll(ctx)
-	ticker := time.NewTicker(w.interval)
-	defer ticker.Stop()
+	table := time.NewTicker(w.interval)
+	defer table.Stop()
+	list := time.NewTicker(w.interval)
+	defer list.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-ticker.C:
-			w.poll(ctx)
+		case <-table.C:
+			w.publishIf(w.pollTable(ctx))
+		case <-list.C:
+			w.publishIf(w.pollList(ctx))
+			list.Reset(w.listInterval())
 		case <-w.poke:
-			w.poll(ctx)
+			w.publishIf(w.pollTable(ctx))
 		case <-w.incoming.Ready():
 			w.takeIncoming()
 		}
 	}
 }
 
+// Revision returns the table's revision up to which every row is known.
+func (w *Watch) Revision() int64 {
+	return w.revision.Load()
+}
+
 // Row returns the newest known row at key; its Version is 0 where none is
 // known.
 func (w *Watch) Row(key string) platform.Row {
@@ -157,12 +171,20 @@
 	return true
 }
 
+// listInterval returns the pause between two looks at the list: a third of the
+// bound on leaving endpoints, so that a look may be lost.
+func (w *Watch) listInterval() time.Duration {
+	bound := w.View().Config.Routing.LeaveWithin / 3
+	if bound <= 0 {
+		return w.interval
+	}
+	return min(w.interval, bound)
+}
+
 func (w *Watch) poll(ctx context.Context) {
 	changed := w.pollTable(ctx)
 	changed = w.pollList(ctx) || changed
-	if changed {
-		w.publish()
-	}
+	w.publishIf(changed)
 }
 
 // pollList reads the list; it reports whether the view must be built anew.
@@ -189,7 +211,9 @@
 		return false
 	}
 	w.freshAt.Store(clock.Millis(w.clock.Now()))
-	return len(w.cache.MergePage(page)) > 0
+	news := w.cache.MergePage(page)
+	w.revision.Store(w.cache.Revision())
+	return len(news) > 0
 }
 
 // publish builds the view and hands it out. A row that cannot be decoded
@@ -209,14 +233,18 @@
 	}
 }
 
+func (w *Watch) publishIf(changed bool) {
+	if changed {
+		w.publish()
+	}
+}
+
 func (w *Watch) takeIncoming() {
 	news := 0
 	for _, rows := range w.incoming.Drain() {
 		news += len(w.cache.Merge(rows))
 	}
-	if news > 0 {
-		w.publish()
-	}
+	w.publishIf(news > 0)
 }
 
 func instant(ms int64) time.Time {
