--- a/admit/share.go
+++ b/admit/share.go
@@ -2,9 +2,17 @@
 
 import "sort"
 
-// evenPart is the part of a total that is shared evenly whatever the demand,
-// so that an entry whose demand starts anew need not wait to be heard.
-const evenPart = 0.25
+const (
+	// EvenQuota is the part of a quota that is shared evenly whatever the
+	// demand. It is small, because an entry whose demand starts anew has a
+	// burst to spend until it is heard (docs/design/quotas.md).
+	EvenQuota = 0.05
+
+	// EvenSlots is the part of an endpoint's slots that is shared evenly. It
+	// is larger, because a request that finds no slot waits until its entry
+	// is heard.
+	EvenSlots = 0.25
+)
 
 // Claim is what one entry asks of a total.
 type Claim struct {
@@ -15,10 +23,10 @@
 	Demand float64
 }
 
-// Share returns entry's part of a total between 0 and 1: a fixed part evenly
+// Share returns entry's part of a total between 0 and 1: evenPart of it evenly
 // and the rest by demand. The shares of all claims add up to 1, so entries
 // that know the same claims never give out more than the total.
-func Share(entry string, claims []Claim) float64 {
+func Share(entry string, claims []Claim, evenPart float64) float64 {
 	sum := 0.0
 	own := 0.0
 	found := false
@@ -53,7 +61,7 @@
 	portions := make([]portion, 0, len(claims))
 	left := total
 	for _, claim := range claims {
-		exact := float64(total) * Share(claim.Entry, claims)
+		exact := float64(total) * Share(claim.Entry, claims, EvenSlots)
 		whole := int(exact)
 		left -= whole
 		portions = append(portions, portion{
--- a/entry/services.go
+++ b/entry/services.go
@@ -230,6 +230,19 @@
 	}
 }
 
+// least gives an entry whose share is no slot at all one slot of one endpoint,
+// so that its first requests don't wait until its demand is heard. All entries
+// together may pass an endpoint's slots by their number, no further.
+func (s *Services) least(one *service, entry string, total int) int {
+	endpoints := one.route.Endpoints()
+	if total > 0 || len(endpoints) == 0 {
+		return 0
+	}
+	first := xxhash.Sum64String(one.domain.Name+"/"+entry) % uint64(len(endpoints))
+	endpoints[first].SetLimit(1)
+	return 1
+}
+
 // TakesWork reports whether the instance may get new requests: its row says
 // that it serves, and the list doesn't say that it leaves.
 func TakesWork(view *state.View, id string) bool {
@@ -253,10 +266,10 @@
 			endpoint.SetLimit(slots)
 			total += slots
 		}
-		one.gate.SetLimit(total)
+		one.gate.SetLimit(max(total, s.least(one, entry, total)))
 	}
 	for name, quota := range current.quotas {
-		share := admit.Share(entry, claims("team/"+name))
+		share := admit.Share(entry, claims("team/"+name), admit.EvenQuota)
 		configured := view.Config.Teams[name]
 		quota.Set(configured.Rate*share, configured.Burst*share)
 	}
--- a/member/message.go
+++ b/member/message.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"sync"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -116,13 +117,23 @@
 
 // Encode returns value as a message body.
 func Encode(value any) ([]byte, error) {
-	body, err := cbor.Marshal(value)
+	body, err := deterministic().Marshal(value)
 	if err != nil {
 		return nil, fmt.Errorf("encoding peer message: %w", err)
 	}
 	return body, nil
 }
 
+// deterministic encodes equal values to equal bytes, maps among them, so that
+// an entry can tell whether it has news.
+var deterministic = sync.OnceValue(func() cbor.EncMode {
+	mode, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+})
+
 func readEnvelope(from io.Reader) (envelope, error) {
 	body, err := io.ReadAll(io.LimitReader(from, maxMessage+1))
 	if err != nil {
--- a/member/peers.go
+++ b/member/peers.go
@@ -1,7 +1,6 @@
 package member
 
 import (
-	"bytes"
 	"context"
 	"log/slog"
 	"maps"
@@ -24,15 +23,9 @@
 // callTimeout bounds one message of the duty.
 const callTimeout = time.Second
 
-const (
-	// lateTicks is the number of intervals after which a peer that should
-	// have started the talk is late.
-	lateTicks = quietTicks + 1
-
-	// quietTicks is the number of intervals between two messages of an entry
-	// that has no news. It keeps control's bytes low at rest.
-	quietTicks = 3
-)
+// lateTicks is the number of intervals after which a peer that should have
+// started the talk is late.
+const lateTicks = quietTicks + 1
 
 // Heard is what a peer last told and when.
 type Heard struct {
@@ -183,20 +176,19 @@
 	return hello
 }
 
-// Run tells every peer what the entry is until ctx ends: at the next tick when
-// there is news, and once in quietTicks when there is none.
+// Run tells the peers what the entry is, at the pace that its news ask for,
+// until ctx ends.
 func (p *Peers) Run(ctx context.Context) error {
 	ticker := time.NewTicker(p.interval)
 	defer ticker.Stop()
-	quiet := 0
-	var told []byte
+	var said pace
 	for {
-		news := p.news()
-		quiet++
-		if quiet >= quietTicks || !bytes.Equal(news, told) {
-			p.tellAll()
-			quiet = 0
-			told = news
+		switch said.next(p.Own()) {
+		case tellEveryone:
+			p.tellAll(func(netip.AddrPort) bool { return true })
+		case tellOwn:
+			heard := p.Heard()
+			p.tellAll(func(address netip.AddrPort) bool { return p.starts(address, heard) })
 		}
 		select {
 		case <-ctx.Done():
@@ -277,18 +269,6 @@
 	return nil, p.watch.Offer(message.Rows)
 }
 
-// news returns what the entry would tell, without the revision, which grows
-// whenever any entry writes.
-func (p *Peers) news() []byte {
-	own := p.Own()
-	own.Revision = 0
-	body, err := Encode(own)
-	if err != nil {
-		p.log.Error("hello not encoded", "error", err)
-	}
-	return body
-}
-
 func (p *Peers) remember(hello Hello) {
 	now := p.clock.Now()
 	p.mu.Lock()
@@ -365,11 +345,11 @@
 	return true
 }
 
-func (p *Peers) tellAll() {
+// tellAll tells the peers that wanted picks.
+func (p *Peers) tellAll(wanted func(address netip.AddrPort) bool) {
 	own := p.Own()
-	heard := p.Heard()
 	for _, address := range p.addresses() {
-		if !p.starts(address, heard) {
+		if !wanted(address) {
 			continue
 		}
 		p.group.Go("tell peer", func(ctx context.Context) error {
--- a/route/service.go
+++ b/route/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/bits"
 	"time"
 )
 
@@ -14,6 +15,9 @@
 	ReasonFull Reason = "all slots are taken"
 )
 
+// mixFactor is an odd constant with as many ones as zeros.
+const mixFactor = 0xa0761d6478bd642f
+
 // NoEndpointError reports that no endpoint could be chosen. Nothing was sent.
 type NoEndpointError struct {
 	Service string
@@ -47,6 +51,10 @@
 	// endpoints are sorted by ID, so that every entry sees one order.
 	endpoints []*Endpoint
 
+	// hashes holds the endpoints' hashes in the same order, side by side in
+	// memory, because the choice of a session's endpoint reads all of them.
+	hashes []uint64
+
 	// ejectMost bounds the endpoints ejected at once.
 	ejectMost int32
 }
@@ -54,9 +62,14 @@
 // NewService returns the service over endpoints, of which at most the share
 // ejectMost (0 to 1) may be ejected at once.
 func NewService(name string, endpoints []*Endpoint, ejectMost float64) *Service {
+	hashes := make([]uint64, 0, len(endpoints))
+	for _, endpoint := range endpoints {
+		hashes = append(hashes, endpoint.hash)
+	}
 	return &Service{
 		Name:      name,
 		endpoints: endpoints,
+		hashes:    hashes,
 		ejectMost: int32(float64(len(endpoints)) * ejectMost),
 	}
 }
@@ -133,10 +146,10 @@
 func (s *Service) chooseSession(r Request) (*Endpoint, Reason) {
 	var best *Endpoint
 	var highest uint64
-	for _, e := range s.endpoints {
-		weight := mix(e.hash ^ r.Session)
-		if (best == nil || weight > highest) && s.open(e, r) {
-			best = e
+	for i, hash := range s.hashes {
+		weight := mix(hash ^ r.Session)
+		if weight >= highest && s.open(s.endpoints[i], r) {
+			best = s.endpoints[i]
 			highest = weight
 		}
 	}
@@ -172,12 +185,9 @@
 	return a.cost() > b.cost()
 }
 
-// mix is the finalizer of MurmurHash3, which spreads every bit.
+// mix multiplies to 128 bits and folds them, as wyhash does; both inputs were
+// spread by xxhash before.
 func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	x ^= x >> 33
-	return x
+	high, low := bits.Mul64(x, mixFactor)
+	return high ^ low
 }
