--- a/cmd/lemonmeasure/routingcmd.go
+++ b/cmd/lemonmeasure/routingcmd.go
@@ -63,102 +63,132 @@
 	})
 }
 
+// routing is one run of the measure.
+type routing struct {
+	pick    chooser
+	random  *rand.Rand
+	workers []*worker
+	now     time.Duration
+	running calls
+
+	// waiting holds each entry's own queue.
+	waiting [routingEntries][]*call
+
+	// waits are in milliseconds.
+	waits   []float64
+	failed  int
+	refused int
+	peak    int
+}
+
 func measureRouting(policy string) {
-	workers := make([]*worker, routingWorkers)
+	r := &routing{
+		pick:   newChooser(policy),
+		random: rand.New(rand.NewPCG(7, 7)),
+	}
+	rate := r.addWorkers() * routingLoad
+	for range routingRequests {
+		arrival := r.now + time.Duration(r.random.ExpFloat64()/rate*float64(time.Second))
+		for len(r.running) > 0 && r.running[0].ends <= arrival {
+			r.finish()
+			r.drain()
+		}
+		r.now = arrival
+		r.arrive()
+	}
+	sort.Float64s(r.waits)
+	report("routing-wait-p99", sizeToday, policy, r.waits[len(r.waits)*99/100], "ms")
+	report("routing-wait-max", sizeToday, policy, r.waits[len(r.waits)-1], "ms")
+	report("routing-failed", sizeToday, policy, 100*float64(r.failed)/routingRequests, "percent")
+	report("routing-refused", sizeToday, policy, 100*float64(r.refused)/routingRequests, "percent")
+	report("routing-peak-at-worker", sizeToday, policy, float64(r.peak), "requests")
+}
+
+// addWorkers returns how many requests a second the good workers can do.
+func (r *routing) addWorkers() float64 {
 	rate := 0.0
-	for number := range workers {
-		mean := routingMean * time.Duration(1+number%4)
-		workers[number] = &worker{
-			mean:    mean,
+	for number := range routingWorkers {
+		w := &worker{
+			mean:    routingMean * time.Duration(1+number%4),
 			failing: number == routingWorkers-1,
 		}
-		if !workers[number].failing {
-			rate += routingSlots / mean.Seconds()
-		}
-	}
-	rate *= routingLoad
-	random := rand.New(rand.NewPCG(7, 7))
-	pick := newChooser(policy)
-	var waits []float64
-	failed, refused, peak := 0, 0, 0
-	var running calls
-	now := time.Duration(0)
-	start := func(c *call) {
-		w := workers[c.worker]
-		w.busy++
-		length := routingFailTime
 		if !w.failing {
-			length = time.Duration(random.ExpFloat64() * float64(w.mean))
+			rate += routingSlots / w.mean.Seconds()
 		}
-		waits = append(waits, (now-c.arrived).Seconds()*1000)
-		c.ends = now + length
-		heap.Push(&running, c)
+		r.workers = append(r.workers, w)
 	}
-	finish := func() {
-		c, _ := heap.Pop(&running).(*call)
-		now = c.ends
-		w := workers[c.worker]
-		w.busy--
-		if w.failing {
-			failed++
-		}
-		c.done(now-c.arrived, w.failing)
-		if len(w.queue) > 0 {
-			next := w.queue[0]
-			w.queue = w.queue[1:]
-			start(next)
-		}
+	return rate
+}
+
+// arrive has a request come in at one of the entries.
+func (r *routing) arrive() {
+	c := &call{
+		entry:   r.random.IntN(routingEntries),
+		arrived: r.now,
 	}
-	// place sends a call to a worker, or reports that the entry must keep it.
-	place := func(c *call) bool {
-		number, done := pick(c.entry, now, random)
-		if number < 0 {
-			return false
-		}
-		c.worker = number
-		c.done = done
-		w := workers[number]
-		peak = max(peak, w.busy+len(w.queue)+1)
-		if w.busy < routingSlots {
-			start(c)
-		} else {
-			w.queue = append(w.queue, c)
-		}
-		return true
+	switch {
+	case len(r.waiting[c.entry]) == 0 && r.place(c):
+	case len(r.waiting[c.entry]) < routingQueue:
+		r.waiting[c.entry] = append(r.waiting[c.entry], c)
+	default:
+		r.refused++
 	}
-	var waiting [routingEntries][]*call
-	drain := func() {
-		for entry := range waiting {
-			for len(waiting[entry]) > 0 && place(waiting[entry][0]) {
-				waiting[entry] = waiting[entry][1:]
-			}
+}
+
+// drain places what waits at the entries.
+func (r *routing) drain() {
+	for entry := range r.waiting {
+		for len(r.waiting[entry]) > 0 && r.place(r.waiting[entry][0]) {
+			r.waiting[entry] = r.waiting[entry][1:]
 		}
 	}
-	for range routingRequests {
-		arrival := now + time.Duration(random.ExpFloat64()/rate*float64(time.Second))
-		for len(running) > 0 && running[0].ends <= arrival {
-			finish()
-			drain()
-		}
-		now = arrival
-		c := &call{
-			entry:   random.IntN(routingEntries),
-			arrived: now,
-		}
-		switch {
-		case len(waiting[c.entry]) == 0 && place(c):
-		case len(waiting[c.entry]) < routingQueue:
-			waiting[c.entry] = append(waiting[c.entry], c)
-		default:
-			refused++
-		}
+}
+
+// finish ends the request that ends next.
+func (r *routing) finish() {
+	c, _ := heap.Pop(&r.running).(*call)
+	r.now = c.ends
+	w := r.workers[c.worker]
+	w.busy--
+	if w.failing {
+		r.failed++
+	}
+	c.done(r.now-c.arrived, w.failing)
+	if len(w.queue) > 0 {
+		next := w.queue[0]
+		w.queue = w.queue[1:]
+		r.start(next)
+	}
+}
+
+// place sends a request to a worker, or reports that its entry must keep it.
+func (r *routing) place(c *call) bool {
+	number, done := r.pick(c.entry, r.now, r.random)
+	if number < 0 {
+		return false
+	}
+	c.worker = number
+	c.done = done
+	w := r.workers[number]
+	r.peak = max(r.peak, w.busy+len(w.queue)+1)
+	if w.busy < routingSlots {
+		r.start(c)
+		return true
+	}
+	w.queue = append(w.queue, c)
+	return true
+}
+
+func (r *routing) start(c *call) {
+	w := r.workers[c.worker]
+	w.busy++
+	length := routingFailTime
+	if !w.failing {
+		length = time.Duration(r.random.ExpFloat64() * float64(w.mean))
 	}
-	sort.Float64s(waits)
-	report("routing-wait-p99", sizeToday, policy, waits[len(waits)*99/100], "ms")
-	report("routing-wait-max", sizeToday, policy, waits[len(waits)-1], "ms")
-	report("routing-failed", sizeToday, policy, 100*float64(failed)/routingRequests, "percent")
-	report("routing-refused", sizeToday, policy, 100*float64(refused)/routingRequests, "percent")
-	report("routing-peak-at-worker", sizeToday, policy, float64(peak), "requests")
+	r.waits = append(r.waits, (r.now-c.arrived).Seconds()*1000)
+	c.ends = r.now + length
+	heap.Push(&r.running, c)
 }
 
 func newChooser(policy string) chooser {
--- a/config/config.go
+++ b/config/config.go
@@ -27,6 +27,7 @@
 	Routing Routing
 	Retry   Retry
 	Waves   Waves
+	Weights Weights
 }
 
 // Quota bounds the requests of a team over all entries together.
@@ -85,6 +86,15 @@
 	FailStop int
 }
 
+// Weights says what a deployment would rather save, each at least 0.
+type Weights struct {
+	// Buffer weighs the instances held spare while a plan runs.
+	Buffer float64
+
+	// RollOut weighs the time a plan takes.
+	RollOut float64
+}
+
 // Parse checks body as the configuration with the given version; name is what
 // refusals call it.
 func Parse(name string, body []byte, version int64) (*Config, error) {
@@ -110,6 +120,10 @@
 			ReserveRacks: file.Count("waves", "reserve_racks"),
 			FailStop:     file.Count("waves", "fail_stop"),
 		},
+		Weights: Weights{
+			Buffer:  float64(file.Count("weights", "buffer")),
+			RollOut: float64(file.Count("weights", "roll_out")),
+		},
 	}
 	for _, name := range file.Labels("service") {
 		c.Services[name] = service(file, name)
--- a/config/schema.go
+++ b/config/schema.go
@@ -11,6 +11,7 @@
 			routingSection(),
 			retrySection(),
 			wavesSection(),
+			weightsSection(),
 		},
 	}
 }
@@ -174,3 +175,28 @@
 		},
 	}
 }
+
+func weightsSection() settings.Section {
+	return settings.Section{
+		Name: "weights",
+		Doc:  "What the deployment would rather save where a plan can be had in several ways. Moves are always as few as can be.",
+		Keys: []settings.Key{
+			{
+				Name:    "buffer",
+				Kind:    settings.KindCount,
+				Default: "1",
+				Min:     0,
+				Max:     1000,
+				Doc:     "Weight of the instances held spare while a plan runs.",
+			},
+			{
+				Name:    "roll_out",
+				Kind:    settings.KindCount,
+				Default: "1",
+				Min:     0,
+				Max:     1000,
+				Doc:     "Weight of the time that a plan takes.",
+			},
+		},
+	}
+}
--- a/intent/planner.go
+++ b/intent/planner.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"sort"
 	"time"
@@ -21,6 +22,10 @@
 	expectedSpread = 2 * time.Second
 )
 
+// widths are the numbers of instances of one pool in a wave that are weighed;
+// 0 leaves it to the budgets.
+var widths = [...]int{1, 2, 3, 4, 6, 8, 16, 0}
+
 // Planner computes plans over one view.
 type Planner struct {
 	View *state.View
@@ -174,37 +179,69 @@
 			plan.Budgets[instance.Pool] = pools[instance.Pool].Least
 		}
 	}
-	policy := wave.Policy{
-		First:  p.View.Config.Waves.First,
-		Growth: p.View.Config.Waves.Growth,
+	return p.chooseWaves(plan, items, pools, stay)
+}
+
+// chooseWaves orders the items with several widths and keeps the waves that
+// weigh least by the deployment's weights.
+func (p Planner) chooseWaves(plan *Plan, items []wave.Item, pools map[string]budget.Pool, stay bool) error {
+	reserve := 0
+	for _, pool := range pools {
+		reserve += pool.Reserve(nil)
 	}
-	waves, err := wave.Plan(items, pools, policy, stay)
-	if err != nil {
-		return err
+	least := math.Inf(1)
+	var failure error
+	for _, width := range widths {
+		waves, err := wave.Plan(items, pools, wave.Policy{
+			First:  p.View.Config.Waves.First,
+			Growth: p.View.Config.Waves.Growth,
+			Width:  width,
+		}, stay)
+		if err != nil {
+			failure = err
+			continue
+		}
+		cost := p.cost(plan.Action, waves, reserve, stay)
+		if weight := p.weigh(cost, len(items)); weight < least {
+			least = weight
+			plan.Waves = waves
+			plan.Cost = cost
+		}
+	}
+	if plan.Waves == nil {
+		return failure
 	}
-	plan.Waves = waves
-	plan.Cost = p.cost(plan, pools, stay)
 	return nil
 }
 
-func (p Planner) cost(plan *Plan, pools map[string]budget.Pool, stay bool) Cost {
-	if plan.Action == ActionReturn {
+// weigh puts buffer cost and roll-out time on one scale: the buffer as a part
+// of the instances, the time as a part of that of one instance at a time.
+func (p Planner) weigh(cost Cost, items int) float64 {
+	weights := p.View.Config.Weights
+	buffer := float64(cost.BufferCost) / float64(max(len(p.View.Instances), 1))
+	serial := float64(items) * (expectedDrain + expectedReboot).Seconds()
+	return weights.Buffer*buffer + weights.RollOut*cost.RollOut().Seconds()/serial
+}
+
+// cost returns what the waves are expected to cost.
+func (p Planner) cost(action Action, waves [][]string, reserve int, stay bool) Cost {
+	if action == ActionReturn {
 		return Cost{
 			RollOutMillis: expectedSpread.Milliseconds(),
 		}
 	}
 	each := expectedDrain
-	if plan.Action == ActionReboot {
+	if action == ActionReboot {
 		each += expectedReboot
 	}
-	reserve := 0
-	for _, pool := range pools {
-		reserve += pool.Reserve(nil)
+	moves := 0
+	for _, ids := range waves {
+		moves += len(ids)
 	}
 	return Cost{
-		Moves:         len(plan.Instances()),
-		BufferCost:    wave.Peak(plan.Waves, stay) + reserve,
-		RollOutMillis: int64(len(plan.Waves)) * each.Milliseconds(),
+		Moves:         moves,
+		BufferCost:    wave.Peak(waves, stay) + reserve,
+		RollOutMillis: int64(len(waves)) * each.Milliseconds(),
 	}
 }
 
--- a/wave/wave.go
+++ b/wave/wave.go
@@ -33,6 +33,10 @@
 
 	// Growth multiplies the size after each wave, at least 1.
 	Growth int
+
+	// Width is the largest number of instances of one pool in a wave; 0 sets
+	// no limit beside the pool's budget.
+	Width int
 }
 
 // Error implements error.
@@ -57,7 +61,7 @@
 	size := max(policy.First, 1)
 	var waves [][]string
 	for len(left) > 0 {
-		wave, rest, blocked := pick(left, pools, size)
+		wave, rest, blocked := pick(left, pools, size, policy.Width)
 		if len(wave) == 0 {
 			return waves, &NeverError{
 				IDs:   ids(rest),
@@ -134,10 +138,11 @@
 
 // pick takes up to size items that all pools can afford together. It returns
 // the rest and the last budget that stood in the way.
-func pick(items []Item, pools map[string]budget.Pool, size int) (wave []string, rest []Item, blocked error) {
+func pick(items []Item, pools map[string]budget.Pool, size, width int) (wave []string, rest []Item, blocked error) {
 	chosen := make(map[string][]string)
 	for _, item := range items {
-		if len(wave) >= size {
+		full := width > 0 && len(chosen[item.Pool]) >= width
+		if len(wave) >= size || full {
 			rest = append(rest, item)
 			continue
 		}
