--- a/carry/plugin.go
+++ b/carry/plugin.go
@@ -67,9 +67,6 @@
 		fx.Provide(
 			newStore,
 			newDuty,
-			func(p platform.Platform, c clock.Clock, self fleet.Self, d settings.Daemon) *lease.Holder {
-				return lease.NewHolder(p.Table, c, self.Incarnation, d.LeaseLength)
-			},
 		),
 		fx.Invoke(func(lc fx.Lifecycle, g *kernel.Group, duty *Duty, store *control.Store, leases *lease.Holder, w *state.Watch, log *slog.Logger, d settings.Daemon) {
 			enroller := NewEnroller(store, leases, w.View, log, roundPause(d))
--- a/cmd/lemonstandin/main.go
+++ b/cmd/lemonstandin/main.go
@@ -24,6 +24,7 @@
 		FlagSet:    flag.NewFlagSet("lemonstandin", flag.ContinueOnError),
 		Subcommands: []*ffcli.Command{
 			newCallersCmd(),
+			newCrowdCmd(),
 			newEndpointCmd(),
 			newPlatformCmd(),
 		},
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -28,6 +28,9 @@
 
 	// FaultSlow answers after a while.
 	FaultSlow Fault = "slow"
+
+	// FaultTableDown takes the table away and leaves the rest.
+	FaultTableDown Fault = "table-down"
 )
 
 // slowBy is how long a slow platform takes.
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -10,6 +10,7 @@
 	"net/url"
 	"sort"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -107,6 +108,13 @@
 	}
 }
 
+// Object returns the object at key, or nil.
+func (p *Platform) Object(key string) []byte {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.objects["/"+key]
+}
+
 // Routes adds the platform's routes.
 func (p *Platform) Routes(engine *gin.Engine) {
 	engine.POST(PathFault, func(c *gin.Context) { p.Faults.Set(Fault(c.Query("mode"))) })
@@ -151,6 +159,10 @@
 // fault makes a call fail as the switch says.
 func (p *Platform) fault(c *gin.Context) {
 	switch p.Faults.Get() {
+	case FaultTableDown:
+		if strings.HasPrefix(c.Request.URL.Path, "/table/") {
+			c.AbortWithStatus(http.StatusServiceUnavailable)
+		}
 	case FaultDown:
 		c.AbortWithStatus(http.StatusServiceUnavailable)
 	case FaultSlow:
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -155,6 +155,7 @@
 tell_interval = 200ms
 silent_after = 1s
 lease_length = 2s
+snapshot_interval = 300ms
 `, p.name, f.address, p.callers, p.operators, seeds[number], strings.Join(seeds, ","), f.folder, f.folder, f.folder, count, f.home)
 		f.must(os.WriteFile(p.settings, []byte(text), 0o600))
 	}
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -96,6 +96,45 @@
   stop_all
 }
 
+# crowd prints the memory of one entry under idle and slow callers.
+crowd() {
+  "$bin/lemonstandin" platform --listen "127.0.0.1:$base" --phantoms 50 --pools 5 &
+  pids+=("$!")
+  cat >"$work/1.ini" <<INI
+[entry]
+id = entry1
+zone = zone-1
+platform = 127.0.0.1:$base
+[listen]
+callers = 127.0.0.1:$((base + 301))
+operators = 127.0.0.1:$((base + 101))
+peers = 127.0.0.1:$((base + 201))
+[peers]
+certificate = $work/certificate.pem
+key = $work/key.pem
+authority = $work/authority.pem
+INI
+  "$bin/lemonstreamd" run --settings "$work/1.ini" 2>"$work/1.log" &
+  local daemon=$!
+  pids+=("$daemon")
+  for _ in $(seq 100); do
+    if curl -fs "127.0.0.1:$((base + 101))/livez" >/dev/null; then break; fi
+    sleep 0.1
+  done
+  local before
+  before=$(awk '/^VmRSS/ {print $2}' "/proc/$daemon/status")
+  "$bin/lemonstandin" crowd --entry "127.0.0.1:$((base + 301))" --idle 5000 --slow 500 --for 8s >"$work/crowd.out" &
+  pids+=("$!")
+  for _ in $(seq 100); do
+    if grep -q open "$work/crowd.out"; then break; fi
+    sleep 0.1
+  done
+  sleep 3
+  echo "measure=entry-memory-under-5000-idle-500-slow size=target policy=ours value=$(($(awk '/^VmRSS/ {print $2}' "/proc/$daemon/status") / 1024)) unit=MB before_MB=$((before / 1024))"
+  stop_all
+}
+
+crowd
 for size in "${@:-3:50:5 6:50:5 9:50:5 9:350:26 9:700:52}"; do
   for one in $size; do
     IFS=: read -r e i p <<<"$one"
--- a/state/plugin.go
+++ b/state/plugin.go
@@ -7,7 +7,9 @@
 	"go.uber.org/fx"
 
 	"lemonstream.dev/lemonstream/clock"
+	"lemonstream.dev/lemonstream/fleet"
 	"lemonstream.dev/lemonstream/kernel"
+	"lemonstream.dev/lemonstream/lease"
 	"lemonstream.dev/lemonstream/platform"
 	"lemonstream.dev/lemonstream/settings"
 )
@@ -25,9 +27,14 @@
 		fx.Provide(func(p platform.Platform, c clock.Clock, log *slog.Logger, d settings.Daemon) *Watch {
 			return NewWatch(p, c, log, d.PollInterval)
 		}),
-		fx.Invoke(func(lc fx.Lifecycle, g *kernel.Group, w *Watch) {
+		fx.Provide(func(p platform.Platform, c clock.Clock, self fleet.Self, d settings.Daemon) *lease.Holder {
+			return lease.NewHolder(p.Table, c, self.Incarnation, d.LeaseLength)
+		}),
+		fx.Invoke(func(lc fx.Lifecycle, g *kernel.Group, w *Watch, p platform.Platform, leases *lease.Holder, log *slog.Logger, d settings.Daemon) {
+			keeper := NewKeeper(w, p.Objects, leases, log, d.SnapshotInterval)
 			lc.Append(fx.StartHook(func(context.Context) {
 				g.Go("watch", w.Run)
+				g.Go("snapshots", keeper.Run)
 			}))
 		}),
 	)
--- a/state/watch.go
+++ b/state/watch.go
@@ -111,6 +111,9 @@
 // often as the configuration's bound on leaving endpoints asks for.
 func (w *Watch) Run(ctx context.Context) error {
 	w.poll(ctx)
+	if w.FreshAt().IsZero() {
+		w.restore(ctx)
+	}
 	table := time.NewTicker(w.interval)
 	defer table.Stop()
 	list := time.NewTicker(w.interval)
@@ -233,6 +236,17 @@
 	}
 }
 
+// restore takes in the newest snapshot, for an entry that starts while the
+// table is down. Rows of peers and of the table replace it as they come.
+func (w *Watch) restore(ctx context.Context) {
+	rows, err := LoadSnapshot(ctx, w.platform.Objects)
+	if err != nil {
+		w.log.Warn("table and snapshot not read; waiting for peers", "error", err)
+		return
+	}
+	w.publishIf(len(w.cache.Merge(rows)) > 0)
+}
+
 func (w *Watch) publishIf(changed bool) {
 	if changed {
 		w.publish()
