Run jobs on workers; make steps of a wave together; report as a page with plots

Cause: placement was a decision that nothing carried out; each step of an instance was a write of its own, so a wave of 156 would have meant 468 writes in bursts against the table's 100 a second. Change: package work keeps jobs as rows, one transaction a round and pool, and writes an attempt before it is started; entries submit, list and cancel jobs. Found by the state machine of jobs: a job cancelled after its attempt was decided and before it was started never ended, because the platform was asked to stop a task that it could not place in a pool; stopping names the task whole now. Not done: ended jobs stay in the table for ever, the seam has no deletion.

--- a/carry/carry.go
+++ b/carry/carry.go
@@ -26,6 +26,9 @@
 	// backWithin is how long a rebooted instance may take to come back.
 	backWithin = 10 * time.Minute
 
+	// stepsAtOnce bounds the instances of one transaction.
+	stepsAtOnce = 25
+
 	// probeTimeout bounds one look at an instance's health.
 	probeTimeout = time.Second
 )
@@ -38,6 +41,9 @@
 	// sends nothing to the instance and waits for nothing from it.
 	Quiet func(instance string) bool
 
+	// Idle reports whether no task runs on the instance.
+	Idle func(ctx context.Context, instance fleet.Instance) bool
+
 	// Reboot asks the platform for one reboot for each op.
 	Reboot func(ctx context.Context, instance, op string) error
 
@@ -108,15 +114,31 @@
 	if plan.Intent.Kind == intent.Rollout {
 		return d.advanceRollout(ctx, plan)
 	}
+	failures := []error{d.makeSteps(ctx, plan)}
+	if plan.State == intent.StateConfirmed {
+		failures = append(failures, d.openWave(ctx, plan))
+	}
+	return errors.Join(failures...)
+}
+
+// makeSteps makes the next steps of all instances that the plan took out, many
+// in a transaction, so that a large wave does not overload the table.
+func (d *Duty) makeSteps(ctx context.Context, plan *intent.Plan) error {
 	var failures []error
+	var steps []control.Step
 	for _, id := range plan.Instances() {
 		instance := d.outside.View().Instances[id]
-		if instance.Plan == plan.ID {
-			failures = append(failures, d.step(ctx, plan, instance))
+		if instance.Plan != plan.ID {
+			continue
+		}
+		step, err := d.next(ctx, plan, instance)
+		failures = append(failures, err)
+		if step != nil {
+			steps = append(steps, *step)
 		}
 	}
-	if plan.State == intent.StateConfirmed {
-		failures = append(failures, d.openWave(ctx, plan))
+	for some := range slices.Chunk(steps, stepsAtOnce) {
+		failures = append(failures, d.store.Advance(ctx, plan.ID, some))
 	}
 	return errors.Join(failures...)
 }
--- a/carry/carry_test.go
+++ b/carry/carry_test.go
@@ -283,6 +283,7 @@
 	o.duty = carry.New(o.store, leases, carry.Outside{
 		View:             func() *state.View { return o.view },
 		Quiet:            func(id string) bool { return w.quiet(o, id) },
+		Idle:             func(context.Context, fleet.Instance) bool { return true },
 		Reboot:           w.reboot,
 		Healthy:          func(context.Context, netip.AddrPort) bool { return true },
 		ConfigEverywhere: func(int64) bool { return true },
--- a/carry/plugin.go
+++ b/carry/plugin.go
@@ -1,7 +1,9 @@
 package carry
 
 import (
+	"context"
 	"log/slog"
+	"slices"
 	"time"
 
 	"go.uber.org/fx"
@@ -40,10 +42,22 @@
 	return true
 }
 
+// idle reports whether the platform answers that no task runs on the instance.
+func idle(ctx context.Context, tasks platform.Tasks, instance fleet.Instance) bool {
+	some, err := tasks.List(ctx, instance.Pool)
+	if err != nil {
+		return false
+	}
+	return !slices.ContainsFunc(some, func(task platform.Task) bool {
+		return task.Worker == instance.ID && task.State == platform.TaskRunning
+	})
+}
+
 func newDuty(store *control.Store, leases *lease.Holder, p platform.Platform, w *state.Watch, peers *member.Peers, s *entry.Services, c clock.Clock, log *slog.Logger, d settings.Daemon) *Duty {
 	outside := Outside{
 		View:             w.View,
 		Quiet:            func(id string) bool { return quiet(w, peers, s, id) },
+		Idle:             func(ctx context.Context, one fleet.Instance) bool { return idle(ctx, p.Tasks, one) },
 		Reboot:           p.Instances.Reboot,
 		Healthy:          Connects,
 		ConfigEverywhere: func(version int64) bool { return configEverywhere(w, peers, version) },
--- a/carry/step.go
+++ b/carry/step.go
@@ -7,6 +7,7 @@
 	"net/netip"
 
 	"lemonstream.dev/lemonstream/clock"
+	"lemonstream.dev/lemonstream/control"
 	"lemonstream.dev/lemonstream/fleet"
 	"lemonstream.dev/lemonstream/intent"
 	"lemonstream.dev/lemonstream/member"
@@ -32,82 +33,84 @@
 	return told && hold.Version >= version && hold.Count == 0
 }
 
-// step does the next step of an instance that the plan took out, if it can be
-// done now.
-func (d *Duty) step(ctx context.Context, plan *intent.Plan, instance fleet.Instance) error {
+// next returns the next step of an instance that the plan took out, or nil when
+// none can be made now.
+func (d *Duty) next(ctx context.Context, plan *intent.Plan, instance fleet.Instance) (*control.Step, error) {
 	aborted := plan.State == intent.StateAborted
-	boot := d.outside.View().Listed[instance.ID].Boot
 	switch instance.Phase {
 	case fleet.PhaseDraining:
 		if aborted {
-			return d.store.Readmit(ctx, plan.ID, instance.ID, instance.Phase, instance.Pool, instance.Boot)
+			return d.to(instance, fleet.PhaseServing, instance.Pool), nil
 		}
-		if !d.outside.Quiet(instance.ID) {
-			return nil
+		if !d.outside.Quiet(instance.ID) || !d.outside.Idle(ctx, instance) {
+			return nil, nil
 		}
-		return d.store.Step(ctx, plan.ID, instance.ID, fleet.PhaseDraining, fleet.PhaseDrained, boot)
+		return d.to(instance, fleet.PhaseDrained, ""), nil
 	case fleet.PhaseDrained:
 		if aborted {
-			return d.store.Readmit(ctx, plan.ID, instance.ID, instance.Phase, instance.Pool, instance.Boot)
+			return d.to(instance, fleet.PhaseServing, instance.Pool), nil
 		}
-		return d.stepDrained(ctx, plan, instance, boot)
+		return d.nextDrained(ctx, plan, instance), nil
 	case fleet.PhaseRebooting:
-		return d.stepRebooting(ctx, plan, instance)
+		return d.nextRebooting(ctx, plan, instance)
 	case fleet.PhaseFailed:
-		return d.stepFailed(ctx, plan, instance, boot)
+		return d.nextIfBack(ctx, instance, instance.Boot), nil
 	default:
-		return nil
+		return nil, nil
 	}
 }
 
-// stepDrained does what the instance was drained for.
-func (d *Duty) stepDrained(ctx context.Context, plan *intent.Plan, instance fleet.Instance, boot int64) error {
+// nextDrained does what the instance was drained for.
+func (d *Duty) nextDrained(ctx context.Context, plan *intent.Plan, instance fleet.Instance) *control.Step {
 	switch plan.Action {
 	case intent.ActionMove:
-		return d.store.Readmit(ctx, plan.ID, instance.ID, fleet.PhaseDrained, plan.To, boot)
+		return d.to(instance, fleet.PhaseServing, plan.To)
 	case intent.ActionReturn:
-		if !d.back(ctx, instance.ID, 0) {
-			return nil
-		}
-		return d.store.Readmit(ctx, plan.ID, instance.ID, fleet.PhaseDrained, instance.Pool, boot)
+		return d.nextIfBack(ctx, instance, 0)
 	case intent.ActionReboot:
-		return d.store.Step(ctx, plan.ID, instance.ID, fleet.PhaseDrained, fleet.PhaseRebooting, boot)
+		return d.to(instance, fleet.PhaseRebooting, "")
 	default:
 		return nil
 	}
 }
 
-// stepRebooting asks for the reboot, which the platform runs once for the op
+// nextIfBack readmits an instance that runs, with at least the given count of
+// starts, and takes connections.
+func (d *Duty) nextIfBack(ctx context.Context, instance fleet.Instance, boot int64) *control.Step {
+	line, found := d.outside.View().Listed[instance.ID]
+	if !found || line.State != platform.ListedLive || line.Boot < boot {
+		return nil
+	}
+	if !d.outside.Healthy(ctx, line.Address) {
+		return nil
+	}
+	return d.to(instance, fleet.PhaseServing, instance.Pool)
+}
+
+// nextRebooting asks for the reboot, which the platform runs once for the op
 // however often it is asked, and readmits the instance once it is back.
-func (d *Duty) stepRebooting(ctx context.Context, plan *intent.Plan, instance fleet.Instance) error {
-	if d.back(ctx, instance.ID, instance.Boot+1) {
-		boot := d.outside.View().Listed[instance.ID].Boot
-		return d.store.Readmit(ctx, plan.ID, instance.ID, fleet.PhaseRebooting, instance.Pool, boot)
+func (d *Duty) nextRebooting(ctx context.Context, plan *intent.Plan, instance fleet.Instance) (*control.Step, error) {
+	if step := d.nextIfBack(ctx, instance, instance.Boot+1); step != nil {
+		return step, nil
 	}
 	waited := d.clock.Now().Sub(clock.FromMillis(instance.Since))
 	if waited > backWithin {
 		stopAt := d.outside.View().Config.Waves.FailStop
 		reason := fmt.Sprintf("instance %s did not come back within %s of its reboot; look at its rack %s, then resume or abort", instance.ID, backWithin, instance.Rack)
-		return d.store.Fail(ctx, plan.ID, instance.ID, stopAt, reason)
-	}
-	return d.outside.Reboot(ctx, instance.ID, fmt.Sprintf("%s/%s/%d", plan.ID, instance.ID, instance.Boot))
-}
-
-// stepFailed readmits an instance that came back late, or that an operator
-// returns.
-func (d *Duty) stepFailed(ctx context.Context, plan *intent.Plan, instance fleet.Instance, boot int64) error {
-	if !d.back(ctx, instance.ID, instance.Boot) {
-		return nil
+		return nil, d.store.Fail(ctx, plan.ID, instance.ID, stopAt, reason)
 	}
-	return d.store.Readmit(ctx, plan.ID, instance.ID, fleet.PhaseFailed, instance.Pool, boot)
+	op := fmt.Sprintf("%s/%s/%d", plan.ID, instance.ID, instance.Boot)
+	return nil, d.outside.Reboot(ctx, instance.ID, op)
 }
 
-// back reports whether the instance runs, with at least the given count of
-// starts, and takes connections.
-func (d *Duty) back(ctx context.Context, id string, boot int64) bool {
-	line, found := d.outside.View().Listed[id]
-	if !found || line.State != platform.ListedLive || line.Boot < boot {
-		return false
+// to returns the step of the instance to a phase. The count of starts only
+// grows, also when the list leaves the instance out for a moment.
+func (d *Duty) to(instance fleet.Instance, phase fleet.Phase, pool string) *control.Step {
+	return &control.Step{
+		Instance: instance.ID,
+		From:     instance.Phase,
+		To:       phase,
+		Pool:     pool,
+		Boot:     max(instance.Boot, d.outside.View().Listed[instance.ID].Boot),
 	}
-	return d.outside.Healthy(ctx, line.Address)
 }
--- a/cmd/lemonctl/reportcmd.go
+++ b/cmd/lemonctl/reportcmd.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
+	"os"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
@@ -11,11 +13,13 @@
 )
 
 func newReportCmd(s *session) *ffcli.Command {
+	flags := flag.NewFlagSet("lemonctl report", flag.ContinueOnError)
+	page := flags.String("html", "", "write one HTML page with plots to this file")
 	return &ffcli.Command{
 		Name:       "report",
-		ShortUsage: "lemonctl report",
+		ShortUsage: "lemonctl report [--html FILE]",
 		ShortHelp:  "Report on service-level burn over 5 m, 1 h, 6 h and 3 d.",
-		FlagSet:    flag.NewFlagSet("lemonctl report", flag.ContinueOnError),
+		FlagSet:    flags,
 		Exec: func(ctx context.Context, _ []string) error {
 			client, err := s.client()
 			if err != nil {
@@ -25,6 +29,9 @@
 			if err := client.Get(ctx, operate.PathReport, &answer); err != nil {
 				return err
 			}
+			if *page != "" {
+				return writePage(*page, answer)
+			}
 			return s.printReport(answer)
 		},
 	}
@@ -59,3 +66,12 @@
 	fmt.Fprintf(s.out, "plans in the longest window: %v\n", answer.Plans)
 	return nil
 }
+
+// writePage writes the report as a page to the file.
+func writePage(name string, answer operate.ReportAnswer) error {
+	file, err := os.Create(name)
+	if err != nil {
+		return fmt.Errorf("writing the report: %w", err)
+	}
+	return errors.Join(answer.WritePage(file), file.Close())
+}
--- a/cmd/lemonstandin/endpointcmd.go
+++ b/cmd/lemonstandin/endpointcmd.go
@@ -46,6 +46,10 @@
 					Address: address,
 					State:   platform.ListedLive,
 					Boot:    time.Now().Unix(),
+					Size: platform.Resources{
+						Milliprocessors: 16_000,
+						Memory:          32 << 30,
+					},
 				},
 				Platform:   platformAddress,
 				Executions: *executions,
--- a/config/config.go
+++ b/config/config.go
@@ -37,6 +37,10 @@
 
 	// Burst is in requests and at least 1.
 	Burst float64
+
+	// JobProcessors bounds the processors that the team's jobs take together
+	// in a pool; 0 sets no bound.
+	JobProcessors int
 }
 
 // Retry bounds the repeats of repeatable requests.
@@ -133,6 +137,8 @@
 		c.Teams[name] = Quota{
 			Rate:  float64(file.Count(section, "rate")),
 			Burst: float64(file.Count(section, "burst")),
+
+			JobProcessors: file.Count(section, "job_processors"),
 		}
 	}
 	return c, nil
--- a/config/schema.go
+++ b/config/schema.go
@@ -131,6 +131,14 @@
 				Max:     10000000,
 				Doc:     "Requests above the rate that may come at once.",
 			},
+			{
+				Name:    "job_processors",
+				Kind:    settings.KindCount,
+				Default: "0",
+				Min:     0,
+				Max:     1000000,
+				Doc:     "Processors that the team's jobs may take together in a pool; 0 sets no bound.",
+			},
 		},
 	}
 }
--- a/control/steps.go
+++ b/control/steps.go
@@ -8,6 +8,7 @@
 	"lemonstream.dev/lemonstream/fleet"
 	"lemonstream.dev/lemonstream/intent"
 	"lemonstream.dev/lemonstream/platform"
+	"lemonstream.dev/lemonstream/state"
 )
 
 // PhaseError reports a step on an instance that is not where the step starts.
@@ -19,6 +20,19 @@
 	Plan string
 }
 
+// Step is one step of an instance from one phase to the next.
+type Step struct {
+	Instance string
+	From     fleet.Phase
+	To       fleet.Phase
+
+	// Pool is where the instance serves from now on, for a step to serving.
+	Pool string
+
+	// Boot is the platform's count of the instance's starts as of now.
+	Boot int64
+}
+
 // Error implements error.
 func (e *PhaseError) Error() string {
 	return fmt.Sprintf("instance %s is %s under plan %q; the step does not start there", e.Instance, e.Phase, e.Plan)
@@ -80,46 +94,49 @@
 	return s.commit(ctx, c)
 }
 
-// Step moves the instance from one phase to the next under the plan. boot is
-// the platform's count of starts as of now. A plan that was paused or aborted
-// still sees the instances through that it took out.
-func (s *Store) Step(ctx context.Context, planID, id string, from, to fleet.Phase, boot int64) error {
-	c := s.begin(string(to) + " " + id + " for " + planID)
-	instance, err := c.instance(id, planID, from)
-	if err != nil {
-		return err
+// Advance makes steps of instances that the plan took out, all or none. A step
+// to serving readmits the instance in its pool or in another one; the
+// instance's row and both pools' rows change together, so that it is in exactly
+// one pool at any moment. A plan that was paused or aborted still sees the
+// instances through that it took out.
+func (s *Store) Advance(ctx context.Context, planID string, steps []Step) error {
+	c := s.begin("advance " + planID)
+	pools := make(map[string]state.Pool)
+	for _, step := range steps {
+		instance, err := c.instance(step.Instance, planID, step.From)
+		if err != nil {
+			return err
+		}
+		instance.Phase = step.To
+		instance.Boot = step.Boot
+		if step.To == fleet.PhaseServing {
+			readmit(c, pools, &instance, step.Pool)
+		}
+		s.putInstance(c, instance)
+	}
+	for name, pool := range pools {
+		c.put(fleet.PoolKey(name), pool)
 	}
-	instance.Phase = to
-	instance.Boot = boot
-	s.putInstance(c, instance)
 	return s.commit(ctx, c)
 }
 
-// Readmit puts an instance that the plan took out back in service in the pool
-// to, which may be a new one. The instance's row and both pools' rows change
-// together, so that it is in exactly one pool at any moment.
-func (s *Store) Readmit(ctx context.Context, planID, id string, from fleet.Phase, to string, boot int64) error {
-	c := s.begin("readmit " + id + " for " + planID)
-	instance, err := c.instance(id, planID, from)
-	if err != nil {
-		return err
+// readmit takes the instance off those that are out, and into its new pool.
+func readmit(c *change, pools map[string]state.Pool, instance *fleet.Instance, to string) {
+	for _, name := range []string{instance.Pool, to} {
+		if _, found := pools[name]; !found {
+			pools[name] = c.view.Pools[name].Clone()
+		}
 	}
-	pool := c.view.Pools[instance.Pool].Clone()
-	delete(pool.Out, id)
+	delete(pools[instance.Pool].Out, instance.ID)
 	if to != instance.Pool {
-		delete(pool.Members, id)
-		target := c.view.Pools[to].Clone()
+		delete(pools[instance.Pool].Members, instance.ID)
+		target := pools[to]
 		target.Name = to
-		target.Members[id] = true
-		c.put(fleet.PoolKey(to), target)
+		target.Members[instance.ID] = true
+		pools[to] = target
 	}
-	c.put(fleet.PoolKey(instance.Pool), pool)
 	instance.Pool = to
-	instance.Phase = fleet.PhaseServing
 	instance.Plan = ""
-	instance.Boot = boot
-	s.putInstance(c, instance)
-	return s.commit(ctx, c)
 }
 
 // Adopt gives a drained instance to the plan that is to readmit it.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -22,6 +22,7 @@
 	_ "lemonstream.dev/lemonstream/once"
 	_ "lemonstream.dev/lemonstream/operate"
 	_ "lemonstream.dev/lemonstream/state"
+	_ "lemonstream.dev/lemonstream/work"
 )
 
 // incarnationLength is the length of what tells two incarnations of an entry
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -34,6 +34,9 @@
 // goneAfter is how long after its last beat an instance leaves the list.
 const goneAfter = 1500 * time.Millisecond
 
+// taskLength is how long a task runs on the stand-in's workers.
+const taskLength = 2 * time.Second
+
 // phantomLife keeps phantoms on the list for longer than any measure.
 const phantomLife = 24 * time.Hour
 
@@ -50,6 +53,7 @@
 // Platform is the stand-in for the platform as an HTTP server.
 type Platform struct {
 	Table  *Table
+	Tasks  *Tasks
 	Faults *Switch
 
 	mu        sync.Mutex
@@ -79,6 +83,7 @@
 func NewPlatform(lag time.Duration) *Platform {
 	return &Platform{
 		Table:     NewTable(),
+		Tasks:     NewTasks(time.Now, taskLength),
 		Faults:    &Switch{},
 		objects:   make(map[string][]byte),
 		instances: make(map[string]*instance),
@@ -131,6 +136,7 @@
 	faulty.PUT(platform.PathObjects+"*key", p.putObject)
 	faulty.GET(platform.PathInstances, p.list)
 	faulty.POST(platform.PathInstances+"/:id/reboot", p.reboot)
+	p.taskRoutes(faulty)
 }
 
 func (p *Platform) beat(c *gin.Context) {
--- a/operate/api.go
+++ b/operate/api.go
@@ -14,6 +14,7 @@
 const (
 	PathConfig    = "/v1/config"
 	PathInstances = "/v1/instances"
+	PathJobs      = "/v1/jobs"
 	PathLive      = "/livez"
 	PathMembers   = "/v1/members"
 	PathMetrics   = "/metrics"
--- a/operate/client.go
+++ b/operate/client.go
@@ -13,6 +13,7 @@
 
 	"lemonstream.dev/lemonstream/control"
 	"lemonstream.dev/lemonstream/intent"
+	"lemonstream.dev/lemonstream/work"
 )
 
 // clientTimeout bounds one call of a client.
@@ -61,6 +62,16 @@
 	return answer, err
 }
 
+// CancelJobs cancels jobs of a pool, all of them without ids.
+func (c *Client) CancelJobs(ctx context.Context, pool string, ids []string) (int, error) {
+	var answer CancelAnswer
+	err := c.call(ctx, http.MethodPost, PathJobs+"/cancel", CancelRequest{
+		Pool: pool,
+		IDs:  ids,
+	}, &answer)
+	return answer.Cancelled, err
+}
+
 // Confirm confirms the plan that has the digest.
 func (c *Client) Confirm(ctx context.Context, plan, digest string) (PlanAnswer, error) {
 	var answer PlanAnswer
@@ -89,6 +100,14 @@
 	return answer, err
 }
 
+// SubmitJobs submits jobs, all or none.
+func (c *Client) SubmitJobs(ctx context.Context, jobs []work.Job) error {
+	var answer []work.Job
+	return c.call(ctx, http.MethodPost, PathJobs, SubmitRequest{
+		Jobs: jobs,
+	}, &answer)
+}
+
 // call tries the entries in order. An entry that answers, even with a problem,
 // ends the search.
 func (c *Client) call(ctx context.Context, method, path string, body, into any) error {
--- a/operate/handler.go
+++ b/operate/handler.go
@@ -19,6 +19,7 @@
 	"lemonstream.dev/lemonstream/settings"
 	"lemonstream.dev/lemonstream/state"
 	"lemonstream.dev/lemonstream/wave"
+	"lemonstream.dev/lemonstream/work"
 )
 
 // maxBodyBytes bounds an operator's request.
@@ -32,6 +33,7 @@
 	readiness *entry.Readiness
 	platform  platform.Platform
 	reporter  *Reporter
+	jobs      *work.Store
 	clock     clock.Clock
 	log       *slog.Logger
 	self      fleet.Self
@@ -50,6 +52,9 @@
 	engine.GET(PathServices, h.services)
 	engine.GET(PathPlans, h.plans)
 	engine.POST(PathPlans, h.propose)
+	engine.GET(PathJobs, h.listJobs)
+	engine.POST(PathJobs, h.submitJobs)
+	engine.POST(PathJobs+"/cancel", h.cancelJobs)
 	engine.GET(PathPlans+"/:id", h.plan)
 	engine.POST(PathPlans+"/:id/confirm", h.confirm)
 	engine.POST(PathPlans+"/:id/verb", h.verb)
@@ -257,15 +262,17 @@
 		wrong    *intent.StateError
 		missing  *control.NoPlanError
 		raced    *platform.ConflictError
+		badJob   *work.InvalidError
+		taken    *work.ExistsError
 	)
 	switch {
-	case errors.As(err, &invalid), errors.As(err, &refusals):
+	case errors.As(err, &invalid), errors.As(err, &refusals), errors.As(err, &badJob):
 		return http.StatusBadRequest, CodeInvalid
 	case errors.As(err, &never), errors.As(err, &exceeded):
 		return http.StatusConflict, CodeBudget
 	case errors.As(err, &changed):
 		return http.StatusConflict, CodeChanged
-	case errors.As(err, &shared):
+	case errors.As(err, &shared), errors.As(err, &taken):
 		return http.StatusConflict, CodeConflict
 	case errors.As(err, &digest):
 		return http.StatusConflict, CodeDigest
--- a/operate/plugin.go
+++ b/operate/plugin.go
@@ -21,6 +21,7 @@
 	"lemonstream.dev/lemonstream/platform"
 	"lemonstream.dev/lemonstream/settings"
 	"lemonstream.dev/lemonstream/state"
+	"lemonstream.dev/lemonstream/work"
 )
 
 const (
@@ -39,7 +40,7 @@
 	})
 }
 
-func newHandler(store *control.Store, w *state.Watch, p *member.Peers, r *entry.Readiness, outside platform.Platform, reporter *Reporter, c clock.Clock, log *slog.Logger, self fleet.Self) *Handler {
+func newHandler(store *control.Store, w *state.Watch, p *member.Peers, r *entry.Readiness, outside platform.Platform, reporter *Reporter, jobs *work.Store, c clock.Clock, log *slog.Logger, self fleet.Self) *Handler {
 	return &Handler{
 		store:     store,
 		watch:     w,
@@ -47,6 +48,7 @@
 		readiness: r,
 		platform:  outside,
 		reporter:  reporter,
+		jobs:      jobs,
 		clock:     c,
 		log:       log,
 		self:      self,
--- a/place/place.go
+++ b/place/place.go
@@ -7,6 +7,8 @@
 import (
 	"sort"
 	"time"
+
+	"lemonstream.dev/lemonstream/platform"
 )
 
 // Reasons for setting a job aside.
@@ -72,15 +74,7 @@
 type Reason string
 
 // Size is what a job takes or a worker has.
-type Size struct {
-	// Milliprocessors is in thousandths of a processor.
-	Milliprocessors int64
-
-	// Memory is in bytes.
-	Memory int64
-
-	Accelerators int64
-}
+type Size platform.Resources
 
 // Steps are what to do next. Checkpoints come before starts.
 type Steps struct {
--- a/proof/process_test.go
+++ b/proof/process_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"syscall"
 	"testing"
 	"time"
@@ -10,6 +11,9 @@
 
 	"lemonstream.dev/lemonstream/intent"
 	"lemonstream.dev/lemonstream/internal/standin"
+	"lemonstream.dev/lemonstream/operate"
+	"lemonstream.dev/lemonstream/platform"
+	"lemonstream.dev/lemonstream/work"
 )
 
 // holds fails the test unless no promise broke.
@@ -159,3 +163,42 @@
 	f.until("the return", func() bool { return f.done(back) })
 	is.Equal(len(f.instances("serving")), 6)
 }
+
+func TestJobsRunWhileEntriesDieAndInstancesLeave(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleet(t, 4, 3, "5s")
+	var jobs []work.Job
+	for number := range 40 {
+		jobs = append(jobs, work.Job{
+			ID:           fmt.Sprintf("j%02d", number),
+			Pool:         "guichet",
+			Urgent:       number%5 == 0,
+			Unrepeatable: number%7 == 0,
+			Declared: platform.Resources{
+				Milliprocessors: 4000,
+			},
+		})
+	}
+	is.NoErr(f.client.SubmitJobs(t.Context(), jobs))
+	is.True(f.client.SubmitJobs(t.Context(), jobs) != nil) // Twice is refused.
+	plan := f.confirm(intent.Intent{
+		Kind:  intent.Maintain,
+		Scope: intent.ScopeRack,
+		Name:  "r0",
+	})
+	f.signal(f.entries[0], syscall.SIGKILL)
+	f.until("the maintenance", func() bool { return f.done(plan) })
+	f.until("every job to finish", func() bool {
+		var all []work.Job
+		if err := f.client.Get(t.Context(), operate.PathJobs+"?pool=guichet", &all); err != nil {
+			return false
+		}
+		for _, job := range all {
+			if job.State != work.StateFinished {
+				return false
+			}
+		}
+		return len(all) == len(jobs)
+	})
+}
--- /dev/null
+++ b/work/duty.go
@@ -0,0 +1,349 @@
+package work
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/google/uuid"
+
+	"lemonstream.dev/lemonstream/clock"
+	"lemonstream.dev/lemonstream/fleet"
+	"lemonstream.dev/lemonstream/lease"
+	"lemonstream.dev/lemonstream/place"
+	"lemonstream.dev/lemonstream/platform"
+	"lemonstream.dev/lemonstream/state"
+)
+
+const (
+	// renewEvery is the pause between two renewals of task leases.
+	renewEvery = 10 * time.Second
+
+	// taskLease is how long a task runs on without a renewal.
+	taskLease = time.Minute
+)
+
+// Duty places and runs the jobs of the pools whose lease it gets.
+type Duty struct {
+	table  platform.Table
+	tasks  platform.Tasks
+	leases *lease.Holder
+	view   func() *state.View
+	clock  clock.Clock
+	log    *slog.Logger
+	pause  time.Duration
+
+	// pools maps a pool to what the duty knows of its jobs.
+	pools map[string]*known
+}
+
+// known is the jobs of one pool that have not ended.
+type known struct {
+	// rows and jobs have the same keys: the ids of jobs.
+	rows map[string]platform.Row
+	jobs map[string]*Job
+
+	// revision is that of the last scan.
+	revision int64
+
+	// renewed is when task leases were last renewed.
+	renewed time.Time
+}
+
+// NewDuty returns the duty, which looks at each pool once in every pause.
+func NewDuty(p platform.Platform, leases *lease.Holder, view func() *state.View, c clock.Clock, log *slog.Logger, pause time.Duration) *Duty {
+	return &Duty{
+		table:  p.Table,
+		tasks:  p.Tasks,
+		leases: leases,
+		view:   view,
+		clock:  c,
+		log:    log,
+		pause:  pause,
+		pools:  make(map[string]*known),
+	}
+}
+
+// Run places and runs jobs until ctx ends.
+func (d *Duty) Run(ctx context.Context) error {
+	ticker := time.NewTicker(d.pause)
+	defer ticker.Stop()
+	for {
+		d.Round(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// Round does the next steps of every pool that has jobs. One scan finds the
+// jobs of all pools; only pools with jobs cost a lease.
+func (d *Duty) Round(ctx context.Context) {
+	if err := d.refresh(ctx); err != nil {
+		d.log.Debug("jobs not read", "error", err)
+		return
+	}
+	for _, pool := range slices.Sorted(maps.Keys(d.pools)) {
+		if len(d.pools[pool].jobs) == 0 {
+			continue
+		}
+		if _, held, err := d.leases.Hold(ctx, "jobs/"+pool); err != nil || !held {
+			continue
+		}
+		if err := d.roundPool(ctx, pool, d.pools[pool]); err != nil {
+			d.log.Debug("jobs wait", "pool", pool, "error", err)
+		}
+	}
+}
+
+// refresh reads the job rows that changed since the last round.
+func (d *Duty) refresh(ctx context.Context) error {
+	page, err := d.table.Scan(ctx, Prefix, d.revision())
+	if err != nil {
+		return err
+	}
+	for _, row := range page.Rows {
+		job, err := decodeJob(row)
+		if err != nil {
+			return err
+		}
+		k := d.pool(job.Pool)
+		if k.rows[job.ID].Version >= row.Version {
+			continue
+		}
+		k.set(row, job)
+	}
+	d.pool("").revision = page.Revision
+	return nil
+}
+
+// pool returns what is known of a pool; the empty name holds the revision.
+func (d *Duty) pool(name string) *known {
+	k, found := d.pools[name]
+	if !found {
+		k = &known{
+			rows: make(map[string]platform.Row),
+			jobs: make(map[string]*Job),
+		}
+		d.pools[name] = k
+	}
+	return k
+}
+
+func (d *Duty) revision() int64 {
+	return d.pool("").revision
+}
+
+// roundPool looks at the whole pool, writes what changes in one transaction,
+// and then has the platform do what the rows say.
+func (d *Duty) roundPool(ctx context.Context, pool string, k *known) error {
+	tasks, err := d.tasks.List(ctx, pool)
+	if err != nil {
+		return err
+	}
+	byID := make(map[string]platform.Task, len(tasks))
+	for _, task := range tasks {
+		byID[task.ID] = task
+	}
+	next := k.clone()
+	now := d.clock.Now()
+	for _, job := range next {
+		if task, found := byID[job.TaskID()]; found && job.Worker != "" {
+			job.observe(task, now)
+		}
+	}
+	d.decide(pool, next)
+	if err := d.write(ctx, pool, k, next); err != nil {
+		return err
+	}
+	return d.enact(ctx, k, byID, now)
+}
+
+// decide changes the jobs as package place says.
+func (d *Duty) decide(pool string, jobs map[string]*Job) {
+	input := d.input(pool, jobs)
+	steps := input.Next()
+	for id, reason := range steps.SetAside {
+		if job := jobs[id]; job.State == StateWaiting {
+			job.State = StateSetAside
+			job.Reason = reason
+		}
+	}
+	for _, id := range steps.Checkpoint {
+		jobs[id].State = StateCheckpointing
+	}
+	for id, worker := range steps.Start {
+		job := jobs[id]
+		job.State = StateRunning
+		job.Worker = worker
+		job.Attempt++
+	}
+	for _, id := range steps.TakeOut {
+		d.log.Warn("worker fails every job; it gets none", "pool", pool, "worker", id)
+	}
+	// What runs on an instance that leaves is saved, unless it can't go on
+	// elsewhere; that one is waited for.
+	view := d.view()
+	for _, job := range jobs {
+		leaves := view.Instances[job.Worker].Phase != fleet.PhaseServing
+		if job.State == StateRunning && leaves && !job.Unrepeatable {
+			job.State = StateCheckpointing
+		}
+	}
+}
+
+// input returns the pool as package place sees it. An unrepeatable job that was
+// started is never displaced, so it counts as urgent.
+func (d *Duty) input(pool string, jobs map[string]*Job) place.Pool {
+	view := d.view()
+	input := place.Pool{
+		Quotas: make(map[string]place.Size),
+	}
+	for _, id := range view.InPool(pool) {
+		line := view.Listed[id]
+		input.Workers = append(input.Workers, place.Worker{
+			ID:      id,
+			Size:    place.Size(line.Size),
+			Leaving: view.Instances[id].Phase != fleet.PhaseServing || view.Lost(id),
+		})
+	}
+	for _, id := range slices.Sorted(maps.Keys(jobs)) {
+		job := jobs[id]
+		if job.Ended() {
+			continue
+		}
+		sized := job.sized()
+		sized.Urgent = job.Urgent || (job.Unrepeatable && job.Worker != "")
+		input.Jobs = append(input.Jobs, sized)
+	}
+	for name, quota := range view.Config.Teams {
+		if quota.JobProcessors > 0 {
+			input.Quotas[name] = place.Size{
+				Milliprocessors: int64(quota.JobProcessors) * 1000,
+				Memory:          math.MaxInt64,
+				Accelerators:    math.MaxInt64,
+			}
+		}
+	}
+	return input
+}
+
+// write puts the jobs that changed, in one transaction.
+func (d *Duty) write(ctx context.Context, pool string, k *known, next map[string]*Job) error {
+	tx := platform.Transaction{
+		Op: "jobs of " + pool + "/" + uuid.NewString(),
+	}
+	for id, job := range next {
+		value, err := json.Marshal(job)
+		if err != nil {
+			return fmt.Errorf("encoding job %s: %w", id, err)
+		}
+		if string(value) == string(k.rows[id].Value) {
+			continue
+		}
+		tx.Checks = append(tx.Checks, platform.Check{
+			Key:     k.rows[id].Key,
+			Version: k.rows[id].Version,
+		})
+		tx.Puts = append(tx.Puts, platform.Put{
+			Key:   k.rows[id].Key,
+			Value: value,
+		})
+	}
+	if len(tx.Puts) == 0 {
+		return nil
+	}
+	revision, err := d.table.Commit(ctx, tx)
+	if err != nil {
+		return err
+	}
+	for _, put := range tx.Puts {
+		row := platform.Row{
+			Key:     put.Key,
+			Version: revision,
+			Op:      tx.Op,
+			Value:   put.Value,
+		}
+		job, err := decodeJob(row)
+		if err != nil {
+			return err
+		}
+		k.set(row, job)
+	}
+	return nil
+}
+
+// enact has the platform do what the rows say. Every call may be made again.
+func (d *Duty) enact(ctx context.Context, k *known, tasks map[string]platform.Task, now time.Time) error {
+	var failures []error
+	var running []string
+	saving := make(map[string]bool)
+	for _, job := range k.jobs {
+		if job.State == StateCheckpointing {
+			saving[job.Worker] = true
+		}
+	}
+	for _, job := range k.jobs {
+		task, started := tasks[job.TaskID()]
+		switch job.State {
+		case StateRunning:
+			if started {
+				running = append(running, task.ID)
+				continue
+			}
+			// Room on a worker that saves other tasks is there once it is done.
+			if !saving[job.Worker] {
+				failures = append(failures, d.start(ctx, job))
+			}
+		case StateCheckpointing:
+			if started {
+				failures = append(failures, d.tasks.Checkpoint(ctx, task.ID))
+			} else {
+				// It was to be saved before it started: start it to save it.
+				failures = append(failures, d.start(ctx, job))
+			}
+		case StateCancelling:
+			// Stopping an attempt that has not started keeps it from starting.
+			failures = append(failures, d.tasks.Stop(ctx, job.task()))
+		}
+	}
+	if len(running) > 0 && now.Sub(k.renewed) >= renewEvery {
+		failures = append(failures, d.tasks.Renew(ctx, running, taskLease))
+		k.renewed = now
+	}
+	return errors.Join(failures...)
+}
+
+func (d *Duty) start(ctx context.Context, job *Job) error {
+	return d.tasks.Start(ctx, job.task(), taskLease)
+}
+
+// clone returns copies of the jobs that may be changed.
+func (k *known) clone() map[string]*Job {
+	jobs := make(map[string]*Job, len(k.jobs))
+	for id, job := range k.jobs {
+		copied := *job
+		copied.FailedOn = maps.Clone(job.FailedOn)
+		jobs[id] = &copied
+	}
+	return jobs
+}
+
+// set remembers a job, or forgets one that ended.
+func (k *known) set(row platform.Row, job *Job) {
+	if job.Ended() {
+		delete(k.rows, job.ID)
+		delete(k.jobs, job.ID)
+		return
+	}
+	k.rows[job.ID] = row
+	k.jobs[job.ID] = job
+}
--- /dev/null
+++ b/work/job.go
@@ -0,0 +1,178 @@
+// Package work runs jobs on the workers of their pools. Package place decides;
+// this package keeps the jobs' rows in the table, one transaction a round and
+// pool, and has the platform do what the rows say. An attempt is written before
+// it is started, so that an entry that takes over starts the same attempt again
+// and never another beside it.
+package work
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"lemonstream.dev/lemonstream/clock"
+	"lemonstream.dev/lemonstream/place"
+	"lemonstream.dev/lemonstream/platform"
+)
+
+// States of a job.
+const (
+	StateCancelled State = "cancelled"
+
+	// StateCancelling means that its task is being stopped.
+	StateCancelling State = "cancelling"
+
+	// StateCheckpointing means that its task is being saved and stopped.
+	StateCheckpointing State = "checkpointing"
+
+	StateFinished State = "finished"
+
+	// StateRunning means that an attempt was decided on; it may not have
+	// been started yet.
+	StateRunning State = "running"
+
+	// StateSetAside means that the job is not tried again, for a reason.
+	StateSetAside State = "set-aside"
+
+	StateWaiting State = "waiting"
+)
+
+// Reasons for setting a job aside beside those of package place.
+const (
+	// ReasonMayHaveRun means that an unrepeatable job ended without a result.
+	ReasonMayHaveRun place.Reason = "unrepeatable-and-may-have-run"
+)
+
+// Prefix starts the keys of jobs; the pool's name and the job's id follow.
+const Prefix = "job/"
+
+// Job is the value of a job's row.
+type Job struct {
+	ID   string `json:"id"`
+	Pool string `json:"pool"`
+	Team string `json:"team,omitempty"`
+
+	// Urgent jobs start at once, if need be in the place of others.
+	Urgent bool `json:"urgent,omitempty"`
+
+	// Unrepeatable jobs are started at most once.
+	Unrepeatable bool `json:"unrepeatable,omitempty"`
+
+	// Declared is what the submitter says that the job takes.
+	Declared platform.Resources `json:"declared"`
+
+	// Seen is the most that it was seen to take.
+	Seen platform.Resources `json:"seen"`
+
+	State State `json:"state"`
+
+	// Reason says why the job was set aside.
+	Reason place.Reason `json:"reason,omitempty"`
+
+	// Attempt counts the attempts; the newest is on Worker.
+	Attempt int    `json:"attempt"`
+	Worker  string `json:"worker,omitempty"`
+
+	Checkpoints int             `json:"checkpoints,omitempty"`
+	FailedOn    map[string]bool `json:"failed_on,omitempty"`
+
+	// Submitted and Waiting are in milliseconds since the Unix epoch; Waiting
+	// is since when the job waits.
+	Submitted int64 `json:"submitted"`
+	Waiting   int64 `json:"waiting"`
+}
+
+// State is where a job is.
+type State string
+
+// Key returns the key of the job's row.
+func Key(pool, id string) string {
+	return Prefix + pool + "/" + id
+}
+
+// TaskID names the job's newest attempt.
+func (j *Job) TaskID() string {
+	return fmt.Sprintf("%s/%s/%d", j.Pool, j.ID, j.Attempt)
+}
+
+// Ended reports whether nothing will happen to the job any more.
+func (j *Job) Ended() bool {
+	return j.State == StateFinished || j.State == StateCancelled || j.State == StateSetAside
+}
+
+// observe takes in what the platform says of the newest attempt.
+func (j *Job) observe(task platform.Task, now time.Time) {
+	j.Seen = platform.Resources{
+		Milliprocessors: max(j.Seen.Milliprocessors, task.Usage.Milliprocessors),
+		Memory:          max(j.Seen.Memory, task.Usage.Memory),
+	}
+	switch task.State {
+	case platform.TaskFinished:
+		j.State = StateFinished
+	case platform.TaskFailed:
+		if j.FailedOn == nil {
+			j.FailedOn = make(map[string]bool)
+		}
+		j.FailedOn[task.Worker] = true
+		j.requeue(now)
+	case platform.TaskCheckpointed:
+		j.Checkpoints++
+		j.resume(now)
+	case platform.TaskLapsed:
+		j.requeue(now)
+	case platform.TaskStopped:
+		j.State = StateCancelled
+	}
+}
+
+// requeue has the job wait for another attempt, unless it may not have one.
+func (j *Job) requeue(now time.Time) {
+	if j.Unrepeatable && j.State != StateCancelling {
+		j.State = StateSetAside
+		j.Reason = ReasonMayHaveRun
+		return
+	}
+	j.resume(now)
+}
+
+// resume has the job wait, or end if it was to be cancelled.
+func (j *Job) resume(now time.Time) {
+	j.Worker = ""
+	j.Waiting = clock.Millis(now)
+	if j.State == StateCancelling {
+		j.State = StateCancelled
+		return
+	}
+	j.State = StateWaiting
+}
+
+// sized returns the job as package place sees it.
+func (j *Job) sized() place.Job {
+	return place.Job{
+		ID:          j.ID,
+		Team:        j.Team,
+		Urgent:      j.Urgent,
+		Size:        place.Learn(place.Size(j.Declared), place.Size(j.Seen)),
+		Waiting:     clock.FromMillis(j.Waiting),
+		Worker:      j.Worker,
+		Checkpoints: j.Checkpoints,
+		FailedOn:    j.FailedOn,
+	}
+}
+
+// task returns the newest attempt as the platform is asked for it.
+func (j *Job) task() platform.Task {
+	return platform.Task{
+		ID:     j.TaskID(),
+		Pool:   j.Pool,
+		Worker: j.Worker,
+	}
+}
+
+func decodeJob(row platform.Row) (*Job, error) {
+	var job Job
+	if err := json.Unmarshal(row.Value, &job); err != nil {
+		return nil, fmt.Errorf("decoding row %s: %w", row.Key, err)
+	}
+	return &job, nil
+}
--- /dev/null
+++ b/work/plugin.go
@@ -0,0 +1,37 @@
+package work
+
+import (
+	"log/slog"
+	"time"
+
+	"go.uber.org/fx"
+
+	"lemonstream.dev/lemonstream/clock"
+	"lemonstream.dev/lemonstream/kernel"
+	"lemonstream.dev/lemonstream/lease"
+	"lemonstream.dev/lemonstream/platform"
+	"lemonstream.dev/lemonstream/settings"
+	"lemonstream.dev/lemonstream/state"
+)
+
+// mostPause bounds the pause between two rounds, so that an urgent job is seen
+// in time whatever the entry's other intervals are.
+const mostPause = time.Second
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Name:    "work",
+		Stage:   kernel.StageDuties,
+		Options: options,
+	})
+}
+
+func options() fx.Option {
+	return fx.Options(
+		fx.Provide(func(p platform.Platform, c clock.Clock) *Store { return NewStore(p.Table, c) }),
+		fx.Invoke(func(lc fx.Lifecycle, g *kernel.Group, p platform.Platform, leases *lease.Holder, w *state.Watch, c clock.Clock, log *slog.Logger, d settings.Daemon) {
+			duty := NewDuty(p, leases, w.View, c, log, min(d.PollInterval, mostPause))
+			lc.Append(fx.StartHook(func() { g.Go("work", duty.Run) }))
+		}),
+	)
+}
--- /dev/null
+++ b/work/work_test.go
@@ -0,0 +1,297 @@
+package work_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"lemonstream.dev/lemonstream/config"
+	"lemonstream.dev/lemonstream/fleet"
+	"lemonstream.dev/lemonstream/internal/prove"
+	"lemonstream.dev/lemonstream/internal/standin"
+	"lemonstream.dev/lemonstream/lease"
+	"lemonstream.dev/lemonstream/platform"
+	"lemonstream.dev/lemonstream/state"
+	"lemonstream.dev/lemonstream/work"
+)
+
+// farm is a pool of workers with entries that place jobs on them.
+type farm struct {
+	now    *standin.Manual
+	table  *standin.Table
+	faults *standin.Switch
+	tasks  *standin.Tasks
+	duties []*work.Duty
+	store  *work.Store
+	view   *state.View
+
+	// starts counts the calls that started a task, by job.
+	starts map[string]map[string]bool
+}
+
+func newFarm(entries, workers int, length time.Duration) *farm {
+	f := &farm{
+		now:    standin.NewManual(time.UnixMilli(1_000_000_000)),
+		table:  standin.NewTable(),
+		faults: &standin.Switch{},
+		starts: make(map[string]map[string]bool),
+		view: &state.View{
+			Config:    &config.Config{},
+			Instances: make(map[string]fleet.Instance),
+			Listed:    make(map[string]platform.Listed),
+		},
+	}
+	for number := range workers {
+		id := fmt.Sprintf("w%d", number)
+		f.view.Instances[id] = fleet.Instance{
+			ID:    id,
+			Pool:  "modelos",
+			Phase: fleet.PhaseServing,
+		}
+		f.view.Listed[id] = platform.Listed{
+			ID:    id,
+			State: platform.ListedLive,
+			Size: platform.Resources{
+				Milliprocessors: 8000,
+			},
+		}
+	}
+	clock := f.now.Clock(func() time.Duration { return 0 })
+	f.tasks = standin.NewTasks(clock.Now, length)
+	f.tasks.Save = 2 * time.Second
+	adapter := f.tasks.Adapter()
+	start := adapter.Start
+	adapter.Start = func(ctx context.Context, task platform.Task, lease time.Duration) error {
+		job := task.ID[:len(task.ID)-2]
+		if f.starts[job] == nil {
+			f.starts[job] = make(map[string]bool)
+		}
+		f.starts[job][task.ID] = true
+		return start(ctx, task, lease)
+	}
+	outside := platform.Platform{
+		Table: standin.InMemory(f.table, f.faults, &standin.Late{}),
+		Tasks: adapter,
+	}
+	for number := range entries {
+		// A lease this short lets every entry act in every round.
+		leases := lease.NewHolder(outside.Table, clock, fmt.Sprint(number), 0)
+		f.duties = append(f.duties, work.NewDuty(outside, leases, func() *state.View { return f.view }, clock, slog.New(slog.DiscardHandler), time.Second))
+	}
+	f.store = work.NewStore(outside.Table, clock)
+	return f
+}
+
+func (f *farm) submit(jobs ...work.Job) error {
+	for i := range jobs {
+		jobs[i].Pool = "modelos"
+		if jobs[i].Declared.Milliprocessors == 0 {
+			jobs[i].Declared.Milliprocessors = 4000
+		}
+	}
+	return f.store.Submit(context.Background(), jobs)
+}
+
+func (f *farm) jobs() map[string]work.Job {
+	jobs, err := f.store.List(context.Background(), "modelos")
+	if err != nil {
+		return nil
+	}
+	byID := make(map[string]work.Job)
+	for _, job := range jobs {
+		byID[job.ID] = job
+	}
+	return byID
+}
+
+// round lets every entry act and half a second pass.
+func (f *farm) round() {
+	for _, duty := range f.duties {
+		duty.Round(context.Background())
+	}
+	f.now.Step(500 * time.Millisecond)
+}
+
+func TestUrgentStartsInTimeInAFullPool(t *testing.T) {
+	is := is.New(t)
+	f := newFarm(2, 4, time.Hour)
+	for number := range 8 {
+		is.NoErr(f.submit(work.Job{
+			ID: fmt.Sprintf("refit%d", number),
+		}))
+	}
+	for range 4 {
+		f.round()
+	}
+	is.NoErr(f.submit(work.Job{
+		ID:     "alert",
+		Urgent: true,
+	}))
+	rounds := 0
+	for ; len(f.starts["modelos/alert"]) == 0; rounds++ {
+		is.True(rounds < 17) // Half a second each: 8.1 s by the clock of the test.
+		f.round()
+	}
+	t.Logf("the urgent job started after %d rounds of 500 ms", rounds)
+}
+
+func TestCancellationsComeInWaves(t *testing.T) {
+	is := is.New(t)
+	f := newFarm(1, 4, time.Hour)
+	for batch := range 4 {
+		var jobs []work.Job
+		for number := range 100 {
+			jobs = append(jobs, work.Job{
+				ID: fmt.Sprintf("j%d-%02d", batch, number),
+			})
+		}
+		is.NoErr(f.submit(jobs...))
+	}
+	f.round()
+	before, _ := f.table.Counts()
+	count, err := f.store.Cancel(context.Background(), "modelos", nil)
+	is.NoErr(err)
+	is.Equal(count, 400)
+	after, _ := f.table.Counts()
+	is.Equal(after-before, int64(4)) // A hundred in a write.
+	for range 6 {
+		f.round()
+	}
+	for _, job := range f.jobs() {
+		is.Equal(job.State, work.StateCancelled)
+	}
+	for _, task := range f.tasks.List("modelos") {
+		is.True(task.State != platform.TaskRunning) // Nothing goes on.
+	}
+}
+
+func TestBadWorkerAndBadJob(t *testing.T) {
+	is := is.New(t)
+	f := newFarm(1, 5, time.Second)
+	f.tasks.Fails = func(task platform.Task) bool {
+		return task.Worker == "w0" || task.ID[:len(task.ID)-2] == "modelos/bad"
+	}
+	is.NoErr(f.submit(work.Job{
+		ID: "bad",
+	}, work.Job{
+		ID: "huge",
+		Declared: platform.Resources{
+			Milliprocessors: 99_000,
+		},
+	}))
+	for number := range 12 {
+		is.NoErr(f.submit(work.Job{
+			ID: fmt.Sprintf("good%02d", number),
+		}))
+	}
+	for range 80 {
+		f.round()
+	}
+	for id, job := range f.jobs() {
+		switch id {
+		case "bad", "huge":
+			is.Equal(job.State, work.StateSetAside)
+			is.True(job.Reason != "")
+		default:
+			is.Equal(job.State, work.StateFinished) // A bad worker's fault is not theirs.
+		}
+	}
+}
+
+func TestDuplicateSubmission(t *testing.T) {
+	is := is.New(t)
+	f := newFarm(1, 1, time.Hour)
+	is.NoErr(f.submit(work.Job{
+		ID: "a",
+	}))
+	is.True(f.submit(work.Job{
+		ID: "b",
+	}, work.Job{
+		ID: "a",
+	}) != nil)
+	is.Equal(len(f.jobs()), 1) // All or none.
+}
+
+// TestJobsKeepTheirPromises has entries with old copies, faults of the table,
+// pauses longer than task leases, failing workers and cancellations. An
+// unrepeatable job starts at most once, no job runs in two places, and once the
+// faults end every job ends.
+func TestJobsKeepTheirPromises(t *testing.T) {
+	prove.Property(t, func(t *rapid.T) {
+		f := newFarm(3, 3, 3*time.Second)
+		f.tasks.Fails = func(task platform.Task) bool { return task.Worker == "w0" && len(task.ID)%2 == 0 }
+		number := 0
+		t.Repeat(map[string]func(*rapid.T){
+			"": f.check,
+			"submit": func(t *rapid.T) {
+				number++
+				_ = f.submit(work.Job{
+					ID:           fmt.Sprintf("j%03d", number),
+					Urgent:       rapid.IntRange(0, 3).Draw(t, "urgent") == 0,
+					Unrepeatable: rapid.IntRange(0, 2).Draw(t, "unrepeatable") == 0,
+				})
+			},
+			"act":    func(t *rapid.T) { f.duties[rapid.IntRange(0, 2).Draw(t, "entry")].Round(context.Background()) },
+			"act 2":  func(t *rapid.T) { f.duties[rapid.IntRange(0, 2).Draw(t, "entry")].Round(context.Background()) },
+			"pause":  func(t *rapid.T) { f.now.Step(time.Duration(rapid.IntRange(1, 90).Draw(t, "s")) * time.Second) },
+			"moment": func(*rapid.T) { f.now.Step(300 * time.Millisecond) },
+			"cancel": func(t *rapid.T) {
+				_, _ = f.store.Cancel(context.Background(), "modelos", []string{fmt.Sprintf("j%03d", rapid.IntRange(1, number+1).Draw(t, "job"))})
+			},
+			"fault": func(t *rapid.T) {
+				faults := []standin.Fault{standin.FaultNone, standin.FaultNone, standin.FaultDown, standin.FaultLose, standin.FaultLoseOnce}
+				f.faults.Set(rapid.SampledFrom(faults).Draw(t, "fault"))
+			},
+		})
+		f.faults.Set(standin.FaultNone)
+		for round := 0; f.open() > 0; round++ {
+			if round > 300 {
+				t.Fatalf("%d jobs never end: %+v", f.open(), f.jobs())
+			}
+			f.round()
+			f.check(t)
+		}
+	})
+}
+
+func (f *farm) open() int {
+	count := 0
+	for _, job := range f.jobs() {
+		if !job.Ended() {
+			count++
+		}
+	}
+	return count
+}
+
+// check is the oracle: it reads what the workers run.
+func (f *farm) check(t *rapid.T) {
+	running := make(map[string]int)
+	used := make(map[string]int)
+	for _, task := range f.tasks.List("modelos") {
+		if task.State == platform.TaskRunning {
+			running[task.ID[:len(task.ID)-2]]++
+			used[task.Worker]++
+		}
+	}
+	for job, count := range running {
+		if count > 1 {
+			t.Fatalf("job %s runs in %d places", job, count)
+		}
+	}
+	for worker, count := range used {
+		if count > 2 {
+			t.Fatalf("worker %s holds %d jobs of half its size", worker, count)
+		}
+	}
+	for id, job := range f.jobs() {
+		if job.Unrepeatable && len(f.starts["modelos/"+id]) > 1 {
+			t.Fatalf("unrepeatable job %s was started %d times", id, len(f.starts["modelos/"+id]))
+		}
+	}
+}
