Start urgent jobs in time although their pool's lease holder is gone

Cause: an urgent job waited for the lease of a dead holder, 6 s and more, and every entry read every busy pool's lease each second: 9 x 52 = 468 reads/s. Change: leases that can't change hands yet are remembered; those of jobs last 20 s; an urgent job older than 2 s is taken on by any entry, since transactions keep the promises and the lease only saves work. A job is starting until its task was seen, so that this holds up to its start. Ruled out: short leases for jobs; 52 pools at 3 s would renew 35 times a second. Failed first: with the frozen holder the job was decided on and then not started.

--- a/lease/lease.go
+++ b/lease/lease.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/google/uuid"
@@ -27,12 +28,18 @@
 	Until int64 `json:"until"`
 }
 
-// Holder takes and keeps the leases of one entry. It keeps no state of its own.
+// Holder takes and keeps the leases of one entry. It remembers what it saw of
+// each, so that a lease that can't change hands yet costs the table nothing.
 type Holder struct {
 	table  platform.Table
 	clock  clock.Clock
 	id     string
 	length time.Duration
+
+	mu sync.Mutex
+
+	// seen maps a name to the lease as last read or written here.
+	seen map[string]Lease
 }
 
 // NewHolder returns a holder that takes leases of the given length under id,
@@ -43,6 +50,7 @@
 		clock:  c,
 		id:     id,
 		length: length,
+		seen:   make(map[string]Lease),
 	}
 }
 
@@ -51,6 +59,9 @@
 // end of a renewed lease is reckoned from before the call.
 func (h *Holder) Hold(ctx context.Context, name string) (Lease, bool, error) {
 	now := h.clock.Now()
+	if seen := h.remembered(name); h.fresh(seen, now) || h.elsewhere(seen, now) {
+		return seen, seen.Holder == h.id, nil
+	}
 	key := fleet.LeasePrefix + name
 	row, err := h.table.Read(ctx, key)
 	if err != nil {
@@ -60,7 +71,8 @@
 	if err != nil {
 		return Lease{}, false, err
 	}
-	if current.Holder != h.id && clock.Millis(now) < current.Until {
+	h.remember(name, current)
+	if h.elsewhere(current, now) {
 		return current, false, nil
 	}
 	if h.fresh(current, now) {
@@ -74,7 +86,9 @@
 	if current.Holder != h.id {
 		next.Epoch++
 	}
-	return h.write(ctx, row, next)
+	next, held, err := h.write(ctx, row, next)
+	h.remember(name, next)
+	return next, held, err
 }
 
 // Release lets another entry take the lease at once.
@@ -88,10 +102,16 @@
 		return err
 	}
 	current.Until = 0
+	h.remember(name, current)
 	_, _, err = h.write(ctx, row, current)
 	return err
 }
 
+// elsewhere reports whether another entry holds the lease now.
+func (h *Holder) elsewhere(current Lease, now time.Time) bool {
+	return current.Holder != h.id && clock.Millis(now) < current.Until
+}
+
 // fresh reports whether the lease needs no renewal yet.
 func (h *Holder) fresh(current Lease, now time.Time) bool {
 	return current.Holder == h.id && clock.FromMillis(current.Until).Sub(now) > h.length/2
@@ -120,6 +140,18 @@
 	return next, err == nil, err
 }
 
+func (h *Holder) remember(name string, current Lease) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.seen[name] = current
+}
+
+func (h *Holder) remembered(name string) Lease {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.seen[name]
+}
+
 func decode(row platform.Row) (Lease, error) {
 	var lease Lease
 	if row.Version == 0 {
--- a/work/duty.go
+++ b/work/duty.go
@@ -25,6 +25,11 @@
 	// renewEvery is the pause between two renewals of task leases.
 	renewEvery = 10 * time.Second
 
+	// urgentPatience is how long an urgent job waits for the holder of its
+	// pool's lease before any entry acts. With a look a second and a
+	// checkpoint of two, it starts well within the users' 8.1 s.
+	urgentPatience = 2 * time.Second
+
 	// taskLease is how long a task runs on without a renewal.
 	taskLease = time.Minute
 )
@@ -95,7 +100,8 @@
 		if len(d.pools[pool].jobs) == 0 {
 			continue
 		}
-		if _, held, err := d.leases.Hold(ctx, "jobs/"+pool); err != nil || !held {
+		_, held, err := d.leases.Hold(ctx, "jobs/"+pool)
+		if err != nil || (!held && !d.overdue(d.pools[pool])) {
 			continue
 		}
 		if err := d.roundPool(ctx, pool, d.pools[pool]); err != nil {
@@ -104,6 +110,21 @@
 	}
 }
 
+// overdue reports whether an urgent job waits so long that the lease's holder
+// must be gone. Any entry may then act: the transactions keep the promises, the
+// lease only saves work.
+func (d *Duty) overdue(k *known) bool {
+	now := d.clock.Now()
+	for _, job := range k.jobs {
+		waited := now.Sub(clock.FromMillis(job.Waiting))
+		open := job.State == StateWaiting || job.State == StateStarting
+		if job.Urgent && open && waited > urgentPatience {
+			return true
+		}
+	}
+	return false
+}
+
 // refresh reads the job rows that changed since the last round.
 func (d *Duty) refresh(ctx context.Context) error {
 	page, err := d.table.Scan(ctx, Prefix, d.revision())
@@ -182,7 +203,7 @@
 	}
 	for id, worker := range steps.Start {
 		job := jobs[id]
-		job.State = StateRunning
+		job.State = StateStarting
 		job.Worker = worker
 		job.Attempt++
 	}
@@ -194,7 +215,8 @@
 	view := d.view()
 	for _, job := range jobs {
 		leaves := view.Instances[job.Worker].Phase != fleet.PhaseServing
-		if job.State == StateRunning && leaves && !job.Unrepeatable {
+		placed := job.State == StateRunning || job.State == StateStarting
+		if placed && leaves && !job.Unrepeatable {
 			job.State = StateCheckpointing
 		}
 	}
@@ -294,7 +316,7 @@
 	for _, job := range k.jobs {
 		task, started := tasks[job.TaskID()]
 		switch job.State {
-		case StateRunning:
+		case StateStarting, StateRunning:
 			if started {
 				running = append(running, task.ID)
 				continue
--- a/work/job.go
+++ b/work/job.go
@@ -27,13 +27,16 @@
 
 	StateFinished State = "finished"
 
-	// StateRunning means that an attempt was decided on; it may not have
-	// been started yet.
+	// StateRunning means that its newest attempt was seen to run.
 	StateRunning State = "running"
 
 	// StateSetAside means that the job is not tried again, for a reason.
 	StateSetAside State = "set-aside"
 
+	// StateStarting means that an attempt was decided on; it may or may not
+	// have been started.
+	StateStarting State = "starting"
+
 	StateWaiting State = "waiting"
 )
 
@@ -107,6 +110,10 @@
 		Memory:          max(j.Seen.Memory, task.Usage.Memory),
 	}
 	switch task.State {
+	case platform.TaskRunning:
+		if j.State == StateStarting {
+			j.State = StateRunning
+		}
 	case platform.TaskFinished:
 		j.State = StateFinished
 	case platform.TaskFailed:
--- a/work/plugin.go
+++ b/work/plugin.go
@@ -7,6 +7,7 @@
 	"go.uber.org/fx"
 
 	"lemonstream.dev/lemonstream/clock"
+	"lemonstream.dev/lemonstream/fleet"
 	"lemonstream.dev/lemonstream/kernel"
 	"lemonstream.dev/lemonstream/lease"
 	"lemonstream.dev/lemonstream/platform"
@@ -18,6 +19,10 @@
 // in time whatever the entry's other intervals are.
 const mostPause = time.Second
 
+// leaseLength is that of a pool's lease. It is long, because 52 busy pools renew
+// theirs all the time; urgent jobs don't wait for it.
+const leaseLength = 20 * time.Second
+
 func init() {
 	kernel.Register(kernel.Plugin{
 		Name:    "work",
@@ -29,7 +34,8 @@
 func options() fx.Option {
 	return fx.Options(
 		fx.Provide(func(p platform.Platform, c clock.Clock) *Store { return NewStore(p.Table, c) }),
-		fx.Invoke(func(lc fx.Lifecycle, g *kernel.Group, p platform.Platform, leases *lease.Holder, w *state.Watch, c clock.Clock, log *slog.Logger, d settings.Daemon) {
+		fx.Invoke(func(lc fx.Lifecycle, g *kernel.Group, p platform.Platform, self fleet.Self, w *state.Watch, c clock.Clock, log *slog.Logger, d settings.Daemon) {
+			leases := lease.NewHolder(p.Table, c, self.Incarnation, leaseLength)
 			duty := NewDuty(p, leases, w.View, c, log, min(d.PollInterval, mostPause))
 			lc.Append(fx.StartHook(func() { g.Go("work", duty.Run) }))
 		}),
--- a/work/work_test.go
+++ b/work/work_test.go
@@ -20,6 +20,8 @@
 	"lemonstream.dev/lemonstream/work"
 )
 
+// A lease of length 0 lets every entry act in every round.
+
 // farm is a pool of workers with entries that place jobs on them.
 type farm struct {
 	now    *standin.Manual
@@ -34,7 +36,7 @@
 	starts map[string]map[string]bool
 }
 
-func newFarm(entries, workers int, length time.Duration) *farm {
+func newFarm(entries, workers int, length, leased time.Duration) *farm {
 	f := &farm{
 		now:    standin.NewManual(time.UnixMilli(1_000_000_000)),
 		table:  standin.NewTable(),
@@ -79,8 +81,7 @@
 		Tasks: adapter,
 	}
 	for number := range entries {
-		// A lease this short lets every entry act in every round.
-		leases := lease.NewHolder(outside.Table, clock, fmt.Sprint(number), 0)
+		leases := lease.NewHolder(outside.Table, clock, fmt.Sprint(number), leased)
 		f.duties = append(f.duties, work.NewDuty(outside, leases, func() *state.View { return f.view }, clock, slog.New(slog.DiscardHandler), time.Second))
 	}
 	f.store = work.NewStore(outside.Table, clock)
@@ -118,31 +119,41 @@
 }
 
 func TestUrgentStartsInTimeInAFullPool(t *testing.T) {
-	is := is.New(t)
-	f := newFarm(2, 4, time.Hour)
-	for number := range 8 {
-		is.NoErr(f.submit(work.Job{
-			ID: fmt.Sprintf("refit%d", number),
-		}))
-	}
-	for range 4 {
-		f.round()
-	}
-	is.NoErr(f.submit(work.Job{
-		ID:     "alert",
-		Urgent: true,
-	}))
-	rounds := 0
-	for ; len(f.starts["modelos/alert"]) == 0; rounds++ {
-		is.True(rounds < 17) // Half a second each: 8.1 s by the clock of the test.
-		f.round()
+	for name, frozen := range map[string]bool{
+		"all well":              false,
+		"lease's holder frozen": true,
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFarm(3, 4, time.Hour, 20*time.Second)
+			for number := range 8 {
+				is.NoErr(f.submit(work.Job{
+					ID: fmt.Sprintf("refit%d", number),
+				}))
+			}
+			for range 4 {
+				f.round()
+			}
+			if frozen {
+				f.duties = f.duties[1:]
+			}
+			is.NoErr(f.submit(work.Job{
+				ID:     "alert",
+				Urgent: true,
+			}))
+			rounds := 0
+			for ; len(f.starts["modelos/alert"]) == 0; rounds++ {
+				is.True(rounds < 17) // Half a second each: 8.1 s by the clock of the test.
+				f.round()
+			}
+			t.Logf("the urgent job started after %d rounds of 500 ms", rounds)
+		})
 	}
-	t.Logf("the urgent job started after %d rounds of 500 ms", rounds)
 }
 
 func TestCancellationsComeInWaves(t *testing.T) {
 	is := is.New(t)
-	f := newFarm(1, 4, time.Hour)
+	f := newFarm(1, 4, time.Hour, 0)
 	for batch := range 4 {
 		var jobs []work.Job
 		for number := range 100 {
@@ -172,7 +183,7 @@
 
 func TestBadWorkerAndBadJob(t *testing.T) {
 	is := is.New(t)
-	f := newFarm(1, 5, time.Second)
+	f := newFarm(1, 5, time.Second, 0)
 	f.tasks.Fails = func(task platform.Task) bool {
 		return task.Worker == "w0" || task.ID[:len(task.ID)-2] == "modelos/bad"
 	}
@@ -205,7 +216,7 @@
 
 func TestDuplicateSubmission(t *testing.T) {
 	is := is.New(t)
-	f := newFarm(1, 1, time.Hour)
+	f := newFarm(1, 1, time.Hour, 0)
 	is.NoErr(f.submit(work.Job{
 		ID: "a",
 	}))
@@ -223,7 +234,7 @@
 // faults end every job ends.
 func TestJobsKeepTheirPromises(t *testing.T) {
 	prove.Property(t, func(t *rapid.T) {
-		f := newFarm(3, 3, 3*time.Second)
+		f := newFarm(3, 3, 3*time.Second, 0)
 		f.tasks.Fails = func(task platform.Task) bool { return task.Worker == "w0" && len(task.ID)%2 == 0 }
 		number := 0
 		t.Repeat(map[string]func(*rapid.T){
