--- /dev/null
+++ b/budget/budget_test.go
@@ -0,0 +1,128 @@
+package budget_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"lemonstream.dev/lemonstream/budget"
+	"lemonstream.dev/lemonstream/internal/prove"
+)
+
+// pool returns a pool of count instances, two to a rack.
+func pool(count, least, reserve int) budget.Pool {
+	p := budget.Pool{
+		Name:         "p",
+		Least:        least,
+		ReserveRacks: reserve,
+	}
+	for number := range count {
+		p.Instances = append(p.Instances, budget.Instance{
+			ID:   fmt.Sprintf("w%d", number),
+			Rack: fmt.Sprintf("r%d", number/2),
+		})
+	}
+	return p
+}
+
+func TestCheck(t *testing.T) {
+	cases := map[string]struct {
+		pool   budget.Pool
+		change func(p *budget.Pool)
+		ids    []string
+		free   int
+		ok     bool
+	}{
+		"room enough": {
+			pool: pool(6, 3, 0),
+			ids:  []string{"w0", "w1", "w2"},
+			ok:   true,
+		},
+		"one too many": {
+			pool: pool(6, 3, 0),
+			ids:  []string{"w0", "w1", "w2", "w3"},
+			free: 3,
+		},
+		"a loss counts before": {
+			pool:   pool(6, 3, 0),
+			change: func(p *budget.Pool) { p.Instances[5].Lost = true },
+			ids:    []string{"w0", "w1", "w2"},
+			free:   2,
+		},
+		"who is out counts": {
+			pool:   pool(6, 3, 0),
+			change: func(p *budget.Pool) { p.Instances[5].Out = true },
+			ids:    []string{"w0", "w1", "w2"},
+			free:   2,
+		},
+		"who is lost leaves for nothing": {
+			pool:   pool(6, 5, 0),
+			change: func(p *budget.Pool) { p.Instances[0].Lost = true },
+			ids:    []string{"w0"},
+			ok:     true,
+		},
+		"a rack in reserve": {
+			pool: pool(6, 3, 1),
+			ids:  []string{"w0", "w1"},
+			free: 1,
+		},
+		"the leaver's rack needs no spare": {
+			pool: pool(4, 1, 1),
+			ids:  []string{"w0"},
+			ok:   true,
+		},
+		"more lost than the budget has": {
+			pool:   pool(4, 4, 1),
+			change: func(p *budget.Pool) { p.Instances[0].Lost = true },
+			ids:    []string{"w1"},
+			free:   0,
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			if c.change != nil {
+				c.change(&c.pool)
+			}
+			err := c.pool.Check(c.ids)
+			is.Equal(err == nil, c.ok)
+			var exceeded *budget.ExceededError
+			if errors.As(err, &exceeded) {
+				is.Equal(exceeded.Free, c.free)
+			}
+		})
+	}
+}
+
+// TestRackLossAfterPermit is what the reserve is for.
+func TestRackLossAfterPermit(t *testing.T) {
+	prove.Property(t, func(t *rapid.T) {
+		p := pool(rapid.IntRange(1, 16).Draw(t, "count"), rapid.IntRange(0, 10).Draw(t, "least"), 1)
+		var ids []string
+		for _, instance := range p.Instances {
+			if rapid.Bool().Draw(t, "leaves") {
+				ids = append(ids, instance.ID)
+			}
+		}
+		if len(ids) == 0 || p.Check(ids) != nil {
+			return
+		}
+		lost := rapid.IntRange(0, 8).Draw(t, "rack")
+		serving := 0
+		for number, instance := range p.Instances {
+			leaves := false
+			for _, id := range ids {
+				leaves = leaves || id == instance.ID
+			}
+			if !leaves && number/2 != lost {
+				serving++
+			}
+		}
+		if serving < p.Least {
+			t.Fatalf("%d serve after the loss of rack %d, the budget keeps %d", serving, lost, p.Least)
+		}
+	})
+}
--- a/cmd/lemonstandin/platformcmd.go
+++ b/cmd/lemonstandin/platformcmd.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"flag"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -27,7 +28,11 @@
 			gin.SetMode(gin.ReleaseMode)
 			engine := gin.New()
 			outside := standin.NewPlatform(*lag)
-			outside.AddPhantoms(*phantoms, *pools)
+			var names []string
+			for number := range *pools {
+				names = append(names, fmt.Sprintf("pool-%02d", number))
+			}
+			outside.AddPhantoms(*phantoms, names...)
 			outside.Routes(engine)
 			server := &http.Server{
 				Addr:              *listen,
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -92,8 +92,8 @@
 }
 
 // AddPhantoms lists instances that do not exist, four to a rack over eight
-// availability zones, for measures of what only the list and the rows cost.
-func (p *Platform) AddPhantoms(count, pools int) {
+// availability zones and over the pools in turn.
+func (p *Platform) AddPhantoms(count int, pools ...string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for number := range count {
@@ -101,7 +101,7 @@
 		p.instances[id] = &instance{
 			listed: platform.Listed{
 				ID:      id,
-				Pool:    fmt.Sprintf("pool-%02d", number%pools),
+				Pool:    pools[number%len(pools)],
 				Rack:    fmt.Sprintf("rack-%03d", number/4),
 				Zone:    fmt.Sprintf("zone-%d", number%8),
 				Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), 9),
--- /dev/null
+++ b/lease/lease_test.go
@@ -0,0 +1,66 @@
+package lease_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lemonstream.dev/lemonstream/internal/standin"
+	"lemonstream.dev/lemonstream/lease"
+)
+
+func TestLease(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	table := standin.NewTable()
+	var faults standin.Switch
+	now := standin.NewManual(time.UnixMilli(1_000_000))
+	clock := now.Clock(func() time.Duration { return 0 })
+	seam := standin.InMemory(table, &faults, &standin.Late{})
+	a := lease.NewHolder(seam, clock, "a", 10*time.Second)
+	b := lease.NewHolder(seam, clock, "b", 10*time.Second)
+
+	first, held, err := a.Hold(ctx, "duty")
+	is.NoErr(err)
+	is.True(held)
+	_, held, err = b.Hold(ctx, "duty")
+	is.NoErr(err)
+	is.True(!held) // Another entry has it.
+
+	_, before := table.Counts()
+	_, held, err = a.Hold(ctx, "duty")
+	is.NoErr(err)
+	is.True(held)
+	_, held, _ = b.Hold(ctx, "duty")
+	is.True(!held)
+	_, after := table.Counts()
+	is.Equal(before, after) // What can't have changed is not read.
+
+	now.Step(6 * time.Second)
+	renewed, held, err := a.Hold(ctx, "duty")
+	is.NoErr(err)
+	is.True(held)
+	is.Equal(renewed.Epoch, first.Epoch) // A renewal is no new epoch.
+
+	now.Step(11 * time.Second)
+	taken, held, err := b.Hold(ctx, "duty")
+	is.NoErr(err)
+	is.True(held) // It lapsed while its holder was paused.
+	is.Equal(taken.Epoch, first.Epoch+1)
+	_, held, err = a.Hold(ctx, "duty")
+	is.NoErr(err)
+	is.True(!held) // The one that wakes finds that out.
+
+	is.NoErr(b.Release(ctx, "duty"))
+	now.Step(time.Minute)
+	faults.Set(standin.FaultDown)
+	_, held, err = a.Hold(ctx, "duty")
+	is.True(err != nil)
+	is.True(!held)
+	faults.Set(standin.FaultLoseOnce)
+	_, held, err = a.Hold(ctx, "duty")
+	is.NoErr(err) // The lost answer is found out.
+	is.True(held)
+}
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -221,6 +221,11 @@
 	}
 }
 
+// at returns a client of one entry alone.
+func (f *fleet) at(entry int) *operate.Client {
+	return operate.NewClient([]netip.AddrPort{f.entries[entry].operators})
+}
+
 // confirm plans the intent and confirms it.
 func (f *fleet) confirm(i intent.Intent) string {
 	f.t.Helper()
--- a/proof/process_test.go
+++ b/proof/process_test.go
@@ -3,11 +3,13 @@
 import (
 	"bytes"
 	"fmt"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
 
 	"lemonstream.dev/lemonstream/intent"
 	"lemonstream.dev/lemonstream/internal/standin"
@@ -101,6 +103,19 @@
 	holds(t, wait())
 }
 
+func TestLyingListAndSlowTable(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleet(t, 4, 3, "10s")
+	// Two instances are listed as live and enrolled, and nobody is there.
+	f.platform.AddPhantoms(2, "guichet")
+	f.until("the phantoms' rows", func() bool { return len(f.instances("serving")) == 6 })
+	f.platform.Faults.Set(standin.FaultSlow)
+	verdict := f.callers(8 * time.Second)()
+	holds(t, verdict)
+	is.True(verdict.Whole > verdict.Requests*9/10) // They hardly cost anything.
+}
+
 func TestMaintenanceWhileEntriesDie(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
@@ -140,18 +155,33 @@
 		Name:     "r0",
 		Operator: "ana",
 	}
-	first, err := f.client.Propose(t.Context(), drain)
+	// Two operators, at two entries.
+	ana, bob := f.at(1), f.at(2)
+	first, err := ana.Propose(t.Context(), drain)
 	is.NoErr(err)
 	drain.Operator = "bob"
-	second, err := f.client.Propose(t.Context(), drain)
+	second, err := bob.Propose(t.Context(), drain)
 	is.NoErr(err)
-	_, err = f.client.Confirm(t.Context(), first.ID, "of another plan")
+	_, err = ana.Confirm(t.Context(), first.ID, "of another plan")
 	is.True(err != nil) // A digest names exactly one plan.
-	_, err = f.client.Confirm(t.Context(), first.ID, first.Digest)
+	var confirmed atomic.Int32
+	var racing errgroup.Group
+	for plan, client := range map[*operate.PlanAnswer]*operate.Client{&first: ana, &second: bob} {
+		racing.Go(func() error {
+			if _, err := client.Confirm(t.Context(), plan.ID, plan.Digest); err == nil {
+				confirmed.Add(1)
+			}
+			return nil
+		})
+	}
+	is.NoErr(racing.Wait())
+	is.Equal(confirmed.Load(), int32(1)) // One of them, whoever came first.
+	answer, err := f.client.Plan(t.Context(), first.ID)
 	is.NoErr(err)
-	_, err = f.client.Confirm(t.Context(), second.ID, second.Digest)
-	is.True(err != nil) // The second is refused with the reason.
-	_, err = f.client.Confirm(t.Context(), first.ID, first.Digest)
+	if answer.State == intent.StateProposed {
+		first, ana = second, bob
+	}
+	_, err = ana.Confirm(t.Context(), first.ID, first.Digest)
 	is.NoErr(err) // Twice is once.
 	f.until("the drain", func() bool { return f.done(first.ID) })
 	is.Equal(len(f.instances("drained")), 2)
