--- a/carry/carry_test.go
+++ b/carry/carry_test.go
@@ -309,7 +309,7 @@
 
 // checkFleet reads the whole table by the view that the product builds.
 func (w *world) checkFleet(t *rapid.T) {
-	view, err := state.BuildView(w.table.Scan(fleet.StatePrefix, 0).Rows, nil)
+	view, err := state.BuildView(nil, w.table.Scan(fleet.StatePrefix, 0).Rows, nil)
 	w.must(err)
 	in := make(map[string]int)
 	for name, pool := range view.Pools {
@@ -395,7 +395,7 @@
 }
 
 func (w *world) build(o *operator) {
-	view, err := state.BuildView(o.cache.All(), o.listed)
+	view, err := state.BuildView(o.view, o.cache.All(), o.listed)
 	w.must(err)
 	o.view = view
 }
--- a/cmd/lemonmeasure/pathcmd.go
+++ b/cmd/lemonmeasure/pathcmd.go
@@ -138,7 +138,7 @@
 	if err != nil {
 		return netip.AddrPort{}, err
 	}
-	view, err := state.BuildView([]platform.Row{
+	view, err := state.BuildView(nil, []platform.Row{
 		encodeRow(fleet.ConfigKey, config.Row{
 			Version: 1,
 			Body:    []byte(fmt.Sprintf("[service work]\npool = pool\nslots = %d\n", pathCallers)),
--- a/cmd/lemonmeasure/plancmd.go
+++ b/cmd/lemonmeasure/plancmd.go
@@ -62,7 +62,10 @@
 			if err := measurePlan("plan-all", size.name, view, all); err != nil {
 				return err
 			}
-			if err := measureView(size.name, view); err != nil {
+			if err := measureView("view-build-first", size.name, view, nil); err != nil {
+				return err
+			}
+			if err := measureView("view-build-again", size.name, view, view); err != nil {
 				return err
 			}
 		}
@@ -93,7 +96,7 @@
 
 // measureView times the building of the view from its rows, which each change
 // of a row costs every entry.
-func measureView(size string, view *state.View) error {
+func measureView(name, size string, view, earlier *state.View) error {
 	rows := make([]platform.Row, 0, len(view.Rows))
 	for _, row := range view.Rows {
 		rows = append(rows, row)
@@ -105,12 +108,12 @@
 	best := time.Hour
 	for range planRuns {
 		begin := time.Now()
-		if _, err := state.BuildView(rows, listed); err != nil {
+		if _, err := state.BuildView(earlier, rows, listed); err != nil {
 			return err
 		}
 		best = min(best, time.Since(begin))
 	}
-	report("view-build", size, ours, best.Seconds()*1000, "ms")
+	report(name, size, ours, best.Seconds()*1000, "ms")
 	return nil
 }
 
@@ -154,7 +157,7 @@
 		Version: 1,
 		Body:    []byte(text),
 	}))
-	return state.BuildView(rows, listed)
+	return state.BuildView(nil, rows, listed)
 }
 
 func encodeRow(key string, value any) platform.Row {
--- a/entry/fault_test.go
+++ b/entry/fault_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -10,6 +11,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
 
 	"lemonstream.dev/lemonstream/entry"
 	"lemonstream.dev/lemonstream/fleet"
@@ -239,3 +241,24 @@
 		})
 	}
 }
+
+// TestSessionWaitsForItsSlot sends many requests of one session at once to an
+// endpoint of eight slots.
+func TestSessionWaitsForItsSlot(t *testing.T) {
+	is := is.New(t)
+	p := newPath(t, defaults(), answers(func(r *http.Request, number int) string {
+		time.Sleep(20 * time.Millisecond)
+		return good(r, number)
+	}), answers(good))
+	var sending errgroup.Group
+	for range 16 {
+		sending.Go(func() error {
+			got := p.send(nil, func(h http.Header) { h.Set(entry.HeaderSession, "bay") })
+			if string(got.body) != "whole" {
+				return fmt.Errorf("got %d %s", got.status, got.body)
+			}
+			return nil
+		})
+	}
+	is.NoErr(sending.Wait())
+}
--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -128,7 +128,7 @@
 
 func (p *path) update(rows []platform.Row, listed []platform.Listed) {
 	p.t.Helper()
-	view, err := state.BuildView(rows, listed)
+	view, err := state.BuildView(nil, rows, listed)
 	if err != nil {
 		p.t.Fatal(err)
 	}
--- a/entry/plugin.go
+++ b/entry/plugin.go
@@ -110,12 +110,15 @@
 	return err
 }
 
-func wait(ctx context.Context, d time.Duration) {
+// wait waits for d; it reports false when ctx ended first.
+func wait(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
+		return false
 	case <-timer.C:
+		return true
 	}
 }
 
--- a/member/peers.go
+++ b/member/peers.go
@@ -201,6 +201,9 @@
 // TellRows hands rows that this entry wrote to its own watch and to every
 // peer at once, without waiting for answers.
 func (p *Peers) TellRows(rows []platform.Row) {
+	if len(rows) == 0 {
+		return
+	}
 	if err := p.watch.Offer(rows); err != nil {
 		p.log.Debug("rows left to the next poll", "error", err)
 	}
--- a/once/homes.go
+++ b/once/homes.go
@@ -72,8 +72,10 @@
 
 	Objects platform.Objects
 
-	// Refresh asks for newer rows, Tell hands on rows that were written.
+	// Refresh asks for newer rows, Learn takes in rows that were written here,
+	// and Tell tells them to this entry and its peers.
 	Refresh func()
+	Learn   func(rows []platform.Row)
 	Tell    func(rows []platform.Row)
 }
 
--- a/once/homes_test.go
+++ b/once/homes_test.go
@@ -194,6 +194,11 @@
 	n.boot++
 	n.rows = make(map[string]platform.Row)
 	table := standin.InMemory(c.table, c.faults, c.late)
+	learn := func(rows []platform.Row) {
+		for _, row := range rows {
+			n.rows[row.Key] = row
+		}
+	}
 	outside := once.Outside{
 		Row: func(partition int) platform.Row {
 			row, found := n.rows[once.RowKey(partition)]
@@ -228,11 +233,8 @@
 			},
 		},
 		Refresh: func() {},
-		Tell: func(rows []platform.Row) {
-			for _, row := range rows {
-				n.rows[row.Key] = row
-			}
-		},
+		Learn:   learn,
+		Tell:    learn,
 	}
 	n.homes = once.NewHomes(outside, c.now.Clock(func() time.Duration { return n.skew }), slog.New(slog.DiscardHandler), once.HomesOptions{
 		Incarnation: incarnation(n),
--- a/once/plugin.go
+++ b/once/plugin.go
@@ -73,6 +73,7 @@
 		Commit:  p.Table.Commit,
 		Objects: p.Objects,
 		Refresh: w.Poke,
+		Learn:   func(rows []platform.Row) { _ = w.Offer(rows) },
 		Tell:    peers.TellRows,
 	}
 	homes := NewHomes(outside, c, log, HomesOptions{
--- a/once/tend.go
+++ b/once/tend.go
@@ -84,7 +84,21 @@
 		return
 	}
 	h.adopt(changes, rows[0].Version)
-	h.outside.Tell(rows)
+	h.outside.Learn(rows)
+	h.outside.Tell(h.taken(changes, rows))
+}
+
+// taken returns the rows of partitions that this entry did not hold before.
+// That a range was extended is no news to peers; they ask the same home.
+func (h *Homes) taken(changes []change, rows []platform.Row) []platform.Row {
+	var news []platform.Row
+	for i, c := range changes {
+		before, err := decodeHome(c.row)
+		if err != nil || before.Holder != h.incarnation {
+			news = append(news, rows[i])
+		}
+	}
+	return news
 }
 
 // adopt opens or extends the windows of changes that took effect at the
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -30,6 +30,32 @@
 ticks() { awk '{print $14 + $15}' "/proc/${entry_pid[$1]}/stat"; }
 field() { sed -n "s/^ *\"$1\": \"\\{0,1\\}\\([^\",]*\\)\"\\{0,1\\},\\{0,1\\}\$/\\1/p" | head -n 1; }
 
+# window NAME ENTRIES INSTANCES POOLS measures for a while.
+window() {
+  local name=$1 entries=$2 instances=$3 pools=$4 n
+  local peer0=() plat0=() cpu0=()
+  for n in $(seq "$entries"); do
+    peer0[n]=$(metric "$n" peer_sent_bytes)
+    plat0[n]=$(metric "$n" platform_bytes)
+    cpu0[n]=$(ticks "$n")
+  done
+  local counts0 counts1
+  counts0=$(curl -fs "127.0.0.1:$base/standin/counts")
+  sleep "$seconds"
+  counts1=$(curl -fs "127.0.0.1:$base/standin/counts")
+  local peer=0 plat=0 cpu=0 rss=0
+  for n in $(seq "$entries"); do
+    peer=$((peer + $(metric "$n" peer_sent_bytes) - peer0[n]))
+    plat=$((plat + $(metric "$n" platform_bytes) - plat0[n]))
+    cpu=$((cpu + $(ticks "$n") - cpu0[n]))
+    rss=$((rss + $(awk '/^VmRSS/ {print $2}' "/proc/${entry_pid[$n]}/status")))
+  done
+  echo "$entries $instances $pools $peer $plat $cpu $rss $seconds $counts0 $counts1 $name" | awk '{
+    split($9, a, "="); split($10, b, "="); split($11, c, "="); split($12, d, "=");
+    printf "measure=control-%s entries=%d instances=%d pools=%d peer_sent_Bps=%.0f platform_Bps=%.0f cpu_core_percent=%.2f rss_MB=%.1f table_writes_ps=%.2f table_reads_ps=%.2f\n",
+      $13, $1, $2, $3, $4/$1/$8, $5/$1/$8, $6/$1/$8, $7/$1/1024, (c[2]-a[2])/$8, (d[2]-b[2])/$8 }'
+}
+
 # measure ENTRIES INSTANCES POOLS
 measure() {
   local entries=$1 instances=$2 pools=$3 n seeds="" operators="" config="$work/config.ini"
@@ -72,27 +98,13 @@
   "$bin/lemonctl" --entries "$operators" --output json rollout "$config" >"$work/plan.json"
   "$bin/lemonctl" --entries "$operators" confirm "$(field id <"$work/plan.json")" "$(field digest <"$work/plan.json")" >/dev/null
   sleep 20 # homes settle
-  local peer0=() plat0=() cpu0=()
-  for n in $(seq "$entries"); do
-    peer0[n]=$(metric "$n" peer_sent_bytes)
-    plat0[n]=$(metric "$n" platform_bytes)
-    cpu0[n]=$(ticks "$n")
-  done
-  local counts0 counts1
-  counts0=$(curl -fs "127.0.0.1:$base/standin/counts")
-  sleep "$seconds"
-  counts1=$(curl -fs "127.0.0.1:$base/standin/counts")
-  local peer=0 plat=0 cpu=0 rss=0
-  for n in $(seq "$entries"); do
-    peer=$((peer + $(metric "$n" peer_sent_bytes) - peer0[n]))
-    plat=$((plat + $(metric "$n" platform_bytes) - plat0[n]))
-    cpu=$((cpu + $(ticks "$n") - cpu0[n]))
-    rss=$((rss + $(awk '/^VmRSS/ {print $2}' "/proc/${entry_pid[$n]}/status")))
-  done
-  echo "$entries $instances $pools $peer $plat $cpu $rss $seconds $counts0 $counts1" | awk '{
-    split($9, a, "="); split($10, b, "="); split($11, c, "="); split($12, d, "=");
-    printf "measure=control-at-rest entries=%d instances=%d pools=%d peer_sent_Bps=%.0f platform_Bps=%.0f cpu_core_percent=%.2f rss_MB=%.1f table_writes_ps=%.2f table_reads_ps=%.2f\n",
-      $1, $2, $3, $4/$1/$8, $5/$1/$8, $6/$1/$8, $7/$1/1024, (c[2]-a[2])/$8, (d[2]-b[2])/$8 }'
+  window at-rest "$entries" "$instances" "$pools"
+  if [ -n "${CAPACITY_CHURN:-}" ]; then
+    "$bin/lemonctl" --entries "$operators" --output json drain zone zone-1 >"$work/plan.json"
+    "$bin/lemonctl" --entries "$operators" confirm "$(field id <"$work/plan.json")" "$(field digest <"$work/plan.json")" >/dev/null
+    window zone-drain "$entries" "$instances" "$pools"
+    "$bin/lemonctl" --entries "$operators" plan "$(field id <"$work/plan.json")" | grep progress
+  fi
   stop_all
 }
 
--- a/state/view.go
+++ b/state/view.go
@@ -77,6 +77,9 @@
 
 	// Listed maps an instance to the newest line of the platform's list.
 	Listed map[string]platform.Listed
+
+	// byPool maps a pool to the ids of its instances, sorted.
+	byPool map[string][]string
 }
 
 // Member is the value of an entry's row.
@@ -95,9 +98,10 @@
 	Until int64 `json:"until"`
 }
 
-// BuildView decodes the rows into a view. A row that cannot be decoded is
-// reported in the error, and the earlier view stays in force.
-func BuildView(rows []platform.Row, listed []platform.Listed) (*View, error) {
+// BuildView decodes the rows into a view. What an earlier view decoded from the
+// very same row is taken over; earlier may be nil. A row that cannot be decoded
+// is reported in the error, and the earlier view stays in force.
+func BuildView(earlier *View, rows []platform.Row, listed []platform.Listed) (*View, error) {
 	view := &View{
 		Config:    &config.Config{},
 		Homes:     make(map[string]Home),
@@ -107,15 +111,25 @@
 		Plans:     make(map[string]json.RawMessage),
 		Rows:      make(map[string]platform.Row, len(rows)),
 		Listed:    make(map[string]platform.Listed, len(listed)),
+		byPool:    make(map[string][]string),
+	}
+	if earlier == nil {
+		earlier = &View{}
 	}
 	for _, row := range rows {
-		if err := view.put(row); err != nil {
+		if err := view.put(earlier, row); err != nil {
 			return nil, fmt.Errorf("decoding row %s at version %d: %w", row.Key, row.Version, err)
 		}
 	}
 	for _, line := range listed {
 		view.Listed[line.ID] = line
 	}
+	for id, instance := range view.Instances {
+		view.byPool[instance.Pool] = append(view.byPool[instance.Pool], id)
+	}
+	for _, ids := range view.byPool {
+		sort.Strings(ids)
+	}
 	return view, nil
 }
 
@@ -149,16 +163,10 @@
 	return v.Config.Version > 0 && len(v.Instances) > 0
 }
 
-// InPool returns the ids of the pool's instances, sorted.
+// InPool returns the ids of the pool's instances, sorted; the caller must not
+// change the slice.
 func (v *View) InPool(pool string) []string {
-	var ids []string
-	for id, instance := range v.Instances {
-		if instance.Pool == pool {
-			ids = append(ids, id)
-		}
-	}
-	sort.Strings(ids)
-	return ids
+	return v.byPool[pool]
 }
 
 // Lost reports whether the list says that the instance does not run. An
@@ -168,22 +176,28 @@
 	return !found || line.State != platform.ListedLive
 }
 
-func (v *View) put(row platform.Row) error {
+func (v *View) put(earlier *View, row platform.Row) error {
 	v.Rows[row.Key] = row
 	v.Revision = max(v.Revision, row.Version)
+	same := earlier.Rows[row.Key].Version == row.Version
 	switch {
 	case row.Key == fleet.ConfigKey:
+		if same {
+			v.Config = earlier.Config
+			v.ConfigAccepted = earlier.ConfigAccepted
+			return nil
+		}
 		return v.putConfig(row)
 	case strings.HasPrefix(row.Key, fleet.HomePrefix):
-		return putJSON(v.Homes, fleet.HomePrefix, row)
+		return putJSON(v.Homes, earlier.Homes, same, fleet.HomePrefix, row)
 	case strings.HasPrefix(row.Key, fleet.InstancePrefix):
-		return putJSON(v.Instances, fleet.InstancePrefix, row)
+		return putJSON(v.Instances, earlier.Instances, same, fleet.InstancePrefix, row)
 	case strings.HasPrefix(row.Key, fleet.PoolPrefix):
-		return putJSON(v.Pools, fleet.PoolPrefix, row)
+		return putJSON(v.Pools, earlier.Pools, same, fleet.PoolPrefix, row)
 	case strings.HasPrefix(row.Key, fleet.MemberPrefix):
-		return putJSON(v.Members, fleet.MemberPrefix, row)
+		return putJSON(v.Members, earlier.Members, same, fleet.MemberPrefix, row)
 	case strings.HasPrefix(row.Key, fleet.PlanPrefix):
-		return putJSON(v.Plans, fleet.PlanPrefix, row)
+		return putJSON(v.Plans, earlier.Plans, same, fleet.PlanPrefix, row)
 	}
 	return nil
 }
@@ -202,8 +216,14 @@
 	return nil
 }
 
-func putJSON[T any](into map[string]T, prefix string, row platform.Row) error {
+// putJSON decodes the row into the map, or takes over what was decoded of the
+// same row before.
+func putJSON[T any](into, earlier map[string]T, same bool, prefix string, row platform.Row) error {
 	name, _ := fleet.NameOf(row.Key, prefix)
+	if same {
+		into[name] = earlier[name]
+		return nil
+	}
 	var value T
 	if err := json.Unmarshal(row.Value, &value); err != nil {
 		return err
--- a/state/watch.go
+++ b/state/watch.go
@@ -223,7 +223,7 @@
 // leaves the earlier view in force.
 func (w *Watch) publish() {
 	all := w.cache.All()
-	view, err := BuildView(all, w.listed)
+	view, err := BuildView(w.view.Load(), all, w.listed)
 	if err != nil {
 		w.log.Error("view not built; the earlier one stays in force", "error", err)
 		return
--- a/work/work_test.go
+++ b/work/work_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"log/slog"
 	"testing"
@@ -10,7 +11,6 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
-	"lemonstream.dev/lemonstream/config"
 	"lemonstream.dev/lemonstream/fleet"
 	"lemonstream.dev/lemonstream/internal/prove"
 	"lemonstream.dev/lemonstream/internal/standin"
@@ -42,27 +42,37 @@
 		table:  standin.NewTable(),
 		faults: &standin.Switch{},
 		starts: make(map[string]map[string]bool),
-		view: &state.View{
-			Config:    &config.Config{},
-			Instances: make(map[string]fleet.Instance),
-			Listed:    make(map[string]platform.Listed),
-		},
 	}
+	var rows []platform.Row
+	var listed []platform.Listed
 	for number := range workers {
 		id := fmt.Sprintf("w%d", number)
-		f.view.Instances[id] = fleet.Instance{
+		body, err := json.Marshal(fleet.Instance{
 			ID:    id,
 			Pool:  "modelos",
 			Phase: fleet.PhaseServing,
+		})
+		if err != nil {
+			panic(err)
 		}
-		f.view.Listed[id] = platform.Listed{
+		rows = append(rows, platform.Row{
+			Key:     fleet.InstanceKey(id),
+			Version: 1,
+			Value:   body,
+		})
+		listed = append(listed, platform.Listed{
 			ID:    id,
 			State: platform.ListedLive,
 			Size: platform.Resources{
 				Milliprocessors: 8000,
 			},
-		}
+		})
+	}
+	view, err := state.BuildView(nil, rows, listed)
+	if err != nil {
+		panic(err)
 	}
+	f.view = view
 	clock := f.now.Clock(func() time.Duration { return 0 })
 	f.tasks = standin.NewTasks(clock.Now, length)
 	f.tasks.Save = 2 * time.Second
