Retire replaced instances, forget old plans and jobs; test plans that fail

Change: a put without a value deletes a row; one entry by lease retires instances that were missing from the list for an hour, deletes plans 4 days and jobs an hour after their end. Ruled out: retiring by the list alone at once; it lags and lies.

--- a/carry/carry_test.go
+++ b/carry/carry_test.go
@@ -60,10 +60,15 @@
 	highest int64
 }
 
+// failer is what a world needs of a test.
+type failer interface {
+	Fatalf(format string, args ...any)
+}
+
 // world is the state machine: entries, operators, instances and the table,
 // with every step apart from every other.
 type world struct {
-	t         *rapid.T
+	t         failer
 	guards    guards
 	table     *standin.Table
 	faults    *standin.Switch
@@ -79,6 +84,9 @@
 	reboots map[string]int
 	ops     map[string]bool
 
+	// rebooted, when set, is told of each reboot.
+	rebooted func(id string)
+
 	// seen are earlier rows, which may be told again at any time.
 	seen []platform.Row
 	plan string
@@ -171,17 +179,29 @@
 // maintain plans, confirms and carries out the maintenance of one instance;
 // after each step every entry catches up and tells as tell says.
 func (w *world) maintain(id string, tell func(o *operator)) {
-	first := w.operators[0]
-	plan, err := first.store.Propose(context.Background(), intent.Intent{
+	w.begin(intent.Intent{
 		Kind:  intent.Maintain,
 		Scope: intent.ScopeInstance,
 		Name:  id,
 	})
+	w.carry(8, tell)
+}
+
+// begin plans and confirms; the plan's id is in w.plan.
+func (w *world) begin(wanted intent.Intent) {
+	first := w.operators[0]
+	plan, err := first.store.Propose(context.Background(), wanted)
 	w.must(err)
 	_, err = first.store.Confirm(context.Background(), plan.ID, plan.Digest)
 	w.must(err)
-	for range 8 {
-		first.duty.Round(context.Background())
+	w.plan = plan.ID
+}
+
+// carry has the first entry act for some rounds; after each, every entry
+// catches up and tells as tell says.
+func (w *world) carry(rounds int, tell func(o *operator)) {
+	for range rounds {
+		w.operators[0].duty.Round(context.Background())
 		for _, o := range w.operators {
 			w.refresh(o)
 			tell(o)
@@ -210,7 +230,7 @@
 	})
 }
 
-func newWorld(t *rapid.T, g guards) *world {
+func newWorld(t failer, g guards) *world {
 	w := &world{
 		t:       t,
 		guards:  g,
@@ -346,6 +366,9 @@
 	line := w.truth[id]
 	line.Boot++
 	w.truth[id] = line
+	if w.rebooted != nil {
+		w.rebooted(id)
+	}
 	return nil
 }
 
--- a/carry/plugin.go
+++ b/carry/plugin.go
@@ -18,6 +18,7 @@
 	"lemonstream.dev/lemonstream/platform"
 	"lemonstream.dev/lemonstream/settings"
 	"lemonstream.dev/lemonstream/state"
+	"lemonstream.dev/lemonstream/work"
 )
 
 func init() {
@@ -82,9 +83,11 @@
 			newStore,
 			newDuty,
 		),
-		fx.Invoke(func(lc fx.Lifecycle, g *kernel.Group, duty *Duty, store *control.Store, leases *lease.Holder, w *state.Watch, log *slog.Logger, d settings.Daemon) {
+		fx.Invoke(func(lc fx.Lifecycle, g *kernel.Group, duty *Duty, store *control.Store, jobs *work.Store, leases *lease.Holder, w *state.Watch, c clock.Clock, log *slog.Logger, d settings.Daemon) {
 			enroller := NewEnroller(store, leases, w.View, log, roundPause(d))
+			cleaner := NewCleaner(store, jobs, leases, w, c, log)
 			lc.Append(fx.StartHook(func() {
+				g.Go("clean", cleaner.Run)
 				g.Go("carry", duty.Run)
 				g.Go("enroll", enroller.Run)
 			}))
--- a/control/store.go
+++ b/control/store.go
@@ -221,6 +221,14 @@
 	})
 }
 
+// remove deletes a row that the change depends on.
+func (c *change) remove(key string) {
+	c.expect(key)
+	c.tx.Puts = append(c.tx.Puts, platform.Put{
+		Key: key,
+	})
+}
+
 // commit carries the change out and tells the rows that it wrote.
 func (s *Store) commit(ctx context.Context, c *change) error {
 	if c.err != nil {
@@ -250,7 +258,7 @@
 // planIn decodes a plan of the view.
 func planIn(view *state.View, id string) (*intent.Plan, error) {
 	row, found := view.Rows[fleet.PlanKey(id)]
-	if !found {
+	if !found || len(row.Value) == 0 {
 		return nil, &NoPlanError{
 			Plan: id,
 		}
--- a/internal/standin/table.go
+++ b/internal/standin/table.go
@@ -40,8 +40,12 @@
 	defer t.mu.Unlock()
 	t.reads++
 	row, found := t.rows[key]
-	if !found {
-		row.Key = key
+	if !found || len(row.Value) == 0 {
+		return platform.Row{
+			Key:     key,
+			Version: row.Version,
+			Op:      row.Op,
+		}
 	}
 	return row
 }
--- a/state/view.go
+++ b/state/view.go
@@ -117,6 +117,12 @@
 		earlier = &View{}
 	}
 	for _, row := range rows {
+		view.Rows[row.Key] = row
+		view.Revision = max(view.Revision, row.Version)
+		if len(row.Value) == 0 {
+			// A deleted row keeps its version, and is nothing else.
+			continue
+		}
 		if err := view.put(earlier, row); err != nil {
 			return nil, fmt.Errorf("decoding row %s at version %d: %w", row.Key, row.Version, err)
 		}
@@ -177,8 +183,6 @@
 }
 
 func (v *View) put(earlier *View, row platform.Row) error {
-	v.Rows[row.Key] = row
-	v.Revision = max(v.Revision, row.Version)
 	same := earlier.Rows[row.Key].Version == row.Version
 	switch {
 	case row.Key == fleet.ConfigKey:
--- a/work/duty.go
+++ b/work/duty.go
@@ -132,6 +132,9 @@
 		return err
 	}
 	for _, row := range page.Rows {
+		if len(row.Value) == 0 {
+			continue
+		}
 		job, err := decodeJob(row)
 		if err != nil {
 			return err
@@ -239,7 +242,7 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(jobs)) {
 		job := jobs[id]
-		if job.Ended() {
+		if job.Over() {
 			continue
 		}
 		sized := job.sized()
@@ -264,6 +267,9 @@
 		Op: "jobs of " + pool + "/" + uuid.NewString(),
 	}
 	for id, job := range next {
+		if job.Over() && job.Ended == 0 {
+			job.Ended = clock.Millis(d.clock.Now())
+		}
 		value, err := json.Marshal(job)
 		if err != nil {
 			return fmt.Errorf("encoding job %s: %w", id, err)
@@ -361,7 +367,7 @@
 
 // set remembers a job, or forgets one that ended.
 func (k *known) set(row platform.Row, job *Job) {
-	if job.Ended() {
+	if job.Over() {
 		delete(k.rows, job.ID)
 		delete(k.jobs, job.ID)
 		return
--- a/work/job.go
+++ b/work/job.go
@@ -82,7 +82,11 @@
 	// Submitted and Waiting are in milliseconds since the Unix epoch; Waiting
 	// is since when the job waits.
 	Submitted int64 `json:"submitted"`
-	Waiting   int64 `json:"waiting"`
+
+	// Ended is when the job ended, in milliseconds since the Unix epoch; 0
+	// before.
+	Ended   int64 `json:"ended,omitempty"`
+	Waiting int64 `json:"waiting"`
 }
 
 // State is where a job is.
@@ -98,8 +102,8 @@
 	return fmt.Sprintf("%s/%s/%d", j.Pool, j.ID, j.Attempt)
 }
 
-// Ended reports whether nothing will happen to the job any more.
-func (j *Job) Ended() bool {
+// Over reports whether nothing will happen to the job any more.
+func (j *Job) Over() bool {
 	return j.State == StateFinished || j.State == StateCancelled || j.State == StateSetAside
 }
 
--- a/work/store.go
+++ b/work/store.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"time"
 
 	"github.com/google/uuid"
 
@@ -78,6 +79,9 @@
 	}
 	jobs := make([]Job, 0, len(page.Rows))
 	for _, row := range page.Rows {
+		if len(row.Value) == 0 {
+			continue
+		}
 		job, err := decodeJob(row)
 		if err != nil {
 			return nil, err
@@ -140,6 +144,46 @@
 	return err
 }
 
+// Clean deletes the jobs that ended before the instant, a hundred in a
+// transaction, and returns how many.
+func (s *Store) Clean(ctx context.Context, before time.Time) (int, error) {
+	page, err := s.table.Scan(ctx, Prefix, 0)
+	if err != nil {
+		return 0, err
+	}
+	var old []platform.Row
+	for _, row := range page.Rows {
+		if len(row.Value) == 0 {
+			continue
+		}
+		job, err := decodeJob(row)
+		if err != nil {
+			return 0, err
+		}
+		if job.Over() && job.Ended < clock.Millis(before) {
+			old = append(old, row)
+		}
+	}
+	for some := range slices.Chunk(old, mostAtOnce) {
+		tx := platform.Transaction{
+			Op: "clean/" + uuid.NewString(),
+		}
+		for _, row := range some {
+			tx.Checks = append(tx.Checks, platform.Check{
+				Key:     row.Key,
+				Version: row.Version,
+			})
+			tx.Puts = append(tx.Puts, platform.Put{
+				Key: row.Key,
+			})
+		}
+		if _, err := s.table.Commit(ctx, tx); err != nil {
+			return 0, err
+		}
+	}
+	return len(old), nil
+}
+
 func (s *Store) cancelOnce(ctx context.Context, pool string, ids []string) (int, error) {
 	page, err := s.table.Scan(ctx, Prefix+pool+"/", 0)
 	if err != nil {
@@ -151,15 +195,18 @@
 			Op: "cancel/" + uuid.NewString(),
 		}
 		for _, row := range rows {
+			if len(row.Value) == 0 {
+				continue
+			}
 			job, err := decodeJob(row)
 			if err != nil {
 				return count, err
 			}
 			named := len(ids) == 0 || slices.Contains(ids, job.ID)
-			if !named || job.Ended() || job.State == StateCancelling {
+			if !named || job.Over() || job.State == StateCancelling {
 				continue
 			}
-			job.cancel()
+			job.cancel(s.clock.Now())
 			if err := add(&tx, row, job); err != nil {
 				return count, err
 			}
@@ -176,9 +223,10 @@
 }
 
 // cancel ends a job that waits and has a running one stopped.
-func (j *Job) cancel() {
+func (j *Job) cancel(now time.Time) {
 	if j.State == StateWaiting {
 		j.State = StateCancelled
+		j.Ended = clock.Millis(now)
 		return
 	}
 	j.State = StateCancelling
--- a/work/work_test.go
+++ b/work/work_test.go
@@ -283,7 +283,7 @@
 func (f *farm) open() int {
 	count := 0
 	for _, job := range f.jobs() {
-		if !job.Ended() {
+		if !job.Over() {
 			count++
 		}
 	}
