--- a/carry/carry.go
+++ b/carry/carry.go
@@ -79,16 +79,7 @@
 
 // Run carries plans out until ctx ends.
 func (d *Duty) Run(ctx context.Context) error {
-	ticker := time.NewTicker(d.pause)
-	defer ticker.Stop()
-	for {
-		d.Round(ctx)
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-	}
+	return clock.Every(ctx, d.pause, d.Round)
 }
 
 // Round does the next steps of every plan whose lease this entry gets.
--- a/carry/clean.go
+++ b/carry/clean.go
@@ -57,16 +57,7 @@
 
 // Run cleans until ctx ends.
 func (c *Cleaner) Run(ctx context.Context) error {
-	ticker := time.NewTicker(cleanEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			c.Round(ctx)
-		}
-	}
+	return clock.Every(ctx, cleanEvery, c.Round)
 }
 
 // Round notes who is missing and, if this entry holds the lease, cleans.
--- a/carry/enroll.go
+++ b/carry/enroll.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"time"
 
+	"lemonstream.dev/lemonstream/clock"
 	"lemonstream.dev/lemonstream/control"
 	"lemonstream.dev/lemonstream/lease"
 	"lemonstream.dev/lemonstream/platform"
@@ -37,16 +38,7 @@
 
 // Run enrolls until ctx ends.
 func (e *Enroller) Run(ctx context.Context) error {
-	ticker := time.NewTicker(e.pause)
-	defer ticker.Stop()
-	for {
-		e.round(ctx)
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-	}
+	return clock.Every(ctx, e.pause, e.round)
 }
 
 func (e *Enroller) round(ctx context.Context) {
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -70,7 +70,7 @@
 		if endpoint != nil || reason != route.ReasonFull || a.request.session == 0 {
 			return endpoint, reason
 		}
-		if !wait(waiting, slotPause) {
+		if !clock.Sleep(waiting, slotPause) {
 			return nil, reason
 		}
 	}
--- a/entry/plugin.go
+++ b/entry/plugin.go
@@ -99,7 +99,7 @@
 func stopServer(ctx context.Context, server *Server, h *Handler, r *Readiness, log *slog.Logger, timeout time.Duration) error {
 	r.Leave()
 	server.CloseAfterAnswer()
-	wait(ctx, leaveNotice)
+	clock.Sleep(ctx, leaveNotice)
 	h.Stop()
 	finishing, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -110,18 +110,6 @@
 	return err
 }
 
-// wait waits for d; it reports false when ctx ended first.
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // ServerOptions are the settings of the callers' server.
 type ServerOptions struct {
 	Address netip.AddrPort
--- a/entry/shares.go
+++ b/entry/shares.go
@@ -50,16 +50,7 @@
 
 // Run divides anew in each interval until ctx ends.
 func (s *Shares) Run(ctx context.Context) error {
-	ticker := time.NewTicker(s.interval)
-	defer ticker.Stop()
-	for {
-		s.round()
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-	}
+	return clock.Every(ctx, s.interval, func(context.Context) { s.round() })
 }
 
 func (s *Shares) round() {
--- a/once/claims.go
+++ b/once/claims.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"time"
 
+	"lemonstream.dev/lemonstream/clock"
 	"lemonstream.dev/lemonstream/member"
 )
 
@@ -90,7 +91,7 @@
 	asking, cancel := context.WithTimeout(ctx, claimPatience)
 	defer cancel()
 	verdict, cause := c.ask(asking, key, attempt)
-	for cause == nil && verdict == NotHome && sleep(asking, claimPause) {
+	for cause == nil && verdict == NotHome && clock.Sleep(asking, claimPause) {
 		verdict, cause = c.ask(asking, key, attempt)
 	}
 	if verdict == Granted && cause == nil {
@@ -171,15 +172,3 @@
 	c.homes.Release(claim.Key, claim.Attempt)
 	return nil, nil
 }
-
-// sleep waits for d; it reports false when ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -10,6 +10,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"lemonstream.dev/lemonstream/clock"
 	"lemonstream.dev/lemonstream/fleet"
 	"lemonstream.dev/lemonstream/lease"
 	"lemonstream.dev/lemonstream/platform"
@@ -65,18 +66,11 @@
 
 // Run writes snapshots until ctx ends.
 func (k *Keeper) Run(ctx context.Context) error {
-	ticker := time.NewTicker(k.pause)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			if err := k.keep(ctx); err != nil {
-				k.log.Debug("snapshot not written", "error", err)
-			}
+	return clock.Every(ctx, k.pause, func(ctx context.Context) {
+		if err := k.keep(ctx); err != nil {
+			k.log.Debug("snapshot not written", "error", err)
 		}
-	}
+	})
 }
 
 // keep writes a snapshot if this entry holds the lease and anything changed.
--- a/work/duty.go
+++ b/work/duty.go
@@ -77,16 +77,7 @@
 
 // Run places and runs jobs until ctx ends.
 func (d *Duty) Run(ctx context.Context) error {
-	ticker := time.NewTicker(d.pause)
-	defer ticker.Stop()
-	for {
-		d.Round(ctx)
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-	}
+	return clock.Every(ctx, d.pause, d.Round)
 }
 
 // Round does the next steps of every pool that has jobs. One scan finds the
