--- a/cmd/lemonmeasure/main.go
+++ b/cmd/lemonmeasure/main.go
@@ -32,6 +32,7 @@
 		newRetryCmd(),
 		newRoutingCmd(),
 		newSpreadCmd(),
+		newUrgentCmd(),
 		newWavesCmd(),
 	}
 	root := &ffcli.Command{
--- a/entry/services.go
+++ b/entry/services.go
@@ -95,17 +95,16 @@
 	return counts
 }
 
-// Held returns the entry's word on each instance that takes no new work.
+// Held returns the entry's word on each instance that drains.
 func (s *Services) Held(view *state.View) map[string]member.Hold {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	held := make(map[string]member.Hold)
 	for id, instance := range view.Instances {
 		endpoint := s.endpoints[id]
-		if instance.Phase == fleet.PhaseServing {
-			continue
-		}
-		if endpoint == nil || !endpoint.Closed() {
+		// Words are asked for while an instance drains; one that stays drained
+		// for days would only make every message longer.
+		if instance.Phase != fleet.PhaseDraining || endpoint == nil || !endpoint.Closed() {
 			continue
 		}
 		held[id] = member.Hold{
--- a/member/message.go
+++ b/member/message.go
@@ -56,7 +56,7 @@
 	// Demands maps a service or team to what the entry would use of it.
 	Demands map[string]float64 `cbor:"8,keyasint,omitempty"`
 
-	// Held tells of each instance that gets no new work from the entry.
+	// Held tells of each instance that drains.
 	Held map[string]Hold `cbor:"9,keyasint,omitempty"`
 
 	// Suspects are the instances that the entry sees failing.
--- a/member/peers.go
+++ b/member/peers.go
@@ -141,9 +141,11 @@
 	for _, heard := range live {
 		known[heard.Hello.ID] = true
 	}
-	now := clock.Millis(p.clock.Now())
+	// A row lapsed if the table was read since and it was not renewed; while
+	// the table is away, nobody can say so.
+	read := clock.Millis(p.watch.FreshAt())
 	for id, row := range p.watch.View().Members {
-		if known[id] || row.Left || row.Until <= now {
+		if known[id] || row.Left || row.Until <= read {
 			continue
 		}
 		live = append(live, Heard{
