--- a/cmd/lemonmeasure/urgentcmd.go
+++ b/cmd/lemonmeasure/urgentcmd.go
@@ -52,76 +52,96 @@
 	})
 }
 
+// urgentFarm is one run of the measure: entries that act at moments of their
+// own.
+type urgentFarm struct {
+	now    *standin.Manual
+	faults standin.Switch
+	tasks  *standin.Tasks
+	store  *work.Store
+	duties []*work.Duty
+
+	// next is when each entry acts next; frozen never does, or is -1.
+	next   []time.Time
+	frozen int
+}
+
 // measureUrgent returns how long one urgent job waited.
 func measureUrgent(ctx context.Context, mode string, seed uint64) (time.Duration, error) {
 	random := rand.New(rand.NewPCG(seed, 8))
-	now := standin.NewManual(time.UnixMilli(1_000_000_000))
-	clock := now.Clock(func() time.Duration { return 0 })
-	tasks := standin.NewTasks(clock.Now, time.Hour)
-	tasks.Save = urgentSave
-	var faults standin.Switch
-	outside := platform.Platform{
-		Table: standin.InMemory(standin.NewTable(), &faults, &standin.Late{}),
-		Tasks: tasks.Adapter(),
-	}
-	view, err := urgentView()
+	farm, err := newUrgentFarm(random)
 	if err != nil {
 		return 0, err
 	}
-	var duties []*work.Duty
-	var next []time.Time
-	for entry := range urgentEntries {
-		leases := lease.NewHolder(outside.Table, clock, fmt.Sprint(entry), urgentLease)
-		duties = append(duties, work.NewDuty(outside, leases, func() *state.View { return view }, clock, slog.New(slog.DiscardHandler), urgentLook))
-		next = append(next, clock.Now().Add(time.Duration(random.Int64N(int64(urgentLook)))))
-	}
-	store := work.NewStore(outside.Table, clock)
-	holder := -1
-	act := func() {
-		now.Step(urgentTick)
-		for entry, duty := range duties {
-			if clock.Now().Before(next[entry]) || entry == holder {
-				continue
-			}
-			next[entry] = next[entry].Add(urgentLook)
-			duty.Round(ctx)
-		}
-	}
+	holder := firstOfAll(farm.next)
 	var refits []work.Job
 	for number := range 2 * urgentWorkers {
 		refits = append(refits, urgentJob(fmt.Sprintf("refit%d", number), false))
 	}
-	if err := store.Submit(ctx, refits); err != nil {
+	if err := farm.store.Submit(ctx, refits); err != nil {
 		return 0, err
 	}
-	first := firstOfAll(next)
-	for range 10 * int(time.Second/urgentTick) {
-		act()
-	}
+	farm.pass(ctx, 10*time.Second)
 	if mode != "all-well" {
-		holder = first
-	}
-	for range random.IntN(int(time.Second / urgentTick)) {
-		act()
+		farm.frozen = holder
 	}
-	if err := store.Submit(ctx, []work.Job{urgentJob("alert", true)}); err != nil {
+	farm.pass(ctx, time.Duration(random.Int64N(int64(time.Second))))
+	if err := farm.store.Submit(ctx, []work.Job{urgentJob("alert", true)}); err != nil {
 		return 0, err
 	}
-	submitted := clock.Now()
-	for !runs(tasks, "alert") {
-		waited := clock.Now().Sub(submitted)
-		if waited > urgentMost {
-			return 0, fmt.Errorf("seed %d: the urgent job did not start within %s", seed, urgentMost)
+	if mode == "holder-frozen-table-away-1s" {
+		farm.faults.Set(standin.FaultDown)
+	}
+	for waited := time.Duration(0); waited < urgentMost; waited += urgentTick {
+		if runs(farm.tasks, "alert") {
+			return waited, nil
+		}
+		if waited >= time.Second {
+			farm.faults.Set(standin.FaultNone)
 		}
-		if mode == "holder-frozen-table-away-1s" {
-			faults.Set(standin.FaultNone)
-			if waited < time.Second {
-				faults.Set(standin.FaultDown)
+		farm.pass(ctx, urgentTick)
+	}
+	return 0, fmt.Errorf("seed %d: the urgent job did not start within %s", seed, urgentMost)
+}
+
+func newUrgentFarm(random *rand.Rand) (*urgentFarm, error) {
+	farm := &urgentFarm{
+		now:    standin.NewManual(time.UnixMilli(1_000_000_000)),
+		frozen: -1,
+	}
+	clock := farm.now.Clock(func() time.Duration { return 0 })
+	farm.tasks = standin.NewTasks(clock.Now, time.Hour)
+	farm.tasks.Save = urgentSave
+	outside := platform.Platform{
+		Table: standin.InMemory(standin.NewTable(), &farm.faults, &standin.Late{}),
+		Tasks: farm.tasks.Adapter(),
+	}
+	farm.store = work.NewStore(outside.Table, clock)
+	view, err := urgentView()
+	if err != nil {
+		return nil, err
+	}
+	for entry := range urgentEntries {
+		leases := lease.NewHolder(outside.Table, clock, fmt.Sprint(entry), urgentLease)
+		farm.duties = append(farm.duties, work.NewDuty(outside, leases, func() *state.View { return view }, clock, slog.New(slog.DiscardHandler), urgentLook))
+		farm.next = append(farm.next, clock.Now().Add(time.Duration(random.Int64N(int64(urgentLook)))))
+	}
+	return farm, nil
+}
+
+// pass lets time pass, in which the entries act at their moments.
+func (f *urgentFarm) pass(ctx context.Context, length time.Duration) {
+	clock := f.now.Clock(func() time.Duration { return 0 })
+	for range length / urgentTick {
+		f.now.Step(urgentTick)
+		for entry, duty := range f.duties {
+			if clock.Now().Before(f.next[entry]) || entry == f.frozen {
+				continue
 			}
+			f.next[entry] = f.next[entry].Add(urgentLook)
+			duty.Round(ctx)
 		}
-		act()
 	}
-	return clock.Now().Sub(submitted), nil
 }
 
 // firstOfAll returns the entry that acts first, which gets the pool's lease.
