Count requests of an earlier boot; do not wait for a home that is silent

Cause, found by reading: when the list shows a restart late, an entry began a new count for the instance while requests were in flight at the very process that runs, and its word let a planned reboot cut them. An unrepeatable request whose home does not answer held an endpoint's slot for half a second, each of them. The kernel's stop ended before the longest stop timeout that settings allow. Failed first: TestRequestsOfAnEarlierBootCount (0, 1 wanted). Change: earlier endpoints stay in the count until they are empty; a silent home is not asked again for a second; the retry share follows the configuration.

--- a/entry/fault_test.go
+++ b/entry/fault_test.go
@@ -278,3 +278,40 @@
 	}
 	is.NoErr(sending.Wait())
 }
+
+// TestRequestsOfAnEarlierBootCount has the list show a restart while a request
+// is in flight at the process that runs already. The entry's word on the
+// instance must still count that request.
+func TestRequestsOfAnEarlierBootCount(t *testing.T) {
+	is := is.New(t)
+	arrived := make(chan struct{})
+	finish := make(chan struct{})
+	p := newPath(t, defaults(), answers(func(r *http.Request, number int) string {
+		close(arrived)
+		<-finish
+		return good(r, number)
+	}))
+	var sending errgroup.Group
+	sending.Go(func() error {
+		if got := p.send(nil, nil); string(got.body) != "whole" {
+			return fmt.Errorf("got %d", got.status)
+		}
+		return nil
+	})
+	<-arrived
+	instance := p.view.Instances["w0"]
+	instance.Phase = fleet.PhaseDraining
+	p.update([]platform.Row{
+		p.view.Rows[fleet.ConfigKey],
+		row(t, fleet.InstanceKey("w0"), instance),
+	}, []platform.Listed{{
+		ID:      "w0",
+		Address: instance.Address,
+		State:   platform.ListedLive,
+		Boot:    7,
+	}})
+	is.Equal(p.services.Held(p.view)["w0"].Count, 1)
+	close(finish)
+	is.NoErr(sending.Wait())
+	is.Equal(p.services.Held(p.view)["w0"].Count, 0)
+}
--- a/entry/services.go
+++ b/entry/services.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -50,8 +51,14 @@
 	// endpoints maps an instance to its endpoint; an endpoint whose boot or
 	// address changed is replaced.
 	endpoints map[string]*route.Endpoint
-	senders   map[int]*forward.Sender
-	stopping  bool
+
+	// replaced maps an instance to its earlier endpoints that still have
+	// requests in flight. The list lags, so they may well be at the process
+	// that runs now.
+	replaced map[string][]*route.Endpoint
+
+	senders  map[int]*forward.Sender
+	stopping bool
 }
 
 // ServicesOptions are the settings and seams of services.
@@ -77,6 +84,7 @@
 		clock:     c,
 		options:   o,
 		endpoints: make(map[string]*route.Endpoint),
+		replaced:  make(map[string][]*route.Endpoint),
 		senders:   make(map[int]*forward.Sender),
 	}
 	s.current.Store(&snapshot{
@@ -109,7 +117,7 @@
 		}
 		held[id] = member.Hold{
 			Version: view.Rows[fleet.InstanceKey(id)].Version,
-			Count:   endpoint.InFlight(),
+			Count:   endpoint.InFlight() + s.inFlightBefore(id),
 		}
 	}
 	return held
@@ -174,6 +182,7 @@
 	if before != nil {
 		next.gate = before.gate
 		next.retry = before.retry
+		next.retry.SetShare(view.Config.Retry.Share)
 		next.count = before.count
 		return next
 	}
@@ -186,6 +195,26 @@
 	return next
 }
 
+// inFlightBefore counts the requests in flight at earlier endpoints of the
+// instance, and forgets those that have none.
+func (s *Services) inFlightBefore(id string) int {
+	count := 0
+	s.replaced[id] = slices.DeleteFunc(s.replaced[id], func(endpoint *route.Endpoint) bool {
+		count += endpoint.InFlight()
+		return endpoint.InFlight() == 0
+	})
+	return count
+}
+
+// replace keeps an endpoint that is about to be replaced in the count.
+func (s *Services) replace(id string, endpoint *route.Endpoint) {
+	s.inFlightBefore(id)
+	if endpoint != nil {
+		endpoint.Close()
+		s.replaced[id] = append(s.replaced[id], endpoint)
+	}
+}
+
 func (s *Services) quota(rate, burst float64, before *admit.Quota) *admit.Quota {
 	if before != nil {
 		return before
@@ -213,6 +242,7 @@
 		}
 		endpoint := s.endpoints[id]
 		if endpoint == nil || endpoint.Address != address || endpoint.Boot != line.Boot {
+			s.replace(id, endpoint)
 			endpoint = route.NewEndpoint(id, instance.Zone, address, line.Boot)
 			s.endpoints[id] = endpoint
 		}
@@ -225,6 +255,7 @@
 	for id := range s.endpoints {
 		if _, found := view.Instances[id]; !found {
 			delete(s.endpoints, id)
+			delete(s.replaced, id)
 		}
 	}
 }
--- a/forward/retry.go
+++ b/forward/retry.go
@@ -26,6 +26,13 @@
 	}
 }
 
+// SetShare changes what each success adds.
+func (b *RetryBudget) SetShare(share float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.share = share
+}
+
 // Succeeded adds to the budget.
 func (b *RetryBudget) Succeeded() {
 	b.mu.Lock()
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -52,8 +52,9 @@
 	plugins map[string]Plugin
 }
 
-// stopTimeout bounds the orderly stop of all plug-ins together.
-const stopTimeout = 60 * time.Second
+// stopTimeout bounds the orderly stop of all plug-ins together. It is above the
+// longest stop timeout that the settings allow for requests in flight.
+const stopTimeout = 6 * time.Minute
 
 // registered is the one global of lemonstream: the plug-ins linked into the
 // program. See docs/design/house-style.md.
--- a/once/claims.go
+++ b/once/claims.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"net/netip"
+	"sync"
 	"time"
 
 	"lemonstream.dev/lemonstream/clock"
@@ -18,6 +19,10 @@
 	// claimPause is the wait between two tries of a claim.
 	claimPause = 25 * time.Millisecond
 
+	// claimSilence is how long a home that did not answer is not asked again:
+	// a request that waits for it holds a place that others could use.
+	claimSilence = time.Second
+
 	// claimTimeout bounds one try of a claim at another entry.
 	claimTimeout = 500 * time.Millisecond
 )
@@ -41,6 +46,17 @@
 	home      func(partition int) (netip.AddrPort, bool)
 	transport *member.Transport
 	log       *slog.Logger
+
+	mu sync.Mutex
+
+	// silent maps the address of a home that did not answer to when it may be
+	// asked again.
+	silent map[netip.AddrPort]time.Time
+}
+
+// SilentError reports a home that did not answer a moment ago.
+type SilentError struct {
+	Address netip.AddrPort
 }
 
 // UnclaimedError reports an identity that this entry may not run, and that an
@@ -62,12 +78,18 @@
 		home:      home,
 		transport: t,
 		log:       log,
+		silent:    make(map[netip.AddrPort]time.Time),
 	}
 	t.Handle(member.KindClaim, c.handleClaim)
 	t.Handle(member.KindRelease, c.handleRelease)
 	return c
 }
 
+// Error implements error.
+func (e *SilentError) Error() string {
+	return fmt.Sprintf("home at %s did not answer a moment ago", e.Address)
+}
+
 // Error implements error.
 func (e *UnclaimedError) Error() string {
 	switch e.Verdict {
@@ -133,10 +155,19 @@
 	if !found {
 		return NotHome, nil
 	}
+	if c.isSilent(address) {
+		return NotHome, &SilentError{
+			Address: address,
+		}
+	}
 	calling, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	answer, err := c.call(calling, address, member.KindClaim, key, attempt)
 	if err != nil {
+		// A caller who left says nothing about the home.
+		if ctx.Err() == nil {
+			c.noteSilent(address)
+		}
 		return NotHome, err
 	}
 	decoded, err := member.Decode[ClaimAnswer](answer)
@@ -154,6 +185,23 @@
 	return c.transport.Call(ctx, to, kind, body)
 }
 
+func (c *Claims) isSilent(address netip.AddrPort) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	until, noted := c.silent[address]
+	if noted && time.Now().After(until) {
+		delete(c.silent, address)
+		return false
+	}
+	return noted
+}
+
+func (c *Claims) noteSilent(address netip.AddrPort) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.silent[address] = time.Now().Add(claimSilence)
+}
+
 func (c *Claims) handleClaim(_ context.Context, body []byte) ([]byte, error) {
 	claim, err := member.Decode[Claim](body)
 	if err != nil {
