Give test processes ports that outgoing connections can't take

Cause: TestRacingOperators gave up twice waiting for six endpoints. Ports were those the system had just given to a listener that was closed again, and tests beside it open thousands of outgoing connections from the same range, so an endpoint now and then found its port taken and ended. Ruled out: the product; the entries' logs show no fault, and the endpoints' logs, which the failure prints now too, were not looked at before. Change: ports from 12,000 on, checked for TCP and UDP.

--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -36,6 +37,20 @@
 // patience bounds every wait for a condition.
 const patience = 60 * time.Second
 
+// The ports that tests use, from lowestPort on.
+const (
+	lowestPort = 12_000
+	ports      = 18_000
+)
+
+// nextPort counts the ports given out. It starts at a place of the process's own,
+// so that two runs beside each other seldom try the same.
+var nextPort = func() *atomic.Int64 {
+	var next atomic.Int64
+	next.Store(int64(os.Getpid()) * 331)
+	return &next
+}()
+
 // fleet is a stand-in platform in the test's own process, with endpoints and
 // entries as real ones.
 type fleet struct {
@@ -129,7 +144,7 @@
 			operators: f.free(),
 		}
 		p.settings = filepath.Join(f.folder, p.name+".ini")
-		seeds = append(seeds, f.freeUDP().String())
+		seeds = append(seeds, f.free().String())
 		operators = append(operators, p.operators)
 		f.entries = append(f.entries, p)
 	}
@@ -297,28 +312,36 @@
 	f.t.Fatalf("gave up waiting for %s\n%s", what, f.logs())
 }
 
-// logs returns the ends of the entries' logs.
+// logs returns the ends of the processes' logs.
 func (f *fleet) logs() string {
 	var text strings.Builder
-	for _, p := range f.entries {
+	for _, p := range append(f.endpoints, f.entries...) {
 		body, _ := os.ReadFile(filepath.Join(f.folder, p.name+".log"))
 		text.Write(body[max(0, len(body)-2000):])
 	}
 	return text.String()
 }
 
+// free returns a loopback address that nobody uses. Its port lies below those
+// that the system gives to outgoing connections, or a caller's connection could
+// take it before the process that is to listen there.
 func (f *fleet) free() netip.AddrPort {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	f.must(err)
-	defer func() { _ = listener.Close() }()
-	return netip.MustParseAddrPort(listener.Addr().String())
-}
-
-func (f *fleet) freeUDP() netip.AddrPort {
-	socket, err := net.ListenPacket("udp", "127.0.0.1:0")
-	f.must(err)
-	defer func() { _ = socket.Close() }()
-	return netip.MustParseAddrPort(socket.LocalAddr().String())
+	f.t.Helper()
+	for {
+		port := lowestPort + nextPort.Add(1)%ports
+		address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(port))
+		tcp, err := net.Listen("tcp", address.String())
+		if err != nil {
+			continue
+		}
+		_ = tcp.Close()
+		udp, err := net.ListenPacket("udp", address.String())
+		if err != nil {
+			continue
+		}
+		_ = udp.Close()
+		return address
+	}
 }
 
 func (f *fleet) must(err error) {
