Serve callers only once the entry is a registered member

Cause, found by reading: an entry that starts while an instance drains could send to it by an older view, and the entry that carries the plan did not know to ask for its word. Change: until its row is written, an entry answers 503 starting, not-run; while the table has not answered at all, no plan makes a step and it serves. Not closed yet: a carrier whose view does not show the new row.

--- a/cmd/lemonmeasure/pathcmd.go
+++ b/cmd/lemonmeasure/pathcmd.go
@@ -165,7 +165,7 @@
 	handler := entry.NewHandler(services, claims, clock.System(), slog.New(slog.DiscardHandler), entry.Limits{
 		BufferBody: 64 << 10,
 		MaxBody:    8 << 20,
-	}, entry.AllGuards())
+	}, entry.AllGuards(), func() bool { return true })
 	gin.SetMode(gin.ReleaseMode)
 	engine := gin.New()
 	handler.Routes(engine)
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -46,6 +46,9 @@
 	log      *slog.Logger
 	limits   Limits
 	stopping atomic.Bool
+
+	// open reports whether the entry may send requests to endpoints.
+	open func() bool
 }
 
 // Limits bounds what one request may cost.
@@ -64,9 +67,10 @@
 }
 
 // NewHandler returns a handler.
-func NewHandler(s *Services, claims Claims, c clock.Clock, log *slog.Logger, limits Limits, guards Guards) *Handler {
+func NewHandler(s *Services, claims Claims, c clock.Clock, log *slog.Logger, limits Limits, guards Guards, open func() bool) *Handler {
 	return &Handler{
 		guards:   guards,
+		open:     open,
 		services: s,
 		claims:   claims,
 		clock:    c,
@@ -106,6 +110,9 @@
 		c.Header("Connection", "close")
 	}
 	r, problem := parseRequest(c, start)
+	if problem == nil && !h.open() {
+		problem = starting()
+	}
 	if problem != nil {
 		problem.write(c.Writer)
 		return
--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -59,6 +59,7 @@
 	limits    entry.Limits
 	takesWork func(view *state.View, id string) bool
 	config    string
+	open      func() bool
 }
 
 // reply is an answer with what a caller learns from it.
@@ -100,7 +101,7 @@
 		NewSender:   func(conns int) *forward.Sender { return forward.NewGuardedSender(conns, o.sender) },
 	})
 	p.update(rows, nil)
-	handler := entry.NewHandler(p.services, o.claims, clock.System(), slog.New(slog.DiscardHandler), o.limits, o.guards)
+	handler := entry.NewHandler(p.services, o.claims, clock.System(), slog.New(slog.DiscardHandler), o.limits, o.guards, o.open)
 	gin.SetMode(gin.ReleaseMode)
 	engine := gin.New()
 	handler.Routes(engine)
@@ -123,6 +124,7 @@
 		},
 		takesWork: entry.TakesWork,
 		config:    plainConfig,
+		open:      func() bool { return true },
 	}
 }
 
--- a/entry/plugin.go
+++ b/entry/plugin.go
@@ -31,7 +31,7 @@
 	})
 }
 
-func newHandler(s *Services, o *once.Claims, c clock.Clock, log *slog.Logger, d settings.Daemon) *Handler {
+func newHandler(s *Services, o *once.Claims, r *Readiness, c clock.Clock, log *slog.Logger, d settings.Daemon) *Handler {
 	claims := Claims{
 		Claim:   o.Claim,
 		Release: o.Release,
@@ -39,7 +39,7 @@
 	return NewHandler(s, claims, c, log, Limits{
 		BufferBody: d.BufferBody,
 		MaxBody:    d.MaxBody,
-	}, AllGuards())
+	}, AllGuards(), r.Open)
 }
 
 func newServices(w *state.Watch, p *member.Peers, c clock.Clock, d settings.Daemon) *Services {
--- a/entry/problem.go
+++ b/entry/problem.go
@@ -174,6 +174,17 @@
 	}
 }
 
+func starting() *Problem {
+	return &Problem{
+		Type:       "urn:lemonstream:starting",
+		Title:      "The entry starts",
+		Status:     http.StatusServiceUnavailable,
+		Detail:     "the entry is not registered as a member yet",
+		Outcome:    OutcomeNotRun,
+		RetryAfter: time.Second,
+	}
+}
+
 func tooLarge(limit int64) *Problem {
 	return &Problem{
 		Type:    "urn:lemonstream:too-large",
--- a/entry/readiness.go
+++ b/entry/readiness.go
@@ -19,17 +19,29 @@
 	peers   *member.Peers
 	clock   clock.Clock
 	leaving atomic.Bool
+
+	// registered reports whether the table counts this entry as a member.
+	registered func() bool
 }
 
 // NewReadiness returns the readiness of the entry.
-func NewReadiness(w *state.Watch, p *member.Peers, c clock.Clock) *Readiness {
+func NewReadiness(w *state.Watch, p *member.Peers, r *member.Registrar, c clock.Clock) *Readiness {
 	return &Readiness{
-		watch: w,
-		peers: p,
-		clock: c,
+		watch:      w,
+		peers:      p,
+		clock:      c,
+		registered: r.Registered,
 	}
 }
 
+// Open reports whether the entry may send requests to endpoints. It must be a
+// member first, or a plan could reboot an instance without asking for its word.
+// While the table has not answered at all, no plan can make a step, and the
+// entry serves from what its peers or a snapshot told.
+func (r *Readiness) Open() bool {
+	return r.registered() || r.watch.FreshAt().IsZero()
+}
+
 // Check returns whether the entry is ready, and why not or what is amiss. An
 // entry that may miss newer configurations stays ready, since serving from
 // the last known state beats not serving; it only says so.
@@ -40,6 +52,9 @@
 	if !r.watch.View().Ready() {
 		return false, "no configuration or no instance is known yet"
 	}
+	if !r.Open() {
+		return false, "the entry is not registered as a member yet"
+	}
 	heard := len(r.peers.Heard()) > 0
 	if r.clock.Now().Sub(r.watch.FreshAt()) > unheardLimit && !heard {
 		return true, "newer configurations may be missed: neither the table nor a peer answers"
--- a/entry/refusal_test.go
+++ b/entry/refusal_test.go
@@ -143,6 +143,18 @@
 	is.Equal(p.total(), 0)
 }
 
+func TestUnregisteredEntrySendsNothing(t *testing.T) {
+	is := is.New(t)
+	o := defaults()
+	o.open = func() bool { return false }
+	p := newPath(t, o, answers(good))
+	got := p.send([]byte("body"), nil)
+	is.Equal(got.status, http.StatusServiceUnavailable)
+	is.Equal(got.outcome, entry.OutcomeNotRun)
+	is.Equal(got.header.Get("Retry-After"), "1")
+	is.Equal(p.total(), 0)
+}
+
 func TestUnusedGrantIsGivenBack(t *testing.T) {
 	is := is.New(t)
 	released := 0
--- a/member/registrar.go
+++ b/member/registrar.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -39,6 +40,9 @@
 	clock clock.Clock
 	log   *slog.Logger
 	self  fleet.Self
+
+	// registered is set once the row was written by this process.
+	registered atomic.Bool
 }
 
 // NewRegistrar returns the duty.
@@ -68,6 +72,12 @@
 	}
 }
 
+// Registered reports whether the table counts this process as a member. Until
+// then an entry that carries a plan would not ask for its word.
+func (r *Registrar) Registered() bool {
+	return r.registered.Load()
+}
+
 // Leave marks the entry as stopped.
 func (r *Registrar) Leave(ctx context.Context) error {
 	return r.write(ctx, true)
@@ -106,6 +116,7 @@
 	if err != nil {
 		return err
 	}
+	r.registered.Store(true)
 	if row.Version == 0 || left {
 		r.peers.TellRows([]platform.Row{{
 			Key:     key,
