Have steps depend on who the members are

Cause: an entry that joined while the carrier's view did not show it yet was not asked for its word, and an instance could reboot under its request. Change: joining writes an epoch row; the step to drained depends on the epoch as of which the words were read; an entry serves once it has read the table as of its joining. Before: guard off, a planned reboot cuts a request (TestEntryThatJoinsIsAsked, off=violated).

--- a/carry/carry_test.go
+++ b/carry/carry_test.go
@@ -25,9 +25,10 @@
 )
 
 const (
-	entries   = 3
-	instances = 12
-	least     = 3
+	entries     = 3
+	entriesMost = 5
+	instances   = 12
+	least       = 3
 )
 
 const configuration = "[service a]\npool = one\nmin_available = 3\n[service b]\npool = two\nmin_available = 3\n[waves]\nfirst = 4\nreserve_racks = 0\n"
@@ -56,6 +57,9 @@
 	inflight map[string]int
 	told     map[string]member.Hold
 
+	// joined is the version of the epoch at which the entry became a member.
+	joined int64
+
 	// highest is the newest configuration that was ever in force here.
 	highest int64
 }
@@ -176,6 +180,45 @@
 	})
 }
 
+// TestEntryThatJoinsIsAsked has an entry join and send to an instance between
+// the words of the others and the step that rests on them.
+func TestEntryThatJoinsIsAsked(t *testing.T) {
+	prove.Guard(t, prove.PlannedStop, "members-epoch", func(on bool) func(*rapid.T) {
+		used := allGuards()
+		if !on {
+			used.control.Members = func() bool { return false }
+		}
+		return func(t *rapid.T) {
+			w := newWorld(t, used)
+			w.add()
+			w.refresh(w.operators[0])
+			w.begin(intent.Intent{
+				Kind:  intent.Maintain,
+				Scope: intent.ScopeInstance,
+				Name:  "w00",
+			})
+			for _, o := range w.operators {
+				w.refresh(o)
+			}
+			// The one that joins has a request at the instance; the carrier has
+			// the words of all whom it knows.
+			late := w.add()
+			late.inflight["w00"]++
+			w.operators[0].duty.Round(context.Background())
+			for _, o := range w.operators[:len(w.operators)-1] {
+				if o != w.operators[0] {
+					w.refresh(o)
+				}
+				w.tell(o)
+			}
+			for range 4 {
+				// The carrier acts without having read that another joined.
+				w.operators[0].duty.Round(context.Background())
+			}
+		}
+	})
+}
+
 // maintain plans, confirms and carries out the maintenance of one instance;
 // after each step every entry catches up and tells as tell says.
 func (w *world) maintain(id string, tell func(o *operator)) {
@@ -218,6 +261,7 @@
 		"answer":    w.answer,
 		"confirm":   w.confirm,
 		"fault":     w.fault,
+		"join":      w.join,
 		"lose":      w.lose,
 		"propose":   w.propose,
 		"refresh":   func(t *rapid.T) { w.refresh(w.pick(t)) },
@@ -411,6 +455,30 @@
 	}
 }
 
+// join has another entry become a member: it writes the epoch, reads the table
+// as of then, and serves.
+func (w *world) join(t *rapid.T) {
+	if len(w.operators) >= entriesMost || rapid.IntRange(0, 5).Draw(t, "rarely") > 0 {
+		return
+	}
+	w.add()
+}
+
+func (w *world) add() *operator {
+	revision, err := w.table.Transact(platform.Transaction{
+		Op: "join",
+		Puts: []platform.Put{{
+			Key:   fleet.EpochKey,
+			Value: []byte("1"),
+		}},
+	})
+	w.must(err)
+	o := w.operator()
+	o.joined = revision
+	w.operators = append(w.operators, o)
+	return o
+}
+
 func (w *world) merge(o *operator, rows []platform.Row) {
 	o.cache.Merge(rows)
 	w.seen = append(w.seen, rows...)
@@ -430,7 +498,7 @@
 }
 
 func (w *world) pick(t *rapid.T) *operator {
-	return w.operators[rapid.IntRange(0, entries-1).Draw(t, "entry")]
+	return w.operators[rapid.IntRange(0, len(w.operators)-1).Draw(t, "entry")]
 }
 
 func (w *world) propose(t *rapid.T) {
@@ -489,6 +557,10 @@
 func (w *world) quiet(o *operator, id string) bool {
 	version := o.view.Rows[fleet.InstanceKey(id)].Version
 	for _, other := range w.operators {
+		if other.joined > o.view.Rows[fleet.EpochKey].Version {
+			// This entry has not heard that the other one joined.
+			continue
+		}
 		hold, told := other.told[id]
 		if !w.guards.quiet(hold, told, version) {
 			return false
--- a/carry/step.go
+++ b/carry/step.go
@@ -42,10 +42,14 @@
 		if aborted {
 			return d.to(instance, fleet.PhaseServing, instance.Pool), nil
 		}
+		// Who the members are is read before their words.
+		epoch := d.outside.View().Rows[fleet.EpochKey].Version
 		if !d.outside.Quiet(instance.ID) || !d.outside.Idle(ctx, instance) {
 			return nil, nil
 		}
-		return d.to(instance, fleet.PhaseDrained, ""), nil
+		step := d.to(instance, fleet.PhaseDrained, "")
+		step.Epoch = epoch
+		return step, nil
 	case fleet.PhaseDrained:
 		if aborted {
 			return d.to(instance, fleet.PhaseServing, instance.Pool), nil
--- a/control/steps.go
+++ b/control/steps.go
@@ -31,6 +31,10 @@
 
 	// Boot is the platform's count of the instance's starts as of now.
 	Boot int64
+
+	// Epoch is the version of the epoch of membership as of which every member
+	// gave its word, for a step to drained.
+	Epoch int64
 }
 
 // Error implements error.
@@ -107,6 +111,9 @@
 		if err != nil {
 			return err
 		}
+		if step.To == fleet.PhaseDrained && s.guards.Members() {
+			c.expectAt(fleet.EpochKey, step.Epoch)
+		}
 		instance.Phase = step.To
 		instance.Boot = step.Boot
 		if step.To == fleet.PhaseServing {
--- a/control/store.go
+++ b/control/store.go
@@ -31,6 +31,10 @@
 	// Budget decides whether ids may leave the pool.
 	Budget func(pool budget.Pool, ids []string) error
 
+	// Members decides whether a step that rests on the members' words fails
+	// when another member joined since.
+	Members func() bool
+
 	// Checks returns the conditions of a transaction.
 	Checks func(checks []platform.Check) []platform.Check
 }
@@ -93,8 +97,9 @@
 // AllGuards returns the guards that hold the promises.
 func AllGuards() Guards {
 	return Guards{
-		Budget: func(pool budget.Pool, ids []string) error { return pool.Check(ids) },
-		Checks: func(checks []platform.Check) []platform.Check { return checks },
+		Budget:  func(pool budget.Pool, ids []string) error { return pool.Check(ids) },
+		Members: func() bool { return true },
+		Checks:  func(checks []platform.Check) []platform.Check { return checks },
 	}
 }
 
@@ -190,14 +195,20 @@
 
 // expect makes the change depend on the row as the view knows it.
 func (c *change) expect(key string) {
+	c.expectAt(key, c.view.Rows[key].Version)
+}
+
+// expectAt makes the change depend on the row's version. Of two different
+// versions of a row the change can meet neither, and fails.
+func (c *change) expectAt(key string, version int64) {
 	for _, check := range c.tx.Checks {
-		if check.Key == key {
+		if check.Key == key && check.Version == version {
 			return
 		}
 	}
 	c.tx.Checks = append(c.tx.Checks, platform.Check{
 		Key:     key,
-		Version: c.view.Rows[key].Version,
+		Version: version,
 	})
 }
 
--- a/entry/readiness.go
+++ b/entry/readiness.go
@@ -20,26 +20,29 @@
 	clock   clock.Clock
 	leaving atomic.Bool
 
-	// registered reports whether the table counts this entry as a member.
-	registered func() bool
+	// joined returns the table's revision at which this entry became a
+	// member, or 0 before.
+	joined func() int64
 }
 
 // NewReadiness returns the readiness of the entry.
 func NewReadiness(w *state.Watch, p *member.Peers, r *member.Registrar, c clock.Clock) *Readiness {
 	return &Readiness{
-		watch:      w,
-		peers:      p,
-		clock:      c,
-		registered: r.Registered,
+		watch:  w,
+		peers:  p,
+		clock:  c,
+		joined: r.Joined,
 	}
 }
 
 // Open reports whether the entry may send requests to endpoints. It must be a
-// member first, or a plan could reboot an instance without asking for its word.
-// While the table has not answered at all, no plan can make a step, and the
-// entry serves from what its peers or a snapshot told.
+// member first, and know the table as of then: every later step of a plan asks
+// for its word, every earlier one is in its view. While the table has not
+// answered at all, no plan can make a step, and the entry serves from what its
+// peers or a snapshot told.
 func (r *Readiness) Open() bool {
-	return r.registered() || r.watch.FreshAt().IsZero()
+	joined := r.joined()
+	return (joined > 0 && r.watch.Revision() >= joined) || r.watch.FreshAt().IsZero()
 }
 
 // Check returns whether the entry is ready, and why not or what is amiss. An
--- a/fleet/rows.go
+++ b/fleet/rows.go
@@ -8,6 +8,10 @@
 	// ConfigKey is the row of the current configuration.
 	ConfigKey = StatePrefix + "config"
 
+	// EpochKey is the row that every entry writes when it joins. A step that
+	// relies on who the members are depends on it.
+	EpochKey = StatePrefix + "epoch"
+
 	// HomePrefix starts the rows of the homes of request identities.
 	HomePrefix = StatePrefix + "home/"
 
--- a/member/registrar.go
+++ b/member/registrar.go
@@ -41,8 +41,10 @@
 	log   *slog.Logger
 	self  fleet.Self
 
-	// registered is set once the row was written by this process.
+	// registered is set once the row was written by this process, joined is
+	// the table's revision of that write.
 	registered atomic.Bool
+	joined     atomic.Int64
 }
 
 // NewRegistrar returns the duty.
@@ -72,10 +74,10 @@
 	}
 }
 
-// Registered reports whether the table counts this process as a member. Until
-// then an entry that carries a plan would not ask for its word.
-func (r *Registrar) Registered() bool {
-	return r.registered.Load()
+// Joined returns the table's revision at which this process became a member, or
+// 0 before. Until then an entry that carries a plan does not ask for its word.
+func (r *Registrar) Joined() int64 {
+	return r.joined.Load()
 }
 
 // Leave marks the entry as stopped.
@@ -89,6 +91,7 @@
 	if err != nil {
 		return err
 	}
+	joining := !r.registered.Load()
 	value, err := json.Marshal(state.Member{
 		ID:          r.self.ID,
 		Incarnation: r.self.Incarnation,
@@ -112,18 +115,53 @@
 			Value: value,
 		}},
 	}
+	if joining {
+		if err := r.addEpoch(ctx, &tx); err != nil {
+			return err
+		}
+	}
 	revision, err := r.table.Commit(ctx, tx)
 	if err != nil {
 		return err
 	}
 	r.registered.Store(true)
-	if row.Version == 0 || left {
-		r.peers.TellRows([]platform.Row{{
-			Key:     key,
-			Version: revision,
-			Op:      tx.Op,
-			Value:   value,
-		}})
+	if joining {
+		r.joined.Store(revision)
+		// The entry serves once it knows the table as of now.
+		r.peers.watch.Poke()
+	}
+	if joining || left {
+		rows := make([]platform.Row, 0, len(tx.Puts))
+		for _, put := range tx.Puts {
+			rows = append(rows, platform.Row{
+				Key:     put.Key,
+				Version: revision,
+				Op:      tx.Op,
+				Value:   put.Value,
+			})
+		}
+		r.peers.TellRows(rows)
 	}
 	return nil
 }
+
+// addEpoch has the transaction write the epoch of membership too.
+func (r *Registrar) addEpoch(ctx context.Context, tx *platform.Transaction) error {
+	epoch, err := r.table.Read(ctx, fleet.EpochKey)
+	if err != nil {
+		return err
+	}
+	value, err := json.Marshal(r.self.Incarnation)
+	if err != nil {
+		return fmt.Errorf("encoding epoch: %w", err)
+	}
+	tx.Checks = append(tx.Checks, platform.Check{
+		Key:     fleet.EpochKey,
+		Version: epoch.Version,
+	})
+	tx.Puts = append(tx.Puts, platform.Put{
+		Key:   fleet.EpochKey,
+		Value: value,
+	})
+	return nil
+}
