Start a retaken partition with an empty memory

Cause, found by reading: a home that reads of its loss between two reads of one tick kept its old window and stretched it over the range in which another home had granted, so an identity could be granted twice. Failed first: TestRetakenPartitionStartsAnew, an identity granted to 2 attempts. Change: taking a partition always opens a new window.

--- a/once/homes_test.go
+++ b/once/homes_test.go
@@ -29,6 +29,10 @@
 	rows   map[string]platform.Row
 	skew   time.Duration
 
+	// torn counts the reads of rows until newer rows come in between; 0 is
+	// never.
+	torn int
+
 	// alone is whether the entry hears no other.
 	alone bool
 }
@@ -69,7 +73,8 @@
 	}
 }
 
-func runCluster(t *rapid.T, guards once.Guards) {
+// newCluster returns entries that have just started.
+func newCluster(guards once.Guards) *cluster {
 	c := &cluster{
 		table:   standin.NewTable(),
 		faults:  &standin.Switch{},
@@ -85,6 +90,11 @@
 		})
 		c.restart(c.nodes[number])
 	}
+	return c
+}
+
+func runCluster(t *rapid.T, guards once.Guards) {
+	c := newCluster(guards)
 	t.Repeat(map[string]func(*rapid.T){
 		"":         c.check,
 		"advance":  func(t *rapid.T) { c.now.Step(time.Duration(rapid.IntRange(1, 6000).Draw(t, "ms")) * time.Millisecond) },
@@ -100,6 +110,11 @@
 		"stop":     c.stop,
 		"tend":     func(t *rapid.T) { n := c.pick(t); c.refresh(n); n.homes.Tend(context.Background()) },
 		"tend 2":   func(t *rapid.T) { n := c.pick(t); c.refresh(n); n.homes.Tend(context.Background()) },
+		"tend torn": func(t *rapid.T) {
+			n := c.pick(t)
+			n.torn = rapid.IntRange(1, 3).Draw(t, "reads")
+			n.homes.Tend(context.Background())
+		},
 		"tend old": func(t *rapid.T) { c.pick(t).homes.Tend(context.Background()) },
 	})
 }
@@ -201,6 +216,12 @@
 	}
 	outside := once.Outside{
 		Row: func(partition int) platform.Row {
+			if n.torn > 0 {
+				n.torn--
+				if n.torn == 0 {
+					c.refresh(n)
+				}
+			}
 			row, found := n.rows[once.RowKey(partition)]
 			if !found {
 				row.Key = once.RowKey(partition)
@@ -246,3 +267,29 @@
 func incarnation(n *node) string {
 	return fmt.Sprintf("%d/%d", n.number, n.boot)
 }
+
+// TestRetakenPartitionStartsAnew has a home lose its partition unnoticed, and
+// take it again in the very tick in which it reads of the loss. What the other
+// home granted meanwhile must not be granted again.
+func TestRetakenPartitionStartsAnew(t *testing.T) {
+	prove.Property(t, func(t *rapid.T) {
+		c := newCluster(once.AllGuards())
+		ctx := context.Background()
+		first, second := c.nodes[0], c.nodes[1]
+		for _, n := range c.nodes {
+			n.alone = true
+		}
+		first.homes.Tend(ctx)
+		c.now.Step(interval + time.Second)
+		c.refresh(second)
+		second.homes.Tend(ctx)
+		key := c.key(c.now.Clock(func() time.Duration { return 0 }).Now())
+		c.ask(second, key)
+		c.now.Step(interval + time.Second)
+		// Newer rows come between two reads of the tick, once for each place.
+		first.torn = rapid.IntRange(1, 2*once.Partitions).Draw(t, "reads")
+		first.homes.Tend(ctx)
+		c.ask(first, key)
+		c.check(t)
+	})
+}
--- a/once/tend.go
+++ b/once/tend.go
@@ -93,14 +93,20 @@
 func (h *Homes) taken(changes []change, rows []platform.Row) []platform.Row {
 	var news []platform.Row
 	for i, c := range changes {
-		before, err := decodeHome(c.row)
-		if err != nil || before.Holder != h.incarnation {
+		if h.takes(c) {
 			news = append(news, rows[i])
 		}
 	}
 	return news
 }
 
+// takes reports whether the change takes the partition, rather than extends a
+// range that this entry holds.
+func (h *Homes) takes(c change) bool {
+	before, err := decodeHome(c.row)
+	return err != nil || before.Holder != h.incarnation
+}
+
 // adopt opens or extends the windows of changes that took effect at the
 // given version.
 func (h *Homes) adopt(changes []change, version int64) {
@@ -111,7 +117,9 @@
 	}
 	for _, c := range changes {
 		window := h.held[c.partition].window
-		if window == nil {
+		if window == nil || h.takes(c) {
+			// A window of an earlier holding knows nothing of what other
+			// homes granted since.
 			window = NewWindow(h.guards, c.home.Start, c.home.End, c.seen)
 		}
 		window.Extend(c.home.End)
