Check budgets again when a configuration is confirmed

Cause, found by reading: a larger budget was checked when the rollout was planned, and a permit given before its confirmation let the accepted configuration start out broken. Failed first: TestRolloutDoesNotBreakABudget (five of six serve, six asked for). Change: confirmation checks the budgets and depends on the pools' rows.

--- a/carry/scenario_test.go
+++ b/carry/scenario_test.go
@@ -135,3 +135,25 @@
 	is.Equal(count, 2)                               // The rollout and the maintenance.
 	is.Equal(w.state().State, intent.StateConfirmed) // Not the one that runs.
 }
+
+// TestRolloutDoesNotBreakABudget plans a larger budget while everything serves
+// and confirms it while instances are out.
+func TestRolloutDoesNotBreakABudget(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, allGuards())
+	first := w.operators[0]
+	larger, err := first.store.Propose(context.Background(), intent.Intent{
+		Kind:   intent.Rollout,
+		Config: strings.Replace(configuration, "min_available = 3", "min_available = 6", 1),
+	})
+	is.NoErr(err)
+	w.begin(intent.Intent{
+		Kind:  intent.Drain,
+		Scope: intent.ScopeInstance,
+		Name:  "w00",
+	})
+	w.carry(1, w.tell)
+	_, err = first.store.Confirm(context.Background(), larger.ID, larger.Digest)
+	is.True(err != nil) // Five of six serve.
+	is.Equal(first.view.Config.MinAvailable("one"), 3)
+}
--- a/control/plans.go
+++ b/control/plans.go
@@ -69,7 +69,9 @@
 	plan.Confirmed = clock.Millis(s.clock.Now())
 	s.enroll(c, plan)
 	if plan.Intent.Kind == intent.Rollout {
-		s.putConfig(c, plan)
+		if err := s.putConfig(c, plan); err != nil {
+			return nil, err
+		}
 	}
 	c.put(fleet.PlanKey(id), plan)
 	return plan, s.commit(ctx, c)
@@ -188,13 +190,22 @@
 	}
 }
 
-func (s *Store) putConfig(c *change, plan *intent.Plan) {
+// putConfig writes the configuration, if its budgets hold now. The change
+// depends on the pools' rows, so that no permit comes in between.
+func (s *Store) putConfig(c *change, plan *intent.Plan) error {
+	if err := s.planner(c.view).CheckBudgets(plan.Budgets); err != nil {
+		return err
+	}
+	for pool := range plan.Budgets {
+		c.expect(fleet.PoolKey(pool))
+	}
 	plan.ConfigVersion = c.view.Config.Version + 1
 	c.put(fleet.ConfigKey, config.Row{
 		Version:  plan.ConfigVersion,
 		Body:     []byte(plan.Intent.Config),
 		Accepted: plan.Confirmed,
 	})
+	return nil
 }
 
 // release takes the plan's note off its pools.
--- a/intent/planner.go
+++ b/intent/planner.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"sort"
@@ -79,6 +80,17 @@
 	return pool
 }
 
+// CheckBudgets returns an *InvalidError when a pool has fewer instances that
+// serve now than a configuration with these budgets would ask for.
+func (p Planner) CheckBudgets(budgets map[string]int) error {
+	for _, name := range slices.Sorted(maps.Keys(budgets)) {
+		if available := p.Pool(name).Available(); available < budgets[name] {
+			return invalid("pool %s would need %d available instances and has %d: grow the pool first, or wait for a plan to end", name, budgets[name], available)
+		}
+	}
+	return nil
+}
+
 func (p Planner) fill(plan *Plan) error {
 	switch plan.Intent.Kind {
 	case Rollout:
@@ -134,16 +146,12 @@
 	}
 	plan.Budgets = make(map[string]int)
 	for _, service := range next.Services {
-		pool := p.Pool(service.Pool)
 		plan.Budgets[service.Pool] = max(plan.Budgets[service.Pool], service.MinAvailable)
-		if available := pool.Available(); available < service.MinAvailable {
-			return invalid("service %s would need %d available instances and pool %s has %d: grow the pool first", service.Name, service.MinAvailable, service.Pool, available)
-		}
 	}
 	plan.Cost = Cost{
 		RollOutMillis: expectedSpread.Milliseconds(),
 	}
-	return nil
+	return p.CheckBudgets(plan.Budgets)
 }
 
 func (p Planner) fillShrink(plan *Plan) error {
