Let a row that can't be read hold up nothing else

Cause, found by reading: one undecodable row kept an entry at its last view for ever, and one undecodable job stopped the jobs of all pools. Change: such a row stays as it was known before, at its own version, so that a write which depends on it fails; jobs beside it go on and it is listed as unreadable. Ids of jobs and pools are bounded and hold no slash. Before: BuildView returned no view at all.

--- a/state/view.go
+++ b/state/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"maps"
 	"sort"
@@ -99,8 +100,10 @@
 }
 
 // BuildView decodes the rows into a view. What an earlier view decoded from the
-// very same row is taken over; earlier may be nil. A row that cannot be decoded
-// is reported in the error, and the earlier view stays in force.
+// very same row is taken over; earlier may be nil. A row that can't be decoded is
+// reported in the error and holds up nothing else: the view keeps the row that
+// was known before, at its own version, so that a write which depends on it
+// fails. The view is never nil.
 func BuildView(earlier *View, rows []platform.Row, listed []platform.Listed) (*View, error) {
 	view := &View{
 		Config:    &config.Config{},
@@ -116,6 +119,7 @@
 	if earlier == nil {
 		earlier = &View{}
 	}
+	var broken []error
 	for _, row := range rows {
 		view.Rows[row.Key] = row
 		view.Revision = max(view.Revision, row.Version)
@@ -124,7 +128,8 @@
 			continue
 		}
 		if err := view.put(earlier, row); err != nil {
-			return nil, fmt.Errorf("decoding row %s at version %d: %w", row.Key, row.Version, err)
+			broken = append(broken, fmt.Errorf("decoding row %s at version %d: %w", row.Key, row.Version, err))
+			view.keep(earlier, row.Key)
 		}
 	}
 	for _, line := range listed {
@@ -136,7 +141,7 @@
 	for _, ids := range view.byPool {
 		sort.Strings(ids)
 	}
-	return view, nil
+	return view, errors.Join(broken...)
 }
 
 // Clone returns a copy whose maps may be changed and are never nil.
@@ -182,6 +187,18 @@
 	return !found || line.State != platform.ListedLive
 }
 
+// keep takes over what the earlier view knew of the row.
+func (v *View) keep(earlier *View, key string) {
+	row, known := earlier.Rows[key]
+	if !known || len(row.Value) == 0 {
+		delete(v.Rows, key)
+		return
+	}
+	v.Rows[key] = row
+	// It was decoded before, so it can be taken over.
+	_ = v.put(earlier, row)
+}
+
 func (v *View) put(earlier *View, row platform.Row) error {
 	same := earlier.Rows[row.Key].Version == row.Version
 	switch {
--- a/state/watch.go
+++ b/state/watch.go
@@ -219,14 +219,12 @@
 	return len(news) > 0
 }
 
-// publish builds the view and hands it out. A row that cannot be decoded
-// leaves the earlier view in force.
+// publish builds the view and hands it out.
 func (w *Watch) publish() {
 	all := w.cache.All()
 	view, err := BuildView(w.view.Load(), all, w.listed)
 	if err != nil {
-		w.log.Error("view not built; the earlier one stays in force", "error", err)
-		return
+		w.log.Error("rows left as they were known before", "error", err)
 	}
 	sort.Slice(all, func(i, j int) bool { return all[i].Version < all[j].Version })
 	w.rows.Store(&all)
--- a/work/duty.go
+++ b/work/duty.go
@@ -46,6 +46,9 @@
 
 	// pools maps a pool to what the duty knows of its jobs.
 	pools map[string]*known
+
+	// revision is the table's as of the last scan of jobs.
+	revision int64
 }
 
 // known is the jobs of one pool that have not ended.
@@ -54,9 +57,6 @@
 	rows map[string]platform.Row
 	jobs map[string]*Job
 
-	// revision is that of the last scan.
-	revision int64
-
 	// renewed is when task leases were last renewed.
 	renewed time.Time
 }
@@ -116,9 +116,10 @@
 	return false
 }
 
-// refresh reads the job rows that changed since the last round.
+// refresh reads the job rows that changed since the last round. A row that can't
+// be decoded is left alone; it holds up no other job.
 func (d *Duty) refresh(ctx context.Context) error {
-	page, err := d.table.Scan(ctx, Prefix, d.revision())
+	page, err := d.table.Scan(ctx, Prefix, d.revision)
 	if err != nil {
 		return err
 	}
@@ -128,7 +129,8 @@
 		}
 		job, err := decodeJob(row)
 		if err != nil {
-			return err
+			d.log.Error("job left alone", "error", err)
+			continue
 		}
 		k := d.pool(job.Pool)
 		if k.rows[job.ID].Version >= row.Version {
@@ -136,11 +138,11 @@
 		}
 		k.set(row, job)
 	}
-	d.pool("").revision = page.Revision
+	d.revision = page.Revision
 	return nil
 }
 
-// pool returns what is known of a pool; the empty name holds the revision.
+// pool returns what is known of a pool.
 func (d *Duty) pool(name string) *known {
 	k, found := d.pools[name]
 	if !found {
@@ -153,10 +155,6 @@
 	return k
 }
 
-func (d *Duty) revision() int64 {
-	return d.pool("").revision
-}
-
 // roundPool looks at the whole pool, writes what changes in one transaction,
 // and then has the platform do what the rows say.
 func (d *Duty) roundPool(ctx context.Context, pool string, k *known) error {
--- a/work/job.go
+++ b/work/job.go
@@ -44,6 +44,9 @@
 const (
 	// ReasonMayHaveRun means that an unrepeatable job ended without a result.
 	ReasonMayHaveRun place.Reason = "unrepeatable-and-may-have-run"
+
+	// ReasonUnreadable means that the job's row can't be read.
+	ReasonUnreadable place.Reason = "unreadable-row"
 )
 
 // Prefix starts the keys of jobs; the pool's name and the job's id follow.
--- a/work/store.go
+++ b/work/store.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/google/uuid"
@@ -18,6 +19,9 @@
 	// cancelTries bounds the tries of a cancellation that meets other writes.
 	cancelTries = 5
 
+	// longestName bounds a job's id and its pool's name, in bytes.
+	longestName = 128
+
 	// mostAtOnce bounds the jobs of one transaction.
 	mostAtOnce = 100
 )
@@ -84,7 +88,12 @@
 		}
 		job, err := decodeJob(row)
 		if err != nil {
-			return nil, err
+			job = &Job{
+				ID:     strings.TrimPrefix(row.Key, Prefix+pool+"/"),
+				Pool:   pool,
+				State:  StateSetAside,
+				Reason: ReasonUnreadable,
+			}
 		}
 		jobs = append(jobs, *job)
 	}
@@ -110,11 +119,8 @@
 	}
 	now := clock.Millis(s.clock.Now())
 	for _, job := range jobs {
-		if job.ID == "" || job.Pool == "" || job.Declared.Milliprocessors < 0 || job.Declared.Memory < 0 || job.Declared.Accelerators < 0 {
-			return &InvalidError{
-				ID:     job.ID,
-				Reason: "it needs an id, a pool and sizes of at least 0",
-			}
+		if err := job.check(); err != nil {
+			return err
 		}
 		fresh := Job{
 			ID:           job.ID,
@@ -157,10 +163,7 @@
 			continue
 		}
 		job, err := decodeJob(row)
-		if err != nil {
-			return 0, err
-		}
-		if job.Over() && job.Ended < clock.Millis(before) {
+		if err == nil && job.Over() && job.Ended < clock.Millis(before) {
 			old = append(old, row)
 		}
 	}
@@ -200,7 +203,7 @@
 			}
 			job, err := decodeJob(row)
 			if err != nil {
-				return count, err
+				continue
 			}
 			named := len(ids) == 0 || slices.Contains(ids, job.ID)
 			if !named || job.Over() || job.State == StateCancelling {
@@ -222,6 +225,25 @@
 	return count, nil
 }
 
+// check returns an *InvalidError for a job that can't be taken.
+func (j *Job) check() error {
+	for _, name := range []string{j.ID, j.Pool} {
+		if name == "" || len(name) > longestName || strings.Contains(name, "/") {
+			return &InvalidError{
+				ID:     j.ID,
+				Reason: fmt.Sprintf("its id and its pool must have between 1 and %d bytes and no slash", longestName),
+			}
+		}
+	}
+	if j.Declared.Milliprocessors < 0 || j.Declared.Memory < 0 || j.Declared.Accelerators < 0 {
+		return &InvalidError{
+			ID:     j.ID,
+			Reason: "its sizes must be at least 0",
+		}
+	}
+	return nil
+}
+
 // cancel ends a job that waits and has a running one stopped.
 func (j *Job) cancel(now time.Time) {
 	if j.State == StateWaiting {
--- a/work/work_test.go
+++ b/work/work_test.go
@@ -224,6 +224,28 @@
 	}
 }
 
+func TestBadRowHoldsUpNothing(t *testing.T) {
+	is := is.New(t)
+	f := newFarm(1, 1, time.Second, 0)
+	_, err := f.table.Transact(platform.Transaction{
+		Puts: []platform.Put{{
+			Key:   work.Key("modelos", "broken"),
+			Value: []byte("{"),
+		}},
+	})
+	is.NoErr(err)
+	is.NoErr(f.submit(work.Job{
+		ID: "good",
+	}))
+	f.round()
+	is.Equal(len(f.starts["modelos/good"]), 1)
+	for _, id := range []string{"", "a/b"} {
+		is.True(f.submit(work.Job{
+			ID: id,
+		}) != nil)
+	}
+}
+
 func TestDuplicateSubmission(t *testing.T) {
 	is := is.New(t)
 	f := newFarm(1, 1, time.Hour, 0)
