Clean leases that lapsed; bound what a holder remembers

Cause: a lease row for each plan stayed for ever, and with it a name in every entry's memory. Change: the cleaning duty deletes leases an hour after they lapsed. After: lease, work and carry green with -race.

--- a/carry/clean.go
+++ b/carry/clean.go
@@ -19,6 +19,9 @@
 	// forgetJobsAfter is how long jobs that ended stay visible.
 	forgetJobsAfter = time.Hour
 
+	// forgetLeasesAfter is how long leases that lapsed stay.
+	forgetLeasesAfter = time.Hour
+
 	// forgetPlansAfter is how long plans that ended stay visible; it covers the
 	// report's longest window.
 	forgetPlansAfter = 96 * time.Hour
@@ -78,6 +81,9 @@
 	if _, err := c.jobs.Clean(ctx, now.Add(-forgetJobsAfter)); err != nil {
 		c.log.Debug("jobs not cleaned", "error", err)
 	}
+	if _, err := c.leases.Clean(ctx, now.Add(-forgetLeasesAfter)); err != nil {
+		c.log.Debug("leases not cleaned", "error", err)
+	}
 }
 
 // gone returns the instances that were missing from the list for so long that
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -18,6 +18,10 @@
 	"lemonstream.dev/lemonstream/platform"
 )
 
+// seenMost bounds the leases that a holder remembers. What is forgotten is read
+// again.
+const seenMost = 4096
+
 // Lease is the value of a lease's row.
 type Lease struct {
 	// Epoch grows with each change of holder.
@@ -57,6 +61,37 @@
 	}
 }
 
+// Clean deletes the rows of leases that lapsed before the instant, and returns how
+// many. A lease that is taken meanwhile stays.
+func (h *Holder) Clean(ctx context.Context, before time.Time) (int, error) {
+	page, err := h.table.Scan(ctx, fleet.LeasePrefix, 0)
+	if err != nil {
+		return 0, err
+	}
+	count := 0
+	for _, row := range page.Rows {
+		current, err := decode(row)
+		if len(row.Value) == 0 || err != nil || current.Until >= clock.Millis(before) {
+			continue
+		}
+		_, err = h.table.Commit(ctx, platform.Transaction{
+			Op: uuid.NewString(),
+			Checks: []platform.Check{{
+				Key:     row.Key,
+				Version: row.Version,
+			}},
+			Puts: []platform.Put{{
+				Key: row.Key,
+			}},
+		})
+		if err != nil {
+			return count, err
+		}
+		count++
+	}
+	return count, nil
+}
+
 // Hold takes or renews the lease called name. It returns the lease and whether
 // this entry holds it now; an error means that the table gave no answer. The
 // end of a renewed lease is reckoned from before the call.
@@ -180,6 +215,9 @@
 func (h *Holder) remember(name string, current Lease) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if len(h.seen) >= seenMost {
+		clear(h.seen)
+	}
 	h.seen[name] = current
 }
 
@@ -191,7 +229,7 @@
 
 func decode(row platform.Row) (Lease, error) {
 	var lease Lease
-	if row.Version == 0 {
+	if len(row.Value) == 0 {
 		return lease, nil
 	}
 	if err := json.Unmarshal(row.Value, &lease); err != nil {
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -63,4 +63,15 @@
 	_, held, err = a.Hold(ctx, "duty")
 	is.NoErr(err) // The lost answer is found out.
 	is.True(held)
+
+	count, err := a.Clean(ctx, now.Clock(func() time.Duration { return 0 }).Now())
+	is.NoErr(err)
+	is.Equal(count, 0) // It is held.
+	now.Step(time.Hour)
+	count, err = a.Clean(ctx, now.Clock(func() time.Duration { return 0 }).Now())
+	is.NoErr(err)
+	is.Equal(count, 1)
+	_, held, err = a.Hold(ctx, "duty")
+	is.NoErr(err)
+	is.True(held) // A lease that was cleaned can be taken as ever.
 }
