--- a/cmd/lemonmeasure/main.go
+++ b/cmd/lemonmeasure/main.go
@@ -27,6 +27,7 @@
 		newChoiceCmd(),
 		newOnceCmd(),
 		newPathCmd(),
+		newPlaceCmd(),
 		newPlanCmd(),
 		newQuotaCmd(),
 		newRetryCmd(),
