Look at a pool of jobs with fewer allocations

Most of it was a list of jobs for each worker, which only displacing needs, and the use of teams without a quota. Change: both only where needed; slots in one block.

--- a/place/place.go
+++ b/place/place.go
@@ -104,7 +104,10 @@
 type slot struct {
 	worker Worker
 	free   Size
-	jobs   []*Job
+
+	// jobs run on the worker; they are filled in when a job must be displaced,
+	// which few rounds need.
+	jobs []*Job
 }
 
 // Next returns the next steps.
@@ -114,7 +117,8 @@
 		SetAside: make(map[string]Reason),
 	}
 	p.blame(&steps)
-	slots := p.slots(steps.TakeOut)
+	slots, byID := p.slots(steps.TakeOut)
+	filled := false
 	used := p.used()
 	for _, job := range p.queue() {
 		if _, gone := steps.SetAside[job.ID]; gone {
@@ -130,6 +134,10 @@
 		}
 		chosen := best(slots, job)
 		if chosen == nil && job.Urgent {
+			if !filled {
+				p.fillJobs(byID)
+				filled = true
+			}
 			chosen = p.makeRoom(slots, job, &steps)
 		}
 		if chosen == nil {
@@ -183,7 +191,8 @@
 // and against a worker only by jobs that fail nowhere else.
 func (p Pool) blame(steps *Steps) {
 	only := make(map[string]int)
-	for _, job := range p.Jobs {
+	for i := range p.Jobs {
+		job := &p.Jobs[i]
 		if len(job.FailedOn) != 1 {
 			continue
 		}
@@ -199,7 +208,8 @@
 		}
 	}
 	sort.Strings(steps.TakeOut)
-	for _, job := range p.Jobs {
+	for i := range p.Jobs {
+		job := &p.Jobs[i]
 		good := 0
 		for worker := range job.FailedOn {
 			if !bad[worker] {
@@ -269,18 +279,18 @@
 	return waiting
 }
 
-// slots returns the workers that may get jobs with what is free on them.
-func (p Pool) slots(bad []string) []*slot {
-	byID := make(map[string]*slot, len(p.Workers))
-	slots := make([]*slot, 0, len(p.Workers))
-	for _, worker := range p.Workers {
+// slots returns the workers with what is free on them, also by their ids.
+func (p Pool) slots(bad []string) (slots []*slot, byID map[string]*slot) {
+	byID = make(map[string]*slot, len(p.Workers))
+	slots = make([]*slot, 0, len(p.Workers))
+	held := make([]slot, len(p.Workers))
+	for number, worker := range p.Workers {
 		if i := sort.SearchStrings(bad, worker.ID); i < len(bad) && bad[i] == worker.ID {
 			worker.Leaving = true
 		}
-		s := &slot{
-			worker: worker,
-			free:   worker.Size,
-		}
+		s := &held[number]
+		s.worker = worker
+		s.free = worker.Size
 		byID[worker.ID] = s
 		slots = append(slots, s)
 	}
@@ -288,17 +298,30 @@
 		job := &p.Jobs[i]
 		if s := byID[job.Worker]; s != nil {
 			s.free = s.free.minus(job.Size)
+		}
+	}
+	return slots, byID
+}
+
+// fillJobs notes at each worker the jobs that run there.
+func (p Pool) fillJobs(byID map[string]*slot) {
+	for i := range p.Jobs {
+		job := &p.Jobs[i]
+		if s := byID[job.Worker]; s != nil {
 			s.jobs = append(s.jobs, job)
 		}
 	}
-	return slots
 }
 
-// used returns what each team's jobs take.
+// used returns what the jobs of each team with a quota take.
 func (p Pool) used() map[string]Size {
 	used := make(map[string]Size)
-	for _, job := range p.Jobs {
-		if job.Worker != "" {
+	if len(p.Quotas) == 0 {
+		return used
+	}
+	for i := range p.Jobs {
+		job := &p.Jobs[i]
+		if _, bounded := p.Quotas[job.Team]; bounded && job.Worker != "" {
 			used[job.Team] = used[job.Team].plus(job.Size)
 		}
 	}
