Show with processes that a leaving endpoint is left alone

Cause: leaving was shown in process only and not timed. Change: a test lists an endpoint as leaving under load and waits until it runs nothing more.

--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -72,6 +72,9 @@
 	beat    time.Time
 	reboot  string
 	reboots map[string]bool
+
+	// leaving marks an instance that the list shows as leaving.
+	leaving bool
 }
 
 type pastList struct {
@@ -113,6 +116,15 @@
 	}
 }
 
+// Leave lists the instance as leaving from now on.
+func (p *Platform) Leave(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if one := p.instances[id]; one != nil {
+		one.leaving = true
+	}
+}
+
 // Object returns the object at key, or nil.
 func (p *Platform) Object(key string) []byte {
 	p.mu.Lock()
@@ -222,7 +234,11 @@
 	lines := make([]platform.Listed, 0, len(p.instances))
 	for _, one := range p.instances {
 		if now.Sub(one.beat) <= goneAfter {
-			lines = append(lines, one.listed)
+			line := one.listed
+			if one.leaving {
+				line.State = platform.ListedLeaving
+			}
+			lines = append(lines, line)
 		}
 	}
 	sort.Slice(lines, func(i, j int) bool { return lines[i].ID < lines[j].ID })
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -236,6 +236,27 @@
 	}
 }
 
+// ran returns how many requests the endpoint ran.
+func (f *fleet) ran(id string) int {
+	body, err := os.ReadFile(filepath.Join(f.folder, id+".ran"))
+	f.must(err)
+	return strings.Count(string(body), "ran ")
+}
+
+// listed returns what an entry knows of the list's word on an instance.
+func (f *fleet) listed(entry int, id string) string {
+	var all []operate.InstanceAnswer
+	if err := f.at(entry).Get(context.Background(), operate.PathInstances, &all); err != nil {
+		return ""
+	}
+	for _, one := range all {
+		if one.ID == id {
+			return one.Listed
+		}
+	}
+	return ""
+}
+
 // at returns a client of one entry alone.
 func (f *fleet) at(entry int) *operate.Client {
 	return operate.NewClient([]netip.AddrPort{f.entries[entry].operators})
--- a/proof/process_test.go
+++ b/proof/process_test.go
@@ -145,6 +145,37 @@
 	holds(t, wait())
 }
 
+// TestLeavingEndpointIsLeftAlone lists an endpoint as leaving under load. Once
+// every entry has read that, the endpoint runs nothing more. How long that took is
+// logged, not judged.
+func TestLeavingEndpointIsLeftAlone(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleet(t, 4, 3, "10s")
+	wait := f.callers(10 * time.Second)
+	f.until("requests at the endpoint", func() bool { return f.ran("w1") > 0 })
+	begin := time.Now()
+	f.platform.Leave("w1")
+	for entry := range f.entries {
+		f.until("the entry to read the list", func() bool { return f.listed(entry, "w1") == "leaving" })
+	}
+	known := time.Since(begin)
+	// An entry that holds a slot for a request may wait a second for the home of
+	// its identity before it sends it. Then the count stands still.
+	last, changed := f.ran("w1"), time.Now()
+	f.until("the endpoint to be done", func() bool {
+		if now := f.ran("w1"); now != last {
+			last, changed = now, time.Now()
+		}
+		return time.Since(changed) > 2*time.Second
+	})
+	t.Logf("every entry knew after %s, the last request came within %s", known, changed.Sub(begin))
+	verdict := wait()
+	is.Equal(f.ran("w1"), last) // Nothing came for the rest of the run.
+	holds(t, verdict)
+	is.Equal(verdict.Unknown, 0) // And nothing was cut.
+}
+
 func TestRacingOperators(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
