Wait until a reboot is listed before counting it

The entry that carried the plan had seen the reboot, the entry that was asked had an older list. Ruled out: an instance readmitted without its reboot; a plan is only done with an instance whose row changed since its confirmation, and readmission asks for a higher count. Change: the test waits for each count to have grown, and asks for exactly one more at the end, after the callers are done, so that a second reboot would be seen too.

--- a/proof/process_test.go
+++ b/proof/process_test.go
@@ -138,11 +138,21 @@
 	time.Sleep(3 * time.Second)
 	f.signal(f.entries[1], syscall.SIGCONT)
 	f.until("the maintenance", func() bool { return f.done(plan) })
+	// The asked entry's list may lag that of the entry which carried the plan.
+	f.until("every reboot to be listed", func() bool {
+		count := 0
+		for _, one := range f.instances("serving") {
+			if one.Boot > before[one.ID] {
+				count++
+			}
+		}
+		return count == 6
+	})
+	holds(t, wait())
 	for _, one := range f.instances("serving") {
 		is.Equal(one.Boot, before[one.ID]+1) // Each rebooted exactly once.
 	}
 	is.Equal(len(f.instances("serving")), 6)
-	holds(t, wait())
 }
 
 // TestLeavingEndpointIsLeftAlone lists an endpoint as leaving under load. Once
