Close callers' connections after an answer, not while they are idle

Cause, found by reading: at a planned stop every idle connection was closed at once; a caller that sent in that very moment saw a broken connection and could not know whether its request ran. Change: while the entry leaves, each answer carries Connection: close, and idle connections are only closed after the notice of a second.

--- a/entry/handler.go
+++ b/entry/handler.go
@@ -45,7 +45,7 @@
 	clock    clock.Clock
 	log      *slog.Logger
 	limits   Limits
-	stopping atomic.Bool
+	leaving  atomic.Bool
 
 	// open reports whether the entry may send requests to endpoints.
 	open func() bool
@@ -98,15 +98,20 @@
 	})
 }
 
+// Leave has every connection closed after its next answer. Requests are served as
+// before, so that callers find another entry without losing any.
+func (h *Handler) Leave() {
+	h.leaving.Store(true)
+}
+
 // Stop refuses new requests as not run; those in flight go on.
 func (h *Handler) Stop() {
-	h.stopping.Store(true)
 	h.services.Stop()
 }
 
 func (h *Handler) serve(c *gin.Context) {
 	start := h.clock.Now()
-	if h.stopping.Load() {
+	if h.leaving.Load() {
 		c.Header("Connection", "close")
 	}
 	r, problem := parseRequest(c, start)
--- a/entry/plugin.go
+++ b/entry/plugin.go
@@ -98,7 +98,7 @@
 // told, then new work is refused as not run, then what is in flight ends.
 func stopServer(ctx context.Context, server *Server, h *Handler, r *Readiness, log *slog.Logger, timeout time.Duration) error {
 	r.Leave()
-	server.CloseAfterAnswer()
+	h.Leave()
 	clock.Sleep(ctx, leaveNotice)
 	h.Stop()
 	finishing, cancel := context.WithTimeout(ctx, timeout)
--- a/entry/server.go
+++ b/entry/server.go
@@ -58,11 +58,6 @@
 	}
 }
 
-// CloseAfterAnswer has every connection closed after its next answer.
-func (s *Server) CloseAfterAnswer() {
-	s.http.SetKeepAlivesEnabled(false)
-}
-
 // Listen opens the address. Connections above the limit wait to be accepted.
 func (s *Server) Listen() error {
 	listener, err := net.Listen("tcp", s.options.Address.String())
