Give silent workers no longer lease: each one sent put off their lapse

Ruled out: takeover (the owner was the same). Change: a look at a worker that was silent renews nothing.

--- a/carry/carry.go
+++ b/carry/carry.go
@@ -18,8 +18,8 @@
 	"lemonstream.dev/lemonstream/fleet"
 	"lemonstream.dev/lemonstream/intent"
 	"lemonstream.dev/lemonstream/lease"
-	"lemonstream.dev/lemonstream/store"
 	"lemonstream.dev/lemonstream/state"
+	"lemonstream.dev/lemonstream/store"
 )
 
 const (
--- a/carry/enroll.go
+++ b/carry/enroll.go
@@ -8,8 +8,8 @@
 	"lemonstream.dev/lemonstream/clock"
 	"lemonstream.dev/lemonstream/control"
 	"lemonstream.dev/lemonstream/lease"
-	"lemonstream.dev/lemonstream/store"
 	"lemonstream.dev/lemonstream/state"
+	"lemonstream.dev/lemonstream/store"
 )
 
 // enrollMost bounds the instances written in one transaction.
--- a/carry/plugin.go
+++ b/carry/plugin.go
@@ -15,9 +15,9 @@
 	"lemonstream.dev/lemonstream/kernel"
 	"lemonstream.dev/lemonstream/lease"
 	"lemonstream.dev/lemonstream/member"
-	"lemonstream.dev/lemonstream/store"
 	"lemonstream.dev/lemonstream/settings"
 	"lemonstream.dev/lemonstream/state"
+	"lemonstream.dev/lemonstream/store"
 	"lemonstream.dev/lemonstream/work"
 )
 
--- a/carry/world_test.go
+++ b/carry/world_test.go
@@ -16,8 +16,8 @@
 	"lemonstream.dev/lemonstream/internal/standin"
 	"lemonstream.dev/lemonstream/lease"
 	"lemonstream.dev/lemonstream/member"
-	"lemonstream.dev/lemonstream/store"
 	"lemonstream.dev/lemonstream/state"
+	"lemonstream.dev/lemonstream/store"
 )
 
 const (
--- a/cmd/lemonmeasure/pathcmd.go
+++ b/cmd/lemonmeasure/pathcmd.go
@@ -24,8 +24,8 @@
 	"lemonstream.dev/lemonstream/fleet"
 	"lemonstream.dev/lemonstream/forward"
 	"lemonstream.dev/lemonstream/once"
-	"lemonstream.dev/lemonstream/store"
 	"lemonstream.dev/lemonstream/state"
+	"lemonstream.dev/lemonstream/store"
 )
 
 // The path measure: 32 connections for three seconds to one endpoint that
--- a/cmd/lemonmeasure/plancmd.go
+++ b/cmd/lemonmeasure/plancmd.go
@@ -12,8 +12,8 @@
 	"lemonstream.dev/lemonstream/config"
 	"lemonstream.dev/lemonstream/fleet"
 	"lemonstream.dev/lemonstream/intent"
-	"lemonstream.dev/lemonstream/store"
 	"lemonstream.dev/lemonstream/state"
+	"lemonstream.dev/lemonstream/store"
 )
 
 // planRuns is how often each plan is made; the median is reported.
--- a/cmd/lemonmeasure/spreadcmd.go
+++ b/cmd/lemonmeasure/spreadcmd.go
@@ -21,8 +21,8 @@
 	"lemonstream.dev/lemonstream/internal/standin"
 	"lemonstream.dev/lemonstream/kernel"
 	"lemonstream.dev/lemonstream/member"
-	"lemonstream.dev/lemonstream/store"
 	"lemonstream.dev/lemonstream/state"
+	"lemonstream.dev/lemonstream/store"
 )
 
 // The spread measure: nine entries in one process, each with its own view,
--- a/cmd/lemonmeasure/urgentcmd.go
+++ b/cmd/lemonmeasure/urgentcmd.go
@@ -14,8 +14,8 @@
 	"lemonstream.dev/lemonstream/fleet"
 	"lemonstream.dev/lemonstream/internal/standin"
 	"lemonstream.dev/lemonstream/lease"
-	"lemonstream.dev/lemonstream/store"
 	"lemonstream.dev/lemonstream/state"
+	"lemonstream.dev/lemonstream/store"
 	"lemonstream.dev/lemonstream/work"
 )
 
--- a/cmd/lemonmeasure/wavescmd.go
+++ b/cmd/lemonmeasure/wavescmd.go
@@ -10,8 +10,8 @@
 	"lemonstream.dev/lemonstream/budget"
 	"lemonstream.dev/lemonstream/config"
 	"lemonstream.dev/lemonstream/intent"
-	"lemonstream.dev/lemonstream/store"
 	"lemonstream.dev/lemonstream/state"
+	"lemonstream.dev/lemonstream/store"
 )
 
 // The waves measure counts each wave with the times that plans are reckoned
--- a/control/steps.go
+++ b/control/steps.go
@@ -7,8 +7,8 @@
 	"lemonstream.dev/lemonstream/clock"
 	"lemonstream.dev/lemonstream/fleet"
 	"lemonstream.dev/lemonstream/intent"
-	"lemonstream.dev/lemonstream/store"
 	"lemonstream.dev/lemonstream/state"
+	"lemonstream.dev/lemonstream/store"
 )
 
 // PhaseError reports a step on an instance that is not where the step starts.
--- a/control/store.go
+++ b/control/store.go
@@ -18,8 +18,8 @@
 	"lemonstream.dev/lemonstream/clock"
 	"lemonstream.dev/lemonstream/fleet"
 	"lemonstream.dev/lemonstream/intent"
-	"lemonstream.dev/lemonstream/store"
 	"lemonstream.dev/lemonstream/state"
+	"lemonstream.dev/lemonstream/store"
 )
 
 // listFreshness is how old the platform's list may be for a permit.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -12,8 +12,8 @@
 	"lemonstream.dev/lemonstream/clock"
 	"lemonstream.dev/lemonstream/fleet"
 	"lemonstream.dev/lemonstream/kernel"
-	"lemonstream.dev/lemonstream/store"
 	"lemonstream.dev/lemonstream/settings"
+	"lemonstream.dev/lemonstream/store"
 
 	// The plug-ins register themselves.
 	_ "lemonstream.dev/lemonstream/carry"
--- a/entry/fault_test.go
+++ b/entry/fault_test.go
@@ -16,8 +16,8 @@
 	"lemonstream.dev/lemonstream/entry"
 	"lemonstream.dev/lemonstream/fleet"
 	"lemonstream.dev/lemonstream/internal/prove"
-	"lemonstream.dev/lemonstream/store"
 	"lemonstream.dev/lemonstream/state"
+	"lemonstream.dev/lemonstream/store"
 )
 
 // Faults of an endpoint, by name.
--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -27,8 +27,8 @@
 	"lemonstream.dev/lemonstream/fleet"
 	"lemonstream.dev/lemonstream/forward"
 	"lemonstream.dev/lemonstream/once"
-	"lemonstream.dev/lemonstream/store"
 	"lemonstream.dev/lemonstream/state"
+	"lemonstream.dev/lemonstream/store"
 )
 
 // behaviour is what an endpoint does with a connection.
--- a/entry/services.go
+++ b/entry/services.go
@@ -14,9 +14,9 @@
 	"lemonstream.dev/lemonstream/fleet"
 	"lemonstream.dev/lemonstream/forward"
 	"lemonstream.dev/lemonstream/member"
-	"lemonstream.dev/lemonstream/store"
 	"lemonstream.dev/lemonstream/route"
 	"lemonstream.dev/lemonstream/state"
+	"lemonstream.dev/lemonstream/store"
 )
 
 // service is one service as the request path sees it.
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"net/http"
@@ -194,7 +195,7 @@
 		switch {
 		case err == nil:
 			s.Log.Info("job accepted", "job", record.ID, "route", record.Route, "service", r.route.Service,
-				"row", receipt.Version, "catalog", catalogVersion, "tasks", tasks(record.Spec))
+				"row", receipt.Version, "catalog", catalogVersion, "steps", describe(record.Spec))
 			s.tell(r.route.Service, record, receipt.Version)
 			r.Status(http.StatusOK)
 			return
@@ -268,10 +269,25 @@
 	return s.Owners.Peers.Offer(ctx, address, service, record, version, first)
 }
 
-func tasks(spec job.Spec) int {
-	count := 0
+// describe returns the steps of a job in a line: what it needs and for how long.
+func describe(spec job.Spec) string {
+	var text strings.Builder
 	for i := range spec.Steps {
-		count += spec.Steps[i].Count
+		step := &spec.Steps[i]
+		fmt.Fprintf(&text, "%dx%dm/%dMB/%dms", step.Count, step.Need.MilliCPU, step.Need.MemoryMB, step.Estimate.Milliseconds())
+		if step.Lasting {
+			fmt.Fprintf(&text, " lasting may_miss=%d", step.MayMiss)
+		}
+		if step.Filler {
+			text.WriteString(" filler")
+		}
+		if step.TailTarget > 0 {
+			fmt.Fprintf(&text, " tail=%dms", step.TailTarget.Milliseconds())
+		}
+		if step.PerWorker > 0 {
+			fmt.Fprintf(&text, " per_worker=%d", step.PerWorker)
+		}
+		fmt.Fprintf(&text, " image=%s;", step.Image)
 	}
-	return count
+	return text.String()
 }
--- a/member/live_test.go
+++ b/member/live_test.go
@@ -14,8 +14,8 @@
 	"lemonstream.dev/lemonstream/internal/standin"
 	"lemonstream.dev/lemonstream/kernel"
 	"lemonstream.dev/lemonstream/member"
-	"lemonstream.dev/lemonstream/store"
 	"lemonstream.dev/lemonstream/state"
+	"lemonstream.dev/lemonstream/store"
 )
 
 // TestOutageMakesNobodyLapse keeps a member whose row could not be read again
--- a/member/peers.go
+++ b/member/peers.go
@@ -16,8 +16,8 @@
 	"lemonstream.dev/lemonstream/clock"
 	"lemonstream.dev/lemonstream/fleet"
 	"lemonstream.dev/lemonstream/kernel"
-	"lemonstream.dev/lemonstream/store"
 	"lemonstream.dev/lemonstream/state"
+	"lemonstream.dev/lemonstream/store"
 )
 
 // callTimeout bounds one message of the duty.
--- a/member/registrar.go
+++ b/member/registrar.go
@@ -12,8 +12,8 @@
 
 	"lemonstream.dev/lemonstream/clock"
 	"lemonstream.dev/lemonstream/fleet"
-	"lemonstream.dev/lemonstream/store"
 	"lemonstream.dev/lemonstream/state"
+	"lemonstream.dev/lemonstream/store"
 )
 
 const (
--- a/once/homes.go
+++ b/once/homes.go
@@ -15,8 +15,8 @@
 
 	"lemonstream.dev/lemonstream/clock"
 	"lemonstream.dev/lemonstream/fleet"
-	"lemonstream.dev/lemonstream/store"
 	"lemonstream.dev/lemonstream/state"
+	"lemonstream.dev/lemonstream/store"
 )
 
 // movesATick bounds the partitions handed to a better home in one tick.
--- a/once/plugin.go
+++ b/once/plugin.go
@@ -11,9 +11,9 @@
 	"lemonstream.dev/lemonstream/fleet"
 	"lemonstream.dev/lemonstream/kernel"
 	"lemonstream.dev/lemonstream/member"
-	"lemonstream.dev/lemonstream/store"
 	"lemonstream.dev/lemonstream/settings"
 	"lemonstream.dev/lemonstream/state"
+	"lemonstream.dev/lemonstream/store"
 )
 
 func init() {
--- a/once/tend.go
+++ b/once/tend.go
@@ -11,8 +11,8 @@
 	"github.com/google/uuid"
 
 	"lemonstream.dev/lemonstream/clock"
-	"lemonstream.dev/lemonstream/store"
 	"lemonstream.dev/lemonstream/state"
+	"lemonstream.dev/lemonstream/store"
 )
 
 // change is a home's row with the value it is to get.
--- a/operate/handler.go
+++ b/operate/handler.go
@@ -14,9 +14,9 @@
 	"lemonstream.dev/lemonstream/entry"
 	"lemonstream.dev/lemonstream/intent"
 	"lemonstream.dev/lemonstream/member"
-	"lemonstream.dev/lemonstream/store"
 	"lemonstream.dev/lemonstream/settings"
 	"lemonstream.dev/lemonstream/state"
+	"lemonstream.dev/lemonstream/store"
 	"lemonstream.dev/lemonstream/wave"
 	"lemonstream.dev/lemonstream/work"
 )
--- a/operate/plugin.go
+++ b/operate/plugin.go
@@ -17,9 +17,9 @@
 	"lemonstream.dev/lemonstream/entry"
 	"lemonstream.dev/lemonstream/kernel"
 	"lemonstream.dev/lemonstream/member"
-	"lemonstream.dev/lemonstream/store"
 	"lemonstream.dev/lemonstream/settings"
 	"lemonstream.dev/lemonstream/state"
+	"lemonstream.dev/lemonstream/store"
 	"lemonstream.dev/lemonstream/work"
 )
 
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -270,11 +270,17 @@
 		if w.failures > 0 || !w.known || !w.doubted.IsZero() || w.acked < w.processed {
 			wait = 0
 		}
+		// A worker that was silent gets no longer lease until it answers again:
+		// each one sent would put off the moment when it has lapsed for sure.
+		until := time.Duration(0)
+		if w.failures == 0 {
+			until = w.deadline(now, s.opts.Lease)
+		}
 		w.holding = true
 		s.orders.Holds = append(s.orders.Holds, Hold{
 			Worker: w.ref(),
 			Renewal: outside.Renewal{
-				Until:        w.deadline(now, s.opts.Lease),
+				Until:        until,
 				Fence:        s.fence,
 				Acknowledged: w.acked,
 				Wait:         wait,
--- a/state/plugin.go
+++ b/state/plugin.go
@@ -10,8 +10,8 @@
 	"lemonstream.dev/lemonstream/fleet"
 	"lemonstream.dev/lemonstream/kernel"
 	"lemonstream.dev/lemonstream/lease"
-	"lemonstream.dev/lemonstream/store"
 	"lemonstream.dev/lemonstream/settings"
+	"lemonstream.dev/lemonstream/store"
 )
 
 func init() {
--- a/state/view_test.go
+++ b/state/view_test.go
@@ -8,8 +8,8 @@
 
 	"lemonstream.dev/lemonstream/config"
 	"lemonstream.dev/lemonstream/fleet"
-	"lemonstream.dev/lemonstream/store"
 	"lemonstream.dev/lemonstream/state"
+	"lemonstream.dev/lemonstream/store"
 )
 
 func encode(t *testing.T, key string, version int64, value any) store.Row {
--- a/state/watch.go
+++ b/state/watch.go
@@ -10,8 +10,8 @@
 
 	"lemonstream.dev/lemonstream/clock"
 	"lemonstream.dev/lemonstream/fleet"
-	"lemonstream.dev/lemonstream/store"
 	"lemonstream.dev/lemonstream/ring"
+	"lemonstream.dev/lemonstream/store"
 )
 
 // incomingCapacity is the number of batches of rows from peers and writers
--- a/work/duty.go
+++ b/work/duty.go
@@ -17,8 +17,8 @@
 	"lemonstream.dev/lemonstream/fleet"
 	"lemonstream.dev/lemonstream/lease"
 	"lemonstream.dev/lemonstream/place"
-	"lemonstream.dev/lemonstream/store"
 	"lemonstream.dev/lemonstream/state"
+	"lemonstream.dev/lemonstream/store"
 )
 
 const (
--- a/work/plugin.go
+++ b/work/plugin.go
@@ -11,9 +11,9 @@
 	"lemonstream.dev/lemonstream/fleet"
 	"lemonstream.dev/lemonstream/kernel"
 	"lemonstream.dev/lemonstream/lease"
-	"lemonstream.dev/lemonstream/store"
 	"lemonstream.dev/lemonstream/settings"
 	"lemonstream.dev/lemonstream/state"
+	"lemonstream.dev/lemonstream/store"
 )
 
 // mostPause bounds the pause between two rounds, so that an urgent job is seen
--- a/work/work_test.go
+++ b/work/work_test.go
@@ -15,8 +15,8 @@
 	"lemonstream.dev/lemonstream/internal/prove"
 	"lemonstream.dev/lemonstream/internal/standin"
 	"lemonstream.dev/lemonstream/lease"
-	"lemonstream.dev/lemonstream/store"
 	"lemonstream.dev/lemonstream/state"
+	"lemonstream.dev/lemonstream/store"
 	"lemonstream.dev/lemonstream/work"
 )
 
