--- a/owner/duty.go
+++ b/owner/duty.go
@@ -16,16 +16,10 @@
 	"lemonstream.dev/lemonstream/outside"
 	"lemonstream.dev/lemonstream/ring"
 	"lemonstream.dev/lemonstream/shard"
+	"lemonstream.dev/lemonstream/site"
 )
 
 const (
-	// beatPause is the longest time between two transactions of an owner; its
-	// successors take the shard when they miss a few.
-	beatPause = 500 * time.Millisecond
-
-	// commitRetry is the pause before a refused transaction is sent again.
-	commitRetry = 60 * time.Millisecond
-
 	// eventsMost bounds the events that wait for the duty: the answers of
 	// several thousand orders.
 	eventsMost = 16_384
@@ -50,18 +44,26 @@
 	Catalog  func() *catalog.Catalog
 	Registry *Registry
 	Options  shard.Options
+
+	// Machines and Waves are what the duty for the machines works with.
+	Machines outside.Machines
+	Waves    WaveSource
+
+	// Loads asks the owner of a service, wherever it runs.
+	Loads func(ctx context.Context, service string, closed, ended []string) (shard.Load, error)
+
+	// Holder is how this entry is named at the machines.
+	Holder string
+
+	// Site holds the platform's bounds.
+	Site site.Settings
 }
 
 // Duty owns one service under one epoch. Its loop alone touches the shard.
 type Duty struct {
 	deps    Deps
 	service string
-	epoch   int64
-
-	// ownerVersion and beatVersion are what every transaction checks.
-	ownerVersion int64
-	beatVersion  int64
-	sequence     int64
+	tenure  *tenure
 
 	core   *shard.Shard
 	events *ring.Ring[event]
@@ -70,11 +72,6 @@
 	shown   sync.Map
 	pending atomic.Pointer[map[string]int]
 
-	// lastWrite is when the last transaction that was applied was sent.
-	lastWrite time.Time
-
-	// wrote is lastWrite in milliseconds, for those who ask.
-	wrote      atomic.Int64
 	committing bool
 	released   chan struct{}
 	releasing  bool
@@ -87,31 +84,16 @@
 // event is one thing that the loop has to take in.
 type event func(d *Duty, now time.Time)
 
-// LostError reports that a duty ended because another owner was seen or the
-// store could not be written for too long.
-type LostError struct {
-	Service string
-	Reason  string
-}
-
-// Error implements error.
-func (e *LostError) Error() string {
-	return "service " + e.Service + " is no longer owned: " + e.Reason
-}
-
 func newDuty(deps Deps, service string, won claim, now time.Time, blindFor time.Duration) *Duty {
 	options := deps.Options
 	options.BlindFor = blindFor
 	log := deps.Log.With("service", service, "epoch", won.epoch)
 	d := &Duty{
-		deps:         deps,
-		service:      service,
-		epoch:        won.epoch,
-		ownerVersion: won.version,
-		beatVersion:  won.version,
-		events:       ring.New[event](eventsMost),
-		lastWrite:    now,
-		released:     make(chan struct{}),
+		deps:     deps,
+		service:  service,
+		tenure:   newTenure(deps, service, won, now),
+		events:   ring.New[event](eventsMost),
+		released: make(chan struct{}),
 	}
 	options.Report = func(event string, fields ...any) {
 		log.Info(event, fields...)
@@ -127,7 +109,6 @@
 		found, ok := deps.Catalog().Route(route)
 		return found.Policy, ok
 	}
-	d.wrote.Store(clock.Millis(now))
 	d.core = shard.New(service, won.epoch, won.version, now, options)
 	return d
 }
@@ -159,6 +140,26 @@
 	return (*counts)[route], true
 }
 
+// Load tells the duty which workers are closed and which have ended, and returns
+// what the service needs and has.
+func (d *Duty) Load(ctx context.Context, closed, ended []string) (shard.Load, error) {
+	answer := make(chan shard.Load, 1)
+	err := d.push(func(d *Duty, now time.Time) {
+		d.core.End(ended, now)
+		d.core.SetClosed(closed, now)
+		answer <- d.core.Load(now)
+	})
+	if err != nil {
+		return shard.Load{}, err
+	}
+	select {
+	case load := <-answer:
+		return load, nil
+	case <-ctx.Done():
+		return shard.Load{}, ctx.Err()
+	}
+}
+
 // Cancel withdraws a job and waits until the table says so. It reports false
 // where the job is not known here.
 func (d *Duty) Cancel(ctx context.Context, id string) (bool, error) {
@@ -236,14 +237,14 @@
 func (d *Duty) lost(now time.Time) error {
 	if d.core.Deposed() {
 		return &LostError{
-			Service: d.service,
-			Reason:  "a newer owner was seen",
+			Part:   d.service,
+			Reason: "a newer owner was seen",
 		}
 	}
-	if now.Sub(d.lastWrite) > ownerHorizon {
+	if now.Sub(d.tenure.lastWrite) > ownerHorizon {
 		return &LostError{
-			Service: d.service,
-			Reason:  "nothing could be written for " + now.Sub(d.lastWrite).String(),
+			Part:   d.service,
+			Reason: "nothing could be written for " + now.Sub(d.tenure.lastWrite).String(),
 		}
 	}
 	return nil
@@ -289,7 +290,7 @@
 			d.core.Cancel(id, now, func() {})
 		}
 	}
-	d.deps.Log.Info("shard loaded", "service", d.service, "epoch", d.epoch, "records", len(records), "progress", len(rows))
+	d.deps.Log.Info("shard loaded", "service", d.service, "epoch", d.tenure.epoch, "records", len(records), "progress", len(rows))
 	return since, nil
 }
 
@@ -366,7 +367,7 @@
 	}
 	for _, stop := range orders.Stops {
 		d.deps.Group.Go("stop", func(context.Context) error {
-			heard, err := d.deps.Workers.Stop(ctx, stop.Worker, stop.Task, stop.Run, d.epoch)
+			heard, err := d.deps.Workers.Stop(ctx, stop.Worker, stop.Task, stop.Run, d.tenure.epoch)
 			d.pushLogged(func(d *Duty, at time.Time) {
 				d.core.Stopped(stop.Worker.ID, stop.Task, stop.Run, at, heard, err)
 			})
--- /dev/null
+++ b/owner/fleet.go
@@ -0,0 +1,443 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"lemonstream.dev/lemonstream/clock"
+	"lemonstream.dev/lemonstream/outside"
+	"lemonstream.dev/lemonstream/pool"
+)
+
+const (
+	// partMachines is the part of the table whose owner orders the machines
+	// about. It can't be the name of a service.
+	partMachines = "/machines"
+
+	// tableWaves holds how far each wave has come.
+	tableWaves = "wave"
+
+	// fleetPause is the time between two rounds of the machines' duty. Demand
+	// doubles within a second or two, and a move takes longer than that.
+	fleetPause = 200 * time.Millisecond
+
+	// listPause is the time between two readings of the list of machines, each
+	// of which is priced like a call to the store.
+	listPause = 400 * time.Millisecond
+
+	// loadTimeout bounds the question for a service's load.
+	loadTimeout = 300 * time.Millisecond
+
+	// orderFresh is how old the last write may be for an order to a machine to
+	// be given. A successor waits several times longer before its first order,
+	// so that an owner that was frozen gives none when it wakes.
+	orderFresh = time.Second
+
+	// waveRounds bounds the waves that are worked on at one time.
+	waveRounds = 8
+)
+
+// WaveSource is where waves come from and where their state is shown.
+type WaveSource struct {
+	// Waves returns the requests that stand in the operator's table.
+	Waves func() []outside.Wave
+
+	// StatusKey names the row that shows the state of a wave, and Status is its
+	// value.
+	StatusKey func(number int64) outside.Key
+	Status    func(completed bool) []byte
+}
+
+// waveRow is the row of how far a wave has come.
+type waveRow struct {
+	// SeenMillis is when the wave was first seen, since 1970.
+	SeenMillis int64    `cbor:"1,keyasint"`
+	Done       []string `cbor:"2,keyasint"`
+	Completed  bool     `cbor:"3,keyasint"`
+}
+
+// waveState is one wave in memory.
+type waveState struct {
+	pool.Wave
+
+	completed bool
+
+	// written says that the row shows what is known; shown that the operator
+	// was told that the wave is under way.
+	written bool
+	shown   bool
+}
+
+// fleet is the duty that moves machines between pools and takes them down for
+// maintenance. One entry has it at a time.
+type fleet struct {
+	deps   Deps
+	tenure *tenure
+	sizer  *pool.Sizer
+
+	waves    map[int64]*waveState
+	machines []outside.Machine
+	listed   time.Time
+
+	// closed and ended are told to the owners with the next question.
+	closed map[string][]string
+	ended  map[string][]string
+
+	// quietUntil is until when no order is given, because the holder before may
+	// have given one just now.
+	quietUntil time.Time
+
+	stop     chan struct{}
+	stopOnce sync.Once
+	released chan struct{}
+}
+
+func newFleet(deps Deps, won claim, now time.Time) *fleet {
+	f := &fleet{
+		deps:     deps,
+		tenure:   newTenure(deps, partMachines, won, now),
+		sizer:    pool.NewSizer(deps.Site.MoveTime, deps.Site.MaintainTime),
+		waves:    make(map[int64]*waveState),
+		closed:   make(map[string][]string),
+		ended:    make(map[string][]string),
+		stop:     make(chan struct{}),
+		released: make(chan struct{}),
+	}
+	if won.epoch > 1 {
+		f.quietUntil = now.Add(deps.Site.HolderPause + fleetPause)
+	}
+	return f
+}
+
+// run works until ctx ends, the duty is released, or it is lost.
+func (f *fleet) run(ctx context.Context) error {
+	if err := f.load(ctx); err != nil {
+		return err
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-f.stop:
+			err := f.write(ctx, true)
+			close(f.released)
+			return err
+		case <-f.deps.Clock.After(fleetPause):
+		}
+		if err := f.round(ctx); err != nil {
+			return err
+		}
+	}
+}
+
+// release hands the duty over.
+func (f *fleet) release(ctx context.Context, wait time.Duration) {
+	f.stopOnce.Do(func() { close(f.stop) })
+	select {
+	case <-f.released:
+	case <-ctx.Done():
+	case <-f.deps.Clock.After(wait):
+	}
+}
+
+// load reads how far the waves have come.
+func (f *fleet) load(ctx context.Context) error {
+	rows, _, err := f.deps.Table.ReadAll(ctx, tableWaves, partMachines)
+	if err != nil {
+		return err
+	}
+	for _, row := range rows {
+		number, err := strconv.ParseInt(row.Key.Name, 10, 64)
+		var stored waveRow
+		if err == nil {
+			err = cbor.Unmarshal(row.Value, &stored)
+		}
+		if err != nil {
+			f.deps.Log.Error("row left out", "table", row.Key.Table, "key", row.Key.Name, "error", err)
+			continue
+		}
+		state := &waveState{
+			completed: stored.Completed,
+			written:   true,
+		}
+		state.Seen = clock.FromMillis(stored.SeenMillis)
+		state.Done = make(map[string]bool)
+		for _, machine := range stored.Done {
+			state.Done[machine] = true
+		}
+		f.waves[number] = state
+	}
+	return nil
+}
+
+// round looks, decides and orders once.
+func (f *fleet) round(ctx context.Context) error {
+	f.takeWaves()
+	if f.deps.Clock.Now().Sub(f.listed) >= listPause {
+		list, err := f.deps.Machines.List(ctx)
+		if err != nil {
+			f.deps.Log.Warn("machines not listed", "error", err.Error())
+		} else {
+			f.machines = list
+			f.listed = f.deps.Clock.Now()
+		}
+	}
+	view := pool.View{
+		Services: f.services(ctx),
+		Machines: f.machines,
+		Waves:    f.openWaves(),
+		Now:      f.deps.Clock.Now(),
+	}
+	if view.Now.Sub(f.listed) < listPause*4 {
+		plan := f.sizer.Plan(view)
+		f.closed = plan.Closed
+		if !view.Now.Before(f.quietUntil) {
+			f.order(ctx, plan)
+		}
+	}
+	f.completeWaves()
+	return f.write(ctx, false)
+}
+
+// takeWaves takes in what the operator asks for.
+func (f *fleet) takeWaves() {
+	now := f.deps.Clock.Now()
+	for _, wave := range f.deps.Waves.Waves() {
+		state, found := f.waves[wave.Number]
+		if !found {
+			state = &waveState{}
+			state.Seen = now
+			state.Done = make(map[string]bool)
+			f.waves[wave.Number] = state
+			f.deps.Log.Info("wave seen", "wave", wave.Number, "machines", len(wave.Machines),
+				"at_once", wave.AtOnce, "within_ms", wave.Within.Milliseconds())
+		}
+		state.Wave.Wave = wave
+	}
+}
+
+func (f *fleet) openWaves() []*pool.Wave {
+	var list []*pool.Wave
+	for _, state := range f.waves {
+		if !state.completed && state.Number > 0 && len(list) < waveRounds {
+			list = append(list, &state.Wave)
+		}
+	}
+	return list
+}
+
+// services asks every owner for its load and tells it what is closed.
+func (f *fleet) services(ctx context.Context) []pool.Service {
+	configured := f.deps.Catalog().Services
+	list := make([]pool.Service, len(configured))
+	var all sync.WaitGroup
+	for i, service := range configured {
+		list[i] = pool.Service{
+			Name:   service.Name,
+			Asleep: service.Asleep,
+		}
+		all.Add(1)
+		f.deps.Group.Go("load", func(context.Context) error {
+			defer all.Done()
+			bounded, cancel := context.WithTimeout(ctx, loadTimeout)
+			defer cancel()
+			load, err := f.deps.Loads(bounded, service.Name, f.closed[service.Name], f.ended[service.Name])
+			if err != nil {
+				f.deps.Log.Info("load not known", "service", service.Name, "error", err.Error())
+				return nil
+			}
+			list[i].Load = load
+			list[i].Known = true
+			return nil
+		})
+	}
+	all.Wait()
+	for i := range list {
+		if list[i].Known {
+			delete(f.ended, list[i].Name)
+		}
+	}
+	return list
+}
+
+// order gives the orders of a plan, all at once, and takes in their answers.
+func (f *fleet) order(ctx context.Context, plan pool.Plan) {
+	type outcome struct {
+		machine, worker, from, to string
+		wave                      int64
+		err                       error
+	}
+	outcomes := make([]outcome, 0, len(plan.Moves)+len(plan.Maintenances))
+	for _, m := range plan.Moves {
+		outcomes = append(outcomes, outcome{
+			machine: m.Machine,
+			worker:  m.Worker,
+			from:    m.From,
+			to:      m.To,
+		})
+	}
+	for _, m := range plan.Maintenances {
+		outcomes = append(outcomes, outcome{
+			machine: m.Machine,
+			worker:  m.Worker,
+			from:    m.Pool,
+			wave:    m.Wave,
+		})
+	}
+	limit := max(1, int(f.deps.Site.MachineCalls*fleetPause.Seconds()))
+	if len(outcomes) > limit {
+		outcomes = outcomes[:limit]
+	}
+	var all sync.WaitGroup
+	for i := range outcomes {
+		o := &outcomes[i]
+		all.Add(1)
+		f.deps.Group.Go("machine order", func(context.Context) error {
+			defer all.Done()
+			o.err = f.orderOne(ctx, o.machine, o.to, o.wave)
+			return nil
+		})
+	}
+	all.Wait()
+	for _, o := range outcomes {
+		f.settle(o.machine, o.worker, o.from, o.to, o.wave, o.err)
+	}
+}
+
+// orderOne gives one order, if the tenure was confirmed a moment ago.
+func (f *fleet) orderOne(ctx context.Context, machine, to string, wave int64) error {
+	if age := f.deps.Clock.Now().Sub(clock.FromMillis(f.tenure.wrote.Load())); age > orderFresh {
+		return &LostError{
+			Part:   partMachines,
+			Reason: "the last write is " + age.String() + " old",
+		}
+	}
+	if wave > 0 {
+		return f.deps.Machines.Maintain(ctx, machine, wave, f.deps.Holder, f.tenure.epoch)
+	}
+	return f.deps.Machines.Move(ctx, machine, to, f.deps.Holder, f.tenure.epoch)
+}
+
+// settle takes in the answer to an order.
+func (f *fleet) settle(machine, worker, from, to string, wave int64, err error) {
+	now := f.deps.Clock.Now()
+	var refused *outside.MachineRefusedError
+	var notDone *outside.NotDoneError
+	var lost *LostError
+	switch {
+	case err == nil:
+		f.deps.Log.Info("machine ordered", "machine", machine, "worker", worker, "from", from, "to", to, "wave", wave, "epoch", f.tenure.epoch)
+		f.sizer.Ordered(machine, to, worker, wave, now)
+		f.ended[from] = append(f.ended[from], worker)
+		f.done(wave, machine)
+	case errors.As(err, &refused):
+		f.sizer.Refused(machine, to, false, now)
+	case errors.As(err, &notDone):
+		f.sizer.Refused(machine, to, notDone.Status == statusBadRequest, now)
+	case errors.As(err, &lost):
+	default:
+		// It may have been done: the machine counts as under way.
+		f.sizer.Ordered(machine, to, worker, wave, now)
+	}
+	if err != nil {
+		f.deps.Log.Warn("machine order without success", "machine", machine, "worker", worker, "from", from, "to", to, "wave", wave, "error", err.Error())
+	}
+}
+
+// statusBadRequest is the answer to an order that can never be carried out.
+const statusBadRequest = 400
+
+func (f *fleet) done(wave int64, machine string) {
+	if state, found := f.waves[wave]; found {
+		state.Done[machine] = true
+		state.written = false
+	}
+}
+
+// completeWaves marks waves of which every machine that stays is done.
+func (f *fleet) completeWaves() {
+	if f.deps.Clock.Now().Sub(f.listed) >= listPause*4 {
+		return
+	}
+	for number, state := range f.waves {
+		if !state.completed && state.Number > 0 && state.Complete(f.machines) {
+			state.completed = true
+			state.written = false
+			f.deps.Log.Info("wave completed", "wave", number, "machines", len(state.Done))
+		}
+	}
+}
+
+// write writes what changed, or the beat when it is due. The rows of the
+// operator's view stand in another part; they follow in a transaction of their
+// own.
+func (f *fleet) write(ctx context.Context, release bool) error {
+	now := f.deps.Clock.Now()
+	var puts []outside.Put
+	var shows []*waveState
+	for number, state := range f.waves {
+		if state.Number == 0 || (state.written && state.shown) {
+			continue
+		}
+		shows = append(shows, state)
+		if !state.written {
+			puts = append(puts, state.put(number))
+			state.written = true
+		}
+	}
+	if len(puts) > 0 || release || now.Sub(f.tenure.lastWrite) >= beatPause {
+		bounded, cancel := context.WithTimeout(ctx, ownerHorizon)
+		version, err := f.tenure.write(bounded, f.tenure.transaction(puts, nil, release))
+		cancel()
+		if err != nil {
+			return fmt.Errorf("writing the waves: %w", err)
+		}
+		f.tenure.beatVersion = version
+		f.tenure.noteWrite(now)
+	}
+	f.show(ctx, shows)
+	return nil
+}
+
+// show tells the operator the state of waves.
+func (f *fleet) show(ctx context.Context, list []*waveState) {
+	for _, state := range list {
+		_, err := f.deps.Table.Transact(ctx, outside.Transaction{
+			Puts: []outside.Put{{
+				Key:   f.deps.Waves.StatusKey(state.Number),
+				Value: f.deps.Waves.Status(state.completed),
+			}},
+		})
+		if err != nil {
+			f.deps.Log.Warn("state of a wave not shown", "wave", state.Number, "error", err.Error())
+			state.shown = false
+			continue
+		}
+		state.shown = true
+	}
+}
+
+// put returns the row of a wave.
+func (w *waveState) put(number int64) outside.Put {
+	row := waveRow{
+		SeenMillis: clock.Millis(w.Seen),
+		Completed:  w.completed,
+	}
+	for machine := range w.Done {
+		row.Done = append(row.Done, machine)
+	}
+	return outside.Put{
+		Key: outside.Key{
+			Table: tableWaves,
+			Part:  partMachines,
+			Name:  strconv.FormatInt(number, 10),
+		},
+		Value: encodeRow(row),
+	}
+}
--- a/owner/keeper.go
+++ b/owner/keeper.go
@@ -77,8 +77,10 @@
 	// members returns the entries that are known to live, this one included.
 	members func() []string
 
-	mu     sync.Mutex
-	duties map[string]*Duty
+	mu sync.Mutex
+
+	// held holds what this entry owns: shards, and the machines' duty.
+	held map[string]holding
 
 	// owners holds the newest known row of each service.
 	owners map[string]known
@@ -89,6 +91,15 @@
 	stopping bool
 }
 
+// holding is one part that this entry owns.
+type holding struct {
+	// duty is the scheduler of a service; nil for the machines' duty.
+	duty    *Duty
+	tenure  *tenure
+	run     func(ctx context.Context) error
+	release func(ctx context.Context, wait time.Duration)
+}
+
 // known is an ownership with the version of its row.
 type known struct {
 	Ownership
@@ -129,7 +140,7 @@
 		self:    self,
 		ping:    ping,
 		members: members,
-		duties:  make(map[string]*Duty),
+		held:    make(map[string]holding),
 		owners:  make(map[string]known),
 		watches: make(map[string]*watch),
 	}
@@ -139,8 +150,8 @@
 func (k *Keeper) Duty(service string) (*Duty, bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	d, found := k.duties[service]
-	return d, found && d.ready.Load()
+	h, found := k.held[service]
+	return h.duty, found && h.duty != nil && h.duty.ready.Load()
 }
 
 // Owner returns where the owner of a service answers; false where none is known.
@@ -158,11 +169,13 @@
 // WriteAge returns how long ago the duty of a service last wrote; false where
 // this entry does not own it.
 func (k *Keeper) WriteAge(service string) (time.Duration, bool) {
-	d, found := k.Duty(service)
+	k.mu.Lock()
+	h, found := k.held[service]
+	k.mu.Unlock()
 	if !found {
 		return 0, false
 	}
-	return k.deps.Clock.Now().Sub(clock.FromMillis(d.wrote.Load())), true
+	return k.deps.Clock.Now().Sub(clock.FromMillis(h.tenure.wrote.Load())), true
 }
 
 // Run watches the owners of all services until ctx ends.
@@ -179,17 +192,17 @@
 func (k *Keeper) Release(ctx context.Context, wait time.Duration) {
 	k.mu.Lock()
 	k.stopping = true
-	var list []*Duty
-	for _, d := range k.duties {
-		list = append(list, d)
+	held := make(map[string]holding, len(k.held))
+	for part, h := range k.held {
+		held[part] = h
 	}
 	k.mu.Unlock()
 	var all sync.WaitGroup
-	for _, d := range list {
+	for part, h := range held {
 		all.Add(1)
-		k.deps.Group.Go("release of "+d.service, func(context.Context) error {
+		k.deps.Group.Go("release of "+part, func(context.Context) error {
 			defer all.Done()
-			d.release(ctx, wait)
+			h.release(ctx, wait)
 			return nil
 		})
 	}
@@ -238,6 +251,9 @@
 	for _, service := range k.deps.Catalog().Services {
 		list = append(list, service.Name)
 	}
+	if k.deps.Site.Machines.IsValid() {
+		list = append(list, partMachines)
+	}
 	return list
 }
 
@@ -250,7 +266,7 @@
 	}
 	now := k.deps.Clock.Now()
 	for _, service := range k.services() {
-		if _, mine := k.duties[service]; !mine {
+		if _, mine := k.held[service]; !mine {
 			k.consider(ctx, service, now)
 		}
 	}
@@ -283,7 +299,7 @@
 	if w.freeSince.IsZero() {
 		w.freeSince = now
 	}
-	wait := rankPause*time.Duration(rank) + ownedPause*time.Duration(len(k.duties))
+	wait := rankPause*time.Duration(rank) + ownedPause*time.Duration(len(k.held))
 	if w.taking || now.Before(w.notBefore) || now.Sub(w.freeSince) < wait {
 		return
 	}
@@ -403,19 +419,38 @@
 	if o.Epoch == 0 {
 		blindFor = 0
 	}
-	d := newDuty(k.deps, service, won, now, blindFor)
-	k.duties[service] = d
+	h := k.hold(service, won, now, blindFor)
+	k.held[service] = h
 	k.mu.Unlock()
 	k.deps.Log.Info("service taken", "service", service, "epoch", won.epoch, "from", o.Owner, "ended", ended)
-	err = d.run(ctx)
+	err = h.run(ctx)
 	k.mu.Lock()
-	delete(k.duties, service)
+	delete(k.held, service)
 	k.mu.Unlock()
 	if err != nil {
 		k.deps.Log.Warn("service lost", "service", service, "epoch", won.epoch, "error", err.Error())
 	}
 }
 
+// hold builds the duty for a part that was won.
+func (k *Keeper) hold(part string, won claim, now time.Time, blindFor time.Duration) holding {
+	if part == partMachines {
+		f := newFleet(k.deps, won, now)
+		return holding{
+			tenure:  f.tenure,
+			run:     f.run,
+			release: f.release,
+		}
+	}
+	d := newDuty(k.deps, part, won, now, blindFor)
+	return holding{
+		duty:    d,
+		tenure:  d.tenure,
+		run:     d.run,
+		release: d.release,
+	}
+}
+
 // claim writes the row of the owner under the condition that it stands as
 // known. A lost answer is resolved by reading the row.
 func (k *Keeper) claim(ctx context.Context, service string, o known) (claim, error) {
--- a/peer/client.go
+++ b/peer/client.go
@@ -46,6 +46,7 @@
 // Paths of the protocol.
 const (
 	pathCancel  = "/v1/cancel"
+	pathLoad    = "/v1/load"
 	pathOffer   = "/v1/offer"
 	pathPending = "/v1/pending"
 	pathPing    = "/v1/ping"
@@ -68,6 +69,11 @@
 	State job.State `json:"state"`
 }
 
+type loadRequest struct {
+	Closed []string `json:"closed"`
+	Ended  []string `json:"ended"`
+}
+
 type pendingAnswer struct {
 	Count int `json:"count"`
 }
@@ -109,6 +115,29 @@
 	return status == http.StatusNoContent, err
 }
 
+// Load tells the owner of a service which workers are closed and which have
+// ended, and returns what the service needs and has.
+func (c *Client) Load(ctx context.Context, to netip.AddrPort, service string, closed, ended []string) (shard.Load, error) {
+	asked, err := json.Marshal(loadRequest{
+		Closed: closed,
+		Ended:  ended,
+	})
+	if err != nil {
+		return shard.Load{}, fmt.Errorf("encoding a question for load: %w", err)
+	}
+	_, body, err := c.call(ctx, callTimeout, http.MethodPost, to, pathLoad, url.Values{
+		"service": {service},
+	}, asked)
+	if err != nil {
+		return shard.Load{}, err
+	}
+	var load shard.Load
+	if err := json.Unmarshal(body, &load); err != nil {
+		return shard.Load{}, fmt.Errorf("load from %s: %w", to, err)
+	}
+	return load, nil
+}
+
 // Offer tells the owner of an accepted job; first says that no other entry was
 // told of it.
 func (c *Client) Offer(ctx context.Context, to netip.AddrPort, service string, record shard.Record, version int64, first bool) error {
--- a/peer/server.go
+++ b/peer/server.go
@@ -30,6 +30,7 @@
 	router.GET(pathPing, s.ping)
 	router.GET(pathState, s.owned(s.state))
 	router.GET(pathPending, s.owned(s.pending))
+	router.POST(pathLoad, s.owned(s.load))
 	router.POST(pathOffer, s.owned(s.offer))
 	router.POST(pathCancel, s.owned(s.cancel))
 }
@@ -60,6 +61,22 @@
 	}
 }
 
+func (s *Server) load(c *gin.Context, duty *owner.Duty) {
+	var asked loadRequest
+	if err := c.ShouldBindJSON(&asked); err != nil {
+		c.String(http.StatusBadRequest, err.Error())
+		return
+	}
+	ctx, stop := context.WithTimeout(c.Request.Context(), callTimeout)
+	defer stop()
+	load, err := duty.Load(ctx, asked.Closed, asked.Ended)
+	if err != nil {
+		c.Status(http.StatusServiceUnavailable)
+		return
+	}
+	c.JSON(http.StatusOK, load)
+}
+
 func (s *Server) offer(c *gin.Context, duty *owner.Duty) {
 	version, err := strconv.ParseInt(c.Query("version"), 10, 64)
 	if err != nil {
--- /dev/null
+++ b/pool/pool.go
@@ -0,0 +1,260 @@
+// Package pool decides how many machines each service has, which machines move
+// between pools, and when a machine may be taken down for maintenance. It is a
+// pure decision: a function of what is known at one moment and of the little
+// that it remembers, and it does no input or output.
+package pool
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"lemonstream.dev/lemonstream/job"
+	"lemonstream.dev/lemonstream/outside"
+	"lemonstream.dev/lemonstream/shard"
+)
+
+const (
+	// floorMachines is the least number of awake machines of a service that
+	// has work or may get some: one may be lost with its rack and the others
+	// still take what comes at once.
+	floorMachines = 3
+
+	// holdDemand is how long a high of the demand is kept before machines are
+	// sent to sleep: a move costs about as much as a second awake, and a turn
+	// of demand lasts several.
+	holdDemand = 2500 * time.Millisecond
+
+	// trendSpan is how far back the rise of the demand is measured, and
+	// trendAhead how much of it is added for the time that a move takes.
+	trendSpan  = time.Second
+	trendAhead = 1.0
+
+	// headroomShare is kept free of a service's demand.
+	headroomShare = 0.10
+
+	// comingShare is the part of the work in later steps that is expected to
+	// start while a machine is on its way.
+	comingShare = 0.3
+
+	// settleSlack is added to the time that a machine is dark before it counts
+	// as lost.
+	settleSlack = 3 * time.Second
+
+	// retryPause is the pause before an order that failed is tried again.
+	retryPause = 500 * time.Millisecond
+
+	// maintainShare is the most of a pool's awake machines that are closed for
+	// maintenance at one time while there is time left.
+	maintainShare = 0.25
+
+	// hurryShare of a wave's time is kept as reserve: past the rest of it as
+	// many machines are closed as the wave allows.
+	hurryShare = 0.4
+)
+
+// Service is one pool with what its owner says of it.
+type Service struct {
+	Name   string
+	Asleep bool
+
+	// Known says that Load is fresh; without it nothing of the pool is touched.
+	Known bool
+	Load  shard.Load
+}
+
+// Wave is one request for maintenance with how far it has come.
+type Wave struct {
+	outside.Wave
+
+	// Seen is when the request was first read.
+	Seen time.Time
+
+	// Done holds the machines whose maintenance has begun.
+	Done map[string]bool
+}
+
+// View is what is known at one moment.
+type View struct {
+	Now      time.Time
+	Services []Service
+	Machines []outside.Machine
+	Waves    []*Wave
+}
+
+// Move is an order to put a machine into another pool.
+type Move struct {
+	Machine string
+	Worker  string
+	From    string
+	To      string
+}
+
+// Maintenance is an order to take a machine down.
+type Maintenance struct {
+	Machine string
+	Worker  string
+	Pool    string
+	Wave    int64
+}
+
+// Plan is what should be done now.
+type Plan struct {
+	// Closed maps a service to the workers where nothing new may be placed.
+	Closed       map[string][]string
+	Moves        []Move
+	Maintenances []Maintenance
+
+	// Targets maps a service to the number of machines it should have.
+	Targets map[string]int
+}
+
+// Sizer remembers the demand of each service and what was ordered lately.
+type Sizer struct {
+	// moveTime and maintainTime are how long a machine is dark.
+	moveTime     time.Duration
+	maintainTime time.Duration
+
+	demand map[string][]sample
+
+	// ordered holds machines that were ordered to do something, until the list
+	// shows them up with another worker.
+	ordered map[string]order
+
+	// wanted maps a machine that is being closed to where it is to go; an empty
+	// text means that it is closed for maintenance.
+	wanted map[string]string
+
+	// refused holds pools that a machine can't be moved to.
+	refused map[string]map[string]bool
+
+	// notBefore holds machines whose last order failed.
+	notBefore map[string]time.Time
+}
+
+type sample struct {
+	at       time.Time
+	machines float64
+}
+
+type order struct {
+	at     time.Time
+	to     string
+	worker string
+	wave   int64
+}
+
+// NewSizer returns a sizer that remembers nothing yet.
+func NewSizer(moveTime, maintainTime time.Duration) *Sizer {
+	return &Sizer{
+		moveTime:     moveTime,
+		maintainTime: maintainTime,
+		demand:       make(map[string][]sample),
+		ordered:      make(map[string]order),
+		wanted:       make(map[string]string),
+		refused:      make(map[string]map[string]bool),
+		notBefore:    make(map[string]time.Time),
+	}
+}
+
+// Plan returns what should be done now.
+func (s *Sizer) Plan(v View) Plan {
+	s.settle(v)
+	r := newRound(s, v)
+	r.targets()
+	r.maintain()
+	r.grow()
+	r.shrink()
+	return r.finish()
+}
+
+// Ordered notes that an order was given, with or without an answer.
+func (s *Sizer) Ordered(machine, to, worker string, wave int64, now time.Time) {
+	s.ordered[machine] = order{
+		at:     now,
+		to:     to,
+		worker: worker,
+		wave:   wave,
+	}
+	delete(s.wanted, machine)
+}
+
+// Refused notes that an order had no effect; forever says that the machine
+// does not belong into that pool.
+func (s *Sizer) Refused(machine, to string, forever bool, now time.Time) {
+	delete(s.ordered, machine)
+	delete(s.wanted, machine)
+	s.notBefore[machine] = now.Add(retryPause)
+	if forever && to != "" {
+		if s.refused[machine] == nil {
+			s.refused[machine] = make(map[string]bool)
+		}
+		s.refused[machine][to] = true
+	}
+}
+
+// settle forgets orders that the list shows as done, or that came to nothing.
+func (s *Sizer) settle(v View) {
+	listed := make(map[string]outside.Machine, len(v.Machines))
+	for _, m := range v.Machines {
+		listed[m.ID] = m
+	}
+	for id, o := range s.ordered {
+		m, found := listed[id]
+		age := v.Now.Sub(o.at)
+		dark := s.moveTime
+		if o.wave > 0 {
+			dark = s.maintainTime
+		}
+		back := m.State == outside.MachineUp && (m.Worker != o.worker || m.Worker == "") && age > dark
+		if !found || back || age > dark+settleSlack {
+			delete(s.ordered, id)
+		}
+	}
+	for id := range s.wanted {
+		if _, found := listed[id]; !found {
+			delete(s.wanted, id)
+		}
+	}
+}
+
+// note takes in the demand of a service and returns the number of machines it
+// should have.
+func (s *Sizer) note(service Service, each job.Room, now time.Time) int {
+	need := service.Load.Used.Add(service.Load.Waiting)
+	machines := 0.0
+	ratio := func(amount, one int) {
+		if one > 0 {
+			machines = max(machines, float64(amount)/float64(one))
+		}
+	}
+	ratio(need.MilliCPU+int(comingShare*float64(service.Load.Coming.MilliCPU)), each.MilliCPU)
+	ratio(need.MemoryMB, each.MemoryMB)
+	ratio(need.Accelerators, each.Accelerators)
+	list := append(s.demand[service.Name], sample{
+		at:       now,
+		machines: machines,
+	})
+	for len(list) > 0 && now.Sub(list[0].at) > holdDemand {
+		list = list[1:]
+	}
+	s.demand[service.Name] = list
+	high := 0.0
+	before := machines
+	for _, one := range list {
+		high = max(high, one.machines)
+		if now.Sub(one.at) >= trendSpan {
+			before = one.machines
+		}
+	}
+	rise := max(0, machines-before) * trendAhead
+	wanted := int(math.Ceil(max(high, machines+rise) * (1 + headroomShare)))
+	return max(wanted, floorMachines, service.Load.Spread+1)
+}
+
+// byName sorts machines for a plan that is the same each time.
+func byName(list []*spot) {
+	sort.Slice(list, func(i, j int) bool {
+		return list[i].machine.ID < list[j].machine.ID
+	})
+}
--- /dev/null
+++ b/pool/round.go
@@ -0,0 +1,360 @@
+package pool
+
+import (
+	"sort"
+	"time"
+
+	"lemonstream.dev/lemonstream/job"
+	"lemonstream.dev/lemonstream/outside"
+	"lemonstream.dev/lemonstream/shard"
+)
+
+// spot is one machine as the round sees it.
+type spot struct {
+	machine outside.Machine
+
+	// pool is where the machine is, or is on its way to.
+	pool string
+
+	// free says that the machine is up and no order for it is under way.
+	free bool
+
+	// load is what its worker does; known says that its owner reports it.
+	load  shard.WorkerLoad
+	known bool
+
+	// closed says that the plan closes its worker.
+	closed bool
+}
+
+// round is one making of a plan.
+type round struct {
+	sizer *Sizer
+	view  View
+	plan  Plan
+	spots []*spot
+
+	// asleep is the name of the pool whose machines are off; empty for none.
+	asleep   string
+	services map[string]*Service
+
+	// count is the number of machines that each pool has or will have.
+	count map[string]int
+}
+
+func newRound(s *Sizer, v View) *round {
+	r := &round{
+		sizer: s,
+		view:  v,
+		plan: Plan{
+			Closed:  make(map[string][]string),
+			Targets: make(map[string]int),
+		},
+		services: make(map[string]*Service, len(v.Services)),
+		count:    make(map[string]int),
+	}
+	for i := range v.Services {
+		service := &v.Services[i]
+		r.services[service.Name] = service
+		if service.Asleep {
+			r.asleep = service.Name
+		}
+	}
+	for _, m := range v.Machines {
+		r.spots = append(r.spots, r.spot(m))
+	}
+	byName(r.spots)
+	for _, sp := range r.spots {
+		r.count[sp.pool]++
+	}
+	return r
+}
+
+func (r *round) spot(m outside.Machine) *spot {
+	sp := &spot{
+		machine: m,
+		pool:    m.Pool,
+		free:    m.State == outside.MachineUp && !r.view.Now.Before(r.sizer.notBefore[m.ID]),
+	}
+	if o, found := r.sizer.ordered[m.ID]; found {
+		sp.free = false
+		if o.to != "" {
+			sp.pool = o.to
+		}
+	}
+	if service, found := r.services[sp.pool]; found {
+		sp.load, sp.known = service.Load.Workers[m.Worker]
+		sp.known = sp.known && service.Known
+	}
+	return sp
+}
+
+// targets works out how many machines each service should have.
+func (r *round) targets() {
+	for i := range r.view.Services {
+		service := r.view.Services[i]
+		if service.Asleep {
+			continue
+		}
+		if !service.Known {
+			r.plan.Targets[service.Name] = r.count[service.Name]
+			continue
+		}
+		r.plan.Targets[service.Name] = r.sizer.note(service, r.room(service.Name), r.view.Now)
+	}
+}
+
+// room returns the mean room of a service's machines, or of all machines.
+func (r *round) room(service string) job.Room {
+	var sum job.Room
+	count := 0
+	for _, sp := range r.spots {
+		if sp.pool == service {
+			sum = sum.Add(sp.machine.Capacity)
+			count++
+		}
+	}
+	if count == 0 {
+		for _, sp := range r.spots {
+			sum = sum.Add(sp.machine.Capacity)
+			count++
+		}
+	}
+	if count == 0 {
+		return sum
+	}
+	return job.Room{
+		MilliCPU:     sum.MilliCPU / count,
+		MemoryMB:     sum.MemoryMB / count,
+		Accelerators: sum.Accelerators / count,
+	}
+}
+
+// grow gives services what they lack: sleeping machines first, then machines
+// of services that have too many.
+func (r *round) grow() {
+	for _, name := range r.byLack() {
+		for r.count[name] < r.plan.Targets[name] {
+			sp := r.spare(name)
+			if sp == nil {
+				break
+			}
+			r.send(sp, name)
+		}
+	}
+}
+
+// byLack returns the services that lack machines, the greatest lack first.
+func (r *round) byLack() []string {
+	var names []string
+	for name, target := range r.plan.Targets {
+		if r.count[name] < target {
+			names = append(names, name)
+		}
+	}
+	lack := func(name string) float64 {
+		return float64(r.plan.Targets[name]-r.count[name]) / float64(r.plan.Targets[name])
+	}
+	sort.Slice(names, func(i, j int) bool {
+		a, b := lack(names[i]), lack(names[j])
+		if a != b {
+			return a > b
+		}
+		return names[i] < names[j]
+	})
+	return names
+}
+
+// spare returns the machine that is missed least elsewhere.
+func (r *round) spare(to string) *spot {
+	var best *spot
+	bestCost := 0
+	for _, sp := range r.spots {
+		if !r.movable(sp, to) {
+			continue
+		}
+		cost := 0
+		if sp.pool != r.asleep {
+			if r.count[sp.pool] <= r.plan.Targets[sp.pool] {
+				continue
+			}
+			// An empty worker goes at once; one with runs only later, and one
+			// with lasting tasks last.
+			cost = 1 + sp.load.Runs + 10*sp.load.Lasting
+		}
+		if best == nil || cost < bestCost {
+			best = sp
+			bestCost = cost
+		}
+	}
+	return best
+}
+
+func (r *round) movable(sp *spot, to string) bool {
+	if !sp.free || sp.closed || sp.pool == to || r.sizer.refused[sp.machine.ID][to] {
+		return false
+	}
+	if sp.pool == r.asleep {
+		return true
+	}
+	return sp.known && !sp.load.Draining && sp.load.Reached
+}
+
+// shrink sends machines that nobody needs to sleep.
+func (r *round) shrink() {
+	if r.asleep == "" {
+		return
+	}
+	for i := range r.view.Services {
+		name := r.view.Services[i].Name
+		if name == r.asleep || !r.view.Services[i].Known {
+			continue
+		}
+		for r.count[name] > r.plan.Targets[name] {
+			sp := r.leastUsed(name)
+			if sp == nil {
+				break
+			}
+			r.send(sp, r.asleep)
+		}
+	}
+}
+
+func (r *round) leastUsed(name string) *spot {
+	var best *spot
+	for _, sp := range r.spots {
+		if sp.pool != name || !r.movable(sp, r.asleep) {
+			continue
+		}
+		if best == nil || sp.load.Runs+10*sp.load.Lasting < best.load.Runs+10*best.load.Lasting {
+			best = sp
+		}
+	}
+	return best
+}
+
+// send moves a machine if nothing runs there and its worker is closed, and
+// closes the worker otherwise.
+func (r *round) send(sp *spot, to string) {
+	from := sp.pool
+	r.count[from]--
+	r.count[to]++
+	sp.closed = true
+	if from == r.asleep || (sp.load.Closed && sp.load.Runs == 0) {
+		r.plan.Moves = append(r.plan.Moves, Move{
+			Machine: sp.machine.ID,
+			Worker:  sp.machine.Worker,
+			From:    from,
+			To:      to,
+		})
+	}
+	if from != r.asleep {
+		r.plan.Closed[from] = append(r.plan.Closed[from], sp.machine.Worker)
+	}
+}
+
+// maintain takes down machines of waves, sleeping ones first.
+func (r *round) maintain() {
+	for _, wave := range r.view.Waves {
+		r.maintainWave(wave)
+	}
+}
+
+func (r *round) maintainWave(wave *Wave) {
+	down := 0
+	var left []*spot
+	closing := make(map[string]int)
+	for _, sp := range r.spots {
+		if !wave.holds(sp.machine.ID) {
+			continue
+		}
+		o, ordered := r.sizer.ordered[sp.machine.ID]
+		if sp.machine.State == outside.MachineMaintenance || (ordered && o.wave > 0) {
+			down++
+		}
+		if !wave.Done[sp.machine.ID] && sp.free && !sp.closed {
+			left = append(left, sp)
+		}
+	}
+	sort.SliceStable(left, func(i, j int) bool {
+		return r.trouble(left[i]) < r.trouble(left[j])
+	})
+	late := r.view.Now.Sub(wave.Seen) > time.Duration((1-hurryShare)*float64(wave.Within))
+	for _, sp := range left {
+		if down >= wave.AtOnce {
+			return
+		}
+		awake := sp.pool != r.asleep
+		if awake && !r.mayClose(sp, closing, late) {
+			continue
+		}
+		sp.closed = true
+		if awake {
+			closing[sp.pool]++
+			r.plan.Closed[sp.pool] = append(r.plan.Closed[sp.pool], sp.machine.Worker)
+			if !sp.load.Closed || sp.load.Runs > 0 {
+				down++
+				continue
+			}
+		}
+		down++
+		r.plan.Maintenances = append(r.plan.Maintenances, Maintenance{
+			Machine: sp.machine.ID,
+			Worker:  sp.machine.Worker,
+			Pool:    sp.pool,
+			Wave:    wave.Number,
+		})
+	}
+}
+
+// mayClose bounds how many machines of a pool are closed for maintenance.
+func (r *round) mayClose(sp *spot, closing map[string]int, late bool) bool {
+	if !sp.known || sp.load.Draining {
+		return false
+	}
+	if late || r.count[sp.pool]-closing[sp.pool] > r.plan.Targets[sp.pool] {
+		return true
+	}
+	return float64(closing[sp.pool]) < max(1, maintainShare*float64(r.count[sp.pool]))
+}
+
+// trouble orders machines by what their maintenance disturbs.
+func (r *round) trouble(sp *spot) int {
+	if sp.pool == r.asleep {
+		return 0
+	}
+	cost := 1 + sp.load.Runs + 10*sp.load.Lasting
+	if sp.load.Closed {
+		// What was begun is ended first.
+		cost = 1
+	}
+	return cost
+}
+
+func (r *round) finish() Plan {
+	for _, workers := range r.plan.Closed {
+		sort.Strings(workers)
+	}
+	return r.plan
+}
+
+// holds reports whether a machine belongs to the wave.
+func (w *Wave) holds(machine string) bool {
+	for _, id := range w.Machines {
+		if id == machine {
+			return true
+		}
+	}
+	return false
+}
+
+// Complete reports whether every machine of the wave that is still there has
+// begun its maintenance.
+func (w *Wave) Complete(machines []outside.Machine) bool {
+	for _, m := range machines {
+		if w.holds(m.ID) && !w.Done[m.ID] {
+			return false
+		}
+	}
+	return true
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -11,6 +11,8 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"strings"
+	"sync"
 	"time"
 
 	"github.com/gin-gonic/gin"
@@ -64,7 +66,7 @@
 	// entry to call itself ready: the followers call at least once a second.
 	storeSilence = 2500 * time.Millisecond
 
-	// waveTable is followed for the configuration; see platform.
+	// deadlineHeader names the header with a caller's patience; see platform.
 	deadlineHeader = "Deadline-Ms"
 )
 
@@ -81,6 +83,10 @@
 	keeper   *owner.Keeper
 	servers  []*http.Server
 
+	// waves holds the operator's requests for maintenance by their row's key.
+	wavesMu sync.Mutex
+	waves   map[string]outside.Wave
+
 	// stopping is closed when the entry was told to stop.
 	stopping chan struct{}
 }
@@ -117,6 +123,7 @@
 		group:    kernel.NewGroup(context.WithoutCancel(ctx), log),
 		log:      log,
 		catalog:  catalog.NewHolder(log),
+		waves:    make(map[string]outside.Wave),
 		stopping: make(chan struct{}),
 	}
 	d.health = &storeHealth{
@@ -154,6 +161,17 @@
 			ShownFor:  settings.ShownFor,
 			FarFactor: settings.FarFactor,
 		},
+		Machines: platform.NewMachines(settings.Machines),
+		Waves: owner.WaveSource{
+			Waves:     d.listWaves,
+			StatusKey: platform.WaveStatusKey,
+			Status:    platform.EncodeWaveStatus,
+		},
+		Loads: func(ctx context.Context, service string, closed, ended []string) (shard.Load, error) {
+			return d.load(ctx, peers, service, closed, ended)
+		},
+		Holder: settings.Name,
+		Site:   settings,
 	}, self, d.roster.Members, peers.Ping)
 	d.group.Go("registrations", registry.Run)
 	d.servePeers(listener, self)
@@ -233,6 +251,9 @@
 
 func (d *Daemon) takeOperator(rows []outside.Row) {
 	for _, row := range rows {
+		if strings.HasPrefix(row.Key.Name, platform.PrefixWaves) {
+			d.takeWave(row)
+		}
 		if row.Gone || row.Key.Name != platform.RowConfiguration {
 			continue
 		}
@@ -245,6 +266,45 @@
 	}
 }
 
+func (d *Daemon) takeWave(row outside.Row) {
+	d.wavesMu.Lock()
+	defer d.wavesMu.Unlock()
+	if row.Gone {
+		delete(d.waves, row.Key.Name)
+		return
+	}
+	wave, err := platform.DecodeWave(row.Value)
+	if err != nil {
+		d.log.Error("wave not taken", "key", row.Key.Name, "error", err)
+		return
+	}
+	d.waves[row.Key.Name] = wave
+}
+
+func (d *Daemon) listWaves() []outside.Wave {
+	d.wavesMu.Lock()
+	defer d.wavesMu.Unlock()
+	list := make([]outside.Wave, 0, len(d.waves))
+	for _, wave := range d.waves {
+		list = append(list, wave)
+	}
+	return list
+}
+
+// load asks the owner of a service, which may be this entry.
+func (d *Daemon) load(ctx context.Context, peers *peer.Client, service string, closed, ended []string) (shard.Load, error) {
+	if duty, mine := d.keeper.Duty(service); mine {
+		return duty.Load(ctx, closed, ended)
+	}
+	address, known := d.keeper.Owner(service)
+	if !known {
+		return shard.Load{}, &peer.NotOwnerError{
+			Service: service,
+		}
+	}
+	return peers.Load(ctx, address, service, closed, ended)
+}
+
 func (d *Daemon) serve(name string, listener net.Listener, handler http.Handler) {
 	server := &http.Server{
 		Addr:              listener.Addr().String(),
--- /dev/null
+++ b/shard/load.go
@@ -0,0 +1,149 @@
+package shard
+
+import (
+	"time"
+
+	"lemonstream.dev/lemonstream/job"
+)
+
+// closeFor is how long a worker stays closed after it was last asked for. The
+// duty that asks does so several times a second; when it dies, the worker is
+// open again soon.
+const closeFor = 2 * time.Second
+
+// Load is what a service needs and has, for whoever sizes its pool.
+type Load struct {
+	// Used is the room that runs take; Waiting is what tasks need that could
+	// start if there were room.
+	Used    job.Room
+	Waiting job.Room
+
+	// Coming is what tasks need whose step waits for another to end.
+	Coming job.Room
+
+	// Spread is the number of workers that the widest step with a limit for
+	// each worker needs.
+	Spread int
+
+	// Lasting is the part of Used that lasting tasks take.
+	Lasting job.Room
+
+	// Workers holds each worker by its id.
+	Workers map[string]WorkerLoad
+}
+
+// WorkerLoad is what a worker is doing.
+type WorkerLoad struct {
+	// Runs counts what may run there; Lasting those of lasting steps.
+	Runs    int
+	Lasting int
+	Used    job.Room
+
+	// Closed says that nothing new is placed there.
+	Closed bool
+
+	// Draining says that the worker announced its end.
+	Draining bool
+
+	// Reached says that the worker answered its last look.
+	Reached bool
+}
+
+// SetClosed replaces the set of workers where nothing new is placed and lasting
+// tasks are moved away, as far as their steps allow it.
+func (s *Shard) SetClosed(ids []string, now time.Time) {
+	closed := make(map[string]bool, len(ids))
+	for _, id := range ids {
+		closed[id] = true
+	}
+	for id, w := range s.workers {
+		if closed[id] {
+			if !now.Before(w.closedUntil) {
+				s.opts.Report("worker closed", "worker", id, "runs", len(w.runs))
+			}
+			w.closedUntil = now.Add(closeFor)
+		} else {
+			w.closedUntil = time.Time{}
+		}
+	}
+}
+
+// End drops workers whose machine was moved or taken down.
+func (s *Shard) End(ids []string, now time.Time) {
+	for _, id := range ids {
+		if w, found := s.workers[id]; found {
+			s.endWorker(w, now, "machine was taken")
+		}
+	}
+}
+
+// Load returns what the service needs and has.
+func (s *Shard) Load(now time.Time) Load {
+	load := Load{
+		Workers: make(map[string]WorkerLoad, len(s.workers)),
+	}
+	for id, w := range s.workers {
+		one := WorkerLoad{
+			Runs:     len(w.runs),
+			Used:     w.used,
+			Closed:   now.Before(w.closedUntil),
+			Draining: w.reg.Draining,
+			Reached:  w.known && w.failures == 0,
+		}
+		load.Used = load.Used.Add(w.used)
+		for run := range w.runs {
+			if step, found := s.stepOf(run); found && step.Lasting {
+				one.Lasting++
+				load.Lasting = load.Lasting.Add(step.Charge())
+			}
+		}
+		load.Workers[id] = one
+	}
+	for _, j := range s.jobs {
+		if !j.state.Final() {
+			s.addWaiting(j, &load)
+		}
+	}
+	return load
+}
+
+// addWaiting adds what the idle tasks of a job need.
+func (s *Shard) addWaiting(j *jobState, load *Load) {
+	for k, o := range j.occurrences {
+		for st, step := range o.steps {
+			spec := &j.record.Spec.Steps[st]
+			if step.left == 0 {
+				continue
+			}
+			if spec.PerWorker > 0 {
+				load.Spread = max(load.Spread, (step.left+spec.PerWorker-1)/spec.PerWorker)
+			}
+			if len(step.idle) == 0 {
+				continue
+			}
+			need := times(spec.Charge(), len(step.idle))
+			if j.ready(k, st) {
+				load.Waiting = load.Waiting.Add(need)
+			} else {
+				load.Coming = load.Coming.Add(need)
+			}
+		}
+	}
+}
+
+// stepOf returns the step of a task of a known job.
+func (s *Shard) stepOf(id job.TaskID) (*job.Step, bool) {
+	j := s.jobs[id.Job]
+	if j == nil || id.Step >= len(j.record.Spec.Steps) {
+		return nil, false
+	}
+	return &j.record.Spec.Steps[id.Step], true
+}
+
+func times(r job.Room, n int) job.Room {
+	return job.Room{
+		MilliCPU:     r.MilliCPU * n,
+		MemoryMB:     r.MemoryMB * n,
+		Accelerators: r.Accelerators * n,
+	}
+}
--- a/shard/place.go
+++ b/shard/place.go
@@ -17,6 +17,9 @@
 	// saves its progress is stopped there, beyond the time of the stop itself.
 	drainReserve = 700 * time.Millisecond
 
+	// fullPercent is the share at which a lasting task counts as at work.
+	fullPercent = 100
+
 	// speculateAfter is how many times its usual run time a task must have
 	// taken before a copy of it is started.
 	speculateAfter = 2.0
@@ -193,7 +196,8 @@
 		weight += weightDisturbs * float64(s.disturbed(w, spec.Filler))
 	}
 	if w.reg.Capacity.MilliCPU > 0 {
-		weight += weightLoad * float64(w.used.MilliCPU) / float64(w.reg.Capacity.MilliCPU)
+		// Fuller workers first, so that others empty and can be moved.
+		weight -= weightLoad * float64(w.used.MilliCPU) / float64(w.reg.Capacity.MilliCPU)
 	}
 	return weight
 }
@@ -332,28 +336,60 @@
 	return false
 }
 
-// moveOffDraining stops lasting tasks on draining workers, so that they start
-// elsewhere before the worker ends, and tasks that save their progress shortly
-// before it does.
+// moveOffDraining stops lasting tasks on workers that drain or are closed, so
+// that they start elsewhere before the worker ends, and tasks that save their
+// progress shortly before a draining worker does.
 func (s *Shard) moveOffDraining(now time.Time) {
 	for _, w := range s.workers {
-		if !w.reg.Draining || len(w.runs) == 0 {
+		closed := now.Before(w.closedUntil)
+		if len(w.runs) == 0 || (!w.reg.Draining && !closed) {
 			continue
 		}
-		soon := w.reg.Remaining < s.opts.StopTask+drainReserve
+		soon := w.reg.Draining && w.reg.Remaining < s.opts.StopTask+drainReserve
 		for id, r := range w.runs {
-			j := s.jobs[id.Job]
-			if j == nil || r.phase != phaseRunning {
+			spec, found := s.stepOf(id)
+			if !found || r.phase != phaseRunning {
 				continue
 			}
-			spec := &j.record.Spec.Steps[id.Step]
-			if spec.Lasting || (spec.Checkpoints && soon) {
+			switch {
+			case spec.Lasting && w.reg.Draining:
+				s.stop(r, "worker drains")
+			case spec.Lasting && s.maySendAway(id, spec, now):
+				s.stop(r, "worker closed")
+			case spec.Checkpoints && soon:
 				s.stop(r, "worker drains")
 			}
 		}
 	}
 }
 
+// maySendAway reports whether a lasting task may be stopped now: fewer of the
+// others of its step than it may miss are away, and another worker has room.
+func (s *Shard) maySendAway(id job.TaskID, spec *job.Step, now time.Time) bool {
+	j := s.jobs[id.Job]
+	step := j.occurrences[id.Occurrence].steps[id.Step]
+	away := 0
+	for i, t := range step.tasks {
+		if i != id.Index && !t.atWork() {
+			away++
+		}
+	}
+	if away >= max(1, spec.MayMiss) || (spec.HasMayMiss && away >= spec.MayMiss) {
+		return false
+	}
+	return s.choose(id, spec, step.tasks[id.Index], now) != nil
+}
+
+// atWork reports whether a lasting task is known to be fully at work.
+func (t *taskState) atWork() bool {
+	for _, r := range t.runs {
+		if r.phase == phaseRunning && r.percent >= fullPercent {
+			return true
+		}
+	}
+	return false
+}
+
 // learn takes in how long a run of an image took.
 func (s *Shard) learn(j *jobState, id job.TaskID, r *run, now time.Time) {
 	if r == nil || r.order.Run == 0 {
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -128,6 +128,10 @@
 	// avoidUntil is until when no task is placed here.
 	avoidUntil time.Time
 
+	// closedUntil is until when nothing is placed here, because the machine is
+	// wanted elsewhere.
+	closedUntil time.Time
+
 	// blamed counts ends that failed lately, less those that went well.
 	blamed int
 }
@@ -179,7 +183,7 @@
 
 // takes reports whether tasks may be placed on the worker at all.
 func (w *workerState) takes(now time.Time) bool {
-	if !w.known || w.reg.Draining || w.failures > 0 || !w.doubted.IsZero() || now.Before(w.avoidUntil) {
+	if !w.known || w.reg.Draining || w.failures > 0 || !w.doubted.IsZero() || now.Before(w.avoidUntil) || now.Before(w.closedUntil) {
 		return false
 	}
 	return w.listed || now.Sub(w.unlisted) < unlistedGrace
