Keep lasting tasks where another of their step is on a silent worker

Ruled out: a second order of the machines' duty (the stop was the shard's). Change: what runs on a worker that does not answer is not at work.

--- a/shard/place.go
+++ b/shard/place.go
@@ -383,7 +383,8 @@
 // atWork reports whether a lasting task is known to be fully at work.
 func (t *taskState) atWork() bool {
 	for _, r := range t.runs {
-		if r.phase == phaseRunning && r.percent >= fullPercent {
+		// What runs on a worker that does not answer may long have ended.
+		if r.phase == phaseRunning && r.percent >= fullPercent && r.worker.failures == 0 && r.worker.doubted.IsZero() {
 			return true
 		}
 	}
--- /dev/null
+++ b/shard/shard_test.go
@@ -0,0 +1,179 @@
+package shard_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"lemonstream.dev/lemonstream/job"
+)
+
+func TestJobRunsToItsEnd(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(3)
+	w.run(200 * time.Millisecond)
+	w.submit("a", step(4), step(2, 0))
+	w.run(3 * time.Second)
+	w.check(t)
+	is.Equal(w.shown["a"], job.Completed)
+	is.Equal(len(w.records), 0) // The record goes with the final state.
+}
+
+func TestCompletedIsShownOnlyOnceWritten(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(2)
+	w.run(200 * time.Millisecond)
+	w.submit("a", step(1))
+	w.storeDown = true
+	w.run(3 * time.Second)
+	is.Equal(w.shown["a"], job.Running) // The task has ended, the row does not say so.
+	w.storeDown = false
+	w.run(500 * time.Millisecond)
+	is.Equal(w.shown["a"], job.Completed)
+	w.check(t)
+}
+
+func TestLeaseOfSilentWorkerLapses(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(2)
+	w.run(200 * time.Millisecond)
+	w.submit("a", lasting(2, 1))
+	w.run(time.Second)
+	for _, f := range w.workers {
+		if len(f.runs) > 0 {
+			f.cut = true
+		}
+	}
+	w.run(testLease + 2*time.Second)
+	running := 0
+	for _, f := range w.workers {
+		if !f.cut {
+			running += len(f.runs)
+		}
+	}
+	is.Equal(running, 2) // Failed looks must not put off the end of the lease.
+	w.check(t)
+}
+
+func TestLastingTaskStaysWhileAnotherIsOnSilentWorker(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(3)
+	one := lasting(2, 1)
+	one.PerWorker = 1
+	w.run(200 * time.Millisecond)
+	w.submit("a", one)
+	w.run(2 * time.Second)
+	var holders []string
+	for id, f := range w.workers {
+		if len(f.runs) > 0 {
+			holders = append(holders, id)
+		}
+	}
+	is.Equal(len(holders), 2)
+	w.workers[holders[0]].down = true
+	w.run(time.Second) // The worker is silent now, and its lease has not lapsed.
+	for i := 0; i < 20; i++ {
+		w.core.SetClosed([]string{holders[1]}, w.now)
+		w.run(100 * time.Millisecond)
+	}
+	is.Equal(len(w.workers[holders[1]].runs), 1) // Stopping it would leave none at work.
+	w.check(t)
+}
+
+func TestFailedEndsCountOnceAcrossOwners(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1)
+	poison := step(1)
+	poison.Label = "poison"
+	w.workers["w0"].reg.Labels = append(w.workers["w0"].reg.Labels, "poison")
+	w.list()
+	w.run(200 * time.Millisecond)
+	w.submit("a", poison)
+	w.run(1100 * time.Millisecond)
+	w.takeOver() // The end may be written and not yet acknowledged.
+	w.run(300 * time.Millisecond)
+	is.True(w.shown["a"] != job.Failed)
+	w.run(10 * time.Second)
+	is.Equal(w.shown["a"], job.Failed)
+	w.check(t)
+}
+
+func TestCancelledJobStopsEverywhere(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(3)
+	w.run(200 * time.Millisecond)
+	w.submit("a", lasting(4, 1))
+	w.run(time.Second)
+	written := false
+	is.True(w.core.Cancel("a", w.now, func() { written = true }))
+	w.run(time.Second)
+	is.True(written)
+	for _, f := range w.workers {
+		is.Equal(len(f.runs), 0)
+	}
+	is.Equal(w.shown["a"], job.Cancelled)
+	w.check(t)
+}
+
+func TestNewOwnerWaitsForWorkerItCannotReach(t *testing.T) {
+	w := newWorld(3)
+	w.run(200 * time.Millisecond)
+	long := step(3)
+	long.Estimate = 20 * time.Second
+	w.submit("a", long)
+	w.run(500 * time.Millisecond)
+	for _, f := range w.workers {
+		f.cut = len(f.runs) > 0
+	}
+	w.takeOver()
+	w.run(10 * time.Second)
+	w.check(t) // The oracle reports a second run beside the one on the cut worker.
+}
+
+// TestShardUnderFaults lets random faults meet random jobs; the oracle in
+// world_test.go knows only the published rules.
+func TestShardUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(4)
+		w.run(200 * time.Millisecond)
+		names := []string{"w0", "w1", "w2", "w3"}
+		count := rapid.IntRange(5, 25).Draw(t, "rounds")
+		for i := 0; i < count; i++ {
+			f := w.workers[rapid.SampledFrom(names).Draw(t, "worker")]
+			switch rapid.IntRange(0, 8).Draw(t, "what") {
+			case 0:
+				f.cut = true
+			case 1:
+				f.cut = false
+			case 2:
+				w.takeOver()
+			case 3:
+				w.lose = time.Duration(rapid.IntRange(1, 5).Draw(t, "late")) * time.Second
+			case 4:
+				w.lose = 0
+			case 5:
+				w.storeDown = rapid.Bool().Draw(t, "down")
+			case 6:
+				w.core.SetClosed([]string{f.reg.ID}, w.now)
+			default:
+				s := step(rapid.IntRange(1, 5).Draw(t, "tasks"))
+				s.PerWorker = rapid.IntRange(0, 2).Draw(t, "per worker")
+				w.submit(fmt.Sprintf("j%d", i), s, step(2, 0))
+			}
+			w.run(time.Duration(rapid.IntRange(1, 150).Draw(t, "wait")) * tick)
+		}
+		w.lose = 0
+		w.storeDown = false
+		for _, f := range w.workers {
+			f.cut = false
+		}
+		w.run(30 * time.Second)
+		for id := range w.records {
+			t.Errorf("job %s has not ended: %s", id, w.shown[id])
+		}
+		w.check(t)
+	})
+}
--- /dev/null
+++ b/shard/world_test.go
@@ -0,0 +1,487 @@
+package shard_test
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"lemonstream.dev/lemonstream/catalog"
+	"lemonstream.dev/lemonstream/job"
+	"lemonstream.dev/lemonstream/outside"
+	"lemonstream.dev/lemonstream/shard"
+)
+
+const (
+	// tick is the step of the virtual time.
+	tick = 10 * time.Millisecond
+
+	testLease = 4 * time.Second
+)
+
+// fakeRun is a run at a fake worker.
+type fakeRun struct {
+	number   int64
+	step     job.Step
+	began    time.Time
+	stopAt   time.Time
+	workLeft time.Duration
+}
+
+// fakeWorker obeys the published rules of a worker in virtual time.
+type fakeWorker struct {
+	reg    outside.Registration
+	runs   map[job.TaskID]*fakeRun
+	ends   []outside.End
+	number int64
+	fence  int64
+	until  time.Time
+	top    map[job.TaskID]int64
+
+	// cut says that no call gets through; down that the worker has crashed.
+	cut  bool
+	down bool
+}
+
+// tester is what the oracle reports to: a test of testing or of rapid.
+type tester interface {
+	Error(args ...any)
+	Helper()
+}
+
+// late is a call that takes effect after its answer was given up.
+type late struct {
+	at time.Time
+	do func()
+}
+
+// world holds fake workers, the rows that last, and what the oracle noticed.
+type world struct {
+	now      time.Time
+	start    time.Time
+	epoch    int64
+	version  int64
+	core     *shard.Shard
+	workers  map[string]*fakeWorker
+	records  map[string]shard.Record
+	progress map[string]shard.Progress
+	shown    map[string]job.State
+	noted    map[job.TaskID]time.Time
+	pending  []late
+	faults   []string
+
+	// storeDown keeps batches from being written; lose makes the next starts
+	// get no answer and take effect later by the given time.
+	storeDown bool
+	lose      time.Duration
+	batch     *shard.Batch
+	batchAt   time.Time
+
+	// life counts owners; what was sent by an earlier one is answered to nobody.
+	life int
+}
+
+func newWorld(count int) *world {
+	w := &world{
+		start:    time.UnixMilli(1_000_000),
+		workers:  make(map[string]*fakeWorker),
+		records:  make(map[string]shard.Record),
+		progress: make(map[string]shard.Progress),
+		shown:    make(map[string]job.State),
+		noted:    make(map[job.TaskID]time.Time),
+	}
+	w.now = w.start
+	for i := 0; i < count; i++ {
+		w.addWorker(fmt.Sprintf("w%d", i), fmt.Sprintf("r%d-1", i%3))
+	}
+	w.takeOver()
+	return w
+}
+
+func (w *world) addWorker(id, rack string) *fakeWorker {
+	f := &fakeWorker{
+		reg: outside.Registration{
+			ID:      id,
+			Service: "s",
+			Address: netip.MustParseAddrPort("127.0.0.1:1"),
+			Rack:    rack,
+			Labels:  []string{"a", rack},
+			Capacity: job.Room{
+				MilliCPU: 4000,
+				MemoryMB: 4000,
+			},
+		},
+		runs: make(map[job.TaskID]*fakeRun),
+		top:  make(map[job.TaskID]int64),
+	}
+	w.workers[id] = f
+	return f
+}
+
+// takeOver starts a new owner from the rows, as after the death of the one
+// before.
+func (w *world) takeOver() {
+	w.epoch++
+	w.life++
+	w.batch = nil
+	blind := time.Duration(0)
+	if w.epoch > 1 {
+		blind = testLease + testLease/10
+	}
+	w.core = shard.New("s", w.epoch, w.version, w.now, shard.Options{
+		Lease:    testLease,
+		BusyWait: 200 * time.Millisecond,
+		IdleWait: 200 * time.Millisecond,
+		StopTask: 300 * time.Millisecond,
+		ShownFor: time.Hour,
+		BlindFor: blind,
+		Policy:   func(string) (catalog.Policy, bool) { return catalog.Policy{}, false },
+		Report:   func(string, ...any) {},
+		Show:     func(id string, state job.State) { w.shown[id] = state },
+	})
+	for id, p := range w.progress {
+		if p.State.Final() {
+			w.core.RestoreEnded(id, p)
+		}
+	}
+	for id, r := range w.records {
+		var known *shard.Progress
+		if p, found := w.progress[id]; found {
+			known = &p
+		}
+		if err := w.core.Restore(r, known, w.now); err != nil {
+			w.fault("restore %s: %v", id, err)
+		}
+	}
+	w.list()
+}
+
+// list tells the owner of every registration.
+func (w *world) list() {
+	var list []outside.Registration
+	for _, f := range w.workers {
+		if !f.down {
+			list = append(list, f.reg)
+		}
+	}
+	w.core.SetWorkers(list, w.now)
+}
+
+func (w *world) fault(format string, args ...any) {
+	w.faults = append(w.faults, fmt.Sprintf("%v: ", w.now.Sub(w.start))+fmt.Sprintf(format, args...))
+}
+
+// submit accepts a job with the given steps.
+func (w *world) submit(id string, steps ...job.Step) {
+	w.version++
+	record := shard.Record{
+		ID:    id,
+		Route: "q",
+		Policy: catalog.Policy{
+			Attempts: 3,
+			Stretch:  2,
+			Target:   time.Second,
+		},
+		Spec: job.Spec{
+			Steps: steps,
+		},
+		AcceptedMillis: w.now.UnixMilli(),
+	}
+	w.records[id] = record
+	w.core.Accept(record, w.version, true, w.now)
+}
+
+// run lets virtual time pass.
+func (w *world) run(d time.Duration) {
+	for end := w.now.Add(d); w.now.Before(end); {
+		w.now = w.now.Add(tick)
+		w.deliver()
+		w.work()
+		w.write()
+		orders, _ := w.core.Next(w.now)
+		w.carryOut(orders)
+	}
+}
+
+func (w *world) deliver() {
+	list := w.pending
+	w.pending = nil
+	for _, l := range list {
+		if w.now.Before(l.at) {
+			w.pending = append(w.pending, l)
+			continue
+		}
+		l.do()
+	}
+}
+
+func (w *world) after(d time.Duration, do func()) {
+	w.pending = append(w.pending, late{
+		at: w.now.Add(d),
+		do: do,
+	})
+}
+
+// work lets every worker run for one tick.
+func (w *world) work() {
+	for _, f := range w.workers {
+		if f.down {
+			continue
+		}
+		for id, r := range f.runs {
+			r.workLeft -= tick
+			switch {
+			case w.now.After(f.until):
+				f.end(id, outside.EndLapsed)
+			case !r.stopAt.IsZero() && !w.now.Before(r.stopAt):
+				f.end(id, outside.EndStopped)
+			case r.workLeft <= 0 && !r.step.Lasting && r.step.Label == "poison":
+				f.end(id, outside.EndFailed)
+			case r.workLeft <= 0 && !r.step.Lasting:
+				f.end(id, outside.EndDone)
+			}
+		}
+	}
+}
+
+func (f *fakeWorker) end(id job.TaskID, kind outside.EndKind) {
+	f.number++
+	f.ends = append(f.ends, outside.End{
+		Number: f.number,
+		Task:   id,
+		Run:    f.runs[id].number,
+		Kind:   kind,
+	})
+	delete(f.runs, id)
+}
+
+// write applies the batch of 20 ms ago and takes the next.
+func (w *world) write() {
+	if w.batch != nil && !w.storeDown && w.now.Sub(w.batchAt) >= 2*tick {
+		b := *w.batch
+		w.batch = nil
+		for _, one := range b.Writes {
+			if one.Forget {
+				delete(w.progress, one.ID)
+				continue
+			}
+			w.progress[one.ID] = one.Progress
+			if one.EndsRecord {
+				delete(w.records, one.ID)
+			}
+		}
+		w.core.Written(b, w.now)
+	}
+	if w.batch == nil {
+		if b, found := w.core.TakeBatch(); found {
+			w.batch = &b
+			w.batchAt = w.now
+		}
+	}
+}
+
+var errSilent = &outside.UncertainError{
+	Call: "test",
+}
+
+// carryOut lets the workers answer one tick later.
+func (w *world) carryOut(orders shard.Orders) {
+	life := w.life
+	answer := func(d time.Duration, do func()) {
+		w.after(d, func() {
+			if w.life == life {
+				do()
+			}
+		})
+	}
+	for _, h := range orders.Holds {
+		f := w.workers[h.Worker.ID]
+		sent := w.now
+		if f.cut || f.down {
+			answer(600*time.Millisecond, func() { w.core.Held(h.Worker.ID, sent, w.now, outside.Glance{}, errSilent) })
+			continue
+		}
+		if h.Renewal.Fence < f.fence {
+			answer(tick, func() {
+				w.core.Held(h.Worker.ID, sent, w.now, outside.Glance{}, &outside.WorkerRefusedError{
+					Reason: outside.RefusedFence,
+				})
+			})
+			continue
+		}
+		f.renew(w, h.Renewal.Fence, h.Renewal.Until)
+		w.acknowledge(f, h.Renewal.Acknowledged)
+		answer(tick, func() {
+			if f.cut || f.down {
+				w.core.Held(h.Worker.ID, sent, w.now, outside.Glance{}, errSilent)
+				return
+			}
+			w.core.Held(h.Worker.ID, sent, w.now, f.glance(w), nil)
+		})
+	}
+	for _, s := range orders.Starts {
+		f := w.workers[s.Worker.ID]
+		if w.lose > 0 {
+			w.after(w.lose, func() { _ = w.startAt(f, s.Order) })
+			answer(700*time.Millisecond, func() { w.core.Started(s.Worker.ID, s.Order, w.now, 0, errSilent) })
+			continue
+		}
+		if f.cut || f.down {
+			answer(700*time.Millisecond, func() { w.core.Started(s.Worker.ID, s.Order, w.now, 0, errSilent) })
+			continue
+		}
+		err := w.startAt(f, s.Order)
+		answer(tick, func() { w.core.Started(s.Worker.ID, s.Order, w.now, w.now.Sub(w.start), err) })
+	}
+	for _, s := range orders.Stops {
+		f := w.workers[s.Worker.ID]
+		if f.cut || f.down {
+			answer(700*time.Millisecond, func() { w.core.Stopped(s.Worker.ID, s.Task, s.Run, w.now, 0, errSilent) })
+			continue
+		}
+		if r, found := f.runs[s.Task]; found && r.number <= s.Run {
+			r.stopAt = w.now.Add(200 * time.Millisecond)
+		}
+		f.top[s.Task] = max(f.top[s.Task], s.Run)
+		answer(tick, func() { w.core.Stopped(s.Worker.ID, s.Task, s.Run, w.now, w.now.Sub(w.start), nil) })
+	}
+}
+
+func (f *fakeWorker) renew(w *world, fence int64, until time.Duration) {
+	f.fence = max(f.fence, fence)
+	if at := w.start.Add(until); at.After(f.until) {
+		f.until = at
+	}
+}
+
+func (f *fakeWorker) glance(w *world) outside.Glance {
+	g := outside.Glance{
+		Clock: w.now.Sub(w.start),
+		Ends:  append([]outside.End(nil), f.ends...),
+	}
+	for id, r := range f.runs {
+		percent := 0
+		if w.now.Sub(r.began) > 500*time.Millisecond {
+			percent = 100
+		}
+		g.Runs = append(g.Runs, outside.RunningTask{
+			Task:    id,
+			Run:     r.number,
+			Percent: percent,
+		})
+	}
+	return g
+}
+
+// acknowledge lets a worker forget ends, and the oracle note them.
+func (w *world) acknowledge(f *fakeWorker, last int64) {
+	for len(f.ends) > 0 && f.ends[0].Number <= last {
+		if f.ends[0].Kind == outside.EndDone {
+			w.noted[f.ends[0].Task] = w.now
+		}
+		f.ends = f.ends[1:]
+	}
+}
+
+// startAt is what a worker does with a start, and what the oracle says of it.
+func (w *world) startAt(f *fakeWorker, o outside.StartOrder) error {
+	refuse := func(reason outside.Refusal) error {
+		return &outside.WorkerRefusedError{
+			Reason: reason,
+			Clock:  w.now.Sub(w.start),
+		}
+	}
+	if f.down || f.cut {
+		return errSilent
+	}
+	if o.Fence < f.fence {
+		return refuse(outside.RefusedFence)
+	}
+	f.fence = o.Fence
+	if w.now.After(w.start.Add(o.Until)) {
+		return refuse(outside.RefusedLate)
+	}
+	if r, found := f.runs[o.Task]; found && r.number == o.Run {
+		return nil
+	}
+	if o.Run <= f.top[o.Task] {
+		return refuse(outside.RefusedOld)
+	}
+	f.renew(w, o.Fence, o.Until)
+	step := w.stepOf(o.Task)
+	w.judge(f, o.Task, step)
+	f.top[o.Task] = o.Run
+	f.runs[o.Task] = &fakeRun{
+		number:   o.Run,
+		step:     step,
+		began:    w.now,
+		workLeft: step.Estimate,
+	}
+	return nil
+}
+
+// stepOf returns the step of a task; of a job whose record is gone only the
+// usual one is known.
+func (w *world) stepOf(id job.TaskID) job.Step {
+	if r, found := w.records[id.Job]; found {
+		return r.Spec.Steps[id.Step]
+	}
+	return job.Step{
+		Count:    1,
+		Estimate: time.Second,
+	}
+}
+
+// judge notes what a start breaks.
+func (w *world) judge(f *fakeWorker, id job.TaskID, step job.Step) {
+	if at, noted := w.noted[id]; noted {
+		w.fault("%s starts on %s, and its end was noted at %v", id, f.reg.ID, at.Sub(w.start))
+	}
+	used := step.Charge()
+	same := 1
+	for other, r := range f.runs {
+		used = used.Add(r.step.Charge())
+		if other.StepName() == id.StepName() {
+			same++
+		}
+	}
+	if !f.reg.Capacity.Fits(used) {
+		w.fault("%s puts %s over its capacity", id, f.reg.ID)
+	}
+	if step.PerWorker > 0 && same > step.PerWorker {
+		w.fault("%s is one too many of its step on %s", id, f.reg.ID)
+	}
+	for _, other := range w.workers {
+		if r, found := other.runs[id]; found && !other.down && !step.Speculative && w.now.Before(other.until) {
+			w.fault("%s starts on %s while run %d of it is on %s", id, f.reg.ID, r.number, other.reg.ID)
+		}
+	}
+}
+
+func (w *world) check(t tester) {
+	t.Helper()
+	for _, fault := range w.faults {
+		t.Error(fault)
+	}
+}
+
+// step returns a step of count tasks that each run for a second on one core.
+func step(count int, after ...int) job.Step {
+	return job.Step{
+		Count: count,
+		Need: job.Room{
+			MilliCPU: 1000,
+			MemoryMB: 100,
+		},
+		Estimate: time.Second,
+		After:    after,
+	}
+}
+
+// lasting returns a step of tasks that run until they are cancelled.
+func lasting(count, mayMiss int) job.Step {
+	s := step(count)
+	s.Lasting = true
+	s.MayMiss = mayMiss
+	s.HasMayMiss = true
+	return s
+}
