Let the successor of an ended holder order machines at once

Also: the keeper claimed parts before it had read who owned them (six refused claims an entry); the move to store/ had left a wrong selector.

--- a/owner/fleet.go
+++ b/owner/fleet.go
@@ -39,6 +39,11 @@
 	// so that an owner that was frozen gives none when it wakes.
 	orderFresh = time.Second
 
+	// endedPause is how long after the end of the holder before the first order
+	// is given: what it sent has arrived by then, or never will. A holder that
+	// may still live is given the platform's own pause.
+	endedPause = 300 * time.Millisecond
+
 	// waveRounds bounds the waves that are worked on at one time.
 	waveRounds = 8
 )
@@ -98,7 +103,7 @@
 	released chan struct{}
 }
 
-func newFleet(deps Deps, won claim, now time.Time) *fleet {
+func newFleet(deps Deps, won claim, now time.Time, ended bool) *fleet {
 	f := &fleet{
 		deps:     deps,
 		tenure:   newTenure(deps, partMachines, won, now),
@@ -109,7 +114,9 @@
 		stop:     make(chan struct{}),
 		released: make(chan struct{}),
 	}
-	if won.epoch > 1 {
+	if ended {
+		f.quietUntil = now.Add(endedPause)
+	} else {
 		f.quietUntil = now.Add(deps.Site.HolderPause + fleetPause)
 	}
 	return f
--- a/owner/keeper.go
+++ b/owner/keeper.go
@@ -88,6 +88,10 @@
 	// watches holds what the keeper has noticed of each service's owner.
 	watches map[string]*watch
 
+	// read says that the rows of all owners have been read once; before that
+	// nothing is known to be free.
+	read bool
+
 	stopping bool
 }
 
@@ -222,6 +226,9 @@
 		}
 		k.take(page.Rows)
 	}
+	k.mu.Lock()
+	k.read = true
+	k.mu.Unlock()
 	return max(0, first), nil
 }
 
@@ -261,7 +268,7 @@
 func (k *Keeper) round(ctx context.Context) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.stopping {
+	if k.stopping || !k.read {
 		return
 	}
 	now := k.deps.Clock.Now()
@@ -419,7 +426,7 @@
 	if o.Epoch == 0 {
 		blindFor = 0
 	}
-	h := k.hold(service, won, now, blindFor)
+	h := k.hold(service, won, now, blindFor, ended)
 	k.held[service] = h
 	k.mu.Unlock()
 	k.deps.Log.Info("service taken", "service", service, "epoch", won.epoch, "from", o.Owner, "ended", ended)
@@ -433,9 +440,9 @@
 }
 
 // hold builds the duty for a part that was won.
-func (k *Keeper) hold(part string, won claim, now time.Time, blindFor time.Duration) holding {
+func (k *Keeper) hold(part string, won claim, now time.Time, blindFor time.Duration, ended bool) holding {
 	if part == partMachines {
-		f := newFleet(k.deps, won, now)
+		f := newFleet(k.deps, won, now, ended)
 		return holding{
 			tenure:  f.tenure,
 			run:     f.run,
--- a/pool/round.go
+++ b/pool/round.go
@@ -291,6 +291,9 @@
 		sp.closed = true
 		if awake {
 			closing[sp.pool]++
+			// Another machine takes its place meanwhile, so that what runs there
+			// has somewhere to go.
+			r.count[sp.pool]--
 			r.plan.Closed[sp.pool] = append(r.plan.Closed[sp.pool], sp.machine.Worker)
 			if !sp.load.Closed || sp.load.Runs > 0 {
 				down++
@@ -312,7 +315,7 @@
 	if !sp.known || sp.load.Draining {
 		return false
 	}
-	if late || r.count[sp.pool]-closing[sp.pool] > r.plan.Targets[sp.pool] {
+	if late || r.count[sp.pool] > r.plan.Targets[sp.pool] {
 		return true
 	}
 	return float64(closing[sp.pool]) < max(1, maintainShare*float64(r.count[sp.pool]))
--- a/state/watch.go
+++ b/state/watch.go
@@ -192,7 +192,7 @@
 
 // pollList reads the list; it reports whether the view must be built anew.
 func (w *Watch) pollList(ctx context.Context) bool {
-	listed, err := w.store.Instances.List(ctx)
+	listed, err := w.platform.Instances.List(ctx)
 	if err != nil {
 		w.log.Debug("instance list not read", "error", err)
 		return false
@@ -208,7 +208,7 @@
 // pollTable reads the rows that changed; it reports whether the view
 // must be built anew.
 func (w *Watch) pollTable(ctx context.Context) bool {
-	page, err := w.store.Table.Scan(ctx, fleet.StatePrefix, w.cache.Revision())
+	page, err := w.platform.Table.Scan(ctx, fleet.StatePrefix, w.cache.Revision())
 	if err != nil {
 		w.log.Debug("table not read", "error", err)
 		return false
@@ -237,7 +237,7 @@
 // restore takes in the newest snapshot, for an entry that starts while the
 // table is down. Rows of peers and of the table replace it as they come.
 func (w *Watch) restore(ctx context.Context) {
-	rows, err := LoadSnapshot(ctx, w.store.Objects)
+	rows, err := LoadSnapshot(ctx, w.platform.Objects)
 	if err != nil {
 		w.log.Warn("table and snapshot not read; waiting for peers", "error", err)
 		return
--- a/store/commit.go
+++ b/store/commit.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"context"
--- a/store/contract_test.go
+++ b/store/contract_test.go
@@ -69,7 +69,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			ctx := context.Background()
-			table := s.store.Table
+			table := s.platform.Table
 			row, err := table.Read(ctx, "a")
 			is.NoErr(err)
 			is.Equal(row.Version, int64(0)) // A row that does not exist has version 0.
@@ -134,11 +134,11 @@
 			t.Run(name+"/"+kind, func(t *testing.T) {
 				is := is.New(t)
 				s.faults.Set(c.fault)
-				_, err := s.store.Table.Commit(context.Background(), write("op", "a", "x", 0))
+				_, err := s.platform.Table.Commit(context.Background(), write("op", "a", "x", 0))
 				is.Equal(store.IsUnavailable(err), c.unavailable)
 				is.Equal(s.table.Read("a").Version > 0, c.applied)
 				s.faults.Set(standin.FaultNone)
-				_, err = s.store.Table.Commit(context.Background(), write("op", "a", "x", 0))
+				_, err = s.platform.Table.Commit(context.Background(), write("op", "a", "x", 0))
 				is.NoErr(err)                                    // The same operation again finds its own write.
 				is.Equal(string(s.table.Read("a").Value), "x")   // And wrote once:
 				is.Equal(s.table.Scan("", 0).Revision, int64(1)) // one revision.
@@ -151,11 +151,11 @@
 	is := is.New(t)
 	s := subjects(t)["http"]
 	ctx := context.Background()
-	_, err := s.store.Objects.Get(ctx, "a/b")
+	_, err := s.platform.Objects.Get(ctx, "a/b")
 	var missing *store.NotFoundError
 	is.True(errors.As(err, &missing))
-	is.NoErr(s.store.Objects.Put(ctx, "a/b", store.Seal([]byte("body"))))
-	sealed, err := s.store.Objects.Get(ctx, "a/b")
+	is.NoErr(s.platform.Objects.Put(ctx, "a/b", store.Seal([]byte("body"))))
+	sealed, err := s.platform.Objects.Get(ctx, "a/b")
 	is.NoErr(err)
 	body, err := store.Unseal("a/b", sealed)
 	is.NoErr(err)
@@ -164,7 +164,7 @@
 	_, err = store.Unseal("a/b", sealed)
 	var broken *store.BrokenObjectError
 	is.True(errors.As(err, &broken)) // A damaged object is never trusted.
-	listed, err := s.store.Instances.List(ctx)
+	listed, err := s.platform.Instances.List(ctx)
 	is.NoErr(err)
 	is.Equal(len(listed), 0)
 }
