--- a/operate/metrics.go
+++ b/operate/metrics.go
@@ -43,7 +43,7 @@
 	gauge("peers_heard", int64(len(h.peers.Heard())))
 	gauge("table_silent_ms", h.clock.Now().Sub(h.watch.FreshAt()).Milliseconds())
 	gauge("peer_sent_bytes", h.reporter.transport.Sent())
-	gauge("platform_bytes", h.store.Bytes())
+	gauge("platform_bytes", h.platform.Bytes())
 	for service, recorder := range h.reporter.services.Counts() {
 		for outcome, count := range recorder.Total() {
 			gauge(fmt.Sprintf("requests{service=%q,outcome=%q}", service, outcomeNames[outcome]), count)
