Start what can still end in time first; share machines by present need

Ruled out: slow moves (an order took 1.6 s as promised). Change: three outlooks of a job (in time, late, worth nothing), reckoned from the remaining chain with learned run times; machines beyond a service's need of the moment may go to one that lacks some, and short supply is split in proportion to need.

--- a/owner/fleet.go
+++ b/owner/fleet.go
@@ -94,6 +94,9 @@
 	closed map[string][]string
 	ended  map[string][]string
 
+	// targets is what was last logged of each pool's size.
+	targets map[string]int
+
 	// quietUntil is until when no order is given, because the holder before may
 	// have given one just now.
 	quietUntil time.Time
@@ -111,6 +114,7 @@
 		waves:    make(map[int64]*waveState),
 		closed:   make(map[string][]string),
 		ended:    make(map[string][]string),
+		targets:  make(map[string]int),
 		stop:     make(chan struct{}),
 		released: make(chan struct{}),
 	}
@@ -204,6 +208,7 @@
 	if view.Now.Sub(f.listed) < listPause*4 {
 		plan := f.sizer.Plan(view)
 		f.closed = plan.Closed
+		f.report(view, plan)
 		if !view.Now.Before(f.quietUntil) {
 			f.order(ctx, plan)
 		}
@@ -212,6 +217,21 @@
 	return f.write(ctx, false)
 }
 
+// report logs the size of each pool whose target changed, and why.
+func (f *fleet) report(view pool.View, plan pool.Plan) {
+	for _, service := range view.Services {
+		target := plan.Targets[service.Name]
+		if service.Asleep || target == f.targets[service.Name] {
+			continue
+		}
+		f.targets[service.Name] = target
+		f.deps.Log.Info("pool sized", "service", service.Name, "target", target, "count", plan.Counts[service.Name],
+			"known", service.Known, "used_cpu", service.Load.Used.MilliCPU, "waiting_cpu", service.Load.Waiting.MilliCPU,
+			"coming_cpu", service.Load.Coming.MilliCPU, "spread", service.Load.Spread, "closed", len(plan.Closed[service.Name]),
+			"list_age_ms", view.Now.Sub(f.listed).Milliseconds())
+	}
+}
+
 // takeWaves takes in what the operator asks for.
 func (f *fleet) takeWaves() {
 	now := f.deps.Clock.Now()
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -30,6 +30,10 @@
 	trendSpan  = time.Second
 	trendAhead = 1.0
 
+	// needShare is kept free of what a service needs at this moment when others
+	// lack machines.
+	needShare = 0.05
+
 	// headroomShare is kept free of a service's demand.
 	headroomShare = 0.10
 
@@ -105,8 +109,10 @@
 	Moves        []Move
 	Maintenances []Maintenance
 
-	// Targets maps a service to the number of machines it should have.
+	// Targets maps a service to the number of machines it should have, and
+	// Counts to the number that it has or is about to have.
 	Targets map[string]int
+	Counts  map[string]int
 }
 
 // Sizer remembers the demand of each service and what was ordered lately.
@@ -218,9 +224,10 @@
 	}
 }
 
-// note takes in the demand of a service and returns the number of machines it
-// should have.
-func (s *Sizer) note(service Service, each job.Room, now time.Time) int {
+// note takes in the demand of a service. It returns the number of machines that
+// it should have, and the smaller one that it needs at this moment, beyond
+// which machines may go to a service that lacks some.
+func (s *Sizer) note(service Service, each job.Room, now time.Time) (wanted, needed int) {
 	need := service.Load.Used.Add(service.Load.Waiting)
 	machines := 0.0
 	ratio := func(amount, one int) {
@@ -248,8 +255,10 @@
 		}
 	}
 	rise := max(0, machines-before) * trendAhead
-	wanted := int(math.Ceil(max(high, machines+rise) * (1 + headroomShare)))
-	return max(wanted, floorMachines, service.Load.Spread+1)
+	floor := max(floorMachines, service.Load.Spread+1)
+	wanted = int(math.Ceil(max(high, machines+rise) * (1 + headroomShare)))
+	needed = int(math.Ceil(machines * (1 + needShare)))
+	return max(wanted, floor), max(needed, floor)
 }
 
 // byName sorts machines for a plan that is the same each time.
--- a/pool/round.go
+++ b/pool/round.go
@@ -38,6 +38,9 @@
 	asleep   string
 	services map[string]*Service
 
+	// needs holds how many machines each service can't spare at this moment.
+	needs map[string]int
+
 	// count is the number of machines that each pool has or will have.
 	count map[string]int
 }
@@ -52,6 +55,7 @@
 		},
 		services: make(map[string]*Service, len(v.Services)),
 		count:    make(map[string]int),
+		needs:    make(map[string]int),
 	}
 	for i := range v.Services {
 		service := &v.Services[i]
@@ -98,9 +102,33 @@
 		}
 		if !service.Known {
 			r.plan.Targets[service.Name] = r.count[service.Name]
+			r.needs[service.Name] = r.count[service.Name]
 			continue
 		}
-		r.plan.Targets[service.Name] = r.sizer.note(service, r.room(service.Name), r.view.Now)
+		wanted, needed := r.sizer.note(service, r.room(service.Name), r.view.Now)
+		r.plan.Targets[service.Name] = wanted
+		r.needs[service.Name] = needed
+	}
+	r.share()
+}
+
+// share cuts the needs down to the machines that there are, in proportion to
+// what each service needs above its floor.
+func (r *round) share() {
+	sum := 0
+	floors := 0
+	for _, need := range r.needs {
+		sum += need
+		floors += min(need, floorMachines)
+	}
+	if sum <= len(r.spots) || sum == floors {
+		return
+	}
+	part := float64(max(0, len(r.spots)-floors)) / float64(sum-floors)
+	for name, need := range r.needs {
+		floor := min(need, floorMachines)
+		r.needs[name] = floor + int(part*float64(need-floor))
+		r.plan.Targets[name] = min(r.plan.Targets[name], r.needs[name])
 	}
 }
 
@@ -175,7 +203,7 @@
 		}
 		cost := 0
 		if sp.pool != r.asleep {
-			if r.count[sp.pool] <= r.plan.Targets[sp.pool] {
+			if r.count[sp.pool] <= r.needs[sp.pool] {
 				continue
 			}
 			// An empty worker goes at once; one with runs only later, and one
@@ -338,6 +366,7 @@
 	for _, workers := range r.plan.Closed {
 		sort.Strings(workers)
 	}
+	r.plan.Counts = r.count
 	return r.plan
 }
 
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -109,7 +109,7 @@
 	}
 	gin.SetMode(gin.ReleaseMode)
 	engine := gin.New()
-	f.store.Routes(engine)
+	f.platform.Routes(engine)
 	server := httptest.NewServer(engine)
 	t.Cleanup(server.Close)
 	f.address = netip.MustParseAddrPort(server.Listener.Addr().String())
--- a/proof/process_test.go
+++ b/proof/process_test.go
@@ -74,12 +74,12 @@
 	f.signal(f.entries[2], syscall.SIGTERM)
 	_ = f.entries[2].command.Wait()
 	wait := f.callers(10 * time.Second)
-	f.store.Faults.Set(standin.FaultDown)
+	f.platform.Faults.Set(standin.FaultDown)
 	// A new entry starts while the table is down, with what peers know.
 	f.run(f.entries[2])
 	f.until("the new entry during the outage", func() bool { return f.ready(f.entries[2]) })
 	time.Sleep(5 * time.Second)
-	f.store.Faults.Set(standin.FaultNone)
+	f.platform.Faults.Set(standin.FaultNone)
 	verdict := wait()
 	holds(t, verdict)
 	is.True(verdict.Whole > verdict.Requests/2) // Callers were served throughout.
@@ -89,9 +89,9 @@
 	t.Parallel()
 	f := newFleet(t, 4, 2, "3s")
 	f.until("a snapshot with the configuration", func() bool {
-		return bytes.Contains(f.store.Object("snapshot/state"), []byte("state/config"))
+		return bytes.Contains(f.platform.Object("snapshot/state"), []byte("state/config"))
 	})
-	f.store.Faults.Set(standin.FaultTableDown)
+	f.platform.Faults.Set(standin.FaultTableDown)
 	for _, entry := range f.entries {
 		f.signal(entry, syscall.SIGKILL)
 		_ = entry.command.Wait()
@@ -108,9 +108,9 @@
 	is := is.New(t)
 	f := newFleet(t, 4, 3, "10s")
 	// Two instances are listed as live and enrolled, and nobody is there.
-	f.store.AddPhantoms(2, "guichet")
+	f.platform.AddPhantoms(2, "guichet")
 	f.until("the phantoms' rows", func() bool { return len(f.instances("serving")) == 6 })
-	f.store.Faults.Set(standin.FaultSlow)
+	f.platform.Faults.Set(standin.FaultSlow)
 	verdict := f.callers(8 * time.Second)()
 	holds(t, verdict)
 	is.True(verdict.Whole > verdict.Requests*9/10) // They hardly cost anything.
@@ -131,9 +131,9 @@
 	})
 	f.until("the first instance out", func() bool { return len(f.instances("serving")) < 6 })
 	f.signal(f.entries[0], syscall.SIGKILL)
-	f.store.Faults.Set(standin.FaultLose)
+	f.platform.Faults.Set(standin.FaultLose)
 	time.Sleep(2 * time.Second)
-	f.store.Faults.Set(standin.FaultNone)
+	f.platform.Faults.Set(standin.FaultNone)
 	f.signal(f.entries[1], syscall.SIGSTOP)
 	time.Sleep(3 * time.Second)
 	f.signal(f.entries[1], syscall.SIGCONT)
@@ -165,7 +165,7 @@
 	wait := f.callers(10 * time.Second)
 	f.until("requests at the endpoint", func() bool { return f.ran("w1") > 0 })
 	begin := time.Now()
-	f.store.Leave("w1")
+	f.platform.Leave("w1")
 	for entry := range f.entries {
 		f.until("the entry to read the list", func() bool { return f.listed(entry, "w1") == "leaving" })
 	}
--- a/shard/place.go
+++ b/shard/place.go
@@ -20,6 +20,13 @@
 	// fullPercent is the share at which a lasting task counts as at work.
 	fullPercent = 100
 
+	// lateFactor times a job's objective is when it stops earning anything; it
+	// is the platform's own figure.
+	lateFactor = 3
+
+	// expectSamples is how many run times must be known before they count.
+	expectSamples = 5
+
 	// speculateAfter is how many times its usual run time a task must have
 	// taken before a copy of it is started.
 	speculateAfter = 2.0
@@ -43,8 +50,23 @@
 	job        *jobState
 	occurrence int
 	step       int
+	outlook    outlook
 }
 
+// outlook is what a job can still earn.
+type outlook int
+
+const (
+	// outlookFull means that the job can end in time.
+	outlookFull outlook = iota
+
+	// outlookLate means that it will be late, which earns a small part.
+	outlookLate
+
+	// outlookNone means that it earns nothing any more; it still has to end.
+	outlookNone
+)
+
 // place starts the tasks that may start and fit, the most urgent first.
 func (s *Shard) place(now time.Time) {
 	if len(s.waiting) == 0 {
@@ -96,45 +118,97 @@
 			delete(s.waiting, id)
 		}
 	}
+	for i := range list {
+		list[i].outlook = s.outlookOf(list[i], now)
+	}
 	sort.Slice(list, func(a, b int) bool {
-		return less(list[a], list[b], now)
+		return list[a].less(list[b])
 	})
 	return list
 }
 
-// less orders by priority, lasting work first, then by deadline; a job that
-// can earn nothing any more comes after all that can.
-func less(a, b group, now time.Time) bool {
-	if a.job.policy.Priority != b.job.policy.Priority {
-		return a.job.policy.Priority < b.job.policy.Priority
+// less orders by priority, lasting work first, then by what a job can still
+// earn, then by deadline. Going by the deadline alone would, whenever there is
+// more work than room, spend the room on jobs that are late already.
+func (g group) less(o group) bool {
+	if g.job.policy.Priority != o.job.policy.Priority {
+		return g.job.policy.Priority < o.job.policy.Priority
+	}
+	lasting := g.job.record.Spec.Steps[g.step].Lasting
+	if lasting != o.job.record.Spec.Steps[o.step].Lasting {
+		return lasting
+	}
+	if g.outlook != o.outlook {
+		return g.outlook < o.outlook
 	}
-	lastingA := a.job.record.Spec.Steps[a.step].Lasting
-	lastingB := b.job.record.Spec.Steps[b.step].Lasting
-	if lastingA != lastingB {
-		return lastingA
+	if !g.job.deadline.Equal(o.job.deadline) {
+		return g.job.deadline.Before(o.job.deadline)
 	}
-	hopelessA := a.job.hopeless(now)
-	hopelessB := b.job.hopeless(now)
-	if hopelessA != hopelessB {
-		return hopelessB
+	if g.job.record.ID != o.job.record.ID {
+		return g.job.record.ID < o.job.record.ID
+	}
+	if g.occurrence != o.occurrence {
+		return g.occurrence < o.occurrence
+	}
+	return g.step < o.step
+}
+
+// outlookOf tells what a step's job can still earn if the step starts now.
+func (s *Shard) outlookOf(g group, now time.Time) outlook {
+	if g.job.record.Spec.Repeats > 0 {
+		return outlookFull
 	}
-	if !a.job.deadline.Equal(b.job.deadline) {
-		return a.job.deadline.Before(b.job.deadline)
+	accepted := g.job.record.accepted()
+	if now.Sub(accepted) > lateFactor*g.job.deadline.Sub(accepted) {
+		return outlookNone
 	}
-	if a.job.record.ID != b.job.record.ID {
-		return a.job.record.ID < b.job.record.ID
+	if now.Add(s.remaining(g)).After(g.job.deadline) {
+		return outlookLate
 	}
-	if a.occurrence != b.occurrence {
-		return a.occurrence < b.occurrence
+	return outlookFull
+}
+
+// remaining returns how long the longest chain from a step to the end of its
+// job takes.
+func (s *Shard) remaining(g group) time.Duration {
+	steps := g.job.record.Spec.Steps
+	ends := make([]time.Duration, len(steps))
+	longest := time.Duration(0)
+	for i := g.step; i < len(steps); i++ {
+		if i > g.step {
+			follows := false
+			for _, earlier := range steps[i].After {
+				if earlier >= g.step && ends[earlier] > 0 {
+					follows = true
+					ends[i] = max(ends[i], ends[earlier])
+				}
+			}
+			if !follows {
+				continue
+			}
+		}
+		ends[i] += s.expect(g.job, &steps[i])
+		longest = max(longest, ends[i])
 	}
-	return a.step < b.step
+	return longest
+}
+
+// expect returns how long a task of a step will take: the mean of its caller's
+// estimate, which may be far off, and of what tasks of its kind took.
+func (s *Shard) expect(j *jobState, spec *job.Step) time.Duration {
+	m := s.learned[measureKey(j, spec)]
+	if m == nil || m.count < expectSamples {
+		return spec.Estimate
+	}
+	return (spec.Estimate + m.mean) / 2
 }
 
-// hopeless reports whether the job is past three times its objective, after
-// which it earns nothing.
-func (j *jobState) hopeless(now time.Time) bool {
-	accepted := j.record.accepted()
-	return now.Sub(accepted) > 3*j.deadline.Sub(accepted)
+// measureKey names the tasks that behave like those of a step.
+func measureKey(j *jobState, spec *job.Step) string {
+	if spec.Image != "" {
+		return spec.Image
+	}
+	return j.record.Route
 }
 
 func (g group) task(index int) job.TaskID {
@@ -396,10 +470,7 @@
 	if r == nil || r.order.Run == 0 {
 		return
 	}
-	key := j.record.Spec.Steps[id.Step].Image
-	if key == "" {
-		key = j.record.Route
-	}
+	key := measureKey(j, &j.record.Spec.Steps[id.Step])
 	m := s.learned[key]
 	if m == nil {
 		m = &measure{}
@@ -437,11 +508,7 @@
 // overdue reports whether a run takes much longer than its estimate and what
 // was measured say.
 func (s *Shard) overdue(j *jobState, spec *job.Step, r *run, now time.Time) bool {
-	key := spec.Image
-	if key == "" {
-		key = j.record.Route
-	}
-	m := s.learned[key]
+	m := s.learned[measureKey(j, spec)]
 	if m == nil || m.count < speculateSamples {
 		return false
 	}
