Empty the worker that was begun with, not the emptiest of the moment

Ruled out: may_miss (each move was allowed). Change: a closed worker stays the choice. Tests: pool/ with the fleet's decisions, this one first.

--- a/pool/pool.go
+++ b/pool/pool.go
@@ -127,10 +127,6 @@
 	// shows them up with another worker.
 	ordered map[string]order
 
-	// wanted maps a machine that is being closed to where it is to go; an empty
-	// text means that it is closed for maintenance.
-	wanted map[string]string
-
 	// refused holds pools that a machine can't be moved to.
 	refused map[string]map[string]bool
 
@@ -157,7 +153,6 @@
 		maintainTime: maintainTime,
 		demand:       make(map[string][]sample),
 		ordered:      make(map[string]order),
-		wanted:       make(map[string]string),
 		refused:      make(map[string]map[string]bool),
 		notBefore:    make(map[string]time.Time),
 	}
@@ -182,14 +177,12 @@
 		worker: worker,
 		wave:   wave,
 	}
-	delete(s.wanted, machine)
 }
 
 // Refused notes that an order had no effect; forever says that the machine
 // does not belong into that pool.
 func (s *Sizer) Refused(machine, to string, forever bool, now time.Time) {
 	delete(s.ordered, machine)
-	delete(s.wanted, machine)
 	s.notBefore[machine] = now.Add(retryPause)
 	if forever && to != "" {
 		if s.refused[machine] == nil {
@@ -217,11 +210,6 @@
 			delete(s.ordered, id)
 		}
 	}
-	for id := range s.wanted {
-		if _, found := listed[id]; !found {
-			delete(s.wanted, id)
-		}
-	}
 }
 
 // note takes in the demand of a service. It returns the number of machines that
--- /dev/null
+++ b/pool/pool_test.go
@@ -0,0 +1,217 @@
+package pool_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lemonstream.dev/lemonstream/job"
+	"lemonstream.dev/lemonstream/outside"
+	"lemonstream.dev/lemonstream/pool"
+	"lemonstream.dev/lemonstream/shard"
+)
+
+const asleep = "asleep"
+
+var each = job.Room{
+	MilliCPU: 16_000,
+	MemoryMB: 32_000,
+}
+
+// fleet is a view under construction.
+type fleet struct {
+	view  pool.View
+	sizer *pool.Sizer
+}
+
+func newFleet(counts map[string]int) *fleet {
+	f := &fleet{
+		sizer: pool.NewSizer(1500*time.Millisecond, 2*time.Second),
+	}
+	f.view.Now = time.UnixMilli(1_000_000)
+	for _, name := range []string{"a", "b", asleep} {
+		service := pool.Service{
+			Name:   name,
+			Asleep: name == asleep,
+			Known:  name != asleep,
+		}
+		service.Load.Workers = make(map[string]shard.WorkerLoad)
+		for i := 0; i < counts[name]; i++ {
+			m := outside.Machine{
+				ID:       fmt.Sprintf("%s%02d", name, i),
+				Pool:     name,
+				State:    outside.MachineUp,
+				Capacity: each,
+			}
+			if name != asleep {
+				m.Worker = "w-" + m.ID
+				service.Load.Workers[m.Worker] = shard.WorkerLoad{
+					Reached: true,
+				}
+			}
+			f.view.Machines = append(f.view.Machines, m)
+		}
+		f.view.Services = append(f.view.Services, service)
+	}
+	return f
+}
+
+func (f *fleet) service(name string) *pool.Service {
+	for i := range f.view.Services {
+		if f.view.Services[i].Name == name {
+			return &f.view.Services[i]
+		}
+	}
+	return nil
+}
+
+// plan makes a plan and lets the workers be closed as it says.
+func (f *fleet) plan() pool.Plan {
+	f.view.Now = f.view.Now.Add(200 * time.Millisecond)
+	plan := f.sizer.Plan(f.view)
+	for _, service := range f.view.Services {
+		closed := make(map[string]bool)
+		for _, worker := range plan.Closed[service.Name] {
+			closed[worker] = true
+		}
+		for id, load := range service.Load.Workers {
+			load.Closed = closed[id]
+			service.Load.Workers[id] = load
+		}
+	}
+	return plan
+}
+
+func cpu(cores int) job.Room {
+	return job.Room{
+		MilliCPU: cores * 1000,
+	}
+}
+
+func TestIdleMachinesGoToSleep(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(map[string]int{
+		"a": 8,
+		"b": 3,
+	})
+	is.Equal(len(f.plan().Moves), 0) // Workers are closed first,
+	moves := f.plan().Moves
+	is.Equal(len(moves), 5) // and moved once nothing is placed there.
+	for _, move := range moves {
+		is.Equal(move.To, asleep)
+	}
+}
+
+func TestWorkingMachineIsClosedAndNotMoved(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(map[string]int{
+		"a": 4,
+		"b": 3,
+	})
+	for id, load := range f.service("a").Load.Workers {
+		load.Runs = 2
+		f.service("a").Load.Workers[id] = load
+	}
+	f.plan()
+	plan := f.plan()
+	is.Equal(len(plan.Closed["a"]), 1)
+	is.Equal(len(plan.Moves), 0)
+}
+
+func TestClosingIsNotPassedOn(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(map[string]int{
+		"a": 4,
+		"b": 3,
+	})
+	workers := f.service("a").Load.Workers
+	for id, load := range workers {
+		load.Runs = 2
+		load.Lasting = 2
+		workers[id] = load
+	}
+	first := f.plan().Closed["a"]
+	is.Equal(len(first), 1)
+	// Its lasting tasks went to a worker that is now the fullest, and another
+	// has become the emptiest.
+	for id, load := range workers {
+		if id != first[0] {
+			load.Runs = 1
+			load.Lasting = 1
+			workers[id] = load
+		}
+	}
+	is.Equal(f.plan().Closed["a"], first)
+}
+
+func TestDemandWakesMachines(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(map[string]int{
+		"a":    3,
+		asleep: 20,
+	})
+	f.service("a").Load.Used = cpu(40)
+	f.service("a").Load.Waiting = cpu(100)
+	is.True(len(f.plan().Moves) >= 6)
+}
+
+func TestServicePastItsPeakGivesMachines(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(map[string]int{
+		"a": 20,
+		"b": 3,
+	})
+	f.service("a").Load.Used = cpu(300)
+	f.plan()
+	f.service("a").Load.Used = cpu(32)
+	f.service("b").Load.Waiting = cpu(200)
+	f.plan()
+	plan := f.plan()
+	is.True(len(plan.Moves) >= 10) // The high of a moment ago must not hold them.
+	for _, move := range plan.Moves {
+		is.Equal(move.To, "b")
+	}
+}
+
+func TestWaveKeepsToItsBound(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(map[string]int{
+		"a":    3,
+		"b":    3,
+		asleep: 10,
+	})
+	wave := &pool.Wave{
+		Seen: f.view.Now,
+		Done: make(map[string]bool),
+	}
+	wave.Number = 1
+	wave.AtOnce = 4
+	wave.Within = time.Minute
+	for _, m := range f.view.Machines {
+		wave.Machines = append(wave.Machines, m.ID)
+	}
+	f.view.Waves = []*pool.Wave{wave}
+	plan := f.plan()
+	is.Equal(len(plan.Maintenances), 4)
+	for _, m := range plan.Maintenances {
+		is.Equal(m.Pool, asleep) // Sleeping machines disturb nobody.
+		f.sizer.Ordered(m.Machine, "", m.Worker, m.Wave, f.view.Now)
+		wave.Done[m.Machine] = true
+	}
+	is.Equal(len(f.plan().Maintenances), 0) // Four are down.
+	is.True(!wave.Complete(f.view.Machines))
+}
+
+func TestUnknownLoadMovesNothing(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(map[string]int{
+		"a": 8,
+	})
+	f.service("a").Known = false
+	f.plan()
+	plan := f.plan()
+	is.Equal(len(plan.Moves), 0)
+	is.Equal(len(plan.Closed), 0)
+}
--- a/pool/round.go
+++ b/pool/round.go
@@ -9,6 +9,10 @@
 	"lemonstream.dev/lemonstream/shard"
 )
 
+// lastingCost is how many short runs weigh as much as a lasting task, which has
+// to be moved and is away for about a second.
+const lastingCost = 10
+
 // spot is one machine as the round sees it.
 type spot struct {
 	machine outside.Machine
@@ -206,9 +210,7 @@
 			if r.count[sp.pool] <= r.needs[sp.pool] {
 				continue
 			}
-			// An empty worker goes at once; one with runs only later, and one
-			// with lasting tasks last.
-			cost = 1 + sp.load.Runs + 10*sp.load.Lasting
+			cost = sp.cost()
 		}
 		if best == nil || cost < bestCost {
 			best = sp
@@ -254,7 +256,7 @@
 		if sp.pool != name || !r.movable(sp, r.asleep) {
 			continue
 		}
-		if best == nil || sp.load.Runs+10*sp.load.Lasting < best.load.Runs+10*best.load.Lasting {
+		if best == nil || sp.cost() < best.cost() {
 			best = sp
 		}
 	}
@@ -354,12 +356,17 @@
 	if sp.pool == r.asleep {
 		return 0
 	}
-	cost := 1 + sp.load.Runs + 10*sp.load.Lasting
+	return sp.cost()
+}
+
+// cost orders awake machines by what it costs to empty them: an empty worker
+// goes at once, one with runs later, and one with lasting tasks last. What was
+// begun is ended first, since another choice would undo it.
+func (sp *spot) cost() int {
 	if sp.load.Closed {
-		// What was begun is ended first.
-		cost = 1
+		return 1
 	}
-	return cost
+	return 2 + sp.load.Runs + lastingCost*sp.load.Lasting
 }
 
 func (r *round) finish() Plan {
