Use a new worker only under ownership confirmed since it was listed

Ruled out: the fence (the worker had seen none yet), the fresh path. Change: a new owner reads the registrations after it has taken the shard, and any owner uses a worker only once a transaction sent after the worker was first seen was applied. Registrations never go back to older rows.

--- a/owner/commit.go
+++ b/owner/commit.go
@@ -15,7 +15,8 @@
 		return
 	}
 	batch, found := d.core.TakeBatch()
-	if !found && now.Sub(d.tenure.lastWrite) < beatPause && !d.releasing {
+	due := now.Sub(d.tenure.lastWrite) >= beatPause || d.core.Unconfirmed()
+	if !found && !due && !d.releasing {
 		return
 	}
 	d.committing = true
@@ -33,6 +34,7 @@
 			}
 			d.tenure.beatVersion = version
 			d.tenure.noteWrite(now)
+			d.core.Confirm(now)
 			d.core.Written(batch, at)
 			if releasing {
 				close(d.released)
--- a/owner/duty.go
+++ b/owner/duty.go
@@ -192,6 +192,9 @@
 	if err != nil {
 		return err
 	}
+	if err := d.deps.Registry.Refresh(ctx); err != nil {
+		return err
+	}
 	d.deps.Group.Go("intake of "+d.service, func(context.Context) error {
 		return d.watchIntake(ctx, since)
 	})
--- a/owner/registry.go
+++ b/owner/registry.go
@@ -30,13 +30,19 @@
 
 	mu       sync.Mutex
 	loaded   bool
-	workers  map[string]outside.Registration
+	workers  map[string]registered
 	watchers map[string]func([]outside.Registration)
 
 	// wanted holds a token when somebody watches.
 	wanted chan struct{}
 }
 
+// registered is a registration with the version of its row.
+type registered struct {
+	outside.Registration
+	version int64
+}
+
 // NewRegistry returns a registry over the table of the given name.
 func NewRegistry(table outside.Table, name string, decode func(string, []byte) (outside.Registration, error), log *slog.Logger) *Registry {
 	return &Registry{
@@ -44,12 +50,19 @@
 		name:     name,
 		decode:   decode,
 		log:      log,
-		workers:  make(map[string]outside.Registration),
+		workers:  make(map[string]registered),
 		watchers: make(map[string]func([]outside.Registration)),
 		wanted:   make(chan struct{}, 1),
 	}
 }
 
+// Refresh reads every registration anew. An owner calls it once it has taken a
+// service, so that it knows every worker that the owner before may have used.
+func (r *Registry) Refresh(ctx context.Context) error {
+	_, err := r.read(ctx)
+	return err
+}
+
 // Run follows the table until ctx ends.
 func (r *Registry) Run(ctx context.Context) error {
 	version := int64(-1)
@@ -129,7 +142,7 @@
 	for _, reg := range r.workers {
 		touched[reg.Service] = true
 	}
-	r.workers = make(map[string]outside.Registration)
+	r.workers = make(map[string]registered)
 	for _, row := range rows {
 		r.apply(row, touched)
 	}
@@ -156,7 +169,14 @@
 		r.log.Error("registration left out", "worker", row.Key.Name, "error", err)
 		return
 	}
-	r.workers[row.Key.Name] = reg
+	if row.Version < before.version {
+		// A refresh has shown a newer row than this change.
+		return
+	}
+	r.workers[row.Key.Name] = registered{
+		Registration: reg,
+		version:      row.Version,
+	}
 	if !known || before.Draining != reg.Draining || before.Remaining != reg.Remaining || before.Service != reg.Service {
 		touched[reg.Service] = true
 		touched[before.Service] = true
@@ -167,7 +187,7 @@
 	var list []outside.Registration
 	for _, reg := range r.workers {
 		if reg.Service == service {
-			list = append(list, reg)
+			list = append(list, reg.Registration)
 		}
 	}
 	return list
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -245,7 +245,7 @@
 	rise := max(0, machines-before) * trendAhead
 	floor := max(floorMachines, service.Load.Spread+1)
 	wanted = int(math.Ceil(max(high, machines+rise) * (1 + headroomShare)))
-	needed = int(math.Ceil(machines * (1 + needShare)))
+	needed = int(math.Ceil((machines + rise) * (1 + needShare)))
 	return max(wanted, floor), max(needed, floor)
 }
 
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -215,3 +215,23 @@
 	is.Equal(len(plan.Moves), 0)
 	is.Equal(len(plan.Closed), 0)
 }
+
+func TestServiceOnTheRiseGivesNoMachines(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(map[string]int{
+		"a":    20,
+		"b":    10,
+		asleep: 8,
+	})
+	for i := range f.view.Machines {
+		if f.view.Machines[i].Pool == asleep {
+			f.view.Machines[i].State = outside.MachineDown
+		}
+	}
+	f.service("a").Load.Used = cpu(330)
+	for cores := 150; cores < 240; cores += 20 {
+		f.service("b").Load.Used = cpu(cores)
+		plan := f.plan()
+		is.Equal(len(plan.Closed["b"]), 0)
+	}
+}
--- a/shard/place.go
+++ b/shard/place.go
@@ -225,7 +225,7 @@
 	var best *workerState
 	bestWeight := 0.0
 	for _, w := range s.workers {
-		if !w.takes(now) || !fits(w, id, spec) {
+		if !w.takes(now, s.confirmed) || !fits(w, id, spec) {
 			continue
 		}
 		weight := s.weigh(w, spec, t)
@@ -365,7 +365,7 @@
 	for _, index := range step.idle {
 		var best *workerState
 		for _, w := range s.workers {
-			if !w.takes(now) || (rack != "" && w.reg.Rack != rack) || !fits(w, g.task(index), spec) {
+			if !w.takes(now, s.confirmed) || (rack != "" && w.reg.Rack != rack) || !fits(w, g.task(index), spec) {
 				continue
 			}
 			room := w.free()
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -107,6 +107,10 @@
 	// brings none back.
 	gone map[string]time.Time
 
+	// confirmed is when the newest transaction was sent that proved that this
+	// owner still owned the shard.
+	confirmed time.Time
+
 	// deposed is set once a worker or the table showed a newer owner.
 	deposed bool
 
@@ -154,6 +158,26 @@
 	return counts
 }
 
+// Confirm takes in that a transaction of this owner was applied that was sent at
+// the instant. A worker is used only once one was that was sent after the worker
+// was first listed: an owner that took over since would have read the list
+// later, and so know of the worker.
+func (s *Shard) Confirm(sent time.Time) {
+	if sent.After(s.confirmed) {
+		s.confirmed = sent
+	}
+}
+
+// Unconfirmed reports whether a worker waits for a transaction to be used.
+func (s *Shard) Unconfirmed() bool {
+	for _, w := range s.workers {
+		if w.listed && w.first.After(s.confirmed) {
+			return true
+		}
+	}
+	return false
+}
+
 // Next returns the orders that are due and when to ask again at the latest.
 func (s *Shard) Next(now time.Time) (Orders, time.Time) {
 	if s.deposed {
--- a/shard/shard_test.go
+++ b/shard/shard_test.go
@@ -177,3 +177,20 @@
 		w.check(t)
 	})
 }
+
+func TestNewWorkerIsUsedOnlyUnderConfirmedOwnership(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1)
+	w.run(200 * time.Millisecond)
+	w.frozen = true
+	w.addWorker("late", "r0-1")
+	w.list()
+	w.submit("a", step(6))
+	w.run(500 * time.Millisecond)
+	// A successor may have read the list before the worker came.
+	is.Equal(len(w.workers["late"].runs), 0)
+	w.frozen = false
+	w.run(500 * time.Millisecond)
+	is.True(len(w.workers["late"].runs) > 0)
+	w.check(t)
+}
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -88,6 +88,9 @@
 	listed   bool
 	unlisted time.Time
 
+	// first is when this owner first saw the registration.
+	first time.Time
+
 	// known says that the worker answered under this owner's fence, so that no
 	// order of an earlier owner takes effect there any more.
 	known bool
@@ -182,7 +185,10 @@
 }
 
 // takes reports whether tasks may be placed on the worker at all.
-func (w *workerState) takes(now time.Time) bool {
+func (w *workerState) takes(now, confirmed time.Time) bool {
+	if w.first.After(confirmed) {
+		return false
+	}
 	if !w.known || w.reg.Draining || w.failures > 0 || !w.doubted.IsZero() || now.Before(w.avoidUntil) || now.Before(w.closedUntil) {
 		return false
 	}
@@ -204,6 +210,7 @@
 				runs:       make(map[job.TaskID]*run),
 				blindUntil: s.taken.Add(s.opts.BlindFor),
 				holdAt:     now,
+				first:      now,
 			}
 			s.workers[reg.ID] = w
 			s.opts.Report("worker listed", "worker", reg.ID, "rack", reg.Rack, "draining", reg.Draining)
--- a/shard/world_test.go
+++ b/shard/world_test.go
@@ -72,9 +72,13 @@
 	// storeDown keeps batches from being written; lose makes the next starts
 	// get no answer and take effect later by the given time.
 	storeDown bool
-	lose      time.Duration
-	batch     *shard.Batch
-	batchAt   time.Time
+
+	// frozen keeps the owner from proving that it still owns the shard.
+	frozen bool
+
+	lose    time.Duration
+	batch   *shard.Batch
+	batchAt time.Time
 
 	// life counts owners; what was sent by an earlier one is answered to nobody.
 	life int
@@ -269,8 +273,12 @@
 				delete(w.records, one.ID)
 			}
 		}
+		w.core.Confirm(w.batchAt)
 		w.core.Written(b, w.now)
 	}
+	if !w.storeDown && w.core.Unconfirmed() && !w.frozen {
+		w.core.Confirm(w.now)
+	}
 	if w.batch == nil {
 		if b, found := w.core.TakeBatch(); found {
 			w.batch = &b
