Have one goroutine for each part that is taken or held

Change: a part is marked from the decision to take it until its duty ends. Test: owner/ over an in-memory table whose answer comes late; it fails without the mark.

--- a/owner/keeper.go
+++ b/owner/keeper.go
@@ -82,6 +82,11 @@
 	// held holds what this entry owns: shards, and the machines' duty.
 	held map[string]holding
 
+	// seizing holds the parts that a goroutine of this entry is taking or has
+	// taken; it stands until that goroutine ends. The row that names this entry
+	// may be seen before the answer to the write that made it so.
+	seizing map[string]bool
+
 	// owners holds the newest known row of each service.
 	owners map[string]known
 
@@ -134,7 +139,6 @@
 	lost bool
 
 	notBefore time.Time
-	taking    bool
 }
 
 // NewKeeper returns a keeper for this entry.
@@ -145,6 +149,7 @@
 		ping:    ping,
 		members: members,
 		held:    make(map[string]holding),
+		seizing: make(map[string]bool),
 		owners:  make(map[string]known),
 		watches: make(map[string]*watch),
 	}
@@ -273,7 +278,7 @@
 	}
 	now := k.deps.Clock.Now()
 	for _, service := range k.services() {
-		if _, mine := k.held[service]; !mine {
+		if !k.seizing[service] {
 			k.consider(ctx, service, now)
 		}
 	}
@@ -307,10 +312,10 @@
 		w.freeSince = now
 	}
 	wait := rankPause*time.Duration(rank) + ownedPause*time.Duration(len(k.held))
-	if w.taking || now.Before(w.notBefore) || now.Sub(w.freeSince) < wait {
+	if now.Before(w.notBefore) || now.Sub(w.freeSince) < wait {
 		return
 	}
-	w.taking = true
+	k.seizing[service] = true
 	ended := w.dead || o.Released || o.Owner == "" || o.Owner == k.self.Incarnation
 	k.deps.Group.Go("take "+service, func(context.Context) error {
 		k.seize(ctx, service, o, ended)
@@ -404,12 +409,12 @@
 
 // seize writes this entry as the owner, if nobody else did, and runs the duty.
 func (k *Keeper) seize(ctx context.Context, service string, o known, ended bool) {
+	defer k.unseize(service)
 	now := k.deps.Clock.Now()
 	won, err := k.claim(ctx, service, o)
 	k.mu.Lock()
 	w := k.watches[service]
 	if w != nil {
-		w.taking = false
 		w.notBefore = now.Add(takePause)
 	}
 	if err != nil || k.stopping {
@@ -439,6 +444,12 @@
 	}
 }
 
+func (k *Keeper) unseize(service string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	delete(k.seizing, service)
+}
+
 // hold builds the duty for a part that was won.
 func (k *Keeper) hold(part string, won claim, now time.Time, blindFor time.Duration, ended bool) holding {
 	if part == partMachines {
--- /dev/null
+++ b/owner/keeper_test.go
@@ -0,0 +1,201 @@
+package owner_test
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lemonstream.dev/lemonstream/catalog"
+	"lemonstream.dev/lemonstream/clock"
+	"lemonstream.dev/lemonstream/internal/standin"
+	"lemonstream.dev/lemonstream/kernel"
+	"lemonstream.dev/lemonstream/outside"
+	"lemonstream.dev/lemonstream/owner"
+	"lemonstream.dev/lemonstream/shard"
+)
+
+// patience is a generous limit for conditions that come true in well under a
+// second on an idle machine.
+const patience = 20 * time.Second
+
+// lines counts log lines by their message.
+type lines struct {
+	mu    sync.Mutex
+	count map[string]int
+}
+
+func newLines() *lines {
+	return &lines{
+		count: make(map[string]int),
+	}
+}
+
+func (l *lines) logger() *slog.Logger {
+	return slog.New(slog.NewJSONHandler(l, nil))
+}
+
+func (l *lines) Write(line []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, event := range []string{"service taken", "service lost"} {
+		if strings.Contains(string(line), `"msg":"`+event+`"`) {
+			l.count[event]++
+		}
+	}
+	return len(line), nil
+}
+
+func (l *lines) of(event string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.count[event]
+}
+
+// entry is a keeper over a table, with nothing but one service.
+type entry struct {
+	keeper *owner.Keeper
+	group  *kernel.Group
+	lines  *lines
+}
+
+func newEntry(t *testing.T, name string, rows *standin.Rows, ping func(context.Context, netip.AddrPort, string) (owner.Pong, error)) *entry {
+	t.Helper()
+	l := newLines()
+	group := kernel.NewGroup(context.Background(), slog.New(slog.NewTextHandler(io.Discard, nil)))
+	t.Cleanup(group.Stop)
+	log := l.logger()
+	table := rows.Table()
+	registry := owner.NewRegistry(table, "workers", func(id string, _ []byte) (outside.Registration, error) {
+		return outside.Registration{
+			ID: id,
+		}, nil
+	}, log)
+	current := &catalog.Catalog{
+		Version: 1,
+		Services: []catalog.Service{{
+			Name: "s",
+		}},
+	}
+	e := &entry{
+		group: group,
+		lines: l,
+		keeper: owner.NewKeeper(owner.Deps{
+			Clock:    clock.System(),
+			Group:    group,
+			Log:      log,
+			Table:    table,
+			Workers:  outside.Workers{},
+			Catalog:  func() *catalog.Catalog { return current },
+			Registry: registry,
+			Options: shard.Options{
+				Lease: time.Second,
+			},
+		}, owner.Self{
+			Incarnation: name,
+			Peer:        netip.MustParseAddrPort("127.0.0.1:1"),
+		}, func() []string { return []string{name} }, ping),
+	}
+	group.Go("registry", registry.Run)
+	group.Go("owners", e.keeper.WatchOwners)
+	group.Go("keeper", e.keeper.Run)
+	return e
+}
+
+func alive(name string) func(context.Context, netip.AddrPort, string) (owner.Pong, error) {
+	return func(context.Context, netip.AddrPort, string) (owner.Pong, error) {
+		return owner.Pong{
+			Incarnation: name,
+			Owns:        true,
+		}, nil
+	}
+}
+
+func until(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+	t.Fatal("waited in vain until " + what)
+}
+
+func (e *entry) owns() bool {
+	_, owns := e.keeper.Duty("s")
+	return owns
+}
+
+// TestSlowAnswerToClaimStartsOneDuty lets the row of the claim be seen well
+// before the answer to the claim.
+func TestSlowAnswerToClaimStartsOneDuty(t *testing.T) {
+	is := is.New(t)
+	rows := standin.NewRows()
+	answered := make(chan struct{})
+	rows.After = func(_ context.Context, call standin.Call) error {
+		if call.Kind == "transact" && call.Part == "s" {
+			<-answered
+		}
+		return nil
+	}
+	e := newEntry(t, "a", rows, alive("a"))
+	until(t, "the row of the claim is seen", func() bool {
+		_, known := e.keeper.Owner("s")
+		return known
+	})
+	// Several rounds of the keeper see a row that names this entry.
+	time.Sleep(500 * time.Millisecond)
+	close(answered)
+	until(t, "the entry owns the service", e.owns)
+	time.Sleep(500 * time.Millisecond)
+	is.Equal(e.lines.of("service taken"), 1)
+	is.Equal(e.lines.of("service lost"), 0)
+}
+
+func TestSuccessorTakesWhenOwnerHasEnded(t *testing.T) {
+	is := is.New(t)
+	rows := standin.NewRows()
+	first := newEntry(t, "a", rows, alive("a"))
+	until(t, "the first entry owns the service", first.owns)
+	refused := func(context.Context, netip.AddrPort, string) (owner.Pong, error) {
+		return owner.Pong{}, &outside.NotDoneError{
+			Call: "ping",
+		}
+	}
+	second := newEntry(t, "b", rows, refused)
+	until(t, "the second entry owns the service", second.owns)
+	until(t, "the first entry knows that it is deposed", func() bool { return first.lines.of("service lost") == 1 })
+	is.True(!first.owns())
+}
+
+func TestLiveOwnerKeepsService(t *testing.T) {
+	is := is.New(t)
+	rows := standin.NewRows()
+	first := newEntry(t, "a", rows, alive("a"))
+	until(t, "the first entry owns the service", first.owns)
+	silent := func(context.Context, netip.AddrPort, string) (owner.Pong, error) {
+		return owner.Pong{}, &outside.UncertainError{
+			Call: "ping",
+		}
+	}
+	second := newEntry(t, "b", rows, silent)
+	time.Sleep(3 * time.Second)
+	// The second entry is cut off from the first, which still writes.
+	is.True(first.owns())
+	is.True(!second.owns())
+}
+
+func TestReleasedServiceIsTaken(t *testing.T) {
+	rows := standin.NewRows()
+	first := newEntry(t, "a", rows, alive("a"))
+	until(t, "the first entry owns the service", first.owns)
+	second := newEntry(t, "b", rows, alive("a"))
+	first.keeper.Release(context.Background(), patience)
+	until(t, "the second entry owns the service", second.owns)
+}
