Forget suspicions with the epoch; owners on the larger entries; value in cancellations

The store refuses rows without a value, so that a cancellation that an entry wrote itself never came through. Entries of 0.19 cores owned services while those of 0.8 were idle. Test: TestSuccessorForgetsOldSuspicion.

--- a/intake/ask.go
+++ b/intake/ask.go
@@ -19,6 +19,10 @@
 	// of this entry.
 	cancelPatience = 1200 * time.Millisecond
 
+	// cancelValue is the value of a cancellation's row; the store takes no row
+	// without one.
+	cancelValue = "cancel"
+
 	contentJSON = "application/json"
 )
 
@@ -162,7 +166,8 @@
 	key := owner.CancelKey(service, id)
 	_, err := s.Table.Transact(ctx, outside.Transaction{
 		Puts: []outside.Put{{
-			Key: key,
+			Key:   key,
+			Value: []byte(cancelValue),
 		}},
 	})
 	var conflict *outside.ConflictError
--- a/owner/keeper.go
+++ b/owner/keeper.go
@@ -60,9 +60,18 @@
 
 // Self is this entry.
 type Self struct {
+	Member
+
+	Peer netip.AddrPort
+}
+
+// Member is one entry as the others see it.
+type Member struct {
 	// Incarnation is unique to the process.
 	Incarnation string
-	Peer        netip.AddrPort
+
+	// Cores is the processor that the entry may use.
+	Cores float64
 }
 
 // Keeper takes services without an owner and runs their duties.
@@ -75,7 +84,7 @@
 	ping func(ctx context.Context, peer netip.AddrPort, service string) (Pong, error)
 
 	// members returns the entries that are known to live, this one included.
-	members func() []string
+	members func() []Member
 
 	mu sync.Mutex
 
@@ -123,7 +132,7 @@
 
 // watch is what a successor knows of one owner.
 type watch struct {
-	owner string
+	epoch int64
 
 	// freeSince is when the service was first seen without an owner.
 	freeSince time.Time
@@ -142,7 +151,7 @@
 }
 
 // NewKeeper returns a keeper for this entry.
-func NewKeeper(deps Deps, self Self, members func() []string, ping func(context.Context, netip.AddrPort, string) (Pong, error)) *Keeper {
+func NewKeeper(deps Deps, self Self, members func() []Member, ping func(context.Context, netip.AddrPort, string) (Pong, error)) *Keeper {
 	return &Keeper{
 		deps:    deps,
 		self:    self,
@@ -288,9 +297,9 @@
 func (k *Keeper) consider(ctx context.Context, service string, now time.Time) {
 	o := k.owners[service]
 	w := k.watches[service]
-	if w == nil || w.owner != o.Owner {
+	if w == nil || w.epoch != o.Epoch {
 		w = &watch{
-			owner: o.Owner,
+			epoch: o.Epoch,
 		}
 		k.watches[service] = w
 	}
@@ -323,19 +332,24 @@
 	})
 }
 
-// rank returns this entry's place among the successors of an owner.
+// rank returns this entry's place among the successors of an owner: entries
+// with more processor go first, and among equals each service has its own order.
 func (k *Keeper) rank(service, owner string) int {
 	mine := weight(service, k.self.Incarnation)
 	rank := 0
 	for _, member := range k.members() {
-		if member != owner && member != k.self.Incarnation && weight(service, member) > mine {
+		if member.Incarnation == owner || member.Incarnation == k.self.Incarnation {
+			continue
+		}
+		stronger := member.Cores > k.self.Cores
+		if stronger || (member.Cores == k.self.Cores && weight(service, member.Incarnation) > mine) {
 			rank++
 		}
 	}
 	return rank
 }
 
-// weight orders the entries for a service, each service in its own order.
+// weight orders equal entries for a service.
 func weight(service, member string) uint64 {
 	return xxhash.Sum64String(service + "\x00" + member)
 }
@@ -352,7 +366,7 @@
 	silent := false
 	k.mu.Lock()
 	w := k.watches[service]
-	if w == nil || w.owner != o.Owner {
+	if w == nil || w.epoch != o.Epoch {
 		k.mu.Unlock()
 		return
 	}
--- a/owner/keeper_test.go
+++ b/owner/keeper_test.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -98,9 +99,11 @@
 				Lease: time.Second,
 			},
 		}, owner.Self{
-			Incarnation: name,
-			Peer:        netip.MustParseAddrPort("127.0.0.1:1"),
-		}, func() []string { return []string{name} }, ping),
+			Member: owner.Member{
+				Incarnation: name,
+			},
+			Peer: netip.MustParseAddrPort("127.0.0.1:1"),
+		}, func() []owner.Member { return nil }, ping),
 	}
 	group.Go("registry", registry.Run)
 	group.Go("owners", e.keeper.WatchOwners)
@@ -191,6 +194,40 @@
 	is.True(!second.owns())
 }
 
+// TestSuccessorForgetsOldSuspicion lets an entry lose a service to an owner that
+// it once found silent, and that is well now.
+func TestSuccessorForgetsOldSuspicion(t *testing.T) {
+	is := is.New(t)
+	rows := standin.NewRows()
+	first := newEntry(t, "a", rows, alive("a"))
+	until(t, "the first entry owns the service", first.owns)
+	var silent atomic.Bool
+	silent.Store(true)
+	second := newEntry(t, "b", rows, func(ctx context.Context, _ netip.AddrPort, _ string) (owner.Pong, error) {
+		if silent.Load() {
+			return owner.Pong{}, &outside.NotDoneError{
+				Call: "ping",
+			}
+		}
+		return owner.Pong{
+			Incarnation: "a",
+			Owns:        true,
+		}, nil
+	})
+	until(t, "the second entry owns the service", second.owns)
+	silent.Store(false)
+	third := newEntry(t, "a", rows, func(context.Context, netip.AddrPort, string) (owner.Pong, error) {
+		return owner.Pong{}, &outside.NotDoneError{
+			Call: "ping",
+		}
+	})
+	until(t, "the entry of the first name owns the service again", third.owns)
+	until(t, "the second entry knows that it is deposed", func() bool { return second.lines.of("service lost") == 1 })
+	time.Sleep(time.Second)
+	is.True(third.owns())
+	is.Equal(second.lines.of("service taken"), 1)
+}
+
 func TestReleasedServiceIsTaken(t *testing.T) {
 	rows := standin.NewRows()
 	first := newEntry(t, "a", rows, alive("a"))
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"log/slog"
 	"net/netip"
 	"sync"
@@ -34,7 +35,7 @@
 	mu sync.Mutex
 
 	// rows maps an entry's name to its newest incarnation.
-	rows map[string]string
+	rows map[string]owner.Member
 }
 
 // New returns the roster of the entry of the given name.
@@ -44,7 +45,7 @@
 		log:   log,
 		name:  name,
 		self:  self,
-		rows:  make(map[string]string),
+		rows:  make(map[string]owner.Member),
 	}
 }
 
@@ -54,7 +55,7 @@
 		_, err := r.table.Transact(ctx, outside.Transaction{
 			Puts: []outside.Put{{
 				Key:   r.key(),
-				Value: []byte(r.self.Incarnation),
+				Value: encode(r.self.Member),
 			}},
 		})
 		if err == nil {
@@ -79,14 +80,14 @@
 	}
 }
 
-// Members returns the incarnations of all listed entries, this one included.
-func (r *Roster) Members() []string {
+// Members returns all listed entries, this one included.
+func (r *Roster) Members() []owner.Member {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	list := []string{r.self.Incarnation}
-	for name, incarnation := range r.rows {
+	list := []owner.Member{r.self.Member}
+	for name, member := range r.rows {
 		if name != r.name {
-			list = append(list, incarnation)
+			list = append(list, member)
 		}
 	}
 	return list
@@ -110,8 +111,22 @@
 			delete(r.rows, row.Key.Name)
 			continue
 		}
-		r.rows[row.Key.Name] = string(row.Value)
+		var member owner.Member
+		if err := json.Unmarshal(row.Value, &member); err != nil {
+			r.log.Error("row left out", "table", row.Key.Table, "key", row.Key.Name, "error", err)
+			continue
+		}
+		r.rows[row.Key.Name] = member
+	}
+}
+
+func encode(member owner.Member) []byte {
+	body, err := json.Marshal(member)
+	if err != nil {
+		// A text and a number always encode.
+		panic(err)
 	}
+	return body
 }
 
 func (r *Roster) key() outside.Key {
@@ -128,7 +143,7 @@
 		return 0, err
 	}
 	r.mu.Lock()
-	r.rows = make(map[string]string)
+	r.rows = make(map[string]owner.Member)
 	r.mu.Unlock()
 	r.apply(rows)
 	return version, nil
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -139,8 +139,11 @@
 		return nil, fmt.Errorf("peer address: %w", err)
 	}
 	self := owner.Self{
-		Incarnation: settings.Name + "/" + uuid.NewString()[:incarnationLength],
-		Peer:        address,
+		Member: owner.Member{
+			Incarnation: settings.Name + "/" + uuid.NewString()[:incarnationLength],
+			Cores:       settings.Cores,
+		},
+		Peer: address,
 	}
 	d.roster = roster.New(d.table, log, settings.Name, self)
 	peers := peer.NewClient()
--- a/site/settings.go
+++ b/site/settings.go
@@ -33,6 +33,9 @@
 	Callers   netip.AddrPort
 	Readiness netip.AddrPort
 
+	// Cores is the processor that the entry may use, in cores.
+	Cores float64
+
 	// FirstPeerPort to LastPeerPort are free for the entries' own protocol.
 	FirstPeerPort uint16
 	LastPeerPort  uint16
