Let a busy shard rest between rounds and look only at what needs it

Change: a pause between rounds that grows with the last one's length; runs that need an order stand in a set; a need that no worker has room for is not searched again in a round; the lease of what a new owner finds is reckoned from its first look.

--- a/owner/duty.go
+++ b/owner/duty.go
@@ -28,6 +28,13 @@
 	// owner of: an entry died between the write and the call.
 	intakePause = time.Second
 
+	// loopRest is the shortest pause between two rounds of the loop. A busy loop
+	// rests loopRestFactor times as long as its last round took, so that calls
+	// get their share of the processor, but at most loopRestMost.
+	loopRest       = time.Millisecond
+	loopRestFactor = 2
+	loopRestMost   = 30 * time.Millisecond
+
 	// ownerHorizon is how long an owner goes on without having written
 	// anything. It spans the shorter outages of the store; a successor that
 	// can't reach a worker waits for it and a lease.
@@ -209,7 +216,13 @@
 func (d *Duty) loop(ctx context.Context) error {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	rest := loopRest
 	for {
+		// Events that come together are taken in together: a look at all that
+		// waits costs more than an event.
+		if !clock.Sleep(ctx, rest) {
+			return nil
+		}
 		select {
 		case <-ctx.Done():
 			return nil
@@ -233,6 +246,8 @@
 		}
 		d.commit(ctx, now)
 		d.publish()
+		took := d.deps.Clock.Now().Sub(now)
+		rest = min(loopRestMost, max(loopRest, loopRestFactor*took))
 		timer.Reset(max(time.Millisecond, next.Sub(now)))
 	}
 }
--- a/shard/events.go
+++ b/shard/events.go
@@ -33,8 +33,12 @@
 		s.opts.Report("worker regained", "worker", id, "failures", w.failures)
 	}
 	w.failures = 0
-	w.known = true
 	w.hear(glance.Clock, now)
+	if !w.known {
+		// An earlier owner may have renewed the lease until just now.
+		w.known = true
+		w.until = now.Add(time.Duration(float64(s.opts.Lease)*(1+clockDrift)) + leaseSlack)
+	}
 	if sent.After(w.doubted) {
 		w.doubted = time.Time{}
 	}
@@ -135,8 +139,7 @@
 	}
 	s.attach(r, j, t)
 	if !wanted {
-		r.phase = phaseStopping
-		r.reason = "not wanted here"
+		s.stop(r, "not wanted here")
 	}
 	s.opts.Report("run found", "task", running.Task.String(), "run", running.Run, "worker", w.reg.ID, "wanted", wanted)
 }
@@ -336,6 +339,7 @@
 	r.phase = phaseStopping
 	r.reason = reason
 	r.tries = 0
+	s.due[r] = struct{}{}
 }
 
 // Started takes in the answer to a start.
@@ -382,6 +386,7 @@
 			return
 		}
 		r.phase = phaseDoubtful
+		s.due[r] = struct{}{}
 		if r.tries >= startTries {
 			s.stop(r, "start without an answer")
 		}
@@ -407,20 +412,28 @@
 }
 
 // stops orders the stops that are due, and repeats doubtful starts.
-func (s *Shard) stops(now time.Time) {
-	for _, w := range s.workers {
-		for _, r := range w.runs {
-			if r.calling {
+func (s *Shard) stops() {
+	for r := range s.due {
+		w := r.worker
+		if w.runs[r.id] != r {
+			delete(s.due, r)
+			continue
+		}
+		if r.calling {
+			continue
+		}
+		switch r.phase {
+		case phaseDoubtful:
+			if w.failures > 0 {
 				continue
 			}
-			if r.phase == phaseDoubtful && w.failures == 0 {
-				r.calling = true
-				s.orders.Starts = append(s.orders.Starts, Start{
-					Worker: w.ref(),
-					Order:  r.order,
-				})
-			}
-			if r.phase != phaseStopping || (w.failures > 0 && r.tries > 0) {
+			r.calling = true
+			s.orders.Starts = append(s.orders.Starts, Start{
+				Worker: w.ref(),
+				Order:  r.order,
+			})
+		case phaseStopping:
+			if w.failures > 0 && r.tries > 0 {
 				continue
 			}
 			r.calling = true
@@ -430,6 +443,8 @@
 				Task:   r.id,
 				Run:    r.number,
 			})
+		default:
+			delete(s.due, r)
 		}
 	}
 }
--- a/shard/place.go
+++ b/shard/place.go
@@ -31,6 +31,9 @@
 	// taken before a copy of it is started.
 	speculateAfter = 2.0
 
+	// speculatePause is the time between two searches for stragglers.
+	speculatePause = 100 * time.Millisecond
+
 	// speculateSamples is how many run times of an image must be known for it.
 	speculateSamples = 5
 )
@@ -73,6 +76,7 @@
 		return
 	}
 	blind := s.blind(now)
+	var full []job.Room
 	for _, g := range s.groups(now, blind) {
 		step := g.job.occurrences[g.occurrence].steps[g.step]
 		spec := &g.job.record.Spec.Steps[g.step]
@@ -80,16 +84,39 @@
 			s.placeGang(g, step, spec, now)
 			continue
 		}
-		for len(step.idle) > 0 {
-			index := step.idle[len(step.idle)-1]
-			id := g.task(index)
-			w := s.choose(id, spec, step.tasks[index], now)
-			if w == nil {
-				break
+		if hopeless(full, spec.Charge()) {
+			continue
+		}
+		full = s.placeStep(g, step, spec, full, now)
+	}
+}
+
+// placeStep starts the idle tasks of a step until none fits. It adds to what no
+// worker has room for when that alone was the reason.
+func (s *Shard) placeStep(g group, step *stepState, spec *job.Step, full []job.Room, now time.Time) []job.Room {
+	for len(step.idle) > 0 {
+		index := step.idle[len(step.idle)-1]
+		id := g.task(index)
+		w := s.choose(id, spec, step.tasks[index], now)
+		if w == nil {
+			if spec.Label == "" && spec.PerWorker == 0 {
+				full = append(full, spec.Charge())
 			}
-			s.start(g.job, step.tasks[index], spec, id, w, now)
+			return full
+		}
+		s.start(g.job, step.tasks[index], spec, id, w, now)
+	}
+	return full
+}
+
+// hopeless reports whether a need is at least one that no worker has room for.
+func hopeless(full []job.Room, need job.Room) bool {
+	for _, known := range full {
+		if need.Fits(known) {
+			return true
 		}
 	}
+	return false
 }
 
 // groups returns what may start, the most urgent first. A job without idle
@@ -484,6 +511,10 @@
 // speculate starts copies of tasks that take much longer than usual, where
 // the step allows it.
 func (s *Shard) speculate(now time.Time) {
+	if now.Before(s.speculateAt) {
+		return
+	}
+	s.speculateAt = now.Add(speculatePause)
 	for _, w := range s.workers {
 		for id, r := range w.runs {
 			j := s.jobs[id.Job]
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -88,6 +88,13 @@
 	// repeating holds the jobs whose next occurrence is not due yet.
 	repeating map[string]*jobState
 
+	// due holds the runs that need an order: to be stopped, or to be started
+	// once more.
+	due map[*run]struct{}
+
+	// speculateAt is when stragglers are looked for next.
+	speculateAt time.Time
+
 	// dirty holds jobs whose row is behind; removed those whose rows go.
 	dirty   map[string]*jobState
 	removed []string
@@ -132,6 +139,7 @@
 		workers:    make(map[string]*workerState),
 		waiting:    make(map[string]*jobState),
 		repeating:  make(map[string]*jobState),
+		due:        make(map[*run]struct{}),
 		dirty:      make(map[string]*jobState),
 		pending:    make(map[string]int),
 		learned:    make(map[string]*measure),
@@ -188,7 +196,7 @@
 	s.moveOffDraining(now)
 	s.place(now)
 	s.speculate(now)
-	s.stops(now)
+	s.stops()
 	s.holds(now)
 	s.forget(now)
 	orders := s.orders
