Write jobs through the owner where the store turns an entry away; hear SIGHUP

Change: as said, and a job that the store certainly does not take is refused after 150 ms with the time to come back.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -48,6 +48,12 @@
 	// over within seconds.
 	retryAfter = 1
 
+	// refuseAfter is how long a job is offered to a store that certainly does not
+	// take it. A caller that comes back in a second is served sooner than one
+	// whose only try is held here, and a late refusal is dearer than an early
+	// one.
+	refuseAfter = 150 * time.Millisecond
+
 	// writePause is the pause before a write without success is repeated.
 	writePause = 50 * time.Millisecond
 )
@@ -188,10 +194,10 @@
 // try can take effect any more.
 func (s *Server) accept(r *request, record shard.Record, catalogVersion int64) {
 	uncertain := false
+	began := s.Clock.Now()
 	for {
 		receipt, err := s.write(r.ctx, r.route.Service, record)
 		var conflict *outside.ConflictError
-		var notDone *outside.NotDoneError
 		switch {
 		case err == nil:
 			s.Log.Info("job accepted", "job", record.ID, "route", record.Route, "service", r.route.Service,
@@ -207,10 +213,11 @@
 			}
 			r.Status(http.StatusOK)
 			return
-		case !errors.As(err, &notDone):
+		case outside.IsUncertain(err):
 			uncertain = true
 		}
-		if clock.Sleep(r.ctx, writePause) {
+		refusable := !uncertain && s.Clock.Now().Sub(began) >= refuseAfter
+		if !refusable && clock.Sleep(r.ctx, writePause) {
 			continue
 		}
 		s.Log.Warn("job not accepted", "job", record.ID, "route", record.Route, "uncertain", uncertain, "error", err.Error())
@@ -223,9 +230,34 @@
 	}
 }
 
+// write sends the transaction of a job. Where the store refuses this entry or
+// does not answer it, the owner of the service, which reaches the store as long
+// as it is the owner, sends it instead: the conditions let it take effect once.
 func (s *Server) write(ctx context.Context, service string, record shard.Record) (outside.Receipt, error) {
+	tx := s.transaction(service, record)
+	receipt, err := s.Table.Transact(ctx, tx)
+	var conflict *outside.ConflictError
+	if err == nil || errors.As(err, &conflict) {
+		return receipt, err
+	}
+	address, known := s.Owners.Owner(service)
+	if _, mine := s.Owners.Duty(service); mine || !known {
+		return receipt, err
+	}
+	relayed, relayErr := s.Owners.Peers.Transact(ctx, address, tx)
+	s.Log.Info("job written through the owner", "job", record.ID, "owner", address.String(), "cause", err.Error(), "success", relayErr == nil)
+	if relayErr == nil || errors.As(relayErr, &conflict) {
+		return relayed, relayErr
+	}
+	if outside.IsUncertain(err) {
+		return receipt, err
+	}
+	return relayed, relayErr
+}
+
+func (s *Server) transaction(service string, record shard.Record) outside.Transaction {
 	key := owner.IntakeKey(service, record.ID)
-	return s.Table.Transact(ctx, outside.Transaction{
+	return outside.Transaction{
 		Checks: []outside.Check{{
 			Key: key,
 		}, {
@@ -235,7 +267,7 @@
 			Key:   key,
 			Value: record.Encode(),
 		}},
-	})
+	}
 }
 
 // tell makes the owner of the service aware of a job. It does not hold up the
--- a/outside/table.go
+++ b/outside/table.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 )
@@ -153,6 +154,19 @@
 	return e.Cause
 }
 
+// IsNotDone reports whether an error says that a call certainly had no effect.
+// An uncertain error may wrap the refusal that it came from, and does not count.
+func IsNotDone(err error) bool {
+	var notDone *NotDoneError
+	return !IsUncertain(err) && errors.As(err, &notDone)
+}
+
+// IsUncertain reports whether an error leaves open if a call was done.
+func IsUncertain(err error) bool {
+	var uncertain *UncertainError
+	return errors.As(err, &uncertain)
+}
+
 // Find returns the row of the given key.
 func (e *ConflictError) Find(key Key) (Row, bool) {
 	for _, row := range e.Rows {
--- a/owner/fleet.go
+++ b/owner/fleet.go
@@ -365,8 +365,8 @@
 		f.done(wave, machine)
 	case errors.As(err, &refused):
 		f.sizer.Refused(machine, to, false, now)
-	case errors.As(err, &notDone):
-		f.sizer.Refused(machine, to, notDone.Status == statusBadRequest, now)
+	case outside.IsNotDone(err):
+		f.sizer.Refused(machine, to, errors.As(err, &notDone) && notDone.Status == statusBadRequest, now)
 	case errors.As(err, &lost):
 	default:
 		// It may have been done: the machine counts as under way.
--- a/owner/keeper.go
+++ b/owner/keeper.go
@@ -370,7 +370,6 @@
 		k.mu.Unlock()
 		return
 	}
-	var notDone *outside.NotDoneError
 	switch {
 	case err == nil && pong.Incarnation != o.Owner:
 		w.dead = true
@@ -379,7 +378,7 @@
 	case err == nil:
 		w.failures++
 		silent = w.failures >= silentPings
-	case errors.As(err, &notDone):
+	case outside.IsNotDone(err):
 		w.dead = true
 	default:
 		w.failures++
@@ -511,14 +510,13 @@
 		epoch:   next.Epoch,
 		version: receipt.Version,
 	}
-	var uncertain *outside.UncertainError
 	var conflict *outside.ConflictError
 	switch {
 	case err == nil:
 	case errors.As(err, &conflict):
 		k.take(conflict.Rows)
 		return claim{}, err
-	case errors.As(err, &uncertain):
+	case outside.IsUncertain(err):
 		page, readErr := k.deps.Table.Get(ctx, tableOwner, service, "")
 		if readErr != nil || len(page.Rows) == 0 || string(page.Rows[0].Value) != string(value) {
 			return claim{}, err
--- a/peer/client.go
+++ b/peer/client.go
@@ -33,6 +33,10 @@
 	// cancelTimeout bounds a cancellation, which the owner writes first.
 	cancelTimeout = 1200 * time.Millisecond
 
+	// transactTimeout bounds a transaction sent by another entry: longer than a
+	// call to the store, so that its answer is not lost here.
+	transactTimeout = 1100 * time.Millisecond
+
 	// conns is the most connections to one entry.
 	conns = 4
 
@@ -51,8 +55,29 @@
 	pathPending = "/v1/pending"
 	pathPing    = "/v1/ping"
 	pathState   = "/v1/state"
+
+	pathTransact = "/v1/transact"
+)
+
+// Outcomes of a transaction that another entry sent.
+const (
+	outcomeConflict  outcome = "conflict"
+	outcomeDone      outcome = "done"
+	outcomeNotDone   outcome = "not done"
+	outcomeUncertain outcome = "uncertain"
 )
 
+// outcome is what became of a transaction.
+type outcome string
+
+// transactAnswer is the body of an answer to a transaction.
+type transactAnswer struct {
+	Outcome outcome         `json:"outcome"`
+	Receipt outside.Receipt `json:"receipt"`
+	Rows    []outside.Row   `json:"rows"`
+	Reason  string          `json:"reason"`
+}
+
 // Client calls other entries.
 type Client struct {
 	http *http.Client
@@ -165,6 +190,48 @@
 	return answer.Count, nil
 }
 
+// Transact lets another entry send a transaction, for one that can't reach the
+// store. Its errors are those of outside.Table; a call without an answer leaves
+// the outcome open.
+func (c *Client) Transact(ctx context.Context, to netip.AddrPort, tx outside.Transaction) (outside.Receipt, error) {
+	body, err := json.Marshal(tx)
+	if err != nil {
+		return outside.Receipt{}, fmt.Errorf("encoding a transaction: %w", err)
+	}
+	_, answered, err := c.call(ctx, transactTimeout, http.MethodPost, to, pathTransact, url.Values{}, body)
+	if err != nil {
+		return outside.Receipt{}, err
+	}
+	var answer transactAnswer
+	if err := json.Unmarshal(answered, &answer); err != nil {
+		return outside.Receipt{}, &outside.UncertainError{
+			Call:  pathTransact,
+			Cause: err,
+		}
+	}
+	switch answer.Outcome {
+	case outcomeDone:
+		return answer.Receipt, nil
+	case outcomeConflict:
+		return outside.Receipt{}, &outside.ConflictError{
+			Rows: answer.Rows,
+		}
+	case outcomeNotDone:
+		return outside.Receipt{}, &outside.NotDoneError{
+			Call:   pathTransact,
+			Reason: answer.Reason,
+		}
+	default:
+		return outside.Receipt{}, &outside.UncertainError{
+			Call: pathTransact,
+			Cause: &outside.NotDoneError{
+				Call:   pathTransact,
+				Reason: answer.Reason,
+			},
+		}
+	}
+}
+
 // Ping asks an entry whether it owns a service and writes.
 func (c *Client) Ping(ctx context.Context, to netip.AddrPort, service string) (owner.Pong, error) {
 	_, body, err := c.call(ctx, callTimeout, http.MethodGet, to, pathPing, url.Values{
--- a/peer/server.go
+++ b/peer/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -9,6 +10,7 @@
 
 	"github.com/gin-gonic/gin"
 
+	"lemonstream.dev/lemonstream/outside"
 	"lemonstream.dev/lemonstream/owner"
 	"lemonstream.dev/lemonstream/shard"
 )
@@ -21,6 +23,9 @@
 	// Duty returns the duty of a service that this entry owns.
 	Duty func(service string) (*owner.Duty, bool)
 
+	// Table sends the transactions of entries that can't reach the store.
+	Table outside.Table
+
 	// WriteAge returns how long ago the duty of a service last wrote.
 	WriteAge func(service string) (time.Duration, bool)
 }
@@ -28,6 +33,7 @@
 // Routes adds the protocol to a router.
 func (s *Server) Routes(router *gin.Engine) {
 	router.GET(pathPing, s.ping)
+	router.POST(pathTransact, s.transact)
 	router.GET(pathState, s.owned(s.state))
 	router.GET(pathPending, s.owned(s.pending))
 	router.POST(pathLoad, s.owned(s.load))
@@ -130,3 +136,31 @@
 		State: state,
 	})
 }
+
+// transact sends a transaction for an entry that can't reach the store.
+func (s *Server) transact(c *gin.Context) {
+	var tx outside.Transaction
+	if err := c.ShouldBindJSON(&tx); err != nil {
+		c.String(http.StatusBadRequest, err.Error())
+		return
+	}
+	receipt, err := s.Table.Transact(c.Request.Context(), tx)
+	answer := transactAnswer{
+		Outcome: outcomeDone,
+		Receipt: receipt,
+	}
+	var conflict *outside.ConflictError
+	switch {
+	case err == nil:
+	case errors.As(err, &conflict):
+		answer.Outcome = outcomeConflict
+		answer.Rows = conflict.Rows
+	case outside.IsNotDone(err):
+		answer.Outcome = outcomeNotDone
+		answer.Reason = err.Error()
+	default:
+		answer.Outcome = outcomeUncertain
+		answer.Reason = err.Error()
+	}
+	c.JSON(http.StatusOK, answer)
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -64,7 +64,7 @@
 
 	// storeSilence is how old the last success of the store may be for the
 	// entry to call itself ready: the followers call at least once a second.
-	storeSilence = 2500 * time.Millisecond
+	storeSilence = 1500 * time.Millisecond
 
 	// deadlineHeader names the header with a caller's patience; see platform.
 	deadlineHeader = "Deadline-Ms"
@@ -105,6 +105,7 @@
 		return fmt.Errorf("settings %s: %w", path, err)
 	}
 	log = log.With("entry", settings.Name)
+	reload := newReload(path, body, log)
 	writer := kernel.NewGroup(context.WithoutCancel(ctx), log)
 	writer.Go("log", book.Run)
 	defer writer.Stop()
@@ -112,6 +113,7 @@
 	if err != nil {
 		return err
 	}
+	d.group.Go("settings", reload.run)
 	return d.run(ctx)
 }
 
@@ -353,6 +355,7 @@
 	server := &peer.Server{
 		Incarnation: self.Incarnation,
 		Duty:        d.keeper.Duty,
+		Table:       d.table,
 		WriteAge:    d.keeper.WriteAge,
 	}
 	server.Routes(router)
--- a/shard/events.go
+++ b/shard/events.go
@@ -369,14 +369,13 @@
 	s.opts.Report("start failed", "task", r.id.String(), "run", r.number, "worker", w.reg.ID, "error", err.Error())
 	var gone *outside.GoneError
 	var refused *outside.WorkerRefusedError
-	var notDone *outside.NotDoneError
 	switch {
 	case errors.As(err, &gone):
 		s.endWorker(w, now, "another life answers")
 	case errors.As(err, &refused):
 		w.hear(refused.Clock, now)
 		s.startRefused(w, r, now, refused.Reason)
-	case errors.As(err, &notDone) && r.tries == 0:
+	case outside.IsNotDone(err) && r.tries == 0:
 		w.avoidUntil = now.Add(avoidAfterRefusal)
 		s.drop(r, now)
 	default:
