Touch no machine whose worker its owner has not looked at

Change: a worker is empty only if its owner has looked at it. Test: TestWorkerThatWasNotLookedAtIsNotEmpty, red without the check. Kept: workers are closed by how soon they are expected to be empty.

--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -48,6 +48,7 @@
 			if name != asleep {
 				m.Worker = "w-" + m.ID
 				service.Load.Workers[m.Worker] = shard.WorkerLoad{
+					Known:   true,
 					Reached: true,
 				}
 			}
@@ -238,3 +239,36 @@
 	f.service("b").Load.Used = cpu(110)
 	is.Equal(len(f.plan().Closed["b"]), 0)
 }
+
+// TestWorkerThatWasNotLookedAtIsNotEmpty covers a new owner of a service, which
+// reports no runs before it has looked.
+func TestWorkerThatWasNotLookedAtIsNotEmpty(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(map[string]int{
+		"a": 8,
+		"b": 3,
+	})
+	wave := &pool.Wave{
+		Seen: f.view.Now,
+		Done: make(map[string]bool),
+	}
+	wave.Number = 1
+	wave.AtOnce = 8
+	wave.Within = time.Minute
+	for _, m := range f.view.Machines {
+		wave.Machines = append(wave.Machines, m.ID)
+	}
+	f.view.Waves = []*pool.Wave{wave}
+	f.plan()
+	for id, load := range f.service("a").Load.Workers {
+		load.Known = false
+		f.service("a").Load.Workers[id] = load
+	}
+	plan := f.plan()
+	for _, m := range plan.Maintenances {
+		is.True(m.Pool != "a")
+	}
+	for _, m := range plan.Moves {
+		is.True(m.From != "a")
+	}
+}
--- a/pool/round.go
+++ b/pool/round.go
@@ -9,9 +9,18 @@
 	"lemonstream.dev/lemonstream/shard"
 )
 
-// lastingCost is how many short runs weigh as much as a lasting task, which has
-// to be moved and is away for about a second.
-const lastingCost = 10
+const (
+	// costUnit is the time that weighs as much as one run.
+	costUnit = 100 * time.Millisecond
+
+	// lastingCost is the weight of a lasting task, which has to be moved and is
+	// away for about a second.
+	lastingCost = 10
+
+	// closedBonus is the weight of a worker that would have to be closed first;
+	// it is more than a few seconds of work.
+	closedBonus = 100
+)
 
 // spot is one machine as the round sees it.
 type spot struct {
@@ -210,7 +219,7 @@
 			if r.count[sp.pool] <= r.needs[sp.pool] {
 				continue
 			}
-			cost = sp.cost()
+			cost = 1 + sp.cost()
 		}
 		if best == nil || cost < bestCost {
 			best = sp
@@ -270,7 +279,7 @@
 	r.count[from]--
 	r.count[to]++
 	sp.closed = true
-	if from == r.asleep || (sp.load.Closed && sp.load.Runs == 0) {
+	if from == r.asleep || sp.empty() {
 		r.plan.Moves = append(r.plan.Moves, Move{
 			Machine: sp.machine.ID,
 			Worker:  sp.machine.Worker,
@@ -325,7 +334,7 @@
 			// has somewhere to go.
 			r.count[sp.pool]--
 			r.plan.Closed[sp.pool] = append(r.plan.Closed[sp.pool], sp.machine.Worker)
-			if !sp.load.Closed || sp.load.Runs > 0 {
+			if !sp.empty() {
 				down++
 				continue
 			}
@@ -356,17 +365,23 @@
 	if sp.pool == r.asleep {
 		return 0
 	}
-	return sp.cost()
+	return 1 + sp.cost()
+}
+
+// empty reports whether nothing runs on the machine's worker, nor will.
+func (sp *spot) empty() bool {
+	return sp.load.Known && sp.load.Closed && sp.load.Runs == 0
 }
 
-// cost orders awake machines by what it costs to empty them: an empty worker
-// goes at once, one with runs later, and one with lasting tasks last. What was
-// begun is ended first, since another choice would undo it.
+// cost orders awake machines by how long it takes to empty them: an empty worker
+// goes at once, and one with lasting tasks last. What was begun is ended first,
+// since another choice would undo it.
 func (sp *spot) cost() int {
-	if sp.load.Closed {
-		return 1
+	cost := sp.load.Runs + int(sp.load.Busy/costUnit) + lastingCost*sp.load.Lasting
+	if !sp.load.Closed {
+		cost += closedBonus
 	}
-	return 2 + sp.load.Runs + lastingCost*sp.load.Lasting
+	return cost
 }
 
 func (r *round) finish() Plan {
--- a/shard/load.go
+++ b/shard/load.go
@@ -39,12 +39,19 @@
 	Lasting int
 	Used    job.Room
 
+	// Busy is how long its short runs are expected to go on.
+	Busy time.Duration
+
 	// Closed says that nothing new is placed there.
 	Closed bool
 
 	// Draining says that the worker announced its end.
 	Draining bool
 
+	// Known says that this owner has looked at the worker: before that, it may
+	// run what an earlier owner started there.
+	Known bool
+
 	// Reached says that the worker answered its last look.
 	Reached bool
 }
@@ -88,13 +95,19 @@
 			Used:     w.used,
 			Closed:   now.Before(w.closedUntil),
 			Draining: w.reg.Draining,
+			Known:    w.known,
 			Reached:  w.known && w.failures == 0,
 		}
 		load.Used = load.Used.Add(w.used)
-		for run := range w.runs {
-			if step, found := s.stepOf(run); found && step.Lasting {
+		for id, r := range w.runs {
+			step, found := s.stepOf(id)
+			switch {
+			case !found:
+			case step.Lasting:
 				one.Lasting++
 				load.Lasting = load.Lasting.Add(step.Charge())
+			default:
+				one.Busy = max(one.Busy, s.left(r, step, now))
 			}
 		}
 		load.Workers[id] = one
@@ -131,6 +144,17 @@
 	}
 }
 
+// left returns how much longer a run is expected to go on. One that takes longer
+// than expected is expected to take half as long again.
+func (s *Shard) left(r *run, step *job.Step, now time.Time) time.Duration {
+	passed := now.Sub(r.began)
+	expected := s.expect(s.jobs[r.id.Job], step)
+	if passed < expected {
+		return expected - passed
+	}
+	return passed / 2
+}
+
 // stepOf returns the step of a task of a known job.
 func (s *Shard) stepOf(id job.TaskID) (*job.Step, bool) {
 	j := s.jobs[id.Job]
