Hand over which workers have lapsed, ended or lost their registration

A registration that is gone hid a worker that might run something from the successor. Change: the row that every transaction writes names workers that lapsed, that have ended, and those without a registration; the claim checks that this row is the one that was read. A regained worker is used only once a transaction no longer names it. Tests: four in shard/, each red without its part.

--- a/owner/commit.go
+++ b/owner/commit.go
@@ -22,7 +22,12 @@
 	d.committing = true
 	releasing := d.releasing
 	puts, removes := d.rows(batch)
-	tx := d.tenure.transaction(puts, removes, releasing)
+	beat := Beat{
+		Lapsed:   d.core.Lapsed(now),
+		Ended:    d.core.Ended(now),
+		Unlisted: d.core.Unlisted(now),
+	}
+	tx := d.tenure.transaction(beat, puts, removes, releasing)
 	d.deps.Group.Go("commit of "+d.service, func(context.Context) error {
 		version, err := d.tenure.write(ctx, tx)
 		d.pushLogged(func(d *Duty, at time.Time) {
--- a/owner/duty.go
+++ b/owner/duty.go
@@ -117,6 +117,7 @@
 		return found.Policy, ok
 	}
 	d.core = shard.New(service, won.epoch, won.version, now, options)
+	d.core.Inherit(won.before.Lapsed, won.before.Ended, won.before.Unlisted, now)
 	return d
 }
 
--- a/owner/keeper.go
+++ b/owner/keeper.go
@@ -31,6 +31,10 @@
 	// successor looks whether the owner still writes.
 	silentPings = 3
 
+	// silentWrites is how long an owner must have written nothing for it to be
+	// taken for lost.
+	silentWrites = beatPause + beatPause/2
+
 	// staleWrites is how old an owner's last write must be, by its own word,
 	// for a successor that reaches the store to take over.
 	staleWrites = 1500 * time.Millisecond
@@ -128,6 +132,9 @@
 type claim struct {
 	epoch   int64
 	version int64
+
+	// before is the last beat of the owner before.
+	before Beat
 }
 
 // watch is what a successor knows of one owner.
@@ -401,23 +408,22 @@
 
 // writesNothing watches an owner's beat for a little longer than its pause.
 func (k *Keeper) writesNothing(ctx context.Context, service string) bool {
-	before, err := k.beat(ctx, service)
-	if err != nil || !clock.Sleep(ctx, beatPause+beatPause/2) {
+	_, before, err := k.beat(ctx, service)
+	if err != nil || !clock.Sleep(ctx, silentWrites) {
 		return false
 	}
-	after, err := k.beat(ctx, service)
+	_, after, err := k.beat(ctx, service)
 	return err == nil && before == after
 }
 
-func (k *Keeper) beat(ctx context.Context, service string) (int64, error) {
-	page, err := k.deps.Table.Get(ctx, tableBeat, service, "")
-	if err != nil {
-		return 0, err
-	}
-	if len(page.Rows) == 0 {
-		return 0, nil
+// beat reads the last beat of a part's owner and its version.
+func (k *Keeper) beat(ctx context.Context, part string) (Beat, int64, error) {
+	row, err := k.deps.Table.Row(ctx, beatKey(part))
+	if err != nil || row == nil {
+		return Beat{}, 0, err
 	}
-	return page.Rows[0].Version, nil
+	beat, err := decodeBeat(row.Value)
+	return beat, row.Version, err
 }
 
 // seize writes this entry as the owner, if nobody else did, and runs the duty.
@@ -439,7 +445,7 @@
 	}
 	blindFor := k.deps.Options.Lease + k.deps.Options.Lease/20
 	if !ended {
-		blindFor += ownerHorizon
+		blindFor += ownerHorizon - silentWrites
 	}
 	if o.Epoch == 0 {
 		blindFor = 0
@@ -483,8 +489,12 @@
 }
 
 // claim writes the row of the owner under the condition that it stands as
-// known. A lost answer is resolved by reading the row.
+// known, and that the owner before has written nothing since its beat was read. A lost answer is resolved by reading the row.
 func (k *Keeper) claim(ctx context.Context, service string, o known) (claim, error) {
+	before, version, err := k.beat(ctx, service)
+	if err != nil {
+		return claim{}, err
+	}
 	next := Ownership{
 		Epoch: o.Epoch + 1,
 		Owner: k.self.Incarnation,
@@ -495,6 +505,9 @@
 		Checks: []outside.Check{{
 			Key:     ownerKey(service),
 			Version: o.version,
+		}, {
+			Key:     beatKey(service),
+			Version: version,
 		}},
 		Puts: []outside.Put{{
 			Key:   ownerKey(service),
@@ -509,6 +522,7 @@
 	won := claim{
 		epoch:   next.Epoch,
 		version: receipt.Version,
+		before:  before,
 	}
 	var conflict *outside.ConflictError
 	switch {
--- a/owner/rows.go
+++ b/owner/rows.go
@@ -6,6 +6,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"lemonstream.dev/lemonstream/outside"
+	"lemonstream.dev/lemonstream/shard"
 )
 
 // Tables of the scheduler. All rows of a service stand in the part of its name.
@@ -38,6 +39,19 @@
 	// Sequence counts the owner's transactions; it tells whether one without
 	// an answer was applied.
 	Sequence int64 `cbor:"2,keyasint"`
+
+	// Lapsed names the workers of a service on which nothing runs for sure: they
+	// are silent, and their leases have run out. A successor need not wait for
+	// them.
+	Lapsed []string `cbor:"3,keyasint,omitempty"`
+
+	// Ended names workers whose life has ended a short while ago; their
+	// registrations may still stand.
+	Ended []string `cbor:"5,keyasint,omitempty"`
+
+	// Unlisted holds workers without a registration that may still run what the
+	// owner started. A successor has to look at them.
+	Unlisted []shard.Unlisted `cbor:"4,keyasint,omitempty"`
 }
 
 // Ownership is the row that says who owns a service.
@@ -92,6 +106,14 @@
 	}
 }
 
+func decodeBeat(value []byte) (Beat, error) {
+	var b Beat
+	if err := cbor.Unmarshal(value, &b); err != nil {
+		return b, fmt.Errorf("row of a beat: %w", err)
+	}
+	return b, nil
+}
+
 func decodeOwnership(value []byte) (Ownership, error) {
 	var o Ownership
 	if err := cbor.Unmarshal(value, &o); err != nil {
--- a/owner/tenure.go
+++ b/owner/tenure.go
@@ -73,10 +73,13 @@
 	t.wrote.Store(clock.Millis(sent))
 }
 
-// transaction builds the next transaction; release says in it that the owner
+// transaction builds the next transaction. The beat carries what a successor has
+// to know; its epoch and sequence are filled in here. release says in it that the owner
 // gives no more orders.
-func (t *tenure) transaction(puts []outside.Put, removes []outside.Key, release bool) outside.Transaction {
+func (t *tenure) transaction(beat Beat, puts []outside.Put, removes []outside.Key, release bool) outside.Transaction {
 	t.sequence++
+	beat.Epoch = t.epoch
+	beat.Sequence = t.sequence
 	tx := outside.Transaction{
 		Checks: []outside.Check{{
 			Key:     ownerKey(t.part),
@@ -86,11 +89,8 @@
 			Version: t.beatVersion,
 		}},
 		Puts: []outside.Put{{
-			Key: beatKey(t.part),
-			Value: encodeRow(Beat{
-				Epoch:    t.epoch,
-				Sequence: t.sequence,
-			}),
+			Key:   beatKey(t.part),
+			Value: encodeRow(beat),
 		}},
 		Removes: removes,
 	}
--- a/shard/events.go
+++ b/shard/events.go
@@ -32,6 +32,10 @@
 	if w.failures > 0 {
 		s.opts.Report("worker regained", "worker", id, "failures", w.failures)
 	}
+	if w.lapsed(now) {
+		// It may stand in a row as one that runs nothing.
+		w.first = now
+	}
 	w.failures = 0
 	w.hear(glance.Clock, now)
 	if !w.known {
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -118,6 +118,9 @@
 	// owner still owned the shard.
 	confirmed time.Time
 
+	// lapsed names workers that the owner before knew to run nothing.
+	lapsed map[string]bool
+
 	// deposed is set once a worker or the table showed a newer owner.
 	deposed bool
 
@@ -143,6 +146,7 @@
 		dirty:      make(map[string]*jobState),
 		pending:    make(map[string]int),
 		learned:    make(map[string]*measure),
+		lapsed:     make(map[string]bool),
 		gone:       make(map[string]time.Time),
 	}
 }
--- a/shard/shard_test.go
+++ b/shard/shard_test.go
@@ -194,3 +194,79 @@
 	is.True(len(w.workers["late"].runs) > 0)
 	w.check(t)
 }
+
+// TestNewOwnerNeedNotWaitForLapsedWorker lets the owner before find out that a
+// worker is gone, and hand that over.
+func TestNewOwnerNeedNotWaitForLapsedWorker(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(3)
+	w.run(200 * time.Millisecond)
+	w.workers["w0"].down = true
+	w.run(testLease + 2*time.Second)
+	is.Equal(w.core.Lapsed(w.now), []string{"w0"})
+	w.submit("a", step(4), step(2, 0))
+	w.run(500 * time.Millisecond)
+	lapsed := w.core.Lapsed(w.now)
+	w.workers["w0"].down = false // It is listed again, and still out of reach.
+	w.workers["w0"].cut = true
+	w.takeOverWith(lapsed)
+	w.run(3 * time.Second)
+	is.Equal(w.shown["a"], job.Completed)
+	w.check(t)
+}
+
+// TestRegainedWorkerIsUsedOnlyOnceItIsNoLongerNamed covers an owner that starts
+// a task on a worker that its last row names as one that runs nothing.
+func TestRegainedWorkerIsUsedOnlyOnceItIsNoLongerNamed(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1)
+	w.run(200 * time.Millisecond)
+	w.workers["w0"].cut = true
+	w.run(testLease + 2*time.Second)
+	is.Equal(w.core.Lapsed(w.now), []string{"w0"})
+	w.frozen = true
+	w.workers["w0"].cut = false
+	w.submit("a", step(1))
+	w.run(time.Second)
+	is.Equal(len(w.workers["w0"].runs), 0)
+	w.frozen = false
+	w.run(500 * time.Millisecond)
+	is.Equal(len(w.workers["w0"].runs), 1)
+	w.check(t)
+}
+
+func TestUnlistedWorkerIsHandedOver(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(2)
+	w.run(200 * time.Millisecond)
+	long := step(6)
+	long.Estimate = 20 * time.Second
+	w.submit("a", long)
+	w.run(500 * time.Millisecond)
+	f := w.workers["w0"]
+	f.unlisted = true
+	w.list()
+	unlisted := w.core.Unlisted(w.now)
+	is.Equal(len(unlisted), 1)
+	w.takeOverWith(nil, unlisted...)
+	w.run(3 * time.Second)
+	w.check(t) // Without a look at it, its tasks would run a second time.
+}
+
+// TestNewOwnerNeedNotWaitForEndedWorker covers a worker whose machine was moved
+// a moment ago and whose registration still stands.
+func TestNewOwnerNeedNotWaitForEndedWorker(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(3)
+	w.run(200 * time.Millisecond)
+	w.core.End([]string{"w0"}, w.now)
+	w.submit("a", step(4), step(2, 0))
+	w.run(200 * time.Millisecond)
+	w.ended = w.core.Ended(w.now)
+	is.Equal(w.ended, []string{"w0"})
+	w.workers["w0"].cut = true
+	w.takeOver()
+	w.run(3 * time.Second)
+	is.Equal(w.shown["a"], job.Completed)
+	w.check(t)
+}
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -1,6 +1,8 @@
 package shard
 
 import (
+	"net/netip"
+	"sort"
 	"time"
 
 	"lemonstream.dev/lemonstream/job"
@@ -16,6 +18,10 @@
 	// times the heartbeats after which its registration disappears.
 	goneFor = 60 * time.Second
 
+	// endedFor is how long an ended life is handed over to a successor: some
+	// heartbeats longer than its registration stands.
+	endedFor = 10 * time.Second
+
 	// retryFirst and retryMost are the pauses between failed looks at a worker.
 	retryFirst = 60 * time.Millisecond
 	retryMost  = 400 * time.Millisecond
@@ -212,6 +218,9 @@
 				holdAt:     now,
 				first:      now,
 			}
+			if s.lapsed[reg.ID] {
+				w.blindUntil = s.taken
+			}
 			s.workers[reg.ID] = w
 			s.opts.Report("worker listed", "worker", reg.ID, "rack", reg.Rack, "draining", reg.Draining)
 		}
@@ -230,6 +239,88 @@
 	}
 }
 
+// Unlisted is a worker without a registration that may still run something.
+type Unlisted struct {
+	ID      string `cbor:"1,keyasint"`
+	Address string `cbor:"2,keyasint"`
+}
+
+// Inherit takes in what the owner before wrote of its workers.
+func (s *Shard) Inherit(lapsed, ended []string, unlisted []Unlisted, now time.Time) {
+	for _, id := range ended {
+		s.gone[id] = now
+	}
+	for _, id := range lapsed {
+		s.lapsed[id] = true
+	}
+	for _, u := range unlisted {
+		address, err := netip.ParseAddrPort(u.Address)
+		if err != nil {
+			s.opts.Report("worker not inherited", "worker", u.ID, "error", err.Error())
+			continue
+		}
+		s.workers[u.ID] = &workerState{
+			reg: outside.Registration{
+				ID:      u.ID,
+				Service: s.name,
+				Address: address,
+			},
+			runs:       make(map[job.TaskID]*run),
+			unlisted:   now,
+			first:      now,
+			blindUntil: s.taken.Add(s.opts.BlindFor),
+			holdAt:     now,
+		}
+	}
+}
+
+// Ended returns the workers whose life has ended so short ago that their
+// registrations may still stand.
+func (s *Shard) Ended(now time.Time) []string {
+	var list []string
+	for id, since := range s.gone {
+		if now.Sub(since) < endedFor {
+			list = append(list, id)
+		}
+	}
+	sort.Strings(list)
+	return list
+}
+
+// Lapsed returns the workers on which nothing runs for sure although they are
+// silent. One that answers again is used only once a transaction was applied
+// that no longer names it.
+func (s *Shard) Lapsed(now time.Time) []string {
+	var list []string
+	for id, w := range s.workers {
+		if w.lapsed(now) {
+			list = append(list, id)
+		}
+	}
+	sort.Strings(list)
+	return list
+}
+
+// Unlisted returns the workers without a registration that may run something.
+func (s *Shard) Unlisted(now time.Time) []Unlisted {
+	var list []Unlisted
+	for id, w := range s.workers {
+		if !w.listed && !w.lapsed(now) {
+			list = append(list, Unlisted{
+				ID:      id,
+				Address: w.reg.Address.String(),
+			})
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	return list
+}
+
+// lapsed reports whether nothing runs on a silent worker for sure.
+func (w *workerState) lapsed(now time.Time) bool {
+	return w.failures > 0 && len(w.runs) == 0 && now.After(w.until) && now.After(w.blindUntil)
+}
+
 // lapse ends what ran on workers that could not be reached for a whole lease.
 func (s *Shard) lapse(now time.Time) {
 	for id, w := range s.workers {
--- a/shard/world_test.go
+++ b/shard/world_test.go
@@ -40,6 +40,9 @@
 	// cut says that no call gets through; down that the worker has crashed.
 	cut  bool
 	down bool
+
+	// unlisted says that its registration is gone.
+	unlisted bool
 }
 
 // tester is what the oracle reports to: a test of testing or of rapid.
@@ -73,6 +76,9 @@
 	// get no answer and take effect later by the given time.
 	storeDown bool
 
+	// ended is what the owner before wrote of ended workers.
+	ended []string
+
 	// frozen keeps the owner from proving that it still owns the shard.
 	frozen bool
 
@@ -124,6 +130,12 @@
 // takeOver starts a new owner from the rows, as after the death of the one
 // before.
 func (w *world) takeOver() {
+	w.takeOverWith(nil)
+}
+
+// takeOverWith starts a new owner that inherits what the one before knew of its
+// workers.
+func (w *world) takeOverWith(lapsed []string, unlisted ...shard.Unlisted) {
 	w.epoch++
 	w.life++
 	w.batch = nil
@@ -142,6 +154,7 @@
 		Report:   func(string, ...any) {},
 		Show:     func(id string, state job.State) { w.shown[id] = state },
 	})
+	w.core.Inherit(lapsed, w.ended, unlisted, w.now)
 	for id, p := range w.progress {
 		if p.State.Final() {
 			w.core.RestoreEnded(id, p)
@@ -163,7 +176,7 @@
 func (w *world) list() {
 	var list []outside.Registration
 	for _, f := range w.workers {
-		if !f.down {
+		if !f.down && !f.unlisted {
 			list = append(list, f.reg)
 		}
 	}
