Tell owners of taken machines until their registrations are gone

Change: the machines' duty names taken machines for 8 s, and an owner remembers one that it has not seen listed.

--- a/owner/fleet.go
+++ b/owner/fleet.go
@@ -44,6 +44,10 @@
 	// may still live is given the platform's own pause.
 	endedPause = 300 * time.Millisecond
 
+	// endedFor is how long the owners are told of a worker whose machine was
+	// taken: longer than its registration stands.
+	endedFor = 8 * time.Second
+
 	// waveRounds bounds the waves that are worked on at one time.
 	waveRounds = 8
 )
@@ -90,9 +94,10 @@
 	machines []outside.Machine
 	listed   time.Time
 
-	// closed and ended are told to the owners with the next question.
+	// closed and ended are told to the owners with each question. A worker
+	// stands in ended for as long as its registration may.
 	closed map[string][]string
-	ended  map[string][]string
+	ended  map[string]map[string]time.Time
 
 	// targets is what was last logged of each pool's size.
 	targets map[string]int
@@ -113,7 +118,7 @@
 		sizer:    pool.NewSizer(deps.Site.MoveTime, deps.Site.MaintainTime),
 		waves:    make(map[int64]*waveState),
 		closed:   make(map[string][]string),
-		ended:    make(map[string][]string),
+		ended:    make(map[string]map[string]time.Time),
 		targets:  make(map[string]int),
 		stop:     make(chan struct{}),
 		released: make(chan struct{}),
@@ -269,12 +274,13 @@
 			Name:   service.Name,
 			Asleep: service.Asleep,
 		}
+		ended := f.endedOf(service.Name)
 		all.Add(1)
 		f.deps.Group.Go("load", func(context.Context) error {
 			defer all.Done()
 			bounded, cancel := context.WithTimeout(ctx, loadTimeout)
 			defer cancel()
-			load, err := f.deps.Loads(bounded, service.Name, f.closed[service.Name], f.ended[service.Name])
+			load, err := f.deps.Loads(bounded, service.Name, f.closed[service.Name], ended)
 			if err != nil {
 				f.deps.Log.Info("load not known", "service", service.Name, "error", err.Error())
 				return nil
@@ -285,10 +291,19 @@
 		})
 	}
 	all.Wait()
-	for i := range list {
-		if list[i].Known {
-			delete(f.ended, list[i].Name)
+	return list
+}
+
+// endedOf returns the workers of a service whose machines were taken lately.
+func (f *fleet) endedOf(service string) []string {
+	now := f.deps.Clock.Now()
+	var list []string
+	for worker, since := range f.ended[service] {
+		if now.Sub(since) > endedFor {
+			delete(f.ended[service], worker)
+			continue
 		}
+		list = append(list, worker)
 	}
 	return list
 }
@@ -361,7 +376,10 @@
 	case err == nil:
 		f.deps.Log.Info("machine ordered", "machine", machine, "worker", worker, "from", from, "to", to, "wave", wave, "epoch", f.tenure.epoch)
 		f.sizer.Ordered(machine, to, worker, wave, now)
-		f.ended[from] = append(f.ended[from], worker)
+		if f.ended[from] == nil {
+			f.ended[from] = make(map[string]time.Time)
+		}
+		f.ended[from][worker] = now
 		f.done(wave, machine)
 	case errors.As(err, &refused):
 		f.sizer.Refused(machine, to, false, now)
--- a/shard/load.go
+++ b/shard/load.go
@@ -75,12 +75,17 @@
 	}
 }
 
-// End drops workers whose machine was moved or taken down.
+// End drops workers whose machine was moved or taken down, also those that were
+// not listed yet.
 func (s *Shard) End(ids []string, now time.Time) {
 	for _, id := range ids {
+		if _, known := s.gone[id]; known {
+			continue
+		}
 		if w, found := s.workers[id]; found {
 			s.endWorker(w, now, "machine was taken")
 		}
+		s.gone[id] = now
 	}
 }
 
--- a/shard/shard_test.go
+++ b/shard/shard_test.go
@@ -270,3 +270,22 @@
 	is.Equal(w.shown["a"], job.Completed)
 	w.check(t)
 }
+
+// TestTakenMachineIsKnownBeforeItsWorkerIsListed covers a successor that is told
+// of a taken machine while the registration of its worker still stands.
+func TestTakenMachineIsKnownBeforeItsWorkerIsListed(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(3)
+	w.run(200 * time.Millisecond)
+	w.submit("a", step(4), step(2, 0))
+	w.run(200 * time.Millisecond)
+	f := w.workers["w0"]
+	f.cut = true
+	f.unlisted = true
+	w.takeOver()
+	w.core.End([]string{"w0"}, w.now)
+	f.unlisted = false
+	w.list()
+	w.run(3 * time.Second)
+	is.Equal(w.shown["a"], job.Completed)
+}
