Write down each worker before it is given a task

Change: a row names each worker before its first task and goes when its life has ended; a new owner looks at all of them, and needs to wait for no other. Owners go on for 8 s without the store (5 s before).

--- a/owner/commit.go
+++ b/owner/commit.go
@@ -8,6 +8,10 @@
 	"lemonstream.dev/lemonstream/shard"
 )
 
+// workerRowsMost bounds the rows of workers in one transaction; with those of
+// jobs they stay below what one may hold.
+const workerRowsMost = 24
+
 // commit starts the next transaction, unless one is under way. An idle owner
 // writes its beat.
 func (d *Duty) commit(ctx context.Context, now time.Time) {
@@ -15,17 +19,16 @@
 		return
 	}
 	batch, found := d.core.TakeBatch()
-	due := now.Sub(d.tenure.lastWrite) >= beatPause || d.core.Unconfirmed()
+	workers := d.core.WorkerRows(workerRowsMost)
+	due := now.Sub(d.tenure.lastWrite) >= beatPause || !workers.Empty() || d.core.Unconfirmed()
 	if !found && !due && !d.releasing {
 		return
 	}
 	d.committing = true
 	releasing := d.releasing
-	puts, removes := d.rows(batch)
+	puts, removes := d.rows(batch, workers)
 	beat := Beat{
-		Lapsed:   d.core.Lapsed(now),
-		Ended:    d.core.Ended(now),
-		Unlisted: d.core.Unlisted(now),
+		Lapsed: d.core.Lapsed(now),
 	}
 	tx := d.tenure.transaction(beat, puts, removes, releasing)
 	d.deps.Group.Go("commit of "+d.service, func(context.Context) error {
@@ -39,7 +42,7 @@
 			}
 			d.tenure.beatVersion = version
 			d.tenure.noteWrite(now)
-			d.core.Confirm(now)
+			d.core.Confirm(workers, now)
 			d.core.Written(batch, at)
 			if releasing {
 				close(d.released)
@@ -50,9 +53,18 @@
 }
 
 // rows turns a batch into rows to write and to remove.
-func (d *Duty) rows(batch shard.Batch) ([]outside.Put, []outside.Key) {
+func (d *Duty) rows(batch shard.Batch, workers shard.WorkerRows) ([]outside.Put, []outside.Key) {
 	var puts []outside.Put
 	var removes []outside.Key
+	for _, worker := range workers.Used {
+		puts = append(puts, outside.Put{
+			Key:   usedKey(d.service, worker.ID),
+			Value: []byte(worker.Address.String()),
+		})
+	}
+	for _, id := range workers.Ended {
+		removes = append(removes, usedKey(d.service, id))
+	}
 	for _, write := range batch.Writes {
 		if write.Forget {
 			removes = append(removes, ProgressKey(d.service, write.ID))
--- a/owner/duty.go
+++ b/owner/duty.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"net/netip"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -38,7 +39,7 @@
 	// ownerHorizon is how long an owner goes on without having written
 	// anything. It spans the shorter outages of the store; a successor that
 	// can't reach a worker waits for it and a lease.
-	ownerHorizon = 5 * time.Second
+	ownerHorizon = 8 * time.Second
 )
 
 // Deps is what a duty works with.
@@ -117,7 +118,7 @@
 		return found.Policy, ok
 	}
 	d.core = shard.New(service, won.epoch, won.version, now, options)
-	d.core.Inherit(won.before.Lapsed, won.before.Ended, won.before.Unlisted, now)
+	d.core.Inherit(won.before.Lapsed)
 	return d
 }
 
@@ -279,7 +280,12 @@
 	if err != nil {
 		return 0, err
 	}
+	used, _, err := d.deps.Table.ReadAll(ctx, tableUsed, d.service)
+	if err != nil {
+		return 0, err
+	}
 	now := d.deps.Clock.Now()
+	d.inherit(used, now)
 	progress := make(map[string]*shard.Progress, len(rows))
 	for _, row := range rows {
 		p, err := shard.DecodeProgress(row.Value)
@@ -313,6 +319,21 @@
 	return since, nil
 }
 
+// inherit takes in the workers that the owner before may have given tasks.
+func (d *Duty) inherit(rows []outside.Row, now time.Time) {
+	for _, row := range rows {
+		address, err := netip.ParseAddrPort(string(row.Value))
+		if err != nil {
+			d.deps.Log.Error("row left out", "table", row.Key.Table, "key", row.Key.Name, "error", err)
+			continue
+		}
+		d.core.InheritWorker(outside.WorkerRef{
+			ID:      row.Key.Name,
+			Address: address,
+		}, now)
+	}
+}
+
 // watchIntake looks for jobs and cancellations that nobody told the owner of.
 func (d *Duty) watchIntake(ctx context.Context, since int64) error {
 	for clock.Sleep(ctx, intakePause) {
--- a/owner/rows.go
+++ b/owner/rows.go
@@ -6,7 +6,6 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"lemonstream.dev/lemonstream/outside"
-	"lemonstream.dev/lemonstream/shard"
 )
 
 // Tables of the scheduler. All rows of a service stand in the part of its name.
@@ -17,6 +16,10 @@
 	// tableOwner holds who owns a service; it changes only with the owner.
 	tableOwner = "owner"
 
+	// tableUsed holds the workers that the owner may have given tasks, so that a
+	// successor looks at them whether or not they are registered.
+	tableUsed = "used"
+
 	// tableProgress holds what has happened to jobs.
 	tableProgress = "progress"
 
@@ -44,14 +47,6 @@
 	// are silent, and their leases have run out. A successor need not wait for
 	// them.
 	Lapsed []string `cbor:"3,keyasint,omitempty"`
-
-	// Ended names workers whose life has ended a short while ago; their
-	// registrations may still stand.
-	Ended []string `cbor:"5,keyasint,omitempty"`
-
-	// Unlisted holds workers without a registration that may still run what the
-	// owner started. A successor has to look at them.
-	Unlisted []shard.Unlisted `cbor:"4,keyasint,omitempty"`
 }
 
 // Ownership is the row that says who owns a service.
@@ -81,6 +76,15 @@
 	}
 }
 
+// usedKey names the row of a worker that may run something.
+func usedKey(service, worker string) outside.Key {
+	return outside.Key{
+		Table: tableUsed,
+		Part:  service,
+		Name:  worker,
+	}
+}
+
 // ProgressKey names the row of what has happened to a job.
 func ProgressKey(service, id string) outside.Key {
 	return outside.Key{
--- a/shard/events.go
+++ b/shard/events.go
@@ -34,7 +34,7 @@
 	}
 	if w.lapsed(now) {
 		// It may stand in a row as one that runs nothing.
-		w.first = now
+		w.regained = now
 	}
 	w.failures = 0
 	w.hear(glance.Clock, now)
--- a/shard/jobs.go
+++ b/shard/jobs.go
@@ -8,8 +8,8 @@
 )
 
 // batchJobs is the most jobs in one batch: each takes up to two of the entries
-// of a transaction, and the owner's own rows take the rest.
-const batchJobs = 45
+// of a transaction, and the rows of workers and the owner take the rest.
+const batchJobs = 34
 
 // Write is one row of progress, and whether the job's record goes with it.
 type Write struct {
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -118,6 +118,9 @@
 	// owner still owned the shard.
 	confirmed time.Time
 
+	// unrecord names ended workers whose rows still stand.
+	unrecord map[string]struct{}
+
 	// lapsed names workers that the owner before knew to run nothing.
 	lapsed map[string]bool
 
@@ -146,6 +149,7 @@
 		dirty:      make(map[string]*jobState),
 		pending:    make(map[string]int),
 		learned:    make(map[string]*measure),
+		unrecord:   make(map[string]struct{}),
 		lapsed:     make(map[string]bool),
 		gone:       make(map[string]time.Time),
 	}
@@ -171,19 +175,29 @@
 }
 
 // Confirm takes in that a transaction of this owner was applied that was sent at
-// the instant. A worker is used only once one was that was sent after the worker
-// was first listed: an owner that took over since would have read the list
-// later, and so know of the worker.
-func (s *Shard) Confirm(sent time.Time) {
+// the instant with the given rows of workers. A worker is used only once its row
+// stands, so that a successor knows of it, and one that had lapsed only once a
+// later transaction no longer names it as such.
+func (s *Shard) Confirm(rows WorkerRows, sent time.Time) {
 	if sent.After(s.confirmed) {
 		s.confirmed = sent
 	}
+	for _, ref := range rows.Used {
+		if w, found := s.workers[ref.ID]; found {
+			w.recorded = true
+		} else {
+			s.unrecord[ref.ID] = struct{}{}
+		}
+	}
+	for _, id := range rows.Ended {
+		delete(s.unrecord, id)
+	}
 }
 
-// Unconfirmed reports whether a worker waits for a transaction to be used.
+// Unconfirmed reports whether a regained worker waits for a transaction.
 func (s *Shard) Unconfirmed() bool {
 	for _, w := range s.workers {
-		if w.listed && w.first.After(s.confirmed) {
+		if w.listed && w.regained.After(s.confirmed) {
 			return true
 		}
 	}
--- a/shard/shard_test.go
+++ b/shard/shard_test.go
@@ -236,7 +236,6 @@
 }
 
 func TestUnlistedWorkerIsHandedOver(t *testing.T) {
-	is := is.New(t)
 	w := newWorld(2)
 	w.run(200 * time.Millisecond)
 	long := step(6)
@@ -246,9 +245,7 @@
 	f := w.workers["w0"]
 	f.unlisted = true
 	w.list()
-	unlisted := w.core.Unlisted(w.now)
-	is.Equal(len(unlisted), 1)
-	w.takeOverWith(nil, unlisted...)
+	w.takeOver()
 	w.run(3 * time.Second)
 	w.check(t) // Without a look at it, its tasks would run a second time.
 }
@@ -262,8 +259,7 @@
 	w.core.End([]string{"w0"}, w.now)
 	w.submit("a", step(4), step(2, 0))
 	w.run(200 * time.Millisecond)
-	w.ended = w.core.Ended(w.now)
-	is.Equal(w.ended, []string{"w0"})
+	is.True(!w.used["w0"]) // Its row goes with the next transaction.
 	w.workers["w0"].cut = true
 	w.takeOver()
 	w.run(3 * time.Second)
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -1,7 +1,6 @@
 package shard
 
 import (
-	"net/netip"
 	"sort"
 	"time"
 
@@ -18,10 +17,6 @@
 	// times the heartbeats after which its registration disappears.
 	goneFor = 60 * time.Second
 
-	// endedFor is how long an ended life is handed over to a successor: some
-	// heartbeats longer than its registration stands.
-	endedFor = 10 * time.Second
-
 	// retryFirst and retryMost are the pauses between failed looks at a worker.
 	retryFirst = 60 * time.Millisecond
 	retryMost  = 400 * time.Millisecond
@@ -94,8 +89,12 @@
 	listed   bool
 	unlisted time.Time
 
-	// first is when this owner first saw the registration.
-	first time.Time
+	// recorded says that a row of this or an earlier owner names the worker as
+	// one that may run something.
+	recorded bool
+
+	// regained is when the worker last answered after it had lapsed.
+	regained time.Time
 
 	// known says that the worker answered under this owner's fence, so that no
 	// order of an earlier owner takes effect there any more.
@@ -192,7 +191,7 @@
 
 // takes reports whether tasks may be placed on the worker at all.
 func (w *workerState) takes(now, confirmed time.Time) bool {
-	if w.first.After(confirmed) {
+	if !w.recorded || w.regained.After(confirmed) {
 		return false
 	}
 	if !w.known || w.reg.Draining || w.failures > 0 || !w.doubted.IsZero() || now.Before(w.avoidUntil) || now.Before(w.closedUntil) {
@@ -212,16 +211,7 @@
 		seen[reg.ID] = true
 		w, found := s.workers[reg.ID]
 		if !found {
-			w = &workerState{
-				runs:       make(map[job.TaskID]*run),
-				blindUntil: s.taken.Add(s.opts.BlindFor),
-				holdAt:     now,
-				first:      now,
-			}
-			if s.lapsed[reg.ID] {
-				w.blindUntil = s.taken
-			}
-			s.workers[reg.ID] = w
+			w = s.newWorker(reg.ID, now)
 			s.opts.Report("worker listed", "worker", reg.ID, "rack", reg.Rack, "draining", reg.Draining)
 		}
 		if found && reg.Draining && !w.reg.Draining {
@@ -239,52 +229,70 @@
 	}
 }
 
-// Unlisted is a worker without a registration that may still run something.
-type Unlisted struct {
-	ID      string `cbor:"1,keyasint"`
-	Address string `cbor:"2,keyasint"`
+// WorkerRows are the rows of workers that a transaction has to write.
+type WorkerRows struct {
+	// Used holds workers that are to be used once their row stands.
+	Used []outside.WorkerRef
+
+	// Ended names workers whose life has ended.
+	Ended []string
+}
+
+// Empty reports whether there is nothing to write.
+func (r WorkerRows) Empty() bool {
+	return len(r.Used) == 0 && len(r.Ended) == 0
 }
 
-// Inherit takes in what the owner before wrote of its workers.
-func (s *Shard) Inherit(lapsed, ended []string, unlisted []Unlisted, now time.Time) {
-	for _, id := range ended {
-		s.gone[id] = now
+// WorkerRows returns the rows of workers that are due, at most the given number
+// of each kind.
+func (s *Shard) WorkerRows(most int) WorkerRows {
+	var rows WorkerRows
+	for _, w := range s.workers {
+		if w.listed && !w.recorded && len(rows.Used) < most {
+			rows.Used = append(rows.Used, w.ref())
+		}
+	}
+	for id := range s.unrecord {
+		if len(rows.Ended) < most {
+			rows.Ended = append(rows.Ended, id)
+		}
 	}
+	return rows
+}
+
+// Inherit takes in which silent workers ran nothing, by the word of the owner
+// before.
+func (s *Shard) Inherit(lapsed []string) {
 	for _, id := range lapsed {
 		s.lapsed[id] = true
 	}
-	for _, u := range unlisted {
-		address, err := netip.ParseAddrPort(u.Address)
-		if err != nil {
-			s.opts.Report("worker not inherited", "worker", u.ID, "error", err.Error())
-			continue
-		}
-		s.workers[u.ID] = &workerState{
-			reg: outside.Registration{
-				ID:      u.ID,
-				Service: s.name,
-				Address: address,
-			},
-			runs:       make(map[job.TaskID]*run),
-			unlisted:   now,
-			first:      now,
-			blindUntil: s.taken.Add(s.opts.BlindFor),
-			holdAt:     now,
-		}
+}
+
+// InheritWorker takes in a worker that the owner before may have given tasks. It
+// is looked at whether or not it is registered.
+func (s *Shard) InheritWorker(ref outside.WorkerRef, now time.Time) {
+	w := s.newWorker(ref.ID, now)
+	w.reg = outside.Registration{
+		ID:      ref.ID,
+		Service: s.name,
+		Address: ref.Address,
+	}
+	w.unlisted = now
+	w.recorded = true
+	if !s.lapsed[ref.ID] {
+		w.blindUntil = s.taken.Add(s.opts.BlindFor)
 	}
 }
 
-// Ended returns the workers whose life has ended so short ago that their
-// registrations may still stand.
-func (s *Shard) Ended(now time.Time) []string {
-	var list []string
-	for id, since := range s.gone {
-		if now.Sub(since) < endedFor {
-			list = append(list, id)
-		}
+// newWorker adds a worker that this owner has not looked at. One that no owner
+// before has written down runs nothing of the shard.
+func (s *Shard) newWorker(id string, now time.Time) *workerState {
+	w := &workerState{
+		runs:   make(map[job.TaskID]*run),
+		holdAt: now,
 	}
-	sort.Strings(list)
-	return list
+	s.workers[id] = w
+	return w
 }
 
 // Lapsed returns the workers on which nothing runs for sure although they are
@@ -301,21 +309,6 @@
 	return list
 }
 
-// Unlisted returns the workers without a registration that may run something.
-func (s *Shard) Unlisted(now time.Time) []Unlisted {
-	var list []Unlisted
-	for id, w := range s.workers {
-		if !w.listed && !w.lapsed(now) {
-			list = append(list, Unlisted{
-				ID:      id,
-				Address: w.reg.Address.String(),
-			})
-		}
-	}
-	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
-	return list
-}
-
 // lapsed reports whether nothing runs on a silent worker for sure.
 func (w *workerState) lapsed(now time.Time) bool {
 	return w.failures > 0 && len(w.runs) == 0 && now.After(w.until) && now.After(w.blindUntil)
@@ -346,6 +339,9 @@
 	s.loseRuns(w, now, reason)
 	delete(s.workers, w.reg.ID)
 	s.gone[w.reg.ID] = now
+	if w.recorded {
+		s.unrecord[w.reg.ID] = struct{}{}
+	}
 }
 
 // loseRuns ends every run of a worker without an end of its own.
--- a/shard/world_test.go
+++ b/shard/world_test.go
@@ -76,8 +76,8 @@
 	// get no answer and take effect later by the given time.
 	storeDown bool
 
-	// ended is what the owner before wrote of ended workers.
-	ended []string
+	// used holds the rows of workers that may run something.
+	used map[string]bool
 
 	// frozen keeps the owner from proving that it still owns the shard.
 	frozen bool
@@ -97,6 +97,7 @@
 		records:  make(map[string]shard.Record),
 		progress: make(map[string]shard.Progress),
 		shown:    make(map[string]job.State),
+		used:     make(map[string]bool),
 		noted:    make(map[job.TaskID]time.Time),
 	}
 	w.now = w.start
@@ -135,7 +136,7 @@
 
 // takeOverWith starts a new owner that inherits what the one before knew of its
 // workers.
-func (w *world) takeOverWith(lapsed []string, unlisted ...shard.Unlisted) {
+func (w *world) takeOverWith(lapsed []string) {
 	w.epoch++
 	w.life++
 	w.batch = nil
@@ -154,7 +155,13 @@
 		Report:   func(string, ...any) {},
 		Show:     func(id string, state job.State) { w.shown[id] = state },
 	})
-	w.core.Inherit(lapsed, w.ended, unlisted, w.now)
+	w.core.Inherit(lapsed)
+	for id := range w.used {
+		w.core.InheritWorker(outside.WorkerRef{
+			ID:      id,
+			Address: w.workers[id].reg.Address,
+		}, w.now)
+	}
 	for id, p := range w.progress {
 		if p.State.Final() {
 			w.core.RestoreEnded(id, p)
@@ -286,11 +293,17 @@
 				delete(w.records, one.ID)
 			}
 		}
-		w.core.Confirm(w.batchAt)
 		w.core.Written(b, w.now)
 	}
-	if !w.storeDown && w.core.Unconfirmed() && !w.frozen {
-		w.core.Confirm(w.now)
+	if !w.storeDown && !w.frozen {
+		rows := w.core.WorkerRows(8)
+		for _, ref := range rows.Used {
+			w.used[ref.ID] = true
+		}
+		for _, id := range rows.Ended {
+			delete(w.used, id)
+		}
+		w.core.Confirm(rows, w.now)
 	}
 	if w.batch == nil {
 		if b, found := w.core.TakeBatch(); found {
