--- /dev/null
+++ b/figures/figures_test.go
@@ -0,0 +1,30 @@
+package figures_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lemonstream.dev/lemonstream/figures"
+	"lemonstream.dev/lemonstream/outside"
+)
+
+func TestFiguresOfCalls(t *testing.T) {
+	is := is.New(t)
+	set := figures.New()
+	table := figures.ObserveTable(set, outside.Table{
+		Transact: func(context.Context, outside.Transaction) (outside.Receipt, error) {
+			return outside.Receipt{}, &outside.NotDoneError{}
+		},
+	})
+	_, err := table.Transact(context.Background(), outside.Transaction{})
+	is.True(outside.IsNotDone(err)) // The answer is passed on as it is.
+	set.Observe("caller_post", 30*time.Millisecond, "200")
+	text := set.Text()
+	is.True(strings.Contains(text, `lemonstream_store_transact_total{outcome="not_done"} 1`))
+	is.True(strings.Contains(text, `lemonstream_caller_post_total{outcome="200"} 1`))
+	is.True(strings.Contains(text, `lemonstream_caller_post_ms{quantile="0.5"} 30`))
+}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -20,6 +20,7 @@
 
 	"lemonstream.dev/lemonstream/catalog"
 	"lemonstream.dev/lemonstream/clock"
+	"lemonstream.dev/lemonstream/figures"
 	"lemonstream.dev/lemonstream/job"
 	"lemonstream.dev/lemonstream/kernel"
 	"lemonstream.dev/lemonstream/outside"
@@ -77,6 +78,7 @@
 	Catalog func() *catalog.Catalog
 	Clock   clock.Clock
 	Codec   Codec
+	Figures *figures.Set
 	Group   *kernel.Group
 	Log     *slog.Logger
 	Owners  Owners
@@ -115,6 +117,10 @@
 	}
 	ctx, cancel := context.WithTimeout(c.Request.Context(), s.patience(c))
 	defer cancel()
+	began := s.Clock.Now()
+	defer func() {
+		s.Figures.Observe("caller_"+strings.ToLower(c.Request.Method), s.Clock.Now().Sub(began), strconv.Itoa(c.Writer.Status()))
+	}()
 	r := &request{
 		Context: c,
 		ctx:     ctx,
--- a/peer/client.go
+++ b/peer/client.go
@@ -59,6 +59,9 @@
 	pathTransact = "/v1/transact"
 )
 
+// queryService names the service that a call is about.
+const queryService = "service"
+
 // Outcomes of a transaction that another entry sent.
 const (
 	outcomeConflict  outcome = "conflict"
@@ -134,8 +137,8 @@
 // does not know the job.
 func (c *Client) Cancel(ctx context.Context, to netip.AddrPort, service, id string) (bool, error) {
 	status, _, err := c.call(ctx, cancelTimeout, http.MethodPost, to, pathCancel, url.Values{
-		"service": {service},
-		"id":      {id},
+		queryService: {service},
+		"id":         {id},
 	}, nil)
 	return status == http.StatusNoContent, err
 }
@@ -151,7 +154,7 @@
 		return shard.Load{}, fmt.Errorf("encoding a question for load: %w", err)
 	}
 	_, body, err := c.call(ctx, callTimeout, http.MethodPost, to, pathLoad, url.Values{
-		"service": {service},
+		queryService: {service},
 	}, asked)
 	if err != nil {
 		return shard.Load{}, err
@@ -167,9 +170,9 @@
 // told of it.
 func (c *Client) Offer(ctx context.Context, to netip.AddrPort, service string, record shard.Record, version int64, first bool) error {
 	_, _, err := c.call(ctx, callTimeout, http.MethodPost, to, pathOffer, url.Values{
-		"service": {service},
-		"version": {strconv.FormatInt(version, 10)},
-		"first":   {strconv.FormatBool(first)},
+		queryService: {service},
+		"version":    {strconv.FormatInt(version, 10)},
+		"first":      {strconv.FormatBool(first)},
 	}, record.Encode())
 	return err
 }
@@ -177,8 +180,8 @@
 // Pending asks the owner how many jobs of a route have not begun.
 func (c *Client) Pending(ctx context.Context, to netip.AddrPort, service, route string) (int, error) {
 	_, body, err := c.call(ctx, callTimeout, http.MethodGet, to, pathPending, url.Values{
-		"service": {service},
-		"route":   {route},
+		queryService: {service},
+		"route":      {route},
 	}, nil)
 	if err != nil {
 		return 0, err
@@ -235,7 +238,7 @@
 // Ping asks an entry whether it owns a service and writes.
 func (c *Client) Ping(ctx context.Context, to netip.AddrPort, service string) (owner.Pong, error) {
 	_, body, err := c.call(ctx, callTimeout, http.MethodGet, to, pathPing, url.Values{
-		"service": {service},
+		queryService: {service},
 	}, nil)
 	if err != nil {
 		return owner.Pong{}, err
@@ -255,8 +258,8 @@
 // does not know the job.
 func (c *Client) State(ctx context.Context, to netip.AddrPort, service, id string) (job.State, bool, error) {
 	status, body, err := c.call(ctx, callTimeout, http.MethodGet, to, pathState, url.Values{
-		"service": {service},
-		"id":      {id},
+		queryService: {service},
+		"id":         {id},
 	}, nil)
 	if err != nil || status == http.StatusNotFound {
 		return "", false, err
@@ -291,7 +294,7 @@
 		return response.StatusCode, read, nil
 	case http.StatusMisdirectedRequest:
 		return 0, nil, &NotOwnerError{
-			Service: query.Get("service"),
+			Service: query.Get(queryService),
 		}
 	default:
 		return 0, nil, &outside.UncertainError{
--- a/peer/server.go
+++ b/peer/server.go
@@ -44,7 +44,7 @@
 // owned answers 421 unless this entry owns the service that is asked for.
 func (s *Server) owned(handle func(*gin.Context, *owner.Duty)) gin.HandlerFunc {
 	return func(c *gin.Context) {
-		duty, found := s.Duty(c.Query("service"))
+		duty, found := s.Duty(c.Query(queryService))
 		if !found {
 			c.Status(http.StatusMisdirectedRequest)
 			return
@@ -118,7 +118,7 @@
 }
 
 func (s *Server) ping(c *gin.Context) {
-	age, owns := s.WriteAge(c.Query("service"))
+	age, owns := s.WriteAge(c.Query(queryService))
 	c.JSON(http.StatusOK, pongAnswer{
 		Incarnation:    s.Incarnation,
 		Owns:           owns,
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -20,6 +20,7 @@
 
 	"lemonstream.dev/lemonstream/catalog"
 	"lemonstream.dev/lemonstream/clock"
+	"lemonstream.dev/lemonstream/figures"
 	"lemonstream.dev/lemonstream/intake"
 	"lemonstream.dev/lemonstream/kernel"
 	"lemonstream.dev/lemonstream/logbook"
@@ -77,6 +78,8 @@
 	group    *kernel.Group
 	log      *slog.Logger
 	table    outside.Table
+	workers  outside.Workers
+	figures  *figures.Set
 	health   *storeHealth
 	catalog  *catalog.Holder
 	roster   *roster.Roster
@@ -125,13 +128,15 @@
 		group:    kernel.NewGroup(context.WithoutCancel(ctx), log),
 		log:      log,
 		catalog:  catalog.NewHolder(log),
+		figures:  figures.New(),
 		waves:    make(map[string]outside.Wave),
 		stopping: make(chan struct{}),
 	}
 	d.health = &storeHealth{
 		now: d.clock.Now,
 	}
-	d.table = d.health.observe(platform.NewTable(settings.Store))
+	d.table = figures.ObserveTable(d.figures, d.health.observe(platform.NewTable(settings.Store)))
+	d.workers = figures.ObserveWorkers(d.figures, platform.NewWorkers())
 	listener, err := listenPeers(settings)
 	if err != nil {
 		return nil, err
@@ -150,23 +155,33 @@
 	d.roster = roster.New(d.table, log, settings.Name, self)
 	peers := peer.NewClient()
 	registry := owner.NewRegistry(d.table, platform.TableWorkers, platform.DecodeRegistration, log)
-	d.keeper = owner.NewKeeper(owner.Deps{
+	d.keeper = owner.NewKeeper(d.deps(registry, peers), self, d.roster.Members, peers.Ping)
+	d.group.Go("registrations", registry.Run)
+	d.servePeers(listener, self)
+	d.serveReadiness()
+	d.serveCallers(peers)
+	return d, nil
+}
+
+// deps returns what the duties of this entry work with.
+func (d *Daemon) deps(registry *owner.Registry, peers *peer.Client) owner.Deps {
+	return owner.Deps{
 		Clock:    d.clock,
 		Group:    d.group,
-		Log:      log,
+		Log:      d.log,
 		Table:    d.table,
-		Workers:  platform.NewWorkers(),
+		Workers:  d.workers,
 		Catalog:  d.catalog.Current,
 		Registry: registry,
 		Options: shard.Options{
-			Lease:     min(workerLease, settings.MaxLease),
+			Lease:     min(workerLease, d.settings.MaxLease),
 			BusyWait:  busyWait,
 			IdleWait:  idleWait,
-			StopTask:  settings.StopTask,
-			ShownFor:  settings.ShownFor,
-			FarFactor: settings.FarFactor,
+			StopTask:  d.settings.StopTask,
+			ShownFor:  d.settings.ShownFor,
+			FarFactor: d.settings.FarFactor,
 		},
-		Machines: platform.NewMachines(settings.Machines),
+		Machines: platform.NewMachines(d.settings.Machines),
 		Waves: owner.WaveSource{
 			Waves:     d.listWaves,
 			StatusKey: platform.WaveStatusKey,
@@ -175,14 +190,9 @@
 		Loads: func(ctx context.Context, service string, closed, ended []string) (shard.Load, error) {
 			return d.load(ctx, peers, service, closed, ended)
 		},
-		Holder: settings.Name,
-		Site:   settings,
-	}, self, d.roster.Members, peers.Ping)
-	d.group.Go("registrations", registry.Run)
-	d.servePeers(listener, self)
-	d.serveReadiness()
-	d.serveCallers(peers)
-	return d, nil
+		Holder: d.settings.Name,
+		Site:   d.settings,
+	}
 }
 
 func listenPeers(settings site.Settings) (net.Listener, error) {
@@ -335,8 +345,9 @@
 			EncodePending: platform.EncodePending,
 			EncodeState:   platform.EncodeState,
 		},
-		Group: d.group,
-		Log:   d.log,
+		Figures: d.figures,
+		Group:   d.group,
+		Log:     d.log,
 		Owners: intake.Owners{
 			Duty:  d.keeper.Duty,
 			Owner: d.keeper.Owner,
@@ -371,6 +382,9 @@
 		}
 		c.Status(http.StatusServiceUnavailable)
 	})
+	router.GET("/metrics", func(c *gin.Context) {
+		c.String(http.StatusOK, d.figures.Text())
+	})
 	d.listen("readiness", d.settings.Readiness, router)
 }
 
