--- a/shard/record.go
+++ b/shard/record.go
@@ -69,8 +69,16 @@
 	return encode(r)
 }
 
+// encode writes instants as text with their full precision: the library's usual
+// form cuts them to seconds, and a repeated job would start early.
 func encode(value any) []byte {
-	body, err := cbor.Marshal(value)
+	mode, err := cbor.EncOptions{
+		Time: cbor.TimeRFC3339Nano,
+	}.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	body, err := mode.Marshal(value)
 	if err != nil {
 		// The rows hold only plain values, which always encode.
 		panic(err)
