Give services the machines of the labels that their tasks ask for

Change: labelled needs stand apart from the others; a service gets as many machines of a label as its tasks need; the last one is not closed unless another can take its place. Tests: two in pool/.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -319,6 +319,18 @@
 		if step.Filler {
 			text.WriteString(" filler")
 		}
+		if step.Gang {
+			text.WriteString(" gang")
+		}
+		if step.SameRack {
+			text.WriteString(" same_rack")
+		}
+		if step.Label != "" {
+			text.WriteString(" label=" + step.Label)
+		}
+		if step.DataRack != "" {
+			text.WriteString(" data_rack=" + step.DataRack)
+		}
 		if step.TailTarget > 0 {
 			fmt.Fprintf(&text, " tail=%dms", step.TailTarget.Milliseconds())
 		}
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -272,3 +272,51 @@
 		is.True(m.From != "a")
 	}
 }
+
+func TestLabelledTasksWakeMachinesThatCarryIt(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(map[string]int{
+		"a":    4,
+		"b":    3,
+		asleep: 6,
+	})
+	for i := range f.view.Machines {
+		if f.view.Machines[i].ID == asleep+"04" {
+			f.view.Machines[i].Labels = []string{"x"}
+		}
+	}
+	f.service("a").Load.Labelled = map[string]job.Room{
+		"x": cpu(2),
+	}
+	plan := f.plan()
+	is.Equal(len(plan.Moves), 1)
+	is.Equal(plan.Moves[0].Machine, asleep+"04")
+}
+
+func TestOnlyMachineOfLabelIsNotClosed(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(map[string]int{
+		"a":    3,
+		"b":    3,
+		asleep: 2,
+	})
+	f.view.Machines[0].Labels = []string{"x"}
+	f.service("a").Load.Labelled = map[string]job.Room{
+		"x": cpu(2),
+	}
+	wave := &pool.Wave{
+		Seen: f.view.Now,
+		Done: make(map[string]bool),
+	}
+	wave.Number = 1
+	wave.AtOnce = 4
+	wave.Within = time.Minute
+	wave.Machines = []string{f.view.Machines[0].ID}
+	f.view.Waves = []*pool.Wave{wave}
+	is.Equal(len(f.plan().Closed["a"]), 0)
+	// With another machine of the label its tasks have somewhere to go.
+	f.view.Machines[len(f.view.Machines)-1].Labels = []string{"x"}
+	plan := f.plan()
+	is.Equal(len(plan.Closed["a"]), 1)
+	is.Equal(len(plan.Moves), 1)
+}
--- a/pool/round.go
+++ b/pool/round.go
@@ -36,8 +36,10 @@
 	load  shard.WorkerLoad
 	known bool
 
-	// closed says that the plan closes its worker.
+	// closed says that the plan closes its worker, and to where the machine is
+	// sent; empty for nowhere.
 	closed bool
+	to     string
 }
 
 // round is one making of a plan.
@@ -174,9 +176,12 @@
 // grow gives services what they lack: sleeping machines first, then machines
 // of services that have too many.
 func (r *round) grow() {
+	for i := range r.view.Services {
+		r.growLabelled(&r.view.Services[i])
+	}
 	for _, name := range r.byLack() {
 		for r.count[name] < r.plan.Targets[name] {
-			sp := r.spare(name)
+			sp := r.spare(name, "")
 			if sp == nil {
 				break
 			}
@@ -185,6 +190,73 @@
 	}
 }
 
+// growLabelled gives a service the machines of each label that its tasks ask
+// for, beyond its target if need be: no other machine can run them.
+func (r *round) growLabelled(service *Service) {
+	if service.Asleep || !service.Known {
+		return
+	}
+	for _, label := range r.labels(service) {
+		for r.labelled(service.Name, label) < r.wanted(service, label) {
+			sp := r.spare(service.Name, label)
+			if sp == nil {
+				break
+			}
+			r.send(sp, service.Name)
+		}
+	}
+}
+
+// labels returns the labels that a service's tasks ask for, sorted.
+func (r *round) labels(service *Service) []string {
+	var list []string
+	for label := range service.Load.Labelled {
+		list = append(list, label)
+	}
+	sort.Strings(list)
+	return list
+}
+
+// labelled counts the machines of a pool that carry a label.
+func (r *round) labelled(pool, label string) int {
+	count := 0
+	for _, sp := range r.spots {
+		leaving := sp.closed && sp.to == ""
+		if sp.target() == pool && sp.carries(label) && !leaving {
+			count++
+		}
+	}
+	return count
+}
+
+// wanted returns how many machines of a label a service needs.
+func (r *round) wanted(service *Service, label string) int {
+	each := r.room(service.Name)
+	need := service.Load.Labelled[label]
+	count := 1
+	if each.MilliCPU > 0 {
+		count = max(count, (need.MilliCPU+each.MilliCPU-1)/each.MilliCPU)
+	}
+	if each.MemoryMB > 0 {
+		count = max(count, (need.MemoryMB+each.MemoryMB-1)/each.MemoryMB)
+	}
+	return count
+}
+
+// kept reports whether a service can't spare a machine because of a label.
+func (r *round) kept(sp *spot) bool {
+	service, found := r.services[sp.pool]
+	if !found {
+		return false
+	}
+	for label := range service.Load.Labelled {
+		if sp.carries(label) && r.labelled(sp.pool, label) <= r.wanted(service, label) {
+			return true
+		}
+	}
+	return false
+}
+
 // byLack returns the services that lack machines, the greatest lack first.
 func (r *round) byLack() []string {
 	var names []string
@@ -206,12 +278,13 @@
 	return names
 }
 
-// spare returns the machine that is missed least elsewhere.
-func (r *round) spare(to string) *spot {
+// spare returns the machine that is missed least elsewhere; it carries the label
+// unless that is empty.
+func (r *round) spare(to, label string) *spot {
 	var best *spot
 	bestCost := 0
 	for _, sp := range r.spots {
-		if !r.movable(sp, to) {
+		if !r.movable(sp, to) || !sp.carries(label) {
 			continue
 		}
 		cost := 0
@@ -236,7 +309,7 @@
 	if sp.pool == r.asleep {
 		return true
 	}
-	return sp.known && !sp.load.Draining && sp.load.Reached
+	return sp.known && !sp.load.Draining && sp.load.Reached && !r.kept(sp)
 }
 
 // shrink sends machines that nobody needs to sleep.
@@ -279,6 +352,7 @@
 	r.count[from]--
 	r.count[to]++
 	sp.closed = true
+	sp.to = to
 	if from == r.asleep || sp.empty() {
 		r.plan.Moves = append(r.plan.Moves, Move{
 			Machine: sp.machine.ID,
@@ -351,7 +425,7 @@
 
 // mayClose bounds how many machines of a pool are closed for maintenance.
 func (r *round) mayClose(sp *spot, closing map[string]int, late bool) bool {
-	if !sp.known || sp.load.Draining {
+	if !sp.known || sp.load.Draining || r.irreplaceable(sp) {
 		return false
 	}
 	if late || r.count[sp.pool] > r.plan.Targets[sp.pool] {
@@ -360,6 +434,22 @@
 	return float64(closing[sp.pool]) < max(1, maintainShare*float64(r.count[sp.pool]))
 }
 
+// irreplaceable reports whether a machine carries a label that its service needs
+// and that no other machine can bring: what runs there could never leave.
+func (r *round) irreplaceable(sp *spot) bool {
+	service, found := r.services[sp.pool]
+	if !found {
+		return false
+	}
+	for label := range service.Load.Labelled {
+		scarce := sp.carries(label) && r.labelled(sp.pool, label) <= r.wanted(service, label)
+		if scarce && r.spare(sp.pool, label) == nil {
+			return true
+		}
+	}
+	return false
+}
+
 // trouble orders machines by what their maintenance disturbs.
 func (r *round) trouble(sp *spot) int {
 	if sp.pool == r.asleep {
@@ -368,6 +458,27 @@
 	return 1 + sp.cost()
 }
 
+// carries reports whether the machine has a label; all have the empty one.
+func (sp *spot) carries(label string) bool {
+	if label == "" {
+		return true
+	}
+	for _, other := range sp.machine.Labels {
+		if other == label {
+			return true
+		}
+	}
+	return false
+}
+
+// target returns the pool that the machine is in or is sent to by this plan.
+func (sp *spot) target() string {
+	if sp.to != "" {
+		return sp.to
+	}
+	return sp.pool
+}
+
 // empty reports whether nothing runs on the machine's worker, nor will.
 func (sp *spot) empty() bool {
 	return sp.load.Known && sp.load.Closed && sp.load.Runs == 0
--- a/shard/load.go
+++ b/shard/load.go
@@ -14,17 +14,21 @@
 // Load is what a service needs and has, for whoever sizes its pool.
 type Load struct {
 	// Used is the room that runs take; Waiting is what tasks need that could
-	// start if there were room.
+	// start on any worker if there were room.
 	Used    job.Room
 	Waiting job.Room
 
-	// Coming is what tasks need whose step waits for another to end.
+	// Coming is what such tasks need whose step waits for another to end.
 	Coming job.Room
 
 	// Spread is the number of workers that the widest step with a limit for
 	// each worker needs.
 	Spread int
 
+	// Labelled maps a label to what waiting tasks and runs need of workers that
+	// carry it.
+	Labelled map[string]job.Room
+
 	// Lasting is the part of Used that lasting tasks take.
 	Lasting job.Room
 
@@ -92,7 +96,8 @@
 // Load returns what the service needs and has.
 func (s *Shard) Load(now time.Time) Load {
 	load := Load{
-		Workers: make(map[string]WorkerLoad, len(s.workers)),
+		Labelled: make(map[string]job.Room),
+		Workers:  make(map[string]WorkerLoad, len(s.workers)),
 	}
 	for id, w := range s.workers {
 		one := WorkerLoad{
@@ -106,6 +111,9 @@
 		load.Used = load.Used.Add(w.used)
 		for id, r := range w.runs {
 			step, found := s.stepOf(id)
+			if found && step.Label != "" {
+				load.Labelled[step.Label] = load.Labelled[step.Label].Add(step.Charge())
+			}
 			switch {
 			case !found:
 			case step.Lasting:
@@ -140,9 +148,12 @@
 				continue
 			}
 			need := times(spec.Charge(), len(step.idle))
-			if j.ready(k, st) {
+			switch {
+			case spec.Label != "":
+				load.Labelled[spec.Label] = load.Labelled[spec.Label].Add(need)
+			case j.ready(k, st):
 				load.Waiting = load.Waiting.Add(need)
-			} else {
+			default:
 				load.Coming = load.Coming.Add(need)
 			}
 		}
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -212,7 +212,7 @@
 		w, found := s.workers[reg.ID]
 		if !found {
 			w = s.newWorker(reg.ID, now)
-			s.opts.Report("worker listed", "worker", reg.ID, "rack", reg.Rack, "draining", reg.Draining)
+			s.opts.Report("worker listed", "worker", reg.ID, "labels", reg.Labels, "draining", reg.Draining)
 		}
 		if found && reg.Draining && !w.reg.Draining {
 			s.opts.Report("worker drains", "worker", reg.ID, "runs", len(w.runs), "remaining_ms", reg.Remaining.Milliseconds())
