Soak real entries against a stand-in of the users' platform

The stand-in serves the published protocol of the store and of workers; an oracle watches the workers. The run kills, stops, freezes and hangs up entries by seed and loses the store's history, and checks that every accepted job is shown as completed and none runs twice.

--- /dev/null
+++ b/internal/standin/worker.go
@@ -0,0 +1,279 @@
+package standin
+
+import (
+	"fmt"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/gin-gonic/gin"
+)
+
+const (
+	// taskTime is how long a task of the stand-in runs.
+	taskTime = 120 * time.Millisecond
+
+	// stopTime is how long a task takes to stop.
+	stopTime = 20 * time.Millisecond
+
+	// workerPoll is how often a worker looks at its tasks while a look waits.
+	workerPoll = 5 * time.Millisecond
+)
+
+// Oracle watches every worker of a stand-in from outside and notes broken
+// promises.
+type Oracle struct {
+	mu      sync.Mutex
+	running map[string]string
+	done    map[string]bool
+	starts  int
+	faults  []string
+}
+
+// Worker is a stand-in for one worker of the users' platform. It serves the
+// published protocol over HTTP and runs tasks by the clock.
+type Worker struct {
+	ID      string
+	Service string
+	Address netip.AddrPort
+
+	oracle  *Oracle
+	started time.Time
+
+	mu     sync.Mutex
+	fence  int64
+	until  time.Duration
+	runs   map[string]*workerRun
+	top    map[string]int64
+	ends   [][]any
+	number int64
+}
+
+type workerRun struct {
+	run    int64
+	ends   time.Time
+	stopAt time.Time
+}
+
+// NewOracle returns a judge that has seen nothing.
+func NewOracle() *Oracle {
+	return &Oracle{
+		running: make(map[string]string),
+		done:    make(map[string]bool),
+	}
+}
+
+// NewWorker returns a worker that runs nothing.
+func NewWorker(id, service string, oracle *Oracle) *Worker {
+	return &Worker{
+		ID:      id,
+		Service: service,
+		oracle:  oracle,
+		started: time.Now(),
+		runs:    make(map[string]*workerRun),
+		top:     make(map[string]int64),
+	}
+}
+
+// Faults returns what was broken, and the number of starts.
+func (j *Oracle) Faults() ([]string, int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return append([]string(nil), j.faults...), j.starts
+}
+
+// Registration returns the row that the worker records about itself.
+func (w *Worker) Registration() string {
+	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z","state":"ready","capacity":{"cpu":4000,"memMb":4000,"gpus":0},"labels":["a","r1-1"],"clockMs":%d,"callSeq":1}`,
+		w.Service, w.Address, w.clock().Milliseconds())
+}
+
+// Routes serves the worker's protocol.
+func (w *Worker) Routes(router *gin.Engine) {
+	router.Use(func(c *gin.Context) {
+		if c.GetHeader("Expect-Instance") != w.ID {
+			c.AbortWithStatus(http.StatusMisdirectedRequest)
+		}
+	})
+	router.POST("/run-start", w.start)
+	router.POST("/run-stop", w.stop)
+	router.POST("/hold", w.hold)
+}
+
+type workerOrder struct {
+	Task         string `json:"task"`
+	RunID        int64  `json:"runId"`
+	DeadlineMs   int64  `json:"deadlineMs"`
+	FencingToken int64  `json:"fencingToken"`
+	LastSeen     int64  `json:"lastSeen"`
+	WaitMs       int64  `json:"waitMs"`
+}
+
+func (w *Worker) clock() time.Duration {
+	return time.Since(w.started)
+}
+
+// admit checks an order's fence; it reports false after it has answered.
+func (w *Worker) admit(c *gin.Context, order *workerOrder) bool {
+	if err := c.ShouldBindJSON(order); err != nil {
+		c.Status(http.StatusBadRequest)
+		return false
+	}
+	if order.FencingToken < w.fence {
+		w.refuse(c, "fence")
+		return false
+	}
+	w.fence = order.FencingToken
+	return true
+}
+
+func (w *Worker) refuse(c *gin.Context, reason string) {
+	c.JSON(http.StatusConflict, gin.H{
+		"clockMs": w.clock().Milliseconds(),
+		"reason":  reason,
+	})
+}
+
+func (w *Worker) start(c *gin.Context) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+	var order workerOrder
+	if !w.admit(c, &order) {
+		return
+	}
+	deadline := time.Duration(order.DeadlineMs) * time.Millisecond
+	if deadline < w.clock() {
+		w.refuse(c, "late")
+		return
+	}
+	w.until = max(w.until, deadline)
+	if r, found := w.runs[order.Task]; found && r.run == order.RunID {
+		c.JSON(http.StatusOK, gin.H{
+			"clockMs": w.clock().Milliseconds(),
+		})
+		return
+	}
+	if order.RunID <= w.top[order.Task] {
+		w.refuse(c, "old")
+		return
+	}
+	w.top[order.Task] = order.RunID
+	w.runs[order.Task] = &workerRun{
+		run:  order.RunID,
+		ends: time.Now().Add(taskTime),
+	}
+	w.oracle.start(order.Task, w.ID)
+	c.JSON(http.StatusOK, gin.H{
+		"clockMs": w.clock().Milliseconds(),
+	})
+}
+
+func (w *Worker) stop(c *gin.Context) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+	var order workerOrder
+	if !w.admit(c, &order) {
+		return
+	}
+	w.top[order.Task] = max(w.top[order.Task], order.RunID)
+	if r, found := w.runs[order.Task]; found && r.run <= order.RunID {
+		r.stopAt = time.Now().Add(stopTime)
+	}
+	c.JSON(http.StatusOK, gin.H{
+		"clockMs": w.clock().Milliseconds(),
+	})
+}
+
+func (w *Worker) hold(c *gin.Context) {
+	var order workerOrder
+	w.mu.Lock()
+	if !w.admit(c, &order) {
+		w.mu.Unlock()
+		return
+	}
+	w.until = max(w.until, time.Duration(order.DeadlineMs)*time.Millisecond)
+	w.acknowledge(order.LastSeen)
+	deadline := time.Now().Add(time.Duration(order.WaitMs) * time.Millisecond)
+	for w.advance(); len(w.ends) == 0 && time.Now().Before(deadline); w.advance() {
+		w.mu.Unlock()
+		time.Sleep(workerPoll)
+		w.mu.Lock()
+	}
+	running := make([][]any, 0, len(w.runs))
+	for task, r := range w.runs {
+		running = append(running, []any{task, r.run, "", 100, 0})
+	}
+	ends := append([][]any{}, w.ends...)
+	w.mu.Unlock()
+	c.JSON(http.StatusOK, gin.H{
+		"clockMs":      w.clock().Milliseconds(),
+		"runningCount": running,
+		"endTime":      ends,
+	})
+}
+
+// acknowledge forgets ends through the given number.
+func (w *Worker) acknowledge(last int64) {
+	for len(w.ends) > 0 {
+		number, ok := w.ends[0][0].(int64)
+		if !ok || number > last {
+			return
+		}
+		if w.ends[0][3] == "done" {
+			w.oracle.note(fmt.Sprint(w.ends[0][1]))
+		}
+		w.ends = w.ends[1:]
+	}
+}
+
+// advance ends what has run its time, was stopped, or lost its lease.
+func (w *Worker) advance() {
+	now := time.Now()
+	for task, r := range w.runs {
+		how := ""
+		switch {
+		case w.clock() > w.until:
+			how = "lapsed"
+		case !r.stopAt.IsZero() && now.After(r.stopAt):
+			how = "stopped"
+		case now.After(r.ends):
+			how = "done"
+		default:
+			continue
+		}
+		w.number++
+		w.ends = append(w.ends, []any{w.number, task, r.run, how, ""})
+		delete(w.runs, task)
+		w.oracle.end(task, w.ID)
+	}
+}
+
+func (j *Oracle) start(task, worker string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.starts++
+	if other, found := j.running[task]; found {
+		j.faults = append(j.faults, fmt.Sprintf("%s starts on %s while it runs on %s", task, worker, other))
+	}
+	if j.done[task] {
+		j.faults = append(j.faults, fmt.Sprintf("%s starts on %s after its end was acknowledged", task, worker))
+	}
+	j.running[task] = worker
+}
+
+func (j *Oracle) end(task, worker string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.running[task] == worker {
+		delete(j.running, task)
+	}
+}
+
+func (j *Oracle) note(task string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.done[task] = true
+}
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,295 @@
+// Package soak_test runs real entry processes against a stand-in of the users'
+// platform, breaks them from outside, and checks the promises from what callers
+// and workers see.
+package soak_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	"lemonstream.dev/lemonstream/internal/standin"
+	"lemonstream.dev/lemonstream/outside"
+)
+
+const (
+	// patience is a generous limit for what takes seconds on an idle machine.
+	patience = 90 * time.Second
+
+	entries = 3
+	workers = 4
+
+	configuration = `{"version":3,"routes":[{"name":"q","host":"h.example","pathPrefix":"/q/","timeoutMs":3000,"targetLatencyMs":600,"priority":0,"service":"s","maxAttempts":3,"stretch":1.6}],` +
+		`"services":[{"name":"s","rejectsOverload":true}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`
+)
+
+// deployment is a stand-in platform with entry processes on it.
+type deployment struct {
+	t       *testing.T
+	rows    *standin.Rows
+	oracle  *standin.Oracle
+	store   *httptest.Server
+	binary  string
+	entries []*entry
+}
+
+// entry is one entry process, started again whenever it ends.
+type entry struct {
+	settings string
+	front    string
+	output   *os.File
+	command  *exec.Cmd
+}
+
+func deploy(t *testing.T) *deployment {
+	t.Helper()
+	gin.SetMode(gin.ReleaseMode)
+	d := &deployment{
+		t:      t,
+		rows:   standin.NewRows(),
+		oracle: standin.NewOracle(),
+		binary: filepath.Join(t.TempDir(), "lemonsched"),
+	}
+	build := exec.Command("go", "build", "-buildvcs=false", "-o", d.binary, "lemonstream.dev/lemonstream/cmd/lemonsched")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("building the entry: %v\n%s", err, out)
+	}
+	router := gin.New()
+	standin.StoreRoutes(router, d.rows)
+	d.store = httptest.NewServer(router)
+	t.Cleanup(d.store.Close)
+	d.rows.Write(outside.Key{
+		Table: "op",
+		Name:  "config",
+	}, []byte(configuration))
+	for i := 0; i < workers; i++ {
+		d.addWorker(fmt.Sprintf("i-%d", i))
+	}
+	for i := 0; i < entries; i++ {
+		d.addEntry(i)
+	}
+	return d
+}
+
+func (d *deployment) addWorker(id string) {
+	w := standin.NewWorker(id, "s", d.oracle)
+	router := gin.New()
+	w.Routes(router)
+	server := httptest.NewServer(router)
+	d.t.Cleanup(server.Close)
+	w.Address = netip.MustParseAddrPort(server.Listener.Addr().String())
+	d.rows.Write(outside.Key{
+		Table: "servers",
+		Name:  id,
+	}, []byte(w.Registration()))
+}
+
+// freePorts returns ports that were free a moment ago.
+func freePorts(t *testing.T, count int) []int {
+	t.Helper()
+	var ports []int
+	for i := 0; i < count; i++ {
+		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = listener.Close() }()
+		address, ok := listener.Addr().(*net.TCPAddr)
+		if !ok {
+			t.Fatal("no TCP address")
+		}
+		ports = append(ports, address.Port)
+	}
+	return ports
+}
+
+func (d *deployment) addEntry(index int) {
+	ports := freePorts(d.t, 3)
+	settings := strings.Join([]string{
+		"nodeName=entry-" + strconv.Itoa(index),
+		"zone=z",
+		"ip=127.0.0.1",
+		"listen.front=127.0.0.1:" + strconv.Itoa(ports[0]),
+		"listen.ready=127.0.0.1:" + strconv.Itoa(ports[1]),
+		fmt.Sprintf("portRange=%d,%d", ports[2], ports[2]),
+		"platform.address=" + d.store.Listener.Addr().String(),
+		"bounds.graceS=6",
+		"bounds.stop_ms=100",
+		"",
+	}, "\n")
+	path := filepath.Join(d.t.TempDir(), "settings.conf")
+	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
+		d.t.Fatal(err)
+	}
+	output, err := os.Create(filepath.Join(d.t.TempDir(), "log"))
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	e := &entry{
+		settings: path,
+		front:    "127.0.0.1:" + strconv.Itoa(ports[0]),
+		output:   output,
+	}
+	d.entries = append(d.entries, e)
+	d.start(e)
+	d.t.Cleanup(func() {
+		_ = e.command.Process.Kill()
+		_, _ = e.command.Process.Wait()
+		if d.t.Failed() {
+			d.keep(e)
+		}
+	})
+}
+
+// keep prints the end of an entry's log of a failed run.
+func (d *deployment) keep(e *entry) {
+	log, err := os.ReadFile(e.output.Name())
+	if err != nil {
+		d.t.Logf("log of %s: %v", e.front, err)
+		return
+	}
+	d.t.Logf("log of %s:\n%s", e.front, log[max(0, len(log)-20_000):])
+}
+
+func (d *deployment) start(e *entry) {
+	e.command = exec.Command(d.binary)
+	e.command.Env = append(os.Environ(), "LEMONSTREAM_SETTINGS="+e.settings)
+	e.command.Stdout = e.output
+	e.command.Stderr = e.output
+	if err := e.command.Start(); err != nil {
+		d.t.Fatal(err)
+	}
+}
+
+// call sends one request of a caller; status 0 means no answer.
+func call(method, front, path, body string) (int, string) {
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+front+path, bytes.NewReader([]byte(body)))
+	if err != nil {
+		return 0, ""
+	}
+	request.Host = "h.example"
+	request.Header.Set("Deadline-Ms", "2500")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, ""
+	}
+	defer func() { _ = response.Body.Close() }()
+	answer, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, ""
+	}
+	return response.StatusCode, string(answer)
+}
+
+// any calls entry after entry until one gives an answer that accept takes.
+func (d *deployment) any(method, path, body string, accept func(int, string) bool) {
+	d.t.Helper()
+	end := time.Now().Add(patience)
+	for i := 0; time.Now().Before(end); i++ {
+		status, answer := call(method, d.entries[i%len(d.entries)].front, path, body)
+		if accept(status, answer) {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	d.t.Fatalf("%s %s got no answer that was waited for", method, path)
+}
+
+func succeeded(status int, _ string) bool {
+	return status == http.StatusOK
+}
+
+func completed(status int, answer string) bool {
+	var shown struct {
+		State string `json:"state"`
+	}
+	return status == http.StatusOK && json.Unmarshal([]byte(answer), &shown) == nil && shown.State == "completed"
+}
+
+const body = `{"spec":"x","steps":[{"count":3,"cpu":1000,"memMb":100,"estimateMs":120},{"count":2,"cpu":1000,"memMb":100,"estimateMs":120,"sinceRev":[0]}]}`
+
+// fault breaks an entry from outside and mends it again.
+func (d *deployment) fault(random *rand.Rand) {
+	e := d.entries[random.Intn(len(d.entries))]
+	switch random.Intn(4) {
+	case 0:
+		_ = e.command.Process.Signal(syscall.SIGKILL)
+		_, _ = e.command.Process.Wait()
+		d.start(e)
+	case 1:
+		_ = e.command.Process.Signal(syscall.SIGTERM)
+		_, _ = e.command.Process.Wait()
+		d.start(e)
+	case 2:
+		_ = e.command.Process.Signal(syscall.SIGSTOP)
+		time.Sleep(time.Duration(random.Intn(1500)) * time.Millisecond)
+		_ = e.command.Process.Signal(syscall.SIGCONT)
+	default:
+		d.rows.Forget()
+		_ = e.command.Process.Signal(syscall.SIGHUP)
+	}
+}
+
+// TestJobsSurviveFaultsOfEntries is the short seeded run; SOAK_SEEDS asks for
+// more seeds by hand, from SOAK_FIRST on.
+func TestJobsSurviveFaultsOfEntries(t *testing.T) {
+	first, count := 1, 1
+	if text := os.Getenv("SOAK_SEEDS"); text != "" {
+		count, _ = strconv.Atoi(text)
+	}
+	if text := os.Getenv("SOAK_FIRST"); text != "" {
+		first, _ = strconv.Atoi(text)
+	}
+	for seed := first; seed < first+count; seed++ {
+		t.Run("seed "+strconv.Itoa(seed), func(t *testing.T) { soak(t, int64(seed)) })
+	}
+}
+
+func soak(t *testing.T, seed int64) {
+	d := deploy(t)
+	random := rand.New(rand.NewSource(seed))
+	const rounds, each = 6, 4
+	var ids []string
+	for round := 0; round < rounds; round++ {
+		for i := 0; i < each; i++ {
+			id := fmt.Sprintf("%016x", seed<<16|int64(round*each+i))
+			ids = append(ids, id)
+			d.any(http.MethodPost, "/q/"+id, body, succeeded)
+		}
+		d.fault(random)
+	}
+	for _, id := range ids {
+		d.any(http.MethodGet, "/q/"+id, "", completed)
+	}
+	status, _ := call(http.MethodGet, d.entries[0].front, "/q/0123456789abcdef", "")
+	for end := time.Now().Add(patience); status != http.StatusGone && time.Now().Before(end); {
+		status, _ = call(http.MethodGet, d.entries[0].front, "/q/0123456789abcdef", "")
+	}
+	if status != http.StatusGone {
+		t.Errorf("an unknown job is answered with %d", status)
+	}
+	faults, starts := d.oracle.Faults()
+	for _, fault := range faults {
+		t.Error(fault)
+	}
+	t.Logf("seed %d: %d jobs, %d starts, %d faults", seed, len(ids), starts, len(faults))
+}
