--- a/owner/duty.go
+++ b/owner/duty.go
@@ -53,6 +53,9 @@
 	Registry *Registry
 	Options  shard.Options
 
+	// Advice knows which workers may run the steps of some queues.
+	Advice outside.Advice
+
 	// Machines and Waves are what the duty for the machines works with.
 	Machines outside.Machines
 	Waves    WaveSource
@@ -405,6 +408,20 @@
 			return nil
 		})
 	}
+	for _, pace := range orders.Paces {
+		d.deps.Group.Go("pace", func(context.Context) error {
+			_, err := d.deps.Workers.Pace(ctx, pace.Worker, pace.Task, pace.Run, pace.Percent, d.tenure.epoch)
+			d.pushLogged(func(d *Duty, _ time.Time) { d.core.Paced(pace, err) })
+			return nil
+		})
+	}
+	for _, ask := range orders.Asks {
+		d.deps.Group.Go("advice", func(context.Context) error {
+			tickets, err := d.deps.Advice.Ask(ctx, ask.Step, ask.Workers)
+			d.pushLogged(func(d *Duty, at time.Time) { d.core.Advised(ask, tickets, err, at) })
+			return nil
+		})
+	}
 	for _, stop := range orders.Stops {
 		d.deps.Group.Go("stop", func(context.Context) error {
 			heard, err := d.deps.Workers.Stop(ctx, stop.Worker, stop.Task, stop.Run, d.tenure.epoch)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -181,6 +181,7 @@
 			ShownFor:  d.settings.ShownFor,
 			FarFactor: d.settings.FarFactor,
 		},
+		Advice:   platform.NewAdvice(d.settings.Advice),
 		Machines: platform.NewMachines(d.settings.Machines),
 		Waves: owner.WaveSource{
 			Waves:     d.listWaves,
--- a/shard/events.go
+++ b/shard/events.go
@@ -64,6 +64,7 @@
 		w.holdAt = now.Add(retryFirst)
 	}
 	s.compare(w, sent, now, glance.Runs)
+	s.pace(w)
 }
 
 // holdFailed notes a look without an answer.
@@ -136,6 +137,7 @@
 		phase:   phaseRunning,
 		began:   now,
 		settled: now,
+		share:   sharedUnknown,
 	}
 	wanted := j != nil && t != nil && !j.state.Final() && !t.done && len(t.runs) == 0
 	if t != nil {
@@ -324,6 +326,7 @@
 	s.dirty[j.record.ID] = j
 	delete(s.waiting, j.record.ID)
 	delete(s.repeating, j.record.ID)
+	s.forgetTickets(j)
 	for _, o := range j.occurrences {
 		for _, step := range o.steps {
 			for _, t := range step.tasks {
@@ -408,7 +411,9 @@
 		s.stop(r, "start refused after one without an answer")
 		return
 	}
-	if reason != outside.RefusedOld && reason != outside.RefusedLate {
+	if reason == outside.RefusedTicket {
+		delete(s.tickets, r.id.StepName())
+	} else if reason != outside.RefusedOld && reason != outside.RefusedLate {
 		w.avoidUntil = now.Add(avoidAfterRefusal)
 	}
 	s.drop(r, now)
--- a/shard/place.go
+++ b/shard/place.go
@@ -80,11 +80,11 @@
 	for _, g := range s.groups(now, blind) {
 		step := g.job.occurrences[g.occurrence].steps[g.step]
 		spec := &g.job.record.Spec.Steps[g.step]
-		if spec.Gang {
-			s.placeGang(g, step, spec, now)
+		if hopeless(full, spec.Charge()) || !s.mayPlace(g, now) {
 			continue
 		}
-		if hopeless(full, spec.Charge()) {
+		if spec.Gang {
+			s.placeGang(g, step, spec, now)
 			continue
 		}
 		full = s.placeStep(g, step, spec, full, now)
@@ -99,7 +99,7 @@
 		id := g.task(index)
 		w := s.choose(id, spec, step.tasks[index], now)
 		if w == nil {
-			if spec.Label == "" && spec.PerWorker == 0 {
+			if spec.Label == "" && spec.PerWorker == 0 && !g.job.policy.Advised {
 				full = append(full, spec.Charge())
 			}
 			return full
@@ -252,7 +252,7 @@
 	var best *workerState
 	bestWeight := 0.0
 	for _, w := range s.workers {
-		if !w.takes(now, s.confirmed) || !fits(w, id, spec) {
+		if !w.takes(now, s.confirmed) || !fits(w, id, spec) || !s.permitted(id, w, now) {
 			continue
 		}
 		weight := s.weigh(w, spec, t)
@@ -335,6 +335,7 @@
 		Until:      w.deadline(now, s.opts.Lease),
 		Fence:      s.fence,
 		Checkpoint: t.checkpoint,
+		Ticket:     s.ticket(id, w),
 	}
 	r := &run{
 		id:      id,
@@ -343,6 +344,7 @@
 		phase:   phaseStarting,
 		charge:  spec.Charge(),
 		began:   now,
+		share:   fullPercent,
 		calling: true,
 		order:   order,
 	}
@@ -392,7 +394,7 @@
 	for _, index := range step.idle {
 		var best *workerState
 		for _, w := range s.workers {
-			if !w.takes(now, s.confirmed) || (rack != "" && w.reg.Rack != rack) || !fits(w, g.task(index), spec) {
+			if !w.takes(now, s.confirmed) || (rack != "" && w.reg.Rack != rack) || !fits(w, g.task(index), spec) || !s.permitted(g.task(index), w, now) {
 				continue
 			}
 			room := w.free()
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -95,6 +95,9 @@
 	// speculateAt is when stragglers are looked for next.
 	speculateAt time.Time
 
+	// tickets holds, by the name of a step, which workers may run it.
+	tickets map[string]*permission
+
 	// dirty holds jobs whose row is behind; removed those whose rows go.
 	dirty   map[string]*jobState
 	removed []string
@@ -146,6 +149,7 @@
 		waiting:    make(map[string]*jobState),
 		repeating:  make(map[string]*jobState),
 		due:        make(map[*run]struct{}),
+		tickets:    make(map[string]*permission),
 		dirty:      make(map[string]*jobState),
 		pending:    make(map[string]int),
 		learned:    make(map[string]*measure),
@@ -264,12 +268,32 @@
 	Renewal outside.Renewal
 }
 
-// Orders are what a shard wants done. Each is answered by one call of Held,
-// Started or Stopped.
+// Orders are what a shard wants done. Each start, stop and look is answered by
+// one call of Started, Stopped or Held.
 type Orders struct {
 	Starts []Start
 	Stops  []Stop
 	Holds  []Hold
+
+	// Paces are answered by one call of Paced each.
+	Paces []Pace
+
+	// Asks are answered by one call of Advised each.
+	Asks []Ask
+}
+
+// Pace is an order to let a run work at a share of its speed.
+type Pace struct {
+	Worker  outside.WorkerRef
+	Task    job.TaskID
+	Run     int64
+	Percent int
+}
+
+// Ask is a question which workers may run a step.
+type Ask struct {
+	Step    string
+	Workers []string
 }
 
 // maxPause is the longest time between two looks at the shard's timers.
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -78,6 +78,11 @@
 	// figure is the last figure that the worker reported of the run.
 	figure  int
 	percent int
+
+	// share is the share at which a filler was last told to work, in percent;
+	// pacing says that such an order is under way.
+	share  int
+	pacing bool
 }
 
 // workerState is one life of a worker.
@@ -140,6 +145,9 @@
 	// wanted elsewhere.
 	closedUntil time.Time
 
+	// shared says that fillers run beside tasks that serve.
+	shared bool
+
 	// blamed counts ends that failed lately, less those that went well.
 	blamed int
 }
@@ -365,6 +373,9 @@
 		if len(w.runs) > 0 {
 			wait = s.opts.BusyWait
 		}
+		if w.shared {
+			wait = min(wait, paceLook)
+		}
 		if w.failures > 0 || !w.known || !w.doubted.IsZero() || w.acked < w.processed {
 			wait = 0
 		}
--- a/shard/world_test.go
+++ b/shard/world_test.go
@@ -41,6 +41,14 @@
 	cut  bool
 	down bool
 
+	// figure is the tail that it reports of every run; shares holds the share
+	// that each run was told to work at.
+	figure int
+	shares map[job.TaskID]int
+
+	// tickets counts starts that carried one.
+	tickets int
+
 	// unlisted says that its registration is gone.
 	unlisted bool
 }
@@ -76,6 +84,10 @@
 	// get no answer and take effect later by the given time.
 	storeDown bool
 
+	// policy is that of the next job; asks holds every question so far.
+	policy catalog.Policy
+	asks   []shard.Ask
+
 	// used holds the rows of workers that may run something.
 	used map[string]bool
 
@@ -98,7 +110,12 @@
 		progress: make(map[string]shard.Progress),
 		shown:    make(map[string]job.State),
 		used:     make(map[string]bool),
-		noted:    make(map[job.TaskID]time.Time),
+		policy: catalog.Policy{
+			Attempts: 3,
+			Stretch:  2,
+			Target:   time.Second,
+		},
+		noted: make(map[job.TaskID]time.Time),
 	}
 	w.now = w.start
 	for i := 0; i < count; i++ {
@@ -121,8 +138,9 @@
 				MemoryMB: 4000,
 			},
 		},
-		runs: make(map[job.TaskID]*fakeRun),
-		top:  make(map[job.TaskID]int64),
+		runs:   make(map[job.TaskID]*fakeRun),
+		shares: make(map[job.TaskID]int),
+		top:    make(map[job.TaskID]int64),
 	}
 	w.workers[id] = f
 	return f
@@ -198,13 +216,9 @@
 func (w *world) submit(id string, steps ...job.Step) {
 	w.version++
 	record := shard.Record{
-		ID:    id,
-		Route: "q",
-		Policy: catalog.Policy{
-			Attempts: 3,
-			Stretch:  2,
-			Target:   time.Second,
-		},
+		ID:     id,
+		Route:  "q",
+		Policy: w.policy,
 		Spec: job.Spec{
 			Steps: steps,
 		},
@@ -327,6 +341,11 @@
 			}
 		})
 	}
+	w.asks = append(w.asks, orders.Asks...)
+	for _, p := range orders.Paces {
+		w.workers[p.Worker.ID].shares[p.Task] = p.Percent
+		answer(tick, func() { w.core.Paced(p, nil) })
+	}
 	for _, h := range orders.Holds {
 		f := w.workers[h.Worker.ID]
 		sent := w.now
@@ -401,6 +420,7 @@
 			Task:    id,
 			Run:     r.number,
 			Percent: percent,
+			Figure:  f.figure,
 		})
 	}
 	return g
@@ -444,6 +464,9 @@
 	step := w.stepOf(o.Task)
 	w.judge(f, o.Task, step)
 	f.top[o.Task] = o.Run
+	if o.Ticket != "" {
+		f.tickets++
+	}
 	f.runs[o.Task] = &fakeRun{
 		number:   o.Run,
 		step:     step,
