--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -233,7 +233,7 @@
 func (w *Worker) advance() {
 	now := time.Now()
 	for task, r := range w.runs {
-		how := ""
+		var how string
 		switch {
 		case w.clock() > w.until:
 			how = "lapsed"
