--- a/outside/table.go
+++ b/outside/table.go
@@ -1,5 +1,5 @@
 // Package outside holds the seams to everything that is not lemonstream: the
-// table that lasts, the workers, the machines and the advice service. Each is a
+// table that lasts, the workers, the instances and the advice service. Each is a
 // concrete type whose operations are function fields, so that the real, the
 // faulty and the in-memory version have the same shape.
 package outside
--- a/owner/duty.go
+++ b/owner/duty.go
@@ -56,14 +56,14 @@
 	// Advice knows which workers may run the steps of some queues.
 	Advice outside.Advice
 
-	// Machines and Waves are what the duty for the machines works with.
-	Machines outside.Machines
-	Waves    WaveSource
+	// Instances and Waves are what the duty for the instances works with.
+	Instances outside.Instances
+	Waves     WaveSource
 
 	// Loads asks the owner of a service, wherever it runs.
 	Loads func(ctx context.Context, service string, closed, ended []string) (shard.Load, error)
 
-	// Holder is how this entry is named at the machines.
+	// Holder is how this entry is named at the instances.
 	Holder string
 
 	// Site holds the platform's bounds.
--- a/owner/fleet.go
+++ b/owner/fleet.go
@@ -16,25 +16,25 @@
 )
 
 const (
-	// partMachines is the part of the table whose owner orders the machines
+	// partInstances is the part of the table whose owner orders the instances
 	// about. It can't be the name of a service.
-	partMachines = "/machines"
+	partInstances = "/instances"
 
 	// tableWaves holds how far each wave has come.
 	tableWaves = "wave"
 
-	// fleetPause is the time between two rounds of the machines' duty. Demand
+	// fleetPause is the time between two rounds of the instances' duty. Demand
 	// doubles within a second or two, and a move takes longer than that.
 	fleetPause = 200 * time.Millisecond
 
-	// listPause is the time between two readings of the list of machines, each
+	// listPause is the time between two readings of the list of instances, each
 	// of which is priced like a call to the store.
 	listPause = 400 * time.Millisecond
 
 	// loadTimeout bounds the question for a service's load.
 	loadTimeout = 300 * time.Millisecond
 
-	// orderFresh is how old the last write may be for an order to a machine to
+	// orderFresh is how old the last write may be for an order to an instance to
 	// be given. A successor waits several times longer before its first order,
 	// so that an owner that was frozen gives none when it wakes.
 	orderFresh = time.Second
@@ -44,7 +44,7 @@
 	// may still live is given the platform's own pause.
 	endedPause = 300 * time.Millisecond
 
-	// endedFor is how long the owners are told of a worker whose machine was
+	// endedFor is how long the owners are told of a worker whose instance was
 	// taken: longer than its registration stands.
 	endedFor = 8 * time.Second
 
@@ -83,16 +83,16 @@
 	shown   bool
 }
 
-// fleet is the duty that moves machines between pools and takes them down for
+// fleet is the duty that moves instances between pools and takes them down for
 // maintenance. One entry has it at a time.
 type fleet struct {
 	deps   Deps
 	tenure *tenure
 	sizer  *pool.Sizer
 
-	waves    map[int64]*waveState
-	machines []outside.Machine
-	listed   time.Time
+	waves     map[int64]*waveState
+	instances []outside.Instance
+	listed    time.Time
 
 	// closed and ended are told to the owners with each question. A worker
 	// stands in ended for as long as its registration may.
@@ -114,7 +114,7 @@
 func newFleet(deps Deps, won claim, now time.Time, ended bool) *fleet {
 	f := &fleet{
 		deps:     deps,
-		tenure:   newTenure(deps, partMachines, won, now),
+		tenure:   newTenure(deps, partInstances, won, now),
 		sizer:    pool.NewSizer(deps.Site.MoveTime, deps.Site.MaintainTime),
 		waves:    make(map[int64]*waveState),
 		closed:   make(map[string][]string),
@@ -164,7 +164,7 @@
 
 // load reads how far the waves have come.
 func (f *fleet) load(ctx context.Context) error {
-	rows, _, err := f.deps.Table.ReadAll(ctx, tableWaves, partMachines)
+	rows, _, err := f.deps.Table.ReadAll(ctx, tableWaves, partInstances)
 	if err != nil {
 		return err
 	}
@@ -184,8 +184,8 @@
 		}
 		state.Seen = clock.FromMillis(stored.SeenMillis)
 		state.Done = make(map[string]bool)
-		for _, machine := range stored.Done {
-			state.Done[machine] = true
+		for _, instance := range stored.Done {
+			state.Done[instance] = true
 		}
 		f.waves[number] = state
 	}
@@ -196,19 +196,19 @@
 func (f *fleet) round(ctx context.Context) error {
 	f.takeWaves()
 	if f.deps.Clock.Now().Sub(f.listed) >= listPause {
-		list, err := f.deps.Machines.List(ctx)
+		list, err := f.deps.Instances.List(ctx)
 		if err != nil {
-			f.deps.Log.Warn("machines not listed", "error", err.Error())
+			f.deps.Log.Warn("instances not listed", "error", err.Error())
 		} else {
-			f.machines = list
+			f.instances = list
 			f.listed = f.deps.Clock.Now()
 		}
 	}
 	view := pool.View{
-		Services: f.services(ctx),
-		Machines: f.machines,
-		Waves:    f.openWaves(),
-		Now:      f.deps.Clock.Now(),
+		Services:  f.services(ctx),
+		Instances: f.instances,
+		Waves:     f.openWaves(),
+		Now:       f.deps.Clock.Now(),
 	}
 	if view.Now.Sub(f.listed) < listPause*4 {
 		plan := f.sizer.Plan(view)
@@ -247,7 +247,7 @@
 			state.Seen = now
 			state.Done = make(map[string]bool)
 			f.waves[wave.Number] = state
-			f.deps.Log.Info("wave seen", "wave", wave.Number, "machines", len(wave.Machines),
+			f.deps.Log.Info("wave seen", "wave", wave.Number, "instances", len(wave.Instances),
 				"at_once", wave.AtOnce, "within_ms", wave.Within.Milliseconds())
 		}
 		state.Wave.Wave = wave
@@ -294,7 +294,7 @@
 	return list
 }
 
-// endedOf returns the workers of a service whose machines were taken lately.
+// endedOf returns the workers of a service whose instances were taken lately.
 func (f *fleet) endedOf(service string) []string {
 	now := f.deps.Clock.Now()
 	var list []string
@@ -311,28 +311,28 @@
 // order gives the orders of a plan, all at once, and takes in their answers.
 func (f *fleet) order(ctx context.Context, plan pool.Plan) {
 	type outcome struct {
-		machine, worker, from, to string
-		wave                      int64
-		err                       error
+		instance, worker, from, to string
+		wave                       int64
+		err                        error
 	}
 	outcomes := make([]outcome, 0, len(plan.Moves)+len(plan.Maintenances))
 	for _, m := range plan.Moves {
 		outcomes = append(outcomes, outcome{
-			machine: m.Machine,
-			worker:  m.Worker,
-			from:    m.From,
-			to:      m.To,
+			instance: m.Instance,
+			worker:   m.Worker,
+			from:     m.From,
+			to:       m.To,
 		})
 	}
 	for _, m := range plan.Maintenances {
 		outcomes = append(outcomes, outcome{
-			machine: m.Machine,
-			worker:  m.Worker,
-			from:    m.Pool,
-			wave:    m.Wave,
+			instance: m.Instance,
+			worker:   m.Worker,
+			from:     m.Pool,
+			wave:     m.Wave,
 		})
 	}
-	limit := max(1, int(f.deps.Site.MachineCalls*fleetPause.Seconds()))
+	limit := max(1, int(f.deps.Site.InstanceCalls*fleetPause.Seconds()))
 	if len(outcomes) > limit {
 		outcomes = outcomes[:limit]
 	}
@@ -340,81 +340,81 @@
 	for i := range outcomes {
 		o := &outcomes[i]
 		all.Add(1)
-		f.deps.Group.Go("machine order", func(context.Context) error {
+		f.deps.Group.Go("instance order", func(context.Context) error {
 			defer all.Done()
-			o.err = f.orderOne(ctx, o.machine, o.to, o.wave)
+			o.err = f.orderOne(ctx, o.instance, o.to, o.wave)
 			return nil
 		})
 	}
 	all.Wait()
 	for _, o := range outcomes {
-		f.settle(o.machine, o.worker, o.from, o.to, o.wave, o.err)
+		f.settle(o.instance, o.worker, o.from, o.to, o.wave, o.err)
 	}
 }
 
 // orderOne gives one order, if the tenure was confirmed a moment ago.
-func (f *fleet) orderOne(ctx context.Context, machine, to string, wave int64) error {
+func (f *fleet) orderOne(ctx context.Context, instance, to string, wave int64) error {
 	if age := f.deps.Clock.Now().Sub(clock.FromMillis(f.tenure.wrote.Load())); age > orderFresh {
 		return &LostError{
-			Part:   partMachines,
+			Part:   partInstances,
 			Reason: "the last write is " + age.String() + " old",
 		}
 	}
 	if wave > 0 {
-		return f.deps.Machines.Maintain(ctx, machine, wave, f.deps.Holder, f.tenure.epoch)
+		return f.deps.Instances.Maintain(ctx, instance, wave, f.deps.Holder, f.tenure.epoch)
 	}
-	return f.deps.Machines.Move(ctx, machine, to, f.deps.Holder, f.tenure.epoch)
+	return f.deps.Instances.Move(ctx, instance, to, f.deps.Holder, f.tenure.epoch)
 }
 
 // settle takes in the answer to an order.
-func (f *fleet) settle(machine, worker, from, to string, wave int64, err error) {
+func (f *fleet) settle(instance, worker, from, to string, wave int64, err error) {
 	now := f.deps.Clock.Now()
-	var refused *outside.MachineRefusedError
+	var refused *outside.InstanceRefusedError
 	var notDone *outside.NotDoneError
 	var lost *LostError
 	switch {
 	case err == nil:
-		f.deps.Log.Info("machine ordered", "machine", machine, "worker", worker, "from", from, "to", to, "wave", wave, "epoch", f.tenure.epoch)
-		f.sizer.Ordered(machine, to, worker, wave, now)
+		f.deps.Log.Info("instance ordered", "instance", instance, "worker", worker, "from", from, "to", to, "wave", wave, "epoch", f.tenure.epoch)
+		f.sizer.Ordered(instance, to, worker, wave, now)
 		if f.ended[from] == nil {
 			f.ended[from] = make(map[string]time.Time)
 		}
 		f.ended[from][worker] = now
-		f.done(wave, machine)
+		f.done(wave, instance)
 	case errors.As(err, &refused):
-		f.sizer.Refused(machine, to, false, now)
+		f.sizer.Refused(instance, to, false, now)
 	case outside.IsNotDone(err):
-		f.sizer.Refused(machine, to, errors.As(err, &notDone) && notDone.Status == statusBadRequest, now)
+		f.sizer.Refused(instance, to, errors.As(err, &notDone) && notDone.Status == statusBadRequest, now)
 	case errors.As(err, &lost):
 	default:
-		// It may have been done: the machine counts as under way.
-		f.sizer.Ordered(machine, to, worker, wave, now)
+		// It may have been done: the instance counts as under way.
+		f.sizer.Ordered(instance, to, worker, wave, now)
 	}
 	if err != nil {
-		f.deps.Log.Warn("machine order without success", "machine", machine, "worker", worker, "from", from, "to", to, "wave", wave, "error", err.Error())
+		f.deps.Log.Warn("instance order without success", "instance", instance, "worker", worker, "from", from, "to", to, "wave", wave, "error", err.Error())
 	}
 }
 
 // statusBadRequest is the answer to an order that can never be carried out.
 const statusBadRequest = 400
 
-func (f *fleet) done(wave int64, machine string) {
+func (f *fleet) done(wave int64, instance string) {
 	if state, found := f.waves[wave]; found {
-		state.Done[machine] = true
+		state.Done[instance] = true
 		state.written = false
 	}
 }
 
-// completeWaves marks waves of which every machine that stays is done.
+// completeWaves marks waves of which every instance that stays is done.
 func (f *fleet) completeWaves() {
 	if f.deps.Clock.Now().Sub(f.listed) >= listPause*4 {
 		return
 	}
 	for number, state := range f.waves {
-		if !state.completed && state.Number > 0 && state.Complete(f.machines) {
+		if !state.completed && state.Number > 0 && state.Complete(f.instances) {
 			state.completed = true
 			state.written = false
-			f.deps.Log.Info("wave completed", "wave", number, "machines", len(state.Done))
+			f.deps.Log.Info("wave completed", "wave", number, "instances", len(state.Done))
 		}
 	}
 }
@@ -474,13 +474,13 @@
 		SeenMillis: clock.Millis(w.Seen),
 		Completed:  w.completed,
 	}
-	for machine := range w.Done {
-		row.Done = append(row.Done, machine)
+	for instance := range w.Done {
+		row.Done = append(row.Done, instance)
 	}
 	return outside.Put{
 		Key: outside.Key{
 			Table: tableWaves,
-			Part:  partMachines,
+			Part:  partInstances,
 			Name:  strconv.FormatInt(number, 10),
 		},
 		Value: encodeRow(row),
--- a/owner/keeper.go
+++ b/owner/keeper.go
@@ -92,7 +92,7 @@
 
 	mu sync.Mutex
 
-	// held holds what this entry owns: shards, and the machines' duty.
+	// held holds what this entry owns: shards, and the instances' duty.
 	held map[string]holding
 
 	// seizing holds the parts that a goroutine of this entry is taking or has
@@ -115,7 +115,7 @@
 
 // holding is one part that this entry owns.
 type holding struct {
-	// duty is the scheduler of a service; nil for the machines' duty.
+	// duty is the scheduler of a service; nil for the instances' duty.
 	duty    *Duty
 	tenure  *tenure
 	run     func(ctx context.Context) error
@@ -279,8 +279,8 @@
 	for _, service := range k.deps.Catalog().Services {
 		list = append(list, service.Name)
 	}
-	if k.deps.Site.Machines.IsValid() {
-		list = append(list, partMachines)
+	if k.deps.Site.Instances.IsValid() {
+		list = append(list, partInstances)
 	}
 	return list
 }
@@ -471,7 +471,7 @@
 
 // hold builds the duty for a part that was won.
 func (k *Keeper) hold(part string, won claim, now time.Time, blindFor time.Duration, ended bool) holding {
-	if part == partMachines {
+	if part == partInstances {
 		f := newFleet(k.deps, won, now, ended)
 		return holding{
 			tenure:  f.tenure,
--- a/owner/keeper_test.go
+++ b/owner/keeper_test.go
@@ -23,7 +23,7 @@
 )
 
 // patience is a generous limit for conditions that come true in well under a
-// second on an idle machine.
+// second on an idle instance.
 const patience = 20 * time.Second
 
 // lines counts log lines by their message.
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -1,5 +1,5 @@
-// Package pool decides how many machines each service has, which machines move
-// between pools, and when a machine may be taken down for maintenance. It is a
+// Package pool decides how many instances each service has, which instances move
+// between pools, and when an instance may be taken down for maintenance. It is a
 // pure decision: a function of what is known at one moment and of the little
 // that it remembers, and it does no input or output.
 package pool
@@ -15,12 +15,12 @@
 )
 
 const (
-	// floorMachines is the least number of awake machines of a service that
+	// floorInstances is the least number of awake instances of a service that
 	// has work or may get some: one may be lost with its rack and the others
 	// still take what comes at once.
-	floorMachines = 3
+	floorInstances = 3
 
-	// holdDemand is how long a high of the demand is kept before machines are
+	// holdDemand is how long a high of the demand is kept before instances are
 	// sent to sleep: a move costs about as much as a second awake, and a turn
 	// of demand lasts several.
 	holdDemand = 2500 * time.Millisecond
@@ -31,29 +31,29 @@
 	trendAhead = 1.0
 
 	// needShare is kept free of what a service needs at this moment when others
-	// lack machines.
+	// lack instances.
 	needShare = 0.05
 
 	// headroomShare is kept free of a service's demand.
 	headroomShare = 0.10
 
 	// comingShare is the part of the work in later steps that is expected to
-	// start while a machine is on its way.
+	// start while an instance is on its way.
 	comingShare = 0.3
 
-	// settleSlack is added to the time that a machine is dark before it counts
+	// settleSlack is added to the time that an instance is dark before it counts
 	// as lost.
 	settleSlack = 3 * time.Second
 
 	// retryPause is the pause before an order that failed is tried again.
 	retryPause = 500 * time.Millisecond
 
-	// maintainShare is the most of a pool's awake machines that are closed for
+	// maintainShare is the most of a pool's awake instances that are closed for
 	// maintenance at one time while there is time left.
 	maintainShare = 0.25
 
 	// hurryShare of a wave's time is kept as reserve: past the rest of it as
-	// many machines are closed as the wave allows.
+	// many instances are closed as the wave allows.
 	hurryShare = 0.4
 )
 
@@ -74,32 +74,32 @@
 	// Seen is when the request was first read.
 	Seen time.Time
 
-	// Done holds the machines whose maintenance has begun.
+	// Done holds the instances whose maintenance has begun.
 	Done map[string]bool
 }
 
 // View is what is known at one moment.
 type View struct {
-	Now      time.Time
-	Services []Service
-	Machines []outside.Machine
-	Waves    []*Wave
+	Now       time.Time
+	Services  []Service
+	Instances []outside.Instance
+	Waves     []*Wave
 }
 
-// Move is an order to put a machine into another pool.
+// Move is an order to put an instance into another pool.
 type Move struct {
-	Machine string
-	Worker  string
-	From    string
-	To      string
+	Instance string
+	Worker   string
+	From     string
+	To       string
 }
 
-// Maintenance is an order to take a machine down.
+// Maintenance is an order to take an instance down.
 type Maintenance struct {
-	Machine string
-	Worker  string
-	Pool    string
-	Wave    int64
+	Instance string
+	Worker   string
+	Pool     string
+	Wave     int64
 }
 
 // Plan is what should be done now.
@@ -109,7 +109,7 @@
 	Moves        []Move
 	Maintenances []Maintenance
 
-	// Targets maps a service to the number of machines it should have, and
+	// Targets maps a service to the number of instances it should have, and
 	// Counts to the number that it has or is about to have.
 	Targets map[string]int
 	Counts  map[string]int
@@ -117,26 +117,26 @@
 
 // Sizer remembers the demand of each service and what was ordered lately.
 type Sizer struct {
-	// moveTime and maintainTime are how long a machine is dark.
+	// moveTime and maintainTime are how long an instance is dark.
 	moveTime     time.Duration
 	maintainTime time.Duration
 
 	demand map[string][]sample
 
-	// ordered holds machines that were ordered to do something, until the list
+	// ordered holds instances that were ordered to do something, until the list
 	// shows them up with another worker.
 	ordered map[string]order
 
-	// refused holds pools that a machine can't be moved to.
+	// refused holds pools that an instance can't be moved to.
 	refused map[string]map[string]bool
 
-	// notBefore holds machines whose last order failed.
+	// notBefore holds instances whose last order failed.
 	notBefore map[string]time.Time
 }
 
 type sample struct {
-	at       time.Time
-	machines float64
+	at        time.Time
+	instances float64
 }
 
 type order struct {
@@ -170,8 +170,8 @@
 }
 
 // Ordered notes that an order was given, with or without an answer.
-func (s *Sizer) Ordered(machine, to, worker string, wave int64, now time.Time) {
-	s.ordered[machine] = order{
+func (s *Sizer) Ordered(instance, to, worker string, wave int64, now time.Time) {
+	s.ordered[instance] = order{
 		at:     now,
 		to:     to,
 		worker: worker,
@@ -179,23 +179,23 @@
 	}
 }
 
-// Refused notes that an order had no effect; forever says that the machine
+// Refused notes that an order had no effect; forever says that the instance
 // does not belong into that pool.
-func (s *Sizer) Refused(machine, to string, forever bool, now time.Time) {
-	delete(s.ordered, machine)
-	s.notBefore[machine] = now.Add(retryPause)
+func (s *Sizer) Refused(instance, to string, forever bool, now time.Time) {
+	delete(s.ordered, instance)
+	s.notBefore[instance] = now.Add(retryPause)
 	if forever && to != "" {
-		if s.refused[machine] == nil {
-			s.refused[machine] = make(map[string]bool)
+		if s.refused[instance] == nil {
+			s.refused[instance] = make(map[string]bool)
 		}
-		s.refused[machine][to] = true
+		s.refused[instance][to] = true
 	}
 }
 
 // settle forgets orders that the list shows as done, or that came to nothing.
 func (s *Sizer) settle(v View) {
-	listed := make(map[string]outside.Machine, len(v.Machines))
-	for _, m := range v.Machines {
+	listed := make(map[string]outside.Instance, len(v.Instances))
+	for _, m := range v.Instances {
 		listed[m.ID] = m
 	}
 	for id, o := range s.ordered {
@@ -205,53 +205,53 @@
 		if o.wave > 0 {
 			dark = s.maintainTime
 		}
-		back := m.State == outside.MachineUp && (m.Worker != o.worker || m.Worker == "") && age > dark
+		back := m.State == outside.InstanceUp && (m.Worker != o.worker || m.Worker == "") && age > dark
 		if !found || back || age > dark+settleSlack {
 			delete(s.ordered, id)
 		}
 	}
 }
 
-// note takes in the demand of a service. It returns the number of machines that
+// note takes in the demand of a service. It returns the number of instances that
 // it should have, and the smaller one that it needs at this moment, beyond
-// which machines may go to a service that lacks some.
+// which instances may go to a service that lacks some.
 func (s *Sizer) note(service Service, each job.Room, now time.Time) (wanted, needed int) {
 	need := service.Load.Used.Add(service.Load.Waiting)
-	machines := 0.0
+	instances := 0.0
 	ratio := func(amount, one int) {
 		if one > 0 {
-			machines = max(machines, float64(amount)/float64(one))
+			instances = max(instances, float64(amount)/float64(one))
 		}
 	}
 	ratio(need.MilliCPU+int(comingShare*float64(service.Load.Coming.MilliCPU)), each.MilliCPU)
 	ratio(need.MemoryMB, each.MemoryMB)
 	ratio(need.Accelerators, each.Accelerators)
 	list := append(s.demand[service.Name], sample{
-		at:       now,
-		machines: machines,
+		at:        now,
+		instances: instances,
 	})
 	for len(list) > 0 && now.Sub(list[0].at) > holdDemand {
 		list = list[1:]
 	}
 	s.demand[service.Name] = list
 	high := 0.0
-	before := machines
+	before := instances
 	for _, one := range list {
-		high = max(high, one.machines)
+		high = max(high, one.instances)
 		if now.Sub(one.at) >= trendSpan {
-			before = one.machines
+			before = one.instances
 		}
 	}
-	rise := max(0, machines-before) * trendAhead
-	floor := max(floorMachines, service.Load.Spread+1)
-	wanted = int(math.Ceil(max(high, machines+rise) * (1 + headroomShare)))
-	needed = int(math.Ceil((machines + rise) * (1 + needShare)))
+	rise := max(0, instances-before) * trendAhead
+	floor := max(floorInstances, service.Load.Spread+1)
+	wanted = int(math.Ceil(max(high, instances+rise) * (1 + headroomShare)))
+	needed = int(math.Ceil((instances + rise) * (1 + needShare)))
 	return max(wanted, floor), max(needed, floor)
 }
 
-// byName sorts machines for a plan that is the same each time.
+// byName sorts instances for a plan that is the same each time.
 func byName(list []*spot) {
 	sort.Slice(list, func(i, j int) bool {
-		return list[i].machine.ID < list[j].machine.ID
+		return list[i].instance.ID < list[j].instance.ID
 	})
 }
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -39,10 +39,10 @@
 		}
 		service.Load.Workers = make(map[string]shard.WorkerLoad)
 		for i := 0; i < counts[name]; i++ {
-			m := outside.Machine{
+			m := outside.Instance{
 				ID:       fmt.Sprintf("%s%02d", name, i),
 				Pool:     name,
-				State:    outside.MachineUp,
+				State:    outside.InstanceUp,
 				Capacity: each,
 			}
 			if name != asleep {
@@ -52,7 +52,7 @@
 					Reached: true,
 				}
 			}
-			f.view.Machines = append(f.view.Machines, m)
+			f.view.Instances = append(f.view.Instances, m)
 		}
 		f.view.Services = append(f.view.Services, service)
 	}
@@ -91,7 +91,7 @@
 	}
 }
 
-func TestIdleMachinesGoToSleep(t *testing.T) {
+func TestIdleInstancesGoToSleep(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(map[string]int{
 		"a": 8,
@@ -105,7 +105,7 @@
 	}
 }
 
-func TestWorkingMachineIsClosedAndNotMoved(t *testing.T) {
+func TestWorkingInstanceIsClosedAndNotMoved(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(map[string]int{
 		"a": 4,
@@ -147,7 +147,7 @@
 	is.Equal(f.plan().Closed["a"], first)
 }
 
-func TestDemandWakesMachines(t *testing.T) {
+func TestDemandWakesInstances(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(map[string]int{
 		"a":    3,
@@ -158,7 +158,7 @@
 	is.True(len(f.plan().Moves) >= 6)
 }
 
-func TestServicePastItsPeakGivesMachines(t *testing.T) {
+func TestServicePastItsPeakGivesInstances(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(map[string]int{
 		"a": 20,
@@ -190,19 +190,19 @@
 	wave.Number = 1
 	wave.AtOnce = 4
 	wave.Within = time.Minute
-	for _, m := range f.view.Machines {
-		wave.Machines = append(wave.Machines, m.ID)
+	for _, m := range f.view.Instances {
+		wave.Instances = append(wave.Instances, m.ID)
 	}
 	f.view.Waves = []*pool.Wave{wave}
 	plan := f.plan()
 	is.Equal(len(plan.Maintenances), 4)
 	for _, m := range plan.Maintenances {
-		is.Equal(m.Pool, asleep) // Sleeping machines disturb nobody.
-		f.sizer.Ordered(m.Machine, "", m.Worker, m.Wave, f.view.Now)
-		wave.Done[m.Machine] = true
+		is.Equal(m.Pool, asleep) // Sleeping instances disturb nobody.
+		f.sizer.Ordered(m.Instance, "", m.Worker, m.Wave, f.view.Now)
+		wave.Done[m.Instance] = true
 	}
 	is.Equal(len(f.plan().Maintenances), 0) // Four are down.
-	is.True(!wave.Complete(f.view.Machines))
+	is.True(!wave.Complete(f.view.Instances))
 }
 
 func TestUnknownLoadMovesNothing(t *testing.T) {
@@ -217,16 +217,16 @@
 	is.Equal(len(plan.Closed), 0)
 }
 
-func TestServiceOnTheRiseGivesNoMachines(t *testing.T) {
+func TestServiceOnTheRiseGivesNoInstances(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(map[string]int{
 		"a":    20,
 		"b":    10,
 		asleep: 8,
 	})
-	for i := range f.view.Machines {
-		if f.view.Machines[i].Pool == asleep {
-			f.view.Machines[i].State = outside.MachineDown
+	for i := range f.view.Instances {
+		if f.view.Instances[i].Pool == asleep {
+			f.view.Instances[i].State = outside.InstanceDown
 		}
 	}
 	f.service("a").Load.Used = cpu(200)
@@ -234,7 +234,7 @@
 		f.service("b").Load.Used = cpu(cores)
 		f.plan()
 	}
-	// Now another service lacks machines, and this one will soon.
+	// Now another service lacks instances, and this one will soon.
 	f.service("a").Load.Used = cpu(330)
 	f.service("b").Load.Used = cpu(110)
 	is.Equal(len(f.plan().Closed["b"]), 0)
@@ -255,8 +255,8 @@
 	wave.Number = 1
 	wave.AtOnce = 8
 	wave.Within = time.Minute
-	for _, m := range f.view.Machines {
-		wave.Machines = append(wave.Machines, m.ID)
+	for _, m := range f.view.Instances {
+		wave.Instances = append(wave.Instances, m.ID)
 	}
 	f.view.Waves = []*pool.Wave{wave}
 	f.plan()
@@ -273,16 +273,16 @@
 	}
 }
 
-func TestLabelledTasksWakeMachinesThatCarryIt(t *testing.T) {
+func TestLabelledTasksWakeInstancesThatCarryIt(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(map[string]int{
 		"a":    4,
 		"b":    3,
 		asleep: 6,
 	})
-	for i := range f.view.Machines {
-		if f.view.Machines[i].ID == asleep+"04" {
-			f.view.Machines[i].Labels = []string{"x"}
+	for i := range f.view.Instances {
+		if f.view.Instances[i].ID == asleep+"04" {
+			f.view.Instances[i].Labels = []string{"x"}
 		}
 	}
 	f.service("a").Load.Labelled = map[string]job.Room{
@@ -290,17 +290,17 @@
 	}
 	plan := f.plan()
 	is.Equal(len(plan.Moves), 1)
-	is.Equal(plan.Moves[0].Machine, asleep+"04")
+	is.Equal(plan.Moves[0].Instance, asleep+"04")
 }
 
-func TestOnlyMachineOfLabelIsNotClosed(t *testing.T) {
+func TestOnlyInstanceOfLabelIsNotClosed(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(map[string]int{
 		"a":    3,
 		"b":    3,
 		asleep: 2,
 	})
-	f.view.Machines[0].Labels = []string{"x"}
+	f.view.Instances[0].Labels = []string{"x"}
 	f.service("a").Load.Labelled = map[string]job.Room{
 		"x": cpu(2),
 	}
@@ -311,11 +311,11 @@
 	wave.Number = 1
 	wave.AtOnce = 4
 	wave.Within = time.Minute
-	wave.Machines = []string{f.view.Machines[0].ID}
+	wave.Instances = []string{f.view.Instances[0].ID}
 	f.view.Waves = []*pool.Wave{wave}
 	is.Equal(len(f.plan().Closed["a"]), 0)
-	// With another machine of the label its tasks have somewhere to go.
-	f.view.Machines[len(f.view.Machines)-1].Labels = []string{"x"}
+	// With another instance of the label its tasks have somewhere to go.
+	f.view.Instances[len(f.view.Instances)-1].Labels = []string{"x"}
 	plan := f.plan()
 	is.Equal(len(plan.Closed["a"]), 1)
 	is.Equal(len(plan.Moves), 1)
--- a/pool/round.go
+++ b/pool/round.go
@@ -22,21 +22,21 @@
 	closedBonus = 100
 )
 
-// spot is one machine as the round sees it.
+// spot is one instance as the round sees it.
 type spot struct {
-	machine outside.Machine
+	instance outside.Instance
 
-	// pool is where the machine is, or is on its way to.
+	// pool is where the instance is, or is on its way to.
 	pool string
 
-	// free says that the machine is up and no order for it is under way.
+	// free says that the instance is up and no order for it is under way.
 	free bool
 
 	// load is what its worker does; known says that its owner reports it.
 	load  shard.WorkerLoad
 	known bool
 
-	// closed says that the plan closes its worker, and to where the machine is
+	// closed says that the plan closes its worker, and to where the instance is
 	// sent; empty for nowhere.
 	closed bool
 	to     string
@@ -49,14 +49,14 @@
 	plan  Plan
 	spots []*spot
 
-	// asleep is the name of the pool whose machines are off; empty for none.
+	// asleep is the name of the pool whose instances are off; empty for none.
 	asleep   string
 	services map[string]*Service
 
-	// needs holds how many machines each service can't spare at this moment.
+	// needs holds how many instances each service can't spare at this moment.
 	needs map[string]int
 
-	// count is the number of machines that each pool has or will have.
+	// count is the number of instances that each pool has or will have.
 	count map[string]int
 }
 
@@ -79,7 +79,7 @@
 			r.asleep = service.Name
 		}
 	}
-	for _, m := range v.Machines {
+	for _, m := range v.Instances {
 		r.spots = append(r.spots, r.spot(m))
 	}
 	byName(r.spots)
@@ -89,11 +89,11 @@
 	return r
 }
 
-func (r *round) spot(m outside.Machine) *spot {
+func (r *round) spot(m outside.Instance) *spot {
 	sp := &spot{
-		machine: m,
-		pool:    m.Pool,
-		free:    m.State == outside.MachineUp && !r.view.Now.Before(r.sizer.notBefore[m.ID]),
+		instance: m,
+		pool:     m.Pool,
+		free:     m.State == outside.InstanceUp && !r.view.Now.Before(r.sizer.notBefore[m.ID]),
 	}
 	if o, found := r.sizer.ordered[m.ID]; found {
 		sp.free = false
@@ -108,7 +108,7 @@
 	return sp
 }
 
-// targets works out how many machines each service should have.
+// targets works out how many instances each service should have.
 func (r *round) targets() {
 	for i := range r.view.Services {
 		service := r.view.Services[i]
@@ -127,39 +127,39 @@
 	r.share()
 }
 
-// share cuts the needs down to the machines that there are, in proportion to
+// share cuts the needs down to the instances that there are, in proportion to
 // what each service needs above its floor.
 func (r *round) share() {
 	sum := 0
 	floors := 0
 	for _, need := range r.needs {
 		sum += need
-		floors += min(need, floorMachines)
+		floors += min(need, floorInstances)
 	}
 	if sum <= len(r.spots) || sum == floors {
 		return
 	}
 	part := float64(max(0, len(r.spots)-floors)) / float64(sum-floors)
 	for name, need := range r.needs {
-		floor := min(need, floorMachines)
+		floor := min(need, floorInstances)
 		r.needs[name] = floor + int(part*float64(need-floor))
 		r.plan.Targets[name] = min(r.plan.Targets[name], r.needs[name])
 	}
 }
 
-// room returns the mean room of a service's machines, or of all machines.
+// room returns the mean room of a service's instances, or of all instances.
 func (r *round) room(service string) job.Room {
 	var sum job.Room
 	count := 0
 	for _, sp := range r.spots {
 		if sp.pool == service {
-			sum = sum.Add(sp.machine.Capacity)
+			sum = sum.Add(sp.instance.Capacity)
 			count++
 		}
 	}
 	if count == 0 {
 		for _, sp := range r.spots {
-			sum = sum.Add(sp.machine.Capacity)
+			sum = sum.Add(sp.instance.Capacity)
 			count++
 		}
 	}
@@ -173,7 +173,7 @@
 	}
 }
 
-// grow gives services what they lack: sleeping machines first, then machines
+// grow gives services what they lack: sleeping instances first, then instances
 // of services that have too many.
 func (r *round) grow() {
 	for i := range r.view.Services {
@@ -190,8 +190,8 @@
 	}
 }
 
-// growLabelled gives a service the machines of each label that its tasks ask
-// for, beyond its target if need be: no other machine can run them.
+// growLabelled gives a service the instances of each label that its tasks ask
+// for, beyond its target if need be: no other instance can run them.
 func (r *round) growLabelled(service *Service) {
 	if service.Asleep || !service.Known {
 		return
@@ -217,7 +217,7 @@
 	return list
 }
 
-// labelled counts the machines of a pool that carry a label.
+// labelled counts the instances of a pool that carry a label.
 func (r *round) labelled(pool, label string) int {
 	count := 0
 	for _, sp := range r.spots {
@@ -229,7 +229,7 @@
 	return count
 }
 
-// wanted returns how many machines of a label a service needs.
+// wanted returns how many instances of a label a service needs.
 func (r *round) wanted(service *Service, label string) int {
 	each := r.room(service.Name)
 	need := service.Load.Labelled[label]
@@ -243,7 +243,7 @@
 	return count
 }
 
-// kept reports whether a service can't spare a machine because of a label.
+// kept reports whether a service can't spare an instance because of a label.
 func (r *round) kept(sp *spot) bool {
 	service, found := r.services[sp.pool]
 	if !found {
@@ -257,7 +257,7 @@
 	return false
 }
 
-// byLack returns the services that lack machines, the greatest lack first.
+// byLack returns the services that lack instances, the greatest lack first.
 func (r *round) byLack() []string {
 	var names []string
 	for name, target := range r.plan.Targets {
@@ -278,7 +278,7 @@
 	return names
 }
 
-// spare returns the machine that is missed least elsewhere; it carries the label
+// spare returns the instance that is missed least elsewhere; it carries the label
 // unless that is empty.
 func (r *round) spare(to, label string) *spot {
 	var best *spot
@@ -303,7 +303,7 @@
 }
 
 func (r *round) movable(sp *spot, to string) bool {
-	if !sp.free || sp.closed || sp.pool == to || r.sizer.refused[sp.machine.ID][to] {
+	if !sp.free || sp.closed || sp.pool == to || r.sizer.refused[sp.instance.ID][to] {
 		return false
 	}
 	if sp.pool == r.asleep {
@@ -312,7 +312,7 @@
 	return sp.known && !sp.load.Draining && sp.load.Reached && !r.kept(sp)
 }
 
-// shrink sends machines that nobody needs to sleep.
+// shrink sends instances that nobody needs to sleep.
 func (r *round) shrink() {
 	if r.asleep == "" {
 		return
@@ -345,7 +345,7 @@
 	return best
 }
 
-// send moves a machine if nothing runs there and its worker is closed, and
+// send moves an instance if nothing runs there and its worker is closed, and
 // closes the worker otherwise.
 func (r *round) send(sp *spot, to string) {
 	from := sp.pool
@@ -355,18 +355,18 @@
 	sp.to = to
 	if from == r.asleep || sp.empty() {
 		r.plan.Moves = append(r.plan.Moves, Move{
-			Machine: sp.machine.ID,
-			Worker:  sp.machine.Worker,
-			From:    from,
-			To:      to,
+			Instance: sp.instance.ID,
+			Worker:   sp.instance.Worker,
+			From:     from,
+			To:       to,
 		})
 	}
 	if from != r.asleep {
-		r.plan.Closed[from] = append(r.plan.Closed[from], sp.machine.Worker)
+		r.plan.Closed[from] = append(r.plan.Closed[from], sp.instance.Worker)
 	}
 }
 
-// maintain takes down machines of waves, sleeping ones first.
+// maintain takes down instances of waves, sleeping ones first.
 func (r *round) maintain() {
 	for _, wave := range r.view.Waves {
 		r.maintainWave(wave)
@@ -378,14 +378,14 @@
 	var left []*spot
 	closing := make(map[string]int)
 	for _, sp := range r.spots {
-		if !wave.holds(sp.machine.ID) {
+		if !wave.holds(sp.instance.ID) {
 			continue
 		}
-		o, ordered := r.sizer.ordered[sp.machine.ID]
-		if sp.machine.State == outside.MachineMaintenance || (ordered && o.wave > 0) {
+		o, ordered := r.sizer.ordered[sp.instance.ID]
+		if sp.instance.State == outside.InstanceMaintenance || (ordered && o.wave > 0) {
 			down++
 		}
-		if !wave.Done[sp.machine.ID] && sp.free && !sp.closed {
+		if !wave.Done[sp.instance.ID] && sp.free && !sp.closed {
 			left = append(left, sp)
 		}
 	}
@@ -404,10 +404,10 @@
 		sp.closed = true
 		if awake {
 			closing[sp.pool]++
-			// Another machine takes its place meanwhile, so that what runs there
+			// Another instance takes its place meanwhile, so that what runs there
 			// has somewhere to go.
 			r.count[sp.pool]--
-			r.plan.Closed[sp.pool] = append(r.plan.Closed[sp.pool], sp.machine.Worker)
+			r.plan.Closed[sp.pool] = append(r.plan.Closed[sp.pool], sp.instance.Worker)
 			if !sp.empty() {
 				down++
 				continue
@@ -415,15 +415,15 @@
 		}
 		down++
 		r.plan.Maintenances = append(r.plan.Maintenances, Maintenance{
-			Machine: sp.machine.ID,
-			Worker:  sp.machine.Worker,
-			Pool:    sp.pool,
-			Wave:    wave.Number,
+			Instance: sp.instance.ID,
+			Worker:   sp.instance.Worker,
+			Pool:     sp.pool,
+			Wave:     wave.Number,
 		})
 	}
 }
 
-// mayClose bounds how many machines of a pool are closed for maintenance.
+// mayClose bounds how many instances of a pool are closed for maintenance.
 func (r *round) mayClose(sp *spot, closing map[string]int, late bool) bool {
 	if !sp.known || sp.load.Draining || r.irreplaceable(sp) {
 		return false
@@ -434,8 +434,8 @@
 	return float64(closing[sp.pool]) < max(1, maintainShare*float64(r.count[sp.pool]))
 }
 
-// irreplaceable reports whether a machine carries a label that its service needs
-// and that no other machine can bring: what runs there could never leave.
+// irreplaceable reports whether an instance carries a label that its service needs
+// and that no other instance can bring: what runs there could never leave.
 func (r *round) irreplaceable(sp *spot) bool {
 	service, found := r.services[sp.pool]
 	if !found {
@@ -450,7 +450,7 @@
 	return false
 }
 
-// trouble orders machines by what their maintenance disturbs.
+// trouble orders instances by what their maintenance disturbs.
 func (r *round) trouble(sp *spot) int {
 	if sp.pool == r.asleep {
 		return 0
@@ -458,12 +458,12 @@
 	return 1 + sp.cost()
 }
 
-// carries reports whether the machine has a label; all have the empty one.
+// carries reports whether the instance has a label; all have the empty one.
 func (sp *spot) carries(label string) bool {
 	if label == "" {
 		return true
 	}
-	for _, other := range sp.machine.Labels {
+	for _, other := range sp.instance.Labels {
 		if other == label {
 			return true
 		}
@@ -471,7 +471,7 @@
 	return false
 }
 
-// target returns the pool that the machine is in or is sent to by this plan.
+// target returns the pool that the instance is in or is sent to by this plan.
 func (sp *spot) target() string {
 	if sp.to != "" {
 		return sp.to
@@ -479,12 +479,12 @@
 	return sp.pool
 }
 
-// empty reports whether nothing runs on the machine's worker, nor will.
+// empty reports whether nothing runs on the instance's worker, nor will.
 func (sp *spot) empty() bool {
 	return sp.load.Known && sp.load.Closed && sp.load.Runs == 0
 }
 
-// cost orders awake machines by how long it takes to empty them: an empty worker
+// cost orders awake instances by how long it takes to empty them: an empty worker
 // goes at once, and one with lasting tasks last. What was begun is ended first,
 // since another choice would undo it.
 func (sp *spot) cost() int {
@@ -503,20 +503,20 @@
 	return r.plan
 }
 
-// holds reports whether a machine belongs to the wave.
-func (w *Wave) holds(machine string) bool {
-	for _, id := range w.Machines {
-		if id == machine {
+// holds reports whether an instance belongs to the wave.
+func (w *Wave) holds(instance string) bool {
+	for _, id := range w.Instances {
+		if id == instance {
 			return true
 		}
 	}
 	return false
 }
 
-// Complete reports whether every machine of the wave that is still there has
+// Complete reports whether every instance of the wave that is still there has
 // begun its maintenance.
-func (w *Wave) Complete(machines []outside.Machine) bool {
-	for _, m := range machines {
+func (w *Wave) Complete(instances []outside.Instance) bool {
+	for _, m := range instances {
 		if w.holds(m.ID) && !w.Done[m.ID] {
 			return false
 		}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -181,8 +181,8 @@
 			ShownFor:  d.settings.ShownFor,
 			FarFactor: d.settings.FarFactor,
 		},
-		Advice:   platform.NewAdvice(d.settings.Advice),
-		Machines: platform.NewMachines(d.settings.Machines),
+		Advice:    platform.NewAdvice(d.settings.Advice),
+		Instances: platform.NewInstances(d.settings.Instances),
 		Waves: owner.WaveSource{
 			Waves:     d.listWaves,
 			StatusKey: platform.WaveStatusKey,
--- a/shard/load.go
+++ b/shard/load.go
@@ -79,7 +79,7 @@
 	}
 }
 
-// End drops workers whose machine was moved or taken down, also those that were
+// End drops workers whose instance was moved or taken down, also those that were
 // not listed yet.
 func (s *Shard) End(ids []string, now time.Time) {
 	for _, id := range ids {
@@ -87,7 +87,7 @@
 			continue
 		}
 		if w, found := s.workers[id]; found {
-			s.endWorker(w, now, "machine was taken")
+			s.endWorker(w, now, "instance was taken")
 		}
 		s.gone[id] = now
 	}
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -1,6 +1,6 @@
 // Package shard is the scheduler of one service: which task runs on which
 // worker, what its end means, and what must be written before anything else
-// learns of it. It is a plain state machine. It does no input or output and
+// learns of it. It is a plain state instance. It does no input or output and
 // starts no goroutine; its owner feeds it events and carries out its orders.
 //
 // What keeps a task from running twice, also across owners, is told in
--- a/shard/shard_test.go
+++ b/shard/shard_test.go
@@ -250,7 +250,7 @@
 	w.check(t) // Without a look at it, its tasks would run a second time.
 }
 
-// TestNewOwnerNeedNotWaitForEndedWorker covers a worker whose machine was moved
+// TestNewOwnerNeedNotWaitForEndedWorker covers a worker whose instance was moved
 // a moment ago and whose registration still stands.
 func TestNewOwnerNeedNotWaitForEndedWorker(t *testing.T) {
 	is := is.New(t)
@@ -267,9 +267,9 @@
 	w.check(t)
 }
 
-// TestTakenMachineIsKnownBeforeItsWorkerIsListed covers a successor that is told
-// of a taken machine while the registration of its worker still stands.
-func TestTakenMachineIsKnownBeforeItsWorkerIsListed(t *testing.T) {
+// TestTakenInstanceIsKnownBeforeItsWorkerIsListed covers a successor that is told
+// of a taken instance while the registration of its worker still stands.
+func TestTakenInstanceIsKnownBeforeItsWorkerIsListed(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(3)
 	w.run(200 * time.Millisecond)
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -141,7 +141,7 @@
 	// avoidUntil is until when no task is placed here.
 	avoidUntil time.Time
 
-	// closedUntil is until when nothing is placed here, because the machine is
+	// closedUntil is until when nothing is placed here, because the instance is
 	// wanted elsewhere.
 	closedUntil time.Time
 
--- a/site/settings.go
+++ b/site/settings.go
@@ -40,9 +40,9 @@
 	FirstPeerPort uint16
 	LastPeerPort  uint16
 
-	Store    netip.AddrPort
-	Machines netip.AddrPort
-	Advice   netip.AddrPort
+	Store     netip.AddrPort
+	Instances netip.AddrPort
+	Advice    netip.AddrPort
 
 	// Heartbeat is how often a worker writes its registration.
 	Heartbeat time.Duration
@@ -65,11 +65,11 @@
 	// Notice is how long a lasting task counts as away once it was stopped.
 	Notice time.Duration
 
-	// MoveTime and MaintainTime are how long a machine is dark.
+	// MoveTime and MaintainTime are how long an instance is dark.
 	MoveTime     time.Duration
 	MaintainTime time.Duration
 
-	// HolderPause is how long two holders must stay apart at one machine.
+	// HolderPause is how long two holders must stay apart at one instance.
 	HolderPause time.Duration
 
 	// DrainTime is how long after its mark a draining worker may still be given
@@ -82,9 +82,9 @@
 	// FarFactor is how many times longer a task takes away from its data.
 	FarFactor float64
 
-	// MachineCalls is how many orders for machines all entries may give
+	// InstanceCalls is how many orders for instances all entries may give
 	// together in a second.
-	MachineCalls float64
+	InstanceCalls float64
 }
 
 // Error implements error.
