--- a/owner/fleet.go
+++ b/owner/fleet.go
@@ -3,13 +3,9 @@
 import (
 	"context"
 	"errors"
-	"fmt"
-	"strconv"
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"lemonstream.dev/lemonstream/clock"
 	"lemonstream.dev/lemonstream/outside"
 	"lemonstream.dev/lemonstream/pool"
@@ -162,36 +158,6 @@
 	}
 }
 
-// load reads how far the waves have come.
-func (f *fleet) load(ctx context.Context) error {
-	rows, _, err := f.deps.Table.ReadAll(ctx, tableWaves, partInstances)
-	if err != nil {
-		return err
-	}
-	for _, row := range rows {
-		number, err := strconv.ParseInt(row.Key.Name, 10, 64)
-		var stored waveRow
-		if err == nil {
-			err = cbor.Unmarshal(row.Value, &stored)
-		}
-		if err != nil {
-			f.deps.Log.Error("row left out", "table", row.Key.Table, "key", row.Key.Name, "error", err)
-			continue
-		}
-		state := &waveState{
-			completed: stored.Completed,
-			written:   true,
-		}
-		state.Seen = clock.FromMillis(stored.SeenMillis)
-		state.Done = make(map[string]bool)
-		for _, instance := range stored.Done {
-			state.Done[instance] = true
-		}
-		f.waves[number] = state
-	}
-	return nil
-}
-
 // round looks, decides and orders once.
 func (f *fleet) round(ctx context.Context) error {
 	f.takeWaves()
@@ -237,33 +203,6 @@
 	}
 }
 
-// takeWaves takes in what the operator asks for.
-func (f *fleet) takeWaves() {
-	now := f.deps.Clock.Now()
-	for _, wave := range f.deps.Waves.Waves() {
-		state, found := f.waves[wave.Number]
-		if !found {
-			state = &waveState{}
-			state.Seen = now
-			state.Done = make(map[string]bool)
-			f.waves[wave.Number] = state
-			f.deps.Log.Info("wave seen", "wave", wave.Number, "instances", len(wave.Instances),
-				"at_once", wave.AtOnce, "within_ms", wave.Within.Milliseconds())
-		}
-		state.Wave.Wave = wave
-	}
-}
-
-func (f *fleet) openWaves() []*pool.Wave {
-	var list []*pool.Wave
-	for _, state := range f.waves {
-		if !state.completed && state.Number > 0 && len(list) < waveRounds {
-			list = append(list, &state.Wave)
-		}
-	}
-	return list
-}
-
 // services asks every owner for its load and tells it what is closed.
 func (f *fleet) services(ctx context.Context) []pool.Service {
 	configured := f.deps.Catalog().Services
@@ -397,92 +336,3 @@
 
 // statusBadRequest is the answer to an order that can never be carried out.
 const statusBadRequest = 400
-
-func (f *fleet) done(wave int64, instance string) {
-	if state, found := f.waves[wave]; found {
-		state.Done[instance] = true
-		state.written = false
-	}
-}
-
-// completeWaves marks waves of which every instance that stays is done.
-func (f *fleet) completeWaves() {
-	if f.deps.Clock.Now().Sub(f.listed) >= listPause*4 {
-		return
-	}
-	for number, state := range f.waves {
-		if !state.completed && state.Number > 0 && state.Complete(f.instances) {
-			state.completed = true
-			state.written = false
-			f.deps.Log.Info("wave completed", "wave", number, "instances", len(state.Done))
-		}
-	}
-}
-
-// write writes what changed, or the beat when it is due. The rows of the
-// operator's view stand in another part; they follow in a transaction of their
-// own.
-func (f *fleet) write(ctx context.Context, release bool) error {
-	now := f.deps.Clock.Now()
-	var puts []outside.Put
-	var shows []*waveState
-	for number, state := range f.waves {
-		if state.Number == 0 || (state.written && state.shown) {
-			continue
-		}
-		shows = append(shows, state)
-		if !state.written {
-			puts = append(puts, state.put(number))
-			state.written = true
-		}
-	}
-	if len(puts) > 0 || release || now.Sub(f.tenure.lastWrite) >= beatPause {
-		bounded, cancel := context.WithTimeout(ctx, ownerHorizon)
-		version, err := f.tenure.write(bounded, f.tenure.transaction(Beat{}, puts, nil, release))
-		cancel()
-		if err != nil {
-			return fmt.Errorf("writing the waves: %w", err)
-		}
-		f.tenure.beatVersion = version
-		f.tenure.noteWrite(now)
-	}
-	f.show(ctx, shows)
-	return nil
-}
-
-// show tells the operator the state of waves.
-func (f *fleet) show(ctx context.Context, list []*waveState) {
-	for _, state := range list {
-		_, err := f.deps.Table.Transact(ctx, outside.Transaction{
-			Puts: []outside.Put{{
-				Key:   f.deps.Waves.StatusKey(state.Number),
-				Value: f.deps.Waves.Status(state.completed),
-			}},
-		})
-		if err != nil {
-			f.deps.Log.Warn("state of a wave not shown", "wave", state.Number, "error", err.Error())
-			state.shown = false
-			continue
-		}
-		state.shown = true
-	}
-}
-
-// put returns the row of a wave.
-func (w *waveState) put(number int64) outside.Put {
-	row := waveRow{
-		SeenMillis: clock.Millis(w.Seen),
-		Completed:  w.completed,
-	}
-	for instance := range w.Done {
-		row.Done = append(row.Done, instance)
-	}
-	return outside.Put{
-		Key: outside.Key{
-			Table: tableWaves,
-			Part:  partInstances,
-			Name:  strconv.FormatInt(number, 10),
-		},
-		Value: encodeRow(row),
-	}
-}
--- /dev/null
+++ b/pool/maintain.go
@@ -0,0 +1,105 @@
+package pool
+
+import (
+	"sort"
+	"time"
+
+	"lemonstream.dev/lemonstream/outside"
+)
+
+// maintain takes down instances of waves, sleeping ones first.
+func (r *round) maintain() {
+	for _, wave := range r.view.Waves {
+		r.maintainWave(wave)
+	}
+}
+
+func (r *round) maintainWave(wave *Wave) {
+	down := 0
+	var left []*spot
+	closing := make(map[string]int)
+	for _, sp := range r.spots {
+		if !wave.holds(sp.instance.ID) {
+			continue
+		}
+		o, ordered := r.sizer.ordered[sp.instance.ID]
+		if sp.instance.State == outside.InstanceMaintenance || (ordered && o.wave > 0) {
+			down++
+		}
+		if !wave.Done[sp.instance.ID] && sp.free && !sp.closed {
+			left = append(left, sp)
+		}
+	}
+	sort.SliceStable(left, func(i, j int) bool {
+		return r.trouble(left[i]) < r.trouble(left[j])
+	})
+	late := r.view.Now.Sub(wave.Seen) > time.Duration((1-hurryShare)*float64(wave.Within))
+	for _, sp := range left {
+		if down >= wave.AtOnce {
+			return
+		}
+		awake := sp.pool != r.asleep
+		if awake && !r.mayClose(sp, closing, late) {
+			continue
+		}
+		sp.closed = true
+		if awake {
+			closing[sp.pool]++
+			// Another instance takes its place meanwhile, so that what runs there
+			// has somewhere to go.
+			r.count[sp.pool]--
+			r.plan.Closed[sp.pool] = append(r.plan.Closed[sp.pool], sp.instance.Worker)
+			if !sp.empty() {
+				down++
+				continue
+			}
+		}
+		down++
+		r.plan.Maintenances = append(r.plan.Maintenances, Maintenance{
+			Instance: sp.instance.ID,
+			Worker:   sp.instance.Worker,
+			Pool:     sp.pool,
+			Wave:     wave.Number,
+		})
+	}
+}
+
+// mayClose bounds how many instances of a pool are closed for maintenance.
+func (r *round) mayClose(sp *spot, closing map[string]int, late bool) bool {
+	if !sp.known || sp.load.Draining || r.irreplaceable(sp) {
+		return false
+	}
+	if late || r.count[sp.pool] > r.plan.Targets[sp.pool] {
+		return true
+	}
+	return float64(closing[sp.pool]) < max(1, maintainShare*float64(r.count[sp.pool]))
+}
+
+// trouble orders instances by what their maintenance disturbs.
+func (r *round) trouble(sp *spot) int {
+	if sp.pool == r.asleep {
+		return 0
+	}
+	return 1 + sp.cost()
+}
+
+// holds reports whether an instance belongs to the wave.
+func (w *Wave) holds(instance string) bool {
+	for _, id := range w.Instances {
+		if id == instance {
+			return true
+		}
+	}
+	return false
+}
+
+// Complete reports whether every instance of the wave that is still there has
+// begun its maintenance.
+func (w *Wave) Complete(instances []outside.Instance) bool {
+	for _, m := range instances {
+		if w.holds(m.ID) && !w.Done[m.ID] {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/shard/orders.go
@@ -0,0 +1,168 @@
+package shard
+
+import (
+	"errors"
+	"time"
+
+	"lemonstream.dev/lemonstream/job"
+	"lemonstream.dev/lemonstream/outside"
+)
+
+// stop asks for the end of a run.
+func (s *Shard) stop(r *run, reason string) {
+	if r.phase == phaseStopping || r.phase == phaseStopped {
+		return
+	}
+	r.phase = phaseStopping
+	r.reason = reason
+	r.tries = 0
+	s.due[r] = struct{}{}
+}
+
+// Started takes in the answer to a start.
+func (s *Shard) Started(worker string, order outside.StartOrder, now time.Time, clock time.Duration, err error) {
+	w, found := s.workers[worker]
+	if !found {
+		return
+	}
+	r, found := w.runs[order.Task]
+	if !found || r.number != order.Run {
+		return
+	}
+	r.calling = false
+	if err == nil {
+		w.hear(clock, now)
+		if r.phase == phaseStarting || r.phase == phaseDoubtful {
+			r.phase = phaseRunning
+		}
+		r.settled = now
+		return
+	}
+	s.startFailed(w, r, now, err)
+}
+
+// startFailed decides what becomes of a run whose start did not succeed.
+func (s *Shard) startFailed(w *workerState, r *run, now time.Time, err error) {
+	s.opts.Report("start failed", "task", r.id.String(), "run", r.number, "worker", w.reg.ID, "error", err.Error())
+	var gone *outside.GoneError
+	var refused *outside.WorkerRefusedError
+	switch {
+	case errors.As(err, &gone):
+		s.endWorker(w, now, "another life answers")
+	case errors.As(err, &refused):
+		w.hear(refused.Clock, now)
+		s.startRefused(w, r, now, refused.Reason)
+	case outside.IsNotDone(err) && r.tries == 0:
+		w.avoidUntil = now.Add(avoidAfterRefusal)
+		s.drop(r, now)
+	default:
+		w.doubted = now
+		r.tries++
+		if r.phase == phaseStopping {
+			return
+		}
+		r.phase = phaseDoubtful
+		s.due[r] = struct{}{}
+		if r.tries >= startTries {
+			s.stop(r, "start without an answer")
+		}
+	}
+}
+
+// startRefused handles a worker's own refusal: the run is not there.
+func (s *Shard) startRefused(w *workerState, r *run, now time.Time, reason outside.Refusal) {
+	if reason == outside.RefusedFence {
+		s.opts.Report("deposed", "worker", w.reg.ID, "fence", s.fence)
+		s.deposed = true
+		return
+	}
+	if r.tries > 0 {
+		// An earlier order without an answer may still take effect.
+		s.stop(r, "start refused after one without an answer")
+		return
+	}
+	if reason == outside.RefusedTicket {
+		delete(s.tickets, r.id.StepName())
+	} else if reason != outside.RefusedOld && reason != outside.RefusedLate {
+		w.avoidUntil = now.Add(avoidAfterRefusal)
+	}
+	s.drop(r, now)
+}
+
+// stops orders the stops that are due, and repeats doubtful starts.
+func (s *Shard) stops() {
+	for r := range s.due {
+		w := r.worker
+		if w.runs[r.id] != r {
+			delete(s.due, r)
+			continue
+		}
+		if r.calling {
+			continue
+		}
+		switch r.phase {
+		case phaseDoubtful:
+			if w.failures > 0 {
+				continue
+			}
+			r.calling = true
+			s.orders.Starts = append(s.orders.Starts, Start{
+				Worker: w.ref(),
+				Order:  r.order,
+			})
+		case phaseStopping:
+			if w.failures > 0 && r.tries > 0 {
+				continue
+			}
+			r.calling = true
+			s.opts.Report("stop ordered", "task", r.id.String(), "run", r.number, "worker", w.reg.ID, "reason", r.reason)
+			s.orders.Stops = append(s.orders.Stops, Stop{
+				Worker: w.ref(),
+				Task:   r.id,
+				Run:    r.number,
+			})
+		default:
+			delete(s.due, r)
+		}
+	}
+}
+
+// Stopped takes in the answer to a stop.
+func (s *Shard) Stopped(worker string, id job.TaskID, number int64, now time.Time, clock time.Duration, err error) {
+	w, found := s.workers[worker]
+	if !found {
+		return
+	}
+	r, found := w.runs[id]
+	if !found || r.number != number {
+		return
+	}
+	r.calling = false
+	if err == nil {
+		w.hear(clock, now)
+		r.phase = phaseStopped
+		r.settled = now
+		return
+	}
+	var gone *outside.GoneError
+	if errors.As(err, &gone) {
+		s.endWorker(w, now, "another life answers")
+		return
+	}
+	var refused *outside.WorkerRefusedError
+	if errors.As(err, &refused) {
+		if refused.Reason == outside.RefusedFence {
+			s.deposed = true
+			return
+		}
+		// The worker knows of no such run, or takes no orders now.
+		r.tries++
+		if refused.Reason != outside.RefusedUnhealthy {
+			r.phase = phaseStopped
+			r.settled = now
+		}
+		return
+	}
+	r.tries++
+	w.doubted = now
+}
