Succeed an owner by its own word that it does not write

Change: one answer that says so is enough for the look at the beat; an owner counts as stale after 1.2 s; the pause counts from the holder's last possible order.

--- a/owner/fleet.go
+++ b/owner/fleet.go
@@ -35,6 +35,10 @@
 	// so that an owner that was frozen gives none when it wakes.
 	orderFresh = time.Second
 
+	// A holder that may live gave its last order at most orderFresh after its last
+	// write, and was seen not to write for silentWrites; the platform's pause
+	// counts from there.
+
 	// endedPause is how long after the end of the holder before the first order
 	// is given: what it sent has arrived by then, or never will. A holder that
 	// may still live is given the platform's own pause.
@@ -122,7 +126,7 @@
 	if ended {
 		f.quietUntil = now.Add(endedPause)
 	} else {
-		f.quietUntil = now.Add(deps.Site.HolderPause + fleetPause)
+		f.quietUntil = now.Add(deps.Site.HolderPause + orderFresh - silentWrites)
 	}
 	return f
 }
--- a/owner/keeper.go
+++ b/owner/keeper.go
@@ -34,7 +34,7 @@
 
 	// staleWrites is how old an owner's last write must be, by its own word,
 	// for a successor that reaches the store to take over.
-	staleWrites = 1500 * time.Millisecond
+	staleWrites = 1200 * time.Millisecond
 
 	// rankPause keeps successors from racing: each waits this much longer than
 	// the one before.
--- a/owner/succession.go
+++ b/owner/succession.go
@@ -95,8 +95,8 @@
 	case err == nil && pong.Owns && pong.WriteAge < staleWrites:
 		w.failures = 0
 	case err == nil:
-		w.failures++
-		silent = w.failures >= silentPings
+		// The owner itself says that it does not write, or owns nothing.
+		silent = true
 	case outside.IsNotDone(err):
 		w.dead = true
 	default:
