--- /dev/null
+++ b/intake/intake_test.go
@@ -0,0 +1,248 @@
+package intake_test
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"github.com/gin-gonic/gin"
+	"github.com/matryer/is"
+
+	"lemonstream.dev/lemonstream/catalog"
+	"lemonstream.dev/lemonstream/clock"
+	"lemonstream.dev/lemonstream/figures"
+	"lemonstream.dev/lemonstream/intake"
+	"lemonstream.dev/lemonstream/internal/standin"
+	"lemonstream.dev/lemonstream/job"
+	"lemonstream.dev/lemonstream/kernel"
+	"lemonstream.dev/lemonstream/outside"
+	"lemonstream.dev/lemonstream/owner"
+	"lemonstream.dev/lemonstream/shard"
+)
+
+// serve returns an intake over the rows, with no owner in sight.
+func serve(t *testing.T, rows *standin.Rows, current *catalog.Catalog) http.Handler {
+	t.Helper()
+	gin.SetMode(gin.ReleaseMode)
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	group := kernel.NewGroup(context.Background(), log)
+	t.Cleanup(group.Stop)
+	server := &intake.Server{
+		Catalog: func() *catalog.Catalog { return current },
+		Clock:   clock.System(),
+		Codec: intake.Codec{
+			DecodeJob: func(body []byte) (job.Spec, error) {
+				if string(body) != "job" {
+					return job.Spec{}, &job.FieldError{
+						Field: "body",
+					}
+				}
+				return job.Spec{
+					Steps: []job.Step{{
+						Count: 1,
+					}},
+				}, nil
+			},
+			EncodePending: func(int) []byte { return nil },
+			EncodeState:   func(state job.State) []byte { return []byte(state) },
+		},
+		Figures: figures.New(),
+		Group:   group,
+		Log:     log,
+		Owners: intake.Owners{
+			Duty:  func(string) (*owner.Duty, bool) { return nil, false },
+			Owner: func(string) (netip.AddrPort, bool) { return netip.AddrPort{}, false },
+		},
+		Table:          rows.Table(),
+		DeadlineHeader: "Patience",
+	}
+	router := gin.New()
+	server.Routes(router)
+	return router
+}
+
+func oneRoute() *catalog.Catalog {
+	return &catalog.Catalog{
+		Version: 1,
+		Routes: []catalog.Route{{
+			Name:    "q",
+			Host:    "h",
+			Prefix:  "/q/",
+			Service: "s",
+		}},
+		Services: []catalog.Service{{
+			Name: "s",
+		}},
+		Limits: catalog.Limits{
+			BodyBytes: 100,
+		},
+	}
+}
+
+func ask(handler http.Handler, method, path, body string) *httptest.ResponseRecorder {
+	request := httptest.NewRequest(method, "http://h"+path, strings.NewReader(body))
+	request.Header.Set("Patience", "400")
+	recorder := httptest.NewRecorder()
+	handler.ServeHTTP(recorder, request)
+	return recorder
+}
+
+func TestRefusalsAreTrue(t *testing.T) {
+	refused := func(context.Context, standin.Call) error {
+		return &outside.NotDoneError{
+			Call: "transact",
+		}
+	}
+	lost := func(context.Context, standin.Call) error {
+		return &outside.UncertainError{
+			Call: "transact",
+		}
+	}
+	cases := map[string]struct {
+		before func(context.Context, standin.Call) error
+		after  func(context.Context, standin.Call) error
+		status int
+		stored bool
+	}{
+		"taken": {
+			status: http.StatusOK,
+			stored: true,
+		},
+		"store refuses": {
+			before: refused,
+			status: http.StatusServiceUnavailable,
+		},
+		"store is silent": {
+			before: lost,
+			status: http.StatusGatewayTimeout,
+		},
+		"answer is lost": {
+			after:  lost,
+			status: http.StatusOK, // The second try finds the first one's row.
+			stored: true,
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			rows := standin.NewRows()
+			if c.before != nil {
+				rows.Before = c.before
+			}
+			if c.after != nil {
+				rows.After = c.after
+			}
+			answer := ask(serve(t, rows, oneRoute()), http.MethodPost, "/q/a", "job")
+			is.Equal(answer.Code, c.status)
+			is.Equal(answer.Header().Get("Retry-After") != "", c.status == http.StatusServiceUnavailable)
+			rows.Before = func(context.Context, standin.Call) error { return nil }
+			rows.After = rows.Before
+			row, err := rows.Table().Row(context.Background(), owner.IntakeKey("s", "a"))
+			is.NoErr(err)
+			is.Equal(row != nil, c.stored)
+		})
+	}
+}
+
+func TestSameJobTwiceIsOneJob(t *testing.T) {
+	is := is.New(t)
+	rows := standin.NewRows()
+	handler := serve(t, rows, oneRoute())
+	is.Equal(ask(handler, http.MethodPost, "/q/a", "job").Code, http.StatusOK)
+	is.Equal(ask(handler, http.MethodPost, "/q/a", "job").Code, http.StatusOK)
+	all, _, err := rows.Table().ReadAll(context.Background(), "intake.s", "s")
+	is.NoErr(err)
+	is.Equal(len(all), 1)
+}
+
+func TestEndedJobIsNotTakenAgain(t *testing.T) {
+	is := is.New(t)
+	rows := standin.NewRows()
+	rows.Write(owner.ProgressKey("s", "a"), shard.Progress{
+		State: job.Completed,
+	}.Encode())
+	handler := serve(t, rows, oneRoute())
+	is.Equal(ask(handler, http.MethodPost, "/q/a", "job").Code, http.StatusOK)
+	is.Equal(ask(handler, http.MethodGet, "/q/a", "").Body.String(), "completed")
+	all, _, err := rows.Table().ReadAll(context.Background(), "intake.s", "s")
+	is.NoErr(err)
+	is.Equal(len(all), 0)
+}
+
+func TestAnswersWithoutOwner(t *testing.T) {
+	is := is.New(t)
+	rows := standin.NewRows()
+	handler := serve(t, rows, oneRoute())
+	is.Equal(ask(handler, http.MethodGet, "/q/a", "").Code, http.StatusGone) // The rows say that it does not exist.
+	is.Equal(ask(handler, http.MethodPost, "/q/a", "job").Code, http.StatusOK)
+	is.Equal(ask(handler, http.MethodGet, "/q/a", "").Body.String(), "queued")
+	is.Equal(ask(handler, http.MethodDelete, "/q/a", "").Code, http.StatusOK) // The wish stands in a row.
+	row, err := rows.Table().Row(context.Background(), owner.CancelKey("s", "a"))
+	is.NoErr(err)
+	is.True(row != nil && len(row.Value) > 0) // The store takes no empty value.
+	is.Equal(ask(handler, http.MethodGet, "/q/", "").Code, http.StatusServiceUnavailable)
+}
+
+func TestBadRequestsWriteNothing(t *testing.T) {
+	cases := map[string]struct {
+		method string
+		path   string
+		body   string
+		status int
+	}{
+		"unknown route": {
+			method: http.MethodPost,
+			path:   "/z/a",
+			body:   "job",
+			status: http.StatusNotFound,
+		},
+		"no job": {
+			method: http.MethodPost,
+			path:   "/q/a",
+			body:   "nonsense",
+			status: http.StatusBadRequest,
+		},
+		"large body": {
+			method: http.MethodPost,
+			path:   "/q/a",
+			body:   strings.Repeat("x", 101),
+			status: http.StatusRequestEntityTooLarge,
+		},
+		"long id": {
+			method: http.MethodPost,
+			path:   "/q/" + strings.Repeat("a", 65),
+			body:   "job",
+			status: http.StatusBadRequest,
+		},
+		"unknown method": {
+			method: http.MethodPatch,
+			path:   "/q/a",
+			status: http.StatusMethodNotAllowed,
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			rows := standin.NewRows()
+			rows.Before = func(_ context.Context, call standin.Call) error {
+				if call.Kind == "transact" {
+					t.Error("something was written")
+				}
+				return nil
+			}
+			is.Equal(ask(serve(t, rows, oneRoute()), c.method, c.path, c.body).Code, c.status)
+		})
+	}
+}
+
+func TestNoConfigurationIsNoMissingRoute(t *testing.T) {
+	is := is.New(t)
+	answer := ask(serve(t, standin.NewRows(), &catalog.Catalog{}), http.MethodPost, "/q/a", "job")
+	is.Equal(answer.Code, http.StatusServiceUnavailable)
+	is.True(answer.Header().Get("Retry-After") != "")
+}
