--- a/shard/events.go
+++ b/shard/events.go
@@ -92,7 +92,7 @@
 	present := make(map[job.TaskID]int64, len(listed))
 	for _, running := range listed {
 		present[running.Task] = running.Run
-		s.compareOne(w, now, running)
+		s.compareOne(w, sent, now, running)
 	}
 	for id, r := range w.runs {
 		if number, found := present[id]; found && number == r.number {
@@ -108,7 +108,7 @@
 }
 
 // compareOne takes in one run that a worker listed.
-func (s *Shard) compareOne(w *workerState, now time.Time, running outside.RunningTask) {
+func (s *Shard) compareOne(w *workerState, sent, now time.Time, running outside.RunningTask) {
 	r, found := w.runs[running.Task]
 	if found && r.number != running.Run {
 		return
@@ -124,6 +124,7 @@
 	if found {
 		r.figure = running.Figure
 		r.percent = running.Percent
+		r.listed = sent
 		if r.phase == phaseStarting || r.phase == phaseDoubtful {
 			r.phase = phaseRunning
 			r.settled = now
@@ -137,6 +138,7 @@
 		phase:   phaseRunning,
 		began:   now,
 		settled: now,
+		found:   true,
 		share:   sharedUnknown,
 	}
 	wanted := j != nil && t != nil && !j.state.Final() && !t.done && len(t.runs) == 0
--- a/shard/place.go
+++ b/shard/place.go
@@ -379,7 +379,7 @@
 	step := j.occurrences[id.Occurrence].steps[id.Step]
 	away := 0
 	for i, t := range step.tasks {
-		if i != id.Index && !t.atWork() {
+		if i != id.Index && !s.atWork(t) {
 			away++
 		}
 	}
@@ -390,12 +390,19 @@
 }
 
 // atWork reports whether a lasting task is known to be fully at work.
-func (t *taskState) atWork() bool {
+func (s *Shard) atWork(t *taskState) bool {
 	for _, r := range t.runs {
 		// What runs on a worker that does not answer may long have ended.
-		if r.phase == phaseRunning && r.percent >= fullPercent && r.worker.failures == 0 && r.worker.doubted.IsZero() {
+		reached := r.worker.failures == 0 && r.worker.doubted.IsZero()
+		if r.phase == phaseRunning && r.percent >= fullPercent && reached && !s.mayBeStopping(r) {
 			return true
 		}
 	}
 	return false
 }
+
+// mayBeStopping reports whether the owner before may have stopped a run: the
+// worker lists it until the stop is through.
+func (s *Shard) mayBeStopping(r *run) bool {
+	return r.found && r.listed.Sub(r.began) < s.opts.StopTask+foundSlack
+}
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -26,6 +26,11 @@
 	// answer and the cut to whole milliseconds.
 	leaseSlack = 60 * time.Millisecond
 
+	// foundSlack is added to the time of a stop for its delay: until both have
+	// passed, a run that a new owner finds may be one that the owner before
+	// has stopped.
+	foundSlack = 200 * time.Millisecond
+
 	// runsPerEpoch is the room of run numbers of one owner for one task. A
 	// later owner starts above it, so that it need not know every earlier run.
 	runsPerEpoch = 1 << 20
--- a/shard/shard_test.go
+++ b/shard/shard_test.go
@@ -235,6 +235,28 @@
 	w.check(t)
 }
 
+// TestNewOwnerCountsStopsOfTheOneBefore covers an owner that dies right after it
+// has sent a lasting task away: its successor still finds the run.
+func TestNewOwnerCountsStopsOfTheOneBefore(t *testing.T) {
+	w := newWorld(2)
+	w.run(200 * time.Millisecond)
+	w.submit("a", lasting(4, 1))
+	w.run(2 * time.Second)
+	for id, f := range w.workers {
+		if len(f.runs) == 4 {
+			w.core.SetClosed([]string{id}, w.now)
+			w.run(2 * tick) // One stop has arrived.
+			w.takeOver()
+			for i := 0; i < 30; i++ {
+				w.core.SetClosed([]string{id}, w.now)
+				w.run(100 * time.Millisecond)
+			}
+			break
+		}
+	}
+	w.check(t)
+}
+
 func TestUnlistedWorkerIsHandedOver(t *testing.T) {
 	w := newWorld(2)
 	w.run(200 * time.Millisecond)
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -68,6 +68,11 @@
 	// settled is when the worker answered the last order for the run.
 	settled time.Time
 
+	// found says that the run was seen at its worker and not ordered by this
+	// owner; listed is when the last look was sent that showed it.
+	found  bool
+	listed time.Time
+
 	// tries counts orders of the current kind without an answer.
 	tries int
 
--- a/shard/world_test.go
+++ b/shard/world_test.go
@@ -395,6 +395,7 @@
 			continue
 		}
 		if r, found := f.runs[s.Task]; found && r.number <= s.Run {
+			w.judgeStop(f, s.Task, r)
 			r.stopAt = w.now.Add(200 * time.Millisecond)
 		}
 		f.top[s.Task] = max(f.top[s.Task], s.Run)
@@ -517,6 +518,32 @@
 	}
 }
 
+// atWork says when a run of a lasting step counts as at work.
+const atWork = 500 * time.Millisecond
+
+// judgeStop notes a stop of a lasting task while too many others of its step are
+// away.
+func (w *world) judgeStop(f *fakeWorker, id job.TaskID, stopped *fakeRun) {
+	record, known := w.records[id.Job]
+	if state, _ := w.core.Known(id.Job); state.Final() {
+		return
+	}
+	if !known || !stopped.step.Lasting || f.reg.Draining || w.now.Sub(stopped.began) < atWork || !stopped.stopAt.IsZero() {
+		return
+	}
+	away := record.Spec.Steps[id.Step].Count - 1
+	for _, other := range w.workers {
+		for task, r := range other.runs {
+			if !other.down && task.StepName() == id.StepName() && task != id && r.stopAt.IsZero() && w.now.Sub(r.began) >= atWork {
+				away--
+			}
+		}
+	}
+	if away >= max(1, stopped.step.MayMiss) {
+		w.fault("%s is stopped on %s while %d others of its step are away", id, f.reg.ID, away)
+	}
+}
+
 func (w *world) check(t tester) {
 	t.Helper()
 	for _, fault := range w.faults {
