--- /dev/null
+++ b/intake/handin.go
@@ -0,0 +1,75 @@
+package intake
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+
+	"lemonstream.dev/lemonstream/outside"
+	"lemonstream.dev/lemonstream/peer"
+	"lemonstream.dev/lemonstream/shard"
+)
+
+// handIn hands a job to the owner of its service, whose transactions hold many
+// records: a part of the store takes them one after another, and would be full of
+// those of single jobs whenever it is slow. The entry gives up on an owner that
+// does not answer and does not write.
+func (s *Server) handIn(ctx context.Context, service string, record shard.Record) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var submit func() error
+	var works func() bool
+	if duty, mine := s.Owners.Duty(service); mine {
+		submit = func() error { return duty.Submit(ctx, record) }
+		works = func() bool { return duty.WriteAge() < handInStale }
+	} else if address, known := s.Owners.Owner(service); known {
+		submit = func() error { return s.Owners.Peers.Submit(ctx, address, service, record) }
+		works = func() bool { return s.ownerWorks(ctx, address, service) }
+	} else {
+		return &peer.NotOwnerError{
+			Service: service,
+		}
+	}
+	answer := make(chan error, 1)
+	s.Group.Go("hand in", func(context.Context) error {
+		answer <- submit()
+		return nil
+	})
+	for {
+		select {
+		case err := <-answer:
+			return err
+		case <-s.Clock.After(handInLook):
+		}
+		if !works() {
+			s.Log.Info("owner does not take the job", "job", record.ID, "service", service)
+			return &outside.UncertainError{
+				Call:  "handing in at the owner of " + service,
+				Cause: context.DeadlineExceeded,
+			}
+		}
+	}
+}
+
+// ownerWorks asks another entry whether it owns a service and writes.
+func (s *Server) ownerWorks(ctx context.Context, address netip.AddrPort, service string) bool {
+	pong, err := s.Owners.Peers.Ping(ctx, address, service)
+	if err != nil {
+		s.Log.Info("owner not asked", "service", service, "owner", address.String(), "error", err.Error())
+		return false
+	}
+	return pong.Owns && pong.WriteAge < handInStale
+}
+
+// isNotOwner reports whether an error says that there is no owner to hand a job
+// in at. Only then an entry writes to a slow store itself.
+func isNotOwner(err error) bool {
+	var notOwner *peer.NotOwnerError
+	return errors.As(err, &notOwner)
+}
+
+// mayBeTaken reports whether an owner that did not take a job for sure may have
+// taken it.
+func mayBeTaken(err error) bool {
+	return outside.IsUncertain(err) || (!outside.IsNotDone(err) && !isNotOwner(err))
+}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -55,6 +55,12 @@
 	// one.
 	refuseAfter = 150 * time.Millisecond
 
+	// handInLook is the time between two looks whether an owner that does not
+	// answer still works; handInStale is how old its last write may be. With the
+	// store 60 times slower one takes 0.6 s, and two follow each other.
+	handInLook  = 400 * time.Millisecond
+	handInStale = 1500 * time.Millisecond
+
 	// writePause is the pause before a write without success is repeated.
 	writePause = 50 * time.Millisecond
 )
@@ -84,6 +90,9 @@
 	Owners  Owners
 	Table   outside.Table
 
+	// Slow reports whether the store takes much longer than on a calm day.
+	Slow func() bool
+
 	// DeadlineHeader names the header with the caller's patience in
 	// milliseconds.
 	DeadlineHeader string
@@ -196,31 +205,25 @@
 // maxIDBytes bounds the id of a job; callers use 16 digits.
 const maxIDBytes = 64
 
-// accept writes the record of a job and answers. The answer is 503 only if no
-// try can take effect any more.
+// accept makes the record of a job stand and answers. The answer is 503 only if
+// no try can take effect any more.
 func (s *Server) accept(r *request, record shard.Record, catalogVersion int64) {
 	uncertain := false
 	began := s.Clock.Now()
 	for {
-		receipt, err := s.write(r.ctx, r.route.Service, record)
-		var conflict *outside.ConflictError
-		switch {
-		case err == nil:
-			s.Log.Info("job accepted", "job", record.ID, "route", record.Route, "service", r.route.Service,
-				"row", receipt.Version, "catalog", catalogVersion, "steps", describe(record.Spec))
-			s.tell(r.route.Service, record, receipt.Version)
-			r.Status(http.StatusOK)
+		err := s.handIn(r.ctx, r.route.Service, record)
+		if err == nil {
+			s.accepted(r, record, "owner", catalogVersion)
 			return
-		case errors.As(err, &conflict):
-			s.Log.Info("job known already", "job", record.ID, "route", record.Route)
-			if uncertain {
-				// An earlier try of this very request wrote it.
-				s.tell(r.route.Service, record, 0)
+		}
+		uncertain = uncertain || mayBeTaken(err)
+		if !s.Slow() || isNotOwner(err) {
+			err = s.write(r.ctx, r.route.Service, record, uncertain)
+			if err == nil {
+				s.accepted(r, record, "entry", catalogVersion)
+				return
 			}
-			r.Status(http.StatusOK)
-			return
-		case outside.IsUncertain(err):
-			uncertain = true
+			uncertain = uncertain || outside.IsUncertain(err)
 		}
 		refusable := !uncertain && s.Clock.Now().Sub(began) >= refuseAfter
 		if !refusable && clock.Sleep(r.ctx, writePause) {
@@ -236,29 +239,30 @@
 	}
 }
 
-// write sends the transaction of a job. Where the store refuses this entry or
-// does not answer it, the owner of the service, which reaches the store as long
-// as it is the owner, sends it instead: the conditions let it take effect once.
-func (s *Server) write(ctx context.Context, service string, record shard.Record) (outside.Receipt, error) {
-	tx := s.transaction(service, record)
-	receipt, err := s.Table.Transact(ctx, tx)
+func (s *Server) accepted(r *request, record shard.Record, writer string, catalogVersion int64) {
+	s.Log.Info("job accepted", "job", record.ID, "route", record.Route, "service", r.route.Service,
+		"writer", writer, "catalog", catalogVersion, "steps", describe(record.Spec))
+	r.Status(http.StatusOK)
+}
+
+// write writes the record of a job itself, which needs no owner, and tells the
+// owner. A record that stands already is a success; known says that it may be an
+// earlier try of this very request that wrote it.
+func (s *Server) write(ctx context.Context, service string, record shard.Record, known bool) error {
+	receipt, err := s.Table.Transact(ctx, s.transaction(service, record))
 	var conflict *outside.ConflictError
-	if err == nil || errors.As(err, &conflict) {
-		return receipt, err
-	}
-	address, known := s.Owners.Owner(service)
-	if _, mine := s.Owners.Duty(service); mine || !known {
-		return receipt, err
-	}
-	relayed, relayErr := s.Owners.Peers.Transact(ctx, address, tx)
-	s.Log.Info("job written through the owner", "job", record.ID, "owner", address.String(), "cause", err.Error(), "success", relayErr == nil)
-	if relayErr == nil || errors.As(relayErr, &conflict) {
-		return relayed, relayErr
-	}
-	if outside.IsUncertain(err) {
-		return receipt, err
+	switch {
+	case err == nil:
+		s.tell(service, record, receipt.Version)
+	case errors.As(err, &conflict):
+		s.Log.Info("job known already", "job", record.ID, "route", record.Route)
+		if known {
+			s.tell(service, record, 0)
+		}
+	default:
+		return err
 	}
-	return relayed, relayErr
+	return nil
 }
 
 func (s *Server) transaction(service string, record shard.Record) outside.Transaction {
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -59,6 +59,7 @@
 			Owner: func(string) (netip.AddrPort, bool) { return netip.AddrPort{}, false },
 		},
 		Table:          rows.Table(),
+		Slow:           func() bool { return false },
 		DeadlineHeader: "Patience",
 	}
 	router := gin.New()
--- a/owner/commit.go
+++ b/owner/commit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"lemonstream.dev/lemonstream/outside"
@@ -16,28 +17,28 @@
 // writes its beat.
 func (d *Duty) commit(ctx context.Context, now time.Time) {
 	if d.committing {
+		if d.tenure.failing() {
+			d.core.RefuseSubmitted()
+		}
 		return
 	}
-	batch, found := d.core.TakeBatch()
 	workers := d.core.WorkerRows(workerRowsMost)
+	batch, found := d.core.TakeBatch(outside.MaxEntries - tenureEntries - len(workers.Used) - len(workers.Ended))
 	due := now.Sub(d.tenure.lastWrite) >= beatPause || !workers.Empty() || d.core.Unconfirmed()
 	if !found && !due && !d.releasing {
 		return
 	}
 	d.committing = true
 	releasing := d.releasing
-	puts, removes := d.rows(batch, workers)
 	beat := Beat{
 		Lapsed: d.core.Lapsed(now),
 	}
-	tx := d.tenure.transaction(beat, puts, removes, releasing)
+	tx := d.tenure.transaction(beat, d.rows(batch, workers), releasing)
 	d.deps.Group.Go("commit of "+d.service, func(context.Context) error {
 		version, err := d.tenure.write(ctx, tx)
 		d.pushLogged(func(d *Duty, at time.Time) {
 			d.committing = false
-			if err != nil {
-				d.deps.Log.Warn("transaction given up", "service", d.service, "epoch", d.tenure.epoch, "error", err.Error())
-				d.core.Depose()
+			if d.undone(batch, err, at) {
 				return
 			}
 			d.tenure.beatVersion = version
@@ -52,33 +53,82 @@
 	})
 }
 
+// undone deals with a transaction that was not applied; it reports false where
+// it was.
+func (d *Duty) undone(batch shard.Batch, err error, now time.Time) bool {
+	if err == nil {
+		return false
+	}
+	var exists *ExistsError
+	if !errors.As(err, &exists) {
+		d.deps.Log.Warn("transaction given up", "service", d.service, "epoch", d.tenure.epoch, "error", err.Error())
+		d.core.Depose()
+		return true
+	}
+	var existing []shard.Existing
+	for _, row := range exists.Rows {
+		if row.Key.Table != prefixIntake+d.service || row.Version == 0 {
+			continue
+		}
+		record, err := shard.DecodeRecord(row.Value)
+		if err != nil {
+			d.deps.Log.Error("row left out", "table", row.Key.Table, "key", row.Key.Name, "error", err)
+			continue
+		}
+		existing = append(existing, shard.Existing{
+			Record:  record,
+			Version: row.Version,
+		})
+	}
+	d.deps.Log.Info("jobs stand already", "service", d.service, "epoch", d.tenure.epoch, "jobs", len(existing))
+	d.core.Undo(batch, existing, now)
+	return true
+}
+
 // rows turns a batch into rows to write and to remove.
-func (d *Duty) rows(batch shard.Batch, workers shard.WorkerRows) ([]outside.Put, []outside.Key) {
-	var puts []outside.Put
-	var removes []outside.Key
+func (d *Duty) rows(batch shard.Batch, workers shard.WorkerRows) rowChanges {
+	var rows rowChanges
 	for _, worker := range workers.Used {
-		puts = append(puts, outside.Put{
+		rows.puts = append(rows.puts, outside.Put{
 			Key:   usedKey(d.service, worker.ID),
 			Value: []byte(worker.Address.String()),
 		})
 	}
 	for _, id := range workers.Ended {
-		removes = append(removes, usedKey(d.service, id))
+		rows.removes = append(rows.removes, usedKey(d.service, id))
 	}
-	for _, write := range batch.Writes {
-		if write.Forget {
-			removes = append(removes, ProgressKey(d.service, write.ID))
-			continue
-		}
-		puts = append(puts, outside.Put{
-			Key:   ProgressKey(d.service, write.ID),
-			Value: write.Progress.Encode(),
+	for _, record := range batch.Records {
+		key := IntakeKey(d.service, record.ID)
+		rows.creates = append(rows.creates, key)
+		rows.puts = append(rows.puts, outside.Put{
+			Key:   key,
+			Value: record.Encode(),
 		})
-		if write.EndsRecord {
-			removes = append(removes, IntakeKey(d.service, write.ID))
-		}
 	}
-	return puts, removes
+	for _, write := range batch.Writes {
+		d.progressRow(&rows, write)
+	}
+	return rows
+}
+
+// progressRow adds the row of what has happened to a job, and takes away the rows
+// that it makes needless.
+func (d *Duty) progressRow(rows *rowChanges, write shard.Write) {
+	key := ProgressKey(d.service, write.ID)
+	if write.Forget {
+		rows.removes = append(rows.removes, key)
+		return
+	}
+	rows.puts = append(rows.puts, outside.Put{
+		Key:   key,
+		Value: write.Progress.Encode(),
+	})
+	if write.EndsRecord {
+		rows.removes = append(rows.removes, IntakeKey(d.service, write.ID))
+	}
+	if write.EndsCancel {
+		rows.removes = append(rows.removes, CancelKey(d.service, write.ID))
+	}
 }
 
 // release hands the service over: the last transaction says so, and no order is
--- a/owner/duty.go
+++ b/owner/duty.go
@@ -46,6 +46,9 @@
 
 // Deps is what a duty works with.
 type Deps struct {
+	// Slow reports whether the store takes much longer than on a calm day.
+	Slow func() bool
+
 	Clock    clock.Clock
 	Group    *kernel.Group
 	Log      *slog.Logger
@@ -89,6 +92,9 @@
 	released   chan struct{}
 	releasing  bool
 
+	// over is closed when the duty has ended.
+	over chan struct{}
+
 	// ready is set once the rows of the service have been read.
 	ready  atomic.Bool
 	cancel context.CancelFunc
@@ -107,6 +113,7 @@
 		tenure:   newTenure(deps, service, won, now),
 		events:   ring.New[event](eventsMost),
 		released: make(chan struct{}),
+		over:     make(chan struct{}),
 	}
 	options.Report = func(event string, fields ...any) {
 		log.Info(event, fields...)
@@ -134,6 +141,54 @@
 	})
 }
 
+// Submit takes in a job that is handed in at this owner, and returns once its
+// record stands. A *outside.NotDoneError says that it was not taken, any other
+// error leaves that open.
+func (d *Duty) Submit(ctx context.Context, record shard.Record) error {
+	answer := make(chan bool, 1)
+	err := d.push(func(d *Duty, _ time.Time) {
+		if d.releasing || d.tenure.failing() {
+			answer <- false
+			return
+		}
+		d.core.Submit(record, func(taken bool) { answer <- taken })
+	})
+	if err != nil {
+		return &outside.NotDoneError{
+			Call:   "handing in at the owner of " + d.service,
+			Reason: err.Error(),
+		}
+	}
+	select {
+	case taken := <-answer:
+		if taken {
+			return nil
+		}
+		return &outside.NotDoneError{
+			Call:   "handing in at the owner of " + d.service,
+			Reason: "it writes nothing now",
+		}
+	case <-d.over:
+		return &outside.UncertainError{
+			Call: "handing in at the owner of " + d.service,
+			Cause: &LostError{
+				Part:   d.service,
+				Reason: "the duty has ended",
+			},
+		}
+	case <-ctx.Done():
+		return &outside.UncertainError{
+			Call:  "handing in at the owner of " + d.service,
+			Cause: ctx.Err(),
+		}
+	}
+}
+
+// WriteAge returns how long ago the duty last wrote.
+func (d *Duty) WriteAge() time.Duration {
+	return d.tenure.age()
+}
+
 // State returns what callers may be told of a job.
 func (d *Duty) State(id string) (job.State, bool) {
 	state, found := d.shown.Load(id)
@@ -202,6 +257,7 @@
 func (d *Duty) run(ctx context.Context) error {
 	ctx, d.cancel = context.WithCancel(ctx)
 	defer d.cancel()
+	defer close(d.over)
 	since, err := d.load(ctx)
 	if err != nil {
 		return err
@@ -317,7 +373,7 @@
 	}
 	for _, row := range records {
 		if id, found := strings.CutPrefix(row.Key.Name, prefixCancel); found {
-			d.core.Cancel(id, now, func() {})
+			d.core.CancelByRow(id, now)
 		}
 	}
 	d.deps.Log.Info("shard loaded", "service", d.service, "epoch", d.tenure.epoch, "records", len(records), "progress", len(rows))
@@ -369,7 +425,7 @@
 		return
 	}
 	if id, found := strings.CutPrefix(row.Key.Name, prefixCancel); found {
-		d.pushLogged(func(d *Duty, now time.Time) { d.core.Cancel(id, now, func() {}) })
+		d.pushLogged(func(d *Duty, now time.Time) { d.core.CancelByRow(id, now) })
 		return
 	}
 	if _, known := d.shown.Load(row.Key.Name); known {
--- a/owner/fleet.go
+++ b/owner/fleet.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"lemonstream.dev/lemonstream/clock"
 	"lemonstream.dev/lemonstream/outside"
 	"lemonstream.dev/lemonstream/pool"
 )
@@ -297,7 +296,7 @@
 
 // orderOne gives one order, if the tenure was confirmed a moment ago.
 func (f *fleet) orderOne(ctx context.Context, instance, to string, wave int64) error {
-	if age := f.deps.Clock.Now().Sub(clock.FromMillis(f.tenure.wrote.Load())); age > orderFresh {
+	if age := f.tenure.age(); age > orderFresh {
 		return &LostError{
 			Part:   partInstances,
 			Reason: "the last write is " + age.String() + " old",
--- a/owner/keeper.go
+++ b/owner/keeper.go
@@ -36,6 +36,10 @@
 	// for a successor that reaches the store to take over.
 	staleWrites = 1200 * time.Millisecond
 
+	// slowFactor times these two is what an owner may take while the store is
+	// slow; twice the second stays below ownerHorizon.
+	slowFactor = 2
+
 	// rankPause keeps successors from racing: each waits this much longer than
 	// the one before.
 	rankPause = 200 * time.Millisecond
@@ -197,7 +201,7 @@
 	if !found {
 		return 0, false
 	}
-	return k.deps.Clock.Now().Sub(clock.FromMillis(h.tenure.wrote.Load())), true
+	return h.tenure.age(), true
 }
 
 // Run watches the owners of all services until ctx ends.
--- a/owner/keeper_test.go
+++ b/owner/keeper_test.go
@@ -92,6 +92,7 @@
 			Group:    group,
 			Log:      log,
 			Table:    table,
+			Slow:     func() bool { return false },
 			Workers:  outside.Workers{},
 			Catalog:  func() *catalog.Catalog { return current },
 			Registry: registry,
--- a/owner/succession.go
+++ b/owner/succession.go
@@ -92,7 +92,7 @@
 	switch {
 	case err == nil && pong.Incarnation != o.Owner:
 		w.dead = true
-	case err == nil && pong.Owns && pong.WriteAge < staleWrites:
+	case err == nil && pong.Owns && pong.WriteAge < k.patient(staleWrites):
 		w.failures = 0
 	case err == nil:
 		// The owner itself says that it does not write, or owns nothing.
@@ -121,13 +121,22 @@
 // writesNothing watches an owner's beat for a little longer than its pause.
 func (k *Keeper) writesNothing(ctx context.Context, service string) bool {
 	_, before, err := k.beat(ctx, service)
-	if err != nil || !clock.Sleep(ctx, silentWrites) {
+	if err != nil || !clock.Sleep(ctx, k.patient(silentWrites)) {
 		return false
 	}
 	_, after, err := k.beat(ctx, service)
 	return err == nil && before == after
 }
 
+// patient returns how long an owner may take, given what it may on a calm day:
+// with a slow store each write takes the time of several.
+func (k *Keeper) patient(calm time.Duration) time.Duration {
+	if k.deps.Slow() {
+		return slowFactor * calm
+	}
+	return calm
+}
+
 // beat reads the last beat of a part's owner and its version.
 func (k *Keeper) beat(ctx context.Context, part string) (Beat, int64, error) {
 	row, err := k.deps.Table.Row(ctx, beatKey(part))
--- a/owner/tenure.go
+++ b/owner/tenure.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"sync/atomic"
 	"time"
@@ -18,8 +19,24 @@
 
 	// commitRetry is the pause before a refused transaction is sent again.
 	commitRetry = 60 * time.Millisecond
+
+	// failingAfter is how many tries in a row without success mean that the store
+	// takes nothing at the moment. Where it loses a third of its answers, one
+	// transaction in thirty meets that.
+	failingAfter = 3
 )
 
+// tenureEntries is the most entries of a transaction that the tenure itself takes:
+// two conditions, the beat, and the owner's row at a release.
+const tenureEntries = 4
+
+// ExistsError reports that a transaction was not applied, although the part is
+// still owned, because rows stood that it was to create.
+type ExistsError struct {
+	Part string
+	Rows []outside.Row
+}
+
 // LostError reports that a tenure ended because another owner was seen or the
 // store could not be written for too long.
 type LostError struct {
@@ -27,6 +44,11 @@
 	Reason string
 }
 
+// Error implements error.
+func (e *ExistsError) Error() string {
+	return fmt.Sprintf("part %s: %d rows stand already", e.Part, len(e.Rows))
+}
+
 // Error implements error.
 func (e *LostError) Error() string {
 	return e.Part + " is no longer owned: " + e.Reason
@@ -51,6 +73,9 @@
 	// is the same in milliseconds, for those who ask.
 	lastWrite time.Time
 	wrote     atomic.Int64
+
+	// failures counts the tries without success since the last one with it.
+	failures atomic.Int64
 }
 
 func newTenure(deps Deps, part string, won claim, now time.Time) *tenure {
@@ -67,16 +92,36 @@
 	return t
 }
 
+// age returns how long ago the last transaction that was applied was sent.
+func (t *tenure) age() time.Duration {
+	return t.clock.Now().Sub(clock.FromMillis(t.wrote.Load()))
+}
+
+// failing reports whether the store takes nothing at the moment: single answers
+// may be lost.
+func (t *tenure) failing() bool {
+	return t.failures.Load() >= failingAfter
+}
+
 // noteWrite notes that a transaction sent at the instant was applied.
 func (t *tenure) noteWrite(sent time.Time) {
 	t.lastWrite = sent
 	t.wrote.Store(clock.Millis(sent))
 }
 
+// rowChanges are the rows of one transaction, besides those of the tenure.
+type rowChanges struct {
+	puts    []outside.Put
+	removes []outside.Key
+
+	// creates names the rows among puts that must not stand yet.
+	creates []outside.Key
+}
+
 // transaction builds the next transaction. The beat carries what a successor has
 // to know; its epoch and sequence are filled in here. release says in it that the owner
 // gives no more orders.
-func (t *tenure) transaction(beat Beat, puts []outside.Put, removes []outside.Key, release bool) outside.Transaction {
+func (t *tenure) transaction(beat Beat, rows rowChanges, release bool) outside.Transaction {
 	t.sequence++
 	beat.Epoch = t.epoch
 	beat.Sequence = t.sequence
@@ -92,7 +137,12 @@
 			Key:   beatKey(t.part),
 			Value: encodeRow(beat),
 		}},
-		Removes: removes,
+		Removes: rows.removes,
+	}
+	for _, key := range rows.creates {
+		tx.Checks = append(tx.Checks, outside.Check{
+			Key: key,
+		})
 	}
 	if release {
 		tx.Puts = append(tx.Puts, outside.Put{
@@ -103,35 +153,51 @@
 			}),
 		})
 	}
-	tx.Puts = append(tx.Puts, puts...)
+	tx.Puts = append(tx.Puts, rows.puts...)
 	return tx
 }
 
 // write sends a transaction until its fate is known, and returns the version of
 // its rows. Every try carries the same conditions, so that it takes effect once
 // at the most; a conflict in which the beat already shows this transaction's
-// number is the success of an earlier try.
+// number is the success of an earlier try. A conflict about other rows only is an
+// *ExistsError.
 func (t *tenure) write(ctx context.Context, tx outside.Transaction) (int64, error) {
 	want := string(tx.Puts[0].Value)
 	for {
 		receipt, err := t.table.Transact(ctx, tx)
 		if err == nil {
+			t.failures.Store(0)
 			return receipt.Version, nil
 		}
 		var conflict *outside.ConflictError
 		if errors.As(err, &conflict) {
-			row, found := conflict.Find(beatKey(t.part))
-			if found && string(row.Value) == want {
-				return row.Version, nil
-			}
-			return 0, &LostError{
-				Part:   t.part,
-				Reason: "the table names another owner",
-			}
+			t.failures.Store(0)
+			return t.conflicted(conflict, want)
 		}
+		t.failures.Add(1)
 		t.log.Warn("transaction without success", "part", t.part, "epoch", t.epoch, "error", err.Error())
 		if !clock.Sleep(ctx, commitRetry) {
 			return 0, ctx.Err()
 		}
 	}
 }
+
+// conflicted tells what a conflict means for a transaction whose beat is want.
+func (t *tenure) conflicted(conflict *outside.ConflictError, want string) (int64, error) {
+	beat, _ := conflict.Find(beatKey(t.part))
+	if string(beat.Value) == want {
+		return beat.Version, nil
+	}
+	owner, _ := conflict.Find(ownerKey(t.part))
+	if owner.Version == t.ownerVersion && beat.Version == t.beatVersion {
+		return 0, &ExistsError{
+			Part: t.part,
+			Rows: conflict.Rows,
+		}
+	}
+	return 0, &LostError{
+		Part:   t.part,
+		Reason: "the table names another owner",
+	}
+}
--- a/owner/waves.go
+++ b/owner/waves.go
@@ -109,7 +109,9 @@
 	}
 	if len(puts) > 0 || release || now.Sub(f.tenure.lastWrite) >= beatPause {
 		bounded, cancel := context.WithTimeout(ctx, ownerHorizon)
-		version, err := f.tenure.write(bounded, f.tenure.transaction(Beat{}, puts, nil, release))
+		version, err := f.tenure.write(bounded, f.tenure.transaction(Beat{}, rowChanges{
+			puts: puts,
+		}, release))
 		cancel()
 		if err != nil {
 			return fmt.Errorf("writing the waves: %w", err)
--- a/peer/client.go
+++ b/peer/client.go
@@ -33,12 +33,12 @@
 	// cancelTimeout bounds a cancellation, which the owner writes first.
 	cancelTimeout = 1200 * time.Millisecond
 
-	// transactTimeout bounds a transaction sent by another entry: longer than a
-	// call to the store, so that its answer is not lost here.
-	transactTimeout = 1100 * time.Millisecond
+	// submitTimeout bounds a job's handing in, which the owner writes first: with
+	// a slow store, that takes the rest of one transaction and another.
+	submitTimeout = 2500 * time.Millisecond
 
 	// conns is the most connections to one entry.
-	conns = 4
+	conns = 8
 
 	// idle is how long an unused connection is kept.
 	idle = 90 * time.Second
@@ -55,32 +55,12 @@
 	pathPending = "/v1/pending"
 	pathPing    = "/v1/ping"
 	pathState   = "/v1/state"
-
-	pathTransact = "/v1/transact"
+	pathSubmit  = "/v1/submit"
 )
 
 // queryService names the service that a call is about.
 const queryService = "service"
 
-// Outcomes of a transaction that another entry sent.
-const (
-	outcomeConflict  outcome = "conflict"
-	outcomeDone      outcome = "done"
-	outcomeNotDone   outcome = "not done"
-	outcomeUncertain outcome = "uncertain"
-)
-
-// outcome is what became of a transaction.
-type outcome string
-
-// transactAnswer is the body of an answer to a transaction.
-type transactAnswer struct {
-	Outcome outcome         `json:"outcome"`
-	Receipt outside.Receipt `json:"receipt"`
-	Rows    []outside.Row   `json:"rows"`
-	Reason  string          `json:"reason"`
-}
-
 // Client calls other entries.
 type Client struct {
 	http *http.Client
@@ -193,46 +173,20 @@
 	return answer.Count, nil
 }
 
-// Transact lets another entry send a transaction, for one that can't reach the
-// store. Its errors are those of outside.Table; a call without an answer leaves
-// the outcome open.
-func (c *Client) Transact(ctx context.Context, to netip.AddrPort, tx outside.Transaction) (outside.Receipt, error) {
-	body, err := json.Marshal(tx)
-	if err != nil {
-		return outside.Receipt{}, fmt.Errorf("encoding a transaction: %w", err)
-	}
-	_, answered, err := c.call(ctx, transactTimeout, http.MethodPost, to, pathTransact, url.Values{}, body)
-	if err != nil {
-		return outside.Receipt{}, err
-	}
-	var answer transactAnswer
-	if err := json.Unmarshal(answered, &answer); err != nil {
-		return outside.Receipt{}, &outside.UncertainError{
-			Call:  pathTransact,
-			Cause: err,
-		}
-	}
-	switch answer.Outcome {
-	case outcomeDone:
-		return answer.Receipt, nil
-	case outcomeConflict:
-		return outside.Receipt{}, &outside.ConflictError{
-			Rows: answer.Rows,
-		}
-	case outcomeNotDone:
-		return outside.Receipt{}, &outside.NotDoneError{
-			Call:   pathTransact,
-			Reason: answer.Reason,
-		}
-	default:
-		return outside.Receipt{}, &outside.UncertainError{
-			Call: pathTransact,
-			Cause: &outside.NotDoneError{
-				Call:   pathTransact,
-				Reason: answer.Reason,
-			},
+// Submit hands a job in at the owner of its service, and returns once its record
+// stands. A *outside.NotDoneError or a *NotOwnerError says that it was not taken.
+func (c *Client) Submit(ctx context.Context, to netip.AddrPort, service string, record shard.Record) error {
+	status, _, err := c.call(ctx, submitTimeout, http.MethodPost, to, pathSubmit, url.Values{
+		queryService: {service},
+	}, record.Encode())
+	if err == nil && status == http.StatusConflict {
+		return &outside.NotDoneError{
+			Call:   pathSubmit,
+			Status: status,
+			Reason: "the owner takes no jobs now",
 		}
 	}
+	return err
 }
 
 // Ping asks an entry whether it owns a service and writes.
@@ -290,7 +244,7 @@
 		return 0, nil, callError(path, err)
 	}
 	switch response.StatusCode {
-	case http.StatusOK, http.StatusNoContent, http.StatusNotFound:
+	case http.StatusOK, http.StatusNoContent, http.StatusNotFound, http.StatusConflict:
 		return response.StatusCode, read, nil
 	case http.StatusMisdirectedRequest:
 		return 0, nil, &NotOwnerError{
--- a/peer/server.go
+++ b/peer/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -23,9 +22,6 @@
 	// Duty returns the duty of a service that this entry owns.
 	Duty func(service string) (*owner.Duty, bool)
 
-	// Table sends the transactions of entries that can't reach the store.
-	Table outside.Table
-
 	// WriteAge returns how long ago the duty of a service last wrote.
 	WriteAge func(service string) (time.Duration, bool)
 }
@@ -33,7 +29,7 @@
 // Routes adds the protocol to a router.
 func (s *Server) Routes(router *gin.Engine) {
 	router.GET(pathPing, s.ping)
-	router.POST(pathTransact, s.transact)
+	router.POST(pathSubmit, s.owned(s.submit))
 	router.GET(pathState, s.owned(s.state))
 	router.GET(pathPending, s.owned(s.pending))
 	router.POST(pathLoad, s.owned(s.load))
@@ -89,14 +85,8 @@
 		c.Status(http.StatusBadRequest)
 		return
 	}
-	body, err := io.ReadAll(io.LimitReader(c.Request.Body, maxBody))
-	if err != nil {
-		c.Status(http.StatusBadRequest)
-		return
-	}
-	record, err := shard.DecodeRecord(body)
-	if err != nil {
-		c.String(http.StatusBadRequest, err.Error())
+	record, ok := s.record(c)
+	if !ok {
 		return
 	}
 	if err := duty.Offer(record, version, c.Query("first") == "true"); err != nil {
@@ -137,30 +127,36 @@
 	})
 }
 
-// transact sends a transaction for an entry that can't reach the store.
-func (s *Server) transact(c *gin.Context) {
-	var tx outside.Transaction
-	if err := c.ShouldBindJSON(&tx); err != nil {
-		c.String(http.StatusBadRequest, err.Error())
+// submit takes a job in. An answer of 409 says that it was not taken.
+func (s *Server) submit(c *gin.Context, duty *owner.Duty) {
+	record, ok := s.record(c)
+	if !ok {
 		return
 	}
-	receipt, err := s.Table.Transact(c.Request.Context(), tx)
-	answer := transactAnswer{
-		Outcome: outcomeDone,
-		Receipt: receipt,
-	}
-	var conflict *outside.ConflictError
+	ctx, stop := context.WithTimeout(c.Request.Context(), submitTimeout)
+	defer stop()
+	err := duty.Submit(ctx, record)
 	switch {
 	case err == nil:
-	case errors.As(err, &conflict):
-		answer.Outcome = outcomeConflict
-		answer.Rows = conflict.Rows
+		c.Status(http.StatusNoContent)
 	case outside.IsNotDone(err):
-		answer.Outcome = outcomeNotDone
-		answer.Reason = err.Error()
+		c.String(http.StatusConflict, err.Error())
 	default:
-		answer.Outcome = outcomeUncertain
-		answer.Reason = err.Error()
+		c.String(http.StatusGatewayTimeout, err.Error())
+	}
+}
+
+// record reads the record of a job; it answers the call where there is none.
+func (s *Server) record(c *gin.Context) (shard.Record, bool) {
+	body, err := io.ReadAll(io.LimitReader(c.Request.Body, maxBody))
+	if err != nil {
+		c.Status(http.StatusBadRequest)
+		return shard.Record{}, false
+	}
+	record, err := shard.DecodeRecord(body)
+	if err != nil {
+		c.String(http.StatusBadRequest, err.Error())
+		return shard.Record{}, false
 	}
-	c.JSON(http.StatusOK, answer)
+	return record, true
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -78,6 +78,7 @@
 	group    *kernel.Group
 	log      *slog.Logger
 	table    outside.Table
+	patience *outside.Patience
 	workers  outside.Workers
 	figures  *figures.Set
 	health   *storeHealth
@@ -135,7 +136,8 @@
 	d.health = &storeHealth{
 		now: d.clock.Now,
 	}
-	d.table = figures.ObserveTable(d.figures, d.health.observe(platform.NewTable(settings.Store)))
+	d.patience = outside.NewPatience(d.clock)
+	d.table = d.patience.Hasten(figures.ObserveTable(d.figures, d.health.observe(platform.NewTable(settings.Store))))
 	d.workers = figures.ObserveWorkers(d.figures, platform.NewWorkers())
 	listener, err := listenPeers(settings)
 	if err != nil {
@@ -170,6 +172,7 @@
 		Group:    d.group,
 		Log:      d.log,
 		Table:    d.table,
+		Slow:     d.patience.Slow,
 		Workers:  d.workers,
 		Catalog:  d.catalog.Current,
 		Registry: registry,
@@ -355,6 +358,7 @@
 			Peers: peers,
 		},
 		Table:          d.table,
+		Slow:           d.patience.Slow,
 		DeadlineHeader: deadlineHeader,
 	}
 	router := gin.New()
@@ -367,7 +371,6 @@
 	server := &peer.Server{
 		Incarnation: self.Incarnation,
 		Duty:        d.keeper.Duty,
-		Table:       d.table,
 		WriteAge:    d.keeper.WriteAge,
 	}
 	server.Routes(router)
--- /dev/null
+++ b/shard/batch.go
@@ -0,0 +1,283 @@
+package shard
+
+import (
+	"sort"
+	"time"
+
+	"lemonstream.dev/lemonstream/job"
+)
+
+const (
+	// progressEntries is the most entries of a transaction that one row of
+	// progress takes: itself, the record that it removes, and the wish for its
+	// cancellation.
+	progressEntries = 3
+
+	// recordEntries is what one record takes: itself, and the condition that it
+	// does not stand yet.
+	recordEntries = 2
+
+	// recordBytes bounds the records of one batch: half of what the platform
+	// takes in one transaction.
+	recordBytes = 512 << 10
+)
+
+// Batch is what has to be written as one transaction.
+type Batch struct {
+	// Records are of jobs that were handed in here; none may stand yet.
+	Records []Record
+
+	Writes []Write
+
+	// number is the batch's own; whole says that no progress was left out.
+	number int64
+	whole  bool
+}
+
+// Existing is a record that stood already when a batch was to write it.
+type Existing struct {
+	Record  Record
+	Version int64
+}
+
+// Write is one row of progress, and whether the job's record goes with it.
+type Write struct {
+	ID       string
+	Progress Progress
+
+	// EndsRecord says that the record of the job is removed, EndsCancel that the
+	// row that asked for its cancellation is.
+	EndsRecord bool
+	EndsCancel bool
+
+	// Forget says that the row of progress itself is removed.
+	Forget bool
+}
+
+// Submit takes in a job that is handed in at this owner. done is called once its
+// record stands, or with false where it certainly was not taken. Nothing of the
+// job is started before its record stands.
+func (s *Shard) Submit(record Record, done func(taken bool)) {
+	j, known := s.jobs[record.ID]
+	switch {
+	case !known:
+		j = s.add(record)
+		j.unwritten = true
+		j.submitted = true
+		j.handed = append(j.handed, done)
+		s.submitted = append(s.submitted, j)
+	case j.unwritten:
+		j.handed = append(j.handed, done)
+	default:
+		done(true)
+	}
+}
+
+// RefuseSubmitted turns away the jobs that no batch holds yet, because the store
+// takes nothing at the moment.
+func (s *Shard) RefuseSubmitted() {
+	for _, j := range s.submitted {
+		s.countPending(j, -1)
+		delete(s.jobs, j.record.ID)
+		j.answerHanded(false)
+	}
+	s.submitted = nil
+}
+
+// TakeBatch returns what has to be written next, in at most the given number of
+// entries; false means nothing. The batch must be answered by Written or Undo, or
+// sent again until it is written: a batch whose fate is unknown stands in the way
+// of any other.
+func (s *Shard) TakeBatch(entries int) (Batch, bool) {
+	if len(s.dirty) == 0 && len(s.removed) == 0 && len(s.submitted) == 0 {
+		return Batch{}, false
+	}
+	var b Batch
+	forRecords := entries
+	if len(s.dirty) > 0 {
+		forRecords = entries / 2
+	}
+	entries -= recordEntries * s.takeRecords(&b, forRecords/recordEntries)
+	entries -= progressEntries * s.takeProgress(&b, entries/progressEntries)
+	s.takeRemoved(&b, entries)
+	return b, true
+}
+
+// takeRecords moves records into a batch and returns their number.
+func (s *Shard) takeRecords(b *Batch, most int) int {
+	size := 0
+	for len(s.submitted) > 0 && len(b.Records) < most {
+		j := s.submitted[0]
+		size += len(j.record.Encode())
+		if size > recordBytes && len(b.Records) > 0 {
+			break
+		}
+		s.submitted = s.submitted[1:]
+		j.submitted = false
+		b.Records = append(b.Records, j.record)
+	}
+	return len(b.Records)
+}
+
+// takeProgress moves rows of progress into a batch and returns their number.
+func (s *Shard) takeProgress(b *Batch, most int) int {
+	ids := make([]string, 0, len(s.dirty))
+	for id := range s.dirty {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	b.whole = len(ids) <= most
+	if b.whole {
+		s.batch++
+	} else {
+		ids = ids[:most]
+	}
+	b.number = s.batch
+	for _, id := range ids {
+		j := s.dirty[id]
+		delete(s.dirty, id)
+		b.Writes = append(b.Writes, Write{
+			ID:         id,
+			Progress:   j.progress(),
+			EndsRecord: j.state.Final(),
+			EndsCancel: j.state.Final() && j.cancelRow,
+		})
+	}
+	return len(ids)
+}
+
+// takeRemoved moves rows of forgotten jobs into a batch.
+func (s *Shard) takeRemoved(b *Batch, most int) {
+	for n := 0; n < most && len(s.removed) > 0; n++ {
+		b.Writes = append(b.Writes, Write{
+			ID:     s.removed[0],
+			Forget: true,
+		})
+		s.removed = s.removed[1:]
+	}
+}
+
+// Written takes in that a batch was written: states may be shown, ends
+// acknowledged, and jobs that were handed in started.
+func (s *Shard) Written(b Batch, now time.Time) {
+	if b.whole {
+		s.done = b.number
+	}
+	for _, record := range b.Records {
+		if j := s.jobs[record.ID]; j != nil && j.unwritten {
+			s.recordStands(j, now)
+		}
+	}
+	for _, w := range b.Writes {
+		s.writtenProgress(w, now)
+	}
+	for _, w := range s.workers {
+		if w.acked < w.processed && s.done >= w.ackBatch && !w.holding && w.failures == 0 {
+			w.holdAt = now
+		}
+	}
+}
+
+// recordStands takes in that the record of a job was written that was handed in
+// here. No owner before this one can have seen the job.
+func (s *Shard) recordStands(j *jobState, now time.Time) {
+	j.unwritten = false
+	j.fresh = true
+	j.answerHanded(true)
+	s.opts.Report("job taken", "job", j.record.ID, "route", j.record.Route, "fresh", true,
+		"age_ms", now.Sub(j.record.accepted()).Milliseconds())
+	if j.state.Final() {
+		return
+	}
+	s.opts.Show(j.record.ID, job.Queued)
+	s.schedule(j, now)
+}
+
+// writtenProgress takes in that a row of progress stands.
+func (s *Shard) writtenProgress(w Write, now time.Time) {
+	j := s.jobs[w.ID]
+	if w.Forget || j == nil {
+		return
+	}
+	s.opts.Show(w.ID, w.Progress.State)
+	if !w.Progress.State.Final() {
+		return
+	}
+	s.opts.Report("job ended", "job", w.ID, "state", string(w.Progress.State), "late_ms", now.Sub(j.deadline).Milliseconds())
+	j.unwritten = false
+	j.answerHanded(true)
+	for _, then := range j.asked {
+		then()
+	}
+	j.asked = nil
+}
+
+// Undo takes back a batch that certainly was not written, because some of its
+// records stood already.
+func (s *Shard) Undo(b Batch, existing []Existing, now time.Time) {
+	stand := make(map[string]Existing, len(existing))
+	for _, e := range existing {
+		stand[e.Record.ID] = e
+	}
+	for _, record := range b.Records {
+		j := s.jobs[record.ID]
+		if j == nil || !j.unwritten {
+			continue
+		}
+		if e, found := stand[record.ID]; found {
+			s.adopt(j, e, now)
+			continue
+		}
+		j.submitted = true
+		s.submitted = append(s.submitted, j)
+	}
+	for _, w := range b.Writes {
+		if j := s.jobs[w.ID]; j != nil && !w.Forget {
+			s.dirty[w.ID] = j
+		} else if w.Forget {
+			s.removed = append(s.removed, w.ID)
+		}
+	}
+}
+
+// adopt takes in a job whose record another entry has written. An owner before
+// may have been told of it.
+func (s *Shard) adopt(j *jobState, e Existing, now time.Time) {
+	if j.state.Final() {
+		// It was withdrawn meanwhile; its final state follows and takes the record
+		// away.
+		j.unwritten = false
+		j.answerHanded(true)
+		return
+	}
+	waiting := j.handed
+	s.countPending(j, -1)
+	delete(s.jobs, j.record.ID)
+	s.Accept(e.Record, e.Version, false, now)
+	for _, done := range waiting {
+		done(true)
+	}
+}
+
+// unsubmit takes a job that is withdrawn out of those whose record is to be
+// written: its final state alone is.
+func (s *Shard) unsubmit(j *jobState) {
+	if !j.submitted {
+		return
+	}
+	j.submitted = false
+	for i, other := range s.submitted {
+		if other == j {
+			s.submitted = append(s.submitted[:i], s.submitted[i+1:]...)
+			return
+		}
+	}
+}
+
+// answerHanded tells those who handed the job in what became of it.
+func (j *jobState) answerHanded(taken bool) {
+	for _, done := range j.handed {
+		done(taken)
+	}
+	j.handed = nil
+}
--- /dev/null
+++ b/shard/batch_test.go
@@ -0,0 +1,123 @@
+package shard_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lemonstream.dev/lemonstream/job"
+)
+
+func TestJobHandedInStartsOnceItsRecordStands(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(2)
+	w.run(200 * time.Millisecond)
+	w.storeDown = true
+	w.handIn("a", step(2))
+	w.run(2 * time.Second)
+	_, answered := w.taken["a"]
+	is.True(!answered)
+	is.Equal(w.shown["a"], job.State("")) // Nobody may be told of a job that may never be taken.
+	w.storeDown = false
+	w.run(100 * time.Millisecond)
+	is.True(w.taken["a"])
+	w.run(2 * time.Second)
+	is.Equal(w.shown["a"], job.Completed)
+	w.check(t) // The oracle reports a start before the record stands.
+}
+
+func TestManyJobsHandedInShareTransactions(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(4)
+	w.run(200 * time.Millisecond)
+	for i := 0; i < 40; i++ {
+		w.handIn(fmt.Sprintf("j%02d", i), step(1))
+	}
+	w.run(300 * time.Millisecond)
+	is.Equal(len(w.taken), 40)
+	w.run(5 * time.Second)
+	is.Equal(len(w.records), 0)
+	w.check(t)
+}
+
+func TestQueuedJobsAreRefusedWhileTheStoreTakesNothing(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(2)
+	w.run(200 * time.Millisecond)
+	w.storeDown = true
+	w.handIn("a", step(1))
+	w.run(50 * time.Millisecond) // Its record is under way, and its fate is open.
+	w.handIn("b", step(1))
+	w.core.RefuseSubmitted()
+	taken, answered := w.taken["b"]
+	is.True(answered && !taken)
+	_, answered = w.taken["a"]
+	is.True(!answered)
+	w.storeDown = false
+	w.run(3 * time.Second)
+	is.Equal(w.shown["a"], job.Completed)
+	is.True(!w.stood["b"]) // What was refused never runs.
+	is.Equal(w.core.Pending()["q"], 0)
+	w.check(t)
+}
+
+func TestJobThatAnEntryWroteMeanwhileIsOneJob(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(2)
+	w.run(200 * time.Millisecond)
+	w.handIn("a", step(1))
+	w.handIn("b", step(1))
+	w.store(w.record("a", step(1)))
+	w.run(3 * time.Second)
+	is.True(w.taken["a"])
+	is.True(w.taken["b"])
+	is.Equal(w.shown["a"], job.Completed)
+	is.Equal(w.shown["b"], job.Completed)
+	is.Equal(w.core.Pending()["q"], 0)
+	w.check(t)
+}
+
+func TestJobHandedInTwiceIsOneJob(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(2)
+	w.run(200 * time.Millisecond)
+	w.handIn("a", step(1))
+	w.handIn("a", step(1))
+	w.run(3 * time.Second)
+	is.True(w.taken["a"])
+	w.taken["a"] = false
+	w.handIn("a", step(1))
+	is.True(w.taken["a"]) // It has ended and is still known.
+	w.run(time.Second)
+	is.Equal(len(w.records), 0)
+	w.check(t)
+}
+
+func TestJobWithdrawnBeforeItsRecordStandsNeverRuns(t *testing.T) {
+	cases := map[string]time.Duration{
+		"no batch holds it": 0,
+		"it is under way":   2 * tick,
+	}
+	for name, wait := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(2)
+			w.run(200 * time.Millisecond)
+			w.storeDown = true
+			w.handIn("a", step(1))
+			w.run(wait)
+			withdrawn := false
+			is.True(w.core.Cancel("a", w.now, func() { withdrawn = true }))
+			w.storeDown = false
+			w.run(2 * time.Second)
+			is.True(withdrawn)
+			is.True(w.taken["a"])
+			is.Equal(w.shown["a"], job.Cancelled)
+			is.Equal(len(w.records), 0)
+			is.Equal(w.core.Pending()["q"], 0)
+			w.check(t)
+		})
+	}
+}
--- a/shard/jobs.go
+++ b/shard/jobs.go
@@ -1,37 +1,11 @@
 package shard
 
 import (
-	"sort"
 	"time"
 
 	"lemonstream.dev/lemonstream/job"
 )
 
-// batchJobs is the most jobs in one batch: each takes up to two of the entries
-// of a transaction, and the rows of workers and the owner take the rest.
-const batchJobs = 34
-
-// Write is one row of progress, and whether the job's record goes with it.
-type Write struct {
-	ID       string
-	Progress Progress
-
-	// EndsRecord says that the record of the job is removed.
-	EndsRecord bool
-
-	// Forget says that the row of progress itself is removed.
-	Forget bool
-}
-
-// Batch is what has to be written as one transaction.
-type Batch struct {
-	Writes []Write
-
-	// number is the batch's own; whole says that nothing was left out.
-	number int64
-	whole  bool
-}
-
 // Accept takes in a job whose record stands in the table at the given version.
 // direct says that the entry that wrote it tells this owner and has told none
 // before.
@@ -153,86 +127,35 @@
 		return true
 	}
 	s.opts.Report("job cancelled", "job", id, "state", string(j.state), "runs", j.active)
+	s.unsubmit(j)
 	j.asked = append(j.asked, then)
 	s.finishJob(j, job.Cancelled, now)
 	return true
 }
 
-// Known returns the state of a job as decided, which may not be written yet.
-func (s *Shard) Known(id string) (job.State, bool) {
+// CancelByRow withdraws a job because a row asks for it; the row goes with the
+// job's final state.
+func (s *Shard) CancelByRow(id string, now time.Time) {
 	j, known := s.jobs[id]
 	if !known {
-		return "", false
-	}
-	return j.state, true
-}
-
-// TakeBatch returns what has to be written next; false means nothing. The batch
-// must be answered by Written, or taken again until it is written: a batch
-// whose fate is unknown stands in the way of any other.
-func (s *Shard) TakeBatch() (Batch, bool) {
-	if len(s.dirty) == 0 && len(s.removed) == 0 {
-		return Batch{}, false
-	}
-	ids := make([]string, 0, len(s.dirty))
-	for id := range s.dirty {
-		ids = append(ids, id)
-	}
-	sort.Strings(ids)
-	b := Batch{
-		whole: len(ids) <= batchJobs,
-	}
-	if !b.whole {
-		ids = ids[:batchJobs]
-	} else {
-		s.batch++
-	}
-	b.number = s.batch
-	for _, id := range ids {
-		j := s.dirty[id]
-		delete(s.dirty, id)
-		b.Writes = append(b.Writes, Write{
-			ID:         id,
-			Progress:   j.progress(),
-			EndsRecord: j.state.Final(),
-		})
+		s.opts.Report("cancellation without a job", "job", id)
+		return
 	}
-	for len(s.removed) > 0 && len(b.Writes) < batchJobs {
-		b.Writes = append(b.Writes, Write{
-			ID:     s.removed[0],
-			Forget: true,
-		})
-		s.removed = s.removed[1:]
+	j.cancelRow = true
+	if j.state.Final() {
+		s.dirty[id] = j
+		return
 	}
-	return b, true
+	s.Cancel(id, now, func() {})
 }
 
-// Written takes in that a batch was written: states may be shown and ends
-// acknowledged.
-func (s *Shard) Written(b Batch, now time.Time) {
-	if b.whole {
-		s.done = b.number
-	}
-	for _, w := range b.Writes {
-		j := s.jobs[w.ID]
-		if w.Forget || j == nil {
-			continue
-		}
-		s.opts.Show(w.ID, w.Progress.State)
-		if !w.Progress.State.Final() {
-			continue
-		}
-		s.opts.Report("job ended", "job", w.ID, "state", string(w.Progress.State), "late_ms", now.Sub(j.deadline).Milliseconds())
-		for _, then := range j.asked {
-			then()
-		}
-		j.asked = nil
-	}
-	for _, w := range s.workers {
-		if w.acked < w.processed && s.done >= w.ackBatch && !w.holding && w.failures == 0 {
-			w.holdAt = now
-		}
+// Known returns the state of a job as decided, which may not be written yet.
+func (s *Shard) Known(id string) (job.State, bool) {
+	j, known := s.jobs[id]
+	if !known {
+		return "", false
 	}
+	return j.state, true
 }
 
 // forget drops jobs that ended long ago, with their rows.
--- a/shard/jobstate.go
+++ b/shard/jobstate.go
@@ -38,6 +38,16 @@
 	// active counts the runs at workers, stopping ones included.
 	active int
 
+	// unwritten says that the job was handed in here and its record does not
+	// stand yet: nothing of it is started or shown. submitted says that no batch
+	// holds the record; handed holds who waits for it.
+	unwritten bool
+	submitted bool
+	handed    []func(taken bool)
+
+	// cancelRow says that a row asks for the job's cancellation.
+	cancelRow bool
+
 	// asked holds who waits for a cancellation to be written.
 	asked []func()
 }
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -103,6 +103,9 @@
 	// tickets holds, by the name of a step, which workers may run it.
 	tickets map[string]*permission
 
+	// submitted holds jobs whose record no batch holds yet, in their order.
+	submitted []*jobState
+
 	// dirty holds jobs whose row is behind; removed those whose rows go.
 	dirty   map[string]*jobState
 	removed []string
--- a/shard/shard_test.go
+++ b/shard/shard_test.go
@@ -143,7 +143,8 @@
 		count := rapid.IntRange(5, 25).Draw(t, "rounds")
 		for i := 0; i < count; i++ {
 			f := w.workers[rapid.SampledFrom(names).Draw(t, "worker")]
-			switch rapid.IntRange(0, 8).Draw(t, "what") {
+			id := fmt.Sprintf("j%d", i)
+			switch rapid.IntRange(0, 10).Draw(t, "what") {
 			case 0:
 				f.cut = true
 			case 1:
@@ -161,7 +162,13 @@
 			default:
 				s := step(rapid.IntRange(1, 5).Draw(t, "tasks"))
 				s.PerWorker = rapid.IntRange(0, 2).Draw(t, "per worker")
-				w.submit(fmt.Sprintf("j%d", i), s, step(2, 0))
+				if rapid.Bool().Draw(t, "at the owner") {
+					w.handIn(id, s, step(2, 0))
+				}
+				if rapid.Bool().Draw(t, "at an entry") && !w.stood[id] {
+					// Its caller asked for it again before the owner had written it.
+					w.submit(id, s, step(2, 0))
+				}
 			}
 			w.run(time.Duration(rapid.IntRange(1, 150).Draw(t, "wait")) * tick)
 		}
--- a/shard/world_test.go
+++ b/shard/world_test.go
@@ -16,6 +16,10 @@
 	tick = 10 * time.Millisecond
 
 	testLease = 4 * time.Second
+
+	// testEntries is the room of a batch in these tests; small, so that batches
+	// are cut.
+	testEntries = 12
 )
 
 // fakeRun is a run at a fake worker.
@@ -80,6 +84,11 @@
 	pending  []late
 	faults   []string
 
+	// stood holds every job whose record has stood; taken what those were told
+	// who handed a job in at the owner.
+	stood map[string]bool
+	taken map[string]bool
+
 	// storeDown keeps batches from being written; lose makes the next starts
 	// get no answer and take effect later by the given time.
 	storeDown bool
@@ -113,6 +122,8 @@
 		progress: make(map[string]shard.Progress),
 		shown:    make(map[string]job.State),
 		used:     make(map[string]bool),
+		stood:    make(map[string]bool),
+		taken:    make(map[string]bool),
 		policy: catalog.Policy{
 			Attempts: 3,
 			Stretch:  2,
@@ -215,10 +226,27 @@
 	w.faults = append(w.faults, fmt.Sprintf("%v: ", w.now.Sub(w.start))+fmt.Sprintf(format, args...))
 }
 
-// submit accepts a job with the given steps.
+// submit accepts a job with the given steps at an entry, which tells the owner.
 func (w *world) submit(id string, steps ...job.Step) {
+	record := w.record(id, steps...)
+	w.store(record)
+	w.core.Accept(record, w.version, true, w.now)
+}
+
+// handIn hands a job with the given steps in at the owner.
+func (w *world) handIn(id string, steps ...job.Step) {
+	w.core.Submit(w.record(id, steps...), func(taken bool) { w.taken[id] = taken })
+}
+
+// store writes the record of a job.
+func (w *world) store(record shard.Record) {
 	w.version++
-	record := shard.Record{
+	w.records[record.ID] = record
+	w.stood[record.ID] = true
+}
+
+func (w *world) record(id string, steps ...job.Step) shard.Record {
+	return shard.Record{
 		ID:     id,
 		Route:  "q",
 		Policy: w.policy,
@@ -227,8 +255,6 @@
 		},
 		AcceptedMillis: w.now.UnixMilli(),
 	}
-	w.records[id] = record
-	w.core.Accept(record, w.version, true, w.now)
 }
 
 // run lets virtual time pass.
@@ -300,6 +326,12 @@
 	if w.batch != nil && !w.storeDown && w.now.Sub(w.batchAt) >= 2*tick {
 		b := *w.batch
 		w.batch = nil
+		if w.undo(b) {
+			return
+		}
+		for _, record := range b.Records {
+			w.store(record)
+		}
 		for _, one := range b.Writes {
 			if one.Forget {
 				delete(w.progress, one.ID)
@@ -323,13 +355,30 @@
 		w.core.Confirm(rows, w.now)
 	}
 	if w.batch == nil {
-		if b, found := w.core.TakeBatch(); found {
+		if b, found := w.core.TakeBatch(testEntries); found {
 			w.batch = &b
 			w.batchAt = w.now
 		}
 	}
 }
 
+// undo takes a batch back of which a record stands already.
+func (w *world) undo(b shard.Batch) bool {
+	var existing []shard.Existing
+	for _, record := range b.Records {
+		if stands, found := w.records[record.ID]; found {
+			existing = append(existing, shard.Existing{
+				Record:  stands,
+				Version: w.version,
+			})
+		}
+	}
+	if len(existing) > 0 {
+		w.core.Undo(b, existing, w.now)
+	}
+	return len(existing) > 0
+}
+
 var errSilent = &outside.UncertainError{
 	Call: "test",
 }
@@ -494,6 +543,9 @@
 
 // judge notes what a start breaks.
 func (w *world) judge(f *fakeWorker, id job.TaskID, step job.Step) {
+	if !w.stood[id.Job] {
+		w.fault("%s starts on %s before its record stands", id, f.reg.ID)
+	}
 	if at, noted := w.noted[id]; noted {
 		w.fault("%s starts on %s, and its end was noted at %v", id, f.reg.ID, at.Sub(w.start))
 	}
