--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -406,11 +406,18 @@
 // isReady reports whether the entry can serve callers: it has a configuration,
 // reaches the store and has not been told to stop.
 func (d *Daemon) isReady() bool {
-	select {
-	case <-d.stopping:
+	// A select over both channels would choose by chance once both are closed.
+	if closed(d.stopping) || !closed(d.catalog.Loaded()) {
 		return false
-	case <-d.catalog.Loaded():
-		return d.health.silence() < storeSilence
+	}
+	return d.health.silence() < storeSilence
+}
+
+// closed reports whether a channel on which nothing is sent has been closed.
+func closed(channel <-chan struct{}) bool {
+	select {
+	case <-channel:
+		return true
 	default:
 		return false
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -54,6 +54,7 @@
 type entry struct {
 	settings string
 	front    string
+	ready    string
 	output   *os.File
 	command  *exec.Cmd
 }
@@ -145,6 +146,7 @@
 	e := &entry{
 		settings: path,
 		front:    "127.0.0.1:" + strconv.Itoa(ports[0]),
+		ready:    "127.0.0.1:" + strconv.Itoa(ports[1]),
 		output:   output,
 	}
 	d.entries = append(d.entries, e)
