--- a/owner/fleet.go
+++ b/owner/fleet.go
@@ -329,8 +329,8 @@
 		f.sizer.Refused(instance, to, errors.As(err, &notDone) && notDone.Status == statusBadRequest, now)
 	case errors.As(err, &lost):
 	default:
-		// It may have been done: the instance counts as under way.
-		f.sizer.Ordered(instance, to, worker, wave, now)
+		// It may have been done, or may be later: the instance counts as under way.
+		f.sizer.Unsure(instance, from, to, worker, wave, now)
 	}
 	if err != nil {
 		f.deps.Log.Warn("instance order without success", "instance", instance, "worker", worker, "from", from, "to", to, "wave", wave, "error", err.Error())
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -45,6 +45,10 @@
 	// as lost.
 	settleSlack = 3 * time.Second
 
+	// lateMost is how long after it was sent an order without an answer may still
+	// be carried out; the platform speaks of 2 to 12 s.
+	lateMost = 13 * time.Second
+
 	// retryPause is the pause before an order that failed is tried again.
 	retryPause = 500 * time.Millisecond
 
@@ -141,9 +145,16 @@
 
 type order struct {
 	at     time.Time
+	from   string
 	to     string
 	worker string
 	wave   int64
+
+	// unsure says that no answer came: the order may have been carried out, or
+	// may be later. It is given again, which does no harm, until one is answered;
+	// tried is when it was given last.
+	unsure bool
+	tried  time.Time
 }
 
 // NewSizer returns a sizer that remembers nothing yet.
@@ -162,6 +173,7 @@
 func (s *Sizer) Plan(v View) Plan {
 	s.settle(v)
 	r := newRound(s, v)
+	r.repeat()
 	r.targets()
 	r.maintain()
 	r.grow()
@@ -169,7 +181,7 @@
 	return r.finish()
 }
 
-// Ordered notes that an order was given, with or without an answer.
+// Ordered notes that an order was carried out.
 func (s *Sizer) Ordered(instance, to, worker string, wave int64, now time.Time) {
 	s.ordered[instance] = order{
 		at:     now,
@@ -179,9 +191,32 @@
 	}
 }
 
+// Unsure notes that an order got no answer.
+func (s *Sizer) Unsure(instance, from, to, worker string, wave int64, now time.Time) {
+	o, found := s.ordered[instance]
+	if !found || !o.unsure {
+		o = order{
+			at:     now,
+			from:   from,
+			to:     to,
+			worker: worker,
+			wave:   wave,
+			unsure: true,
+		}
+	}
+	o.tried = now
+	s.ordered[instance] = o
+}
+
 // Refused notes that an order had no effect; forever says that the instance
-// does not belong into that pool.
+// does not belong into that pool. One before it without an answer may still have
+// an effect.
 func (s *Sizer) Refused(instance, to string, forever bool, now time.Time) {
+	if o := s.ordered[instance]; o.unsure && !forever {
+		o.tried = now
+		s.ordered[instance] = o
+		return
+	}
 	delete(s.ordered, instance)
 	s.notBefore[instance] = now.Add(retryPause)
 	if forever && to != "" {
@@ -205,8 +240,14 @@
 		if o.wave > 0 {
 			dark = s.maintainTime
 		}
-		back := m.State == outside.InstanceUp && (m.Worker != o.worker || m.Worker == "") && age > dark
-		if !found || back || age > dark+settleSlack {
+		// A sleeping instance has no worker by which its return could be told.
+		another := m.Worker != o.worker || (m.Worker == "" && !o.unsure)
+		back := m.State == outside.InstanceUp && another && age > dark
+		forget := dark + settleSlack
+		if o.unsure {
+			forget = dark + lateMost
+		}
+		if !found || back || age > forget {
 			delete(s.ordered, id)
 		}
 	}
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -320,3 +320,45 @@
 	is.Equal(len(plan.Closed["a"]), 1)
 	is.Equal(len(plan.Moves), 1)
 }
+
+// TestOrderWithoutAnswerIsGivenAgain covers an order that may take effect seconds
+// later: until one is answered, it counts as under way, also against the bound of
+// its wave.
+func TestOrderWithoutAnswerIsGivenAgain(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(map[string]int{
+		"a":    3,
+		"b":    3,
+		asleep: 4,
+	})
+	wave := &pool.Wave{
+		Seen: f.view.Now,
+		Done: make(map[string]bool),
+	}
+	wave.Number = 1
+	wave.AtOnce = 1
+	wave.Within = time.Minute
+	for _, m := range f.view.Instances {
+		if m.Pool == asleep {
+			wave.Instances = append(wave.Instances, m.ID)
+		}
+	}
+	f.view.Waves = []*pool.Wave{wave}
+	first := f.plan().Maintenances
+	is.Equal(len(first), 1)
+	f.sizer.Unsure(first[0].Instance, first[0].Pool, "", first[0].Worker, first[0].Wave, f.view.Now)
+	repeated := 0
+	for i := 0; i < 50; i++ { // 10 s, within which the order may be carried out.
+		for _, m := range f.plan().Maintenances {
+			is.Equal(m, first[0])
+			repeated++
+			f.sizer.Refused(m.Instance, "", false, f.view.Now)
+		}
+	}
+	is.True(repeated > 5)
+	for _, m := range f.plan().Maintenances {
+		is.Equal(m, first[0])
+	}
+	f.sizer.Ordered(first[0].Instance, "", first[0].Worker, first[0].Wave, f.view.Now)
+	is.Equal(len(f.plan().Maintenances), 0) // Now it is down for sure.
+}
--- a/pool/round.go
+++ b/pool/round.go
@@ -108,6 +108,31 @@
 	return sp
 }
 
+// repeat gives orders without an answer again.
+func (r *round) repeat() {
+	for _, sp := range r.spots {
+		o, found := r.sizer.ordered[sp.instance.ID]
+		if !found || !o.unsure || r.view.Now.Sub(o.tried) < retryPause || sp.instance.State != outside.InstanceUp {
+			continue
+		}
+		if o.wave > 0 {
+			r.plan.Maintenances = append(r.plan.Maintenances, Maintenance{
+				Instance: sp.instance.ID,
+				Worker:   o.worker,
+				Pool:     o.from,
+				Wave:     o.wave,
+			})
+			continue
+		}
+		r.plan.Moves = append(r.plan.Moves, Move{
+			Instance: sp.instance.ID,
+			Worker:   o.worker,
+			From:     o.from,
+			To:       o.to,
+		})
+	}
+}
+
 // targets works out how many instances each service should have.
 func (r *round) targets() {
 	for i := range r.view.Services {
--- a/shard/events.go
+++ b/shard/events.go
@@ -311,8 +311,8 @@
 	}
 	t.failed = append(t.failed, end.Run)
 	s.dirty[j.record.ID] = j
-	if len(t.failed) >= j.policy.Attempts && !t.done {
-		s.opts.Report("attempts used", "job", j.record.ID, "task", end.Task.String(), "attempts", len(t.failed))
+	if attempts := j.attempts(end.Task, t); attempts >= j.policy.Attempts && !t.done {
+		s.opts.Report("attempts used", "job", j.record.ID, "task", end.Task.String(), "attempts", attempts)
 		s.finishJob(j, job.Failed, now)
 	}
 }
--- a/shard/jobstate.go
+++ b/shard/jobstate.go
@@ -165,6 +165,21 @@
 	return step.tasks[id.Index]
 }
 
+// attempts returns how many runs of a task have failed. A gang fails as one,
+// whichever member it was.
+func (j *jobState) attempts(id job.TaskID, t *taskState) int {
+	if !j.record.Spec.Steps[id.Step].Gang {
+		return len(t.failed)
+	}
+	failed := make(map[int64]bool)
+	for _, member := range j.occurrences[id.Occurrence].steps[id.Step].tasks {
+		for _, number := range member.failed {
+			failed[number] = true
+		}
+	}
+	return len(failed)
+}
+
 // finish marks a task as ended well and reports whether it was not before.
 func (s *stepState) finish(index int) bool {
 	if s.tasks[index].done {
--- a/shard/shard_test.go
+++ b/shard/shard_test.go
@@ -101,6 +101,30 @@
 	w.check(t)
 }
 
+func TestGangFailsAsOne(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(2)
+	poison := step(2)
+	poison.Label = "poison"
+	poison.Gang = true
+	for _, f := range w.workers {
+		f.reg.Labels = append(f.reg.Labels, "poison")
+	}
+	w.list()
+	w.run(200 * time.Millisecond)
+	w.submit("a", poison)
+	w.run(1500 * time.Millisecond)
+	is.Equal(w.shown["a"], job.Running)
+	w.takeOver() // What each member has failed is added up across owners.
+	w.run(20 * time.Second)
+	is.Equal(w.shown["a"], job.Failed)
+	ends := 0
+	for _, f := range w.workers {
+		ends += int(f.number)
+	}
+	is.Equal(ends, 2*w.policy.Attempts) // Both members of three runs.
+}
+
 func TestCancelledJobStopsEverywhere(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(3)
--- a/shard/world_test.go
+++ b/shard/world_test.go
@@ -301,6 +301,8 @@
 				f.end(id, outside.EndLapsed)
 			case !r.stopAt.IsZero() && !w.now.Before(r.stopAt):
 				f.end(id, outside.EndStopped)
+			case r.workLeft <= 0 && r.step.Gang && r.step.Label == "poison" && int(r.number)%r.step.Count != id.Index:
+				f.end(id, outside.EndBroken) // Another member has failed, each time another.
 			case r.workLeft <= 0 && !r.step.Lasting && r.step.Label == "poison":
 				f.end(id, outside.EndFailed)
 			case r.workLeft <= 0 && !r.step.Lasting:
