--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"log/slog"
 	"math/rand"
 	"net"
 	"net/http"
@@ -26,6 +27,7 @@
 	"github.com/gin-gonic/gin"
 
 	"lemonstream.dev/lemonstream/internal/standin"
+	"lemonstream.dev/lemonstream/kernel"
 	"lemonstream.dev/lemonstream/outside"
 )
 
@@ -36,7 +38,7 @@
 	entries = 3
 	workers = 4
 
-	configuration = `{"version":3,"routes":[{"name":"q","host":"h.example","pathPrefix":"/q/","timeoutMs":3000,"targetLatencyMs":600,"priority":0,"service":"s","maxAttempts":3,"stretch":1.6}],` +
+	configuration = `{"version":%d,"routes":[{"name":"q","host":"h.example","pathPrefix":"/q/","timeoutMs":3000,"targetLatencyMs":600,"priority":0,"service":"s","maxAttempts":3,"stretch":1.6}],` +
 		`"services":[{"name":"s","rejectsOverload":true}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`
 )
 
@@ -46,8 +48,24 @@
 	rows    *standin.Rows
 	oracle  *standin.Oracle
 	store   *httptest.Server
+	faulty  *faultyStore
+	group   *kernel.Group
 	binary  string
 	entries []*entry
+
+	// links lead to the entries, to the workers, and from each entry to the store.
+	links []*link
+
+	// version is that of the configuration; mending are the ends of faults that
+	// are still in force.
+	version int
+	mending []mend
+}
+
+// mend is the end of a fault.
+type mend struct {
+	at time.Time
+	do func()
 }
 
 // entry is one entry process, started again whenever it ends.
@@ -63,11 +81,14 @@
 	t.Helper()
 	gin.SetMode(gin.ReleaseMode)
 	d := &deployment{
-		t:      t,
-		rows:   standin.NewRows(),
-		oracle: standin.NewOracle(),
-		binary: filepath.Join(t.TempDir(), "lemonsched"),
+		t:       t,
+		rows:    standin.NewRows(),
+		oracle:  standin.NewOracle(),
+		group:   kernel.NewGroup(context.Background(), slog.New(slog.NewTextHandler(io.Discard, nil))),
+		binary:  filepath.Join(t.TempDir(), "lemonsched"),
+		version: 3,
 	}
+	d.faulty = breakable(d.rows)
 	build := exec.Command("go", "build", "-buildvcs=false", "-o", d.binary, "lemonstream.dev/lemonstream/cmd/lemonsched")
 	if out, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("building the entry: %v\n%s", err, out)
@@ -76,10 +97,7 @@
 	standin.StoreRoutes(router, d.rows)
 	d.store = httptest.NewServer(router)
 	t.Cleanup(d.store.Close)
-	d.rows.Write(outside.Key{
-		Table: "op",
-		Name:  "config",
-	}, []byte(configuration))
+	d.configure()
 	for i := 0; i < workers; i++ {
 		d.addWorker(fmt.Sprintf("i-%d", i))
 	}
@@ -95,13 +113,20 @@
 	w.Routes(router)
 	server := httptest.NewServer(router)
 	d.t.Cleanup(server.Close)
-	w.Address = netip.MustParseAddrPort(server.Listener.Addr().String())
+	w.Address = netip.MustParseAddrPort(d.link(server.Listener.Addr().String()))
 	d.rows.Write(outside.Key{
 		Table: "servers",
 		Name:  id,
 	}, []byte(w.Registration()))
 }
 
+// link starts a proxy in front of a server and returns its address.
+func (d *deployment) link(target string) string {
+	l := newLink(d.t, d.group, target)
+	d.links = append(d.links, l)
+	return l.address()
+}
+
 // freePorts returns ports that were free a moment ago.
 func freePorts(t *testing.T, count int) []int {
 	t.Helper()
@@ -130,7 +155,7 @@
 		"listen.front=127.0.0.1:" + strconv.Itoa(ports[0]),
 		"listen.ready=127.0.0.1:" + strconv.Itoa(ports[1]),
 		fmt.Sprintf("portRange=%d,%d", ports[2], ports[2]),
-		"platform.address=" + d.store.Listener.Addr().String(),
+		"platform.address=" + d.link(d.store.Listener.Addr().String()),
 		"bounds.graceS=6",
 		"bounds.stop_ms=100",
 		"",
@@ -145,7 +170,7 @@
 	}
 	e := &entry{
 		settings: path,
-		front:    "127.0.0.1:" + strconv.Itoa(ports[0]),
+		front:    d.link("127.0.0.1:" + strconv.Itoa(ports[0])),
 		ready:    "127.0.0.1:" + strconv.Itoa(ports[1]),
 		output:   output,
 	}
@@ -207,6 +232,7 @@
 	d.t.Helper()
 	end := time.Now().Add(patience)
 	for i := 0; time.Now().Before(end); i++ {
+		d.mend(false)
 		status, answer := call(method, d.entries[i%len(d.entries)].front, path, body)
 		if accept(status, answer) {
 			return
@@ -229,10 +255,13 @@
 
 const body = `{"spec":"x","steps":[{"count":3,"cpu":1000,"memMb":100,"estimateMs":120},{"count":2,"cpu":1000,"memMb":100,"estimateMs":120,"sinceRev":[0]}]}`
 
-// fault breaks an entry from outside and mends it again.
+// fault breaks an entry, a link or the store from outside. What is not over at
+// once is mended some time later, while other faults come.
 func (d *deployment) fault(random *rand.Rand) {
 	e := d.entries[random.Intn(len(d.entries))]
-	switch random.Intn(4) {
+	l := d.links[random.Intn(len(d.links))]
+	until := time.Now().Add(time.Duration(200+random.Intn(1800)) * time.Millisecond)
+	switch random.Intn(9) {
 	case 0:
 		_ = e.command.Process.Signal(syscall.SIGKILL)
 		_, _ = e.command.Process.Wait()
@@ -245,12 +274,49 @@
 		_ = e.command.Process.Signal(syscall.SIGSTOP)
 		time.Sleep(time.Duration(random.Intn(1500)) * time.Millisecond)
 		_ = e.command.Process.Signal(syscall.SIGCONT)
-	default:
+	case 3:
 		d.rows.Forget()
 		_ = e.command.Process.Signal(syscall.SIGHUP)
+	case 4:
+		d.version++
+		d.configure()
+	case 5, 6:
+		d.faulty.set(storeFault(1 + random.Intn(int(storeFaultCount)-1)))
+		d.mendAt(until, func() { d.faulty.set(storeWorks) })
+	default:
+		l.set(linkFault(1 + random.Intn(int(linkFaults)-1)))
+		d.mendAt(until, func() { l.set(linkPasses) })
 	}
 }
 
+func (d *deployment) mendAt(at time.Time, do func()) {
+	d.mending = append(d.mending, mend{
+		at: at,
+		do: do,
+	})
+}
+
+// mend ends the faults whose time is over, or all of them.
+func (d *deployment) mend(all bool) {
+	var left []mend
+	for _, m := range d.mending {
+		if all || time.Now().After(m.at) {
+			m.do()
+			continue
+		}
+		left = append(left, m)
+	}
+	d.mending = left
+}
+
+// configure puts a new version of the configuration in force.
+func (d *deployment) configure() {
+	d.rows.Write(outside.Key{
+		Table: "op",
+		Name:  "config",
+	}, []byte(fmt.Sprintf(configuration, d.version)))
+}
+
 // TestJobsSurviveFaultsOfEntries is the short seeded run; SOAK_SEEDS asks for
 // more seeds by hand, from SOAK_FIRST on.
 func TestJobsSurviveFaultsOfEntries(t *testing.T) {
@@ -269,7 +335,7 @@
 func soak(t *testing.T, seed int64) {
 	d := deploy(t)
 	random := rand.New(rand.NewSource(seed))
-	const rounds, each = 6, 4
+	const rounds, each = 10, 3
 	var ids []string
 	for round := 0; round < rounds; round++ {
 		for i := 0; i < each; i++ {
@@ -279,6 +345,7 @@
 		}
 		d.fault(random)
 	}
+	d.mend(true)
 	for _, id := range ids {
 		d.any(http.MethodGet, "/q/"+id, "", completed)
 	}
