--- a/owner/keeper.go
+++ b/owner/keeper.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"sync"
 	"time"
@@ -28,8 +29,12 @@
 	// successor looks whether the owner still writes.
 	silentPings = 3
 
-	// silentWrites is how long an owner must have written nothing for it to be
-	// taken for lost.
+	// suspectWrites is how old an owner's last write must be, by its own word, for
+	// its beat to be watched: it has missed one.
+	suspectWrites = beatPause + 100*time.Millisecond
+
+	// silentWrites is how long a successor must have seen an owner write nothing
+	// for it to be taken for lost.
 	silentWrites = beatPause + beatPause/2
 
 	// staleWrites is how old an owner's last write must be, by its own word,
@@ -150,6 +155,9 @@
 	failures int
 	pinging  bool
 
+	// still is how the owner's beat was seen to stand still.
+	still stillness
+
 	// dead says that the owner's process certainly no longer runs; lost that it
 	// does not write any more, although it may run.
 	dead bool
@@ -158,6 +166,14 @@
 	notBefore time.Time
 }
 
+// stillness is a beat that has not changed while it was watched.
+type stillness struct {
+	version int64
+
+	// since is when the version was first seen; zero where nothing is watched.
+	since time.Time
+}
+
 // NewKeeper returns a keeper for this entry.
 func NewKeeper(deps Deps, self Self, members func() []Member, ping func(context.Context, netip.AddrPort, string) (Pong, error)) *Keeper {
 	return &Keeper{
@@ -301,16 +317,31 @@
 	}
 }
 
+// RecoveredError reports that an owner that was taken for lost writes again.
+type RecoveredError struct {
+	Part  string
+	Owner string
+}
+
+// Error implements error.
+func (e *RecoveredError) Error() string {
+	return "owner " + e.Owner + " of " + e.Part + " writes again"
+}
+
 // seize writes this entry as the owner, if nobody else did, and runs the duty.
-func (k *Keeper) seize(ctx context.Context, service string, o known, ended bool) {
+func (k *Keeper) seize(ctx context.Context, service string, o known, ended bool, still int64) {
 	defer k.unseize(service)
 	now := k.deps.Clock.Now()
-	won, err := k.claim(ctx, service, o)
+	won, err := k.claim(ctx, service, o, still)
+	var recovered *RecoveredError
 	k.mu.Lock()
 	w := k.watches[service]
 	if w != nil {
 		w.notBefore = now.Add(takePause)
 	}
+	if w != nil && errors.As(err, &recovered) {
+		w.lost = false
+	}
 	if err != nil || k.stopping {
 		k.mu.Unlock()
 		if err != nil {
--- a/owner/keeper_test.go
+++ b/owner/keeper_test.go
@@ -67,12 +67,17 @@
 }
 
 func newEntry(t *testing.T, name string, rows *standin.Rows, ping func(context.Context, netip.AddrPort, string) (owner.Pong, error)) *entry {
+	t.Helper()
+	return newEntryOn(t, name, rows.Table(), ping)
+}
+
+// newEntryOn returns an entry that reaches the store through a table of its own.
+func newEntryOn(t *testing.T, name string, table outside.Table, ping func(context.Context, netip.AddrPort, string) (owner.Pong, error)) *entry {
 	t.Helper()
 	l := newLines()
 	group := kernel.NewGroup(context.Background(), slog.New(slog.NewTextHandler(io.Discard, nil)))
 	t.Cleanup(group.Stop)
 	log := l.logger()
-	table := rows.Table()
 	registry := owner.NewRegistry(table, clock.System(), "workers", func(id string, _ []byte) (outside.Registration, error) {
 		return outside.Registration{
 			ID: id,
@@ -195,6 +200,73 @@
 	is.True(!second.owns())
 }
 
+// TestOutageThatMeetsBothCostsNoOwner lets the store be away for an owner and its
+// successor: when it is back, the owner writes on.
+func TestOutageThatMeetsBothCostsNoOwner(t *testing.T) {
+	is := is.New(t)
+	rows := standin.NewRows()
+	var away atomic.Bool
+	rows.Before = func(context.Context, standin.Call) error {
+		if away.Load() {
+			return &outside.NotDoneError{
+				Call: "any",
+			}
+		}
+		return nil
+	}
+	first := newEntry(t, "a", rows, alive("a"))
+	until(t, "the first entry owns the service", first.owns)
+	second := newEntry(t, "b", rows, func(context.Context, netip.AddrPort, string) (owner.Pong, error) {
+		age, owns := first.keeper.WriteAge("s")
+		return owner.Pong{
+			Incarnation: "a",
+			Owns:        owns,
+			WriteAge:    age,
+		}, nil
+	})
+	for i := 0; i < 2; i++ {
+		time.Sleep(time.Second)
+		away.Store(true)
+		time.Sleep(2500 * time.Millisecond)
+		away.Store(false)
+	}
+	time.Sleep(time.Second)
+	is.True(first.owns())
+	is.Equal(second.lines.of("service taken"), 0)
+}
+
+// TestOwnerThatWritesNothingIsSucceeded lets an owner answer well, and say itself
+// that the store turns it away.
+func TestOwnerThatWritesNothingIsSucceeded(t *testing.T) {
+	is := is.New(t)
+	rows := standin.NewRows()
+	var away atomic.Bool
+	table := rows.Table()
+	write := table.Transact
+	table.Transact = func(ctx context.Context, tx outside.Transaction) (outside.Receipt, error) {
+		if away.Load() {
+			return outside.Receipt{}, &outside.NotDoneError{
+				Call: "transact",
+			}
+		}
+		return write(ctx, tx)
+	}
+	first := newEntryOn(t, "a", table, alive("a"))
+	until(t, "the first entry owns the service", first.owns)
+	second := newEntry(t, "b", rows, func(context.Context, netip.AddrPort, string) (owner.Pong, error) {
+		age, owns := first.keeper.WriteAge("s")
+		return owner.Pong{
+			Incarnation: "a",
+			Owns:        owns,
+			WriteAge:    age,
+		}, nil
+	})
+	time.Sleep(time.Second)
+	is.True(!second.owns())
+	away.Store(true)
+	until(t, "the second entry owns the service", second.owns)
+}
+
 // TestSuccessorForgetsOldSuspicion lets an entry lose a service to an owner that
 // it once found silent, and that is well now.
 func TestSuccessorForgetsOldSuspicion(t *testing.T) {
--- a/owner/succession.go
+++ b/owner/succession.go
@@ -8,7 +8,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"lemonstream.dev/lemonstream/clock"
 	"lemonstream.dev/lemonstream/outside"
 )
 
@@ -45,8 +44,12 @@
 	}
 	k.seizing[service] = true
 	ended := w.dead || o.Released || o.Owner == "" || o.Owner == k.self.Incarnation
+	still := int64(0)
+	if !ended {
+		still = w.still.version
+	}
 	k.deps.Group.Go("take "+service, func(context.Context) error {
-		k.seize(ctx, service, o, ended)
+		k.seize(ctx, service, o, ended, still)
 		return nil
 	})
 }
@@ -82,50 +85,64 @@
 		pong, err = k.ping(bounded, address, service)
 		cancel()
 	}
-	silent := false
 	k.mu.Lock()
+	defer k.mu.Unlock()
 	w := k.watches[service]
 	if w == nil || w.epoch != o.Epoch {
-		k.mu.Unlock()
 		return
 	}
-	switch {
-	case err == nil && pong.Incarnation != o.Owner:
-		w.dead = true
-	case err == nil && pong.Owns && pong.WriteAge < k.patient(staleWrites):
-		w.failures = 0
-	case err == nil:
-		// The owner itself says that it does not write, or owns nothing.
-		silent = true
-	case outside.IsNotDone(err):
-		w.dead = true
-	default:
-		w.failures++
-		silent = w.failures >= silentPings
-	}
+	defer func() { w.pinging = false }()
+	suspect, silent := k.judge(w, o, pong, err)
 	if w.dead {
 		k.deps.Log.Info("owner has ended", "service", service, "owner", o.Owner, "epoch", o.Epoch)
 	}
+	if !suspect {
+		w.still = stillness{}
+		return
+	}
 	k.mu.Unlock()
-	if silent && k.writesNothing(ctx, service) {
-		k.mu.Lock()
+	_, version, err := k.beat(ctx, service)
+	k.mu.Lock()
+	still := w.still.note(version, err, k.deps.Clock.Now())
+	if silent && still >= k.patient(silentWrites) {
 		w.lost = true
-		k.mu.Unlock()
-		k.deps.Log.Info("owner writes nothing", "service", service, "owner", o.Owner, "epoch", o.Epoch)
+		k.deps.Log.Info("owner writes nothing", "service", service, "owner", o.Owner, "epoch", o.Epoch,
+			"still_ms", still.Milliseconds(), "write_age_ms", pong.WriteAge.Milliseconds(), "failed_pings", w.failures)
 	}
-	k.mu.Lock()
-	w.pinging = false
-	k.mu.Unlock()
 }
 
-// writesNothing watches an owner's beat for a little longer than its pause.
-func (k *Keeper) writesNothing(ctx context.Context, service string) bool {
-	_, before, err := k.beat(ctx, service)
-	if err != nil || !clock.Sleep(ctx, k.patient(silentWrites)) {
-		return false
-	}
-	_, after, err := k.beat(ctx, service)
-	return err == nil && before == after
+// judge takes in an owner's answer. It reports whether the owner's beat is to be
+// watched, and whether the owner is lost if that stands still.
+func (k *Keeper) judge(w *watch, o known, pong Pong, err error) (suspect, silent bool) {
+	switch {
+	case err == nil && pong.Incarnation != o.Owner, outside.IsNotDone(err):
+		w.dead = true
+		return false, false
+	case err != nil:
+		w.failures++
+		return true, w.failures >= silentPings
+	case !pong.Owns:
+		return true, true
+	}
+	w.failures = 0
+	return pong.WriteAge >= k.patient(suspectWrites), pong.WriteAge >= k.patient(staleWrites)
+}
+
+// note takes in the version of a beat, and returns for how long it has stood
+// still. A gap in the watch starts it anew: the owner may be about to write after
+// an outage of the store that met both.
+func (s *stillness) note(version int64, err error, now time.Time) time.Duration {
+	if err != nil {
+		*s = stillness{}
+		return 0
+	}
+	if s.since.IsZero() || version != s.version {
+		*s = stillness{
+			version: version,
+			since:   now,
+		}
+	}
+	return now.Sub(s.since)
 }
 
 // patient returns how long an owner may take, given what it may on a calm day:
@@ -148,12 +165,20 @@
 }
 
 // claim writes the row of the owner under the condition that it stands as
-// known, and that the owner before has written nothing since its beat was read. A lost answer is resolved by reading the row.
-func (k *Keeper) claim(ctx context.Context, service string, o known) (claim, error) {
+// known, and that the owner before has written nothing since its beat was read, or
+// since it was seen to stand still at the given version; 0 for one that has ended.
+// A lost answer is resolved by reading the row.
+func (k *Keeper) claim(ctx context.Context, service string, o known, still int64) (claim, error) {
 	before, version, err := k.beat(ctx, service)
 	if err != nil {
 		return claim{}, err
 	}
+	if still != 0 && version != still {
+		return claim{}, &RecoveredError{
+			Part:  service,
+			Owner: o.Owner,
+		}
+	}
 	next := Ownership{
 		Epoch: o.Epoch + 1,
 		Owner: k.self.Incarnation,
