--- a/owner/fleet.go
+++ b/owner/fleet.go
@@ -184,6 +184,9 @@
 		f.closed = plan.Closed
 		f.report(view, plan)
 		if !view.Now.Before(f.quietUntil) {
+			if err := f.freshen(ctx); err != nil {
+				return err
+			}
 			f.order(ctx, plan)
 		}
 	}
@@ -191,6 +194,15 @@
 	return f.write(ctx, false)
 }
 
+// freshen confirms the tenure before orders are given, where a round has taken so
+// long that they would be held back.
+func (f *fleet) freshen(ctx context.Context) error {
+	if f.tenure.age() < orderFresh/2 {
+		return nil
+	}
+	return f.write(ctx, false)
+}
+
 // report logs the size of each pool whose target changed, and why.
 func (f *fleet) report(view pool.View, plan pool.Plan) {
 	for _, service := range view.Services {
--- a/owner/follow.go
+++ b/owner/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"math/rand/v2"
 	"time"
 
 	"lemonstream.dev/lemonstream/clock"
@@ -11,51 +12,82 @@
 )
 
 const (
-	// followPause is the pause after a failed read of changes.
-	followPause = 150 * time.Millisecond
+	// followPause is the pause after a failed read of changes; it doubles with each
+	// failure in a row up to followPauseMost, so that the reads of some hundred
+	// entries do not keep a store above its rates.
+	followPause     = 150 * time.Millisecond
+	followPauseMost = time.Second
 
-	// followWait is how long a read may wait for a change. It is short because
-	// a connection that was cut is noticed only after it: a new configuration
-	// has to be in force within two seconds.
-	followWait = time.Second
+	// PromptWait is how long a read may wait for a change. It is short because a
+	// connection that was cut is noticed only after it: a new configuration has to
+	// be in force within two seconds.
+	PromptWait = time.Second
 )
 
-// Follow reads a table with read, and then hands every change of it to apply,
-// until ctx ends. Where the history is gone it reads anew.
-func Follow(ctx context.Context, table outside.Table, name string, log *slog.Logger,
-	read func(context.Context) (int64, error), apply func([]outside.Row),
-) error {
+// Follower reads a table, and then every change of it.
+type Follower struct {
+	Table outside.Table
+	Name  string
+	Log   *slog.Logger
+
+	// Wait is how long a read may wait for a change, and Rest the time between
+	// two of them, for tables that many entries change at once.
+	Wait time.Duration
+	Rest time.Duration
+
+	// Read reads the table as a whole and returns its version; Apply takes in
+	// changes after that.
+	Read  func(context.Context) (int64, error)
+	Apply func([]outside.Row)
+}
+
+// Backoff returns the pause after a number of failures in a row: it doubles from
+// first to most, and is spread by half, so that many entries do not come back at
+// the same moment.
+func Backoff(first, most time.Duration, failures int) time.Duration {
+	pause := first
+	for i := 1; i < failures && pause < most; i++ {
+		pause *= 2
+	}
+	pause = min(pause, most)
+	return pause/2 + rand.N(pause)
+}
+
+// Run follows the table until ctx ends. Where the history is gone it reads anew.
+func (f Follower) Run(ctx context.Context) error {
 	version := int64(-1)
+	failures := 0
 	for ctx.Err() == nil {
-		next, err := followOnce(ctx, table, name, version, read, apply)
+		next, err := f.once(ctx, version)
 		if err == nil {
 			version = next
+			failures = 0
+			clock.Sleep(ctx, f.Rest)
 			continue
 		}
 		var gone *outside.HistoryGoneError
 		if errors.As(err, &gone) {
-			log.Warn("history of a table is gone", "table", name, "after", version)
+			f.Log.Warn("history of a table is gone", "table", f.Name, "after", version)
 			version = -1
 			continue
 		}
+		failures++
 		if ctx.Err() == nil {
-			log.Warn("changes not read", "table", name, "after", version, "error", err.Error())
+			f.Log.Warn("changes not read", "table", f.Name, "after", version, "failures", failures, "error", err.Error())
 		}
-		clock.Sleep(ctx, followPause)
+		clock.Sleep(ctx, Backoff(followPause, followPauseMost, failures))
 	}
 	return nil
 }
 
-func followOnce(ctx context.Context, table outside.Table, name string, version int64,
-	read func(context.Context) (int64, error), apply func([]outside.Row),
-) (int64, error) {
+func (f Follower) once(ctx context.Context, version int64) (int64, error) {
 	if version < 0 {
-		return read(ctx)
+		return f.Read(ctx)
 	}
-	change, err := table.Feed(ctx, name, version, followWait)
+	change, err := f.Table.Feed(ctx, f.Name, version, f.Wait)
 	if err != nil {
 		return 0, err
 	}
-	apply(change.Rows)
+	f.Apply(change.Rows)
 	return change.Version, nil
 }
--- a/owner/keeper.go
+++ b/owner/keeper.go
@@ -227,7 +227,14 @@
 
 // WatchOwners follows the rows of owners until ctx ends.
 func (k *Keeper) WatchOwners(ctx context.Context) error {
-	return Follow(ctx, k.deps.Table, tableOwner, k.deps.Log, k.readOwners, k.take)
+	return Follower{
+		Table: k.deps.Table,
+		Name:  tableOwner,
+		Log:   k.deps.Log,
+		Wait:  PromptWait,
+		Read:  k.readOwners,
+		Apply: k.take,
+	}.Run(ctx)
 }
 
 // Release hands over every service and takes none any more.
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -18,8 +18,18 @@
 )
 
 const (
-	// joinPause is the pause between two tries to write the own row.
-	joinPause = 200 * time.Millisecond
+	// joinPause is the pause between two tries to write the own row; it doubles up
+	// to joinPauseMost, since all entries of a site write theirs at one moment, to
+	// one part.
+	joinPause     = 200 * time.Millisecond
+	joinPauseMost = 5 * time.Second
+
+	// changeWait is how long a read may wait for a change of the list, and
+	// changeRest the time between two. The list only orders successors, so it may
+	// be some seconds old; and when some hundred entries start, each of them would
+	// be woken by every other.
+	changeWait = 20 * time.Second
+	changeRest = time.Second
 
 	tableMembers = "member"
 	partMembers  = "member"
@@ -51,7 +61,7 @@
 
 // Join writes this entry's row; it tries until it succeeds or ctx ends.
 func (r *Roster) Join(ctx context.Context) error {
-	for {
+	for failures := 1; ; failures++ {
 		_, err := r.table.Transact(ctx, outside.Transaction{
 			Puts: []outside.Put{{
 				Key:   r.key(),
@@ -62,8 +72,8 @@
 			r.log.Info("entry listed", "incarnation", r.self.Incarnation, "peer", r.self.Peer.String())
 			return nil
 		}
-		r.log.Warn("entry not listed", "error", err.Error())
-		if !clock.Sleep(ctx, joinPause) {
+		r.log.Warn("entry not listed", "failures", failures, "error", err.Error())
+		if !clock.Sleep(ctx, owner.Backoff(joinPause, joinPauseMost, failures)) {
 			return nil
 		}
 	}
@@ -95,7 +105,15 @@
 
 // Run follows the list until ctx ends.
 func (r *Roster) Run(ctx context.Context) error {
-	return owner.Follow(ctx, r.table, tableMembers, r.log, r.read, r.apply)
+	return owner.Follower{
+		Table: r.table,
+		Name:  tableMembers,
+		Log:   r.log,
+		Wait:  changeWait,
+		Rest:  changeRest,
+		Read:  r.read,
+		Apply: r.apply,
+	}.Run(ctx)
 }
 
 // Peer returns the address of this entry for others.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -215,7 +215,14 @@
 func (d *Daemon) run(ctx context.Context) error {
 	d.log.Info("starting", "callers", d.settings.Callers.String(), "peers", d.roster.Peer().String())
 	d.group.Go("configuration", func(ctx context.Context) error {
-		return owner.Follow(ctx, d.table, platform.TableOperator, d.log, d.readOperator, d.takeOperator)
+		return owner.Follower{
+			Table: d.table,
+			Name:  platform.TableOperator,
+			Log:   d.log,
+			Wait:  owner.PromptWait,
+			Read:  d.readOperator,
+			Apply: d.takeOperator,
+		}.Run(ctx)
 	})
 	d.group.Go("roster", d.roster.Run)
 	d.group.Go("join", d.roster.Join)
