--- a/intake/ask.go
+++ b/intake/ask.go
@@ -191,14 +191,25 @@
 	}
 }
 
+// countAtOwner asks the owner of the route's service, and that of the one before
+// where the route was moved lately: its jobs stay there.
 func (s *Server) countAtOwner(ctx context.Context, route catalog.Route) (int, bool) {
-	if duty, mine := s.Owners.Duty(route.Service); mine {
-		return duty.Pending(route.Name)
+	count, known := s.countAt(ctx, route.Service, route.Name)
+	if from, moved := s.Moved(route.Name); moved && known {
+		before, knownBefore := s.countAt(ctx, from, route.Name)
+		return count + before, knownBefore
 	}
-	address, known := s.Owners.Owner(route.Service)
+	return count, known
+}
+
+func (s *Server) countAt(ctx context.Context, service, route string) (int, bool) {
+	if duty, mine := s.Owners.Duty(service); mine {
+		return duty.Pending(route)
+	}
+	address, known := s.Owners.Owner(service)
 	if !known {
 		return 0, false
 	}
-	count, err := s.Owners.Peers.Pending(ctx, address, route.Service, route.Name)
+	count, err := s.Owners.Peers.Pending(ctx, address, service, route)
 	return count, err == nil
 }
--- a/intake/handin.go
+++ b/intake/handin.go
@@ -10,6 +10,17 @@
 	"lemonstream.dev/lemonstream/shard"
 )
 
+// standsElsewhere reports whether the record of a job stands with the service that
+// its route led to until a moment ago: a caller may send a job again after a move.
+func (s *Server) standsElsewhere(r *request, record shard.Record) (bool, error) {
+	from, moved := s.Moved(record.Route)
+	if !moved {
+		return false, nil
+	}
+	_, stands, err := s.readRows(r.ctx, from, record.ID)
+	return stands, err
+}
+
 // handIn hands a job to the owner of its service, whose transactions hold many
 // records: a part of the store takes them one after another, and would be full of
 // those of single jobs whenever it is slow. The entry gives up on an owner that
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -61,6 +61,12 @@
 	handInLook  = 400 * time.Millisecond
 	handInStale = 1500 * time.Millisecond
 
+	// Who wrote the record of a job: its owner, this entry, or somebody before the
+	// job's route was moved.
+	writerEarlier = "earlier"
+	writerEntry   = "entry"
+	writerOwner   = "owner"
+
 	// writePause is the pause before a write without success is repeated.
 	writePause = 50 * time.Millisecond
 )
@@ -93,6 +99,9 @@
 	// Slow reports whether the store takes much longer than on a calm day.
 	Slow func() bool
 
+	// Moved returns the service that a route led to until a moment ago.
+	Moved func(route string) (string, bool)
+
 	// DeadlineHeader names the header with the caller's patience in
 	// milliseconds.
 	DeadlineHeader string
@@ -211,20 +220,11 @@
 	uncertain := false
 	began := s.Clock.Now()
 	for {
-		err := s.handIn(r.ctx, r.route.Service, record)
+		writer, err := s.take(r, record, &uncertain)
 		if err == nil {
-			s.accepted(r, record, "owner", catalogVersion)
+			s.accepted(r, record, writer, catalogVersion)
 			return
 		}
-		uncertain = uncertain || mayBeTaken(err)
-		if !s.Slow() || isNotOwner(err) {
-			err = s.write(r.ctx, r.route.Service, record, uncertain)
-			if err == nil {
-				s.accepted(r, record, "entry", catalogVersion)
-				return
-			}
-			uncertain = uncertain || outside.IsUncertain(err)
-		}
 		refusable := !uncertain && s.Clock.Now().Sub(began) >= refuseAfter
 		if !refusable && clock.Sleep(r.ctx, writePause) {
 			continue
@@ -239,6 +239,26 @@
 	}
 }
 
+// take tries once to make the record of a job stand, and returns who wrote it.
+// uncertain is set where a try without success may yet have an effect.
+func (s *Server) take(r *request, record shard.Record, uncertain *bool) (string, error) {
+	stands, err := s.standsElsewhere(r, record)
+	if err != nil || stands {
+		return writerEarlier, err
+	}
+	err = s.handIn(r.ctx, r.route.Service, record)
+	if err == nil {
+		return writerOwner, nil
+	}
+	*uncertain = *uncertain || mayBeTaken(err)
+	if s.Slow() && !isNotOwner(err) {
+		return "", err
+	}
+	err = s.write(r.ctx, r.route.Service, record, *uncertain)
+	*uncertain = *uncertain || outside.IsUncertain(err)
+	return writerEntry, err
+}
+
 func (s *Server) accepted(r *request, record shard.Record, writer string, catalogVersion int64) {
 	s.Log.Info("job accepted", "job", record.ID, "route", record.Route, "service", r.route.Service,
 		"writer", writer, "catalog", catalogVersion, "steps", describe(record.Spec))
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -27,6 +27,13 @@
 
 // serve returns an intake over the rows, with no owner in sight.
 func serve(t *testing.T, rows *standin.Rows, current *catalog.Catalog) http.Handler {
+	t.Helper()
+	return serveMoved(t, rows, current, "")
+}
+
+// serveMoved returns an intake whose routes all led to another service a moment
+// ago; an empty one for none.
+func serveMoved(t *testing.T, rows *standin.Rows, current *catalog.Catalog, from string) http.Handler {
 	t.Helper()
 	gin.SetMode(gin.ReleaseMode)
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
@@ -58,8 +65,11 @@
 			Duty:  func(string) (*owner.Duty, bool) { return nil, false },
 			Owner: func(string) (netip.AddrPort, bool) { return netip.AddrPort{}, false },
 		},
-		Table:          rows.Table(),
-		Slow:           func() bool { return false },
+		Table: rows.Table(),
+		Slow:  func() bool { return false },
+		Moved: func(string) (string, bool) {
+			return from, from != ""
+		},
 		DeadlineHeader: "Patience",
 	}
 	router := gin.New()
@@ -161,6 +171,23 @@
 	is.Equal(len(all), 1)
 }
 
+// TestJobSentAgainAfterItsRouteMovedIsOneJob covers a caller that never got its
+// answer: the job stands with the service that its route led to.
+func TestJobSentAgainAfterItsRouteMovedIsOneJob(t *testing.T) {
+	is := is.New(t)
+	rows := standin.NewRows()
+	before := oneRoute()
+	before.Routes[0].Service = "old"
+	is.Equal(ask(serve(t, rows, before), http.MethodPost, "/q/a", "job").Code, http.StatusOK)
+	handler := serveMoved(t, rows, oneRoute(), "old")
+	is.Equal(ask(handler, http.MethodPost, "/q/a", "job").Code, http.StatusOK)
+	is.Equal(ask(handler, http.MethodPost, "/q/b", "job").Code, http.StatusOK)
+	all, _, err := rows.Table().ReadAll(context.Background(), "intake.s", "s")
+	is.NoErr(err)
+	is.Equal(len(all), 1) // Only the one that did not stand.
+	is.Equal(all[0].Key.Name, "b")
+}
+
 func TestEndedJobIsNotTakenAgain(t *testing.T) {
 	is := is.New(t)
 	rows := standin.NewRows()
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -128,7 +128,7 @@
 		clock:    clock.System(),
 		group:    kernel.NewGroup(context.WithoutCancel(ctx), log),
 		log:      log,
-		catalog:  catalog.NewHolder(log),
+		catalog:  catalog.NewHolder(clock.System(), log),
 		figures:  figures.New(),
 		waves:    make(map[string]outside.Wave),
 		stopping: make(chan struct{}),
@@ -366,6 +366,7 @@
 		},
 		Table:          d.table,
 		Slow:           d.patience.Slow,
+		Moved:          d.catalog.Moved,
 		DeadlineHeader: deadlineHeader,
 	}
 	router := gin.New()
