--- a/owner/fleet.go
+++ b/owner/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sort"
 	"sync"
 	"time"
 
@@ -34,13 +35,14 @@
 	// so that an owner that was frozen gives none when it wakes.
 	orderFresh = time.Second
 
-	// A holder that may live gave its last order at most orderFresh after its last
-	// write, and was seen not to write for silentWrites; the platform's pause
-	// counts from there.
+	// aliveFor is how long after a claim a holder before that may live may still
+	// give an order: it gave its last one at most orderFresh after its last write,
+	// and was seen not to write for silentWrites.
+	aliveFor = orderFresh - silentWrites
 
-	// endedPause is how long after the end of the holder before the first order
-	// is given: what it sent has arrived by then, or never will. A holder that
-	// may still live is given the platform's own pause.
+	// endedPause is how long after the last possible order of the holder before the
+	// first one is given: what that sent has arrived by then, or never will. The
+	// instances that it had ordered are left alone for the platform's own pause.
 	endedPause = 300 * time.Millisecond
 
 	// endedFor is how long the owners are told of a worker whose instance was
@@ -101,6 +103,10 @@
 	// targets is what was last logged of each pool's size.
 	targets map[string]int
 
+	// recent holds when each instance was last ordered to do something, for the
+	// successor.
+	recent map[string]time.Time
+
 	// quietUntil is until when no order is given, because the holder before may
 	// have given one just now.
 	quietUntil time.Time
@@ -119,14 +125,19 @@
 		closed:   make(map[string][]string),
 		ended:    make(map[string]map[string]time.Time),
 		targets:  make(map[string]int),
+		recent:   make(map[string]time.Time),
 		stop:     make(chan struct{}),
 		released: make(chan struct{}),
 	}
+	f.quietUntil = now.Add(endedPause)
 	if ended {
-		f.quietUntil = now.Add(endedPause)
-	} else {
-		f.quietUntil = now.Add(deps.Site.HolderPause + orderFresh - silentWrites)
+		return f
+	}
+	f.quietUntil = f.quietUntil.Add(aliveFor)
+	for _, instance := range won.before.Ordered {
+		f.sizer.Block(instance, now.Add(aliveFor+deps.Site.HolderPause))
 	}
+	deps.Log.Info("instances left alone", "epoch", won.epoch, "count", len(won.before.Ordered), "ms", (aliveFor + deps.Site.HolderPause).Milliseconds())
 	return f
 }
 
@@ -164,7 +175,11 @@
 // round looks, decides and orders once.
 func (f *fleet) round(ctx context.Context) error {
 	f.takeWaves()
-	if f.deps.Clock.Now().Sub(f.listed) >= listPause {
+	now := f.deps.Clock.Now()
+	// What the holder before ordered last shows only in a list that is read after
+	// it could give no more orders.
+	early := now.After(f.quietUntil) && f.listed.Before(f.quietUntil)
+	if early || now.Sub(f.listed) >= listPause {
 		list, err := f.deps.Instances.List(ctx)
 		if err != nil {
 			f.deps.Log.Warn("instances not listed", "error", err.Error())
@@ -183,24 +198,39 @@
 		plan := f.sizer.Plan(view)
 		f.closed = plan.Closed
 		f.report(view, plan)
-		if !view.Now.Before(f.quietUntil) {
-			if err := f.freshen(ctx); err != nil {
+		if view.Now.After(f.quietUntil) && f.listed.After(f.quietUntil) {
+			if err := f.order(ctx, plan); err != nil {
 				return err
 			}
-			f.order(ctx, plan)
 		}
 	}
 	f.completeWaves()
 	return f.write(ctx, false)
 }
 
-// freshen confirms the tenure before orders are given, where a round has taken so
-// long that they would be held back.
-func (f *fleet) freshen(ctx context.Context) error {
-	if f.tenure.age() < orderFresh/2 {
-		return nil
+// announce writes which instances are about to be ordered, so that a successor
+// leaves just these alone.
+func (f *fleet) announce(ctx context.Context, instances []string) error {
+	now := f.deps.Clock.Now()
+	for instance, at := range f.recent {
+		if now.Sub(at) > f.deps.Site.HolderPause+orderFresh {
+			delete(f.recent, instance)
+		}
 	}
-	return f.write(ctx, false)
+	for _, instance := range instances {
+		f.recent[instance] = now
+	}
+	return f.confirm(ctx, nil, false)
+}
+
+// recentOrders returns what a successor has to know.
+func (f *fleet) recentOrders() []string {
+	list := make([]string, 0, len(f.recent))
+	for instance := range f.recent {
+		list = append(list, instance)
+	}
+	sort.Strings(list)
+	return list
 }
 
 // report logs the size of each pool whose target changed, and why.
@@ -263,7 +293,7 @@
 }
 
 // order gives the orders of a plan, all at once, and takes in their answers.
-func (f *fleet) order(ctx context.Context, plan pool.Plan) {
+func (f *fleet) order(ctx context.Context, plan pool.Plan) error {
 	type outcome struct {
 		instance, worker, from, to string
 		wave                       int64
@@ -290,6 +320,16 @@
 	if len(outcomes) > limit {
 		outcomes = outcomes[:limit]
 	}
+	if len(outcomes) == 0 {
+		return nil
+	}
+	announced := make([]string, 0, len(outcomes))
+	for _, o := range outcomes {
+		announced = append(announced, o.instance)
+	}
+	if err := f.announce(ctx, announced); err != nil {
+		return err
+	}
 	var all sync.WaitGroup
 	for i := range outcomes {
 		o := &outcomes[i]
@@ -304,6 +344,7 @@
 	for _, o := range outcomes {
 		f.settle(o.instance, o.worker, o.from, o.to, o.wave, o.err)
 	}
+	return nil
 }
 
 // orderOne gives one order, if the tenure was confirmed a moment ago.
--- /dev/null
+++ b/owner/fleet_test.go
@@ -0,0 +1,161 @@
+package owner_test
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lemonstream.dev/lemonstream/catalog"
+	"lemonstream.dev/lemonstream/internal/standin"
+	"lemonstream.dev/lemonstream/job"
+	"lemonstream.dev/lemonstream/outside"
+	"lemonstream.dev/lemonstream/owner"
+	"lemonstream.dev/lemonstream/shard"
+	"lemonstream.dev/lemonstream/site"
+)
+
+const (
+	awake      = "s"
+	sleeping   = "z"
+	fleetSize  = 12
+	fleetOrder = 5 // orders a second: one a round
+)
+
+// fleetOfIdle is a service with many idle instances whose moves never take effect,
+// as if each order were still under way.
+type fleetOfIdle struct {
+	mu sync.Mutex
+
+	// moved holds, by holder, the instances that it ordered to move.
+	moved map[string]map[string]bool
+}
+
+func (f *fleetOfIdle) list(context.Context) ([]outside.Instance, error) {
+	var list []outside.Instance
+	for i := 0; i < fleetSize; i++ {
+		list = append(list, outside.Instance{
+			ID:     fmt.Sprintf("m%02d", i),
+			Pool:   awake,
+			State:  outside.InstanceUp,
+			Worker: fmt.Sprintf("w%02d", i),
+			Capacity: job.Room{
+				MilliCPU: 1000,
+				MemoryMB: 1000,
+			},
+		})
+	}
+	return list, nil
+}
+
+func (f *fleetOfIdle) move(_ context.Context, instance, _, holder string, _ int64) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.moved[holder] == nil {
+		f.moved[holder] = make(map[string]bool)
+	}
+	f.moved[holder][instance] = true
+	return nil
+}
+
+func (f *fleetOfIdle) count(holder string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.moved[holder])
+}
+
+// loads says that nothing runs on any worker and that those that should be closed
+// are.
+func (f *fleetOfIdle) loads(_ context.Context, service string, closed, _ []string) (shard.Load, error) {
+	load := shard.Load{
+		Workers: make(map[string]shard.WorkerLoad),
+	}
+	if service != awake {
+		return load, nil
+	}
+	for i := 0; i < fleetSize; i++ {
+		load.Workers[fmt.Sprintf("w%02d", i)] = shard.WorkerLoad{
+			Known:   true,
+			Reached: true,
+		}
+	}
+	for _, id := range closed {
+		w := load.Workers[id]
+		w.Closed = true
+		load.Workers[id] = w
+	}
+	return load, nil
+}
+
+// deps turns those of an entry into those of one that may own the instances.
+func (f *fleetOfIdle) deps(deps owner.Deps, name string) owner.Deps {
+	deps.Holder = name
+	deps.Instances = outside.Instances{
+		List: f.list,
+		Move: f.move,
+	}
+	deps.Loads = f.loads
+	deps.Waves = owner.WaveSource{
+		Waves: func() []outside.Wave { return nil },
+	}
+	deps.Catalog = func() *catalog.Catalog {
+		return &catalog.Catalog{
+			Version: 1,
+			Services: []catalog.Service{{
+				Name: awake,
+			}, {
+				Name:   sleeping,
+				Asleep: true,
+			}},
+		}
+	}
+	deps.Site = site.Settings{
+		Instances:     netip.MustParseAddrPort("127.0.0.1:1"),
+		HolderPause:   time.Hour,
+		InstanceCalls: fleetOrder,
+		MoveTime:      time.Second,
+		MaintainTime:  time.Second,
+	}
+	return deps
+}
+
+// TestSuccessorLeavesOrderedInstancesAlone lets a holder that goes on living lose
+// the store in the middle of its orders.
+func TestSuccessorLeavesOrderedInstancesAlone(t *testing.T) {
+	is := is.New(t)
+	rows := standin.NewRows()
+	f := &fleetOfIdle{
+		moved: make(map[string]map[string]bool),
+	}
+	var away atomic.Bool
+	table := rows.Table()
+	write := table.Transact
+	table.Transact = func(ctx context.Context, tx outside.Transaction) (outside.Receipt, error) {
+		if away.Load() {
+			return outside.Receipt{}, &outside.NotDoneError{
+				Call: "transact",
+			}
+		}
+		return write(ctx, tx)
+	}
+	newEntryWith(t, "a", table, alive("a"), f.deps)
+	until(t, "the first holder gives orders", func() bool { return f.count("a") >= 2 })
+	silent := func(context.Context, netip.AddrPort, string) (owner.Pong, error) {
+		return owner.Pong{}, &outside.UncertainError{
+			Call: "ping",
+		}
+	}
+	newEntryWith(t, "b", rows.Table(), silent, f.deps)
+	away.Store(true)
+	until(t, "the second holder gives orders", func() bool { return f.count("b") >= 2 })
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for instance := range f.moved["b"] {
+		is.True(!f.moved["a"][instance])
+	}
+}
--- a/owner/keeper_test.go
+++ b/owner/keeper_test.go
@@ -73,6 +73,14 @@
 
 // newEntryOn returns an entry that reaches the store through a table of its own.
 func newEntryOn(t *testing.T, name string, table outside.Table, ping func(context.Context, netip.AddrPort, string) (owner.Pong, error)) *entry {
+	t.Helper()
+	return newEntryWith(t, name, table, ping, func(deps owner.Deps, _ string) owner.Deps { return deps })
+}
+
+// newEntryWith returns an entry whose keeper works with changed dependencies.
+func newEntryWith(t *testing.T, name string, table outside.Table, ping func(context.Context, netip.AddrPort, string) (owner.Pong, error),
+	change func(deps owner.Deps, name string) owner.Deps,
+) *entry {
 	t.Helper()
 	l := newLines()
 	group := kernel.NewGroup(context.Background(), slog.New(slog.NewTextHandler(io.Discard, nil)))
@@ -92,7 +100,7 @@
 	e := &entry{
 		group: group,
 		lines: l,
-		keeper: owner.NewKeeper(owner.Deps{
+		keeper: owner.NewKeeper(change(owner.Deps{
 			Clock:    clock.System(),
 			Group:    group,
 			Log:      log,
@@ -104,7 +112,7 @@
 			Options: shard.Options{
 				Lease: time.Second,
 			},
-		}, owner.Self{
+		}, name), owner.Self{
 			Member: owner.Member{
 				Incarnation: name,
 			},
--- a/owner/rows.go
+++ b/owner/rows.go
@@ -47,6 +47,11 @@
 	// are silent, and their leases have run out. A successor need not wait for
 	// them.
 	Lapsed []string `cbor:"3,keyasint,omitempty"`
+
+	// Ordered names the instances that the owner of the instances has ordered to do
+	// something lately, or is about to: it writes this before it gives the orders.
+	// Its successor leaves them alone for a while; no other can have been ordered.
+	Ordered []string `cbor:"4,keyasint,omitempty"`
 }
 
 // Ownership is the row that says who owns a service.
--- a/owner/waves.go
+++ b/owner/waves.go
@@ -108,21 +108,34 @@
 		}
 	}
 	if len(puts) > 0 || release || now.Sub(f.tenure.lastWrite) >= beatPause {
-		bounded, cancel := context.WithTimeout(ctx, ownerHorizon)
-		version, err := f.tenure.write(bounded, f.tenure.transaction(Beat{}, rowChanges{
-			puts: puts,
-		}, release))
-		cancel()
-		if err != nil {
-			return fmt.Errorf("writing the waves: %w", err)
+		if err := f.confirm(ctx, puts, release); err != nil {
+			return err
 		}
-		f.tenure.beatVersion = version
-		f.tenure.noteWrite(now)
 	}
 	f.show(ctx, shows)
 	return nil
 }
 
+// confirm writes rows and the beat, which proves that this entry still owns the
+// instances.
+func (f *fleet) confirm(ctx context.Context, puts []outside.Put, release bool) error {
+	now := f.deps.Clock.Now()
+	beat := Beat{
+		Ordered: f.recentOrders(),
+	}
+	bounded, cancel := context.WithTimeout(ctx, ownerHorizon)
+	defer cancel()
+	version, err := f.tenure.write(bounded, f.tenure.transaction(beat, rowChanges{
+		puts: puts,
+	}, release))
+	if err != nil {
+		return fmt.Errorf("writing the instances' tenure: %w", err)
+	}
+	f.tenure.beatVersion = version
+	f.tenure.noteWrite(now)
+	return nil
+}
+
 // show tells the operator the state of waves.
 func (f *fleet) show(ctx context.Context, list []*waveState) {
 	for _, state := range list {
--- a/pool/maintain.go
+++ b/pool/maintain.go
@@ -23,7 +23,8 @@
 			continue
 		}
 		o, ordered := r.sizer.ordered[sp.instance.ID]
-		if sp.instance.State == outside.InstanceMaintenance || (ordered && o.wave > 0) {
+		blocked := r.view.Now.Before(r.sizer.blocked[sp.instance.ID])
+		if sp.instance.State == outside.InstanceMaintenance || (ordered && o.wave > 0) || blocked {
 			down++
 		}
 		if !wave.Done[sp.instance.ID] && sp.free && !sp.closed {
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -134,6 +134,9 @@
 	// refused holds pools that an instance can't be moved to.
 	refused map[string]map[string]bool
 
+	// blocked holds instances that a holder before may just have ordered.
+	blocked map[string]time.Time
+
 	// notBefore holds instances whose last order failed.
 	notBefore map[string]time.Time
 }
@@ -165,6 +168,7 @@
 		demand:       make(map[string][]sample),
 		ordered:      make(map[string]order),
 		refused:      make(map[string]map[string]bool),
+		blocked:      make(map[string]time.Time),
 		notBefore:    make(map[string]time.Time),
 	}
 }
@@ -181,6 +185,13 @@
 	return r.finish()
 }
 
+// Block leaves an instance alone until an instant, because a holder before may
+// have ordered it to do something that does not show yet.
+func (s *Sizer) Block(instance string, until time.Time) {
+	s.blocked[instance] = until
+	s.notBefore[instance] = until
+}
+
 // Ordered notes that an order was carried out.
 func (s *Sizer) Ordered(instance, to, worker string, wave int64, now time.Time) {
 	s.ordered[instance] = order{
