--- a/owner/keeper.go
+++ b/owner/keeper.go
@@ -166,14 +166,6 @@
 	notBefore time.Time
 }
 
-// stillness is a beat that has not changed while it was watched.
-type stillness struct {
-	version int64
-
-	// since is when the version was first seen; zero where nothing is watched.
-	since time.Time
-}
-
 // NewKeeper returns a keeper for this entry.
 func NewKeeper(deps Deps, self Self, members func() []Member, ping func(context.Context, netip.AddrPort, string) (Pong, error)) *Keeper {
 	return &Keeper{
@@ -324,17 +316,6 @@
 	}
 }
 
-// RecoveredError reports that an owner that was taken for lost writes again.
-type RecoveredError struct {
-	Part  string
-	Owner string
-}
-
-// Error implements error.
-func (e *RecoveredError) Error() string {
-	return "owner " + e.Owner + " of " + e.Part + " writes again"
-}
-
 // seize writes this entry as the owner, if nobody else did, and runs the duty.
 func (k *Keeper) seize(ctx context.Context, service string, o known, ended bool, still int64) {
 	defer k.unseize(service)
--- /dev/null
+++ b/owner/restore.go
@@ -0,0 +1,121 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"strings"
+	"time"
+
+	"lemonstream.dev/lemonstream/clock"
+	"lemonstream.dev/lemonstream/outside"
+	"lemonstream.dev/lemonstream/shard"
+)
+
+// load reads every row of the service.
+func (d *Duty) load(ctx context.Context) (int64, error) {
+	records, since, err := d.deps.Table.ReadAll(ctx, prefixIntake+d.service, d.service)
+	if err != nil {
+		return 0, err
+	}
+	rows, _, err := d.deps.Table.ReadAll(ctx, tableProgress, d.service)
+	if err != nil {
+		return 0, err
+	}
+	used, _, err := d.deps.Table.ReadAll(ctx, tableUsed, d.service)
+	if err != nil {
+		return 0, err
+	}
+	now := d.deps.Clock.Now()
+	d.inherit(used, now)
+	progress := make(map[string]*shard.Progress, len(rows))
+	for _, row := range rows {
+		p, err := shard.DecodeProgress(row.Value)
+		if err != nil {
+			d.deps.Log.Error("row left out", "table", row.Key.Table, "key", row.Key.Name, "error", err)
+			continue
+		}
+		progress[row.Key.Name] = &p
+		if p.State.Final() {
+			d.core.RestoreEnded(row.Key.Name, p)
+		}
+	}
+	for _, row := range records {
+		if strings.HasPrefix(row.Key.Name, prefixCancel) {
+			continue
+		}
+		record, err := shard.DecodeRecord(row.Value)
+		if err == nil {
+			err = d.core.Restore(record, progress[row.Key.Name], now)
+		}
+		if err != nil {
+			d.deps.Log.Error("row left out", "table", row.Key.Table, "key", row.Key.Name, "error", err)
+		}
+	}
+	for _, row := range records {
+		if id, found := strings.CutPrefix(row.Key.Name, prefixCancel); found {
+			d.core.CancelByRow(id, now)
+		}
+	}
+	d.deps.Log.Info("shard loaded", "service", d.service, "epoch", d.tenure.epoch, "records", len(records), "progress", len(rows))
+	return since, nil
+}
+
+// inherit takes in the workers that the owner before may have given tasks.
+func (d *Duty) inherit(rows []outside.Row, now time.Time) {
+	for _, row := range rows {
+		address, err := netip.ParseAddrPort(string(row.Value))
+		if err != nil {
+			d.deps.Log.Error("row left out", "table", row.Key.Table, "key", row.Key.Name, "error", err)
+			continue
+		}
+		d.core.InheritWorker(outside.WorkerRef{
+			ID:      row.Key.Name,
+			Address: address,
+		}, now)
+	}
+}
+
+// watchIntake looks for jobs and cancellations that nobody told the owner of.
+func (d *Duty) watchIntake(ctx context.Context, since int64) error {
+	for clock.Sleep(ctx, intakePause) {
+		change, err := d.deps.Table.Feed(ctx, prefixIntake+d.service, since, 0)
+		var gone *outside.HistoryGoneError
+		if errors.As(err, &gone) {
+			rows, version, readErr := d.deps.Table.ReadAll(ctx, prefixIntake+d.service, d.service)
+			change = outside.Change{
+				Rows:    rows,
+				Version: version,
+			}
+			err = readErr
+		}
+		if err != nil {
+			d.deps.Log.Warn("changes of jobs not read", "service", d.service, "error", err.Error())
+			continue
+		}
+		since = change.Version
+		for _, row := range change.Rows {
+			d.takeRow(row)
+		}
+	}
+	return nil
+}
+
+func (d *Duty) takeRow(row outside.Row) {
+	if row.Gone {
+		return
+	}
+	if id, found := strings.CutPrefix(row.Key.Name, prefixCancel); found {
+		d.pushLogged(func(d *Duty, now time.Time) { d.core.CancelByRow(id, now) })
+		return
+	}
+	if _, known := d.shown.Load(row.Key.Name); known {
+		return
+	}
+	record, err := shard.DecodeRecord(row.Value)
+	if err != nil {
+		d.deps.Log.Error("row left out", "table", row.Key.Table, "key", row.Key.Name, "error", err)
+		return
+	}
+	d.pushLogged(func(d *Duty, now time.Time) { d.core.Accept(record, row.Version, false, now) })
+}
--- a/owner/succession.go
+++ b/owner/succession.go
@@ -230,3 +230,22 @@
 	}})
 	return won, nil
 }
+
+// stillness is a beat that has not changed while it was watched.
+type stillness struct {
+	version int64
+
+	// since is when the version was first seen; zero where nothing is watched.
+	since time.Time
+}
+
+// RecoveredError reports that an owner that was taken for lost writes again.
+type RecoveredError struct {
+	Part  string
+	Owner string
+}
+
+// Error implements error.
+func (e *RecoveredError) Error() string {
+	return "owner " + e.Owner + " of " + e.Part + " writes again"
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -4,14 +4,11 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
-	"strings"
 	"sync"
 	"time"
 
@@ -21,7 +18,6 @@
 	"lemonstream.dev/lemonstream/catalog"
 	"lemonstream.dev/lemonstream/clock"
 	"lemonstream.dev/lemonstream/figures"
-	"lemonstream.dev/lemonstream/intake"
 	"lemonstream.dev/lemonstream/kernel"
 	"lemonstream.dev/lemonstream/logbook"
 	"lemonstream.dev/lemonstream/outside"
@@ -199,18 +195,6 @@
 	}
 }
 
-func listenPeers(settings site.Settings) (net.Listener, error) {
-	var last error
-	for port := settings.FirstPeerPort; port <= settings.LastPeerPort; port++ {
-		listener, err := net.Listen("tcp4", netip.AddrPortFrom(settings.Address, port).String())
-		if err == nil {
-			return listener, nil
-		}
-		last = err
-	}
-	return nil, fmt.Errorf("listening for other entries: %w", last)
-}
-
 // run starts the duties, waits for the end and stops in order.
 func (d *Daemon) run(ctx context.Context) error {
 	d.log.Info("starting", "callers", d.settings.Callers.String(), "peers", d.roster.Peer().String())
@@ -266,57 +250,6 @@
 	d.log.Info("stopped in order", "took_ms", d.clock.Now().Sub(began).Milliseconds())
 }
 
-func (d *Daemon) readOperator(ctx context.Context) (int64, error) {
-	rows, version, err := d.table.ReadAll(ctx, platform.TableOperator, "")
-	if err != nil {
-		return 0, err
-	}
-	d.takeOperator(rows)
-	return version, nil
-}
-
-func (d *Daemon) takeOperator(rows []outside.Row) {
-	for _, row := range rows {
-		if strings.HasPrefix(row.Key.Name, platform.PrefixWaves) {
-			d.takeWave(row)
-		}
-		if row.Gone || row.Key.Name != platform.RowConfiguration {
-			continue
-		}
-		next, err := platform.DecodeCatalog(row.Value)
-		if err != nil {
-			d.log.Error("configuration not taken", "version", row.Version, "error", err)
-			continue
-		}
-		d.catalog.Offer(next)
-	}
-}
-
-func (d *Daemon) takeWave(row outside.Row) {
-	d.wavesMu.Lock()
-	defer d.wavesMu.Unlock()
-	if row.Gone {
-		delete(d.waves, row.Key.Name)
-		return
-	}
-	wave, err := platform.DecodeWave(row.Value)
-	if err != nil {
-		d.log.Error("wave not taken", "key", row.Key.Name, "error", err)
-		return
-	}
-	d.waves[row.Key.Name] = wave
-}
-
-func (d *Daemon) listWaves() []outside.Wave {
-	d.wavesMu.Lock()
-	defer d.wavesMu.Unlock()
-	list := make([]outside.Wave, 0, len(d.waves))
-	for _, wave := range d.waves {
-		list = append(list, wave)
-	}
-	return list
-}
-
 // load asks the owner of a service, which may be this entry.
 func (d *Daemon) load(ctx context.Context, peers *peer.Client, service string, closed, ended []string) (shard.Load, error) {
 	if duty, mine := d.keeper.Duty(service); mine {
@@ -330,103 +263,3 @@
 	}
 	return peers.Load(ctx, address, service, closed, ended)
 }
-
-func (d *Daemon) serve(name string, listener net.Listener, handler http.Handler) {
-	server := &http.Server{
-		Addr:              listener.Addr().String(),
-		Handler:           handler,
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleConnTimeout,
-	}
-	d.servers = append(d.servers, server)
-	d.group.Go(name, func(context.Context) error {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			return fmt.Errorf("serving %s: %w", name, err)
-		}
-		return nil
-	})
-}
-
-func (d *Daemon) serveCallers(peers *peer.Client) {
-	server := &intake.Server{
-		Catalog: d.catalog.Current,
-		Clock:   d.clock,
-		Codec: intake.Codec{
-			DecodeJob:     platform.DecodeJob,
-			EncodePending: platform.EncodePending,
-			EncodeState:   platform.EncodeState,
-		},
-		Figures: d.figures,
-		Group:   d.group,
-		Log:     d.log,
-		Owners: intake.Owners{
-			Duty:  d.keeper.Duty,
-			Owner: d.keeper.Owner,
-			Peers: peers,
-		},
-		Table:          d.table,
-		Slow:           d.patience.Slow,
-		Moved:          d.catalog.Moved,
-		DeadlineHeader: deadlineHeader,
-	}
-	router := gin.New()
-	server.Routes(router)
-	d.listen("callers", d.settings.Callers, router)
-}
-
-func (d *Daemon) servePeers(listener net.Listener, self owner.Self) {
-	router := gin.New()
-	server := &peer.Server{
-		Incarnation: self.Incarnation,
-		Duty:        d.keeper.Duty,
-		WriteAge:    d.keeper.WriteAge,
-	}
-	server.Routes(router)
-	d.serve("peers", listener, router)
-}
-
-func (d *Daemon) serveReadiness() {
-	router := gin.New()
-	router.GET("/ready", func(c *gin.Context) {
-		if d.isReady() {
-			c.Status(http.StatusOK)
-			return
-		}
-		c.Status(http.StatusServiceUnavailable)
-	})
-	router.GET("/metrics", func(c *gin.Context) {
-		c.String(http.StatusOK, d.figures.Text())
-	})
-	d.listen("readiness", d.settings.Readiness, router)
-}
-
-func (d *Daemon) listen(name string, address netip.AddrPort, handler http.Handler) {
-	listener, err := net.Listen("tcp4", address.String())
-	if err != nil {
-		d.group.Go(name, func(context.Context) error {
-			return fmt.Errorf("listening for %s: %w", name, err)
-		})
-		return
-	}
-	d.serve(name, listener, handler)
-}
-
-// isReady reports whether the entry can serve callers: it has a configuration,
-// reaches the store and has not been told to stop.
-func (d *Daemon) isReady() bool {
-	// A select over both channels would choose by chance once both are closed.
-	if closed(d.stopping) || !closed(d.catalog.Loaded()) {
-		return false
-	}
-	return d.health.silence() < storeSilence
-}
-
-// closed reports whether a channel on which nothing is sent has been closed.
-func closed(channel <-chan struct{}) bool {
-	select {
-	case <-channel:
-		return true
-	default:
-		return false
-	}
-}
--- /dev/null
+++ b/scheduler/serve.go
@@ -0,0 +1,130 @@
+package scheduler
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+
+	"github.com/gin-gonic/gin"
+
+	"lemonstream.dev/lemonstream/intake"
+	"lemonstream.dev/lemonstream/owner"
+	"lemonstream.dev/lemonstream/peer"
+	"lemonstream.dev/lemonstream/platform"
+	"lemonstream.dev/lemonstream/site"
+)
+
+func listenPeers(settings site.Settings) (net.Listener, error) {
+	var last error
+	for port := settings.FirstPeerPort; port <= settings.LastPeerPort; port++ {
+		listener, err := net.Listen("tcp4", netip.AddrPortFrom(settings.Address, port).String())
+		if err == nil {
+			return listener, nil
+		}
+		last = err
+	}
+	return nil, fmt.Errorf("listening for other entries: %w", last)
+}
+
+func (d *Daemon) serve(name string, listener net.Listener, handler http.Handler) {
+	server := &http.Server{
+		Addr:              listener.Addr().String(),
+		Handler:           handler,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleConnTimeout,
+	}
+	d.servers = append(d.servers, server)
+	d.group.Go(name, func(context.Context) error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return fmt.Errorf("serving %s: %w", name, err)
+		}
+		return nil
+	})
+}
+
+func (d *Daemon) serveCallers(peers *peer.Client) {
+	server := &intake.Server{
+		Catalog: d.catalog.Current,
+		Clock:   d.clock,
+		Codec: intake.Codec{
+			DecodeJob:     platform.DecodeJob,
+			EncodePending: platform.EncodePending,
+			EncodeState:   platform.EncodeState,
+		},
+		Figures: d.figures,
+		Group:   d.group,
+		Log:     d.log,
+		Owners: intake.Owners{
+			Duty:  d.keeper.Duty,
+			Owner: d.keeper.Owner,
+			Peers: peers,
+		},
+		Table:          d.table,
+		Slow:           d.patience.Slow,
+		Moved:          d.catalog.Moved,
+		DeadlineHeader: deadlineHeader,
+	}
+	router := gin.New()
+	server.Routes(router)
+	d.listen("callers", d.settings.Callers, router)
+}
+
+func (d *Daemon) servePeers(listener net.Listener, self owner.Self) {
+	router := gin.New()
+	server := &peer.Server{
+		Incarnation: self.Incarnation,
+		Duty:        d.keeper.Duty,
+		WriteAge:    d.keeper.WriteAge,
+	}
+	server.Routes(router)
+	d.serve("peers", listener, router)
+}
+
+func (d *Daemon) serveReadiness() {
+	router := gin.New()
+	router.GET("/ready", func(c *gin.Context) {
+		if d.isReady() {
+			c.Status(http.StatusOK)
+			return
+		}
+		c.Status(http.StatusServiceUnavailable)
+	})
+	router.GET("/metrics", func(c *gin.Context) {
+		c.String(http.StatusOK, d.figures.Text())
+	})
+	d.listen("readiness", d.settings.Readiness, router)
+}
+
+func (d *Daemon) listen(name string, address netip.AddrPort, handler http.Handler) {
+	listener, err := net.Listen("tcp4", address.String())
+	if err != nil {
+		d.group.Go(name, func(context.Context) error {
+			return fmt.Errorf("listening for %s: %w", name, err)
+		})
+		return
+	}
+	d.serve(name, listener, handler)
+}
+
+// isReady reports whether the entry can serve callers: it has a configuration,
+// reaches the store and has not been told to stop.
+func (d *Daemon) isReady() bool {
+	// A select over both channels would choose by chance once both are closed.
+	if closed(d.stopping) || !closed(d.catalog.Loaded()) {
+		return false
+	}
+	return d.health.silence() < storeSilence
+}
+
+// closed reports whether a channel on which nothing is sent has been closed.
+func closed(channel <-chan struct{}) bool {
+	select {
+	case <-channel:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/shard/away.go
@@ -0,0 +1,69 @@
+package shard
+
+import (
+	"time"
+
+	"lemonstream.dev/lemonstream/job"
+)
+
+// moveOffDraining stops lasting tasks on workers that drain or are closed, so
+// that they start elsewhere before the worker ends, and tasks that save their
+// progress shortly before a draining worker does.
+func (s *Shard) moveOffDraining(now time.Time) {
+	for _, w := range s.workers {
+		closed := now.Before(w.closedUntil)
+		if len(w.runs) == 0 || (!w.reg.Draining && !closed) {
+			continue
+		}
+		soon := w.reg.Draining && w.reg.Remaining < s.opts.StopTask+drainReserve
+		for id, r := range w.runs {
+			spec, found := s.stepOf(id)
+			if !found || r.phase != phaseRunning {
+				continue
+			}
+			switch {
+			case spec.Lasting && w.reg.Draining:
+				s.stop(r, "worker drains")
+			case spec.Lasting && s.maySendAway(id, spec, now):
+				s.stop(r, "worker closed")
+			case spec.Checkpoints && soon:
+				s.stop(r, "worker drains")
+			}
+		}
+	}
+}
+
+// maySendAway reports whether a lasting task may be stopped now: fewer of the
+// others of its step than it may miss are away, and another worker has room.
+func (s *Shard) maySendAway(id job.TaskID, spec *job.Step, now time.Time) bool {
+	j := s.jobs[id.Job]
+	step := j.occurrences[id.Occurrence].steps[id.Step]
+	away := 0
+	for i, t := range step.tasks {
+		if i != id.Index && !s.atWork(t) {
+			away++
+		}
+	}
+	if away >= max(1, spec.MayMiss) || (spec.HasMayMiss && away >= spec.MayMiss) {
+		return false
+	}
+	return s.choose(id, spec, step.tasks[id.Index], now) != nil
+}
+
+// atWork reports whether a lasting task is known to be fully at work.
+func (s *Shard) atWork(t *taskState) bool {
+	for _, r := range t.runs {
+		// What runs on a worker that does not answer may long have ended.
+		reached := r.worker.failures == 0 && r.worker.doubted.IsZero()
+		if r.phase == phaseRunning && r.percent >= fullPercent && reached && !s.mayBeStopping(r) {
+			return true
+		}
+	}
+	return false
+}
+
+// mayBeStopping reports whether the owner before may have stopped a run: the
+// worker lists it until the stop is through.
+func (s *Shard) mayBeStopping(r *run) bool {
+	return r.found && r.listed.Sub(r.began) < s.opts.StopTask+foundSlack
+}
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -1,7 +1,6 @@
 package shard
 
 import (
-	"sort"
 	"time"
 
 	"lemonstream.dev/lemonstream/job"
@@ -249,61 +248,6 @@
 	}
 }
 
-// WorkerRows are the rows of workers that a transaction has to write.
-type WorkerRows struct {
-	// Used holds workers that are to be used once their row stands.
-	Used []outside.WorkerRef
-
-	// Ended names workers whose life has ended.
-	Ended []string
-}
-
-// Empty reports whether there is nothing to write.
-func (r WorkerRows) Empty() bool {
-	return len(r.Used) == 0 && len(r.Ended) == 0
-}
-
-// WorkerRows returns the rows of workers that are due, at most the given number
-// of each kind.
-func (s *Shard) WorkerRows(most int) WorkerRows {
-	var rows WorkerRows
-	for _, w := range s.workers {
-		if w.listed && !w.recorded && len(rows.Used) < most {
-			rows.Used = append(rows.Used, w.ref())
-		}
-	}
-	for id := range s.unrecord {
-		if len(rows.Ended) < most {
-			rows.Ended = append(rows.Ended, id)
-		}
-	}
-	return rows
-}
-
-// Inherit takes in which silent workers ran nothing, by the word of the owner
-// before.
-func (s *Shard) Inherit(lapsed []string) {
-	for _, id := range lapsed {
-		s.lapsed[id] = true
-	}
-}
-
-// InheritWorker takes in a worker that the owner before may have given tasks. It
-// is looked at whether or not it is registered.
-func (s *Shard) InheritWorker(ref outside.WorkerRef, now time.Time) {
-	w := s.newWorker(ref.ID, now)
-	w.reg = outside.Registration{
-		ID:      ref.ID,
-		Service: s.name,
-		Address: ref.Address,
-	}
-	w.unlisted = now
-	w.recorded = true
-	if !s.lapsed[ref.ID] {
-		w.blindUntil = s.taken.Add(s.opts.BlindFor)
-	}
-}
-
 // newWorker adds a worker that this owner has not looked at. One that no owner
 // before has written down runs nothing of the shard.
 func (s *Shard) newWorker(id string, now time.Time) *workerState {
@@ -314,109 +258,3 @@
 	s.workers[id] = w
 	return w
 }
-
-// Lapsed returns the workers on which nothing runs for sure although they are
-// silent. One that answers again is used only once a transaction was applied
-// that no longer names it.
-func (s *Shard) Lapsed(now time.Time) []string {
-	var list []string
-	for id, w := range s.workers {
-		if w.lapsed(now) {
-			list = append(list, id)
-		}
-	}
-	sort.Strings(list)
-	return list
-}
-
-// lapsed reports whether nothing runs on a silent worker for sure.
-func (w *workerState) lapsed(now time.Time) bool {
-	return w.failures > 0 && len(w.runs) == 0 && now.After(w.until) && now.After(w.blindUntil)
-}
-
-// lapse ends what ran on workers that could not be reached for a whole lease.
-func (s *Shard) lapse(now time.Time) {
-	for id, w := range s.workers {
-		if w.failures > 0 && len(w.runs) > 0 && now.After(w.until) {
-			s.opts.Report("lease lapsed", "worker", id, "runs", len(w.runs), "silent_ms", now.Sub(w.heard).Milliseconds())
-			s.loseRuns(w, now, "lease lapsed")
-		}
-		unreachable := w.failures > 0 && now.After(w.until) && now.After(w.blindUntil)
-		if !w.listed && unreachable && now.Sub(w.unlisted) > unlistedGrace {
-			s.endWorker(w, now, "unlisted and silent")
-		}
-	}
-	for id, since := range s.gone {
-		if now.Sub(since) > goneFor {
-			delete(s.gone, id)
-		}
-	}
-}
-
-// endWorker drops a life of a worker that has ended.
-func (s *Shard) endWorker(w *workerState, now time.Time, reason string) {
-	s.opts.Report("worker ended", "worker", w.reg.ID, "reason", reason, "runs", len(w.runs))
-	s.loseRuns(w, now, reason)
-	delete(s.workers, w.reg.ID)
-	s.gone[w.reg.ID] = now
-	if w.recorded {
-		s.unrecord[w.reg.ID] = struct{}{}
-	}
-}
-
-// loseRuns ends every run of a worker without an end of its own.
-func (s *Shard) loseRuns(w *workerState, now time.Time, reason string) {
-	for _, r := range w.runs {
-		s.drop(r, now)
-		s.opts.Report("run lost", "task", r.id.String(), "run", r.number, "worker", w.reg.ID, "reason", reason)
-	}
-}
-
-// holds orders the looks that are due.
-func (s *Shard) holds(now time.Time) {
-	for _, w := range s.workers {
-		if w.holding || now.Before(w.holdAt) {
-			continue
-		}
-		if s.done >= w.ackBatch || (len(s.dirty) == 0 && s.done == s.batch) {
-			w.acked = w.processed
-		}
-		wait := s.opts.IdleWait
-		if len(w.runs) > 0 {
-			wait = s.opts.BusyWait
-		}
-		if w.shared {
-			wait = min(wait, paceLook)
-		}
-		if w.failures > 0 || !w.known || !w.doubted.IsZero() || w.acked < w.processed {
-			wait = 0
-		}
-		// A worker that was silent gets no longer lease until it answers again:
-		// each one sent would put off the moment when it has lapsed for sure.
-		until := time.Duration(0)
-		if w.failures == 0 {
-			until = w.deadline(now, s.opts.Lease)
-		}
-		w.holding = true
-		s.orders.Holds = append(s.orders.Holds, Hold{
-			Worker: w.ref(),
-			Renewal: outside.Renewal{
-				Until:        until,
-				Fence:        s.fence,
-				Acknowledged: w.acked,
-				Wait:         wait,
-			},
-		})
-	}
-}
-
-// blind reports whether a worker may still run what an earlier owner started
-// there without this one having seen it.
-func (s *Shard) blind(now time.Time) bool {
-	for _, w := range s.workers {
-		if !w.known && now.Before(w.blindUntil) {
-			return true
-		}
-	}
-	return false
-}
--- a/shard/world_test.go
+++ b/shard/world_test.go
@@ -22,41 +22,6 @@
 	testEntries = 12
 )
 
-// fakeRun is a run at a fake worker.
-type fakeRun struct {
-	number   int64
-	step     job.Step
-	began    time.Time
-	stopAt   time.Time
-	workLeft time.Duration
-}
-
-// fakeWorker obeys the published rules of a worker in virtual time.
-type fakeWorker struct {
-	reg    outside.Registration
-	runs   map[job.TaskID]*fakeRun
-	ends   []outside.End
-	number int64
-	fence  int64
-	until  time.Time
-	top    map[job.TaskID]int64
-
-	// cut says that no call gets through; down that the worker has crashed.
-	cut  bool
-	down bool
-
-	// figure is the tail that it reports of every run; shares holds the share
-	// that each run was told to work at.
-	figure int
-	shares map[job.TaskID]int
-
-	// tickets counts starts that carried one.
-	tickets int
-
-	// unlisted says that its registration is gone.
-	unlisted bool
-}
-
 // tester is what the oracle reports to: a test of testing or of rapid.
 type tester interface {
 	Error(args ...any)
@@ -312,17 +277,6 @@
 	}
 }
 
-func (f *fakeWorker) end(id job.TaskID, kind outside.EndKind) {
-	f.number++
-	f.ends = append(f.ends, outside.End{
-		Number: f.number,
-		Task:   id,
-		Run:    f.runs[id].number,
-		Kind:   kind,
-	})
-	delete(f.runs, id)
-}
-
 // write applies the batch of 20 ms ago and takes the next.
 func (w *world) write() {
 	if w.batch != nil && !w.storeDown && w.now.Sub(w.batchAt) >= 2*tick {
@@ -454,33 +408,6 @@
 	}
 }
 
-func (f *fakeWorker) renew(w *world, fence int64, until time.Duration) {
-	f.fence = max(f.fence, fence)
-	if at := w.start.Add(until); at.After(f.until) {
-		f.until = at
-	}
-}
-
-func (f *fakeWorker) glance(w *world) outside.Glance {
-	g := outside.Glance{
-		Clock: w.now.Sub(w.start),
-		Ends:  append([]outside.End(nil), f.ends...),
-	}
-	for id, r := range f.runs {
-		percent := 0
-		if w.now.Sub(r.began) > 500*time.Millisecond {
-			percent = 100
-		}
-		g.Runs = append(g.Runs, outside.RunningTask{
-			Task:    id,
-			Run:     r.number,
-			Percent: percent,
-			Figure:  f.figure,
-		})
-	}
-	return g
-}
-
 // acknowledge lets a worker forget ends, and the oracle note them.
 func (w *world) acknowledge(f *fakeWorker, last int64) {
 	for len(f.ends) > 0 && f.ends[0].Number <= last {
