--- a/owner/fleet_test.go
+++ b/owner/fleet_test.go
@@ -133,17 +133,7 @@
 		moved: make(map[string]map[string]bool),
 	}
 	var away atomic.Bool
-	table := rows.Table()
-	write := table.Transact
-	table.Transact = func(ctx context.Context, tx outside.Transaction) (outside.Receipt, error) {
-		if away.Load() {
-			return outside.Receipt{}, &outside.NotDoneError{
-				Call: "transact",
-			}
-		}
-		return write(ctx, tx)
-	}
-	newEntryWith(t, "a", table, alive("a"), f.deps)
+	newEntryWith(t, "a", refusing(rows, &away), alive("a"), f.deps)
 	until(t, "the first holder gives orders", func() bool { return f.count("a") >= 2 })
 	silent := func(context.Context, netip.AddrPort, string) (owner.Pong, error) {
 		return owner.Pong{}, &outside.UncertainError{
--- a/owner/keeper_test.go
+++ b/owner/keeper_test.go
@@ -134,6 +134,34 @@
 	}
 }
 
+// ownWord answers pings with what the entry itself knows.
+func (e *entry) ownWord(name string) func(context.Context, netip.AddrPort, string) (owner.Pong, error) {
+	return func(context.Context, netip.AddrPort, string) (owner.Pong, error) {
+		age, owns := e.keeper.WriteAge("s")
+		return owner.Pong{
+			Incarnation: name,
+			Owns:        owns,
+			WriteAge:    age,
+		}, nil
+	}
+}
+
+// refusing returns a table over the rows that takes no transactions while away is
+// set.
+func refusing(rows *standin.Rows, away *atomic.Bool) outside.Table {
+	table := rows.Table()
+	write := table.Transact
+	table.Transact = func(ctx context.Context, tx outside.Transaction) (outside.Receipt, error) {
+		if away.Load() {
+			return outside.Receipt{}, &outside.NotDoneError{
+				Call: "transact",
+			}
+		}
+		return write(ctx, tx)
+	}
+	return table
+}
+
 func until(t *testing.T, what string, condition func() bool) {
 	t.Helper()
 	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
@@ -224,14 +252,7 @@
 	}
 	first := newEntry(t, "a", rows, alive("a"))
 	until(t, "the first entry owns the service", first.owns)
-	second := newEntry(t, "b", rows, func(context.Context, netip.AddrPort, string) (owner.Pong, error) {
-		age, owns := first.keeper.WriteAge("s")
-		return owner.Pong{
-			Incarnation: "a",
-			Owns:        owns,
-			WriteAge:    age,
-		}, nil
-	})
+	second := newEntry(t, "b", rows, first.ownWord("a"))
 	for i := 0; i < 2; i++ {
 		time.Sleep(time.Second)
 		away.Store(true)
@@ -249,26 +270,9 @@
 	is := is.New(t)
 	rows := standin.NewRows()
 	var away atomic.Bool
-	table := rows.Table()
-	write := table.Transact
-	table.Transact = func(ctx context.Context, tx outside.Transaction) (outside.Receipt, error) {
-		if away.Load() {
-			return outside.Receipt{}, &outside.NotDoneError{
-				Call: "transact",
-			}
-		}
-		return write(ctx, tx)
-	}
-	first := newEntryOn(t, "a", table, alive("a"))
+	first := newEntryOn(t, "a", refusing(rows, &away), alive("a"))
 	until(t, "the first entry owns the service", first.owns)
-	second := newEntry(t, "b", rows, func(context.Context, netip.AddrPort, string) (owner.Pong, error) {
-		age, owns := first.keeper.WriteAge("s")
-		return owner.Pong{
-			Incarnation: "a",
-			Owns:        owns,
-			WriteAge:    age,
-		}, nil
-	})
+	second := newEntry(t, "b", rows, first.ownWord("a"))
 	time.Sleep(time.Second)
 	is.True(!second.owns())
 	away.Store(true)
