--- a/intake/intake.go
+++ b/intake/intake.go
@@ -99,6 +99,10 @@
 	// Slow reports whether the store takes much longer than on a calm day.
 	Slow func() bool
 
+	// RowBytes is the most bytes of a record. A larger one would be refused by the
+	// store, and with it every other record of the same transaction.
+	RowBytes int
+
 	// Moved returns the service that a route led to until a moment ago.
 	Moved func(route string) (string, bool)
 
@@ -208,6 +212,11 @@
 		Spec:           spec,
 		AcceptedMillis: clock.Millis(s.Clock.Now()),
 	}
+	if size := len(record.Encode()); size > s.RowBytes {
+		s.Log.Info("job refused", "job", r.id, "route", r.route.Name, "reason", "record too large", "bytes", size, "most", s.RowBytes)
+		r.String(http.StatusRequestEntityTooLarge, "the job is larger than %d bytes\n", s.RowBytes)
+		return
+	}
 	s.accept(r, record, current.Version)
 }
 
@@ -246,17 +255,20 @@
 	if err != nil || stands {
 		return writerEarlier, err
 	}
-	err = s.handIn(r.ctx, r.route.Service, record)
-	if err == nil {
+	atOwner := s.handIn(r.ctx, r.route.Service, record)
+	if atOwner == nil {
 		return writerOwner, nil
 	}
-	*uncertain = *uncertain || mayBeTaken(err)
-	if s.Slow() && !isNotOwner(err) {
-		return "", err
+	*uncertain = *uncertain || mayBeTaken(atOwner)
+	if s.Slow() && !isNotOwner(atOwner) {
+		return "", fmt.Errorf("the store is slow, and at the owner: %w", atOwner)
 	}
 	err = s.write(r.ctx, r.route.Service, record, *uncertain)
+	if err == nil {
+		return writerEntry, nil
+	}
 	*uncertain = *uncertain || outside.IsUncertain(err)
-	return writerEntry, err
+	return "", fmt.Errorf("at the owner: %w; at this entry: %w", atOwner, err)
 }
 
 func (s *Server) accepted(r *request, record shard.Record, writer string, catalogVersion int64) {
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -44,6 +44,11 @@
 		Clock:   clock.System(),
 		Codec: intake.Codec{
 			DecodeJob: func(body []byte) (job.Spec, error) {
+				if string(body) == "large" {
+					return job.Spec{
+						Text: strings.Repeat("x", 2000),
+					}, nil
+				}
 				if string(body) != "job" {
 					return job.Spec{}, &job.FieldError{
 						Field: "body",
@@ -65,8 +70,9 @@
 			Duty:  func(string) (*owner.Duty, bool) { return nil, false },
 			Owner: func(string) (netip.AddrPort, bool) { return netip.AddrPort{}, false },
 		},
-		Table: rows.Table(),
-		Slow:  func() bool { return false },
+		Table:    rows.Table(),
+		Slow:     func() bool { return false },
+		RowBytes: 1000,
 		Moved: func(string) (string, bool) {
 			return from, from != ""
 		},
@@ -241,6 +247,12 @@
 			body:   strings.Repeat("x", 101),
 			status: http.StatusRequestEntityTooLarge,
 		},
+		"record larger than a row": {
+			method: http.MethodPost,
+			path:   "/q/a",
+			body:   "large",
+			status: http.StatusRequestEntityTooLarge,
+		},
 		"long id": {
 			method: http.MethodPost,
 			path:   "/q/" + strings.Repeat("a", 65),
--- a/scheduler/serve.go
+++ b/scheduler/serve.go
@@ -65,6 +65,7 @@
 		Table:          d.table,
 		Slow:           d.patience.Slow,
 		Moved:          d.catalog.Moved,
+		RowBytes:       d.settings.RowBytes,
 		DeadlineHeader: deadlineHeader,
 	}
 	router := gin.New()
--- a/shard/batch.go
+++ b/shard/batch.go
@@ -22,6 +22,10 @@
 	recordBytes = 512 << 10
 )
 
+// SubmittedMost bounds the jobs whose record waits for a batch: what an owner
+// writes in about a second on a calm day, and several times what callers wait for.
+const SubmittedMost = 4096
+
 // Batch is what has to be written as one transaction.
 type Batch struct {
 	// Records are of jobs that were handed in here; none may stand yet.
@@ -60,6 +64,8 @@
 func (s *Shard) Submit(record Record, done func(taken bool)) {
 	j, known := s.jobs[record.ID]
 	switch {
+	case !known && len(s.submitted) >= SubmittedMost:
+		done(false)
 	case !known:
 		j = s.add(record)
 		j.unwritten = true
--- a/shard/batch_test.go
+++ b/shard/batch_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"lemonstream.dev/lemonstream/job"
+	"lemonstream.dev/lemonstream/shard"
 )
 
 func TestJobHandedInStartsOnceItsRecordStands(t *testing.T) {
@@ -63,6 +64,18 @@
 	w.check(t)
 }
 
+func TestJobsBeyondTheBoundAreRefused(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1)
+	w.run(200 * time.Millisecond)
+	w.storeDown = true
+	for i := 0; i <= shard.SubmittedMost; i++ {
+		w.handIn(fmt.Sprintf("j%04d", i), step(1))
+	}
+	is.Equal(len(w.taken), 1) // All others wait for the store.
+	is.True(!w.taken[fmt.Sprintf("j%04d", shard.SubmittedMost)])
+}
+
 func TestJobThatAnEntryWroteMeanwhileIsOneJob(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(2)
--- a/shard/record.go
+++ b/shard/record.go
@@ -105,7 +105,7 @@
 				p.Done[stepKey(k, s)] = bits
 			}
 			for i, t := range o.steps[s].tasks {
-				if len(t.failed) == 0 || j.record.Spec.Steps[s].Lasting {
+				if len(t.failed) == 0 || t.done || j.record.Spec.Steps[s].Lasting {
 					continue
 				}
 				if p.Failed == nil {
--- a/site/settings.go
+++ b/site/settings.go
@@ -44,6 +44,9 @@
 	Instances netip.AddrPort
 	Advice    netip.AddrPort
 
+	// RowBytes is the most bytes that the store takes in one row.
+	RowBytes int
+
 	// Heartbeat is how often a worker writes its registration.
 	Heartbeat time.Duration
 
