--- a/owner/commit.go
+++ b/owner/commit.go
@@ -35,7 +35,7 @@
 	}
 	tx := d.tenure.transaction(beat, d.rows(batch, workers), releasing)
 	d.deps.Group.Go("commit of "+d.service, func(context.Context) error {
-		version, err := d.tenure.write(ctx, tx)
+		version, err := d.tenure.writeOrGiveUp(ctx, tx)
 		d.pushLogged(func(d *Duty, at time.Time) {
 			d.committing = false
 			if d.undone(batch, err, at) {
@@ -59,6 +59,11 @@
 	if err == nil {
 		return false
 	}
+	if outside.IsNotDone(err) {
+		d.core.Undo(batch, nil, now)
+		d.core.RefuseSubmitted()
+		return true
+	}
 	var exists *ExistsError
 	if !errors.As(err, &exists) {
 		d.deps.Log.Warn("transaction given up", "service", d.service, "epoch", d.tenure.epoch, "error", err.Error())
--- /dev/null
+++ b/owner/submit_test.go
@@ -0,0 +1,100 @@
+package owner_test
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lemonstream.dev/lemonstream/catalog"
+	"lemonstream.dev/lemonstream/internal/standin"
+	"lemonstream.dev/lemonstream/job"
+	"lemonstream.dev/lemonstream/outside"
+	"lemonstream.dev/lemonstream/owner"
+	"lemonstream.dev/lemonstream/shard"
+)
+
+func record(id string) shard.Record {
+	return shard.Record{
+		ID: id,
+		Policy: catalog.Policy{
+			Attempts: 1,
+		},
+		Spec: job.Spec{
+			Steps: []job.Step{{
+				Count: 1,
+			}},
+		},
+	}
+}
+
+func stands(t *testing.T, rows *standin.Rows, id string) bool {
+	t.Helper()
+	row, err := rows.Table().Row(context.Background(), owner.IntakeKey("s", id))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return row != nil
+}
+
+// TestHandedInJobStandsOrIsRefused lets a store refuse everything for a while: a
+// job whose record certainly was not written is refused at once, also one that a
+// transaction holds.
+func TestHandedInJobStandsOrIsRefused(t *testing.T) {
+	is := is.New(t)
+	rows := standin.NewRows()
+	var away atomic.Bool
+	e := newEntryOn(t, "a", refusing(rows, &away), alive("a"))
+	until(t, "the entry owns the service", e.owns)
+	duty, _ := e.keeper.Duty("s")
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	is.NoErr(duty.Submit(ctx, record("a")))
+	is.True(stands(t, rows, "a"))
+	away.Store(true)
+	for _, id := range []string{"b", "c"} {
+		var notDone *outside.NotDoneError
+		is.True(errors.As(duty.Submit(ctx, record(id)), &notDone))
+		is.True(!stands(t, rows, id))
+	}
+	away.Store(false)
+	until(t, "the owner takes jobs again", func() bool { return duty.Submit(ctx, record("b")) == nil })
+	is.True(stands(t, rows, "b"))
+	is.True(!stands(t, rows, "c")) // What was refused is never written.
+}
+
+// TestJobInAnUnansweredTransactionIsNotRefused lets the store fall silent: whether
+// the record will stand is open until the duty ends.
+func TestJobInAnUnansweredTransactionIsNotRefused(t *testing.T) {
+	is := is.New(t)
+	rows := standin.NewRows()
+	var silent atomic.Bool
+	table := rows.Table()
+	write := table.Transact
+	table.Transact = func(ctx context.Context, tx outside.Transaction) (outside.Receipt, error) {
+		if silent.Load() {
+			return outside.Receipt{}, &outside.UncertainError{
+				Call: "transact",
+			}
+		}
+		return write(ctx, tx)
+	}
+	ping := func(context.Context, netip.AddrPort, string) (owner.Pong, error) {
+		return owner.Pong{
+			Incarnation: "a",
+			Owns:        true,
+		}, nil
+	}
+	e := newEntryOn(t, "a", table, ping)
+	until(t, "the entry owns the service", e.owns)
+	duty, _ := e.keeper.Duty("s")
+	silent.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	err := duty.Submit(ctx, record("a"))
+	is.True(outside.IsUncertain(err))
+}
--- a/owner/tenure.go
+++ b/owner/tenure.go
@@ -163,26 +163,67 @@
 // number is the success of an earlier try. A conflict about other rows only is an
 // *ExistsError.
 func (t *tenure) write(ctx context.Context, tx outside.Transaction) (int64, error) {
-	want := string(tx.Puts[0].Value)
 	for {
-		receipt, err := t.table.Transact(ctx, tx)
-		if err == nil {
-			t.failures.Store(0)
-			return receipt.Version, nil
+		version, err := t.writeOnce(ctx, tx)
+		if err == nil || !isOpen(err) {
+			return version, err
 		}
-		var conflict *outside.ConflictError
-		if errors.As(err, &conflict) {
-			t.failures.Store(0)
-			return t.conflicted(conflict, want)
+		if !clock.Sleep(ctx, commitRetry) {
+			return 0, ctx.Err()
+		}
+	}
+}
+
+// writeOrGiveUp is write for a transaction that may be made anew: it returns a
+// *outside.NotDoneError where the store takes nothing and no try can have had an
+// effect.
+func (t *tenure) writeOrGiveUp(ctx context.Context, tx outside.Transaction) (int64, error) {
+	certain := true
+	for {
+		version, err := t.writeOnce(ctx, tx)
+		if err == nil || !isOpen(err) {
+			return version, err
+		}
+		certain = certain && outside.IsNotDone(err)
+		if certain && t.failing() {
+			return 0, err
 		}
-		t.failures.Add(1)
-		t.log.Warn("transaction without success", "part", t.part, "epoch", t.epoch, "error", err.Error())
 		if !clock.Sleep(ctx, commitRetry) {
 			return 0, ctx.Err()
 		}
 	}
 }
 
+// isOpen reports whether a transaction has to be sent again for its fate to be
+// known.
+func isOpen(err error) bool {
+	return outside.IsNotDone(err) || outside.IsUncertain(err)
+}
+
+// writeOnce sends a transaction once.
+func (t *tenure) writeOnce(ctx context.Context, tx outside.Transaction) (int64, error) {
+	receipt, err := t.table.Transact(ctx, tx)
+	if err == nil {
+		t.failures.Store(0)
+		return receipt.Version, nil
+	}
+	var conflict *outside.ConflictError
+	if errors.As(err, &conflict) {
+		t.failures.Store(0)
+		return t.conflicted(conflict, string(tx.Puts[0].Value))
+	}
+	t.failures.Add(1)
+	t.log.Warn("transaction without success", "part", t.part, "epoch", t.epoch, "error", err.Error())
+	if !isOpen(err) {
+		// An answer that can't be read says nothing of the transaction.
+		err = &outside.UncertainError{
+			Call:  "transaction",
+			Cause: err,
+		}
+	}
+	return 0, err
+}
+
 // conflicted tells what a conflict means for a transaction whose beat is want.
 func (t *tenure) conflicted(conflict *outside.ConflictError, want string) (int64, error) {
 	beat, _ := conflict.Find(beatKey(t.part))
