--- a/intake/intake.go
+++ b/intake/intake.go
@@ -67,6 +67,11 @@
 	writerEntry   = "entry"
 	writerOwner   = "owner"
 
+	// refuseShare is the part of a caller's deadline that this may take at most, as
+	// a divisor: a caller's last tries leave little time, and one that is held for
+	// half of it can't come back.
+	refuseShare = 4
+
 	// writePause is the pause before a write without success is repeated.
 	writePause = 50 * time.Millisecond
 )
@@ -165,14 +170,19 @@
 	}
 }
 
-func (s *Server) patience(c *gin.Context) time.Duration {
-	patience := defaultDeadline
+// deadline returns how long the caller waits for an answer.
+func (s *Server) deadline(c *gin.Context) time.Duration {
 	if text := c.GetHeader(s.DeadlineHeader); text != "" {
 		if ms, err := strconv.ParseInt(text, 10, 64); err == nil && ms > 0 {
-			patience = time.Duration(ms) * time.Millisecond
+			return time.Duration(ms) * time.Millisecond
 		}
 	}
-	return max(deadlineReserve, patience-deadlineReserve)
+	return defaultDeadline
+}
+
+// patience returns how long a caller is worked for.
+func (s *Server) patience(c *gin.Context) time.Duration {
+	return max(deadlineReserve, s.deadline(c)-deadlineReserve)
 }
 
 // refuse tells a caller that nothing was done and when to come back.
@@ -228,13 +238,14 @@
 func (s *Server) accept(r *request, record shard.Record, catalogVersion int64) {
 	uncertain := false
 	began := s.Clock.Now()
+	refusing := min(refuseAfter, s.deadline(r.Context)/refuseShare)
 	for {
 		writer, err := s.take(r, record, &uncertain)
 		if err == nil {
 			s.accepted(r, record, writer, catalogVersion)
 			return
 		}
-		refusable := !uncertain && s.Clock.Now().Sub(began) >= refuseAfter
+		refusable := !uncertain && s.Clock.Now().Sub(began)+writePause > refusing
 		if !refusable && clock.Sleep(r.ctx, writePause) {
 			continue
 		}
