--- /dev/null
+++ b/internal/standin/fleet.go
@@ -0,0 +1,286 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	"lemonstream.dev/lemonstream/outside"
+)
+
+// darkTime is how long an instance of the stand-in is dark after an order.
+const darkTime = 200 * time.Millisecond
+
+// Fleet is a stand-in for the instances of the users' platform: each runs one
+// worker at a time, a worker ends when its instance is ordered to do something, and
+// a new one comes with another id. It judges the orders from outside.
+type Fleet struct {
+	rows   *Rows
+	oracle *Oracle
+
+	// asleep names the pool whose instances are off.
+	asleep string
+
+	mu        sync.Mutex
+	instances []*fleetInstance
+	waves     map[int64]FleetWave
+}
+
+// FleetWave is a request for maintenance.
+type FleetWave struct {
+	Instances []string
+	AtOnce    int
+}
+
+// fleetInstance is one instance.
+type fleetInstance struct {
+	id      string
+	pool    string
+	address netip.AddrPort
+	lives   int
+
+	// worker is nil while the instance is dark or asleep.
+	worker *Worker
+	router *gin.Engine
+
+	// state and wave are what the instance is doing, and for which wave; done holds
+	// the waves that it went through.
+	state string
+	wave  int64
+	done  map[int64]bool
+
+	// holder and token are those of the last order.
+	holder string
+	token  int64
+}
+
+// NewFleet returns a fleet without instances.
+func NewFleet(rows *Rows, oracle *Oracle, asleep string) *Fleet {
+	return &Fleet{
+		rows:   rows,
+		oracle: oracle,
+		asleep: asleep,
+		waves:  make(map[int64]FleetWave),
+	}
+}
+
+// Add adds an instance whose workers answer at an address, and returns what serves
+// there.
+func (f *Fleet) Add(id, pool string) (http.Handler, func(address netip.AddrPort)) {
+	i := &fleetInstance{
+		id:    id,
+		pool:  pool,
+		state: "up",
+		done:  make(map[int64]bool),
+	}
+	serve := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		f.mu.Lock()
+		router := i.router
+		f.mu.Unlock()
+		if router == nil {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		router.ServeHTTP(w, r)
+	})
+	return serve, func(address netip.AddrPort) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		i.address = address
+		f.instances = append(f.instances, i)
+		f.wake(i)
+	}
+}
+
+// Ask puts a wave among what the operator asks for.
+func (f *Fleet) Ask(number int64, wave FleetWave) error {
+	body, err := json.Marshal(gin.H{
+		"wave":      number,
+		"machines":  wave.Instances,
+		"durationS": 60,
+		"maxItems":  wave.AtOnce,
+	})
+	if err != nil {
+		return fmt.Errorf("encoding a wave: %w", err)
+	}
+	f.mu.Lock()
+	f.waves[number] = wave
+	f.mu.Unlock()
+	f.rows.Write(outside.Key{
+		Table: "op",
+		Name:  "wave/" + strconv.FormatInt(number, 10),
+	}, body)
+	return nil
+}
+
+// Left returns the instances of a wave that have not begun their maintenance.
+func (f *Fleet) Left(number int64) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var left []string
+	for _, i := range f.instances {
+		for _, id := range f.waves[number].Instances {
+			if i.id == id && !i.done[number] {
+				left = append(left, id)
+			}
+		}
+	}
+	return left
+}
+
+// Routes serves the protocol that the users' platform publishes for instances.
+func (f *Fleet) Routes(router *gin.Engine) {
+	router.GET("/machines", f.list)
+	router.POST("/machine-move", f.order)
+	router.POST("/machine-upkeep", f.order)
+}
+
+func (f *Fleet) list(c *gin.Context) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	list := make([]gin.H, 0, len(f.instances))
+	for _, i := range f.instances {
+		row := gin.H{
+			"machine":  i.id,
+			"pool":     i.pool,
+			"state":    i.state,
+			"zone":     "z",
+			"labels":   []string{"a", "r1-1"},
+			"capacity": gin.H{"cpu": 4000, "memMb": 4000, "gpus": 0},
+		}
+		if i.worker != nil {
+			row["id"] = i.worker.ID
+		}
+		list = append(list, row)
+	}
+	c.JSON(http.StatusOK, gin.H{
+		"machines":  list,
+		"nextToken": nil,
+	})
+}
+
+type fleetOrder struct {
+	Machine string `json:"machine"`
+	Pool    string `json:"pool"`
+	Wave    int64  `json:"wave"`
+}
+
+func (f *Fleet) order(c *gin.Context) {
+	var order fleetOrder
+	token, err := strconv.ParseInt(c.GetHeader("Fencing-Token"), 10, 64)
+	if err != nil || c.ShouldBindJSON(&order) != nil {
+		c.Status(http.StatusBadRequest)
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, i := range f.instances {
+		if i.id == order.Machine {
+			c.JSON(f.carryOut(i, order, c.GetHeader("Lease-Holder"), token))
+			return
+		}
+	}
+	c.Status(http.StatusBadRequest)
+}
+
+// carryOut does what an order asks for and judges it.
+func (f *Fleet) carryOut(i *fleetInstance, order fleetOrder, holder string, token int64) (int, gin.H) {
+	if token < i.token || (token == i.token && holder != i.holder) {
+		f.oracle.fault("instance %s: order of %s with token %d after one of %s with %d", i.id, holder, token, i.holder, i.token)
+	}
+	i.holder = holder
+	i.token = token
+	already := (order.Wave > 0 && i.done[order.Wave]) || (order.Wave == 0 && i.pool == order.Pool)
+	switch {
+	case already:
+		return http.StatusOK, gin.H{}
+	case i.state != "up":
+		return http.StatusConflict, gin.H{
+			"reason": "busy",
+		}
+	}
+	f.end(i)
+	if order.Wave == 0 {
+		i.state = "moving"
+		i.pool = order.Pool
+	} else {
+		i.state = "upkeep"
+		i.done[order.Wave] = true
+		f.judgeWave(order.Wave)
+	}
+	i.wave = order.Wave
+	time.AfterFunc(darkTime, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		i.state = "up"
+		i.wave = 0
+		f.wake(i)
+	})
+	return http.StatusOK, gin.H{}
+}
+
+// judgeWave notes that more instances are down for a wave than it allows.
+func (f *Fleet) judgeWave(number int64) {
+	down := 0
+	for _, i := range f.instances {
+		if i.state == "upkeep" && (i.wave == number || i.wave == 0) {
+			down++
+		}
+	}
+	if most := f.waves[number].AtOnce; down > most {
+		f.oracle.fault("wave %d: %d instances are down, %d may be", number, down, most)
+	}
+}
+
+// end ends the worker of an instance and all that runs there.
+func (f *Fleet) end(i *fleetInstance) {
+	if i.worker == nil {
+		return
+	}
+	i.worker.die()
+	f.rows.Write(outside.Key{
+		Table: "servers",
+		Name:  i.worker.ID,
+	}, nil)
+	i.worker = nil
+	i.router = nil
+}
+
+// wake lets a new worker enter the instance's pool, unless that is asleep.
+func (f *Fleet) wake(i *fleetInstance) {
+	if i.pool == f.asleep {
+		return
+	}
+	i.lives++
+	i.worker = NewWorker(fmt.Sprintf("%s-%d", i.id, i.lives), i.pool, f.oracle)
+	i.worker.Address = i.address
+	i.router = gin.New()
+	i.worker.Routes(i.router)
+	f.rows.Write(outside.Key{
+		Table: "servers",
+		Name:  i.worker.ID,
+	}, []byte(i.worker.Registration()))
+}
+
+// die ends everything that runs on a worker.
+func (w *Worker) die() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for task := range w.runs {
+		w.oracle.end(task, w.ID)
+		delete(w.runs, task)
+	}
+	w.dead = true
+}
+
+func (j *Oracle) fault(format string, args ...any) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.faults = append(j.faults, fmt.Sprintf(format, args...))
+}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -48,6 +48,9 @@
 	top    map[string]int64
 	ends   [][]any
 	number int64
+
+	// dead says that the worker's life has ended.
+	dead bool
 }
 
 type workerRun struct {
@@ -120,6 +123,10 @@
 		c.Status(http.StatusBadRequest)
 		return false
 	}
+	if w.dead {
+		c.Status(http.StatusMisdirectedRequest)
+		return false
+	}
 	if order.FencingToken < w.fence {
 		w.refuse(c, "fence")
 		return false
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -35,11 +35,14 @@
 	// patience is a generous limit for what takes seconds on an idle machine.
 	patience = 90 * time.Second
 
-	entries = 3
-	workers = 4
+	entries   = 3
+	instances = 6
+
+	// waveAtOnce is how many instances may be down at one time.
+	waveAtOnce = 2
 
 	configuration = `{"version":%d,"routes":[{"name":"q","host":"h.example","pathPrefix":"/q/","timeoutMs":3000,"targetLatencyMs":600,"priority":0,"service":"s","maxAttempts":3,"stretch":1.6}],` +
-		`"services":[{"name":"s","rejectsOverload":true}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`
+		`"services":[{"name":"s","rejectsOverload":true},{"name":"z","rejectsOverload":true,"headroom":true}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`
 )
 
 // deployment is a stand-in platform with entry processes on it.
@@ -49,10 +52,14 @@
 	oracle  *standin.Oracle
 	store   *httptest.Server
 	faulty  *faultyStore
+	fleet   *standin.Fleet
 	group   *kernel.Group
 	binary  string
 	entries []*entry
 
+	// instances is where the instances' interface answers.
+	instances string
+
 	// links lead to the entries, to the workers, and from each entry to the store.
 	links []*link
 
@@ -98,26 +105,60 @@
 	d.store = httptest.NewServer(router)
 	t.Cleanup(d.store.Close)
 	d.configure()
-	for i := 0; i < workers; i++ {
-		d.addWorker(fmt.Sprintf("i-%d", i))
+	d.fleet = standin.NewFleet(d.rows, d.oracle, "z")
+	for i := 0; i < instances; i++ {
+		d.addInstance(fmt.Sprintf("m-%d", i))
 	}
+	router = gin.New()
+	d.fleet.Routes(router)
+	server := httptest.NewServer(router)
+	t.Cleanup(server.Close)
+	d.instances = d.link(server.Listener.Addr().String())
 	for i := 0; i < entries; i++ {
 		d.addEntry(i)
 	}
 	return d
 }
 
-func (d *deployment) addWorker(id string) {
-	w := standin.NewWorker(id, "s", d.oracle)
-	router := gin.New()
-	w.Routes(router)
-	server := httptest.NewServer(router)
+func (d *deployment) addInstance(id string) {
+	handler, up := d.fleet.Add(id, "s")
+	server := httptest.NewServer(handler)
 	d.t.Cleanup(server.Close)
-	w.Address = netip.MustParseAddrPort(d.link(server.Listener.Addr().String()))
-	d.rows.Write(outside.Key{
-		Table: "servers",
-		Name:  id,
-	}, []byte(w.Registration()))
+	up(netip.MustParseAddrPort(d.link(server.Listener.Addr().String())))
+}
+
+// maintain asks for a wave over all instances.
+func (d *deployment) maintain(number int64) {
+	d.t.Helper()
+	wave := standin.FleetWave{
+		AtOnce: waveAtOnce,
+	}
+	for i := 0; i < instances; i++ {
+		wave.Instances = append(wave.Instances, fmt.Sprintf("m-%d", i))
+	}
+	if err := d.fleet.Ask(number, wave); err != nil {
+		d.t.Fatal(err)
+	}
+}
+
+// waveEnds waits until a wave is shown as completed, and checks that it is.
+func (d *deployment) waveEnds(number int64) {
+	d.t.Helper()
+	key := outside.Key{
+		Table: "status",
+		Name:  "wave/" + strconv.FormatInt(number, 10),
+	}
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		row, err := d.rows.Table().Row(context.Background(), key)
+		if err != nil || row == nil || !strings.Contains(string(row.Value), "completed") {
+			continue
+		}
+		if left := d.fleet.Left(number); len(left) > 0 {
+			d.t.Errorf("wave %d is shown as completed without %v", number, left)
+		}
+		return
+	}
+	d.t.Errorf("wave %d is not shown as completed; left: %v", number, d.fleet.Left(number))
 }
 
 // link starts a proxy in front of a server and returns its address.
@@ -156,6 +197,11 @@
 		"listen.ready=127.0.0.1:" + strconv.Itoa(ports[1]),
 		fmt.Sprintf("portRange=%d,%d", ports[2], ports[2]),
 		"platform.address=" + d.link(d.store.Listener.Addr().String()),
+		"cloudApi.address=" + d.instances,
+		"cloudApi.dutyPerS=20",
+		"bounds.move_s=0.2",
+		"bounds.upkeep_s=0.2",
+		"bounds.leaseMs=500",
 		"bounds.graceS=6",
 		"bounds.stop_ms=100",
 		"",
@@ -338,6 +384,9 @@
 	const rounds, each = 10, 3
 	var ids []string
 	for round := 0; round < rounds; round++ {
+		if round == rounds/2 {
+			d.maintain(1)
+		}
 		for i := 0; i < each; i++ {
 			id := fmt.Sprintf("%016x", seed<<16|int64(round*each+i))
 			ids = append(ids, id)
@@ -349,6 +398,7 @@
 	for _, id := range ids {
 		d.any(http.MethodGet, "/q/"+id, "", completed)
 	}
+	d.waveEnds(1)
 	status, _ := call(http.MethodGet, d.entries[0].front, "/q/0123456789abcdef", "")
 	for end := time.Now().Add(patience); status != http.StatusGone && time.Now().Before(end); {
 		status, _ = call(http.MethodGet, d.entries[0].front, "/q/0123456789abcdef", "")
