--- a/Makefile
+++ b/Makefile
@@ -13,6 +13,7 @@
 
 demo: build
 	./scripts/demo.sh
+	./scripts/demo-jobs.sh
 
 test: lint unit drift demo
 	@echo "make test: all parts passed"
--- a/cmd/lemonstandin/main.go
+++ b/cmd/lemonstandin/main.go
@@ -26,7 +26,9 @@
 			newCallersCmd(),
 			newCrowdCmd(),
 			newEndpointCmd(),
+			newJobsCmd(),
 			newPlatformCmd(),
+			newSiteCmd(),
 		},
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
 	}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -14,6 +14,9 @@
 	// taskTime is how long a task of the stand-in runs.
 	taskTime = 120 * time.Millisecond
 
+	// lastingTime is longer than any stand-in is used.
+	lastingTime = 24 * time.Hour
+
 	// stopTime is how long a task takes to stop.
 	stopTime = 20 * time.Millisecond
 
@@ -106,6 +109,7 @@
 
 type workerOrder struct {
 	Task         string `json:"task"`
+	Spec         string `json:"spec"`
 	RunID        int64  `json:"runId"`
 	DeadlineMs   int64  `json:"deadlineMs"`
 	FencingToken int64  `json:"fencingToken"`
@@ -167,10 +171,14 @@
 		return
 	}
 	w.top[order.Task] = order.RunID
-	w.runs[order.Task] = &workerRun{
+	r := &workerRun{
 		run:  order.RunID,
 		ends: time.Now().Add(taskTime),
 	}
+	if order.Spec == LastingText {
+		r.ends = time.Now().Add(lastingTime)
+	}
+	w.runs[order.Task] = r
 	w.oracle.start(order.Task, w.ID)
 	c.JSON(http.StatusOK, gin.H{
 		"clockMs": w.clock().Milliseconds(),
