--- a/shard/away.go
+++ b/shard/away.go
@@ -34,7 +34,8 @@
 }
 
 // maySendAway reports whether a lasting task may be stopped now: fewer of the
-// others of its step than it may miss are away, and another worker has room.
+// others of its step than it may miss are away, and other workers have room for it
+// beside those of its step that look for some already.
 func (s *Shard) maySendAway(id job.TaskID, spec *job.Step, now time.Time) bool {
 	j := s.jobs[id.Job]
 	step := j.occurrences[id.Occurrence].steps[id.Step]
@@ -47,7 +48,55 @@
 	if away >= max(1, spec.MayMiss) || (spec.HasMayMiss && away >= spec.MayMiss) {
 		return false
 	}
-	return s.choose(id, spec, step.tasks[id.Index], now) != nil
+	return s.places(id, spec, now) > step.seeking()
+}
+
+// places returns how many tasks of a step other workers could take now.
+func (s *Shard) places(id job.TaskID, spec *job.Step, now time.Time) int {
+	sum := 0
+	for _, w := range s.workers {
+		if !s.takes(w, now) || !fits(w, id, spec) || !s.permitted(id, w, now) {
+			continue
+		}
+		most := spec.Count
+		if spec.PerWorker > 0 {
+			most = spec.PerWorker - w.onStep(id)
+		}
+		room := w.free()
+		for n := 0; n < most && room.Fits(spec.Charge()); n++ {
+			room = room.Sub(spec.Charge())
+			sum++
+		}
+	}
+	return sum
+}
+
+// stuck returns how many tasks of the step have been without a worker for long: not
+// every instance that is counted takes tasks.
+func (s *stepState) stuck(now time.Time) int {
+	count := 0
+	for _, index := range s.idle {
+		if s.tasks[index].isStuck(now) {
+			count++
+		}
+	}
+	return count
+}
+
+// isStuck reports whether a task that has run has been without a worker for long.
+func (t *taskState) isStuck(now time.Time) bool {
+	return len(t.runs) == 0 && !t.idleSince.IsZero() && now.Sub(t.idleSince) >= stuckAfter
+}
+
+// seeking returns how many tasks of the step have no worker, or lose theirs.
+func (s *stepState) seeking() int {
+	count := len(s.idle)
+	for _, t := range s.tasks {
+		if len(t.runs) == 1 && (t.runs[0].phase == phaseStopping || t.runs[0].phase == phaseStopped) {
+			count++
+		}
+	}
+	return count
 }
 
 // atWork reports whether a lasting task is known to be fully at work.
--- a/shard/events.go
+++ b/shard/events.go
@@ -198,7 +198,7 @@
 
 // drop ends a run at its worker and makes its task idle where nothing else
 // runs it.
-func (s *Shard) drop(r *run, _ time.Time) {
+func (s *Shard) drop(r *run, now time.Time) {
 	if r.worker.runs[r.id] != r {
 		return
 	}
@@ -223,6 +223,7 @@
 		step := j.occurrences[r.id.Occurrence].steps[r.id.Step]
 		step.unidle(r.id.Index)
 		step.idle = append(step.idle, r.id.Index)
+		t.idleSince = now
 		s.waiting[j.record.ID] = j
 	}
 }
--- a/shard/jobstate.go
+++ b/shard/jobstate.go
@@ -89,6 +89,9 @@
 
 	// avoid names the workers where a run of the task failed.
 	avoid []string
+
+	// idleSince is when the task last lost its run; zero before its first.
+	idleSince time.Time
 }
 
 // measure is a running mean of run times.
--- a/shard/load.go
+++ b/shard/load.go
@@ -127,14 +127,14 @@
 	}
 	for _, j := range s.jobs {
 		if !j.state.Final() {
-			s.addWaiting(j, &load)
+			s.addWaiting(j, &load, now)
 		}
 	}
 	return load
 }
 
 // addWaiting adds what the idle tasks of a job need.
-func (s *Shard) addWaiting(j *jobState, load *Load) {
+func (s *Shard) addWaiting(j *jobState, load *Load, now time.Time) {
 	for k, o := range j.occurrences {
 		for st, step := range o.steps {
 			spec := &j.record.Spec.Steps[st]
@@ -142,7 +142,8 @@
 				continue
 			}
 			if spec.PerWorker > 0 {
-				load.Spread = max(load.Spread, (step.left+spec.PerWorker-1)/spec.PerWorker)
+				stuck := step.stuck(now)
+				load.Spread = max(load.Spread, stuck+(step.left+spec.PerWorker-1)/spec.PerWorker)
 			}
 			if len(step.idle) == 0 {
 				continue
--- a/shard/place.go
+++ b/shard/place.go
@@ -20,6 +20,11 @@
 	// fullPercent is the share at which a lasting task counts as at work.
 	fullPercent = 100
 
+	// stuckAfter is how long a lasting task may be without a worker before a closed
+	// one is taken: new instances come within 1.8 s of their order, and the platform
+	// expects a lasting task to run again some 6 s after its last run.
+	stuckAfter = 2500 * time.Millisecond
+
 	// lateFactor times a job's objective is when it stops earning anything; it
 	// is the platform's own figure.
 	lateFactor = 3
@@ -153,12 +158,22 @@
 	}
 }
 
-// choose returns the best worker that can take the task now, or nil.
+// choose returns the best worker that can take the task now, or nil. A lasting task
+// that has been without a worker for long may also go to one that is closed.
 func (s *Shard) choose(id job.TaskID, spec *job.Step, t *taskState, now time.Time) *workerState {
+	best := s.best(id, spec, t, now, s.takes)
+	if best == nil && spec.Lasting && t.isStuck(now) {
+		best = s.best(id, spec, t, now, s.takesInNeed)
+	}
+	return best
+}
+
+// best returns the best of the workers that take tasks in the given sense, or nil.
+func (s *Shard) best(id job.TaskID, spec *job.Step, t *taskState, now time.Time, takes func(*workerState, time.Time) bool) *workerState {
 	var best *workerState
 	bestWeight := 0.0
 	for _, w := range s.workers {
-		if !s.takes(w, now) || !fits(w, id, spec) || !s.permitted(id, w, now) {
+		if !takes(w, now) || !fits(w, id, spec) || !s.permitted(id, w, now) {
 			continue
 		}
 		weight := s.weigh(w, spec, t)
--- a/shard/shard_test.go
+++ b/shard/shard_test.go
@@ -357,3 +357,72 @@
 	w.run(3 * time.Second)
 	is.Equal(w.shown["a"], job.Completed)
 }
+
+// TestLastingTasksAreSentAwayOnlyToRoomOfTheirOwn covers two closed workers whose
+// tasks may both be away, and a single other worker that can take one of them.
+func TestLastingTasksAreSentAwayOnlyToRoomOfTheirOwn(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(4)
+	one := lasting(3, 2)
+	one.PerWorker = 1
+	w.run(200 * time.Millisecond)
+	w.submit("a", one)
+	w.run(2 * time.Second)
+	var holders []string
+	for id, f := range w.workers {
+		if len(f.runs) > 0 {
+			holders = append(holders, id)
+		}
+	}
+	is.Equal(len(holders), 3)
+	for i := 0; i < 30; i++ {
+		w.core.SetClosed(holders[:2], w.now)
+		w.run(100 * time.Millisecond)
+	}
+	running := 0
+	for _, f := range w.workers {
+		running += len(f.runs)
+	}
+	is.Equal(running, 3) // None waits without a worker that takes it.
+	w.check(t)
+}
+
+// TestStuckLastingTaskGoesToClosedWorker covers a lasting task whose worker has
+// ended while the only other one with room is closed, and not empty.
+func TestStuckLastingTaskGoesToClosedWorker(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(2)
+	w.run(200 * time.Millisecond)
+	long := step(2)
+	long.PerWorker = 1
+	long.Estimate = time.Hour
+	w.submit("b", long)
+	w.run(500 * time.Millisecond)
+	w.submit("a", lasting(1, 1))
+	w.run(time.Second)
+	for id, f := range w.workers {
+		if len(f.runs) == 1 {
+			for i := 0; i < 80; i++ {
+				w.core.SetClosed([]string{id}, w.now)
+				if i == 10 {
+					w.core.End([]string{otherOf(w, id)}, w.now)
+					w.workers[otherOf(w, id)].down = true
+				}
+				w.run(100 * time.Millisecond)
+			}
+			is.Equal(len(f.runs), 2)
+			break
+		}
+	}
+	w.check(t)
+}
+
+// otherOf returns the other of two workers.
+func otherOf(w *world, id string) string {
+	for other := range w.workers {
+		if other != id {
+			return other
+		}
+	}
+	return ""
+}
