--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -362,3 +362,34 @@
 	f.sizer.Ordered(first[0].Instance, "", first[0].Worker, first[0].Wave, f.view.Now)
 	is.Equal(len(f.plan().Maintenances), 0) // Now it is down for sure.
 }
+
+// TestScarcityLeavesRoomForTasksThatMustNotShareAWorker covers a peak of all
+// services at once, beside lasting tasks with one for each worker.
+func TestScarcityLeavesRoomForTasksThatMustNotShareAWorker(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(map[string]int{
+		"a":    8,
+		"b":    10,
+		asleep: 2,
+	})
+	f.service("a").Load.Spread = 7
+	f.service("b").Load.Waiting = cpu(1600)
+	for i := 0; i < 5; i++ {
+		is.True(f.plan().Targets["a"] >= 8)
+	}
+}
+
+func TestInstanceThatIsDownIsReplaced(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(map[string]int{
+		"a":    8,
+		"b":    3,
+		asleep: 4,
+	})
+	f.service("a").Load.Spread = 7
+	f.plan()
+	f.view.Instances[0].State = outside.InstanceDown
+	moves := f.plan().Moves
+	is.Equal(len(moves), 1)
+	is.Equal(moves[0].To, "a")
+}
--- a/pool/round.go
+++ b/pool/round.go
@@ -84,7 +84,10 @@
 	}
 	byName(r.spots)
 	for _, sp := range r.spots {
-		r.count[sp.pool]++
+		// One that is down runs nothing, and nobody knows for how long.
+		if sp.instance.State != outside.InstanceDown {
+			r.count[sp.pool]++
+		}
 	}
 	return r
 }
@@ -157,21 +160,27 @@
 func (r *round) share() {
 	sum := 0
 	floors := 0
-	for _, need := range r.needs {
+	for name, need := range r.needs {
 		sum += need
-		floors += min(need, floorInstances)
+		floors += min(need, r.floor(name))
 	}
 	if sum <= len(r.spots) || sum == floors {
 		return
 	}
 	part := float64(max(0, len(r.spots)-floors)) / float64(sum-floors)
 	for name, need := range r.needs {
-		floor := min(need, floorInstances)
+		floor := min(need, r.floor(name))
 		r.needs[name] = floor + int(part*float64(need-floor))
 		r.plan.Targets[name] = min(r.plan.Targets[name], r.needs[name])
 	}
 }
 
+// floor returns how many instances a service keeps whatever others lack: its tasks
+// that must not share a worker run nowhere else.
+func (r *round) floor(name string) int {
+	return max(floorInstances, r.services[name].Load.Spread+1)
+}
+
 // room returns the mean room of a service's instances, or of all instances.
 func (r *round) room(service string) job.Room {
 	var sum job.Room
