--- a/owner/follow_test.go
+++ b/owner/follow_test.go
@@ -19,11 +19,26 @@
 		failures int
 		middle   time.Duration
 	}{
-		"first":  {1, 100 * time.Millisecond},
-		"second": {2, 200 * time.Millisecond},
-		"third":  {3, 400 * time.Millisecond},
-		"most":   {4, 500 * time.Millisecond},
-		"many":   {1000, 500 * time.Millisecond},
+		"first": {
+			failures: 1,
+			middle:   100 * time.Millisecond,
+		},
+		"second": {
+			failures: 2,
+			middle:   200 * time.Millisecond,
+		},
+		"third": {
+			failures: 3,
+			middle:   400 * time.Millisecond,
+		},
+		"most": {
+			failures: 4,
+			middle:   500 * time.Millisecond,
+		},
+		"many": {
+			failures: 1000,
+			middle:   500 * time.Millisecond,
+		},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
