--- a/owner/fleet.go
+++ b/owner/fleet.go
@@ -134,6 +134,8 @@
 	f.quietUntil = f.quietUntil.Add(aliveFor)
 	for _, instance := range won.before.Ordered {
 		f.sizer.Block(instance, now.Add(aliveFor+deps.Site.HolderPause))
+		// The next successor may come before the pause has passed.
+		f.recent[instance] = now
 	}
 	deps.Log.Info("instances left alone", "epoch", won.epoch, "count", len(won.before.Ordered), "ms", (aliveFor + deps.Site.HolderPause).Milliseconds())
 	return f
--- a/owner/fleet_test.go
+++ b/owner/fleet_test.go
@@ -23,7 +23,7 @@
 const (
 	awake      = "s"
 	sleeping   = "z"
-	fleetSize  = 12
+	fleetSize  = 24
 	fleetOrder = 5 // orders a second: one a round
 )
 
@@ -132,7 +132,7 @@
 	f := &fleetOfIdle{
 		moved: make(map[string]map[string]bool),
 	}
-	var away atomic.Bool
+	var away, awayToo atomic.Bool
 	newEntryWith(t, "a", refusing(rows, &away), alive("a"), f.deps)
 	until(t, "the first holder gives orders", func() bool { return f.count("a") >= 2 })
 	silent := func(context.Context, netip.AddrPort, string) (owner.Pong, error) {
@@ -140,12 +140,19 @@
 			Call: "ping",
 		}
 	}
-	newEntryWith(t, "b", rows.Table(), silent, f.deps)
+	newEntryWith(t, "b", refusing(rows, &awayToo), silent, f.deps)
 	away.Store(true)
 	until(t, "the second holder gives orders", func() bool { return f.count("b") >= 2 })
+	newEntryWith(t, "c", rows.Table(), silent, f.deps)
+	awayToo.Store(true)
+	until(t, "the third holder gives orders", func() bool { return f.count("c") >= 2 })
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for instance := range f.moved["b"] {
 		is.True(!f.moved["a"][instance])
 	}
+	for instance := range f.moved["c"] {
+		is.True(!f.moved["a"][instance])
+		is.True(!f.moved["b"][instance])
+	}
 }
