--- a/internal/standin/site.go
+++ b/internal/standin/site.go
@@ -115,23 +115,7 @@
 	for i := 0; i < options.Entries; i++ {
 		port := options.FirstPort + 3*i
 		file.Fronts = append(file.Fronts, fmt.Sprintf("127.0.0.1:%d", port))
-		settings := strings.Join([]string{
-			"nodeName=entry-" + strconv.Itoa(i),
-			"zone=z",
-			"ip=127.0.0.1",
-			fmt.Sprintf("listen.front=127.0.0.1:%d", port),
-			fmt.Sprintf("listen.ready=127.0.0.1:%d", port+1),
-			fmt.Sprintf("portRange=%d,%d", port+2, port+2),
-			"platform.address=" + store,
-			"cloudApi.address=" + store,
-			"cloudApi.dutyPerS=20",
-			"bounds.move_s=0.2",
-			"bounds.upkeep_s=0.2",
-			"bounds.leaseMs=500",
-			"bounds.graceS=6",
-			"bounds.stop_ms=100",
-			"",
-		}, "\n")
+		settings := EntrySettings(i, [3]int{port, port + 1, port + 2}, store, store)
 		path := filepath.Join(options.Dir, fmt.Sprintf("entry-%d.conf", i))
 		if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 			return fmt.Errorf("writing settings: %w", err)
@@ -144,6 +128,28 @@
 	return os.WriteFile(filepath.Join(options.Dir, "site.json"), body, 0o600)
 }
 
+// EntrySettings returns the settings of an entry: its number, its ports for callers,
+// readiness and other entries, and where the store and the instances answer.
+func EntrySettings(number int, ports [3]int, store, instances string) string {
+	return strings.Join([]string{
+		"nodeName=entry-" + strconv.Itoa(number),
+		"zone=z",
+		"ip=127.0.0.1",
+		fmt.Sprintf("listen.front=127.0.0.1:%d", ports[0]),
+		fmt.Sprintf("listen.ready=127.0.0.1:%d", ports[1]),
+		fmt.Sprintf("portRange=%d,%d", ports[2], ports[2]),
+		"platform.address=" + store,
+		"cloudApi.address=" + instances,
+		"cloudApi.dutyPerS=20",
+		"bounds.move_s=0.2",
+		"bounds.upkeep_s=0.2",
+		"bounds.leaseMs=500",
+		"bounds.graceS=6",
+		"bounds.stop_ms=100",
+		"",
+	}, "\n")
+}
+
 // Run serves the site until ctx ends.
 func (s *Site) Run(ctx context.Context) error {
 	failed := make(chan error, len(s.servers))
--- a/owner/submit_test.go
+++ b/owner/submit_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/netip"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -83,13 +82,7 @@
 		}
 		return write(ctx, tx)
 	}
-	ping := func(context.Context, netip.AddrPort, string) (owner.Pong, error) {
-		return owner.Pong{
-			Incarnation: "a",
-			Owns:        true,
-		}, nil
-	}
-	e := newEntryOn(t, "a", table, ping)
+	e := newEntryOn(t, "a", table, alive("a"))
 	until(t, "the entry owns the service", e.owns)
 	duty, _ := e.keeper.Duty("s")
 	silent.Store(true)
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -5,44 +5,9 @@
 # counted by the callers and the endpoints, not by the entries.
 set -euo pipefail
 
-bin=$(cd "$(dirname "$0")/../bin" && pwd)
 base=${DEMO_PORT:-21000}
 seconds=${DEMO_SECONDS:-26}
-work=$(mktemp -d)
-pids=()
-
-cleanup() {
-  trap - EXIT INT TERM
-  for pid in "${pids[@]}"; do kill -KILL "$pid" 2>/dev/null || true; done
-  wait 2>/dev/null || true
-  rm -rf "$work"
-}
-trap cleanup EXIT
-trap 'exit 130' INT TERM
-
-say() { echo "demo: $*" >&2; }
-
-# start NAME COMMAND... runs a command in the background; its id is in $last.
-start() {
-  local name=$1
-  shift
-  "$@" >"$work/$name.out" 2>"$work/$name.log" &
-  last=$!
-  pids+=("$last")
-}
-
-# until_ok TEXT COMMAND... waits until the command succeeds.
-until_ok() {
-  local what=$1
-  shift
-  for _ in $(seq 300); do
-    if "$@" >/dev/null 2>&1; then return 0; fi
-    sleep 0.1
-  done
-  say "gave up waiting for $what"
-  tail -n 5 "$work"/entry*.log >&2
-  exit 1
-}
+. "$(dirname "$0")/processes.sh"
 
 ctl() { "$bin/lemonctl" --entries "$operators" --operator demo "$@"; }
 # field NAME reads a field of JSON as lemonctl prints it.
--- a/shard/shard_test.go
+++ b/shard/shard_test.go
@@ -66,12 +66,7 @@
 	w.run(200 * time.Millisecond)
 	w.submit("a", one)
 	w.run(2 * time.Second)
-	var holders []string
-	for id, f := range w.workers {
-		if len(f.runs) > 0 {
-			holders = append(holders, id)
-		}
-	}
+	holders := w.holders()
 	is.Equal(len(holders), 2)
 	w.workers[holders[0]].down = true
 	w.run(time.Second) // The worker is silent now, and its lease has not lapsed.
@@ -368,12 +363,7 @@
 	w.run(200 * time.Millisecond)
 	w.submit("a", one)
 	w.run(2 * time.Second)
-	var holders []string
-	for id, f := range w.workers {
-		if len(f.runs) > 0 {
-			holders = append(holders, id)
-		}
-	}
+	holders := w.holders()
 	is.Equal(len(holders), 3)
 	for i := 0; i < 30; i++ {
 		w.core.SetClosed(holders[:2], w.now)
--- a/shard/world_test.go
+++ b/shard/world_test.go
@@ -502,6 +502,17 @@
 // atWork says when a run of a lasting step counts as at work.
 const atWork = 500 * time.Millisecond
 
+// holders returns the workers that run something.
+func (w *world) holders() []string {
+	var list []string
+	for id, f := range w.workers {
+		if len(f.runs) > 0 {
+			list = append(list, id)
+		}
+	}
+	return list
+}
+
 // judgeStop notes a stop of a lasting task while too many others of its step are
 // away.
 func (w *world) judgeStop(f *fakeWorker, id job.TaskID, stopped *fakeRun) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -189,23 +189,7 @@
 
 func (d *deployment) addEntry(index int) {
 	ports := freePorts(d.t, 3)
-	settings := strings.Join([]string{
-		"nodeName=entry-" + strconv.Itoa(index),
-		"zone=z",
-		"ip=127.0.0.1",
-		"listen.front=127.0.0.1:" + strconv.Itoa(ports[0]),
-		"listen.ready=127.0.0.1:" + strconv.Itoa(ports[1]),
-		fmt.Sprintf("portRange=%d,%d", ports[2], ports[2]),
-		"platform.address=" + d.link(d.store.Listener.Addr().String()),
-		"cloudApi.address=" + d.instances,
-		"cloudApi.dutyPerS=20",
-		"bounds.move_s=0.2",
-		"bounds.upkeep_s=0.2",
-		"bounds.leaseMs=500",
-		"bounds.graceS=6",
-		"bounds.stop_ms=100",
-		"",
-	}, "\n")
+	settings := standin.EntrySettings(index, [3]int(ports), d.link(d.store.Listener.Addr().String()), d.instances)
 	path := filepath.Join(d.t.TempDir(), "settings.conf")
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		d.t.Fatal(err)
