Leave open whether a job that is not taken runs

Cause: an entry judged a refusal by its own tries alone. Ruled out: reading the rows before refusing (a transaction may be carried out seconds later); a row that fences the id (where the store takes it, it takes the job as well); asking all entries for their tries (one that was restarted or is cut off can't tell, and at 300 entries it is a call to each for every job). Change: an entry that does not take a job answers 504 with Retry-After, at once as before; 503 stays for calls that hand nothing in.

--- /dev/null
+++ b/intake/accept.go
@@ -0,0 +1,131 @@
+package intake
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+
+	"lemonstream.dev/lemonstream/clock"
+	"lemonstream.dev/lemonstream/outside"
+	"lemonstream.dev/lemonstream/owner"
+	"lemonstream.dev/lemonstream/peer"
+	"lemonstream.dev/lemonstream/shard"
+)
+
+// accept makes the record of a job stand and answers. It gives up early where none
+// of its own tries can take effect any more.
+func (s *Server) accept(r *request, record shard.Record, catalogVersion int64) {
+	uncertain := false
+	began := s.Clock.Now()
+	givingUp := min(giveUpAfter, s.deadline(r.Context)/giveUpShare)
+	for {
+		writer, err := s.take(r, record, &uncertain)
+		if err == nil {
+			s.accepted(r, record, writer, catalogVersion)
+			return
+		}
+		hopeless := !uncertain && s.Clock.Now().Sub(began)+writePause > givingUp
+		if !hopeless && clock.Sleep(r.ctx, writePause) {
+			continue
+		}
+		s.Log.Warn("job not accepted", "job", record.ID, "route", record.Route, "uncertain", uncertain, "error", err.Error())
+		s.notTaken(r.Context, "the store does not take the job")
+		return
+	}
+}
+
+// take tries once to make the record of a job stand, and returns who wrote it.
+// uncertain is set where a try without success may yet have an effect.
+func (s *Server) take(r *request, record shard.Record, uncertain *bool) (string, error) {
+	stands, err := s.standsElsewhere(r, record)
+	if err != nil || stands {
+		return writerEarlier, err
+	}
+	atOwner := s.handIn(r.ctx, r.route.Service, record)
+	if atOwner == nil {
+		return writerOwner, nil
+	}
+	*uncertain = *uncertain || mayBeTaken(atOwner)
+	if s.Slow() && !isNotOwner(atOwner) {
+		return "", fmt.Errorf("the store is slow, and at the owner: %w", atOwner)
+	}
+	err = s.write(r.ctx, r.route.Service, record, *uncertain)
+	if err == nil {
+		return writerEntry, nil
+	}
+	*uncertain = *uncertain || outside.IsUncertain(err)
+	return "", fmt.Errorf("at the owner: %w; at this entry: %w", atOwner, err)
+}
+
+func (s *Server) accepted(r *request, record shard.Record, writer string, catalogVersion int64) {
+	s.Log.Info("job accepted", "job", record.ID, "route", record.Route, "service", r.route.Service,
+		"writer", writer, "catalog", catalogVersion, "steps", describe(record.Spec))
+	r.Status(http.StatusOK)
+}
+
+// write writes the record of a job itself, which needs no owner, and tells the
+// owner. A record that stands already is a success; known says that it may be an
+// earlier try of this very request that wrote it.
+func (s *Server) write(ctx context.Context, service string, record shard.Record, known bool) error {
+	receipt, err := s.Table.Transact(ctx, s.transaction(service, record))
+	var conflict *outside.ConflictError
+	switch {
+	case err == nil:
+		s.tell(service, record, receipt.Version)
+	case errors.As(err, &conflict):
+		s.Log.Info("job known already", "job", record.ID, "route", record.Route)
+		if known {
+			s.tell(service, record, 0)
+		}
+	default:
+		return err
+	}
+	return nil
+}
+
+func (s *Server) transaction(service string, record shard.Record) outside.Transaction {
+	key := owner.IntakeKey(service, record.ID)
+	return outside.Transaction{
+		Checks: []outside.Check{{
+			Key: key,
+		}, {
+			Key: owner.ProgressKey(service, record.ID),
+		}},
+		Puts: []outside.Put{{
+			Key:   key,
+			Value: record.Encode(),
+		}},
+	}
+}
+
+// tell makes the owner of the service aware of a job. It does not hold up the
+// answer; what is lost here the owner finds in the table.
+func (s *Server) tell(service string, record shard.Record, version int64) {
+	s.Group.Go("offer", func(ctx context.Context) error {
+		for try := 0; try < offerTries; try++ {
+			err := s.offer(ctx, service, record, version, try == 0)
+			if err == nil {
+				return nil
+			}
+			s.Log.Info("owner not told", "job", record.ID, "service", service, "try", try, "error", err.Error())
+			if !clock.Sleep(ctx, offerPause) {
+				return nil
+			}
+		}
+		return nil
+	})
+}
+
+func (s *Server) offer(ctx context.Context, service string, record shard.Record, version int64, first bool) error {
+	if duty, mine := s.Owners.Duty(service); mine {
+		return duty.Offer(record, version, first)
+	}
+	address, known := s.Owners.Owner(service)
+	if !known {
+		return &peer.NotOwnerError{
+			Service: service,
+		}
+	}
+	return s.Owners.Peers.Offer(ctx, address, service, record, version, first)
+}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -44,16 +43,15 @@
 	// offerPause is the pause between these tries.
 	offerPause = 150 * time.Millisecond
 
-	// retryAfter is what a refused caller is told to wait, in whole seconds,
-	// the header's unit: outages of the store that are worth waiting for are
-	// over within seconds.
+	// retryAfter is what a caller that was not served is told to wait, in whole
+	// seconds, the header's unit: outages of the store that are worth waiting for
+	// are over within seconds.
 	retryAfter = 1
 
-	// refuseAfter is how long a job is offered to a store that certainly does not
+	// giveUpAfter is how long a job is offered to a store that certainly does not
 	// take it. A caller that comes back in a second is served sooner than one
-	// whose only try is held here, and a late refusal is dearer than an early
-	// one.
-	refuseAfter = 150 * time.Millisecond
+	// whose only try is held here.
+	giveUpAfter = 150 * time.Millisecond
 
 	// handInLook is the time between two looks whether an owner that does not
 	// answer still works; handInStale is how old its last write may be. With the
@@ -67,10 +65,10 @@
 	writerEntry   = "entry"
 	writerOwner   = "owner"
 
-	// refuseShare is the part of a caller's deadline that this may take at most, as
+	// giveUpShare is the part of a caller's deadline that this may take at most, as
 	// a divisor: a caller's last tries leave little time, and one that is held for
 	// half of it can't come back.
-	refuseShare = 4
+	giveUpShare = 4
 
 	// writePause is the pause before a write without success is repeated.
 	writePause = 50 * time.Millisecond
@@ -132,6 +130,10 @@
 
 func (s *Server) serve(c *gin.Context) {
 	current := s.Catalog()
+	if current.Version == 0 && c.Request.Method == http.MethodPost {
+		s.notTaken(c, "no configuration yet")
+		return
+	}
 	if current.Version == 0 {
 		s.refuse(c, "no configuration yet")
 		return
@@ -185,7 +187,17 @@
 	return max(deadlineReserve, s.deadline(c)-deadlineReserve)
 }
 
-// refuse tells a caller that nothing was done and when to come back.
+// notTaken tells a caller whose job this entry did not take when to come back. The
+// answer leaves open whether the job was taken: a try at another entry may
+// have written its record, or may yet, and this entry can't know of it.
+func (s *Server) notTaken(c *gin.Context, reason string) {
+	s.Log.Info("job not taken", "reason", reason, "path", c.Request.URL.Path)
+	c.Header("Retry-After", strconv.Itoa(retryAfter))
+	c.String(http.StatusGatewayTimeout, reason+"\n")
+}
+
+// refuse tells a caller that asks for something, and hands nothing in, that it has
+// no answer and when to come back.
 func (s *Server) refuse(c *gin.Context, reason string) {
 	s.Log.Info("request refused", "reason", reason, "method", c.Request.Method, "path", c.Request.URL.Path)
 	c.Header("Retry-After", strconv.Itoa(retryAfter))
@@ -233,127 +245,6 @@
 // maxIDBytes bounds the id of a job; callers use 16 digits.
 const maxIDBytes = 64
 
-// accept makes the record of a job stand and answers. The answer is 503 only if
-// no try can take effect any more.
-func (s *Server) accept(r *request, record shard.Record, catalogVersion int64) {
-	uncertain := false
-	began := s.Clock.Now()
-	refusing := min(refuseAfter, s.deadline(r.Context)/refuseShare)
-	for {
-		writer, err := s.take(r, record, &uncertain)
-		if err == nil {
-			s.accepted(r, record, writer, catalogVersion)
-			return
-		}
-		refusable := !uncertain && s.Clock.Now().Sub(began)+writePause > refusing
-		if !refusable && clock.Sleep(r.ctx, writePause) {
-			continue
-		}
-		s.Log.Warn("job not accepted", "job", record.ID, "route", record.Route, "uncertain", uncertain, "error", err.Error())
-		if uncertain {
-			r.Status(http.StatusGatewayTimeout)
-			return
-		}
-		s.refuse(r.Context, "the store does not take the job")
-		return
-	}
-}
-
-// take tries once to make the record of a job stand, and returns who wrote it.
-// uncertain is set where a try without success may yet have an effect.
-func (s *Server) take(r *request, record shard.Record, uncertain *bool) (string, error) {
-	stands, err := s.standsElsewhere(r, record)
-	if err != nil || stands {
-		return writerEarlier, err
-	}
-	atOwner := s.handIn(r.ctx, r.route.Service, record)
-	if atOwner == nil {
-		return writerOwner, nil
-	}
-	*uncertain = *uncertain || mayBeTaken(atOwner)
-	if s.Slow() && !isNotOwner(atOwner) {
-		return "", fmt.Errorf("the store is slow, and at the owner: %w", atOwner)
-	}
-	err = s.write(r.ctx, r.route.Service, record, *uncertain)
-	if err == nil {
-		return writerEntry, nil
-	}
-	*uncertain = *uncertain || outside.IsUncertain(err)
-	return "", fmt.Errorf("at the owner: %w; at this entry: %w", atOwner, err)
-}
-
-func (s *Server) accepted(r *request, record shard.Record, writer string, catalogVersion int64) {
-	s.Log.Info("job accepted", "job", record.ID, "route", record.Route, "service", r.route.Service,
-		"writer", writer, "catalog", catalogVersion, "steps", describe(record.Spec))
-	r.Status(http.StatusOK)
-}
-
-// write writes the record of a job itself, which needs no owner, and tells the
-// owner. A record that stands already is a success; known says that it may be an
-// earlier try of this very request that wrote it.
-func (s *Server) write(ctx context.Context, service string, record shard.Record, known bool) error {
-	receipt, err := s.Table.Transact(ctx, s.transaction(service, record))
-	var conflict *outside.ConflictError
-	switch {
-	case err == nil:
-		s.tell(service, record, receipt.Version)
-	case errors.As(err, &conflict):
-		s.Log.Info("job known already", "job", record.ID, "route", record.Route)
-		if known {
-			s.tell(service, record, 0)
-		}
-	default:
-		return err
-	}
-	return nil
-}
-
-func (s *Server) transaction(service string, record shard.Record) outside.Transaction {
-	key := owner.IntakeKey(service, record.ID)
-	return outside.Transaction{
-		Checks: []outside.Check{{
-			Key: key,
-		}, {
-			Key: owner.ProgressKey(service, record.ID),
-		}},
-		Puts: []outside.Put{{
-			Key:   key,
-			Value: record.Encode(),
-		}},
-	}
-}
-
-// tell makes the owner of the service aware of a job. It does not hold up the
-// answer; what is lost here the owner finds in the table.
-func (s *Server) tell(service string, record shard.Record, version int64) {
-	s.Group.Go("offer", func(ctx context.Context) error {
-		for try := 0; try < offerTries; try++ {
-			err := s.offer(ctx, service, record, version, try == 0)
-			if err == nil {
-				return nil
-			}
-			s.Log.Info("owner not told", "job", record.ID, "service", service, "try", try, "error", err.Error())
-			if !clock.Sleep(ctx, offerPause) {
-				return nil
-			}
-		}
-		return nil
-	})
-}
-
-func (s *Server) offer(ctx context.Context, service string, record shard.Record, version int64, first bool) error {
-	if duty, mine := s.Owners.Duty(service); mine {
-		return duty.Offer(record, version, first)
-	}
-	address, known := s.Owners.Owner(service)
-	if !known {
-		return &peer.NotOwnerError{
-			Service: service,
-		}
-	}
-	return s.Owners.Peers.Offer(ctx, address, service, record, version, first)
-}
-
 // describe returns the steps of a job in a line: what it needs and for how long.
 func describe(spec job.Spec) string {
 	var text strings.Builder
