Bound what entries try without success, over all of their callers

For each caller that waited, its entry tried the owner and the part 20 times a second; 32 entries together went above the rates of the whole store, and the services whose parts were well got 429 (64 transactions of owners). Ruled out: a fault that lingers after its end, as the issue read it: the owner's next claim came 0.25 s after the true end.

--- a/intake/accept.go
+++ b/intake/accept.go
@@ -50,7 +50,9 @@
 	if s.Slow() && !isNotOwner(atOwner) {
 		return "", fmt.Errorf("the store is slow, and at the owner: %w", atOwner)
 	}
-	err = s.write(r.ctx, r.route.Service, record, *uncertain)
+	err = s.Breakers.Try(r.ctx, "writing to "+r.route.Service, func(ctx context.Context) error {
+		return s.write(ctx, r.route.Service, record, *uncertain)
+	})
 	if err == nil {
 		return writerEntry, nil
 	}
--- a/intake/ask.go
+++ b/intake/ask.go
@@ -34,7 +34,7 @@
 			r.Data(http.StatusOK, contentJSON, s.Codec.EncodeState(state))
 			return
 		}
-		state, service, err := s.readState(r.ctx, r.route.Service, r.id)
+		state, service, err := s.tryReading(r.ctx, r.route.Service, r.id)
 		if err == nil && service == "" {
 			s.Log.Info("job unknown", "job", r.id, "route", r.route.Name)
 			r.Status(http.StatusGone)
@@ -59,13 +59,29 @@
 	if !known {
 		return "", false
 	}
-	state, found, err := s.Owners.Peers.State(ctx, address, service, id)
-	if err != nil {
-		s.Log.Info("owner not asked", "job", id, "service", service, "owner", address.String(), "error", err.Error())
-	}
+	var state job.State
+	var found bool
+	err := s.tryOwner(ctx, asking, service, address, func(ctx context.Context) error {
+		var err error
+		state, found, err = s.Owners.Peers.State(ctx, address, service, id)
+		return err
+	})
 	return state, found && err == nil
 }
 
+// tryReading is readState, unless the rows of the service could not be read a moment
+// ago.
+func (s *Server) tryReading(ctx context.Context, service, id string) (job.State, string, error) {
+	var state job.State
+	var found string
+	err := s.Breakers.Try(ctx, "reading of "+service, func(ctx context.Context) error {
+		var err error
+		state, found, err = s.readState(ctx, service, id)
+		return err
+	})
+	return state, found, err
+}
+
 // readState reads the state of a job from the rows of its service, and then of
 // the other services, since a route may have moved. It returns the service that
 // holds the job, or an empty one where none does.
@@ -112,7 +128,7 @@
 			r.Status(http.StatusOK)
 			return
 		}
-		state, service, err := s.readState(r.ctx, r.route.Service, r.id)
+		state, service, err := s.tryReading(r.ctx, r.route.Service, r.id)
 		if err == nil && (service == "" || state.Final()) {
 			r.Status(http.StatusGone)
 			return
@@ -155,20 +171,24 @@
 	if !found {
 		return false, false
 	}
-	known, err := s.Owners.Peers.Cancel(ctx, address, service, id)
-	if err != nil {
-		s.Log.Info("owner not asked", "job", id, "service", service, "owner", address.String(), "error", err.Error())
-	}
+	err := s.tryOwner(ctx, asking, service, address, func(ctx context.Context) error {
+		var err error
+		known, err = s.Owners.Peers.Cancel(ctx, address, service, id)
+		return err
+	})
 	return err == nil, known
 }
 
 func (s *Server) writeCancel(ctx context.Context, service, id string) error {
 	key := owner.CancelKey(service, id)
-	_, err := s.Table.Transact(ctx, outside.Transaction{
-		Puts: []outside.Put{{
-			Key:   key,
-			Value: []byte(cancelValue),
-		}},
+	err := s.Breakers.Try(ctx, "writing to "+service, func(ctx context.Context) error {
+		_, err := s.Table.Transact(ctx, outside.Transaction{
+			Puts: []outside.Put{{
+				Key:   key,
+				Value: []byte(cancelValue),
+			}},
+		})
+		return err
 	})
 	var conflict *outside.ConflictError
 	if errors.As(err, &conflict) {
@@ -210,6 +230,11 @@
 	if !known {
 		return 0, false
 	}
-	count, err := s.Owners.Peers.Pending(ctx, address, service, route)
+	count := 0
+	err := s.tryOwner(ctx, asking, service, address, func(ctx context.Context) error {
+		var err error
+		count, err = s.Owners.Peers.Pending(ctx, address, service, route)
+		return err
+	})
 	return count, err == nil
 }
--- a/intake/handin.go
+++ b/intake/handin.go
@@ -34,7 +34,11 @@
 		submit = func() error { return duty.Submit(ctx, record) }
 		works = func() bool { return duty.WriteAge() < handInStale }
 	} else if address, known := s.Owners.Owner(service); known {
-		submit = func() error { return s.Owners.Peers.Submit(ctx, address, service, record) }
+		submit = func() error {
+			return s.tryOwner(ctx, handingIn, service, address, func(ctx context.Context) error {
+				return s.Owners.Peers.Submit(ctx, address, service, record)
+			})
+		}
 		works = func() bool { return s.ownerWorks(ctx, address, service) }
 	} else {
 		return &peer.NotOwnerError{
@@ -62,6 +66,27 @@
 	}
 }
 
+// purpose is what the owner of a service is called for. One that takes no jobs may
+// well tell of those that it has.
+type purpose string
+
+const (
+	asking    purpose = "asking"
+	handingIn purpose = "handing in at"
+)
+
+// tryOwner calls another entry that owns a service, unless the last such call was
+// without success a moment ago. A call that was not made certainly has no effect.
+func (s *Server) tryOwner(ctx context.Context, why purpose, service string, address netip.AddrPort, call func(context.Context) error) error {
+	return s.Breakers.Try(ctx, string(why)+" "+address.String()+" for "+service, func(ctx context.Context) error {
+		err := call(ctx)
+		if err != nil {
+			s.Log.Info("owner not asked", "purpose", string(why), "service", service, "owner", address.String(), "error", err.Error())
+		}
+		return err
+	})
+}
+
 // ownerWorks asks another entry whether it owns a service and writes.
 func (s *Server) ownerWorks(ctx context.Context, address netip.AddrPort, service string) bool {
 	pong, err := s.Owners.Peers.Ping(ctx, address, service)
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -99,6 +99,9 @@
 	Owners  Owners
 	Table   outside.Table
 
+	// Breakers bound how often this entry tries what fails, over all callers.
+	Breakers *outside.Breakers
+
 	// Slow reports whether the store takes much longer than on a calm day.
 	Slow func() bool
 
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/gin-gonic/gin"
 	"github.com/matryer/is"
@@ -77,6 +78,7 @@
 			Owner: func(string) (netip.AddrPort, bool) { return netip.AddrPort{}, false },
 		},
 		Table:    table,
+		Breakers: outside.NewBreakers(clock.System(), func() time.Duration { return 250 * time.Millisecond }),
 		Slow:     func() bool { return false },
 		RowBytes: 1000,
 		Moved: func(string) (string, bool) {
--- a/owner/follow.go
+++ b/owner/follow.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"log/slog"
-	"math/rand/v2"
 	"time"
 
 	"lemonstream.dev/lemonstream/clock"
@@ -41,18 +40,6 @@
 	Apply func([]outside.Row)
 }
 
-// Backoff returns the pause after a number of failures in a row: it doubles from
-// first to most, and is spread by half, so that many entries do not come back at
-// the same moment.
-func Backoff(first, most time.Duration, failures int) time.Duration {
-	pause := first
-	for i := 1; i < failures && pause < most; i++ {
-		pause *= 2
-	}
-	pause = min(pause, most)
-	return pause/2 + rand.N(pause)
-}
-
 // Run follows the table until ctx ends. Where the history is gone it reads anew.
 func (f Follower) Run(ctx context.Context) error {
 	version := int64(-1)
@@ -75,7 +62,7 @@
 		if ctx.Err() == nil {
 			f.Log.Warn("changes not read", "table", f.Name, "after", version, "failures", failures, "error", err.Error())
 		}
-		clock.Sleep(ctx, Backoff(followPause, followPauseMost, failures))
+		clock.Sleep(ctx, clock.Backoff(followPause, followPauseMost, failures))
 	}
 	return nil
 }
--- a/owner/follow_test.go
+++ b/owner/follow_test.go
@@ -14,43 +14,6 @@
 	"lemonstream.dev/lemonstream/owner"
 )
 
-func TestBackoffDoublesAndIsSpread(t *testing.T) {
-	cases := map[string]struct {
-		failures int
-		middle   time.Duration
-	}{
-		"first": {
-			failures: 1,
-			middle:   100 * time.Millisecond,
-		},
-		"second": {
-			failures: 2,
-			middle:   200 * time.Millisecond,
-		},
-		"third": {
-			failures: 3,
-			middle:   400 * time.Millisecond,
-		},
-		"most": {
-			failures: 4,
-			middle:   500 * time.Millisecond,
-		},
-		"many": {
-			failures: 1000,
-			middle:   500 * time.Millisecond,
-		},
-	}
-	for name, c := range cases {
-		t.Run(name, func(t *testing.T) {
-			is := is.New(t)
-			for i := 0; i < 100; i++ {
-				got := owner.Backoff(100*time.Millisecond, 500*time.Millisecond, c.failures)
-				is.True(got >= c.middle/2 && got <= c.middle*3/2)
-			}
-		})
-	}
-}
-
 // TestFollowerComesBackLessAndLessOften covers a store above its rates: what
 // several hundred entries ask again at once keeps it there.
 func TestFollowerComesBackLessAndLessOften(t *testing.T) {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -73,7 +73,7 @@
 			return nil
 		}
 		r.log.Warn("entry not listed", "failures", failures, "error", err.Error())
-		if !clock.Sleep(ctx, owner.Backoff(joinPause, joinPauseMost, failures)) {
+		if !clock.Sleep(ctx, clock.Backoff(joinPause, joinPauseMost, failures)) {
 			return nil
 		}
 	}
--- a/scheduler/serve.go
+++ b/scheduler/serve.go
@@ -7,16 +7,30 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"time"
 
 	"github.com/gin-gonic/gin"
 
 	"lemonstream.dev/lemonstream/intake"
+	"lemonstream.dev/lemonstream/outside"
 	"lemonstream.dev/lemonstream/owner"
 	"lemonstream.dev/lemonstream/peer"
 	"lemonstream.dev/lemonstream/platform"
 	"lemonstream.dev/lemonstream/site"
 )
 
+const (
+	// probeShare is the part of the store's writing calls that all entries together
+	// may spend on one thing that fails.
+	probeShare = 0.1
+
+	// probePauseLeast and probePauseMost bound the pause between two such tries of
+	// one entry. A caller waits some 150 ms for a job to be taken; recovery must be
+	// seen within a second or two at 300 entries as well.
+	probePauseLeast = 100 * time.Millisecond
+	probePauseMost  = 2 * time.Second
+)
+
 func listenPeers(settings site.Settings) (net.Listener, error) {
 	var last error
 	for port := settings.FirstPeerPort; port <= settings.LastPeerPort; port++ {
@@ -63,6 +77,7 @@
 			Peers: peers,
 		},
 		Table:          d.table,
+		Breakers:       outside.NewBreakers(d.clock, d.probePause),
 		Slow:           d.patience.Slow,
 		Moved:          d.catalog.Moved,
 		RowBytes:       d.settings.RowBytes,
@@ -73,6 +88,16 @@
 	d.listen("callers", d.settings.Callers, router)
 }
 
+// probePause is how long this entry waits between two tries of something that fails,
+// so that those of all entries together stay a small share of what the store takes.
+func (d *Daemon) probePause() time.Duration {
+	if d.settings.StoreWrites <= 0 {
+		return probePauseMost
+	}
+	fair := time.Duration(float64(len(d.roster.Members())) / (probeShare * float64(d.settings.StoreWrites)) * float64(time.Second))
+	return min(probePauseMost, max(probePauseLeast, fair))
+}
+
 func (d *Daemon) servePeers(listener net.Listener, self owner.Self) {
 	router := gin.New()
 	server := &peer.Server{
--- a/site/settings.go
+++ b/site/settings.go
@@ -44,6 +44,10 @@
 	Instances netip.AddrPort
 	Advice    netip.AddrPort
 
+	// StoreWrites is how many writing calls a second the store takes from all
+	// entries together.
+	StoreWrites int
+
 	// RowBytes is the most bytes that the store takes in one row.
 	RowBytes int
 
