Follow the rise of demand ahead for as long as an instance takes to come

Cause: at turns of demand every job of the first two seconds waits for room. An instance that is ordered now works after a move (1.5 s here), a round, its registration and a first look, some 2 s; the rise was followed 1 s ahead, and measured over 1 s, which averages a turn away in its first rounds: at one turn of the larger site the target went 36, 67, 96, 104, 160, 186 while 250 were needed. Ruled out: the owner's processor (0.17 of a core), the rate of instance orders (215 a second), room on instances that were up (all in use). Change: the rise over 0.5 s, followed for the time of a move and 0.5 s. Test: the target grows with the time of a move; it did not before.

--- a/pool/pool.go
+++ b/pool/pool.go
@@ -25,10 +25,14 @@
 	// of demand lasts several.
 	holdDemand = 2500 * time.Millisecond
 
-	// trendSpan is how far back the rise of the demand is measured, and
-	// trendAhead how much of it is added for the time that a move takes.
-	trendSpan  = time.Second
-	trendAhead = 1.0
+	// trendSpan is how far back the rise of the demand is measured at least: a turn shows
+	// within a few rounds of 200 ms, and a longer span averages it away.
+	trendSpan = 500 * time.Millisecond
+
+	// readyTime is added to the time of a move for how far ahead the rise is
+	// followed: a round until the order, the new worker's registration, and the
+	// first look at it.
+	readyTime = 500 * time.Millisecond
 
 	// needShare is kept free of what a service needs at this moment when others
 	// lack instances.
@@ -294,7 +298,8 @@
 			before = one.instances
 		}
 	}
-	rise := max(0, instances-before) * trendAhead
+	ahead := float64(s.moveTime+readyTime) / float64(trendSpan)
+	rise := max(0, instances-before) * ahead
 	floor := max(floorInstances, service.Load.Spread+1)
 	wanted = int(math.Ceil(max(high, instances+rise) * (1 + headroomShare)))
 	needed = int(math.Ceil((instances + rise) * (1 + needShare)))
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -393,3 +393,28 @@
 	is.Equal(len(moves), 1)
 	is.Equal(moves[0].To, "a")
 }
+
+// TestRiseIsFollowedAheadForAsLongAsAMoveTakes lets demand rise by the same steps
+// where a move takes 0.8, 1.5 and 3 s: what is ordered now comes that much later, and
+// has to meet what the demand will be then.
+func TestRiseIsFollowedAheadForAsLongAsAMoveTakes(t *testing.T) {
+	is := is.New(t)
+	targets := make([]int, 0, 3)
+	for _, move := range []time.Duration{800 * time.Millisecond, 1500 * time.Millisecond, 3 * time.Second} {
+		f := newFleet(map[string]int{
+			"a":    3,
+			"b":    3,
+			asleep: 90,
+		})
+		f.sizer = pool.NewSizer(move, 2*time.Second)
+		target := 0
+		for step := range 4 {
+			// 40 cores more in each round of 200 ms: 200 cores a second.
+			f.service("a").Load.Waiting = cpu(40 * step)
+			target = f.plan().Targets["a"]
+		}
+		targets = append(targets, target)
+	}
+	// 120 cores, 7.5 instances, have come within the last span.
+	is.Equal(targets, []int{30, 42, 66})
+}
