Take and end jobs in a standby part while the service's own part is away

Change: a part for each service beside its own, owned under the same epoch. While the own part fails, the owner writes accepted jobs and final states there. Tests: the shard's oracle knows the standby part, and reports starts of jobs that were shown as ended, and jobs shown as open after they had ended; directed tests of the outage, of a successor with and without sight of the standby part, of withdrawals; entries over the stand-in's rows with a part that is down, and an owner that is succeeded meanwhile.

--- a/intake/ask.go
+++ b/intake/ask.go
@@ -101,21 +101,39 @@
 	return "", "", nil
 }
 
+// readRows reads the state of a job from the rows of one service: from its own part,
+// and where that has nothing, or can't be read, from its standby part.
 func (s *Server) readRows(ctx context.Context, service, id string) (job.State, bool, error) {
+	state, found, err := s.readPair(ctx, owner.IntakeKey(service, id), owner.ProgressKey(service, id))
+	if found && err == nil && state.Final() {
+		return state, true, nil
+	}
+	standby, inStandby, standbyErr := s.readPair(ctx, owner.StandbyIntakeKey(service, id), owner.StandbyProgressKey(service, id))
+	if inStandby && standbyErr == nil && (standby.Final() || !found) {
+		return standby, true, nil
+	}
+	if err == nil && !found {
+		err = standbyErr
+	}
+	return state, found, err
+}
+
+// readPair reads the state of a job from its record and its progress.
+func (s *Server) readPair(ctx context.Context, intake, progress outside.Key) (job.State, bool, error) {
 	// The record goes in the transaction that writes the final state, so it is
 	// read first: what is missing there is in the progress that is read later.
-	record, err := s.Table.Row(ctx, owner.IntakeKey(service, id))
+	record, err := s.Table.Row(ctx, intake)
 	if err != nil {
 		return "", false, err
 	}
-	progress, err := s.Table.Row(ctx, owner.ProgressKey(service, id))
+	row, err := s.Table.Row(ctx, progress)
 	if err != nil {
 		return "", false, err
 	}
-	if progress == nil {
+	if row == nil {
 		return job.Queued, record != nil, nil
 	}
-	decoded, err := shard.DecodeProgress(progress.Value)
+	decoded, err := shard.DecodeProgress(row.Value)
 	return decoded.State, true, err
 }
 
--- a/owner/answers.go
+++ b/owner/answers.go
@@ -22,7 +22,7 @@
 func (d *Duty) Submit(ctx context.Context, record shard.Record) error {
 	answer := make(chan bool, 1)
 	err := d.push(func(d *Duty, _ time.Time) {
-		if d.releasing || d.tenure.failing() {
+		if d.releasing || (d.tenure.failing() && !d.standby.usable()) {
 			answer <- false
 			return
 		}
@@ -64,13 +64,17 @@
 	return d.tenure.age()
 }
 
-// State returns what callers may be told of a job.
+// State returns what callers may be told of a job. A job that seems open may have
+// ended by the word of the standby part.
 func (d *Duty) State(id string) (job.State, bool) {
 	state, found := d.shown.Load(id)
 	if !found {
 		return "", false
 	}
 	shown, ok := state.(job.State)
+	if !shown.Final() && !d.standbyRead.Load() {
+		return "", false
+	}
 	return shown, ok
 }
 
--- a/owner/commit.go
+++ b/owner/commit.go
@@ -17,7 +17,7 @@
 // writes its beat.
 func (d *Duty) commit(ctx context.Context, now time.Time) {
 	if d.committing {
-		if d.tenure.failing() {
+		if d.tenure.failing() && !d.standby.usable() {
 			d.core.RefuseSubmitted()
 		}
 		return
@@ -61,7 +61,9 @@
 	}
 	if outside.IsNotDone(err) {
 		d.core.Undo(batch, nil, now)
-		d.core.RefuseSubmitted()
+		if !d.standby.usable() {
+			d.core.RefuseSubmitted()
+		}
 		return true
 	}
 	var exists *ExistsError
--- a/owner/duty.go
+++ b/owner/duty.go
@@ -85,6 +85,14 @@
 	shown   sync.Map
 	pending atomic.Pointer[map[string]int]
 
+	standby standby
+
+	// standbyRead is set once nothing in the standby part is unknown to this owner.
+	standbyRead atomic.Bool
+
+	// recordless holds progress of jobs whose record does not stand in the service's
+	// own part, until the standby part is read.
+	recordless map[string]shard.Progress
 	committing bool
 	released   chan struct{}
 	releasing  bool
@@ -128,6 +136,11 @@
 	}
 	d.core = shard.New(service, won.epoch, won.version, now, options)
 	d.core.Inherit(won.before.Lapsed)
+	if won.epoch > 1 {
+		d.core.AwaitStandby()
+	} else {
+		d.standbyRead.Store(true)
+	}
 	return d
 }
 
@@ -140,6 +153,9 @@
 	ctx, d.cancel = context.WithCancel(ctx)
 	defer d.cancel()
 	defer close(d.over)
+	d.deps.Group.Go("standby part of "+d.service, func(context.Context) error {
+		return d.openStandby(ctx)
+	})
 	since, err := d.load(ctx)
 	if err != nil {
 		return err
@@ -190,6 +206,7 @@
 			next = wake
 		}
 		d.commit(ctx, now)
+		d.commitStandby(ctx, now)
 		d.publish()
 		took := d.deps.Clock.Now().Sub(now)
 		rest = min(loopRestMost, max(loopRest, loopRestFactor*took))
--- a/owner/restore.go
+++ b/owner/restore.go
@@ -29,6 +29,7 @@
 	now := d.deps.Clock.Now()
 	d.inherit(used, now)
 	progress := make(map[string]*shard.Progress, len(rows))
+	d.recordless = make(map[string]shard.Progress)
 	for _, row := range rows {
 		p, err := shard.DecodeProgress(row.Value)
 		if err != nil {
@@ -38,12 +39,15 @@
 		progress[row.Key.Name] = &p
 		if p.State.Final() {
 			d.core.RestoreEnded(row.Key.Name, p)
+			continue
 		}
+		d.recordless[row.Key.Name] = p
 	}
 	for _, row := range records {
 		if strings.HasPrefix(row.Key.Name, prefixCancel) {
 			continue
 		}
+		delete(d.recordless, row.Key.Name)
 		record, err := shard.DecodeRecord(row.Value)
 		if err == nil {
 			err = d.core.Restore(record, progress[row.Key.Name], now)
--- /dev/null
+++ b/owner/standby.go
@@ -0,0 +1,297 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"lemonstream.dev/lemonstream/clock"
+	"lemonstream.dev/lemonstream/outside"
+	"lemonstream.dev/lemonstream/shard"
+)
+
+const (
+	// prefixStandby begins the names of the standby parts, one for each service. It
+	// can't begin the name of a service.
+	prefixStandby = "/standby/"
+
+	// standbyPauseMost is the longest pause between two tries to open the standby
+	// part; nothing that an earlier owner may have seen starts before.
+	standbyPauseMost = 250 * time.Millisecond
+
+	// standbyRowsMost bounds the rows of one transaction, below what one may hold
+	// with those of the tenure.
+	standbyRowsMost = 80
+
+	// standbyCleanPause is the time between two removals of rows that have become
+	// needless.
+	standbyCleanPause = 500 * time.Millisecond
+)
+
+// standby is the part of the store that a duty writes to while the part of its
+// service takes nothing: an outage may meet some parts and not others. It is owned
+// like the service's own part, under the same epoch, and only the loop of the duty
+// touches it.
+type standby struct {
+	// tenure is nil until the part is owned and read.
+	tenure *tenure
+
+	// busy says that a transaction is under way.
+	busy bool
+
+	// notBefore is when the next transaction may be sent after one without effect,
+	// cleaned when rows were last removed.
+	notBefore time.Time
+	cleaned   time.Time
+}
+
+// StandbyIntakeKey names the row of an accepted job in the standby part.
+func StandbyIntakeKey(service, id string) outside.Key {
+	key := IntakeKey(service, id)
+	key.Part = prefixStandby + service
+	return key
+}
+
+// StandbyProgressKey names the row of a final state in the standby part.
+func StandbyProgressKey(service, id string) outside.Key {
+	key := ProgressKey(service, id)
+	key.Part = prefixStandby + service
+	return key
+}
+
+// usable reports whether jobs may be taken that the service's own part does not.
+func (s *standby) usable() bool {
+	return s.tenure != nil && !s.tenure.failing()
+}
+
+// openStandby owns and reads the standby part, however long that takes.
+func (d *Duty) openStandby(ctx context.Context) error {
+	for failures := 1; ; failures++ {
+		err := d.tryStandby(ctx)
+		var lost *LostError
+		switch {
+		case err == nil:
+			return nil
+		case errors.As(err, &lost):
+			d.pushLogged(func(d *Duty, _ time.Time) { d.core.Depose() })
+			return nil
+		}
+		d.deps.Log.Info("standby part not opened", "service", d.service, "epoch", d.tenure.epoch, "error", err.Error())
+		if !clock.Sleep(ctx, clock.Backoff(commitRetry, standbyPauseMost, failures)) {
+			return nil
+		}
+	}
+}
+
+func (d *Duty) tryStandby(ctx context.Context) error {
+	owned, err := d.claimStandby(ctx)
+	if err != nil {
+		return err
+	}
+	records, ended, err := d.readStandby(ctx)
+	if err != nil {
+		return err
+	}
+	return d.push(func(d *Duty, now time.Time) {
+		d.standby.tenure = owned
+		if err := d.core.ReadStandby(records, ended, d.recordless, now); err != nil {
+			d.deps.Log.Error("standby part left out in part", "service", d.service, "error", err)
+		}
+		d.standbyRead.Store(true)
+		d.deps.Log.Info("standby part opened", "service", d.service, "epoch", d.tenure.epoch, "records", len(records), "ended", len(ended))
+		d.recordless = nil
+	})
+}
+
+// claimStandby makes the standby part this owner's, so that no transaction of an
+// earlier one takes effect there any more. An earlier try of its own may have
+// succeeded.
+func (d *Duty) claimStandby(ctx context.Context) (*tenure, error) {
+	part := prefixStandby + d.service
+	row, err := d.deps.Table.Row(ctx, ownerKey(part))
+	if err != nil {
+		return nil, err
+	}
+	beat, err := d.deps.Table.Row(ctx, beatKey(part))
+	if err != nil {
+		return nil, err
+	}
+	version, beatVersion := versionOf(row), versionOf(beat)
+	if row != nil {
+		before, err := decodeOwnership(row.Value)
+		if err != nil {
+			return nil, err
+		}
+		if before.Epoch > d.tenure.epoch {
+			return nil, &LostError{
+				Part:   part,
+				Reason: "a newer owner holds it",
+			}
+		}
+		if before.Epoch == d.tenure.epoch {
+			return d.standbyTenure(part, version, beatVersion), nil
+		}
+	}
+	receipt, err := d.deps.Table.Transact(ctx, outside.Transaction{
+		Checks: []outside.Check{{
+			Key:     ownerKey(part),
+			Version: version,
+		}, {
+			Key:     beatKey(part),
+			Version: beatVersion,
+		}},
+		Puts: []outside.Put{{
+			Key: ownerKey(part),
+			Value: encodeRow(Ownership{
+				Epoch: d.tenure.epoch,
+			}),
+		}, {
+			Key: beatKey(part),
+			Value: encodeRow(Beat{
+				Epoch: d.tenure.epoch,
+			}),
+		}},
+	})
+	if err != nil {
+		return nil, err
+	}
+	return d.standbyTenure(part, receipt.Version, receipt.Version), nil
+}
+
+func (d *Duty) standbyTenure(part string, version, beatVersion int64) *tenure {
+	t := newTenure(d.deps, part, claim{
+		epoch:   d.tenure.epoch,
+		version: version,
+	}, d.deps.Clock.Now())
+	t.beatVersion = beatVersion
+	return t
+}
+
+// readStandby reads what earlier owners wrote to the standby part.
+func (d *Duty) readStandby(ctx context.Context) ([]shard.Record, map[string]shard.Progress, error) {
+	part := prefixStandby + d.service
+	rows, _, err := d.deps.Table.ReadAll(ctx, tableProgress, part)
+	if err != nil {
+		return nil, nil, err
+	}
+	ended := make(map[string]shard.Progress, len(rows))
+	for _, row := range rows {
+		progress, err := shard.DecodeProgress(row.Value)
+		if err != nil {
+			return nil, nil, err
+		}
+		ended[row.Key.Name] = progress
+	}
+	rows, _, err = d.deps.Table.ReadAll(ctx, prefixIntake+d.service, part)
+	if err != nil {
+		return nil, nil, err
+	}
+	records := make([]shard.Record, 0, len(rows))
+	for _, row := range rows {
+		record, err := shard.DecodeRecord(row.Value)
+		if err != nil {
+			return nil, nil, err
+		}
+		records = append(records, record)
+	}
+	return records, ended, nil
+}
+
+// commitStandby writes to the standby part while the service's own takes nothing,
+// and removes what has become needless otherwise.
+func (d *Duty) commitStandby(ctx context.Context, now time.Time) {
+	s := &d.standby
+	if s.tenure == nil || s.busy || d.releasing || now.Before(s.notBefore) {
+		return
+	}
+	if d.tenure.failing() {
+		d.writeStandby(ctx)
+		return
+	}
+	if now.Sub(s.cleaned) >= standbyCleanPause {
+		s.cleaned = now
+		d.cleanStandby(ctx)
+	}
+}
+
+// writeStandby writes what callers wait for. With nothing to write it tries whether
+// a part that failed takes something again.
+func (d *Duty) writeStandby(ctx context.Context) {
+	batch := d.core.TakeStandby(standbyRowsMost)
+	if batch.Empty() && d.standby.usable() {
+		return
+	}
+	var rows rowChanges
+	for _, record := range batch.Records {
+		rows.puts = append(rows.puts, outside.Put{
+			Key:   StandbyIntakeKey(d.service, record.ID),
+			Value: record.Encode(),
+		})
+	}
+	for _, write := range batch.Ended {
+		rows.puts = append(rows.puts, outside.Put{
+			Key:   StandbyProgressKey(d.service, write.ID),
+			Value: write.Progress.Encode(),
+		})
+	}
+	d.transactStandby(ctx, rows, func(done bool, at time.Time) {
+		if !done {
+			d.core.UndoStandby(batch)
+			d.core.RefuseSubmitted()
+			return
+		}
+		d.core.StandbyWritten(batch, at)
+		d.deps.Log.Info("standby part written", "service", d.service, "epoch", d.tenure.epoch, "records", len(batch.Records), "ended", len(batch.Ended))
+	})
+}
+
+// cleanStandby removes the rows of jobs whose final state stands in the service's
+// own part.
+func (d *Duty) cleanStandby(ctx context.Context) {
+	ids := d.core.Settled(standbyRowsMost / 2)
+	if len(ids) == 0 {
+		return
+	}
+	var rows rowChanges
+	for _, id := range ids {
+		rows.removes = append(rows.removes, StandbyIntakeKey(d.service, id), StandbyProgressKey(d.service, id))
+	}
+	d.transactStandby(ctx, rows, func(done bool, _ time.Time) {
+		if done {
+			d.core.StandbyRemoved(ids)
+		}
+	})
+}
+
+// transactStandby sends one transaction until its fate is known, and then calls back
+// in the loop.
+func (d *Duty) transactStandby(ctx context.Context, rows rowChanges, then func(done bool, at time.Time)) {
+	owned := d.standby.tenure
+	tx := owned.transaction(Beat{}, rows, false)
+	d.standby.busy = true
+	d.deps.Group.Go("standby of "+d.service, func(context.Context) error {
+		version, err := owned.writeOrGiveUp(ctx, tx)
+		d.pushLogged(func(d *Duty, at time.Time) {
+			d.standby.busy = false
+			var lost *LostError
+			switch {
+			case err == nil:
+				owned.beatVersion = version
+			case errors.As(err, &lost):
+				d.core.Depose()
+			default:
+				d.standby.notBefore = at.Add(commitRetry)
+			}
+			then(err == nil, at)
+		})
+		return nil
+	})
+}
+
+// versionOf returns the version of a row, 0 for one that does not stand.
+func versionOf(row *outside.Row) int64 {
+	if row == nil {
+		return 0
+	}
+	return row.Version
+}
--- /dev/null
+++ b/owner/standby_test.go
@@ -0,0 +1,106 @@
+package owner_test
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"lemonstream.dev/lemonstream/internal/standin"
+	"lemonstream.dev/lemonstream/job"
+	"lemonstream.dev/lemonstream/outside"
+	"lemonstream.dev/lemonstream/owner"
+)
+
+// partDown returns a table over the rows that answers no transaction on the named
+// part while down is set.
+func partDown(rows *standin.Rows, part string, down *atomic.Bool) outside.Table {
+	table := rows.Table()
+	write := table.Transact
+	table.Transact = func(ctx context.Context, tx outside.Transaction) (outside.Receipt, error) {
+		if down.Load() && tx.Puts[0].Key.Part == part {
+			return outside.Receipt{}, &outside.UncertainError{
+				Call: "transact",
+			}
+		}
+		return write(ctx, tx)
+	}
+	return table
+}
+
+func standsInStandby(t *testing.T, rows *standin.Rows, key outside.Key) bool {
+	t.Helper()
+	row, err := rows.Table().Row(context.Background(), key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return row != nil
+}
+
+// TestOwnerTakesJobsWhileItsPartIsDown covers an outage of one part of the store, of
+// which the service's owner is the only one to know.
+func TestOwnerTakesJobsWhileItsPartIsDown(t *testing.T) {
+	is := is.New(t)
+	rows := standin.NewRows()
+	var down atomic.Bool
+	e := newEntryOn(t, "a", partDown(rows, "s", &down), alive("a"))
+	until(t, "the entry owns the service", e.owns)
+	duty, _ := e.keeper.Duty("s")
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	is.NoErr(duty.Submit(ctx, record("before")))
+	down.Store(true)
+	is.NoErr(duty.Submit(ctx, record("meanwhile")))
+	is.True(standsInStandby(t, rows, owner.StandbyIntakeKey("s", "meanwhile")))
+	known, err := duty.Cancel(ctx, "before")
+	is.NoErr(err)
+	is.True(known)
+	is.True(standsInStandby(t, rows, owner.StandbyProgressKey("s", "before")))
+	state, _ := duty.State("before")
+	is.Equal(state, job.Cancelled)
+	down.Store(false)
+	_, err = duty.Cancel(ctx, "meanwhile")
+	is.NoErr(err)
+	until(t, "the service's own part knows both, and the standby part is empty", func() bool {
+		return standsInStandby(t, rows, owner.ProgressKey("s", "before")) &&
+			standsInStandby(t, rows, owner.ProgressKey("s", "meanwhile")) &&
+			!standsInStandby(t, rows, owner.StandbyProgressKey("s", "before")) &&
+			!standsInStandby(t, rows, owner.StandbyIntakeKey("s", "meanwhile"))
+	})
+	is.True(!stands(t, rows, "before"))
+}
+
+// TestSuccessorFencesTheStandbyPart lets an owner that is succeeded, and does not know
+// yet, write to the standby part: nothing of it may take effect.
+func TestSuccessorFencesTheStandbyPart(t *testing.T) {
+	is := is.New(t)
+	rows := standin.NewRows()
+	var down atomic.Bool
+	first := newEntryOn(t, "a", partDown(rows, "s", &down), alive("a"))
+	until(t, "the first entry owns the service", first.owns)
+	duty, _ := first.keeper.Duty("s")
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	down.Store(true)
+	is.NoErr(duty.Submit(ctx, record("known")))
+	// The part is down for the first entry only.
+	second := newEntry(t, "b", rows, func(context.Context, netip.AddrPort, string) (owner.Pong, error) {
+		return owner.Pong{}, &outside.NotDoneError{
+			Call: "ping",
+		}
+	})
+	until(t, "the second entry owns the service", second.owns)
+	successor, _ := second.keeper.Duty("s")
+	until(t, "the second entry has read the standby part", func() bool {
+		state, found := successor.State("known")
+		return found && state == job.Queued
+	})
+	err := duty.Submit(ctx, record("late"))
+	is.True(err != nil)
+	var notDone *outside.NotDoneError
+	is.True(!errors.As(err, &notDone) || !standsInStandby(t, rows, owner.StandbyIntakeKey("s", "late")))
+	is.True(!standsInStandby(t, rows, owner.StandbyIntakeKey("s", "late")))
+}
--- a/shard/batch.go
+++ b/shard/batch.go
@@ -79,15 +79,20 @@
 	}
 }
 
-// RefuseSubmitted turns away the jobs that no batch holds yet, because the store
-// takes nothing at the moment.
+// RefuseSubmitted turns away the jobs that no batch holds, because the store takes
+// nothing at the moment.
 func (s *Shard) RefuseSubmitted() {
+	var offered []*jobState
 	for _, j := range s.submitted {
+		if j.offeredStandby {
+			offered = append(offered, j)
+			continue
+		}
 		s.countPending(j, -1)
 		delete(s.jobs, j.record.ID)
 		j.answerHanded(false)
 	}
-	s.submitted = nil
+	s.submitted = offered
 }
 
 // TakeBatch returns what has to be written next, in at most the given number of
@@ -185,12 +190,13 @@
 }
 
 // recordStands takes in that the record of a job was written that was handed in
-// here. No owner before this one can have seen the job.
+// here. No owner before this one can have seen the job, unless one wrote it to the
+// standby part.
 func (s *Shard) recordStands(j *jobState, now time.Time) {
 	j.unwritten = false
-	j.fresh = true
+	j.fresh = !s.standbyUnread
 	j.answerHanded(true)
-	s.opts.Report("job taken", "job", j.record.ID, "route", j.record.Route, "fresh", true,
+	s.opts.Report("job taken", "job", j.record.ID, "route", j.record.Route, "fresh", j.fresh,
 		"age_ms", now.Sub(j.record.accepted()).Milliseconds())
 	if j.state.Final() {
 		return
@@ -205,17 +211,15 @@
 	if w.Forget || j == nil {
 		return
 	}
-	s.opts.Show(w.ID, w.Progress.State)
 	if !w.Progress.State.Final() {
+		// The final state may have been told from the standby part meanwhile.
+		if !j.state.Final() {
+			s.opts.Show(w.ID, w.Progress.State)
+		}
 		return
 	}
-	s.opts.Report("job ended", "job", w.ID, "state", string(w.Progress.State), "late_ms", now.Sub(j.deadline).Milliseconds())
-	j.unwritten = false
-	j.answerHanded(true)
-	for _, then := range j.asked {
-		then()
-	}
-	j.asked = nil
+	j.settled = true
+	s.tellEnd(j, w.Progress.State, now)
 }
 
 // Undo takes back a batch that certainly was not written, because some of its
--- a/shard/jobs.go
+++ b/shard/jobs.go
@@ -14,7 +14,7 @@
 		return
 	}
 	j := s.add(record)
-	j.fresh = direct && version > s.newVersion
+	j.fresh = direct && version > s.newVersion && !s.standbyUnread
 	s.opts.Show(record.ID, job.Queued)
 	s.opts.Report("job taken", "job", record.ID, "route", record.Route, "version", version, "fresh", j.fresh,
 		"age_ms", now.Sub(record.accepted()).Milliseconds())
@@ -54,9 +54,10 @@
 			ID:    id,
 			Route: progress.Route,
 		},
-		state: progress.State,
-		begun: true,
-		ended: time.UnixMilli(progress.EndedMillis),
+		state:   progress.State,
+		begun:   true,
+		settled: true,
+		ended:   time.UnixMilli(progress.EndedMillis),
 	}
 	s.opts.Show(id, progress.State)
 }
@@ -165,7 +166,7 @@
 	}
 	s.forgetAt = now.Add(forgetPause)
 	for id, j := range s.jobs {
-		if !j.state.Final() || j.active > 0 || now.Sub(j.ended) < 2*s.opts.ShownFor {
+		if !j.state.Final() || j.active > 0 || j.inStandby || now.Sub(j.ended) < 2*s.opts.ShownFor {
 			continue
 		}
 		if _, unwritten := s.dirty[id]; unwritten {
--- a/shard/jobstate.go
+++ b/shard/jobstate.go
@@ -45,6 +45,14 @@
 	submitted bool
 	handed    []func(taken bool)
 
+	// offeredStandby says that a batch for the standby part holds the job's record or
+	// final state, or that the latter stands there; inStandby that rows of the job
+	// stand there. settled says that the final state stands in the service's own
+	// part.
+	offeredStandby bool
+	inStandby      bool
+	settled        bool
+
 	// cancelRow says that a row asks for the job's cancellation.
 	cancelRow bool
 
--- a/shard/lease.go
+++ b/shard/lease.go
@@ -119,8 +119,13 @@
 	}
 }
 
-// holds orders the looks that are due.
+// holds orders the looks that are due. No worker is looked at before the standby part
+// is read: the runs of a job that is not known yet would be stopped, and their ends
+// acknowledged.
 func (s *Shard) holds(now time.Time) {
+	if s.standbyUnread {
+		return
+	}
 	for _, w := range s.workers {
 		if w.holding || now.Before(w.holdAt) {
 			continue
@@ -158,8 +163,12 @@
 }
 
 // blind reports whether a worker may still run what an earlier owner started
-// there without this one having seen it.
+// there without this one having seen it, or the standby part may hold what an earlier
+// owner wrote.
 func (s *Shard) blind(now time.Time) bool {
+	if s.standbyUnread {
+		return true
+	}
 	for _, w := range s.workers {
 		if !w.known && now.Before(w.blindUntil) {
 			return true
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -138,6 +138,10 @@
 	// lapsed names workers that the owner before knew to run nothing.
 	lapsed map[string]bool
 
+	// standbyUnread says that an earlier owner may have written to the standby part
+	// what this one has not read.
+	standbyUnread bool
+
 	// deposed is set once a worker or the table showed a newer owner.
 	deposed bool
 
--- a/shard/shard_test.go
+++ b/shard/shard_test.go
@@ -163,7 +163,7 @@
 		for i := 0; i < count; i++ {
 			f := w.workers[rapid.SampledFrom(names).Draw(t, "worker")]
 			id := fmt.Sprintf("j%d", i)
-			switch rapid.IntRange(0, 10).Draw(t, "what") {
+			switch rapid.IntRange(0, 12).Draw(t, "what") {
 			case 0:
 				f.cut = true
 			case 1:
@@ -178,6 +178,11 @@
 				w.storeDown = rapid.Bool().Draw(t, "down")
 			case 6:
 				w.core.SetClosed([]string{f.reg.ID}, w.now)
+			case 7:
+				w.standbyOn = rapid.Bool().Draw(t, "standby on")
+				w.storeDown = w.standbyOn || w.storeDown
+			case 8:
+				w.standbyAway = rapid.Bool().Draw(t, "standby away")
 			default:
 				s := step(rapid.IntRange(1, 5).Draw(t, "tasks"))
 				s.PerWorker = rapid.IntRange(0, 2).Draw(t, "per worker")
@@ -193,6 +198,7 @@
 		}
 		w.lose = 0
 		w.storeDown = false
+		w.standbyAway = false
 		for _, f := range w.workers {
 			f.cut = false
 		}
@@ -200,6 +206,9 @@
 		for id := range w.records {
 			t.Errorf("job %s has not ended: %s", id, w.shown[id])
 		}
+		if left := len(w.standbyRecords) + len(w.standbyEnded); left > 0 {
+			t.Errorf("%d rows are left in the standby part", left)
+		}
 		w.check(t)
 	})
 }
--- a/shard/world_test.go
+++ b/shard/world_test.go
@@ -58,6 +58,20 @@
 	// get no answer and take effect later by the given time.
 	storeDown bool
 
+	// standbyOn lets the owner write to the standby part while the store is down, and
+	// standbyAway keeps that part from being read and written. standbyRead says that
+	// this owner has read it.
+	standbyOn      bool
+	standbyAway    bool
+	standbyRead    bool
+	standbyRecords map[string]shard.Record
+	standbyEnded   map[string]shard.Progress
+	standbyBatch   *shard.Standby
+	standbyAt      time.Time
+
+	// told holds the final states that callers were shown.
+	told map[string]job.State
+
 	// policy is that of the next job; asks holds every question so far.
 	policy catalog.Policy
 	asks   []shard.Ask
@@ -94,7 +108,10 @@
 			Stretch:  2,
 			Target:   time.Second,
 		},
-		noted: make(map[job.TaskID]time.Time),
+		noted:          make(map[job.TaskID]time.Time),
+		standbyRecords: make(map[string]shard.Record),
+		standbyEnded:   make(map[string]shard.Progress),
+		told:           make(map[string]job.State),
 	}
 	w.now = w.start
 	for i := 0; i < count; i++ {
@@ -150,9 +167,14 @@
 		BlindFor: blind,
 		Policy:   func(string) (catalog.Policy, bool) { return catalog.Policy{}, false },
 		Report:   func(string, ...any) {},
-		Show:     func(id string, state job.State) { w.shown[id] = state },
+		Show:     w.show,
 	})
 	w.core.Inherit(lapsed)
+	w.standbyBatch = nil
+	w.standbyRead = w.epoch == 1
+	if !w.standbyRead {
+		w.core.AwaitStandby()
+	}
 	for id := range w.used {
 		w.core.InheritWorker(outside.WorkerRef{
 			ID:      id,
@@ -176,6 +198,14 @@
 	w.list()
 }
 
+// show notes what callers may be told of a job.
+func (w *world) show(id string, state job.State) {
+	w.shown[id] = state
+	if state.Final() {
+		w.told[id] = state
+	}
+}
+
 // list tells the owner of every registration.
 func (w *world) list() {
 	var list []outside.Registration
@@ -229,8 +259,70 @@
 		w.deliver()
 		w.work()
 		w.write()
+		w.writeStandby()
 		orders, _ := w.core.Next(w.now)
 		w.carryOut(orders)
+		w.judgeShown()
+	}
+}
+
+// writeStandby reads the standby part once, writes there while the store is down,
+// and removes what has become needless once it is back.
+func (w *world) writeStandby() {
+	if w.standbyAway {
+		return
+	}
+	if !w.standbyRead {
+		w.standbyRead = true
+		records := make([]shard.Record, 0, len(w.standbyRecords))
+		for _, record := range w.standbyRecords {
+			records = append(records, record)
+		}
+		if err := w.core.ReadStandby(records, w.standbyEnded, w.progress, w.now); err != nil {
+			w.fault("standby part: %v", err)
+		}
+	}
+	switch {
+	case w.standbyBatch != nil && w.now.Sub(w.standbyAt) >= 2*tick:
+		w.applyStandby(*w.standbyBatch)
+		w.standbyBatch = nil
+	case w.standbyBatch == nil && w.standbyOn && w.storeDown:
+		if b := w.core.TakeStandby(testEntries); !b.Empty() {
+			w.standbyBatch = &b
+			w.standbyAt = w.now
+		}
+	case !w.storeDown:
+		ids := w.core.Settled(testEntries)
+		for _, id := range ids {
+			delete(w.standbyRecords, id)
+			delete(w.standbyEnded, id)
+		}
+		w.core.StandbyRemoved(ids)
+	}
+}
+
+func (w *world) applyStandby(b shard.Standby) {
+	for _, record := range b.Records {
+		w.standbyRecords[record.ID] = record
+		w.stood[record.ID] = true
+	}
+	for _, ended := range b.Ended {
+		w.standbyEnded[ended.ID] = ended.Progress
+	}
+	w.core.StandbyWritten(b, w.now)
+}
+
+// judgeShown notes a job that is shown as open after callers saw that it had ended.
+// What an owner says before it has read the standby part is told to nobody.
+func (w *world) judgeShown() {
+	if !w.standbyRead {
+		return
+	}
+	for id, state := range w.told {
+		if now := w.shown[id]; now != state {
+			w.fault("job %s is shown as %q after %q", id, now, state)
+			delete(w.told, id)
+		}
 	}
 }
 
@@ -461,7 +553,7 @@
 // stepOf returns the step of a task; of a job whose record is gone only the
 // usual one is known.
 func (w *world) stepOf(id job.TaskID) job.Step {
-	if r, found := w.records[id.Job]; found {
+	if r, found := w.recordOf(id.Job); found {
 		return r.Spec.Steps[id.Step]
 	}
 	return job.Step{
@@ -470,11 +562,23 @@
 	}
 }
 
+// recordOf returns the record of a job, in whichever part it stands.
+func (w *world) recordOf(id string) (shard.Record, bool) {
+	record, found := w.records[id]
+	if !found {
+		record, found = w.standbyRecords[id]
+	}
+	return record, found
+}
+
 // judge notes what a start breaks.
 func (w *world) judge(f *fakeWorker, id job.TaskID, step job.Step) {
 	if !w.stood[id.Job] {
 		w.fault("%s starts on %s before its record stands", id, f.reg.ID)
 	}
+	if state, told := w.told[id.Job]; told {
+		w.fault("%s starts on %s, and its job was shown as %s", id, f.reg.ID, state)
+	}
 	if at, noted := w.noted[id]; noted {
 		w.fault("%s starts on %s, and its end was noted at %v", id, f.reg.ID, at.Sub(w.start))
 	}
@@ -516,7 +620,7 @@
 // judgeStop notes a stop of a lasting task while too many others of its step are
 // away.
 func (w *world) judgeStop(f *fakeWorker, id job.TaskID, stopped *fakeRun) {
-	record, known := w.records[id.Job]
+	record, known := w.recordOf(id.Job)
 	if state, _ := w.core.Known(id.Job); state.Final() {
 		return
 	}
