One place that tells a refused connection; soak: parts of the store that are away

platform.callError and peer.callError were two copies of one rule. The soak's store gets a fault of its own for outages that meet some parts only.

--- /dev/null
+++ b/outside/call.go
@@ -0,0 +1,22 @@
+package outside
+
+import (
+	"errors"
+	"syscall"
+)
+
+// CallError tells a call that no process listened to, which is a *NotDoneError, from
+// one that may have arrived, which is an *UncertainError.
+func CallError(call string, err error) error {
+	// Only a connection that was never made is refused.
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return &NotDoneError{
+			Call:   call,
+			Reason: err.Error(),
+		}
+	}
+	return &UncertainError{
+		Call:  call,
+		Cause: err,
+	}
+}
--- a/peer/client.go
+++ b/peer/client.go
@@ -9,7 +9,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -17,7 +16,6 @@
 	"net/netip"
 	"net/url"
 	"strconv"
-	"syscall"
 	"time"
 
 	"lemonstream.dev/lemonstream/job"
@@ -236,12 +234,12 @@
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
-		return 0, nil, callError(path, err)
+		return 0, nil, outside.CallError(path, err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	read, err := io.ReadAll(io.LimitReader(response.Body, maxBody))
 	if err != nil {
-		return 0, nil, callError(path, err)
+		return 0, nil, outside.CallError(path, err)
 	}
 	switch response.StatusCode {
 	case http.StatusOK, http.StatusNoContent, http.StatusNotFound, http.StatusConflict:
@@ -262,20 +260,6 @@
 	}
 }
 
-// callError tells a port without a process from a call that may have arrived.
-func callError(path string, err error) error {
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		return &outside.NotDoneError{
-			Call:   path,
-			Reason: err.Error(),
-		}
-	}
-	return &outside.UncertainError{
-		Call:  path,
-		Cause: err,
-	}
-}
-
 // Error implements error.
 func (e *NotOwnerError) Error() string {
 	return "the entry called does not own service " + e.Service
--- a/soak/store_test.go
+++ b/soak/store_test.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"lemonstream.dev/lemonstream/internal/standin"
 	"lemonstream.dev/lemonstream/outside"
 )
@@ -14,6 +16,9 @@
 	// slowAnswer is what a slow store adds to each call.
 	slowAnswer = 150 * time.Millisecond
 
+	// awayOf is how many parts there are for each one that is away.
+	awayOf = 3
+
 	// lostShare is the part of the answers that are lost.
 	lostShare = 0.35
 )
@@ -25,6 +30,7 @@
 	storeIsSilent
 	storeIsSlow
 	storeLosesAnswers
+	storePartsAreAway
 
 	storeFaultCount
 )
@@ -73,6 +79,12 @@
 		}
 	case storeIsSlow:
 		time.Sleep(slowAnswer)
+	case storePartsAreAway:
+		if call.Part != "" && xxhash.Sum64String(call.Part)%awayOf == 0 {
+			return &outside.NotDoneError{
+				Call: call.Kind,
+			}
+		}
 	default:
 	}
 	return nil
