Measure the rise of demand by the time that passed

Cause: the rise since the last sample that is at least 0.5 s old was taken for that of 0.5 s; with rounds of 0.2 to 0.35 s it spans 0.6 to 0.8 s, and the demand was overshot by as much. Change: the slope by the time that passed.

--- a/pool/pool.go
+++ b/pool/pool.go
@@ -291,15 +291,13 @@
 	}
 	s.demand[service.Name] = list
 	high := 0.0
-	before := instances
+	rise := 0.0
 	for _, one := range list {
 		high = max(high, one.instances)
-		if now.Sub(one.at) >= trendSpan {
-			before = one.instances
+		if span := now.Sub(one.at); span >= trendSpan {
+			rise = max(0, instances-one.instances) * float64(s.moveTime+readyTime) / float64(span)
 		}
 	}
-	ahead := float64(s.moveTime+readyTime) / float64(trendSpan)
-	rise := max(0, instances-before) * ahead
 	floor := max(floorInstances, service.Load.Spread+1)
 	wanted = int(math.Ceil(max(high, instances+rise) * (1 + headroomShare)))
 	needed = int(math.Ceil((instances + rise) * (1 + needShare)))
