A row of the standby part that can't be read holds up nothing else

Found by reading: one row of another version kept the standby part unread, and the service with it. Test: TestRowThatCannotBeReadHoldsUpNothing, which waited in vain before.

--- a/owner/standby.go
+++ b/owner/standby.go
@@ -95,7 +95,7 @@
 	return d.push(func(d *Duty, now time.Time) {
 		d.standby.tenure = owned
 		if err := d.core.ReadStandby(records, ended, d.recordless, now); err != nil {
-			d.deps.Log.Error("standby part left out in part", "service", d.service, "error", err)
+			d.deps.Log.Error("rows left out", "part", prefixStandby+d.service, "error", err)
 		}
 		d.standbyRead.Store(true)
 		d.deps.Log.Info("standby part opened", "service", d.service, "epoch", d.tenure.epoch, "records", len(records), "ended", len(ended))
@@ -167,7 +167,8 @@
 	return t
 }
 
-// readStandby reads what earlier owners wrote to the standby part.
+// readStandby reads what earlier owners wrote to the standby part. A row that can't be
+// read holds up nothing else.
 func (d *Duty) readStandby(ctx context.Context) ([]shard.Record, map[string]shard.Progress, error) {
 	part := prefixStandby + d.service
 	rows, _, err := d.deps.Table.ReadAll(ctx, tableProgress, part)
@@ -178,7 +179,8 @@
 	for _, row := range rows {
 		progress, err := shard.DecodeProgress(row.Value)
 		if err != nil {
-			return nil, nil, err
+			d.deps.Log.Error("row left out", "table", row.Key.Table, "part", part, "key", row.Key.Name, "error", err)
+			continue
 		}
 		ended[row.Key.Name] = progress
 	}
@@ -190,7 +192,8 @@
 	for _, row := range rows {
 		record, err := shard.DecodeRecord(row.Value)
 		if err != nil {
-			return nil, nil, err
+			d.deps.Log.Error("row left out", "table", row.Key.Table, "part", part, "key", row.Key.Name, "error", err)
+			continue
 		}
 		records = append(records, record)
 	}
--- a/owner/standby_test.go
+++ b/owner/standby_test.go
@@ -104,3 +104,28 @@
 	is.True(!errors.As(err, &notDone) || !standsInStandby(t, rows, owner.StandbyIntakeKey("s", "late")))
 	is.True(!standsInStandby(t, rows, owner.StandbyIntakeKey("s", "late")))
 }
+
+// TestRowThatCannotBeReadHoldsUpNothing puts rows of another version into the standby
+// part: the successor takes the others in.
+func TestRowThatCannotBeReadHoldsUpNothing(t *testing.T) {
+	is := is.New(t)
+	rows := standin.NewRows()
+	first := newEntry(t, "a", rows, alive("a"))
+	until(t, "the first entry owns the service", first.owns)
+	rows.Write(owner.StandbyIntakeKey("s", "broken"), []byte("no record"))
+	rows.Write(owner.StandbyProgressKey("s", "broken"), []byte("no progress"))
+	rows.Write(owner.StandbyIntakeKey("s", "whole"), record("whole").Encode())
+	second := newEntry(t, "b", rows, func(context.Context, netip.AddrPort, string) (owner.Pong, error) {
+		return owner.Pong{}, &outside.NotDoneError{
+			Call: "ping",
+		}
+	})
+	until(t, "the second entry owns the service", second.owns)
+	successor, _ := second.keeper.Duty("s")
+	until(t, "the job is known", func() bool {
+		state, found := successor.State("whole")
+		return found && state == job.Queued
+	})
+	_, found := successor.State("broken")
+	is.True(!found)
+}
--- a/shard/standby.go
+++ b/shard/standby.go
@@ -1,6 +1,8 @@
 package shard
 
 import (
+	"errors"
+	"fmt"
 	"time"
 
 	"lemonstream.dev/lemonstream/job"
@@ -32,7 +34,9 @@
 // ReadStandby takes in what stands in the standby part: final states first, so
 // that no job is started that has ended. progress holds what the service's own part
 // knows of jobs whose record does not stand there.
+// A record that can't be taken in is left out, and named by the error.
 func (s *Shard) ReadStandby(records []Record, ended, progress map[string]Progress, now time.Time) error {
+	var failed error
 	s.standbyUnread = false
 	for id, progress := range ended {
 		s.endedInStandby(id, progress, now)
@@ -44,11 +48,12 @@
 			before = &p
 		}
 		if err := s.Restore(record, before, now); err != nil {
-			return err
+			failed = errors.Join(failed, fmt.Errorf("record of job %s: %w", record.ID, err))
+			continue
 		}
 		s.jobs[record.ID].inStandby = true
 	}
-	return nil
+	return failed
 }
 
 // endedInStandby takes in the final state of a job, whose row in the service's own
