An owner that the store refuses waits before it tries again

Cause: a transaction that certainly had no effect is given up once three tries have failed, and was made anew in the next round of the loop. Ruled out: the standby part (its own tries pause already). Change: the next transaction waits 60 ms, as the tries within one do. Test: TestOwnerThatIsRefusedDoesNotFillTheStore, more than 40 calls in a second before.

--- a/owner/commit.go
+++ b/owner/commit.go
@@ -13,10 +13,10 @@
 // jobs they stay below what one may hold.
 const workerRowsMost = 24
 
-// commit starts the next transaction, unless one is under way. An idle owner
-// writes its beat.
+// commit starts the next transaction, unless one is under way or was given up a
+// moment ago. An idle owner writes its beat.
 func (d *Duty) commit(ctx context.Context, now time.Time) {
-	if d.committing {
+	if d.committing || now.Before(d.retryAt) {
 		if d.tenure.failing() && !d.standby.usable() {
 			d.core.RefuseSubmitted()
 		}
@@ -61,6 +61,7 @@
 	}
 	if outside.IsNotDone(err) {
 		d.core.Undo(batch, nil, now)
+		d.retryAt = now.Add(commitRetry)
 		if !d.standby.usable() {
 			d.core.RefuseSubmitted()
 		}
--- a/owner/duty.go
+++ b/owner/duty.go
@@ -93,6 +93,10 @@
 	// recordless holds progress of jobs whose record does not stand in the service's
 	// own part, until the standby part is read.
 	recordless map[string]shard.Progress
+
+	// retryAt is when a transaction may be sent after one that was given up.
+	retryAt time.Time
+
 	committing bool
 	released   chan struct{}
 	releasing  bool
@@ -207,6 +211,9 @@
 		}
 		d.commit(ctx, now)
 		d.commitStandby(ctx, now)
+		if d.retryAt.After(now) && d.retryAt.Before(next) {
+			next = d.retryAt
+		}
 		d.publish()
 		took := d.deps.Clock.Now().Sub(now)
 		rest = min(loopRestMost, max(loopRest, loopRestFactor*took))
--- a/owner/submit_test.go
+++ b/owner/submit_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -91,3 +92,40 @@
 	err := duty.Submit(ctx, record("a"))
 	is.True(outside.IsUncertain(err))
 }
+
+// TestOwnerThatIsRefusedDoesNotFillTheStore counts what an owner sends in a second
+// while the store refuses everything: a transaction that is given up is made anew,
+// and must not be sent at once.
+func TestOwnerThatIsRefusedDoesNotFillTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		rows := standin.NewRows()
+		var away atomic.Bool
+		var calls atomic.Int64
+		table := rows.Table()
+		write := table.Transact
+		table.Transact = func(ctx context.Context, tx outside.Transaction) (outside.Receipt, error) {
+			if !away.Load() {
+				return write(ctx, tx)
+			}
+			calls.Add(1)
+			return outside.Receipt{}, &outside.NotDoneError{
+				Call: "transact",
+			}
+		}
+		e := newEntryOn(t, "a", table, alive("a"))
+		until(t, "the entry owns the service", e.owns)
+		duty, _ := e.keeper.Duty("s")
+		away.Store(true)
+		time.Sleep(2 * time.Second) // The owner knows by now.
+		calls.Store(0)
+		for range 100 {
+			err := duty.Submit(t.Context(), record("a"))
+			is.True(err != nil)
+			time.Sleep(10 * time.Millisecond)
+		}
+		// One in 60 ms to each of the two parts of the service.
+		is.True(calls.Load() > 10)
+		is.True(calls.Load() <= 40)
+	})
+}
