Soak: entries listen below the ports of outgoing connections

Seen once while a new test was written: an entry did not start, 'bind: address already in use'; the port that was found free for it had been given to a link of the same test. The window is there at every restart of an entry as well.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -20,6 +20,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -38,6 +39,11 @@
 	entries   = 3
 	instances = 6
 
+	// firstEntryPort is the first of the ports that entries listen at, entryPorts
+	// how many there are.
+	firstEntryPort = 30_000
+	entryPorts     = 2_700
+
 	// waveAtOnce is how many instances may be down at one time.
 	waveAtOnce = 2
 
@@ -45,6 +51,9 @@
 		`"services":[{"name":"s","rejectsOverload":true},{"name":"z","rejectsOverload":true,"headroom":true}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`
 )
 
+// nextPort counts the ports that were tried.
+var nextPort atomic.Int64
+
 // deployment is a stand-in platform with entry processes on it.
 type deployment struct {
 	t       *testing.T
@@ -168,23 +177,25 @@
 	return l.address()
 }
 
-// freePorts returns ports that were free a moment ago.
+// freePorts returns ports that nobody listens at. They lie below those that the
+// system gives to outgoing connections and to the links of this test, which could
+// take one of them before the process that is to listen there, or while it is away.
 func freePorts(t *testing.T, count int) []int {
 	t.Helper()
-	var ports []int
-	for i := 0; i < count; i++ {
-		listener, err := net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
+	var free []int
+	for tries := 0; len(free) < count; tries++ {
+		if tries == entryPorts {
+			t.Fatal("no free ports")
 		}
-		defer func() { _ = listener.Close() }()
-		address, ok := listener.Addr().(*net.TCPAddr)
-		if !ok {
-			t.Fatal("no TCP address")
+		port := firstEntryPort + int(nextPort.Add(1))%entryPorts
+		listener, err := net.Listen("tcp4", "127.0.0.1:"+strconv.Itoa(port))
+		if err != nil {
+			continue
 		}
-		ports = append(ports, address.Port)
+		_ = listener.Close()
+		free = append(free, port)
 	}
-	return ports
+	return free
 }
 
 func (d *deployment) addEntry(index int) {
