--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -51,14 +51,6 @@
 	// idleConnTimeout bounds an unused connection of a caller.
 	idleConnTimeout = 15 * time.Second
 
-	// releaseWait bounds the handing over of services at a stop.
-	releaseWait = 1200 * time.Millisecond
-
-	// lingerWait is how long an entry that was told to stop still takes new
-	// connections: the balancer asks each second and takes it out after two
-	// misses.
-	lingerWait = 2500 * time.Millisecond
-
 	// storeSilence is how old the last success of the store may be for the
 	// entry to call itself ready: the followers call at least once a second.
 	storeSilence = 1500 * time.Millisecond
@@ -83,6 +75,9 @@
 	keeper   *owner.Keeper
 	servers  []*http.Server
 
+	// answering follows the requests of callers.
+	answering *answering
+
 	// waves holds the operator's requests for maintenance by their row's key.
 	wavesMu sync.Mutex
 	waves   map[string]outside.Wave
@@ -129,6 +124,7 @@
 		waves:    make(map[string]outside.Wave),
 		stopping: make(chan struct{}),
 	}
+	d.answering = newAnswering(d.clock)
 	d.health = &storeHealth{
 		now: d.clock.Now,
 	}
@@ -228,28 +224,6 @@
 	return failure
 }
 
-// stop hands the services over, waits until the balancer has taken the entry
-// out, lets requests in flight end, and stops.
-func (d *Daemon) stop() {
-	began := d.clock.Now()
-	d.log.Info("stopping")
-	close(d.stopping)
-	ctx, cancel := context.WithTimeout(context.Background(), d.settings.StopGrace)
-	defer cancel()
-	d.keeper.Release(ctx, releaseWait)
-	d.roster.Leave(ctx)
-	clock.Sleep(ctx, lingerWait-d.clock.Now().Sub(began))
-	bounded, stop := context.WithTimeout(ctx, d.settings.StopGrace*3/4-d.clock.Now().Sub(began))
-	defer stop()
-	for _, server := range d.servers {
-		if err := server.Shutdown(bounded); err != nil {
-			d.log.Warn("requests cut at the stop", "address", server.Addr, "error", err)
-		}
-	}
-	d.group.Stop()
-	d.log.Info("stopped in order", "took_ms", d.clock.Now().Sub(began).Milliseconds())
-}
-
 // load asks the owner of a service, which may be this entry.
 func (d *Daemon) load(ctx context.Context, peers *peer.Client, service string, closed, ended []string) (shard.Load, error) {
 	if duty, mine := d.keeper.Duty(service); mine {
--- a/scheduler/serve.go
+++ b/scheduler/serve.go
@@ -85,7 +85,7 @@
 	}
 	router := gin.New()
 	server.Routes(router)
-	d.listen("callers", d.settings.Callers, router)
+	d.listen("callers", d.settings.Callers, d.answering.wrap(router))
 }
 
 // probePause is how long this entry waits between two tries of something that fails,
