A stopping entry answers every request that it has read before it ends

The limit of the stop and the limits of requests knew nothing of each other. Besides, the servers were shut down one after the other, so that a call between entries could use up what was left for callers. Ruled out: an idle connection closed under a request (held=1 oldest_ms=2500 at the cut, and 2.5 s between request and end in the stories); a process that was killed (each logged 'stopped in order').

--- a/scheduler/serve.go
+++ b/scheduler/serve.go
@@ -49,6 +49,7 @@
 		Handler:           handler,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleConnTimeout,
+		BaseContext:       d.answering.base,
 	}
 	d.servers = append(d.servers, server)
 	d.group.Go(name, func(context.Context) error {
