--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -18,6 +18,7 @@
 	"lemonstream.dev/lemonstream/catalog"
 	"lemonstream.dev/lemonstream/clock"
 	"lemonstream.dev/lemonstream/figures"
+	"lemonstream.dev/lemonstream/inflight"
 	"lemonstream.dev/lemonstream/kernel"
 	"lemonstream.dev/lemonstream/logbook"
 	"lemonstream.dev/lemonstream/outside"
@@ -75,8 +76,8 @@
 	keeper   *owner.Keeper
 	servers  []*http.Server
 
-	// answering follows the requests of callers.
-	answering *answering
+	// requests follows what the servers have read and not answered.
+	requests *inflight.Requests
 
 	// waves holds the operator's requests for maintenance by their row's key.
 	wavesMu sync.Mutex
@@ -124,7 +125,7 @@
 		waves:    make(map[string]outside.Wave),
 		stopping: make(chan struct{}),
 	}
-	d.answering = newAnswering(d.clock)
+	d.requests = inflight.New(d.clock)
 	d.health = &storeHealth{
 		now: d.clock.Now,
 	}
--- a/scheduler/serve.go
+++ b/scheduler/serve.go
@@ -49,8 +49,8 @@
 		Handler:           handler,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleConnTimeout,
-		BaseContext:       d.answering.base,
 	}
+	d.requests.Attach(server)
 	d.servers = append(d.servers, server)
 	d.group.Go(name, func(context.Context) error {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -86,7 +86,7 @@
 	}
 	router := gin.New()
 	server.Routes(router)
-	d.listen("callers", d.settings.Callers, d.answering.wrap(router))
+	d.listen("callers", d.settings.Callers, router)
 }
 
 // probePause is how long this entry waits between two tries of something that fails,
--- a/scheduler/stop.go
+++ b/scheduler/stop.go
@@ -36,7 +36,7 @@
 	began := d.clock.Now()
 	d.log.Info("stopping")
 	close(d.stopping)
-	d.answering.leave()
+	d.requests.Leave()
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.StopGrace)
 	defer cancel()
 	d.keeper.Release(ctx, releaseWait)
@@ -72,16 +72,16 @@
 
 // giveUp ends the work for what is still held; each request is answered by that.
 func (d *Daemon) giveUp() {
-	if held, oldest := d.answering.held(); held > 0 {
+	if held, oldest := d.requests.Held(); held > 0 {
 		d.log.Info("requests given up at the stop", "held", held, "oldest_ms", oldest.Milliseconds())
 	}
-	d.answering.giveUp()
+	d.requests.GiveUp()
 }
 
 // shutDown ends a server once it has answered what it has read.
 func (d *Daemon) shutDown(ctx context.Context, server *http.Server) {
 	if err := server.Shutdown(ctx); err != nil {
-		held, oldest := d.answering.held()
+		held, oldest := d.requests.Held()
 		d.log.Warn("requests cut at the stop", "address", server.Addr, "held", held, "oldest_ms", oldest.Milliseconds(), "error", err)
 	}
 }
