--- a/entry/handler.go
+++ b/entry/handler.go
@@ -7,7 +7,6 @@
 	"log/slog"
 	"net/http"
 	"strconv"
-	"sync/atomic"
 
 	"github.com/gin-gonic/gin"
 
@@ -45,7 +44,6 @@
 	clock    clock.Clock
 	log      *slog.Logger
 	limits   Limits
-	leaving  atomic.Bool
 
 	// open reports whether the entry may send requests to endpoints.
 	open func() bool
@@ -98,12 +96,6 @@
 	})
 }
 
-// Leave has every connection closed after its next answer. Requests are served as
-// before, so that callers find another entry without losing any.
-func (h *Handler) Leave() {
-	h.leaving.Store(true)
-}
-
 // Stop refuses new requests as not run; those in flight go on.
 func (h *Handler) Stop() {
 	h.services.Stop()
@@ -111,9 +103,6 @@
 
 func (h *Handler) serve(c *gin.Context) {
 	start := h.clock.Now()
-	if h.leaving.Load() {
-		c.Header("Connection", "close")
-	}
 	r, problem := parseRequest(c, start)
 	if problem == nil && !h.open() {
 		problem = starting()
--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -46,6 +46,7 @@
 type path struct {
 	t         *testing.T
 	server    *httptest.Server
+	handler   *entry.Handler
 	services  *entry.Services
 	view      *state.View
 	endpoints []*endpoint
@@ -101,10 +102,10 @@
 		NewSender:   func(conns int) *forward.Sender { return forward.NewGuardedSender(conns, o.sender) },
 	})
 	p.update(rows, nil)
-	handler := entry.NewHandler(p.services, o.claims, clock.System(), slog.New(slog.DiscardHandler), o.limits, o.guards, o.open)
+	p.handler = entry.NewHandler(p.services, o.claims, clock.System(), slog.New(slog.DiscardHandler), o.limits, o.guards, o.open)
 	gin.SetMode(gin.ReleaseMode)
 	engine := gin.New()
-	handler.Routes(engine)
+	p.handler.Routes(engine)
 	p.server = httptest.NewServer(engine)
 	t.Cleanup(p.server.Close)
 	return p
--- a/entry/plugin.go
+++ b/entry/plugin.go
@@ -59,8 +59,8 @@
 }
 
 func serverOptions() fx.Option {
-	return fx.Invoke(func(lc fx.Lifecycle, g *kernel.Group, h *Handler, r *Readiness, log *slog.Logger, d settings.Daemon) {
-		server := NewServer(h, ServerOptions{
+	return fx.Invoke(func(lc fx.Lifecycle, g *kernel.Group, h *Handler, c clock.Clock, r *Readiness, log *slog.Logger, d settings.Daemon) {
+		server := NewServer(h, c, ServerOptions{
 			Address:    d.Callers,
 			MaxCallers: d.MaxCallers,
 		})
@@ -98,7 +98,7 @@
 // told, then new work is refused as not run, then what is in flight ends.
 func stopServer(ctx context.Context, server *Server, h *Handler, r *Readiness, log *slog.Logger, timeout time.Duration) error {
 	r.Leave()
-	h.Leave()
+	server.Leave()
 	clock.Sleep(ctx, leaveNotice)
 	h.Stop()
 	finishing, cancel := context.WithTimeout(ctx, timeout)
--- a/entry/server.go
+++ b/entry/server.go
@@ -10,9 +10,20 @@
 
 	"github.com/gin-gonic/gin"
 	"golang.org/x/net/netutil"
+
+	"lemonstream.dev/lemonstream/clock"
+	"lemonstream.dev/lemonstream/inflight"
 )
 
 const (
+	// answerReserve is what is left of the stop timeout for the answers to requests
+	// that are given up. Writing them takes milliseconds, but net/http looks only
+	// each half a second whether all are written.
+	answerReserve = time.Second
+
+	// answerShare bounds that reserve where the stop timeout is short, as a divisor.
+	answerShare = 2
+
 	// bodyTimeout bounds the reading of a request.
 	bodyTimeout = 60 * time.Second
 
@@ -38,14 +49,16 @@
 	http     *http.Server
 	listener net.Listener
 	options  ServerOptions
+	requests *inflight.Requests
 }
 
 // NewServer returns a server that does not listen yet.
-func NewServer(h *Handler, o ServerOptions) *Server {
+func NewServer(h *Handler, c clock.Clock, o ServerOptions) *Server {
 	gin.SetMode(gin.ReleaseMode)
 	engine := gin.New()
 	h.Routes(engine)
-	return &Server{
+	s := &Server{
+		requests: inflight.New(c),
 		http: &http.Server{
 			Handler:           engine,
 			ReadHeaderTimeout: headerTimeout,
@@ -56,6 +69,13 @@
 		},
 		options: o,
 	}
+	s.requests.Attach(s.http)
+	return s
+}
+
+// Address returns where the server listens.
+func (s *Server) Address() net.Addr {
+	return s.listener.Addr()
 }
 
 // Listen opens the address. Connections above the limit wait to be accepted.
@@ -77,7 +97,27 @@
 	return err
 }
 
-// Shutdown waits for the requests in flight, at most until ctx ends.
+// Leave has every connection closed after its next answer. Requests are served as
+// before, so that callers find another entry without losing any.
+func (s *Server) Leave() {
+	s.requests.Leave()
+}
+
+// Shutdown waits for the requests in flight, at most until ctx ends. What would
+// outlast it is given up a little earlier, and its caller is told so.
 func (s *Server) Shutdown(ctx context.Context) error {
+	working, stop := workUntil(ctx)
+	defer stop()
+	defer context.AfterFunc(working, s.requests.GiveUp)()
 	return s.http.Shutdown(ctx)
 }
+
+// workUntil returns a context that ends when requests are to be given up.
+func workUntil(ctx context.Context) (context.Context, context.CancelFunc) {
+	deadline, bounded := ctx.Deadline()
+	if !bounded {
+		return context.WithCancel(ctx)
+	}
+	reserve := min(answerReserve, time.Until(deadline)/answerShare)
+	return context.WithDeadline(ctx, deadline.Add(-reserve))
+}
