--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -36,6 +36,7 @@
 	// patience is a generous limit for what takes seconds on an idle machine.
 	patience = 90 * time.Second
 
+	// entries is how many there are unless SOAK_ENTRIES says otherwise.
 	entries   = 3
 	instances = 6
 
@@ -123,7 +124,7 @@
 	server := httptest.NewServer(router)
 	t.Cleanup(server.Close)
 	d.instances = d.link(server.Listener.Addr().String())
-	for i := 0; i < entries; i++ {
+	for i := 0; i < number("SOAK_ENTRIES", entries); i++ {
 		d.addEntry(i)
 	}
 	return d
@@ -361,16 +362,23 @@
 // TestJobsSurviveFaultsOfEntries is the short seeded run; SOAK_SEEDS asks for
 // more seeds by hand, from SOAK_FIRST on.
 func TestJobsSurviveFaultsOfEntries(t *testing.T) {
-	first, count := 1, 1
-	if text := os.Getenv("SOAK_SEEDS"); text != "" {
-		count, _ = strconv.Atoi(text)
-	}
-	if text := os.Getenv("SOAK_FIRST"); text != "" {
-		first, _ = strconv.Atoi(text)
+	forSeeds(t, soak)
+}
+
+// forSeeds runs a soak for each seed that is asked for.
+func forSeeds(t *testing.T, run func(t *testing.T, seed int64)) {
+	first := number("SOAK_FIRST", 1)
+	for seed := first; seed < first+number("SOAK_SEEDS", 1); seed++ {
+		t.Run("seed "+strconv.Itoa(seed), func(t *testing.T) { run(t, int64(seed)) })
 	}
-	for seed := first; seed < first+count; seed++ {
-		t.Run("seed "+strconv.Itoa(seed), func(t *testing.T) { soak(t, int64(seed)) })
+}
+
+// number returns a whole number of the environment.
+func number(name string, otherwise int) int {
+	if asked, err := strconv.Atoi(os.Getenv(name)); err == nil {
+		return asked
 	}
+	return otherwise
 }
 
 func soak(t *testing.T, seed int64) {
--- a/soak/stop_test.go
+++ b/soak/stop_test.go
@@ -40,20 +40,32 @@
 	name   string
 	status int
 	err    error
+
+	// last says that the entry closes the connection after this answer.
+	last bool
 }
 
-// openTo opens a connection and sends a first request over it, so that it counts as
-// one in use.
-func openTo(t *testing.T, front string) *openConn {
+// dial opens a connection that is closed when the test ends.
+func dial(t *testing.T, front string) (*openConn, error) {
 	t.Helper()
 	conn, err := net.Dial("tcp4", front)
 	if err != nil {
-		t.Fatal(err)
+		return nil, err
 	}
 	t.Cleanup(func() { _ = conn.Close() })
-	o := &openConn{
+	return &openConn{
 		conn:   conn,
 		reader: bufio.NewReader(conn),
+	}, nil
+}
+
+// openTo opens a connection and sends a first request over it, so that it counts as
+// one in use.
+func openTo(t *testing.T, front string) *openConn {
+	t.Helper()
+	o, err := dial(t, front)
+	if err != nil {
+		t.Fatal(err)
 	}
 	if got := o.request("first", http.MethodGet, "/none", ""); got.err != nil {
 		t.Fatal(got.err)
@@ -85,6 +97,7 @@
 		name:   name,
 		status: response.StatusCode,
 		err:    err,
+		last:   response.Close,
 	}
 }
 
