Bound what silent connections cost: one client for the store, workers and entries

Cause: open connections may go silent for good, without a reset, while new ones work. Each client kept up to 4, 8 or 16 connections to one address. A call over a silent one ended by its own time-out, which closed that one only, so that each of the others cost a further time-out, one after another: up to 16 times 0.9 s for the instances' interface, 0.4 s for each ping of an owner that is alive, 2.5 s for each hand-in.

Change: package conns is the one place for the clients' transport, which stood twice. A call without an answer over a connection that had worked closes all unused connections to that address that have said nothing since the call began. Calls that read, or can be done twice, are sent a second time over another connection at half of their time, in a form that is not held; the first try goes on, so that a slow store still answers. Calls with an effect are never repeated. The system ends a connection whose data is not confirmed for 0.5 s (TCP_USER_TIMEOUT), and probes a quiet one after 3 s.

Ruled out: cutting the first try at half of its time, which would take the answers of a store 60 times slower than usual; dropping all connections, which would open new ones to workers, which are priced, where most still work.

--- a/peer/client.go
+++ b/peer/client.go
@@ -6,18 +6,16 @@
 package peer
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"net/url"
 	"strconv"
 	"time"
 
+	"lemonstream.dev/lemonstream/conns"
 	"lemonstream.dev/lemonstream/job"
 	"lemonstream.dev/lemonstream/outside"
 	"lemonstream.dev/lemonstream/owner"
@@ -35,8 +33,8 @@
 	// a slow store, that takes the rest of one transaction and another.
 	submitTimeout = 2500 * time.Millisecond
 
-	// conns is the most connections to one entry.
-	conns = 8
+	// kept is the most unused connections to one entry; twice as many may be open.
+	kept = 8
 
 	// idle is how long an unused connection is kept.
 	idle = 90 * time.Second
@@ -61,7 +59,7 @@
 
 // Client calls other entries.
 type Client struct {
-	http *http.Client
+	conns *conns.Client
 }
 
 // NotOwnerError reports that the entry called does not own the service, or has
@@ -94,27 +92,21 @@
 
 // NewClient returns a client with its own connections.
 func NewClient() *Client {
-	dialer := &net.Dialer{
-		Timeout:   callTimeout,
-		KeepAlive: -1,
-	}
 	return &Client{
-		http: &http.Client{
-			Transport: &http.Transport{
-				DialContext:         dialer.DialContext,
-				DisableCompression:  true,
-				IdleConnTimeout:     idle,
-				MaxIdleConnsPerHost: conns,
-				MaxConnsPerHost:     2 * conns,
-			},
-		},
+		conns: conns.NewClient(conns.Limits{
+			PerAddress: 2 * kept,
+			Kept:       kept,
+			Dial:       callTimeout,
+			Idle:       idle,
+			Answer:     maxBody,
+		}),
 	}
 }
 
 // Cancel asks the owner to withdraw a job. It reports false where the owner
 // does not know the job.
 func (c *Client) Cancel(ctx context.Context, to netip.AddrPort, service, id string) (bool, error) {
-	status, _, err := c.call(ctx, cancelTimeout, http.MethodPost, to, pathCancel, url.Values{
+	status, err := c.tell(ctx, cancelTimeout, to, pathCancel, url.Values{
 		queryService: {service},
 		"id":         {id},
 	}, nil)
@@ -131,7 +123,7 @@
 	if err != nil {
 		return shard.Load{}, fmt.Errorf("encoding a question for load: %w", err)
 	}
-	_, body, err := c.call(ctx, callTimeout, http.MethodPost, to, pathLoad, url.Values{
+	_, body, err := c.ask(ctx, http.MethodPost, to, pathLoad, url.Values{
 		queryService: {service},
 	}, asked)
 	if err != nil {
@@ -147,7 +139,7 @@
 // Offer tells the owner of an accepted job; first says that no other entry was
 // told of it.
 func (c *Client) Offer(ctx context.Context, to netip.AddrPort, service string, record shard.Record, version int64, first bool) error {
-	_, _, err := c.call(ctx, callTimeout, http.MethodPost, to, pathOffer, url.Values{
+	_, err := c.tell(ctx, callTimeout, to, pathOffer, url.Values{
 		queryService: {service},
 		"version":    {strconv.FormatInt(version, 10)},
 		"first":      {strconv.FormatBool(first)},
@@ -157,7 +149,7 @@
 
 // Pending asks the owner how many jobs of a route have not begun.
 func (c *Client) Pending(ctx context.Context, to netip.AddrPort, service, route string) (int, error) {
-	_, body, err := c.call(ctx, callTimeout, http.MethodGet, to, pathPending, url.Values{
+	_, body, err := c.ask(ctx, http.MethodGet, to, pathPending, url.Values{
 		queryService: {service},
 		"route":      {route},
 	}, nil)
@@ -174,7 +166,7 @@
 // Submit hands a job in at the owner of its service, and returns once its record
 // stands. A *outside.NotDoneError or a *NotOwnerError says that it was not taken.
 func (c *Client) Submit(ctx context.Context, to netip.AddrPort, service string, record shard.Record) error {
-	status, _, err := c.call(ctx, submitTimeout, http.MethodPost, to, pathSubmit, url.Values{
+	status, err := c.tell(ctx, submitTimeout, to, pathSubmit, url.Values{
 		queryService: {service},
 	}, record.Encode())
 	if err == nil && status == http.StatusConflict {
@@ -189,7 +181,7 @@
 
 // Ping asks an entry whether it owns a service and writes.
 func (c *Client) Ping(ctx context.Context, to netip.AddrPort, service string) (owner.Pong, error) {
-	_, body, err := c.call(ctx, callTimeout, http.MethodGet, to, pathPing, url.Values{
+	_, body, err := c.ask(ctx, http.MethodGet, to, pathPing, url.Values{
 		queryService: {service},
 	}, nil)
 	if err != nil {
@@ -209,7 +201,7 @@
 // State asks the owner for the state of a job; it reports false where the owner
 // does not know the job.
 func (c *Client) State(ctx context.Context, to netip.AddrPort, service, id string) (job.State, bool, error) {
-	status, body, err := c.call(ctx, callTimeout, http.MethodGet, to, pathState, url.Values{
+	status, body, err := c.ask(ctx, http.MethodGet, to, pathState, url.Values{
 		queryService: {service},
 		"id":         {id},
 	}, nil)
@@ -223,27 +215,42 @@
 	return answer.State, true, nil
 }
 
+// ask sends a question, which may be sent twice.
+func (c *Client) ask(ctx context.Context, method string, to netip.AddrPort, path string, query url.Values, body []byte) (int, []byte, error) {
+	return c.call(ctx, path, query, conns.Call{
+		Method: method,
+		To:     to,
+		Body:   body,
+		Second: &conns.Second{
+			Target: target(path, query),
+			Body:   body,
+		},
+		Within: callTimeout,
+	})
+}
+
+// tell sends what has an effect, once.
+func (c *Client) tell(ctx context.Context, within time.Duration, to netip.AddrPort, path string, query url.Values, body []byte) (int, error) {
+	status, _, err := c.call(ctx, path, query, conns.Call{
+		Method: http.MethodPost,
+		To:     to,
+		Body:   body,
+		Within: within,
+	})
+	return status, err
+}
+
 // call sends one request. Its error is a *NotOwnerError, a
 // *outside.NotDoneError where no process listens, or a *outside.UncertainError.
-func (c *Client) call(ctx context.Context, timeout time.Duration, method string, to netip.AddrPort, path string, query url.Values, body []byte) (int, []byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+to.String()+path+"?"+query.Encode(), bytes.NewReader(body))
-	if err != nil {
-		return 0, nil, fmt.Errorf("building %s: %w", path, err)
-	}
-	response, err := c.http.Do(request)
-	if err != nil {
-		return 0, nil, outside.CallError(path, err)
-	}
-	defer func() { _ = response.Body.Close() }()
-	read, err := io.ReadAll(io.LimitReader(response.Body, maxBody))
+func (c *Client) call(ctx context.Context, path string, query url.Values, call conns.Call) (int, []byte, error) {
+	call.Target = target(path, query)
+	answer, err := c.conns.Do(ctx, call)
 	if err != nil {
 		return 0, nil, outside.CallError(path, err)
 	}
-	switch response.StatusCode {
+	switch answer.Status {
 	case http.StatusOK, http.StatusNoContent, http.StatusNotFound, http.StatusConflict:
-		return response.StatusCode, read, nil
+		return answer.Status, answer.Body, nil
 	case http.StatusMisdirectedRequest:
 		return 0, nil, &NotOwnerError{
 			Service: query.Get(queryService),
@@ -253,13 +260,17 @@
 			Call: path,
 			Cause: &outside.NotDoneError{
 				Call:   path,
-				Status: response.StatusCode,
-				Reason: string(read),
+				Status: answer.Status,
+				Reason: string(answer.Body),
 			},
 		}
 	}
 }
 
+func target(path string, query url.Values) string {
+	return path + "?" + query.Encode()
+}
+
 // Error implements error.
 func (e *NotOwnerError) Error() string {
 	return "the entry called does not own service " + e.Service
--- /dev/null
+++ b/peer/silence_test.go
@@ -0,0 +1,87 @@
+package peer_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"lemonstream.dev/lemonstream/internal/standin"
+	"lemonstream.dev/lemonstream/peer"
+	"lemonstream.dev/lemonstream/shard"
+)
+
+const (
+	// keptConns is how many connections are kept when all of them go silent.
+	keptConns = 4
+
+	// callsAfter is how many calls follow the first that is answered again.
+	callsAfter = 2 * keptConns
+
+	// patience is a generous limit for what takes seconds on an idle machine.
+	patience = time.Minute
+)
+
+// TestSilentConnectionsCostOneWait covers connections between entries that go
+// silent for good while new ones work: only one of those that are kept is waited
+// for, so that an owner that is alive misses no three calls.
+func TestSilentConnectionsCostOneWait(t *testing.T) {
+	cases := map[string]func(context.Context, *peer.Client, *standin.SilencedServer) error{
+		"ping": func(ctx context.Context, client *peer.Client, server *standin.SilencedServer) error {
+			_, err := client.Ping(ctx, server.Address(), "s")
+			return err
+		},
+		"hand-in": func(ctx context.Context, client *peer.Client, server *standin.SilencedServer) error {
+			return client.Submit(ctx, server.Address(), "s", shard.Record{})
+		},
+		"offer": func(ctx context.Context, client *peer.Client, server *standin.SilencedServer) error {
+			return client.Offer(ctx, server.Address(), "s", shard.Record{}, 1, true)
+		},
+		"state": func(ctx context.Context, client *peer.Client, server *standin.SilencedServer) error {
+			_, _, err := client.State(ctx, server.Address(), "s", "1")
+			return err
+		},
+		"count": func(ctx context.Context, client *peer.Client, server *standin.SilencedServer) error {
+			_, err := client.Pending(ctx, server.Address(), "s", "q")
+			return err
+		},
+		"load": func(ctx context.Context, client *peer.Client, server *standin.SilencedServer) error {
+			_, err := client.Load(ctx, server.Address(), "s", nil, nil)
+			return err
+		},
+		"withdrawal": func(ctx context.Context, client *peer.Client, server *standin.SilencedServer) error {
+			_, err := client.Cancel(ctx, server.Address(), "s", "1")
+			return err
+		},
+	}
+	for name, call := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			server := standin.StartSilenced(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				_, _ = io.WriteString(w, `{"owns":true}`)
+			}), keptConns)
+			defer server.Close()
+			client := peer.NewClient()
+			ctx, cancel := context.WithTimeout(context.Background(), patience)
+			defer cancel()
+			var warm errgroup.Group
+			for range keptConns {
+				warm.Go(func() error { return call(ctx, client, server) })
+			}
+			is.NoErr(warm.Wait())
+			is.Equal(server.Silence(), keptConns)
+			for call(ctx, client, server) != nil {
+				is.NoErr(ctx.Err())
+			}
+			for range callsAfter {
+				is.NoErr(call(ctx, client, server))
+			}
+			is.Equal(server.Used(), 1)
+		})
+	}
+}
