Servers end connections that are quiet within a request

Cause: a body was waited for without a bound, and so was the writing of an answer. A caller whose connection went silent within a body held a connection and a handler for good; descriptors are bounded.

Change: conns.NewServer and conns.Listen, used for callers, entries and readiness, bound the quiet within a body and within a write by the 15 s that an unused connection is kept. Ruled out: ReadTimeout, which also cancels a request that is being worked on once it is over, and WriteTimeout, which counts from the request and so cuts an answer that can be delivered; tests hold both.

--- /dev/null
+++ b/conns/server_test.go
@@ -0,0 +1,173 @@
+package conns_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"lemonstream.dev/lemonstream/conns"
+)
+
+const (
+	// quiet is how long connections may be quiet in these tests.
+	quiet = 1500 * time.Millisecond
+
+	// piece is well below quiet, also on a busy machine; pieces of them are above.
+	piece  = quiet / 5
+	pieces = 8
+)
+
+// serve starts a server and opens a connection to it.
+func serve(t *testing.T, handler http.HandlerFunc) net.Conn {
+	t.Helper()
+	is := is.New(t)
+	limits := conns.ServerLimits{
+		Header: quiet,
+		Quiet:  quiet,
+	}
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	server := conns.NewServer(handler, limits)
+	var serving errgroup.Group
+	serving.Go(func() error { return server.Serve(conns.Listen(listener, limits)) })
+	t.Cleanup(func() {
+		_ = server.Close()
+		_ = serving.Wait()
+	})
+	conn, err := net.Dial("tcp4", listener.Addr().String())
+	is.NoErr(err)
+	t.Cleanup(func() { _ = conn.Close() })
+	is.NoErr(conn.SetDeadline(time.Now().Add(time.Minute)))
+	return conn
+}
+
+func request(length int) string {
+	return fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", length)
+}
+
+// TestServerEndsQuietBody covers a caller that goes silent within a body.
+func TestServerEndsQuietBody(t *testing.T) {
+	is := is.New(t)
+	read := make(chan error, 1)
+	conn := serve(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, err := io.Copy(io.Discard, r.Body)
+		read <- err
+	})
+	_, err := io.WriteString(conn, request(10)+"half")
+	is.NoErr(err)
+	is.True(<-read != nil)
+	_, err = io.Copy(io.Discard, conn)
+	is.NoErr(err) // The server has closed.
+}
+
+// TestServerEndsAnswerThatNobodyReads covers a caller that goes silent while its
+// answer is on the way.
+func TestServerEndsAnswerThatNobodyReads(t *testing.T) {
+	is := is.New(t)
+	wrote := make(chan error, 1)
+	conn := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		var err error
+		for err == nil {
+			_, err = w.Write(make([]byte, 1<<20))
+		}
+		wrote <- err
+	})
+	_, err := io.WriteString(conn, request(0))
+	is.NoErr(err)
+	is.True(<-wrote != nil)
+}
+
+// TestServerWaitsForSlowBody covers a body that comes slowly: it takes longer than
+// the connection may be quiet.
+func TestServerWaitsForSlowBody(t *testing.T) {
+	is := is.New(t)
+	conn := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		_, _ = w.Write(body)
+	})
+	_, err := io.WriteString(conn, request(pieces))
+	is.NoErr(err)
+	for range pieces {
+		time.Sleep(piece)
+		_, err := io.WriteString(conn, "x")
+		is.NoErr(err)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err)
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	is.Equal(string(body), strings.Repeat("x", pieces))
+}
+
+// TestServerDeliversSlowlyReadAnswer covers an answer that is taken slowly: one
+// write of it takes longer than the connection may be quiet.
+func TestServerDeliversSlowlyReadAnswer(t *testing.T) {
+	const size = 32 << 20
+	is := is.New(t)
+	conn := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write(make([]byte, size))
+	})
+	_, err := io.WriteString(conn, request(0))
+	is.NoErr(err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err)
+	defer func() { _ = response.Body.Close() }()
+	for range pieces {
+		time.Sleep(piece)
+		_, err := io.CopyN(io.Discard, response.Body, size/pieces)
+		is.NoErr(err)
+	}
+}
+
+// TestServerLetsRequestBeWorkedOn covers a request that takes longer than its
+// connection may be quiet: it is neither given up nor left without an answer.
+func TestServerLetsRequestBeWorkedOn(t *testing.T) {
+	is := is.New(t)
+	conn := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		select {
+		case <-r.Context().Done():
+			w.WriteHeader(http.StatusTeapot)
+		case <-time.After(2 * quiet):
+			_, _ = w.Write(body)
+		}
+	})
+	reader := bufio.NewReader(conn)
+	for range 2 {
+		_, err := io.WriteString(conn, request(4)+"body")
+		is.NoErr(err)
+		response, err := http.ReadResponse(reader, nil)
+		is.NoErr(err)
+		body, err := io.ReadAll(response.Body)
+		is.NoErr(err)
+		_ = response.Body.Close()
+		is.Equal(response.StatusCode, http.StatusOK)
+		is.Equal(string(body), "body")
+	}
+}
+
+// TestServerStops covers the orderly end of a server with a bounded listener.
+func TestServerStops(t *testing.T) {
+	is := is.New(t)
+	limits := conns.ServerLimits{
+		Header: quiet,
+		Quiet:  quiet,
+	}
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	server := conns.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), limits)
+	var serving errgroup.Group
+	serving.Go(func() error { return server.Serve(conns.Listen(listener, limits)) })
+	is.NoErr(server.Shutdown(context.Background()))
+	is.Equal(serving.Wait(), http.ErrServerClosed)
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -49,8 +49,11 @@
 	// says otherwise.
 	readHeaderTimeout = 3 * time.Second
 
-	// idleConnTimeout bounds an unused connection of a caller.
-	idleConnTimeout = 15 * time.Second
+	// quietConnTimeout is how long a connection of a caller or of another entry may
+	// be quiet: unused, within a body, or with an answer that can't be written. It
+	// is several times what a caller waits for an answer, so that a cut of some
+	// seconds ends nothing that could still be delivered.
+	quietConnTimeout = 15 * time.Second
 
 	// storeSilence is how old the last success of the store may be for the
 	// entry to call itself ready: the followers call at least once a second.
--- a/scheduler/serve.go
+++ b/scheduler/serve.go
@@ -11,6 +11,7 @@
 
 	"github.com/gin-gonic/gin"
 
+	"lemonstream.dev/lemonstream/conns"
 	"lemonstream.dev/lemonstream/intake"
 	"lemonstream.dev/lemonstream/outside"
 	"lemonstream.dev/lemonstream/owner"
@@ -44,16 +45,16 @@
 }
 
 func (d *Daemon) serve(name string, listener net.Listener, handler http.Handler) {
-	server := &http.Server{
-		Addr:              listener.Addr().String(),
-		Handler:           handler,
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleConnTimeout,
+	limits := conns.ServerLimits{
+		Header: readHeaderTimeout,
+		Quiet:  quietConnTimeout,
 	}
+	server := conns.NewServer(handler, limits)
+	server.Addr = listener.Addr().String()
 	d.requests.Attach(server)
 	d.servers = append(d.servers, server)
 	d.group.Go(name, func(context.Context) error {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(conns.Listen(listener, limits)); !errors.Is(err, http.ErrServerClosed) {
 			return fmt.Errorf("serving %s: %w", name, err)
 		}
 		return nil
