Entries close unused connections to each other before the other side does

An unused connection was kept for 90 s by the entry that calls, and closed after 15 s by the entry that is called. A call sent at that moment ends without an answer, and a hand-in of a job has an open outcome. The caller keeps one for 10 s now. Not seen in a test or a play: found by reading.

--- a/peer/client.go
+++ b/peer/client.go
@@ -36,8 +36,9 @@
 	// kept is the most unused connections to one entry; twice as many may be open.
 	kept = 8
 
-	// idle is how long an unused connection is kept.
-	idle = 90 * time.Second
+	// idle is how long an unused connection is kept. It is below the 15 s after which
+	// the other entry closes one: a call that met that would have an open outcome.
+	idle = 10 * time.Second
 
 	// maxBody bounds a body between entries: a job with its text.
 	maxBody = 4 << 20
