Soak: connections that are open go silent for good

The faults of links gain one: what is open when it is put in force goes silent for good, also after the link is mended, while new connections work. A further test silences every open connection of all links three times, under jobs.

--- a/soak/link_test.go
+++ b/soak/link_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -37,6 +38,10 @@
 	linkIsSilent
 	linkResets
 
+	// linkSilencesOpen drops both directions of the connections that are open when it
+	// is put in force, for good, while new ones work.
+	linkSilencesOpen
+
 	linkFaults
 )
 
@@ -50,7 +55,10 @@
 
 	mu    sync.Mutex
 	fault linkFault
-	conns map[net.Conn]struct{}
+
+	// conns holds both ends of each connection, and whether it has gone silent for
+	// good.
+	conns map[net.Conn]*atomic.Bool
 }
 
 // newLink starts a proxy in front of a server, until the test ends.
@@ -64,7 +72,7 @@
 		target:   target,
 		listener: listener,
 		group:    group,
-		conns:    make(map[net.Conn]struct{}),
+		conns:    make(map[net.Conn]*atomic.Bool),
 	}
 	group.Go("link to "+target, l.serve)
 	t.Cleanup(func() {
@@ -83,8 +91,12 @@
 	l.mu.Lock()
 	l.fault = fault
 	l.mu.Unlock()
-	if fault == linkResets {
+	switch fault {
+	case linkResets:
 		l.closeAll()
+	case linkSilencesOpen:
+		l.silenceOpen()
+	default:
 	}
 }
 
@@ -102,6 +114,14 @@
 	}
 }
 
+func (l *link) silenceOpen() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, silent := range l.conns {
+		silent.Store(true)
+	}
+}
+
 // reset closes a connection so that its peer is told at once.
 func reset(conn net.Conn) {
 	if tcp, ok := conn.(*net.TCPConn); ok {
@@ -121,22 +141,24 @@
 			reset(caller)
 			continue
 		}
+		silent := new(atomic.Bool)
 		l.mu.Lock()
-		l.conns[caller] = struct{}{}
-		l.conns[server] = struct{}{}
+		l.conns[caller] = silent
+		l.conns[server] = silent
 		l.mu.Unlock()
-		l.group.Go("up", func(context.Context) error { return l.pass(server, caller, true) })
-		l.group.Go("down", func(context.Context) error { return l.pass(caller, server, false) })
+		l.group.Go("up", func(context.Context) error { return l.pass(server, caller, silent, true) })
+		l.group.Go("down", func(context.Context) error { return l.pass(caller, server, silent, false) })
 	}
 }
 
-// pass copies one direction until it ends; up is that of the requests.
-func (l *link) pass(to, from net.Conn, up bool) error {
+// pass copies one direction until it ends, or drops what comes once the connection
+// is silent; up is the direction of the requests.
+func (l *link) pass(to, from net.Conn, silent *atomic.Bool, up bool) error {
 	defer l.end(to, from, up)
 	piece := make([]byte, linkPiece)
 	for {
 		n, err := from.Read(piece)
-		if n > 0 && l.treat(up) {
+		if n > 0 && l.treat(up) && !silent.Load() {
 			if _, err := to.Write(piece[:n]); err != nil {
 				return nil //nolint:nilerr // The other side has closed.
 			}
--- a/soak/silence_test.go
+++ b/soak/silence_test.go
@@ -58,3 +58,33 @@
 		t.Errorf("%s: the connection stays open", name)
 	}
 }
+
+// TestJobsSurviveSilentConnections covers the moment in which every open connection
+// goes silent for good, to the store, to the workers, to the instances' interface
+// and from callers, while new ones work: jobs under way end, and no task runs twice.
+func TestJobsSurviveSilentConnections(t *testing.T) {
+	const silences, each = 3, 4
+	d := deploy(t)
+	for _, e := range d.entries {
+		d.awaitReady(e, http.StatusOK)
+	}
+	var ids []string
+	for silence := range silences {
+		for i := range each {
+			id := fmt.Sprintf("%016x", 0xc0+silence*each+i)
+			ids = append(ids, id)
+			d.any(http.MethodPost, "/q/"+id, body, succeeded)
+		}
+		for _, l := range d.links {
+			l.set(linkSilencesOpen)
+		}
+	}
+	for _, id := range ids {
+		d.any(http.MethodGet, "/q/"+id, "", completed)
+	}
+	faults, starts := d.oracle.Faults()
+	for _, fault := range faults {
+		t.Error(fault)
+	}
+	t.Logf("%d jobs, %d starts, %d faults", len(ids), starts, len(faults))
+}
