A read over a silent connection does not make the store slow

Cause: with a second try, a read over a connection that went silent ends well, after 450 ms. The entry took this for the store's time and the store for slow (from 100 ms on): successors are twice as patient then, transactions are waited for longer, and entries write nothing themselves. Brought in with the second try; before, such a read failed and taught nothing.

TestSilentConnectionIsNoSlowStore failed before (Slow() after one such read).

Change: the adapter notes how long the try took that was answered, and that is what the entry learns from. A store that is slow is told as before: the first try goes on and its whole time counts.

--- a/conns/client.go
+++ b/conns/client.go
@@ -36,6 +36,9 @@
 type Answer struct {
 	Status int
 	Body   []byte
+
+	// Took is how long the try took that was answered.
+	Took time.Duration
 }
 
 // Call is one request.
@@ -158,7 +161,9 @@
 			got(u)
 		},
 	})
+	began := time.Now()
 	answer, err := c.exchange(ctx, call)
+	answer.Took = time.Since(began)
 	if err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		c.unanswered(call.To, u)
 	}
--- a/conns/client_test.go
+++ b/conns/client_test.go
@@ -88,6 +88,7 @@
 	answer, err := client.Do(context.Background(), again)
 	is.NoErr(err)
 	is.Equal(string(answer.Body), "body/again")
+	is.True(answer.Took <= again.Within/2) // The wait for the silent one does not count.
 	is.Equal(server.Used(), 1)
 }
 
--- a/outside/patience.go
+++ b/outside/patience.go
@@ -69,21 +69,24 @@
 func (p *Patience) Hasten(table Table) Table {
 	hastened := table
 	hastened.Feed = func(ctx context.Context, name string, after int64, wait time.Duration) (Change, error) {
+		ctx, watch := Timed(ctx)
 		began := p.clock.Now()
 		change, err := table.Feed(ctx, name, after, wait)
-		p.noteRead(p.clock.Now().Sub(began)-wait, err)
+		p.noteRead(watch.Took(p.clock.Now().Sub(began))-wait, err)
 		return change, err
 	}
 	hastened.Get = func(ctx context.Context, name, part, from string) (Page, error) {
+		ctx, watch := Timed(ctx)
 		began := p.clock.Now()
 		page, err := table.Get(ctx, name, part, from)
-		p.noteRead(p.clock.Now().Sub(began), err)
+		p.noteRead(watch.Took(p.clock.Now().Sub(began)), err)
 		return page, err
 	}
 	hastened.Row = func(ctx context.Context, key Key) (*Row, error) {
+		ctx, watch := Timed(ctx)
 		began := p.clock.Now()
 		row, err := table.Row(ctx, key)
-		p.noteRead(p.clock.Now().Sub(began), err)
+		p.noteRead(watch.Took(p.clock.Now().Sub(began)), err)
 		return row, err
 	}
 	hastened.Transact = func(ctx context.Context, tx Transaction) (Receipt, error) {
--- /dev/null
+++ b/outside/stopwatch_test.go
@@ -0,0 +1,52 @@
+package outside_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lemonstream.dev/lemonstream/clock"
+	"lemonstream.dev/lemonstream/outside"
+)
+
+// TestSilentConnectionIsNoSlowStore covers a read over a connection that went silent:
+// its second try is answered at once, so the store is not slow.
+func TestSilentConnectionIsNoSlowStore(t *testing.T) {
+	const silent, quick, wait = 450 * time.Millisecond, 4 * time.Millisecond, time.Second
+	is := is.New(t)
+	now := time.UnixMilli(1_000_000)
+	patience := outside.NewPatience(clock.Clock{
+		Now: func() time.Time { return now },
+	})
+	answer := func(ctx context.Context) {
+		now = now.Add(silent + quick)
+		outside.NoteTook(ctx, quick)
+	}
+	table := patience.Hasten(outside.Table{
+		Feed: func(ctx context.Context, _ string, _ int64, wait time.Duration) (outside.Change, error) {
+			now = now.Add(wait)
+			answer(ctx)
+			return outside.Change{}, nil
+		},
+		Get: func(ctx context.Context, _, _, _ string) (outside.Page, error) {
+			answer(ctx)
+			return outside.Page{}, nil
+		},
+		Row: func(ctx context.Context, _ outside.Key) (*outside.Row, error) {
+			answer(ctx)
+			return nil, nil
+		},
+	})
+	ctx := context.Background()
+	_, err := table.Feed(ctx, "t", 1, wait)
+	is.NoErr(err)
+	is.True(!patience.Slow())
+	_, err = table.Get(ctx, "t", "", "")
+	is.NoErr(err)
+	is.True(!patience.Slow())
+	_, err = table.Row(ctx, outside.Key{})
+	is.NoErr(err)
+	is.True(!patience.Slow())
+}
