A successor is handed what its predecessor knew of workers, and waits for that alone

Cause: a successor knew only which workers may run something (rows 'used'), not what. While one of them could not be reached it started no task of the whole service that an owner before may have known, for BlindFor (4.2 s) from its own takeover, and each takeover began that wait anew.

Ruled out: dropping the wait for workers without a registration (they may still run tasks), and looking only at workers that are listed (a listed one may be dead).

Change: - The last transaction of a release names the workers on which nothing runs for sure, and for each other one which tasks may run there (starts without an answer included) and how long at the most. It goes only once every end that was taken in stands in a row; after 8 transactions without that the release hands over nothing. The row is bounded (RowBytes); what does not fit is waited for as before. - A successor lets just those tasks wait, each until its worker is looked at or the span is over; all others start at once. - Every other beat names the workers that were silent since the takeover with what is left of the inherited wait, so that it goes on without a release as well. A worker so named that answers again is used, and its lease renewed, only once a transaction stands that no longer names it. - Instances that were taken lately stand in the beat of the instances, go on through claims, are told on by the next holder, and are read by a service's new owner. A row without the new fields means what it meant.

Tests that failed before, each by waiting in vain for 20 s with a lease of an hour: TestReleaseHandsOverThatAWorkerRunsNothing, TestReleaseHandsOverWhatASilentWorkerMayRun (three successions each), TestSuccessorTellsOfInstancesThatTheOneBeforeTook, TestNewOwnerReadsWhichInstancesWereTaken. In the test world the batch's write moved into a function of its own, an owner's answers go to that owner, and takeOver hands on what the last beat says, as the store does.

--- a/owner/commit.go
+++ b/owner/commit.go
@@ -13,6 +13,15 @@
 // jobs they stay below what one may hold.
 const workerRowsMost = 24
 
+// handoverBytes is what the row of a beat takes beside what it says of workers: its
+// epoch, its number, and the keys and lengths of its fields.
+const handoverBytes = 256
+
+// unwholeMost bounds the transactions of a release that leave out ends because they
+// are full: each holds some 30 jobs, so that this covers several hundred in about
+// the time that a release may take.
+const unwholeMost = 8
+
 // commit starts the next transaction, unless one is under way or was given up a
 // moment ago. An idle owner writes its beat.
 func (d *Duty) commit(ctx context.Context, now time.Time) {
@@ -29,11 +38,17 @@
 		return
 	}
 	d.committing = true
-	releasing := d.releasing
-	beat := Beat{
-		Lapsed: d.core.Lapsed(now),
+	whole := !found || batch.Whole()
+	releasing := d.releasing && (whole || d.unwhole >= unwholeMost)
+	if d.releasing && !whole {
+		d.unwhole++
+	}
+	handover := d.core.HandOver(now, releasing && whole, d.deps.Site.RowBytes-handoverBytes)
+	if releasing {
+		d.deps.Log.Info("service released", "service", d.service, "epoch", d.tenure.epoch, "whole", whole,
+			"idle", len(handover.Idle), "leased", len(handover.Leased))
 	}
-	tx := d.tenure.transaction(beat, d.rows(batch, workers), releasing)
+	tx := d.tenure.transaction(beatOf(handover), d.rows(batch, workers), releasing)
 	d.deps.Group.Go("commit of "+d.service, func(context.Context) error {
 		version, err := d.tenure.writeOrGiveUp(ctx, tx)
 		d.pushLogged(func(d *Duty, at time.Time) {
--- a/owner/duty.go
+++ b/owner/duty.go
@@ -101,6 +101,10 @@
 	released   chan struct{}
 	releasing  bool
 
+	// unwhole counts the transactions since the release was asked for that had no
+	// room for every end that was taken in.
+	unwhole int
+
 	// over is closed when the duty has ended.
 	over chan struct{}
 
@@ -139,7 +143,9 @@
 		return found.Policy, ok
 	}
 	d.core = shard.New(service, won.epoch, won.version, now, options)
-	d.core.Inherit(won.before.Lapsed)
+	handover := handoverOf(won.before, log)
+	d.core.Inherit(handover, won.read)
+	log.Info("workers handed over", "idle", len(handover.Idle), "leased", len(handover.Leased))
 	if won.epoch > 1 {
 		d.core.AwaitStandby()
 	} else {
--- a/owner/fleet.go
+++ b/owner/fleet.go
@@ -127,6 +127,7 @@
 		stop:     make(chan struct{}),
 		released: make(chan struct{}),
 	}
+	f.inheritTaken(won.before.Taken, now)
 	f.quietUntil = now.Add(endedPause)
 	if ended {
 		return f
--- /dev/null
+++ b/owner/handover_test.go
@@ -0,0 +1,264 @@
+package owner_test
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lemonstream.dev/lemonstream/internal/standin"
+	"lemonstream.dev/lemonstream/job"
+	"lemonstream.dev/lemonstream/outside"
+	"lemonstream.dev/lemonstream/owner"
+	"lemonstream.dev/lemonstream/shard"
+)
+
+const (
+	// endlessLease is so long that whoever waits for it waits in vain here.
+	endlessLease = time.Hour
+
+	// glanceWait is how long a fake worker lets a look wait.
+	glanceWait = 20 * time.Millisecond
+
+	tableListed = "listed"
+	tableUsed   = "used"
+)
+
+// accept writes the record of a job with a lasting task, as an entry does that
+// reaches no owner.
+func accept(rows *standin.Rows, id string) {
+	one := record(id)
+	one.Spec.Steps[0].Lasting = true
+	rows.Write(owner.IntakeKey("s", id), one.Encode())
+}
+
+// isUsed reports whether rows name all of the workers as ones that may run
+// something.
+func isUsed(t *testing.T, rows *standin.Rows, ids ...string) bool {
+	t.Helper()
+	for _, id := range ids {
+		row, err := rows.Table().Row(context.Background(), outside.Key{
+			Table: tableUsed,
+			Part:  "s",
+			Name:  id,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if row == nil {
+			return false
+		}
+	}
+	return true
+}
+
+// succeed lets several entries in a row take the service, start a job that waits,
+// and release it.
+func succeed(t *testing.T, rows *standin.Rows, h *hands, last *entry) {
+	t.Helper()
+	for i := range 3 {
+		last.keeper.Release(context.Background(), patience)
+		waiting := fmt.Sprintf("waiting%d", i)
+		accept(rows, waiting)
+		name := fmt.Sprintf("successor%d", i)
+		last = newEntryWith(t, name, rows.Table(), alive(name), h.deps)
+		until(t, waiting+" is started", func() bool { return h.startsOf(waiting) == 1 })
+	}
+}
+
+// TestReleaseHandsOverThatAWorkerRunsNothing lets the instance of an empty worker be
+// taken just before its service is released: no successor can reach the worker.
+func TestReleaseHandsOverThatAWorkerRunsNothing(t *testing.T) {
+	rows := standin.NewRows()
+	h := newHands(rows, "w0", "w1")
+	first := newEntryWith(t, "first", rows.Table(), alive("first"), h.deps)
+	until(t, "both workers are used", func() bool { return isUsed(t, rows, "w0", "w1") })
+	h.cutOff("w0")
+	succeed(t, rows, h, first)
+}
+
+// TestReleaseHandsOverWhatASilentWorkerMayRun lets a worker go silent with a task:
+// that task waits for as long as it may run there, and no other does.
+func TestReleaseHandsOverWhatASilentWorkerMayRun(t *testing.T) {
+	is := is.New(t)
+	rows := standin.NewRows()
+	h := newHands(rows, "w0", "w1")
+	first := newEntryWith(t, "first", rows.Table(), alive("first"), h.deps)
+	until(t, "both workers are used", func() bool { return isUsed(t, rows, "w0", "w1") })
+	accept(rows, "held")
+	until(t, "the first task is started", func() bool { return h.startsOf("held") == 1 })
+	h.cutOff(h.holder("held"))
+	succeed(t, rows, h, first)
+	is.Equal(h.startsOf("held"), 1) // It may still run on the silent worker.
+}
+
+// endedMost is more jobs than the ends of which one transaction takes.
+const endedMost = 120
+
+// TestReleaseWritesEveryEndFirst lets more ends be taken in than one transaction holds
+// while a release is asked for. Their worker can't be reached afterwards, so that only
+// rows can say that they have ended.
+func TestReleaseWritesEveryEndFirst(t *testing.T) {
+	is := is.New(t)
+	rows := standin.NewRows()
+	var closed atomic.Bool
+	open := make(chan struct{})
+	rows.Before = func(_ context.Context, call standin.Call) error {
+		if closed.Load() && call.Kind == "transact" && call.Part == "s" {
+			<-open
+		}
+		return nil
+	}
+	h := newHands(rows, "w0")
+	var ids []string
+	for i := range endedMost {
+		id := fmt.Sprintf("job%d", i)
+		ids = append(ids, id)
+		rows.Write(owner.IntakeKey("s", id), record(id).Encode())
+	}
+	first := newEntryWith(t, "first", rows.Table(), alive("first"), h.deps)
+	for _, id := range ids {
+		until(t, id+" is started", func() bool { return h.startsOf(id) == 1 })
+	}
+	closed.Store(true)
+	h.finish("w0")
+	until(t, "the ends are listed twice", func() bool { return h.looksAt("w0") >= 2 })
+	released := make(chan struct{})
+	go func() {
+		first.keeper.Release(context.Background(), patience)
+		close(released)
+	}()
+	time.Sleep(10 * glanceWait)
+	close(open)
+	<-released
+	h.cutOff("w0")
+	h.list(rows, "w1")
+	second := newEntryWith(t, "second", rows.Table(), alive("second"), h.deps)
+	until(t, "the second entry owns the service", second.owns)
+	duty, _ := second.keeper.Duty("s")
+	for _, id := range ids {
+		until(t, id+" has ended", func() bool {
+			state, _ := duty.State(id)
+			return state == job.Completed
+		})
+		is.Equal(h.startsOf(id), 1)
+	}
+}
+
+// told is a fleet of idle instances that notes which workers each holder says to
+// have ended.
+type told struct {
+	*fleetOfIdle
+
+	mu    sync.Mutex
+	ended map[string]map[string]bool
+}
+
+func newTold() *told {
+	return &told{
+		fleetOfIdle: &fleetOfIdle{
+			moved: make(map[string]map[string]bool),
+		},
+		ended: make(map[string]map[string]bool),
+	}
+}
+
+// list shows the instances that were ordered as under way.
+func (f *told) list(ctx context.Context) ([]outside.Instance, error) {
+	list, err := f.fleetOfIdle.list(ctx)
+	f.fleetOfIdle.mu.Lock()
+	defer f.fleetOfIdle.mu.Unlock()
+	for i := range list {
+		for _, moved := range f.moved {
+			if moved[list[i].ID] {
+				list[i].State = outside.InstanceMoving
+				list[i].Worker = ""
+			}
+		}
+	}
+	return list, err
+}
+
+func (f *told) deps(deps owner.Deps, name string) owner.Deps {
+	deps = f.fleetOfIdle.deps(deps, name)
+	deps.Instances.List = f.list
+	deps.Loads = func(ctx context.Context, service string, closed, ended []string) (shard.Load, error) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if f.ended[name] == nil {
+			f.ended[name] = make(map[string]bool)
+		}
+		for _, worker := range ended {
+			f.ended[name][worker] = true
+		}
+		return f.loads(ctx, service, closed, ended)
+	}
+	return deps
+}
+
+// hasTold reports whether a holder has said of the workers of all instances that
+// another one moved that they have ended.
+func (f *told) hasTold(name, moved string) bool {
+	f.fleetOfIdle.mu.Lock()
+	defer f.fleetOfIdle.mu.Unlock()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for instance := range f.moved[moved] {
+		if !f.ended[name]["w"+instance[1:]] {
+			return false
+		}
+	}
+	return len(f.moved[moved]) > 0
+}
+
+// TestSuccessorTellsOfInstancesThatTheOneBeforeTook lets a holder of the instances
+// hand over while the owners of services still have to hear of its last orders.
+func TestSuccessorTellsOfInstancesThatTheOneBeforeTook(t *testing.T) {
+	rows := standin.NewRows()
+	f := newTold()
+	first := newEntryWith(t, "a", rows.Table(), alive("a"), f.deps)
+	until(t, "the first holder gives orders", func() bool { return f.count("a") >= 2 })
+	first.keeper.Release(context.Background(), patience)
+	newEntryWith(t, "b", rows.Table(), alive("b"), f.deps)
+	until(t, "the second holder tells of them", func() bool { return f.hasTold("b", "a") })
+}
+
+// TestNewOwnerReadsWhichInstancesWereTaken lets the entry that owns a service and
+// the instances die after it took the instance of a worker.
+func TestNewOwnerReadsWhichInstancesWereTaken(t *testing.T) {
+	rows := standin.NewRows()
+	f := newTold()
+	var ids []string
+	for i := range fleetSize {
+		ids = append(ids, fmt.Sprintf("w%02d", i))
+	}
+	h := newHands(rows, ids...)
+	var once sync.Once
+	both := func(deps owner.Deps, name string) owner.Deps {
+		deps = f.deps(h.deps(deps, name), name)
+		deps.Site.RowBytes = 65_536
+		move := deps.Instances.Move
+		deps.Instances.Move = func(ctx context.Context, instance, pool, holder string, epoch int64) error {
+			once.Do(func() { h.cutOff("w" + instance[1:]) })
+			return move(ctx, instance, pool, holder, epoch)
+		}
+		return deps
+	}
+	first := newEntryWith(t, "a", rows.Table(), alive("a"), both)
+	until(t, "all workers are used", func() bool { return isUsed(t, rows, ids...) })
+	until(t, "the entry takes instances, and writes more than once", func() bool { return f.count("a") >= 3 })
+	first.group.Stop()
+	accept(rows, "waiting")
+	dead := func(context.Context, netip.AddrPort, string) (owner.Pong, error) {
+		return owner.Pong{}, &outside.NotDoneError{
+			Call: "ping",
+		}
+	}
+	newEntryWith(t, "b", rows.Table(), dead, both)
+	until(t, "the job is started", func() bool { return h.startsOf("waiting") == 1 })
+}
--- /dev/null
+++ b/owner/hands_test.go
@@ -0,0 +1,181 @@
+package owner_test
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"lemonstream.dev/lemonstream/clock"
+	"lemonstream.dev/lemonstream/internal/standin"
+	"lemonstream.dev/lemonstream/job"
+	"lemonstream.dev/lemonstream/outside"
+	"lemonstream.dev/lemonstream/owner"
+	"lemonstream.dev/lemonstream/shard"
+)
+
+// hands are workers of the service that run what they are told for good.
+type hands struct {
+	mu    sync.Mutex
+	start time.Time
+
+	// down holds the workers that refuse connections; runs what runs at each.
+	down map[string]bool
+	runs map[string]map[job.TaskID]int64
+
+	// ends are the ends that each worker lists; looks counts the answered ones.
+	ends  map[string][]outside.End
+	looks map[string]int
+
+	// started counts the starts of each job.
+	started map[string]int
+}
+
+func newHands(rows *standin.Rows, ids ...string) *hands {
+	h := &hands{
+		start:   time.Now(),
+		down:    make(map[string]bool),
+		runs:    make(map[string]map[job.TaskID]int64),
+		ends:    make(map[string][]outside.End),
+		looks:   make(map[string]int),
+		started: make(map[string]int),
+	}
+	for _, id := range ids {
+		h.list(rows, id)
+	}
+	return h
+}
+
+// list lets a worker come.
+func (h *hands) list(rows *standin.Rows, id string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.runs[id] = make(map[job.TaskID]int64)
+	rows.Write(outside.Key{
+		Table: tableListed,
+		Name:  id,
+	}, []byte(id))
+}
+
+// finish ends all that runs at a worker well.
+func (h *hands) finish(id string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for task, number := range h.runs[id] {
+		delete(h.runs[id], task)
+		h.ends[id] = append(h.ends[id], outside.End{
+			Number: int64(len(h.ends[id]) + 1),
+			Task:   task,
+			Run:    number,
+			Kind:   outside.EndDone,
+		})
+	}
+	h.looks[id] = 0
+}
+
+// looksAt returns how many looks at a worker were answered since it was finished.
+func (h *hands) looksAt(id string) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.looks[id]
+}
+
+// cutOff makes a worker refuse connections, whatever runs there.
+func (h *hands) cutOff(id string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.down[id] = true
+}
+
+// startsOf returns how often tasks of a job were started.
+func (h *hands) startsOf(id string) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.started[id]
+}
+
+// holder returns the worker that runs a task of a job, or nothing.
+func (h *hands) holder(id string) string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for worker, runs := range h.runs {
+		for task := range runs {
+			if task.Job == id {
+				return worker
+			}
+		}
+	}
+	return ""
+}
+
+func (h *hands) refused(worker outside.WorkerRef) error {
+	if !h.down[worker.ID] {
+		return nil
+	}
+	return &outside.NotDoneError{
+		Call:   "any",
+		Reason: "connection refused",
+	}
+}
+
+func (h *hands) hold(_ context.Context, worker outside.WorkerRef, renewal outside.Renewal) (outside.Glance, error) {
+	time.Sleep(min(renewal.Wait, glanceWait))
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	glance := outside.Glance{
+		Clock: time.Since(h.start),
+	}
+	for task, number := range h.runs[worker.ID] {
+		glance.Runs = append(glance.Runs, outside.RunningTask{
+			Task:    task,
+			Run:     number,
+			Percent: 100,
+		})
+	}
+	for _, end := range h.ends[worker.ID] {
+		if end.Number > renewal.Acknowledged {
+			glance.Ends = append(glance.Ends, end)
+		}
+	}
+	h.looks[worker.ID]++
+	return glance, h.refused(worker)
+}
+
+func (h *hands) startOne(_ context.Context, worker outside.WorkerRef, order outside.StartOrder) (time.Duration, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if err := h.refused(worker); err != nil {
+		return 0, err
+	}
+	h.runs[worker.ID][order.Task] = order.Run
+	h.started[order.Task.Job]++
+	return time.Since(h.start), nil
+}
+
+// deps turns those of an entry into those of one that works with these workers.
+func (h *hands) deps(deps owner.Deps, _ string) owner.Deps {
+	deps.Workers = outside.Workers{
+		Hold:  h.hold,
+		Start: h.startOne,
+	}
+	deps.Options = shard.Options{
+		Lease:    endlessLease,
+		BusyWait: glanceWait,
+		IdleWait: glanceWait,
+		ShownFor: time.Hour,
+	}
+	deps.Site.RowBytes = 65_536
+	deps.Registry = owner.NewRegistry(deps.Table, clock.System(), tableListed, func(id string, _ []byte) (outside.Registration, error) {
+		return outside.Registration{
+			ID:      id,
+			Service: "s",
+			Address: netip.MustParseAddrPort("127.0.0.1:1"),
+			Capacity: job.Room{
+				MilliCPU: 4000,
+				MemoryMB: 4000,
+			},
+		}, nil
+	}, deps.Log)
+	deps.Group.Go("registry", deps.Registry.Run)
+	return deps
+}
--- a/owner/keeper.go
+++ b/owner/keeper.go
@@ -139,8 +139,10 @@
 	epoch   int64
 	version int64
 
-	// before is the last beat of the owner before.
+	// before is the last beat of the owner before; read is an instant after it was
+	// read, from which its spans count.
 	before Beat
+	read   time.Time
 }
 
 // watch is what a successor knows of one owner.
--- a/owner/restore.go
+++ b/owner/restore.go
@@ -27,7 +27,7 @@
 		return 0, err
 	}
 	now := d.deps.Clock.Now()
-	d.inherit(used, now)
+	d.inherit(ctx, used, now)
 	progress := make(map[string]*shard.Progress, len(rows))
 	d.recordless = make(map[string]shard.Progress)
 	for _, row := range rows {
@@ -65,8 +65,9 @@
 	return since, nil
 }
 
-// inherit takes in the workers that the owner before may have given tasks.
-func (d *Duty) inherit(rows []outside.Row, now time.Time) {
+// inherit takes in the workers that the owner before may have given tasks, and which
+// of them have ended with their instances.
+func (d *Duty) inherit(ctx context.Context, rows []outside.Row, now time.Time) {
 	for _, row := range rows {
 		address, err := netip.ParseAddrPort(string(row.Value))
 		if err != nil {
@@ -78,6 +79,7 @@
 			Address: address,
 		}, now)
 	}
+	d.inheritTaken(ctx, now)
 }
 
 // watchIntake looks for jobs and cancellations that nobody told the owner of.
--- a/owner/rows.go
+++ b/owner/rows.go
@@ -43,15 +43,35 @@
 	// an answer was applied.
 	Sequence int64 `cbor:"2,keyasint"`
 
-	// Lapsed names the workers of a service on which nothing runs for sure: they
-	// are silent, and their leases have run out. A successor need not wait for
-	// them.
+	// Lapsed names the workers of a service on which nothing runs for sure. A
+	// successor need not wait for them.
 	Lapsed []string `cbor:"3,keyasint,omitempty"`
 
 	// Ordered names the instances that the owner of the instances has ordered to do
 	// something lately, or is about to: it writes this before it gives the orders.
 	// Its successor leaves them alone for a while; no other can have been ordered.
 	Ordered []string `cbor:"4,keyasint,omitempty"`
+
+	// Leased says what may run on other workers that a successor may not reach. For
+	// one that neither field names it knows nothing.
+	Leased []LeasedRow `cbor:"5,keyasint,omitempty"`
+
+	// Taken names the workers whose instances the owner of the instances has taken
+	// lately.
+	Taken []TakenRow `cbor:"6,keyasint,omitempty"`
+}
+
+// LeasedRow is what may run on one worker.
+type LeasedRow struct {
+	Worker string `cbor:"1,keyasint"`
+
+	// LeftMillis is how long after the transaction was made it may run at the most.
+	LeftMillis int64 `cbor:"2,keyasint"`
+
+	// Unknown says that it may be any task; otherwise Tasks holds the names of all
+	// that it may be.
+	Unknown bool     `cbor:"3,keyasint,omitempty"`
+	Tasks   []string `cbor:"4,keyasint,omitempty"`
 }
 
 // Ownership is the row that says who owns a service.
@@ -67,6 +87,15 @@
 	Released bool `cbor:"4,keyasint,omitempty"`
 }
 
+// TakenRow is a worker that has ended because its instance was moved or taken down.
+type TakenRow struct {
+	Service string `cbor:"1,keyasint"`
+	Worker  string `cbor:"2,keyasint"`
+
+	// LeftMillis is for how long the owner of the service is still told of it.
+	LeftMillis int64 `cbor:"3,keyasint"`
+}
+
 // CancelKey names the row of a cancellation that an entry wrote itself.
 func CancelKey(service, id string) outside.Key {
 	return IntakeKey(service, prefixCancel+id)
--- a/owner/succession.go
+++ b/owner/succession.go
@@ -173,6 +173,7 @@
 	if err != nil {
 		return claim{}, err
 	}
+	read := k.deps.Clock.Now()
 	if still != 0 && version != still {
 		return claim{}, &RecoveredError{
 			Part:  service,
@@ -185,11 +186,12 @@
 		Peer:  k.self.Peer.String(),
 	}
 	value := encodeRow(next)
-	receipt, err := k.deps.Table.Transact(ctx, claiming(service, o.version, version, next))
+	receipt, err := k.deps.Table.Transact(ctx, claiming(service, o.version, version, next, before.Taken))
 	won := claim{
 		epoch:   next.Epoch,
 		version: receipt.Version,
 		before:  before,
+		read:    read,
 	}
 	var conflict *outside.ConflictError
 	switch {
@@ -215,8 +217,9 @@
 }
 
 // claiming builds the transaction that makes a part the next owner's, if the rows of
-// the owner before still have the given versions.
-func claiming(part string, ownerVersion, beatVersion int64, next Ownership) outside.Transaction {
+// the owner before still have the given versions. Which instances were taken stays
+// true whoever owns the part; all else that the beat said ends with its owner.
+func claiming(part string, ownerVersion, beatVersion int64, next Ownership, taken []TakenRow) outside.Transaction {
 	return outside.Transaction{
 		Checks: []outside.Check{{
 			Key:     ownerKey(part),
@@ -232,6 +235,7 @@
 			Key: beatKey(part),
 			Value: encodeRow(Beat{
 				Epoch: next.Epoch,
+				Taken: taken,
 			}),
 		}},
 	}
--- a/owner/waves.go
+++ b/owner/waves.go
@@ -122,6 +122,7 @@
 	now := f.deps.Clock.Now()
 	beat := Beat{
 		Ordered: f.recentOrders(),
+		Taken:   f.taken(now),
 	}
 	bounded, cancel := context.WithTimeout(ctx, ownerHorizon)
 	defer cancel()
--- a/shard/batch.go
+++ b/shard/batch.go
@@ -38,6 +38,12 @@
 	whole  bool
 }
 
+// Whole reports whether, once the batch is written, every end that was taken in
+// before stands in a row.
+func (b Batch) Whole() bool {
+	return b.whole
+}
+
 // Existing is a record that stood already when a batch was to write it.
 type Existing struct {
 	Record  Record
--- a/shard/events.go
+++ b/shard/events.go
@@ -32,8 +32,8 @@
 	if w.failures > 0 {
 		s.opts.Report("worker regained", "worker", id, "failures", w.failures)
 	}
-	if w.lapsed(now) {
-		// It may stand in a row as one that runs nothing.
+	if w.lapsed(now) || (!w.known && w.failures > 0) {
+		// It may stand in a row as one where nothing is started or renewed.
 		w.regained = now
 	}
 	w.failures = 0
--- /dev/null
+++ b/shard/handover.go
@@ -0,0 +1,235 @@
+package shard
+
+import (
+	"sort"
+	"time"
+
+	"lemonstream.dev/lemonstream/job"
+	"lemonstream.dev/lemonstream/outside"
+)
+
+const (
+	// workerBytes is what one worker takes in a row beside the names, at most: the
+	// keys and lengths of its fields, and the time.
+	workerBytes = 24
+
+	// taskBytes is what the name of a task takes beside its text.
+	taskBytes = 3
+)
+
+// Handover is what an owner tells its successor of the workers that the successor
+// may not reach. What it does not name may run anything for as long as BlindFor
+// says. All of it holds from when it was made, whatever happens later, until the
+// same owner has written another one.
+type Handover struct {
+	// Idle names workers on which nothing runs for sure, nor will by an order of
+	// this owner or one before. Every end there that counts stands in a row.
+	Idle []string
+
+	// Leased holds workers on which something may run.
+	Leased []Leased
+}
+
+// Leased is what may run on one worker.
+type Leased struct {
+	Worker string
+
+	// Left is how long after the handover was made it may run at the most: a span
+	// and not an instant, since the clocks of entries differ. It only shrinks.
+	Left time.Duration
+
+	// Unknown says that it may be any task that an earlier owner knew of; otherwise
+	// Tasks holds all that it may be.
+	Unknown bool
+	Tasks   []job.TaskID
+}
+
+// HandOver returns what a successor has to know of the workers, in a row of at most
+// the given number of bytes. last says that this owner gives no order any more and
+// that every end that it has taken in stands in a row with the handover. Otherwise
+// only silent workers are named, on which it starts and renews nothing: before one
+// that answers again is used, a transaction has to be applied that no longer names
+// it.
+func (s *Shard) HandOver(now time.Time, last bool, most int) Handover {
+	var all []Leased
+	for id, w := range s.workers {
+		switch {
+		case last && w.recorded:
+			all = append(all, w.leased(id, now))
+		case w.lapsed(now):
+			all = append(all, Leased{
+				Worker: id,
+			})
+		case !w.known && w.failures > 0 && w.recorded:
+			all = append(all, w.leased(id, now))
+		}
+	}
+	for id := range s.unrecord {
+		all = append(all, Leased{
+			Worker: id,
+		})
+	}
+	return cut(all, most)
+}
+
+// leased returns what may run on a worker.
+func (w *workerState) leased(id string, now time.Time) Leased {
+	l := Leased{
+		Worker: id,
+	}
+	if !w.known {
+		// This owner has started and renewed nothing there.
+		l.Left = max(0, w.blindUntil.Sub(now))
+		l.Unknown = w.mayRun == nil
+		for task := range w.mayRun {
+			l.Tasks = append(l.Tasks, task)
+		}
+		return l
+	}
+	l.Left = max(0, w.until.Sub(now))
+	for task := range w.runs {
+		l.Tasks = append(l.Tasks, task)
+	}
+	return l
+}
+
+// cut keeps what fits into a row: first the workers that run nothing, then those
+// with few tasks. Workers that are left out are waited for as if nothing were known.
+func cut(all []Leased, most int) Handover {
+	var h Handover
+	sort.Slice(all, func(a, b int) bool {
+		if sizeA, sizeB := all[a].size(), all[b].size(); sizeA != sizeB {
+			return sizeA < sizeB
+		}
+		return all[a].Worker < all[b].Worker
+	})
+	for _, l := range all {
+		if most -= l.size(); most < 0 {
+			break
+		}
+		if l.empty() {
+			h.Idle = append(h.Idle, l.Worker)
+			continue
+		}
+		h.Leased = append(h.Leased, l)
+	}
+	sort.Strings(h.Idle)
+	return h
+}
+
+// empty reports whether nothing can run.
+func (l Leased) empty() bool {
+	return l.Left == 0 || (!l.Unknown && len(l.Tasks) == 0)
+}
+
+// size returns how many bytes of a row the worker takes at the most.
+func (l Leased) size() int {
+	size := workerBytes + len(l.Worker)
+	if l.empty() {
+		return size
+	}
+	for _, task := range l.Tasks {
+		size += taskBytes + len(task.String())
+	}
+	return size
+}
+
+// Inherit takes in what the owner before has handed over. read is when it was read:
+// what is left of its spans counts from then at the earliest.
+func (s *Shard) Inherit(h Handover, read time.Time) {
+	for _, id := range h.Idle {
+		s.idle[id] = true
+	}
+	for _, l := range h.Leased {
+		s.leased[l.Worker] = l
+	}
+	s.handedAt = read
+}
+
+// InheritWorker takes in a worker that the owner before may have given tasks. It
+// is looked at whether or not it is registered.
+func (s *Shard) InheritWorker(ref outside.WorkerRef, now time.Time) {
+	w := s.newWorker(ref.ID, now)
+	w.reg = outside.Registration{
+		ID:      ref.ID,
+		Service: s.name,
+		Address: ref.Address,
+	}
+	w.unlisted = now
+	w.recorded = true
+	if s.idle[ref.ID] {
+		return
+	}
+	w.blindUntil = s.taken.Add(s.opts.BlindFor)
+	l, found := s.leased[ref.ID]
+	if !found {
+		return
+	}
+	if until := s.handedAt.Add(l.Left); until.Before(w.blindUntil) {
+		w.blindUntil = until
+	}
+	if l.Unknown {
+		return
+	}
+	w.mayRun = make(map[job.TaskID]struct{}, len(l.Tasks))
+	for _, task := range l.Tasks {
+		w.mayRun[task] = struct{}{}
+	}
+}
+
+// blindness is what may run somewhere without this owner having seen it.
+type blindness struct {
+	// all says that it may be any task that an earlier owner knew of; otherwise
+	// tasks holds what it may be.
+	all   bool
+	tasks map[job.TaskID]struct{}
+}
+
+// blind returns what workers may still run that an earlier owner started there
+// without this one having seen it. The standby part may hold what an earlier owner
+// wrote, as long as it is not read.
+func (s *Shard) blind(now time.Time) blindness {
+	if s.standbyUnread {
+		return blindness{
+			all: true,
+		}
+	}
+	b := blindness{
+		tasks: make(map[job.TaskID]struct{}),
+	}
+	for _, w := range s.workers {
+		if w.known || !now.Before(w.blindUntil) {
+			continue
+		}
+		if w.mayRun == nil {
+			b.all = true
+			return b
+		}
+		for task := range w.mayRun {
+			b.tasks[task] = struct{}{}
+		}
+	}
+	return b
+}
+
+// hides reports whether a task may run unseen.
+func (b blindness) hides(id job.TaskID) bool {
+	_, hidden := b.tasks[id]
+	return hidden
+}
+
+// hidesAny reports whether an idle task of a step may run unseen.
+func (b blindness) hidesAny(g group, step *stepState) bool {
+	for _, index := range step.idle {
+		if b.hides(g.task(index)) {
+			return true
+		}
+	}
+	return false
+}
+
+// isNamed reports whether a row of this owner may still name a worker as one where
+// nothing is started or renewed.
+func (s *Shard) isNamed(w *workerState) bool {
+	return w.regained.After(s.confirmed)
+}
--- a/shard/lease.go
+++ b/shard/lease.go
@@ -7,6 +7,10 @@
 	"lemonstream.dev/lemonstream/outside"
 )
 
+// namedLook is how long a look waits at a worker whose lease may be renewed once
+// the transaction under way is applied: that takes some 20 ms.
+const namedLook = 50 * time.Millisecond
+
 // WorkerRows are the rows of workers that a transaction has to write.
 type WorkerRows struct {
 	// Used holds workers that are to be used once their row stands.
@@ -38,30 +42,6 @@
 	return rows
 }
 
-// Inherit takes in which silent workers ran nothing, by the word of the owner
-// before.
-func (s *Shard) Inherit(lapsed []string) {
-	for _, id := range lapsed {
-		s.lapsed[id] = true
-	}
-}
-
-// InheritWorker takes in a worker that the owner before may have given tasks. It
-// is looked at whether or not it is registered.
-func (s *Shard) InheritWorker(ref outside.WorkerRef, now time.Time) {
-	w := s.newWorker(ref.ID, now)
-	w.reg = outside.Registration{
-		ID:      ref.ID,
-		Service: s.name,
-		Address: ref.Address,
-	}
-	w.unlisted = now
-	w.recorded = true
-	if !s.lapsed[ref.ID] {
-		w.blindUntil = s.taken.Add(s.opts.BlindFor)
-	}
-}
-
 // Lapsed returns the workers on which nothing runs for sure although they are
 // silent. One that answers again is used only once a transaction was applied
 // that no longer names it.
@@ -133,20 +113,11 @@
 		if s.done >= w.ackBatch || (len(s.dirty) == 0 && s.done == s.batch) {
 			w.acked = w.processed
 		}
-		wait := s.opts.IdleWait
-		if len(w.runs) > 0 {
-			wait = s.opts.BusyWait
-		}
-		if w.shared {
-			wait = min(wait, paceLook)
-		}
-		if w.failures > 0 || !w.known || !w.doubted.IsZero() || w.acked < w.processed {
-			wait = 0
-		}
 		// A worker that was silent gets no longer lease until it answers again:
-		// each one sent would put off the moment when it has lapsed for sure.
+		// each one sent would put off the moment when it has lapsed for sure. The
+		// same holds until no row says how long that takes.
 		until := time.Duration(0)
-		if w.failures == 0 {
+		if w.failures == 0 && !s.isNamed(w) {
 			until = w.deadline(now, s.opts.Lease)
 		}
 		w.holding = true
@@ -156,23 +127,27 @@
 				Until:        until,
 				Fence:        s.fence,
 				Acknowledged: w.acked,
-				Wait:         wait,
+				Wait:         s.holdWait(w),
 			},
 		})
 	}
 }
 
-// blind reports whether a worker may still run what an earlier owner started
-// there without this one having seen it, or the standby part may hold what an earlier
-// owner wrote.
-func (s *Shard) blind(now time.Time) bool {
-	if s.standbyUnread {
-		return true
+// holdWait returns how long a look may wait at the worker for an end.
+func (s *Shard) holdWait(w *workerState) time.Duration {
+	if w.failures > 0 || !w.known || !w.doubted.IsZero() || w.acked < w.processed {
+		return 0
 	}
-	for _, w := range s.workers {
-		if !w.known && now.Before(w.blindUntil) {
-			return true
-		}
+	wait := s.opts.IdleWait
+	if len(w.runs) > 0 {
+		wait = s.opts.BusyWait
+	}
+	if w.shared {
+		wait = min(wait, paceLook)
+	}
+	if s.isNamed(w) {
+		// The lease is renewed by the look after the transaction.
+		wait = min(wait, namedLook)
 	}
-	return false
+	return wait
 }
--- a/shard/place.go
+++ b/shard/place.go
@@ -82,26 +82,32 @@
 	}
 	blind := s.blind(now)
 	var full []job.Room
-	for _, g := range s.groups(now, blind) {
+	for _, g := range s.groups(now, blind.all) {
 		step := g.job.occurrences[g.occurrence].steps[g.step]
 		spec := &g.job.record.Spec.Steps[g.step]
 		if hopeless(full, spec.Charge()) || !s.mayPlace(g, now) {
 			continue
 		}
 		if spec.Gang {
-			s.placeGang(g, step, spec, now)
+			if !blind.hidesAny(g, step) {
+				s.placeGang(g, step, spec, now)
+			}
 			continue
 		}
-		full = s.placeStep(g, step, spec, full, now)
+		full = s.placeStep(g, step, spec, full, blind, now)
 	}
 }
 
-// placeStep starts the idle tasks of a step until none fits. It adds to what no
-// worker has room for when that alone was the reason.
-func (s *Shard) placeStep(g group, step *stepState, spec *job.Step, full []job.Room, now time.Time) []job.Room {
-	for len(step.idle) > 0 {
-		index := step.idle[len(step.idle)-1]
+// placeStep starts the idle tasks of a step until none fits, but none that may run
+// unseen. It adds to what no worker has room for when that alone was the reason.
+func (s *Shard) placeStep(g group, step *stepState, spec *job.Step, full []job.Room, blind blindness, now time.Time) []job.Room {
+	// A task that starts leaves the list, and what stands after it was passed over.
+	for i := len(step.idle) - 1; i >= 0; i-- {
+		index := step.idle[i]
 		id := g.task(index)
+		if blind.hides(id) {
+			continue
+		}
 		w := s.choose(id, spec, step.tasks[index], now)
 		if w == nil {
 			if spec.Label == "" && spec.PerWorker == 0 && !g.job.policy.Advised {
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -135,8 +135,11 @@
 	// unrecord names ended workers whose rows still stand.
 	unrecord map[string]struct{}
 
-	// lapsed names workers that the owner before knew to run nothing.
-	lapsed map[string]bool
+	// idle names workers that the owner before knew to run nothing; leased holds
+	// what may run on others by its word, as read at handedAt.
+	idle     map[string]bool
+	leased   map[string]Leased
+	handedAt time.Time
 
 	// standbyUnread says that an earlier owner may have written to the standby part
 	// what this one has not read.
@@ -169,7 +172,8 @@
 		pending:    make(map[string]int),
 		learned:    make(map[string]*measure),
 		unrecord:   make(map[string]struct{}),
-		lapsed:     make(map[string]bool),
+		idle:       make(map[string]bool),
+		leased:     make(map[string]Leased),
 		gone:       make(map[string]time.Time),
 	}
 }
@@ -216,7 +220,7 @@
 // Unconfirmed reports whether a regained worker waits for a transaction.
 func (s *Shard) Unconfirmed() bool {
 	for _, w := range s.workers {
-		if w.listed && w.regained.After(s.confirmed) {
+		if (w.listed || len(w.runs) > 0) && s.isNamed(w) {
 			return true
 		}
 	}
--- a/shard/shard_test.go
+++ b/shard/shard_test.go
@@ -10,6 +10,7 @@
 
 	"lemonstream.dev/lemonstream/internal/prove"
 	"lemonstream.dev/lemonstream/job"
+	"lemonstream.dev/lemonstream/shard"
 )
 
 func TestJobRunsToItsEnd(t *testing.T) {
@@ -164,7 +165,7 @@
 		for i := 0; i < count; i++ {
 			f := w.workers[rapid.SampledFrom(names).Draw(t, "worker")]
 			id := fmt.Sprintf("j%d", i)
-			switch rapid.IntRange(0, 12).Draw(t, "what") {
+			switch rapid.IntRange(0, 17).Draw(t, "what") {
 			case 0:
 				f.cut = true
 			case 1:
@@ -184,6 +185,12 @@
 				w.storeDown = w.standbyOn || w.storeDown
 			case 8:
 				w.standbyAway = rapid.Bool().Draw(t, "standby away")
+			case 9, 10:
+				w.release(time.Duration(rapid.IntRange(0, 50).Draw(t, "free for")) * tick)
+			case 11:
+				w.takeOverFromLiving(time.Duration(rapid.IntRange(1, 300).Draw(t, "acts on")) * tick)
+			case 12:
+				names = append(names, w.replace(f, rapid.Bool().Draw(t, "taken")))
 			default:
 				s := step(rapid.IntRange(1, 5).Draw(t, "tasks"))
 				s.PerWorker = rapid.IntRange(0, 2).Draw(t, "per worker")
@@ -245,7 +252,9 @@
 	lapsed := w.core.Lapsed(w.now)
 	w.workers["w0"].down = false // It is listed again, and still out of reach.
 	w.workers["w0"].cut = true
-	w.takeOverWith(lapsed)
+	w.takeOverWith(shard.Handover{
+		Idle: lapsed,
+	})
 	w.run(3 * time.Second)
 	is.Equal(w.shown["a"], job.Completed)
 	w.check(t)
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -107,7 +107,9 @@
 	// one that may run something.
 	recorded bool
 
-	// regained is when the worker last answered after it had lapsed.
+	// regained is when the worker last answered after a row of this owner may have
+	// named it as silent: nothing is started or renewed there until a transaction
+	// that was sent later has been applied.
 	regained time.Time
 
 	// known says that the worker answered under this owner's fence, so that no
@@ -115,8 +117,10 @@
 	known bool
 
 	// blindUntil is when everything that an earlier owner started there has
-	// lapsed, whether or not the worker was reached.
+	// lapsed, whether or not the worker was reached. mayRun holds what that can be;
+	// nil stands for any task that an earlier owner knew of.
 	blindUntil time.Time
+	mayRun     map[job.TaskID]struct{}
 
 	// clockAt is the worker's clock as heard at the instant heard.
 	clockAt time.Duration
@@ -220,7 +224,7 @@
 
 // isUsable reports whether a worker can run tasks, closed or not.
 func (s *Shard) isUsable(w *workerState, now time.Time) bool {
-	if !w.recorded || w.regained.After(s.confirmed) {
+	if !w.recorded || s.isNamed(w) {
 		return false
 	}
 	if !w.known || w.reg.Draining || w.failures > 0 || !w.doubted.IsZero() || now.Before(w.avoidUntil) {
--- a/shard/world_test.go
+++ b/shard/world_test.go
@@ -20,6 +20,9 @@
 	// testEntries is the room of a batch in these tests; small, so that batches
 	// are cut.
 	testEntries = 12
+
+	// testRowBytes is the room of a handover, for the workers of these tests.
+	testRowBytes = 65_536
 )
 
 // tester is what the oracle reports to: a test of testing or of rapid.
@@ -82,8 +85,15 @@
 	policy catalog.Policy
 	asks   []shard.Ask
 
-	// used holds the rows of workers that may run something.
-	used map[string]bool
+	// used holds the rows of workers that may run something; handover is what the
+	// owner's last transaction says of workers.
+	used     map[string]bool
+	handover shard.Handover
+
+	// zombie is an owner before that acts on without having noticed that it is
+	// succeeded, until the given instant.
+	zombie      *shard.Shard
+	zombieUntil time.Time
 
 	// regained is when the store was last regained.
 	regained time.Time
@@ -94,9 +104,6 @@
 	lose    time.Duration
 	batch   *shard.Batch
 	batchAt time.Time
-
-	// life counts owners; what was sent by an earlier one is answered to nobody.
-	life int
 }
 
 func newWorld(count int) *world {
@@ -148,62 +155,6 @@
 	return f
 }
 
-// takeOver starts a new owner from the rows, as after the death of the one
-// before.
-func (w *world) takeOver() {
-	w.takeOverWith(nil)
-}
-
-// takeOverWith starts a new owner that inherits what the one before knew of its
-// workers.
-func (w *world) takeOverWith(lapsed []string) {
-	w.epoch++
-	w.life++
-	w.batch = nil
-	blind := time.Duration(0)
-	if w.epoch > 1 {
-		blind = testLease + testLease/10
-	}
-	w.core = shard.New("s", w.epoch, w.version, w.now, shard.Options{
-		Lease:    testLease,
-		BusyWait: 200 * time.Millisecond,
-		IdleWait: 200 * time.Millisecond,
-		StopTask: 300 * time.Millisecond,
-		ShownFor: time.Hour,
-		BlindFor: blind,
-		Policy:   func(string) (catalog.Policy, bool) { return catalog.Policy{}, false },
-		Report:   func(string, ...any) {},
-		Show:     w.show,
-	})
-	w.core.Inherit(lapsed)
-	w.standbyBatch = nil
-	w.standbyRead = w.epoch == 1
-	if !w.standbyRead {
-		w.core.AwaitStandby()
-	}
-	for id := range w.used {
-		w.core.InheritWorker(outside.WorkerRef{
-			ID:      id,
-			Address: w.workers[id].reg.Address,
-		}, w.now)
-	}
-	for id, p := range w.progress {
-		if p.State.Final() {
-			w.core.RestoreEnded(id, p)
-		}
-	}
-	for id, r := range w.records {
-		var known *shard.Progress
-		if p, found := w.progress[id]; found {
-			known = &p
-		}
-		if err := w.core.Restore(r, known, w.now); err != nil {
-			w.fault("restore %s: %v", id, err)
-		}
-	}
-	w.list()
-}
-
 // show notes what callers may be told of a job.
 func (w *world) show(id string, state job.State) {
 	w.shown[id] = state
@@ -215,6 +166,19 @@
 	}
 }
 
+// replace lets a worker end, of which the owner is told where its instance was taken,
+// and another one come; it returns the name of that.
+func (w *world) replace(f *fakeWorker, taken bool) string {
+	id := fmt.Sprintf("w%d", len(w.workers))
+	f.down = true
+	if taken {
+		w.core.End([]string{f.reg.ID}, w.now)
+	}
+	w.addWorker(id, f.reg.Rack)
+	w.list()
+	return id
+}
+
 // list tells the owner of every registration.
 func (w *world) list() {
 	var list []outside.Registration
@@ -270,7 +234,8 @@
 		w.write()
 		w.writeStandby()
 		orders, _ := w.core.Next(w.now)
-		w.carryOut(orders)
+		w.carryOut(w.core, orders)
+		w.actOn()
 		w.judgeShown()
 	}
 }
@@ -381,25 +346,7 @@
 // write applies the batch of 20 ms ago and takes the next.
 func (w *world) write() {
 	if w.batch != nil && !w.storeDown && w.now.Sub(w.batchAt) >= 2*tick {
-		b := *w.batch
-		w.batch = nil
-		if w.undo(b) {
-			return
-		}
-		for _, record := range b.Records {
-			w.store(record)
-		}
-		for _, one := range b.Writes {
-			if one.Forget {
-				delete(w.progress, one.ID)
-				continue
-			}
-			w.progress[one.ID] = one.Progress
-			if one.EndsRecord {
-				delete(w.records, one.ID)
-			}
-		}
-		w.core.Written(b, w.now)
+		w.apply()
 	}
 	if !w.storeDown && !w.frozen {
 		rows := w.core.WorkerRows(8)
@@ -409,6 +356,7 @@
 		for _, id := range rows.Ended {
 			delete(w.used, id)
 		}
+		w.handover = w.core.HandOver(w.now, false, testRowBytes)
 		w.core.Confirm(rows, w.now)
 	}
 	if w.batch == nil {
@@ -419,6 +367,29 @@
 	}
 }
 
+// apply writes the batch that is under way, or takes it back.
+func (w *world) apply() {
+	b := *w.batch
+	w.batch = nil
+	if w.undo(b) {
+		return
+	}
+	for _, record := range b.Records {
+		w.store(record)
+	}
+	for _, one := range b.Writes {
+		if one.Forget {
+			delete(w.progress, one.ID)
+			continue
+		}
+		w.progress[one.ID] = one.Progress
+		if one.EndsRecord {
+			delete(w.records, one.ID)
+		}
+	}
+	w.core.Written(b, w.now)
+}
+
 // undo takes a batch back of which a record stands already.
 func (w *world) undo(b shard.Batch) bool {
 	var existing []shard.Existing
@@ -440,12 +411,12 @@
 	Call: "test",
 }
 
-// carryOut lets the workers answer one tick later.
-func (w *world) carryOut(orders shard.Orders) {
-	life := w.life
+// carryOut lets the workers answer an owner one tick later. What one sent that acts no
+// more is answered to nobody.
+func (w *world) carryOut(core *shard.Shard, orders shard.Orders) {
 	answer := func(d time.Duration, do func()) {
 		w.after(d, func() {
-			if w.life == life {
+			if core == w.core || core == w.zombie {
 				do()
 			}
 		})
@@ -453,18 +424,18 @@
 	w.asks = append(w.asks, orders.Asks...)
 	for _, p := range orders.Paces {
 		w.workers[p.Worker.ID].shares[p.Task] = p.Percent
-		answer(tick, func() { w.core.Paced(p, nil) })
+		answer(tick, func() { core.Paced(p, nil) })
 	}
 	for _, h := range orders.Holds {
 		f := w.workers[h.Worker.ID]
 		sent := w.now
 		if f.cut || f.down {
-			answer(600*time.Millisecond, func() { w.core.Held(h.Worker.ID, sent, w.now, outside.Glance{}, errSilent) })
+			answer(600*time.Millisecond, func() { core.Held(h.Worker.ID, sent, w.now, outside.Glance{}, errSilent) })
 			continue
 		}
 		if h.Renewal.Fence < f.fence {
 			answer(tick, func() {
-				w.core.Held(h.Worker.ID, sent, w.now, outside.Glance{}, &outside.WorkerRefusedError{
+				core.Held(h.Worker.ID, sent, w.now, outside.Glance{}, &outside.WorkerRefusedError{
 					Reason: outside.RefusedFence,
 				})
 			})
@@ -474,10 +445,10 @@
 		w.acknowledge(f, h.Renewal.Acknowledged)
 		answer(tick, func() {
 			if f.cut || f.down {
-				w.core.Held(h.Worker.ID, sent, w.now, outside.Glance{}, errSilent)
+				core.Held(h.Worker.ID, sent, w.now, outside.Glance{}, errSilent)
 				return
 			}
-			w.core.Held(h.Worker.ID, sent, w.now, f.glance(w), nil)
+			core.Held(h.Worker.ID, sent, w.now, f.glance(w), nil)
 		})
 	}
 	for _, s := range orders.Starts {
@@ -485,20 +456,20 @@
 		if w.lose > 0 {
 			sent := w.now
 			w.after(w.lose, func() { _ = w.startAt(f, s.Order, sent) })
-			answer(700*time.Millisecond, func() { w.core.Started(s.Worker.ID, s.Order, w.now, 0, errSilent) })
+			answer(700*time.Millisecond, func() { core.Started(s.Worker.ID, s.Order, w.now, 0, errSilent) })
 			continue
 		}
 		if f.cut || f.down {
-			answer(700*time.Millisecond, func() { w.core.Started(s.Worker.ID, s.Order, w.now, 0, errSilent) })
+			answer(700*time.Millisecond, func() { core.Started(s.Worker.ID, s.Order, w.now, 0, errSilent) })
 			continue
 		}
 		err := w.startAt(f, s.Order, w.now)
-		answer(tick, func() { w.core.Started(s.Worker.ID, s.Order, w.now, w.now.Sub(w.start), err) })
+		answer(tick, func() { core.Started(s.Worker.ID, s.Order, w.now, w.now.Sub(w.start), err) })
 	}
 	for _, s := range orders.Stops {
 		f := w.workers[s.Worker.ID]
 		if f.cut || f.down {
-			answer(700*time.Millisecond, func() { w.core.Stopped(s.Worker.ID, s.Task, s.Run, w.now, 0, errSilent) })
+			answer(700*time.Millisecond, func() { core.Stopped(s.Worker.ID, s.Task, s.Run, w.now, 0, errSilent) })
 			continue
 		}
 		if r, found := f.runs[s.Task]; found && r.number <= s.Run {
@@ -506,7 +477,7 @@
 			r.stopAt = w.now.Add(200 * time.Millisecond)
 		}
 		f.top[s.Task] = max(f.top[s.Task], s.Run)
-		answer(tick, func() { w.core.Stopped(s.Worker.ID, s.Task, s.Run, w.now, w.now.Sub(w.start), nil) })
+		answer(tick, func() { core.Stopped(s.Worker.ID, s.Task, s.Run, w.now, w.now.Sub(w.start), nil) })
 	}
 }
 
