A release writes no new worker, and nothing after itself

The release now writes no rows of new workers (nothing starts there any more), and nothing follows it.

TestReleaseNamesNoWorkerAsUsed failed before: waited in vain for 20 s. The two tests that read which workers had lapsed now read them from HandOver, with the same values; the function that only they called is gone.

--- a/owner/commit.go
+++ b/owner/commit.go
@@ -25,13 +25,18 @@
 // commit starts the next transaction, unless one is under way or was given up a
 // moment ago. An idle owner writes its beat.
 func (d *Duty) commit(ctx context.Context, now time.Time) {
-	if d.committing || now.Before(d.retryAt) {
+	if d.committing || d.handedOver || now.Before(d.retryAt) {
 		if d.tenure.failing() && !d.standby.usable() {
 			d.core.RefuseSubmitted()
 		}
 		return
 	}
 	workers := d.core.WorkerRows(workerRowsMost)
+	if d.releasing {
+		// Nothing will start on a new worker. A row would name it as one that may run
+		// something, and nothing would be handed over of it.
+		workers.Used = nil
+	}
 	batch, found := d.core.TakeBatch(outside.MaxEntries - tenureEntries - len(workers.Used) - len(workers.Ended))
 	due := now.Sub(d.tenure.lastWrite) >= beatPause || !workers.Empty() || d.core.Unconfirmed()
 	if !found && !due && !d.releasing {
@@ -61,6 +66,7 @@
 			d.core.Confirm(workers, now)
 			d.core.Written(batch, at)
 			if releasing {
+				d.handedOver = true
 				close(d.released)
 			}
 		})
--- a/owner/duty.go
+++ b/owner/duty.go
@@ -101,6 +101,9 @@
 	released   chan struct{}
 	releasing  bool
 
+	// handedOver says that the release stands; nothing is written any more.
+	handedOver bool
+
 	// unwhole counts the transactions since the release was asked for that had no
 	// room for every end that was taken in.
 	unwhole int
--- a/owner/handover_test.go
+++ b/owner/handover_test.go
@@ -150,6 +150,42 @@
 	}
 }
 
+// TestReleaseNamesNoWorkerAsUsed lets a worker be listed while the last transaction
+// before the release is under way: nothing runs there, and nothing ever did.
+func TestReleaseNamesNoWorkerAsUsed(t *testing.T) {
+	rows := standin.NewRows()
+	var closed atomic.Bool
+	var stopped atomic.Int64
+	open := make(chan struct{})
+	rows.Before = func(_ context.Context, call standin.Call) error {
+		if closed.Load() && call.Kind == "transact" && call.Part == "s" {
+			stopped.Add(1)
+			<-open
+		}
+		return nil
+	}
+	h := newHands(rows, "w0")
+	first := newEntryWith(t, "first", rows.Table(), alive("first"), h.deps)
+	until(t, "the worker is used", func() bool { return isUsed(t, rows, "w0") })
+	closed.Store(true)
+	until(t, "a transaction is under way", func() bool { return stopped.Load() == 1 })
+	h.list(rows, "w1")
+	until(t, "the new worker is looked at", func() bool { return h.looksAt("w1") >= 2 })
+	released := make(chan struct{})
+	go func() {
+		first.keeper.Release(context.Background(), patience)
+		close(released)
+	}()
+	time.Sleep(10 * glanceWait)
+	closed.Store(false)
+	close(open)
+	<-released
+	h.cutOff("w1")
+	accept(rows, "waiting")
+	newEntryWith(t, "second", rows.Table(), alive("second"), h.deps)
+	until(t, "the job is started", func() bool { return h.startsOf("waiting") == 1 })
+}
+
 // told is a fleet of idle instances that notes which workers each holder says to
 // have ended.
 type told struct {
--- a/shard/handover.go
+++ b/shard/handover.go
@@ -97,14 +97,18 @@
 // with few tasks. Workers that are left out are waited for as if nothing were known.
 func cut(all []Leased, most int) Handover {
 	var h Handover
+	sizes := make(map[string]int, len(all))
+	for _, l := range all {
+		sizes[l.Worker] = l.size()
+	}
 	sort.Slice(all, func(a, b int) bool {
-		if sizeA, sizeB := all[a].size(), all[b].size(); sizeA != sizeB {
+		if sizeA, sizeB := sizes[all[a].Worker], sizes[all[b].Worker]; sizeA != sizeB {
 			return sizeA < sizeB
 		}
 		return all[a].Worker < all[b].Worker
 	})
 	for _, l := range all {
-		if most -= l.size(); most < 0 {
+		if most -= sizes[l.Worker]; most < 0 {
 			break
 		}
 		if l.empty() {
--- a/shard/lease.go
+++ b/shard/lease.go
@@ -1,7 +1,6 @@
 package shard
 
 import (
-	"sort"
 	"time"
 
 	"lemonstream.dev/lemonstream/outside"
@@ -42,20 +41,6 @@
 	return rows
 }
 
-// Lapsed returns the workers on which nothing runs for sure although they are
-// silent. One that answers again is used only once a transaction was applied
-// that no longer names it.
-func (s *Shard) Lapsed(now time.Time) []string {
-	var list []string
-	for id, w := range s.workers {
-		if w.lapsed(now) {
-			list = append(list, id)
-		}
-	}
-	sort.Strings(list)
-	return list
-}
-
 // lapsed reports whether nothing runs on a silent worker for sure.
 func (w *workerState) lapsed(now time.Time) bool {
 	return w.failures > 0 && len(w.runs) == 0 && now.After(w.until) && now.After(w.blindUntil)
--- a/shard/shard_test.go
+++ b/shard/shard_test.go
@@ -10,7 +10,6 @@
 
 	"lemonstream.dev/lemonstream/internal/prove"
 	"lemonstream.dev/lemonstream/job"
-	"lemonstream.dev/lemonstream/shard"
 )
 
 func TestJobRunsToItsEnd(t *testing.T) {
@@ -246,15 +245,13 @@
 	w.run(200 * time.Millisecond)
 	w.workers["w0"].down = true
 	w.run(testLease + 2*time.Second)
-	is.Equal(w.core.Lapsed(w.now), []string{"w0"})
+	is.Equal(w.core.HandOver(w.now, false, testRowBytes).Idle, []string{"w0"})
 	w.submit("a", step(4), step(2, 0))
 	w.run(500 * time.Millisecond)
-	lapsed := w.core.Lapsed(w.now)
+	lapsed := w.core.HandOver(w.now, false, testRowBytes)
 	w.workers["w0"].down = false // It is listed again, and still out of reach.
 	w.workers["w0"].cut = true
-	w.takeOverWith(shard.Handover{
-		Idle: lapsed,
-	})
+	w.takeOverWith(lapsed)
 	w.run(3 * time.Second)
 	is.Equal(w.shown["a"], job.Completed)
 	w.check(t)
@@ -268,7 +265,7 @@
 	w.run(200 * time.Millisecond)
 	w.workers["w0"].cut = true
 	w.run(testLease + 2*time.Second)
-	is.Equal(w.core.Lapsed(w.now), []string{"w0"})
+	is.Equal(w.core.HandOver(w.now, false, testRowBytes).Idle, []string{"w0"})
 	w.frozen = true
 	w.workers["w0"].cut = false
 	w.submit("a", step(1))
