What is left of a lease counts with the drift of a clock; a new owner logs what it sees

A span that is handed over is measured by one entry's clock and waited for by another's, and nothing promises that these agree better than one with a worker's: the successor adds the same 2.5 hundredths. TestBeatWithoutNewFieldsMeansWhatItMeant reads rows of the form before.

--- a/owner/handover_test.go
+++ b/owner/handover_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 
 	"lemonstream.dev/lemonstream/internal/standin"
@@ -97,6 +98,65 @@
 	is.Equal(h.startsOf("held"), 1) // It may still run on the silent worker.
 }
 
+// TestBeatWithoutNewFieldsMeansWhatItMeant reads rows as they were written before
+// anything was handed over but which workers had lapsed.
+func TestBeatWithoutNewFieldsMeansWhatItMeant(t *testing.T) {
+	type oldBeat struct {
+		Epoch    int64    `cbor:"1,keyasint"`
+		Sequence int64    `cbor:"2,keyasint"`
+		Lapsed   []string `cbor:"3,keyasint,omitempty"`
+	}
+	for name, lapsed := range map[string][]string{
+		"lapsed":  {"w0"},
+		"unknown": nil,
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			rows := standin.NewRows()
+			h := newHands(rows, "w0", "w1")
+			h.cutOff("w0")
+			write(t, rows, "owner", "owner", owner.Ownership{
+				Epoch:    1,
+				Owner:    "old",
+				Released: true,
+			})
+			write(t, rows, "beat", "beat", oldBeat{
+				Epoch:    1,
+				Sequence: 7,
+				Lapsed:   lapsed,
+			})
+			rows.Write(outside.Key{
+				Table: tableUsed,
+				Part:  "s",
+				Name:  "w0",
+			}, []byte("127.0.0.1:1"))
+			accept(rows, "waiting")
+			e := newEntryWith(t, "new", rows.Table(), alive("new"), h.deps)
+			until(t, "the entry owns the service", e.owns)
+			if lapsed != nil {
+				until(t, "the job is started", func() bool { return h.startsOf("waiting") == 1 })
+				return
+			}
+			until(t, "the other worker is looked at", func() bool { return h.looksAt("w1") >= 10 })
+			is.Equal(h.startsOf("waiting"), 0)
+		})
+	}
+}
+
+// write writes a row of the service.
+func write(t *testing.T, rows *standin.Rows, table, name string, value any) {
+	t.Helper()
+	body, err := cbor.Marshal(value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	rows.Write(outside.Key{
+		Table: table,
+		Part:  "s",
+		Name:  name,
+	}, body)
+}
+
 // endedMost is more jobs than the ends of which one transaction takes.
 const endedMost = 120
 
--- a/shard/handover.go
+++ b/shard/handover.go
@@ -169,7 +169,9 @@
 	if !found {
 		return
 	}
-	if until := s.handedAt.Add(l.Left); until.Before(w.blindUntil) {
+	// The clocks of entries need not agree better than ours with a worker's.
+	left := time.Duration(float64(l.Left) * (1 + clockDrift))
+	if until := s.handedAt.Add(left); until.Before(w.blindUntil) {
 		w.blindUntil = until
 	}
 	if l.Unknown {
@@ -232,6 +234,23 @@
 	return false
 }
 
+// reportSight logs, once each, when a new owner starts all but some tasks, and when
+// nothing of an earlier owner can run unseen any more.
+func (s *Shard) reportSight(now time.Time) {
+	if s.sighted {
+		return
+	}
+	b := s.blind(now)
+	if b.all {
+		return
+	}
+	s.sighted = len(b.tasks) == 0
+	if s.sighted || !s.seesMost {
+		s.opts.Report("runs of earlier owners seen", "after_ms", now.Sub(s.taken).Milliseconds(), "unseen", len(b.tasks))
+	}
+	s.seesMost = true
+}
+
 // isNamed reports whether a row of this owner may still name a worker as one where
 // nothing is started or renewed.
 func (s *Shard) isNamed(w *workerState) bool {
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -141,6 +141,11 @@
 	leased   map[string]Leased
 	handedAt time.Time
 
+	// seesMost says that only tasks that are known may run unseen, sighted that none
+	// may.
+	seesMost bool
+	sighted  bool
+
 	// standbyUnread says that an earlier owner may have written to the standby part
 	// what this one has not read.
 	standbyUnread bool
@@ -235,6 +240,7 @@
 	s.lapse(now)
 	s.beginOccurrences(now)
 	s.moveOffDraining(now)
+	s.reportSight(now)
 	s.place(now)
 	s.speculate(now)
 	s.stops()
