Let a cancellation wait for its job, and decide none before the standby part is read

Cause: an owner that read the row of a cancellation before it knew the job forgot the row, and the job ran on although its caller had been answered. That is so for each job whose record stands in the standby part only (rows of the service are read first), and where an owner has missed the history of its rows and reads them all: in the order of their keys that of a cancellation stands before those of a fifth of the jobs. The other way round, a cancellation was decided while the standby part was unread, which may hold that the job has completed: callers were shown "completed", then "queued" or "cancelled". Ruled out: asking again for each such row at each look at the rows (a read for each row and second); refusing cancellations until the standby part is read (callers would wait for as long as that part is away: they are answered 504 after their time as it is). No existing test was changed.

--- a/shard/batch.go
+++ b/shard/batch.go
@@ -203,6 +203,7 @@
 	}
 	s.opts.Show(j.record.ID, job.Queued)
 	s.schedule(j, now)
+	s.cancelAwaited(j.record.ID, now)
 }
 
 // writtenProgress takes in that a row of progress stands.
@@ -264,6 +265,7 @@
 	s.countPending(j, -1)
 	delete(s.jobs, j.record.ID)
 	s.Accept(e.Record, e.Version, false, now)
+	s.jobs[j.record.ID].asked = append(s.jobs[j.record.ID].asked, j.asked...)
 	for _, done := range waiting {
 		done(true)
 	}
--- a/shard/jobs.go
+++ b/shard/jobs.go
@@ -6,6 +6,12 @@
 	"lemonstream.dev/lemonstream/job"
 )
 
+// withdrawnMost bounds the cancellations that wait for their job. An entry writes such a
+// row only after it has found the job's own, so that there are few; the bound is that
+// of the jobs that wait for their record. What is left out still stands in its row, for
+// the next owner.
+const withdrawnMost = SubmittedMost
+
 // Accept takes in a job whose record stands in the table at the given version.
 // direct says that the entry that wrote it tells this owner and has told none
 // before.
@@ -19,6 +25,7 @@
 	s.opts.Report("job taken", "job", record.ID, "route", record.Route, "version", version, "fresh", j.fresh,
 		"age_ms", now.Sub(record.accepted()).Milliseconds())
 	s.schedule(j, now)
+	s.cancelAwaited(record.ID, now)
 }
 
 // Restore takes in a job with the progress that an earlier owner wrote; nil
@@ -31,6 +38,7 @@
 	if progress == nil {
 		s.opts.Show(record.ID, job.Queued)
 		s.schedule(j, now)
+		s.cancelAwaited(record.ID, now)
 		return nil
 	}
 	if err := j.restore(*progress); err != nil {
@@ -41,6 +49,7 @@
 		s.opts.Show(record.ID, job.Running)
 	}
 	s.schedule(j, now)
+	s.cancelAwaited(record.ID, now)
 	return nil
 }
 
@@ -113,7 +122,8 @@
 }
 
 // Cancel withdraws a job. then is called once the table says so, or at once
-// where the job had ended; it reports false where the job is not known.
+// where the job had ended; it reports false where the job is not known. Until the
+// standby part is read, which may hold the job's final state, nothing is decided.
 func (s *Shard) Cancel(id string, now time.Time, then func()) bool {
 	j, known := s.jobs[id]
 	if !known {
@@ -127,6 +137,13 @@
 		j.asked = append(j.asked, then)
 		return true
 	}
+	if s.standbyUnread {
+		if !s.awaitJob(id, false) {
+			return false
+		}
+		j.asked = append(j.asked, then)
+		return true
+	}
 	s.opts.Report("job cancelled", "job", id, "state", string(j.state), "runs", j.active)
 	s.unsubmit(j)
 	j.asked = append(j.asked, then)
@@ -135,11 +152,11 @@
 }
 
 // CancelByRow withdraws a job because a row asks for it; the row goes with the
-// job's final state.
+// job's final state. Where the job is not known yet, it is withdrawn once it is.
 func (s *Shard) CancelByRow(id string, now time.Time) {
 	j, known := s.jobs[id]
-	if !known {
-		s.opts.Report("cancellation without a job", "job", id)
+	if !known || s.standbyUnread {
+		s.awaitJob(id, true)
 		return
 	}
 	j.cancelRow = true
@@ -150,6 +167,32 @@
 	s.Cancel(id, now, func() {})
 }
 
+// awaitJob remembers a cancellation until it can be decided; it reports false where too
+// many wait.
+func (s *Shard) awaitJob(id string, byRow bool) bool {
+	_, waits := s.withdrawn[id]
+	s.opts.Report("cancellation waits", "job", id, "by_row", byRow, "waiting", len(s.withdrawn))
+	if !waits && len(s.withdrawn) >= withdrawnMost {
+		return false
+	}
+	s.withdrawn[id] = s.withdrawn[id] || byRow
+	return true
+}
+
+// cancelAwaited withdraws a job that is known now, where that was asked for before.
+func (s *Shard) cancelAwaited(id string, now time.Time) {
+	byRow, asked := s.withdrawn[id]
+	if _, known := s.jobs[id]; !asked || !known || s.standbyUnread {
+		return
+	}
+	delete(s.withdrawn, id)
+	if byRow {
+		s.CancelByRow(id, now)
+		return
+	}
+	s.Cancel(id, now, func() {})
+}
+
 // Known returns the state of a job as decided, which may not be written yet.
 func (s *Shard) Known(id string) (job.State, bool) {
 	j, known := s.jobs[id]
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -110,6 +110,11 @@
 	dirty   map[string]*jobState
 	removed []string
 
+	// withdrawn names jobs whose cancellation can't be decided yet, because they are not
+	// known, or the standby part is unread, where their record or their final state may
+	// stand. The value says whether a row asks for it.
+	withdrawn map[string]bool
+
 	// batch is the number of the last batch taken, done that of the last one
 	// written; an end whose batch is written may be acknowledged.
 	batch int64
@@ -169,6 +174,7 @@
 		pending:    make(map[string]int),
 		learned:    make(map[string]*measure),
 		unrecord:   make(map[string]struct{}),
+		withdrawn:  make(map[string]bool),
 		lapsed:     make(map[string]bool),
 		gone:       make(map[string]time.Time),
 	}
--- a/shard/standby.go
+++ b/shard/standby.go
@@ -53,6 +53,9 @@
 		}
 		s.jobs[record.ID].inStandby = true
 	}
+	for id := range s.withdrawn {
+		s.cancelAwaited(id, now)
+	}
 	return failed
 }
 
--- a/shard/withdrawal_test.go
+++ b/shard/withdrawal_test.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
+	"lemonstream.dev/lemonstream/internal/prove"
 	"lemonstream.dev/lemonstream/job"
 )
 
@@ -23,6 +25,83 @@
 	return count
 }
 
+// TestWithdrawnJobThatOnlyTheStandbyPartHolds covers a cancellation that stands as a
+// row while the job's record stands in the standby part, which the owner reads later
+// than the row.
+func TestWithdrawnJobThatOnlyTheStandbyPartHolds(t *testing.T) {
+	for name, before := range map[string]bool{
+		"withdrawn before the takeover":                    true,
+		"withdrawn after it, and before the part was read": false,
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(2)
+			w.run(200 * time.Millisecond)
+			w.storeDown = true
+			w.standbyOn = true
+			w.handIn("a", lasting(2, 1))
+			w.run(time.Second)
+			is.Equal(w.running("a"), 2)
+			w.removeOwner()
+			w.storeDown = false
+			w.standbyAway = true
+			w.run(500 * time.Millisecond)
+			if before {
+				w.cancelByRow("a")
+			}
+			w.takeOver()
+			w.run(100 * time.Millisecond)
+			if !before {
+				w.cancelByRow("a")
+			}
+			w.run(1500 * time.Millisecond) // The owner has found the row by now.
+			w.standbyAway = false
+			w.run(5 * time.Second)
+			is.Equal(w.running("a"), 0)
+			is.Equal(w.shown["a"], job.Cancelled)
+			is.Equal(len(w.cancelRows), 0) // The row goes with the final state.
+			w.check(t)
+		})
+	}
+}
+
+// TestWithdrawalThatIsReadBeforeItsJob covers an owner that has lost the history of the
+// rows and reads them all: they come in the order of their keys, and those of
+// cancellations stand before many jobs.
+func TestWithdrawalThatIsReadBeforeItsJob(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(2)
+	w.run(200 * time.Millisecond)
+	record := w.record("f", lasting(1, 1))
+	w.store(record)
+	w.cancelRows["f"] = true
+	w.acknowledgeCancel("f")
+	w.core.CancelByRow("f", w.now)
+	w.core.Accept(record, w.version, false, w.now)
+	w.run(5 * time.Second)
+	is.Equal(w.running("f"), 0)
+	is.Equal(w.shown["f"], job.Cancelled)
+	is.Equal(len(w.records)+len(w.cancelRows), 0)
+	w.check(t)
+}
+
+// TestWithdrawalThatIsReadBeforeItsJobIsHandedIn covers the same where a caller sends
+// the job once more at the owner, which has not read its record.
+func TestWithdrawalThatIsReadBeforeItsJobIsHandedIn(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(2)
+	w.run(200 * time.Millisecond)
+	w.cancelRows["f"] = true
+	w.core.CancelByRow("f", w.now)
+	w.handIn("f", lasting(1, 1))
+	w.run(5 * time.Second)
+	is.True(w.taken["f"])
+	is.Equal(w.running("f"), 0)
+	is.Equal(w.shown["f"], job.Cancelled)
+	is.Equal(len(w.records)+len(w.cancelRows), 0)
+	w.check(t)
+}
+
 // TestWithdrawnJobEndsWhoeverStartedIt covers an owner that is removed for good with
 // starts on their way, and a job that is withdrawn before, while or after another takes
 // over, at the owner or by a row.
@@ -125,3 +204,124 @@
 	is.Equal(w.shown["b"], job.Completed)
 	w.check(t) // The oracle reports a worker that is put over its capacity.
 }
+
+// withdrawals lets random faults meet jobs that are withdrawn at random; the oracle
+// knows only for how long a withdrawn job may run on.
+func withdrawals(t *rapid.T, w *world) {
+	w.run(200 * time.Millisecond)
+	names := []string{"w0", "w1", "w2"}
+	count := rapid.IntRange(5, 25).Draw(t, "rounds")
+	var ids []string
+	for i := 0; i < count; i++ {
+		f := w.workers[rapid.SampledFrom(names).Draw(t, "worker")]
+		switch rapid.IntRange(0, 16).Draw(t, "what") {
+		case 0:
+			f.cut = rapid.Bool().Draw(t, "cut")
+		case 1:
+			w.removeOwner()
+		case 2, 3:
+			w.takeOver()
+		case 4:
+			w.lose = time.Duration(rapid.IntRange(0, 12).Draw(t, "late")) * time.Second
+		case 5:
+			w.loseStops = time.Duration(rapid.IntRange(0, 12).Draw(t, "late stops")) * time.Second
+		case 6:
+			w.standbyOn = rapid.Bool().Draw(t, "standby on")
+			w.storeDown = rapid.Bool().Draw(t, "down")
+		case 7:
+			w.standbyAway = rapid.Bool().Draw(t, "standby away")
+		case 8:
+			f.unlisted = rapid.Bool().Draw(t, "unlisted")
+			w.list()
+		case 9:
+			w.core.SetClosed([]string{f.reg.ID}, w.now)
+		case 11, 12, 13:
+			if len(ids) > 0 {
+				w.withdraw(rapid.SampledFrom(ids).Draw(t, "job"), rapid.Bool().Draw(t, "by row"))
+			}
+		default:
+			id := fmt.Sprintf("j%d", i)
+			ids = append(ids, id)
+			s := step(rapid.IntRange(1, 3).Draw(t, "tasks"))
+			s.Lasting = rapid.Bool().Draw(t, "lasting")
+			if w.ownerless || rapid.Bool().Draw(t, "at the owner") {
+				w.handInOrNot(id, s)
+			} else {
+				w.submit(id, s)
+			}
+		}
+		w.run(time.Duration(rapid.IntRange(1, 150).Draw(t, "wait")) * tick)
+	}
+	w.settle()
+	for _, id := range ids {
+		w.withdraw(id, false)
+	}
+	w.run(20 * time.Second)
+	for _, id := range ids {
+		if _, withdrawn := w.withdrawn[id]; withdrawn && w.running(id) > 0 {
+			w.fault("job %s still runs", id)
+		}
+	}
+	for id := range w.cancelRows {
+		w.fault("the row of the cancellation of %s is left", id)
+	}
+}
+
+// settle ends all faults.
+func (w *world) settle() {
+	w.lose = 0
+	w.loseStops = 0
+	w.storeDown = false
+	w.standbyAway = false
+	for _, f := range w.workers {
+		f.cut = false
+		f.unlisted = false
+	}
+	if w.ownerless {
+		w.takeOver()
+	}
+	w.list()
+	w.run(20 * time.Second)
+}
+
+// withdraw withdraws a job that has been accepted, as an entry would: at the owner, and
+// by a row where there is none, or it does not know the job, or that is drawn. An entry
+// finds a job that has not ended by the rows of both parts.
+func (w *world) withdraw(id string, byRow bool) {
+	if !byRow && !w.ownerless && w.cancel(id) {
+		return
+	}
+	_, open := w.recordOf(id)
+	_, ended := w.standbyEnded[id]
+	if open && !ended && !w.progress[id].State.Final() && !w.storeDown {
+		w.cancelByRow(id)
+	}
+}
+
+// handInOrNot hands a job in where there is an owner.
+func (w *world) handInOrNot(id string, s job.Step) {
+	if !w.ownerless {
+		w.handIn(id, s)
+	}
+}
+
+func TestWithdrawnJobsEndUnderFaults(t *testing.T) {
+	prove.Property(t, func(t *rapid.T) {
+		w := newWorld(3)
+		withdrawals(t, w)
+		w.check(t)
+	})
+}
+
+// TestLooksCarryWithdrawals takes away from the owner what its looks show of runs that
+// began late.
+func TestLooksCarryWithdrawals(t *testing.T) {
+	prove.Guard(t, prove.NotRun, "looks-find-late-starts", func(on bool) func(*rapid.T) {
+		return func(t *rapid.T) {
+			w := newWorld(3)
+			w.blindfold = !on
+			withdrawals(t, w)
+			w.check(t)
+		}
+	})
+}
