Cancel a job of a moved route by row where its owner does not know it yet

Cause: for a job that stayed with the service its route had before, the entry asked that service's owner and took any answer for a cancellation, also "not known": the caller was answered 200, no row stood, and the job ran on. An owner does not know a job between a takeover and the reading of its standby part, and for up to a second where an entry wrote the record. Ruled out: the same for a job of the route's own service, where the answer was taken apart already. Change: one function tells whether the cancellation is written at the owner; anything else leads to the row. The owner of the service before is now asked also where that of the new one could not be.

--- a/intake/ask.go
+++ b/intake/ask.go
@@ -137,35 +137,12 @@
 	return decoded.State, true, err
 }
 
-// cancel withdraws a job. Where the owner can't be asked, the entry writes the
-// wish itself, and the owner finds it.
+// cancel withdraws a job.
 func (s *Server) cancel(r *request) {
 	for {
-		done, known := s.cancelAtOwner(r.ctx, r.route.Service, r.id)
-		if done && known {
-			r.Status(http.StatusOK)
-			return
-		}
-		state, service, err := s.tryReading(r.ctx, r.route.Service, r.id)
-		if err == nil && (service == "" || state.Final()) {
-			r.Status(http.StatusGone)
-			return
-		}
-		if err == nil && !done {
-			err = s.writeCancel(r.ctx, service, r.id)
-		} else if err == nil && service != r.route.Service {
-			// The job stayed with the service that its route had then.
-			done, _ = s.cancelAtOwner(r.ctx, service, r.id)
-			if !done {
-				err = s.writeCancel(r.ctx, service, r.id)
-			}
-		} else if err == nil {
-			// The owner has not heard of the job yet.
-			err = s.writeCancel(r.ctx, service, r.id)
-		}
+		status, err := s.tryCancelling(r)
 		if err == nil {
-			s.Log.Info("cancellation written", "job", r.id, "service", service)
-			r.Status(http.StatusOK)
+			r.Status(status)
 			return
 		}
 		if !clock.Sleep(r.ctx, writePause) {
@@ -176,25 +153,52 @@
 	}
 }
 
-// cancelAtOwner asks the owner. done says that the owner answered, known that it
-// has the job and that its cancellation is written.
-func (s *Server) cancelAtOwner(ctx context.Context, service, id string) (done, known bool) {
+// tryCancelling withdraws a job at the owner that has it. Where none can be asked, or
+// it has not heard of the job, the entry writes the wish itself, and the owner finds
+// it. It returns the status of the answer.
+func (s *Server) tryCancelling(r *request) (int, error) {
+	if s.cancelAtOwner(r.ctx, r.route.Service, r.id) {
+		return http.StatusOK, nil
+	}
+	state, service, err := s.tryReading(r.ctx, r.route.Service, r.id)
+	if err != nil {
+		return 0, err
+	}
+	if service == "" || state.Final() {
+		return http.StatusGone, nil
+	}
+	// The job stays with the service that its route had when it was accepted.
+	if service != r.route.Service && s.cancelAtOwner(r.ctx, service, r.id) {
+		return http.StatusOK, nil
+	}
+	if err := s.writeCancel(r.ctx, service, r.id); err != nil {
+		return 0, err
+	}
+	s.Log.Info("cancellation written", "job", r.id, "service", service)
+	return http.StatusOK, nil
+}
+
+// cancelAtOwner asks the owner. It reports true where the owner has the job and its
+// cancellation is written; one that answers and does not know the job has cancelled
+// nothing.
+func (s *Server) cancelAtOwner(ctx context.Context, service, id string) bool {
 	if duty, mine := s.Owners.Duty(service); mine {
 		bounded, stop := context.WithTimeout(ctx, cancelPatience)
 		defer stop()
 		known, err := duty.Cancel(bounded, id)
-		return err == nil, known
+		return known && err == nil
 	}
 	address, found := s.Owners.Owner(service)
 	if !found {
-		return false, false
+		return false
 	}
+	known := false
 	err := s.tryOwner(ctx, asking, service, address, func(ctx context.Context) error {
 		var err error
 		known, err = s.Owners.Peers.Cancel(ctx, address, service, id)
 		return err
 	})
-	return err == nil, known
+	return known && err == nil
 }
 
 func (s *Server) writeCancel(ctx context.Context, service, id string) error {
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -41,6 +41,15 @@
 
 // serveTable is serveMoved over any table.
 func serveTable(t *testing.T, table outside.Table, current *catalog.Catalog, from string) http.Handler {
+	t.Helper()
+	return serveOwners(t, table, current, from, intake.Owners{
+		Duty:  func(string) (*owner.Duty, bool) { return nil, false },
+		Owner: func(string) (netip.AddrPort, bool) { return netip.AddrPort{}, false },
+	})
+}
+
+// serveOwners is serveTable with owners in sight.
+func serveOwners(t *testing.T, table outside.Table, current *catalog.Catalog, from string, owners intake.Owners) http.Handler {
 	t.Helper()
 	gin.SetMode(gin.ReleaseMode)
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
@@ -70,13 +79,10 @@
 			EncodePending: func(int) []byte { return nil },
 			EncodeState:   func(state job.State) []byte { return []byte(state) },
 		},
-		Figures: figures.New(),
-		Group:   group,
-		Log:     log,
-		Owners: intake.Owners{
-			Duty:  func(string) (*owner.Duty, bool) { return nil, false },
-			Owner: func(string) (netip.AddrPort, bool) { return netip.AddrPort{}, false },
-		},
+		Figures:  figures.New(),
+		Group:    group,
+		Log:      log,
+		Owners:   owners,
 		Table:    table,
 		Breakers: outside.NewBreakers(clock.System(), func() time.Duration { return 250 * time.Millisecond }),
 		Slow:     func() bool { return false },
