Stop a run whose first start got no answer, whatever its repetition says

Cause: a stop sets the count of tries back, and the answer to a repeated start was read by that count: where a job was withdrawn while the repetition was under way, and that was refused or met nobody, the run was dropped without a stop, although the first order may yet be carried out. Only the next look at the worker found it then. Change: the run remembers by itself that a start got no answer. Test that failed before: TestRepeatedStartThatIsRefusedMayYetHaveBegun in its three cases (a run began after the withdrawal; a run that was stopped does not begin). No existing test was changed.

--- a/shard/orders.go
+++ b/shard/orders.go
@@ -52,12 +52,13 @@
 	case errors.As(err, &refused):
 		w.hear(refused.Clock, now)
 		s.startRefused(w, r, now, refused.Reason)
-	case outside.IsNotDone(err) && r.tries == 0:
+	case outside.IsNotDone(err) && !r.unanswered:
 		w.avoidUntil = now.Add(avoidAfterRefusal)
 		s.drop(r, now)
 	default:
 		w.doubted = now
 		r.tries++
+		r.unanswered = true
 		if r.phase == phaseStopping {
 			return
 		}
@@ -76,7 +77,7 @@
 		s.deposed = true
 		return
 	}
-	if r.tries > 0 {
+	if r.unanswered {
 		// An earlier order without an answer may still take effect.
 		s.stop(r, "start refused after one without an answer")
 		return
--- a/shard/withdrawal_test.go
+++ b/shard/withdrawal_test.go
@@ -10,6 +10,7 @@
 
 	"lemonstream.dev/lemonstream/internal/prove"
 	"lemonstream.dev/lemonstream/job"
+	"lemonstream.dev/lemonstream/outside"
 )
 
 // running returns how many runs of a job are at workers.
@@ -102,6 +103,38 @@
 	w.check(t)
 }
 
+// TestRepeatedStartThatIsRefusedMayYetHaveBegun covers a start without an answer whose
+// repetition is refused after the job was withdrawn: the first may be carried out yet,
+// unless the worker was told to stop it.
+func TestRepeatedStartThatIsRefusedMayYetHaveBegun(t *testing.T) {
+	for name, answer := range map[string]error{
+		"no room": &outside.WorkerRefusedError{
+			Reason: outside.RefusedRoom,
+		},
+		"unhealthy": &outside.WorkerRefusedError{
+			Reason: outside.RefusedUnhealthy,
+		},
+		"nobody listens": &outside.NotDoneError{
+			Call: "test",
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(1)
+			w.run(200 * time.Millisecond)
+			w.lose = 2 * time.Second
+			w.submit("a", lasting(1, 1))
+			w.run(600 * time.Millisecond)
+			w.refuseStarts = answer
+			w.run(120 * time.Millisecond) // The first has got no answer, the next is under way.
+			is.True(w.cancel("a"))
+			w.run(10 * time.Second)
+			is.Equal(w.workers["w0"].began, 0) // A run that was stopped does not begin.
+			w.check(t)
+		})
+	}
+}
+
 // TestWithdrawnJobEndsWhoeverStartedIt covers an owner that is removed for good with
 // starts on their way, and a job that is withdrawn before, while or after another takes
 // over, at the owner or by a row.
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -76,8 +76,11 @@
 	found  bool
 	listed time.Time
 
-	// tries counts orders of the current kind without an answer.
-	tries int
+	// tries counts orders of the current kind without an answer. unanswered says that
+	// an order to start the run got none, so that it may yet begin until a stop is
+	// answered.
+	tries      int
+	unanswered bool
 
 	// calling says that an order for the run is under way.
 	calling bool
