Give a stop again while its run is listed after the time that it takes

Cause: found by reading. A run whose stop was answered waited for its end for ever: a worker that answers and does nothing kept it, its lease renewed with each look. Test that failed before: TestStopIsGivenAgainWhileItsRunIsListed (1 run in place of 0). TestWithdrawnJobsEndUnderFaults draws such workers as well; 3,000 checks passed. No existing test was changed.

--- a/shard/events.go
+++ b/shard/events.go
@@ -125,9 +125,14 @@
 		r.figure = running.Figure
 		r.percent = running.Percent
 		r.listed = sent
-		if r.phase == phaseStarting || r.phase == phaseDoubtful {
+		switch {
+		case r.phase == phaseStarting || r.phase == phaseDoubtful:
 			r.phase = phaseRunning
 			r.settled = now
+		case r.phase == phaseStopped && sent.After(r.settled.Add(s.opts.StopTask+foundSlack)):
+			// The stop was answered, and its time is over.
+			r.phase = phaseRunning
+			s.stop(r, "listed after its stop")
 		}
 		return
 	}
--- a/shard/withdrawal_test.go
+++ b/shard/withdrawal_test.go
@@ -135,6 +135,21 @@
 	}
 }
 
+// TestStopIsGivenAgainWhileItsRunIsListed covers a worker that answers a stop and does
+// nothing.
+func TestStopIsGivenAgainWhileItsRunIsListed(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1)
+	w.run(200 * time.Millisecond)
+	w.submit("a", lasting(1, 1))
+	w.run(time.Second)
+	w.workers["w0"].deaf = 1
+	is.True(w.cancel("a"))
+	w.run(4 * time.Second)
+	is.Equal(w.running("a"), 0)
+	w.check(t)
+}
+
 // TestWithdrawnJobEndsWhoeverStartedIt covers an owner that is removed for good with
 // starts on their way, and a job that is withdrawn before, while or after another takes
 // over, at the owner or by a row.
@@ -268,6 +283,8 @@
 			w.list()
 		case 9:
 			w.core.SetClosed([]string{f.reg.ID}, w.now)
+		case 10:
+			f.deaf = 1
 		case 11, 12, 13:
 			if len(ids) > 0 {
 				w.withdraw(rapid.SampledFrom(ids).Draw(t, "job"), rapid.Bool().Draw(t, "by row"))
