Look again at a worker that was silent and unlisted, once it is listed again

Cause: a worker behind a cut loses its registration after three heartbeats, and its lease lapses. The owner then took its life for ended for 60 s, also when the same life was registered again: it was neither looked at nor given anything, so that nobody saw what a late order had started there, and its room was lost to the service. Ruled out: lives that have ended for sure (another life answers, or the instance was taken); an old registration of these still brings nothing back. Change: only those are remembered as ended. The row of a worker that was taken for ended goes before it is written again, so that no transaction does both. No existing test was changed.

--- a/shard/lease.go
+++ b/shard/lease.go
@@ -25,7 +25,11 @@
 // of each kind.
 func (s *Shard) WorkerRows(most int) WorkerRows {
 	var rows WorkerRows
-	for _, w := range s.workers {
+	for id, w := range s.workers {
+		// The row of one that was taken for ended goes before it is written again.
+		if _, goes := s.unrecord[id]; goes {
+			continue
+		}
 		if w.listed && !w.recorded && len(rows.Used) < most {
 			rows.Used = append(rows.Used, w.ref())
 		}
@@ -91,6 +95,8 @@
 		unreachable := w.failures > 0 && now.After(w.until) && now.After(w.blindUntil)
 		if !w.listed && unreachable && now.Sub(w.unlisted) > unlistedGrace {
 			s.endWorker(w, now, "unlisted and silent")
+			// Its life may go on behind a cut: once it is listed again, it is looked at.
+			delete(s.gone, id)
 		}
 	}
 	for id, since := range s.gone {
--- a/shard/withdrawal_test.go
+++ b/shard/withdrawal_test.go
@@ -150,6 +150,30 @@
 	w.check(t)
 }
 
+// TestWorkerThatWasSilentAndUnlistedIsLookedAtAgain covers a worker that was cut off
+// until its registration was gone and its lease had lapsed, and then comes back with
+// both: it is the same life.
+func TestWorkerThatWasSilentAndUnlistedIsLookedAtAgain(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1)
+	w.run(200 * time.Millisecond)
+	f := w.workers["w0"]
+	f.cut = true
+	f.unlisted = true
+	w.list()
+	w.run(testLease + 4*time.Second)
+	is.True(!w.used["w0"]) // The owner takes it for ended.
+	f.cut = false
+	f.unlisted = false
+	w.list()
+	w.run(200 * time.Millisecond)
+	w.submit("a", step(1))
+	w.run(3 * time.Second)
+	is.Equal(w.shown["a"], job.Completed)
+	is.True(w.used["w0"])
+	w.check(t)
+}
+
 // TestWithdrawnJobEndsWhoeverStartedIt covers an owner that is removed for good with
 // starts on their way, and a job that is withdrawn before, while or after another takes
 // over, at the owner or by a row.
