Write no record of a job that was withdrawn before its batch was taken back

Cause: found by reading. Where a batch with a job's record certainly was not written and the job was withdrawn meanwhile, the record was offered again beside the final state that takes it away: one transaction put and removed the same row, and where they came in two, the record stood after the end. Change: such a job's final state alone is written. Test that failed before: TestWithdrawnJobIsNotOfferedAgain (1 record in place of 0). No existing test was changed.

--- a/shard/batch.go
+++ b/shard/batch.go
@@ -239,6 +239,10 @@
 			s.adopt(j, e, now)
 			continue
 		}
+		if j.state.Final() {
+			// It was withdrawn meanwhile: its final state alone is written.
+			continue
+		}
 		j.submitted = true
 		s.submitted = append(s.submitted, j)
 	}
--- a/shard/batch_test.go
+++ b/shard/batch_test.go
@@ -134,3 +134,24 @@
 		})
 	}
 }
+
+// TestWithdrawnJobIsNotOfferedAgain lets the batch that holds a job's record be taken
+// back after the job was withdrawn: its final state alone is written.
+func TestWithdrawnJobIsNotOfferedAgain(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1)
+	w.run(200 * time.Millisecond)
+	w.handIn("a", step(1))
+	b, found := w.core.TakeBatch(testEntries)
+	is.True(found)
+	is.Equal(len(b.Records), 1)
+	is.True(w.cancel("a"))
+	w.core.Undo(b, nil, w.now)
+	b, found = w.core.TakeBatch(testEntries)
+	is.True(found)
+	is.Equal(len(b.Records), 0)
+	is.Equal(len(b.Writes), 1)
+	w.core.Written(b, w.now)
+	is.True(w.taken["a"])
+	is.Equal(w.shown["a"], job.Cancelled)
+}
