--- /dev/null
+++ b/shard/withdrawal_test.go
@@ -0,0 +1,401 @@
+package shard_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"lemonstream.dev/lemonstream/internal/prove"
+	"lemonstream.dev/lemonstream/job"
+	"lemonstream.dev/lemonstream/outside"
+)
+
+// running returns how many runs of a job are at workers.
+func (w *world) running(id string) int {
+	count := 0
+	for _, f := range w.workers {
+		for task := range f.runs {
+			if task.Job == id {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// TestWithdrawnJobThatOnlyTheStandbyPartHolds covers a cancellation that stands as a
+// row while the job's record stands in the standby part, which the owner reads later
+// than the row.
+func TestWithdrawnJobThatOnlyTheStandbyPartHolds(t *testing.T) {
+	for name, before := range map[string]bool{
+		"withdrawn before the takeover":                    true,
+		"withdrawn after it, and before the part was read": false,
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(2)
+			w.run(200 * time.Millisecond)
+			w.storeDown = true
+			w.standbyOn = true
+			w.handIn("a", lasting(2, 1))
+			w.run(time.Second)
+			is.Equal(w.running("a"), 2)
+			w.removeOwner()
+			w.storeDown = false
+			w.standbyAway = true
+			w.run(500 * time.Millisecond)
+			if before {
+				w.cancelByRow("a")
+			}
+			w.takeOver()
+			w.run(100 * time.Millisecond)
+			if !before {
+				w.cancelByRow("a")
+			}
+			w.run(1500 * time.Millisecond) // The owner has found the row by now.
+			w.standbyAway = false
+			w.run(5 * time.Second)
+			is.Equal(w.running("a"), 0)
+			is.Equal(w.shown["a"], job.Cancelled)
+			is.Equal(len(w.cancelRows), 0) // The row goes with the final state.
+			w.check(t)
+		})
+	}
+}
+
+// TestWithdrawalThatIsReadBeforeItsJob covers an owner that has lost the history of the
+// rows and reads them all: they come in the order of their keys, and those of
+// cancellations stand before many jobs.
+func TestWithdrawalThatIsReadBeforeItsJob(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(2)
+	w.run(200 * time.Millisecond)
+	record := w.record("f", lasting(1, 1))
+	w.store(record)
+	w.cancelRows["f"] = true
+	w.acknowledgeCancel("f")
+	w.core.CancelByRow("f", w.now)
+	w.core.Accept(record, w.version, false, w.now)
+	w.run(5 * time.Second)
+	is.Equal(w.running("f"), 0)
+	is.Equal(w.shown["f"], job.Cancelled)
+	is.Equal(len(w.records)+len(w.cancelRows), 0)
+	w.check(t)
+}
+
+// TestWithdrawalThatIsReadBeforeItsJobIsHandedIn covers the same where a caller sends
+// the job once more at the owner, which has not read its record.
+func TestWithdrawalThatIsReadBeforeItsJobIsHandedIn(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(2)
+	w.run(200 * time.Millisecond)
+	w.cancelRows["f"] = true
+	w.core.CancelByRow("f", w.now)
+	w.handIn("f", lasting(1, 1))
+	w.run(5 * time.Second)
+	is.True(w.taken["f"])
+	is.Equal(w.running("f"), 0)
+	is.Equal(w.shown["f"], job.Cancelled)
+	is.Equal(len(w.records)+len(w.cancelRows), 0)
+	w.check(t)
+}
+
+// TestRepeatedStartThatIsRefusedMayYetHaveBegun covers a start without an answer whose
+// repetition is refused after the job was withdrawn: the first may be carried out yet,
+// unless the worker was told to stop it.
+func TestRepeatedStartThatIsRefusedMayYetHaveBegun(t *testing.T) {
+	for name, answer := range map[string]error{
+		"no room": &outside.WorkerRefusedError{
+			Reason: outside.RefusedRoom,
+		},
+		"unhealthy": &outside.WorkerRefusedError{
+			Reason: outside.RefusedUnhealthy,
+		},
+		"nobody listens": &outside.NotDoneError{
+			Call: "test",
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(1)
+			w.run(200 * time.Millisecond)
+			w.lose = 2 * time.Second
+			w.submit("a", lasting(1, 1))
+			w.run(600 * time.Millisecond)
+			w.refuseStarts = answer
+			w.run(120 * time.Millisecond) // The first has got no answer, the next is under way.
+			is.True(w.cancel("a"))
+			w.run(10 * time.Second)
+			is.Equal(w.workers["w0"].began, 0) // A run that was stopped does not begin.
+			w.check(t)
+		})
+	}
+}
+
+// TestStopIsGivenAgainWhileItsRunIsListed covers a worker that answers a stop and does
+// nothing.
+func TestStopIsGivenAgainWhileItsRunIsListed(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1)
+	w.run(200 * time.Millisecond)
+	w.submit("a", lasting(1, 1))
+	w.run(time.Second)
+	w.workers["w0"].deaf = 1
+	is.True(w.cancel("a"))
+	w.run(4 * time.Second)
+	is.Equal(w.running("a"), 0)
+	w.check(t)
+}
+
+// TestWorkerThatWasSilentAndUnlistedIsLookedAtAgain covers a worker that was cut off
+// until its registration was gone and its lease had lapsed, and then comes back with
+// both: it is the same life.
+func TestWorkerThatWasSilentAndUnlistedIsLookedAtAgain(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1)
+	w.run(200 * time.Millisecond)
+	f := w.workers["w0"]
+	f.cut = true
+	f.unlisted = true
+	w.list()
+	w.run(testLease + 4*time.Second)
+	is.True(!w.used["w0"]) // The owner takes it for ended.
+	f.cut = false
+	f.unlisted = false
+	w.list()
+	w.run(200 * time.Millisecond)
+	w.submit("a", step(1))
+	w.run(3 * time.Second)
+	is.Equal(w.shown["a"], job.Completed)
+	is.True(w.used["w0"])
+	w.check(t)
+}
+
+// TestWithdrawnJobEndsWhoeverStartedIt covers an owner that is removed for good with
+// starts on their way, and a job that is withdrawn before, while or after another takes
+// over, at the owner or by a row.
+func TestWithdrawnJobEndsWhoeverStartedIt(t *testing.T) {
+	for _, late := range []time.Duration{0, 2 * time.Second, 3 * time.Second, 12 * time.Second} {
+		for _, when := range []string{"before", "without an owner", "after"} {
+			t.Run(fmt.Sprintf("starts %v late, withdrawn %s", late, when), func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(3)
+				w.run(200 * time.Millisecond)
+				w.lose = late
+				w.submit("a", lasting(4, 1))
+				w.run(30 * time.Millisecond)
+				if when == "before" {
+					is.True(w.cancel("a"))
+					w.run(50 * time.Millisecond)
+				}
+				w.removeOwner()
+				w.run(500 * time.Millisecond)
+				if when == "without an owner" {
+					w.cancelByRow("a")
+				}
+				w.lose = 0
+				w.takeOver()
+				if when == "after" {
+					w.run(100 * time.Millisecond)
+					is.True(w.cancel("a"))
+				}
+				w.run(20 * time.Second)
+				is.Equal(w.running("a"), 0)
+				is.Equal(w.shown["a"], job.Cancelled)
+				w.check(t)
+			})
+		}
+	}
+}
+
+// TestLateStartIsFoundWhereverItsWorkerStands covers a start that is carried out after
+// the owner gave it up, at a worker that has been unlisted, closed or lapsed.
+func TestLateStartIsFoundWhereverItsWorkerStands(t *testing.T) {
+	faults := map[string]func(w *world, f *fakeWorker){
+		"idle": func(*world, *fakeWorker) {},
+		"unlisted": func(w *world, f *fakeWorker) {
+			f.unlisted = true
+			w.list()
+		},
+		"draining": func(w *world, f *fakeWorker) {
+			f.reg.Draining = true
+			w.list()
+		},
+		"closed": func(w *world, f *fakeWorker) {
+			w.core.SetClosed([]string{f.reg.ID}, w.now)
+		},
+	}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(1)
+			w.run(200 * time.Millisecond)
+			f := w.workers["w0"]
+			w.lose = 3 * time.Second
+			w.loseEach = 1
+			w.loseStops = 12 * time.Second // What would bar the run comes later still.
+			w.submit("a", lasting(1, 1))
+			w.run(20 * time.Millisecond)
+			is.True(w.cancel("a"))
+			fault(w, f)
+			w.run(2500 * time.Millisecond)
+			w.lose = 0
+			w.run(600 * time.Millisecond)
+			w.loseStops = 0
+			w.run(8 * time.Second)
+			is.True(f.began > 0)
+			is.Equal(w.running("a"), 0)
+			w.check(t)
+		})
+	}
+}
+
+// TestRunsOfWithdrawnJobTakeRoomUntilTheyEnd covers an owner that is removed with stops
+// on their way, after the job's record has gone with its final state: its successor
+// finds the runs and knows nothing of what room they take.
+func TestRunsOfWithdrawnJobTakeRoomUntilTheyEnd(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1)
+	w.run(200 * time.Millisecond)
+	w.submit("a", lasting(4, 1)) // All the room of the worker.
+	w.run(time.Second)
+	is.Equal(w.running("a"), 4)
+	w.loseEach = 1
+	w.loseStops = 12 * time.Second
+	is.True(w.cancel("a"))
+	w.run(100 * time.Millisecond)
+	is.Equal(len(w.records), 0)
+	w.removeOwner()
+	w.loseStops = 0
+	w.takeOver()
+	w.submit("b", step(4))
+	w.run(5 * time.Second)
+	is.Equal(w.shown["b"], job.Completed)
+	w.check(t) // The oracle reports a worker that is put over its capacity.
+}
+
+// withdrawals lets random faults meet jobs that are withdrawn at random; the oracle
+// knows only for how long a withdrawn job may run on.
+func withdrawals(t *rapid.T, w *world) {
+	w.run(200 * time.Millisecond)
+	names := []string{"w0", "w1", "w2"}
+	count := rapid.IntRange(5, 25).Draw(t, "rounds")
+	var ids []string
+	for i := 0; i < count; i++ {
+		f := w.workers[rapid.SampledFrom(names).Draw(t, "worker")]
+		switch rapid.IntRange(0, 16).Draw(t, "what") {
+		case 0:
+			f.cut = rapid.Bool().Draw(t, "cut")
+		case 1:
+			w.removeOwner()
+		case 2, 3:
+			w.takeOver()
+		case 4:
+			w.lose = time.Duration(rapid.IntRange(0, 12).Draw(t, "late")) * time.Second
+		case 5:
+			w.loseStops = time.Duration(rapid.IntRange(0, 12).Draw(t, "late stops")) * time.Second
+		case 6:
+			w.standbyOn = rapid.Bool().Draw(t, "standby on")
+			w.storeDown = rapid.Bool().Draw(t, "down")
+		case 7:
+			w.standbyAway = rapid.Bool().Draw(t, "standby away")
+		case 8:
+			f.unlisted = rapid.Bool().Draw(t, "unlisted")
+			w.list()
+		case 9:
+			w.core.SetClosed([]string{f.reg.ID}, w.now)
+		case 10:
+			f.deaf = 1
+		case 11, 12, 13:
+			if len(ids) > 0 {
+				w.withdraw(rapid.SampledFrom(ids).Draw(t, "job"), rapid.Bool().Draw(t, "by row"))
+			}
+		default:
+			id := fmt.Sprintf("j%d", i)
+			ids = append(ids, id)
+			s := step(rapid.IntRange(1, 3).Draw(t, "tasks"))
+			s.Lasting = rapid.Bool().Draw(t, "lasting")
+			if w.ownerless || rapid.Bool().Draw(t, "at the owner") {
+				w.handInOrNot(id, s)
+			} else {
+				w.submit(id, s)
+			}
+		}
+		w.run(time.Duration(rapid.IntRange(1, 150).Draw(t, "wait")) * tick)
+	}
+	w.settle()
+	for _, id := range ids {
+		w.withdraw(id, false)
+	}
+	w.run(20 * time.Second)
+	for _, id := range ids {
+		if _, withdrawn := w.withdrawn[id]; withdrawn && w.running(id) > 0 {
+			w.fault("job %s still runs", id)
+		}
+	}
+	for id := range w.cancelRows {
+		w.fault("the row of the cancellation of %s is left", id)
+	}
+}
+
+// settle ends all faults.
+func (w *world) settle() {
+	w.lose = 0
+	w.loseStops = 0
+	w.storeDown = false
+	w.standbyAway = false
+	for _, f := range w.workers {
+		f.cut = false
+		f.unlisted = false
+	}
+	if w.ownerless {
+		w.takeOver()
+	}
+	w.list()
+	w.run(20 * time.Second)
+}
+
+// withdraw withdraws a job that has been accepted, as an entry would: at the owner, and
+// by a row where there is none, or it does not know the job, or that is drawn. An entry
+// finds a job that has not ended by the rows of both parts.
+func (w *world) withdraw(id string, byRow bool) {
+	if !byRow && !w.ownerless && w.cancel(id) {
+		return
+	}
+	_, open := w.recordOf(id)
+	_, ended := w.standbyEnded[id]
+	if open && !ended && !w.progress[id].State.Final() && !w.storeDown {
+		w.cancelByRow(id)
+	}
+}
+
+// handInOrNot hands a job in where there is an owner.
+func (w *world) handInOrNot(id string, s job.Step) {
+	if !w.ownerless {
+		w.handIn(id, s)
+	}
+}
+
+func TestWithdrawnJobsEndUnderFaults(t *testing.T) {
+	prove.Property(t, func(t *rapid.T) {
+		w := newWorld(3)
+		withdrawals(t, w)
+		w.check(t)
+	})
+}
+
+// TestLooksCarryWithdrawals takes away from the owner what its looks show of runs that
+// began late.
+func TestLooksCarryWithdrawals(t *testing.T) {
+	prove.Guard(t, prove.NotRun, "looks-find-late-starts", func(on bool) func(*rapid.T) {
+		return func(t *rapid.T) {
+			w := newWorld(3)
+			w.blindfold = !on
+			withdrawals(t, w)
+			w.check(t)
+		}
+	})
+}
--- a/shard/world_owner_test.go
+++ b/shard/world_owner_test.go
@@ -79,6 +79,8 @@
 func (w *world) takeOverAfter(on time.Duration) {
 	w.epoch++
 	w.batch = nil
+	w.ownerless = false
+	w.disturbed = w.now
 	blind := time.Duration(0)
 	if w.epoch > 1 {
 		blind = testLease + testLease/10 + on
@@ -132,5 +134,8 @@
 			w.fault("restore %s: %v", id, err)
 		}
 	}
+	for id := range w.cancelRows {
+		w.core.CancelByRow(id, w.now)
+	}
 	w.list()
 }
