--- a/shard/world_owner_test.go
+++ b/shard/world_owner_test.go
@@ -135,7 +135,7 @@
 		}
 	}
 	for id := range w.cancelRows {
-		w.core.CancelByRow(id, w.now)
+		w.readCancelRow(id)
 	}
 	w.list()
 }
--- a/shard/world_test.go
+++ b/shard/world_test.go
@@ -140,6 +140,10 @@
 
 	// blindfold takes out of what workers list the runs that began late.
 	blindfold bool
+
+	// forgetful keeps from the owner the rows of cancellations of jobs that it does not
+	// know yet.
+	forgetful bool
 }
 
 func newWorld(count int) *world {
