A claim repeats what was handed over, and its owner writes before it starts anything

The row of the claim had replaced the beat, so that what was handed over was lost with it, and the next owner was blind for BlindFor from anew. That it holds the service at all is left as it is here (keeper); what it lost is kept now.

Change: the claim's row repeats the workers of the beat before; spans only get longer by that. So its owner starts and renews nothing before its first transaction, which no longer names what is in use. The transaction goes out with the first round, while the standby part is still being opened.

TestClaimOfAStoppingEntryLosesNothingHandedOver failed without the repetition: waited in vain for 20 s. TestOwnerThatNeverWroteLosesNothingHandedOver: an owner that can't write starts nothing, its successor starts at once. The property passes with crashes before the first transaction.

--- a/owner/handover_test.go
+++ b/owner/handover_test.go
@@ -246,6 +246,42 @@
 	until(t, "the job is started", func() bool { return h.startsOf("waiting") == 1 })
 }
 
+// TestClaimOfAStoppingEntryLosesNothingHandedOver lets an entry that has just claimed
+// the service be stopped before the answer to its claim: it never works, and the next
+// one has to find what the one before had handed over.
+func TestClaimOfAStoppingEntryLosesNothingHandedOver(t *testing.T) {
+	rows := standin.NewRows()
+	h := newHands(rows, "w0", "w1")
+	first := newEntryWith(t, "first", rows.Table(), alive("first"), h.deps)
+	until(t, "both workers are used", func() bool { return isUsed(t, rows, "w0", "w1") })
+	h.cutOff("w0")
+	first.keeper.Release(context.Background(), patience)
+	answered := make(chan struct{})
+	table := rows.Table()
+	transact := table.Transact
+	table.Transact = func(ctx context.Context, tx outside.Transaction) (outside.Receipt, error) {
+		receipt, err := transact(ctx, tx)
+		<-answered
+		return receipt, err
+	}
+	second := newEntryWith(t, "second", table, alive("second"), h.deps)
+	until(t, "the claim stands", func() bool {
+		_, known := second.keeper.Owner("s")
+		return known
+	})
+	second.keeper.Release(context.Background(), patience)
+	close(answered)
+	second.group.Stop()
+	accept(rows, "waiting")
+	dead := func(context.Context, netip.AddrPort, string) (owner.Pong, error) {
+		return owner.Pong{}, &outside.NotDoneError{
+			Call: "ping",
+		}
+	}
+	newEntryWith(t, "third", rows.Table(), dead, h.deps)
+	until(t, "the job is started", func() bool { return h.startsOf("waiting") == 1 })
+}
+
 // told is a fleet of idle instances that notes which workers each holder says to
 // have ended.
 type told struct {
--- a/owner/standby.go
+++ b/owner/standby.go
@@ -134,7 +134,7 @@
 	}
 	receipt, err := d.deps.Table.Transact(ctx, claiming(part, version, beatVersion, Ownership{
 		Epoch: d.tenure.epoch,
-	}, nil))
+	}, Beat{}))
 	if err != nil {
 		return nil, err
 	}
--- a/owner/succession.go
+++ b/owner/succession.go
@@ -186,7 +186,7 @@
 		Peer:  k.self.Peer.String(),
 	}
 	value := encodeRow(next)
-	receipt, err := k.deps.Table.Transact(ctx, claiming(service, o.version, version, next, before.Taken))
+	receipt, err := k.deps.Table.Transact(ctx, claiming(service, o.version, version, next, before))
 	won := claim{
 		epoch:   next.Epoch,
 		version: receipt.Version,
@@ -217,9 +217,9 @@
 }
 
 // claiming builds the transaction that makes a part the next owner's, if the rows of
-// the owner before still have the given versions. Which instances were taken stays
-// true whoever owns the part; all else that the beat said ends with its owner.
-func claiming(part string, ownerVersion, beatVersion int64, next Ownership, taken []TakenRow) outside.Transaction {
+// the owner before still have the given versions. What the beat said of workers and of
+// taken instances stays true until the next owner writes: it starts nothing before.
+func claiming(part string, ownerVersion, beatVersion int64, next Ownership, before Beat) outside.Transaction {
 	return outside.Transaction{
 		Checks: []outside.Check{{
 			Key:     ownerKey(part),
@@ -234,8 +234,10 @@
 		}, {
 			Key: beatKey(part),
 			Value: encodeRow(Beat{
-				Epoch: next.Epoch,
-				Taken: taken,
+				Epoch:  next.Epoch,
+				Lapsed: before.Lapsed,
+				Leased: before.Leased,
+				Taken:  before.Taken,
 			}),
 		}},
 	}
--- a/shard/handover.go
+++ b/shard/handover.go
@@ -139,7 +139,9 @@
 }
 
 // Inherit takes in what the owner before has handed over. read is when it was read:
-// what is left of its spans counts from then at the earliest.
+// what is left of its spans counts from then at the earliest. The row of this owner's
+// claim passes it on, so that it is lost to nobody if this owner never writes: until
+// the first transaction, nothing is started or renewed.
 func (s *Shard) Inherit(h Handover, read time.Time) {
 	for _, id := range h.Idle {
 		s.idle[id] = true
@@ -148,6 +150,7 @@
 		s.leased[l.Worker] = l
 	}
 	s.handedAt = read
+	s.passedOn = len(h.Idle)+len(h.Leased) > 0
 }
 
 // InheritWorker takes in a worker that the owner before may have given tasks. It
@@ -254,5 +257,5 @@
 // isNamed reports whether a row of this owner may still name a worker as one where
 // nothing is started or renewed.
 func (s *Shard) isNamed(w *workerState) bool {
-	return w.regained.After(s.confirmed)
+	return (s.passedOn && s.confirmed.IsZero()) || w.regained.After(s.confirmed)
 }
--- a/shard/handover_test.go
+++ b/shard/handover_test.go
@@ -40,6 +40,26 @@
 	w.check(t)
 }
 
+// TestOwnerThatNeverWroteLosesNothingHandedOver lets an owner take over and end before
+// its first transaction.
+func TestOwnerThatNeverWroteLosesNothingHandedOver(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(2)
+	w.run(200 * time.Millisecond)
+	w.workers["w0"].down = true
+	w.store(w.record("a", lasting(1, 1)))
+	w.frozen = true
+	w.handover = w.lastOrders()
+	w.takeOver()
+	w.run(time.Second)
+	is.Equal(len(holderOf(w, "a")), 0) // Its successor would know nothing of it.
+	w.frozen = false
+	w.takeOver()
+	w.run(200 * time.Millisecond)
+	is.Equal(len(holderOf(w, "a")), 1)
+	w.check(t)
+}
+
 // TestInheritedWaitGoesOn lets owners follow each other faster than a lease lapses, by
 // releases and without: the task on the silent worker starts elsewhere once its lease
 // has lapsed, and after releases all others start at once.
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -141,10 +141,12 @@
 	unrecord map[string]struct{}
 
 	// idle names workers that the owner before knew to run nothing; leased holds
-	// what may run on others by its word, as read at handedAt.
+	// what may run on others by its word, as read at handedAt. passedOn says that the
+	// row of this owner's claim repeats it.
 	idle     map[string]bool
 	leased   map[string]Leased
 	handedAt time.Time
+	passedOn bool
 
 	// seesMost says that only tasks that are known may run unseen, sighted that none
 	// may.
@@ -228,7 +230,7 @@
 	}
 }
 
-// Unconfirmed reports whether a regained worker waits for a transaction.
+// Unconfirmed reports whether a worker waits for a transaction to be used.
 func (s *Shard) Unconfirmed() bool {
 	for _, w := range s.workers {
 		if (w.listed || len(w.runs) > 0) && s.isNamed(w) {
--- a/shard/world_owner_test.go
+++ b/shard/world_owner_test.go
@@ -101,9 +101,8 @@
 			}
 		},
 	})
-	// The row of the claim takes the place of the last beat.
+	// The row of the claim passes on what the last beat said.
 	w.core.Inherit(w.handover, w.now)
-	w.handover = shard.Handover{}
 	w.standbyBatch = nil
 	w.standbyRead = w.epoch == 1
 	if !w.standbyRead {
