A releasing owner names its successor, which claims at once

Cause: in two series of planned stops that overlap, a released part was without an owner for 20 to 820 ms: each entry waited 200 ms for every listed entry that ranks higher, also for those that were stopping (an entry left the list only after it had released), and 300 ms for each part it held. Nothing told which entries would stay.

Change: a stopping entry leaves the list first. It then reads the list anew (one read a stop, by entries that own something) and names a successor in each row that it releases: among strong entries (half of the strongest one's processor) with less than their share, the one that was listed last, by the version of its row. The one that is named claims at once, woken by the row; the others wait their rank as if it stood before them all. The row only advises: a claim is the same conditional transaction. A removal from the list now names the version it removes, so that a late one spares the row of the next life, and no row is written after it.

Test: TestRollingRestartHandsOverPromptly, 36 entries of which 8 are strong, one and two series.

Ruled out: fewer moves by the choice alone.

--- a/owner/duty.go
+++ b/owner/duty.go
@@ -55,6 +55,9 @@
 	Registry *Registry
 	Options  shard.Options
 
+	// Listed reads the list of entries anew, this one included or not.
+	Listed func(ctx context.Context) ([]Member, error)
+
 	// Advice knows which workers may run the steps of some queues.
 	Advice outside.Advice
 
--- a/owner/keeper.go
+++ b/owner/keeper.go
@@ -10,7 +10,6 @@
 	"sync"
 	"time"
 
-	"lemonstream.dev/lemonstream/clock"
 	"lemonstream.dev/lemonstream/outside"
 )
 
@@ -82,6 +81,10 @@
 
 	// Cores is the processor that the entry may use.
 	Cores float64
+
+	// Listed orders entries by when they were last listed: it is the version of
+	// their row, so it needs no clock. It stands in no row itself.
+	Listed int64 `json:"-"`
 }
 
 // Keeper takes services without an owner and runs their duties.
@@ -117,6 +120,9 @@
 	read bool
 
 	stopping bool
+
+	// named receives when a part was released for this entry; its capacity is 1.
+	named chan struct{}
 }
 
 // holding is one part that this entry owns.
@@ -177,6 +183,7 @@
 		seizing: make(map[string]bool),
 		owners:  make(map[string]known),
 		watches: make(map[string]*watch),
+		named:   make(chan struct{}, 1),
 	}
 }
 
@@ -214,7 +221,17 @@
 
 // Run watches the owners of all services until ctx ends.
 func (k *Keeper) Run(ctx context.Context) error {
-	return clock.Every(ctx, keeperPause, k.round)
+	ticker := time.NewTicker(keeperPause)
+	defer ticker.Stop()
+	for {
+		k.round(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		case <-k.named:
+		}
+	}
 }
 
 // WatchOwners follows the rows of owners until ctx ends.
@@ -229,27 +246,6 @@
 	}.Run(ctx)
 }
 
-// Release hands over every service and takes none any more.
-func (k *Keeper) Release(ctx context.Context, wait time.Duration) {
-	k.mu.Lock()
-	k.stopping = true
-	held := make(map[string]holding, len(k.held))
-	for part, h := range k.held {
-		held[part] = h
-	}
-	k.mu.Unlock()
-	var all sync.WaitGroup
-	for part, h := range held {
-		all.Add(1)
-		k.deps.Group.Go("release of "+part, func(context.Context) error {
-			defer all.Done()
-			h.release(ctx, wait)
-			return nil
-		})
-	}
-	all.Wait()
-}
-
 // readOwners reads the owner of each configured service.
 func (k *Keeper) readOwners(ctx context.Context) (int64, error) {
 	first := int64(-1)
@@ -286,7 +282,10 @@
 			Ownership: o,
 			version:   row.Version,
 		}
-		k.deps.Log.Info("owner seen", "service", row.Key.Part, "epoch", o.Epoch, "owner", o.Owner, "released", o.Released)
+		k.deps.Log.Info("owner seen", "service", row.Key.Part, "epoch", o.Epoch, "owner", o.Owner, "released", o.Released, "next", o.Next)
+		if o.Next == k.self.Incarnation {
+			k.wake()
+		}
 	}
 }
 
--- a/owner/keeper_test.go
+++ b/owner/keeper_test.go
@@ -112,6 +112,7 @@
 			Options: shard.Options{
 				Lease: time.Second,
 			},
+			Listed: func(context.Context) ([]owner.Member, error) { return nil, nil },
 		}, name), owner.Self{
 			Member: owner.Member{
 				Incarnation: name,
--- /dev/null
+++ b/owner/rolling_test.go
@@ -0,0 +1,361 @@
+package owner_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"runtime"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/matryer/is"
+
+	"lemonstream.dev/lemonstream/catalog"
+	"lemonstream.dev/lemonstream/clock"
+	"lemonstream.dev/lemonstream/internal/standin"
+	"lemonstream.dev/lemonstream/kernel"
+	"lemonstream.dev/lemonstream/outside"
+	"lemonstream.dev/lemonstream/owner"
+	"lemonstream.dev/lemonstream/roster"
+	"lemonstream.dev/lemonstream/shard"
+)
+
+const (
+	rollingEntries  = 36
+	rollingStrong   = 8
+	rollingServices = 6
+
+	// rollingGap is the time between two stops of one series, and rollingDown the
+	// time for which an entry is down after its last goroutine ended.
+	rollingGap  = 430 * time.Millisecond
+	rollingDown = 500 * time.Millisecond
+
+	// rollingLinger is the time between an entry's release and its end.
+	rollingLinger = 2500 * time.Millisecond
+
+	// rollingCall is what a call of the store takes.
+	rollingCall = 5 * time.Millisecond
+
+	// rollingPrompt is the longest time for which a service that is handed over may
+	// be without an owner: a change that is seen, and three calls.
+	rollingPrompt = 50 * time.Millisecond
+)
+
+// rolling is a site whose entries are restarted in turn. Time is the test's own, so
+// that its figures depend on the order of things and on pauses only.
+type rolling struct {
+	t    *testing.T
+	rows *standin.Rows
+
+	mu sync.Mutex
+
+	// peers maps an address to the process that answers there.
+	peers map[netip.AddrPort]*process
+	lives int
+
+	entries []*process
+}
+
+// process is one life of an entry.
+type process struct {
+	owner.Self
+
+	group  *kernel.Group
+	keeper *owner.Keeper
+	roster *roster.Roster
+
+	// stopping is set by the series that stops it, so that no other does.
+	stopping bool
+}
+
+// change is one row of a service's owner, and when it was seen.
+type change struct {
+	released bool
+	at       time.Time
+}
+
+// handover is one change of a service's owner.
+type handover struct {
+	service string
+	to      string
+
+	// released says that the owner before gave the service up; without is how long
+	// nobody owned it then.
+	released bool
+	without  time.Duration
+}
+
+func newRolling(t *testing.T) *rolling {
+	r := &rolling{
+		t:       t,
+		rows:    standin.NewRows(),
+		peers:   make(map[netip.AddrPort]*process),
+		entries: make([]*process, rollingEntries),
+	}
+	r.rows.Before = func(ctx context.Context, _ standin.Call) error {
+		if !clock.Sleep(ctx, rollingCall) {
+			return &outside.NotDoneError{
+				Call:   "any",
+				Reason: "the process ends",
+			}
+		}
+		return nil
+	}
+	return r
+}
+
+// start begins a life of the entry of the given number; the first ones are strong.
+func (r *rolling) start(number int) {
+	r.mu.Lock()
+	r.lives++
+	life := r.lives
+	r.mu.Unlock()
+	cores := 0.2
+	if number < rollingStrong {
+		cores = 0.8
+	}
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	p := &process{
+		Self: owner.Self{
+			Member: owner.Member{
+				Incarnation: fmt.Sprintf("e%02d/%d", number, life),
+				Cores:       cores,
+			},
+			Peer: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(1000+life)),
+		},
+		group: kernel.NewGroup(context.Background(), log),
+	}
+	r.assemble(p, fmt.Sprintf("e%02d", number), log)
+	r.mu.Lock()
+	r.peers[p.Peer] = p
+	r.entries[number] = p
+	r.mu.Unlock()
+	p.group.Go("roster", p.roster.Run)
+	p.group.Go("join", p.roster.Join)
+	p.group.Go("owners", p.keeper.WatchOwners)
+	p.group.Go("keeper", p.keeper.Run)
+}
+
+func (r *rolling) assemble(p *process, name string, log *slog.Logger) {
+	table := r.rows.Table()
+	registry := owner.NewRegistry(table, clock.System(), "workers", func(id string, _ []byte) (outside.Registration, error) {
+		return outside.Registration{
+			ID: id,
+		}, nil
+	}, log)
+	current := &catalog.Catalog{
+		Version: 1,
+	}
+	for i := 0; i < rollingServices; i++ {
+		current.Services = append(current.Services, catalog.Service{
+			Name: fmt.Sprintf("s%d", i),
+		})
+	}
+	p.roster = roster.New(table, log, name, p.Self)
+	p.keeper = owner.NewKeeper(owner.Deps{
+		Clock:    clock.System(),
+		Group:    p.group,
+		Log:      log,
+		Table:    table,
+		Slow:     func() bool { return false },
+		Workers:  outside.Workers{},
+		Catalog:  func() *catalog.Catalog { return current },
+		Registry: registry,
+		Options: shard.Options{
+			Lease: time.Second,
+		},
+		Listed: p.roster.Read,
+	}, p.Self, p.roster.Members, r.ping)
+	p.group.Go("registry", registry.Run)
+}
+
+// ping asks a process as its peers do; one that has ended refuses.
+func (r *rolling) ping(_ context.Context, peer netip.AddrPort, service string) (owner.Pong, error) {
+	r.mu.Lock()
+	p, found := r.peers[peer]
+	r.mu.Unlock()
+	if !found {
+		return owner.Pong{}, &outside.NotDoneError{
+			Call: "ping",
+		}
+	}
+	age, owns := p.keeper.WriteAge(service)
+	return owner.Pong{
+		Incarnation: p.Incarnation,
+		Owns:        owns,
+		WriteAge:    age,
+	}, nil
+}
+
+// end stops a process as the daemon does.
+func (r *rolling) end(p *process) {
+	began := time.Now()
+	p.roster.Leave(context.Background())
+	p.keeper.Release(context.Background(), time.Second)
+	time.Sleep(rollingLinger - time.Since(began))
+	r.mu.Lock()
+	delete(r.peers, p.Peer)
+	r.mu.Unlock()
+	p.group.Stop()
+}
+
+// series restarts all entries in the given order, and skips those that are stopping
+// or down already.
+func (r *rolling) series(order []int, all *sync.WaitGroup) {
+	for _, number := range order {
+		r.mu.Lock()
+		p := r.entries[number]
+		free := !p.stopping
+		p.stopping = true
+		r.mu.Unlock()
+		if free {
+			all.Go(func() {
+				r.end(p)
+				time.Sleep(rollingDown)
+				r.start(number)
+			})
+		}
+		time.Sleep(rollingGap)
+	}
+}
+
+// watch notes every handover until ctx ends.
+func (r *rolling) watch(ctx context.Context) []handover {
+	var list []handover
+	last := make(map[string]change)
+	table := r.rows.Table()
+	for version := int64(0); ctx.Err() == nil; {
+		page, err := table.Feed(ctx, "owner", version, time.Second)
+		if err != nil {
+			continue
+		}
+		version = page.Version
+		for _, row := range page.Rows {
+			var o owner.Ownership
+			if cbor.Unmarshal(row.Value, &o) != nil || (o.Owner == "" && !o.Released) {
+				continue // The standby parts name no owner.
+			}
+			before, found := last[row.Key.Part]
+			if found && !o.Released {
+				list = append(list, handover{
+					service:  row.Key.Part,
+					to:       o.Owner,
+					released: before.released,
+					without:  time.Since(before.at),
+				})
+			}
+			last[row.Key.Part] = change{
+				released: o.Released,
+				at:       time.Now(),
+			}
+		}
+	}
+	return list
+}
+
+// roll restarts all entries in so many series that overlap, and returns the
+// handovers.
+func roll(t *testing.T, seed uint64, series int) []handover {
+	var list []handover
+	synctest.Test(t, func(t *testing.T) {
+		random := rand.New(rand.NewPCG(seed, 0))
+		r := newRolling(t)
+		for number := range r.entries {
+			r.start(number)
+		}
+		// All entries have joined, and each service has an owner.
+		time.Sleep(10 * time.Second)
+		ctx, cancel := context.WithCancel(context.Background())
+		var watching sync.WaitGroup
+		watching.Go(func() { list = r.watch(ctx) })
+		time.Sleep(time.Second)
+		var all sync.WaitGroup
+		for i := 0; i < series; i++ {
+			order := random.Perm(rollingEntries)
+			all.Go(func() { r.series(order, &all) })
+			time.Sleep(1200 * time.Millisecond)
+		}
+		all.Wait()
+		time.Sleep(5 * time.Second)
+		cancel()
+		watching.Wait()
+		for _, p := range r.entries {
+			p.group.Stop()
+		}
+	})
+	return list
+}
+
+// tally sums up handovers.
+type tally struct {
+	moves int
+
+	// late counts the handovers that left a service without an owner for longer
+	// than rollingPrompt, weak those to an entry that is not strong, and lost those
+	// from an owner that had not given the service up.
+	late int
+	weak int
+	lost int
+
+	without time.Duration
+	longest time.Duration
+}
+
+func sum(list []handover) tally {
+	var s tally
+	for _, h := range list {
+		s.moves++
+		var number int
+		if _, err := fmt.Sscanf(h.to, "e%d/", &number); err != nil || number >= rollingStrong {
+			s.weak++
+		}
+		if !h.released {
+			s.lost++
+			continue
+		}
+		s.without += h.without
+		s.longest = max(s.longest, h.without)
+		if h.without > rollingPrompt {
+			s.late++
+		}
+	}
+	return s
+}
+
+// TestRollingRestartHandsOverPromptly restarts all entries of a site in one series
+// and in two that overlap. An entry that was named may stop before it claims; that
+// costs the pause after which others claim.
+func TestRollingRestartHandsOverPromptly(t *testing.T) {
+	// The timers of a bubble that several threads run at once crash the race detector
+	// of Go 1.26, with and without a race.
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	const (
+		seeds = 3
+
+		// mostLate is the share of handovers that may take longer.
+		mostLate = 0.1
+	)
+	for _, series := range []int{1, 2} {
+		t.Run(fmt.Sprintf("%d series", series), func(t *testing.T) {
+			is := is.New(t)
+			var all []handover
+			for seed := range uint64(seeds) {
+				all = append(all, roll(t, seed, series)...)
+			}
+			s := sum(all)
+			t.Logf("handovers %d, late %d, to weak entries %d, lost %d, without an owner %s, longest %s",
+				s.moves, s.late, s.weak, s.lost, s.without, s.longest)
+			is.True(s.moves >= seeds*rollingServices*series/2) // The entries did restart.
+			is.True(s.moves <= seeds*rollingServices*series*2) // No service wanders.
+			is.True(float64(s.late) <= mostLate*float64(s.moves))
+			is.Equal(s.weak, 0)
+			is.Equal(s.lost, 0)
+		})
+	}
+}
--- a/owner/rows.go
+++ b/owner/rows.go
@@ -65,6 +65,10 @@
 
 	// Released says that the owner has stopped giving orders.
 	Released bool `cbor:"4,keyasint,omitempty"`
+
+	// Next is the incarnation that a released part is meant for; empty where the
+	// owner knew of none. It only advises: whoever claims first owns the part.
+	Next string `cbor:"5,keyasint,omitempty"`
 }
 
 // CancelKey names the row of a cancellation that an entry wrote itself.
--- a/owner/succession.go
+++ b/owner/succession.go
@@ -38,7 +38,7 @@
 	if w.freeSince.IsZero() {
 		w.freeSince = now
 	}
-	wait := rankPause*time.Duration(rank) + ownedPause*time.Duration(len(k.held))
+	wait := k.pause(o, rank)
 	if now.Before(w.notBefore) || now.Sub(w.freeSince) < wait {
 		return
 	}
@@ -54,6 +54,20 @@
 	})
 }
 
+// pause returns how long a part must have been free for this entry to take it. The
+// entry that it was released for takes it at once, and the others after their rank
+// as if that one stood before them all.
+func (k *Keeper) pause(o known, rank int) time.Duration {
+	switch o.Next {
+	case k.self.Incarnation:
+		return 0
+	case "":
+	default:
+		rank++
+	}
+	return rankPause*time.Duration(rank) + ownedPause*time.Duration(len(k.held))
+}
+
 // rank returns this entry's place among the successors of an owner: entries
 // with more processor go first, and among equals each service has its own order.
 func (k *Keeper) rank(service, owner string) int {
--- a/owner/tenure.go
+++ b/owner/tenure.go
@@ -76,6 +76,10 @@
 
 	// failures counts the tries without success since the last one with it.
 	failures atomic.Int64
+
+	// successor is the entry that the part is released for; nil before one was
+	// chosen.
+	successor atomic.Pointer[string]
 }
 
 func newTenure(deps Deps, part string, won claim, now time.Time) *tenure {
@@ -146,17 +150,26 @@
 	}
 	if release {
 		tx.Puts = append(tx.Puts, outside.Put{
-			Key: ownerKey(t.part),
-			Value: encodeRow(Ownership{
-				Epoch:    t.epoch,
-				Released: true,
-			}),
+			Key:   ownerKey(t.part),
+			Value: encodeRow(t.released()),
 		})
 	}
 	tx.Puts = append(tx.Puts, rows.puts...)
 	return tx
 }
 
+// released returns the owner's row that gives the part up.
+func (t *tenure) released() Ownership {
+	o := Ownership{
+		Epoch:    t.epoch,
+		Released: true,
+	}
+	if next := t.successor.Load(); next != nil {
+		o.Next = *next
+	}
+	return o
+}
+
 // write sends a transaction until its fate is known, and returns the version of
 // its rows. Every try carries the same conditions, so that it takes effect once
 // at the most; a conflict in which the beat already shows this transaction's
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -8,6 +8,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"maps"
 	"net/netip"
 	"sync"
 	"time"
@@ -31,6 +32,10 @@
 	changeWait = 20 * time.Second
 	changeRest = time.Second
 
+	// leaveWait bounds the removal of the own row, several times what it takes on a
+	// calm day: the services are handed over after it, and callers wait for that.
+	leaveWait = 150 * time.Millisecond
+
 	tableMembers = "member"
 	partMembers  = "member"
 )
@@ -46,6 +51,11 @@
 
 	// rows maps an entry's name to its newest incarnation.
 	rows map[string]owner.Member
+
+	// version is that of the own row; 0 before that is known to stand. left says
+	// that the entry is not to be listed any more.
+	version int64
+	left    bool
 }
 
 // New returns the roster of the entry of the given name.
@@ -61,14 +71,15 @@
 
 // Join writes this entry's row; it tries until it succeeds or ctx ends.
 func (r *Roster) Join(ctx context.Context) error {
-	for failures := 1; ; failures++ {
-		_, err := r.table.Transact(ctx, outside.Transaction{
+	for failures := 1; !r.hasLeft(); failures++ {
+		receipt, err := r.table.Transact(ctx, outside.Transaction{
 			Puts: []outside.Put{{
 				Key:   r.key(),
 				Value: encode(r.self.Member),
 			}},
 		})
 		if err == nil {
+			r.listed(receipt.Version)
 			r.log.Info("entry listed", "incarnation", r.self.Incarnation, "peer", r.self.Peer.String())
 			return nil
 		}
@@ -77,15 +88,26 @@
 			return nil
 		}
 	}
+	return nil
 }
 
-// Leave removes this entry's row. A failure is only logged: the row does no
-// harm.
+// Leave removes this entry's row, before the entry hands over its services, so that
+// no entry that stops at that time hands over to it. A failure is only logged: the
+// row does no harm.
 func (r *Roster) Leave(ctx context.Context) {
-	_, err := r.table.Transact(ctx, outside.Transaction{
+	bounded, cancel := context.WithTimeout(ctx, leaveWait)
+	defer cancel()
+	tx := outside.Transaction{
 		Removes: []outside.Key{r.key()},
-	})
-	if err != nil {
+	}
+	if version := r.leave(); version != 0 {
+		// One that takes effect late must not remove the row of the next life.
+		tx.Checks = []outside.Check{{
+			Key:     r.key(),
+			Version: version,
+		}}
+	}
+	if _, err := r.table.Transact(bounded, tx); err != nil {
 		r.log.Warn("entry not removed from the list", "error", err.Error())
 	}
 }
@@ -103,6 +125,20 @@
 	return list
 }
 
+// Read returns all entries as they are listed at this moment.
+func (r *Roster) Read(ctx context.Context) ([]owner.Member, error) {
+	rows, _, err := r.table.ReadAll(ctx, tableMembers, partMembers)
+	if err != nil {
+		return nil, err
+	}
+	listed := r.decode(rows)
+	list := make([]owner.Member, 0, len(listed))
+	for _, member := range listed {
+		list = append(list, member)
+	}
+	return list, nil
+}
+
 // Run follows the list until ctx ends.
 func (r *Roster) Run(ctx context.Context) error {
 	return owner.Follower{
@@ -127,6 +163,17 @@
 	for _, row := range rows {
 		if row.Gone {
 			delete(r.rows, row.Key.Name)
+		}
+	}
+	maps.Copy(r.rows, r.decode(rows))
+}
+
+// decode returns the members of rows by the names of their entries.
+func (r *Roster) decode(rows []outside.Row) map[string]owner.Member {
+	members := make(map[string]owner.Member, len(rows))
+	for _, row := range rows {
+		if row.Gone {
+			delete(members, row.Key.Name)
 			continue
 		}
 		var member owner.Member
@@ -134,8 +181,10 @@
 			r.log.Error("row left out", "table", row.Key.Table, "key", row.Key.Name, "error", err)
 			continue
 		}
-		r.rows[row.Key.Name] = member
+		member.Listed = row.Version
+		members[row.Key.Name] = member
 	}
+	return members
 }
 
 func encode(member owner.Member) []byte {
@@ -147,6 +196,26 @@
 	return body
 }
 
+func (r *Roster) hasLeft() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.left
+}
+
+// leave notes that the entry leaves, and returns the version of its row.
+func (r *Roster) leave() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.left = true
+	return r.version
+}
+
+func (r *Roster) listed(version int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.version = version
+}
+
 func (r *Roster) key() outside.Key {
 	return outside.Key{
 		Table: tableMembers,
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -180,6 +180,7 @@
 			ShownFor:  d.settings.ShownFor,
 			FarFactor: d.settings.FarFactor,
 		},
+		Listed:    d.roster.Read,
 		Advice:    platform.NewAdvice(d.settings.Advice),
 		Instances: platform.NewInstances(d.settings.Instances),
 		Waves: owner.WaveSource{
@@ -236,8 +237,8 @@
 	close(d.stopping)
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.StopGrace)
 	defer cancel()
-	d.keeper.Release(ctx, releaseWait)
 	d.roster.Leave(ctx)
+	d.keeper.Release(ctx, releaseWait)
 	clock.Sleep(ctx, lingerWait-d.clock.Now().Sub(began))
 	bounded, stop := context.WithTimeout(ctx, d.settings.StopGrace*3/4-d.clock.Now().Sub(began))
 	defer stop()
