An entry that stops keeps its services until the balancer has taken it out

Cause: a part that is released at once goes to one of the entries that have not been stopped yet, as those stopped before are still down: it will move again.

Change: the entry takes nothing more and leaves the list when it is told to stop, keeps what it owns for the 2.5 s in which it still takes callers, and releases then. A claim that was under way at the stop is now released with the rest.

Test: TestRollingRestartHandsOverPromptly also bounds the moves; on the order before it failed with 48 moves in three rolls of two series (most 36), now 31; one series 18 and 18 of 18 services. The order in which entries join is now the same in each run, and with it the figures; before, ten runs gave 33 to 43.

--- a/owner/handover.go
+++ b/owner/handover.go
@@ -17,10 +17,18 @@
 	listedWait = 100 * time.Millisecond
 )
 
+// Retire has the keeper take no service any more; it keeps what it owns.
+func (k *Keeper) Retire() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.stopping = true
+}
+
 // Release hands over every service and takes none any more.
 func (k *Keeper) Release(ctx context.Context, wait time.Duration) {
 	k.mu.Lock()
 	k.stopping = true
+	k.released = true
 	held := make(map[string]holding, len(k.held))
 	for part, h := range k.held {
 		held[part] = h
--- a/owner/keeper.go
+++ b/owner/keeper.go
@@ -119,7 +119,10 @@
 	// nothing is known to be free.
 	read bool
 
+	// stopping says that nothing is to be taken any more, released that everything
+	// was handed over.
 	stopping bool
+	released bool
 
 	// named receives when a part was released for this entry; its capacity is 1.
 	named chan struct{}
@@ -329,7 +332,7 @@
 	if w != nil && errors.As(err, &recovered) {
 		w.lost = false
 	}
-	if err != nil || k.stopping {
+	if err != nil || k.released {
 		k.mu.Unlock()
 		if err != nil {
 			k.deps.Log.Info("service not taken", "service", service, "epoch", o.Epoch+1, "error", err.Error())
--- a/owner/rolling_test.go
+++ b/owner/rolling_test.go
@@ -196,9 +196,10 @@
 // end stops a process as the daemon does.
 func (r *rolling) end(p *process) {
 	began := time.Now()
+	p.keeper.Retire()
 	p.roster.Leave(context.Background())
-	p.keeper.Release(context.Background(), time.Second)
 	time.Sleep(rollingLinger - time.Since(began))
+	p.keeper.Release(context.Background(), time.Second)
 	r.mu.Lock()
 	delete(r.peers, p.Peer)
 	r.mu.Unlock()
@@ -266,8 +267,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		random := rand.New(rand.NewPCG(seed, 0))
 		r := newRolling(t)
-		for number := range r.entries {
+		for _, number := range random.Perm(rollingEntries) {
 			r.start(number)
+			time.Sleep(rollingCall) // The list is the same in each run.
 		}
 		// All entries have joined, and each service has an owner.
 		time.Sleep(10 * time.Second)
@@ -341,6 +343,12 @@
 		// mostLate is the share of handovers that may take longer.
 		mostLate = 0.1
 	)
+	// mostMoves bounds how often a service moves on average, by the number of series.
+	// One that knew the order of all stops would need 1 or 2 moves.
+	mostMoves := map[int]float64{
+		1: 1.3,
+		2: 2.0,
+	}
 	for _, series := range []int{1, 2} {
 		t.Run(fmt.Sprintf("%d series", series), func(t *testing.T) {
 			is := is.New(t)
@@ -352,7 +360,7 @@
 			t.Logf("handovers %d, late %d, to weak entries %d, lost %d, without an owner %s, longest %s",
 				s.moves, s.late, s.weak, s.lost, s.without, s.longest)
 			is.True(s.moves >= seeds*rollingServices*series/2) // The entries did restart.
-			is.True(s.moves <= seeds*rollingServices*series*2) // No service wanders.
+			is.True(float64(s.moves) <= mostMoves[series]*seeds*rollingServices)
 			is.True(float64(s.late) <= mostLate*float64(s.moves))
 			is.Equal(s.weak, 0)
 			is.Equal(s.lost, 0)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -229,17 +229,19 @@
 	return failure
 }
 
-// stop hands the services over, waits until the balancer has taken the entry
-// out, lets requests in flight end, and stops.
+// stop waits until the balancer has taken the entry out, hands the services over,
+// lets requests in flight end, and stops. While entries are restarted in turn, those
+// that were stopped before are back by then and succeed it.
 func (d *Daemon) stop() {
 	began := d.clock.Now()
 	d.log.Info("stopping")
 	close(d.stopping)
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.StopGrace)
 	defer cancel()
+	d.keeper.Retire()
 	d.roster.Leave(ctx)
-	d.keeper.Release(ctx, releaseWait)
 	clock.Sleep(ctx, lingerWait-d.clock.Now().Sub(began))
+	d.keeper.Release(ctx, releaseWait)
 	bounded, stop := context.WithTimeout(ctx, d.settings.StopGrace*3/4-d.clock.Now().Sub(began))
 	defer stop()
 	for _, server := range d.servers {
