--- a/owner/rows.go
+++ b/owner/rows.go
@@ -85,6 +85,10 @@
 
 	// Released says that the owner has stopped giving orders.
 	Released bool `cbor:"4,keyasint,omitempty"`
+
+	// Next is the incarnation that a released part is meant for; empty where the
+	// owner knew of none. It only advises: whoever claims first owns the part.
+	Next string `cbor:"5,keyasint,omitempty"`
 }
 
 // TakenRow is a worker that has ended because its instance was moved or taken down.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -180,6 +180,7 @@
 			ShownFor:  d.settings.ShownFor,
 			FarFactor: d.settings.FarFactor,
 		},
+		Listed:    d.roster.Read,
 		Advice:    platform.NewAdvice(d.settings.Advice),
 		Instances: platform.NewInstances(d.settings.Instances),
 		Waves: owner.WaveSource{
--- a/scheduler/stop.go
+++ b/scheduler/stop.go
@@ -30,8 +30,9 @@
 	answerShare = 0.95
 )
 
-// stop hands the services over, waits until the balancer has taken the entry
-// out, lets requests in flight end, and stops.
+// stop waits until the balancer has taken the entry out, hands the services over,
+// answers the requests in flight, and stops. While entries are restarted in turn, those
+// that were stopped before are back by then and succeed it.
 func (d *Daemon) stop() {
 	began := d.clock.Now()
 	d.log.Info("stopping")
@@ -39,9 +40,10 @@
 	d.requests.Leave()
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.StopGrace)
 	defer cancel()
-	d.keeper.Release(ctx, releaseWait)
+	d.keeper.Retire()
 	d.roster.Leave(ctx)
 	clock.Sleep(ctx, lingerWait-d.clock.Now().Sub(began))
+	d.keeper.Release(ctx, releaseWait)
 	d.answerAll(ctx, began)
 	d.group.Stop()
 	d.log.Info("stopped in order", "took_ms", d.clock.Now().Sub(began).Milliseconds())
