An owner that leaves says for sure which jobs it did not take; several in a call

Cause: with two overlapping series of stops and a turn of demand, jobs that were handed in while a service was released came back as open ('the duty has ended'). After the transaction that hands a service over the loop sent another, with the next jobs that waited; it can't take effect, is cut off, and leaves its jobs open.

Change: the loop ends with the transaction that hands over. Several jobs go in one call, each with its own result.

--- a/owner/answers.go
+++ b/owner/answers.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"lemonstream.dev/lemonstream/job"
-	"lemonstream.dev/lemonstream/outside"
 	"lemonstream.dev/lemonstream/shard"
 )
 
@@ -16,49 +15,6 @@
 	})
 }
 
-// Submit takes in a job that is handed in at this owner, and returns once its
-// record stands. A *outside.NotDoneError says that it was not taken, any other
-// error leaves that open.
-func (d *Duty) Submit(ctx context.Context, record shard.Record) error {
-	answer := make(chan bool, 1)
-	err := d.push(func(d *Duty, _ time.Time) {
-		if d.releasing || (d.tenure.failing() && !d.standby.usable()) {
-			answer <- false
-			return
-		}
-		d.core.Submit(record, func(taken bool) { answer <- taken })
-	})
-	if err != nil {
-		return &outside.NotDoneError{
-			Call:   "handing in at the owner of " + d.service,
-			Reason: err.Error(),
-		}
-	}
-	select {
-	case taken := <-answer:
-		if taken {
-			return nil
-		}
-		return &outside.NotDoneError{
-			Call:   "handing in at the owner of " + d.service,
-			Reason: "it writes nothing now",
-		}
-	case <-d.over:
-		return &outside.UncertainError{
-			Call: "handing in at the owner of " + d.service,
-			Cause: &LostError{
-				Part:   d.service,
-				Reason: "the duty has ended",
-			},
-		}
-	case <-ctx.Done():
-		return &outside.UncertainError{
-			Call:  "handing in at the owner of " + d.service,
-			Cause: ctx.Err(),
-		}
-	}
-}
-
 // WriteAge returns how long ago the duty last wrote.
 func (d *Duty) WriteAge() time.Duration {
 	return d.tenure.age()
--- a/owner/duty.go
+++ b/owner/duty.go
@@ -101,6 +101,9 @@
 	released   chan struct{}
 	releasing  bool
 
+	// ended says that the loop has ended; what it has not written, it never will.
+	ended bool
+
 	// over is closed when the duty has ended.
 	over chan struct{}
 
@@ -156,7 +159,7 @@
 func (d *Duty) run(ctx context.Context) error {
 	ctx, d.cancel = context.WithCancel(ctx)
 	defer d.cancel()
-	defer close(d.over)
+	defer d.end()
 	d.deps.Group.Go("standby part of "+d.service, func(context.Context) error {
 		return d.openStandby(ctx)
 	})
@@ -200,6 +203,10 @@
 		for _, e := range d.events.Drain() {
 			e(d, now)
 		}
+		if d.handedOver() {
+			// The last transaction stands; another would carry jobs that it can't write.
+			return nil
+		}
 		if err := d.lost(now); err != nil {
 			return err
 		}
@@ -221,6 +228,16 @@
 	}
 }
 
+// handedOver reports whether the transaction that hands the service over stands.
+func (d *Duty) handedOver() bool {
+	select {
+	case <-d.released:
+		return true
+	default:
+		return false
+	}
+}
+
 func (d *Duty) lost(now time.Time) error {
 	if d.core.Deposed() {
 		return &LostError{
--- /dev/null
+++ b/owner/release_test.go
@@ -0,0 +1,174 @@
+package owner_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/matryer/is"
+
+	"lemonstream.dev/lemonstream/internal/standin"
+	"lemonstream.dev/lemonstream/outside"
+	"lemonstream.dev/lemonstream/owner"
+	"lemonstream.dev/lemonstream/shard"
+)
+
+// TestJobsAtAReleaseStandOrAreRefusedForSure hands three hundred jobs in while an
+// owner hands its service over: many more than its last transaction holds. Each of
+// them stands, or is told that it certainly was not taken, so that it may go to the
+// next owner at once.
+func TestJobsAtAReleaseStandOrAreRefusedForSure(t *testing.T) {
+	is := is.New(t)
+	rows := standin.NewRows()
+	slow := rows.Table()
+	write := slow.Transact
+	slow.Transact = func(ctx context.Context, tx outside.Transaction) (outside.Receipt, error) {
+		time.Sleep(20 * time.Millisecond)
+		if ctx.Err() != nil {
+			return outside.Receipt{}, &outside.UncertainError{
+				Call:  "transact",
+				Cause: ctx.Err(),
+			}
+		}
+		return write(ctx, tx)
+	}
+	e := newEntryOn(t, "a", slow, alive("a"))
+	until(t, "the entry owns the service", e.owns)
+	duty, _ := e.keeper.Duty("s")
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	var all sync.WaitGroup
+	var open, refused atomic.Int64
+	for i := range 300 {
+		all.Go(func() {
+			id := fmt.Sprint(i)
+			err := duty.Submit(ctx, record(id))
+			var left *owner.NotServingError
+			switch {
+			case err == nil && !stands(t, rows, id):
+				t.Errorf("job %s was taken and does not stand", id)
+			case err == nil:
+			case errors.As(err, &left):
+				refused.Add(1)
+				if stands(t, rows, id) {
+					t.Errorf("job %s was refused and stands", id)
+				}
+			default:
+				open.Add(1)
+			}
+		})
+	}
+	e.keeper.Release(ctx, patience)
+	all.Wait()
+	is.Equal(open.Load(), int64(0))
+	is.True(refused.Load() > 0)
+}
+
+// TestNothingIsWrittenAfterARelease counts the transactions that an owner sends once
+// the one that hands its service over stands: they can't take effect.
+func TestNothingIsWrittenAfterARelease(t *testing.T) {
+	is := is.New(t)
+	rows := standin.NewRows()
+	table := rows.Table()
+	write := table.Transact
+	var after atomic.Int64
+	var over atomic.Bool
+	table.Transact = func(ctx context.Context, tx outside.Transaction) (outside.Receipt, error) {
+		if over.Load() {
+			after.Add(1)
+		}
+		receipt, err := write(ctx, tx)
+		for _, put := range tx.Puts {
+			if put.Key.Table == "owner" && len(tx.Puts) > 1 && err == nil {
+				over.Store(over.Load() || released(string(put.Value)))
+			}
+		}
+		return receipt, err
+	}
+	e := newEntryOn(t, "a", table, alive("a"))
+	until(t, "the entry owns the service", e.owns)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	e.keeper.Release(ctx, patience)
+	until(t, "the service is released", over.Load)
+	until(t, "the duty has ended", func() bool { return !e.owns() })
+	e.group.Stop() // Everything that was sent has been counted.
+	is.Equal(after.Load(), int64(0))
+}
+
+// TestJobWaitsWhileAnOwnerReadsItsRows hands a job in at an owner that has claimed and
+// still reads: it is taken once the rows are read, and not turned away before.
+func TestJobWaitsWhileAnOwnerReadsItsRows(t *testing.T) {
+	is := is.New(t)
+	rows := standin.NewRows()
+	reading := make(chan struct{})
+	table := rows.Table()
+	read := table.Get
+	table.Get = func(ctx context.Context, name, part, from string) (outside.Page, error) {
+		if name == "intake.s" {
+			<-reading
+		}
+		return read(ctx, name, part, from)
+	}
+	e := newEntryOn(t, "a", table, alive("a"))
+	var duty *owner.Duty
+	until(t, "the entry has claimed the service", func() bool {
+		var held bool
+		duty, held = e.keeper.Held("s")
+		return held
+	})
+	_, loaded := e.keeper.Duty("s")
+	is.True(!loaded)
+	answer := make(chan error, 1)
+	go func() { answer <- duty.Submit(context.Background(), record("a")) }()
+	select {
+	case err := <-answer:
+		t.Fatalf("answered before the rows were read: %v", err)
+	case <-time.After(50 * time.Millisecond):
+	}
+	close(reading)
+	is.NoErr(<-answer)
+	is.True(stands(t, rows, "a"))
+}
+
+// TestJobThatAnOwnerDoesNotComeToIsRefusedForSure has an owner read its rows for
+// longer than a job waits for that.
+func TestJobThatAnOwnerDoesNotComeToIsRefusedForSure(t *testing.T) {
+	is := is.New(t)
+	rows := standin.NewRows()
+	reading := make(chan struct{})
+	table := rows.Table()
+	read := table.Get
+	table.Get = func(ctx context.Context, name, part, from string) (outside.Page, error) {
+		if name == "intake.s" {
+			<-reading
+		}
+		return read(ctx, name, part, from)
+	}
+	e := newEntryOn(t, "a", table, alive("a"))
+	var duty *owner.Duty
+	until(t, "the entry has claimed the service", func() bool {
+		var held bool
+		duty, held = e.keeper.Held("s")
+		return held
+	})
+	errs := duty.SubmitAll(context.Background(), []shard.Record{record("a"), record("b")})
+	close(reading)
+	until(t, "the owner takes jobs", func() bool { return duty.Submit(context.Background(), record("c")) == nil })
+	for i, id := range []string{"a", "b"} {
+		var left *owner.NotServingError
+		is.True(errors.As(errs[i], &left))
+		is.True(!stands(t, rows, id)) // What was refused is never written.
+	}
+}
+
+// released reports whether the value of an owner's row says that it is released.
+func released(value string) bool {
+	var o owner.Ownership
+	return cbor.Unmarshal([]byte(value), &o) == nil && o.Released
+}
--- a/peer/client.go
+++ b/peer/client.go
@@ -47,13 +47,14 @@
 
 // Paths of the protocol.
 const (
-	pathCancel  = "/v1/cancel"
-	pathLoad    = "/v1/load"
-	pathOffer   = "/v1/offer"
-	pathPending = "/v1/pending"
-	pathPing    = "/v1/ping"
-	pathState   = "/v1/state"
-	pathSubmit  = "/v1/submit"
+	pathCancel    = "/v1/cancel"
+	pathLoad      = "/v1/load"
+	pathOffer     = "/v1/offer"
+	pathPending   = "/v1/pending"
+	pathPing      = "/v1/ping"
+	pathState     = "/v1/state"
+	pathSubmit    = "/v1/submit"
+	pathSubmitAll = "/v1/submit-all"
 )
 
 // queryService names the service that a call is about.
@@ -171,22 +172,6 @@
 	return answer.Count, nil
 }
 
-// Submit hands a job in at the owner of its service, and returns once its record
-// stands. A *outside.NotDoneError or a *NotOwnerError says that it was not taken.
-func (c *Client) Submit(ctx context.Context, to netip.AddrPort, service string, record shard.Record) error {
-	status, _, err := c.call(ctx, submitTimeout, http.MethodPost, to, pathSubmit, url.Values{
-		queryService: {service},
-	}, record.Encode())
-	if err == nil && status == http.StatusConflict {
-		return &outside.NotDoneError{
-			Call:   pathSubmit,
-			Status: status,
-			Reason: "the owner takes no jobs now",
-		}
-	}
-	return err
-}
-
 // Ping asks an entry whether it owns a service and writes.
 func (c *Client) Ping(ctx context.Context, to netip.AddrPort, service string) (owner.Pong, error) {
 	_, body, err := c.call(ctx, callTimeout, http.MethodGet, to, pathPing, url.Values{
--- a/peer/server.go
+++ b/peer/server.go
@@ -9,7 +9,6 @@
 
 	"github.com/gin-gonic/gin"
 
-	"lemonstream.dev/lemonstream/outside"
 	"lemonstream.dev/lemonstream/owner"
 	"lemonstream.dev/lemonstream/shard"
 )
@@ -22,6 +21,9 @@
 	// Duty returns the duty of a service that this entry owns.
 	Duty func(service string) (*owner.Duty, bool)
 
+	// Held returns it also while its rows are still being read.
+	Held func(service string) (*owner.Duty, bool)
+
 	// WriteAge returns how long ago the duty of a service last wrote.
 	WriteAge func(service string) (time.Duration, bool)
 }
@@ -29,7 +31,8 @@
 // Routes adds the protocol to a router.
 func (s *Server) Routes(router *gin.Engine) {
 	router.GET(pathPing, s.ping)
-	router.POST(pathSubmit, s.owned(s.submit))
+	router.POST(pathSubmit, s.holding(s.submit))
+	router.POST(pathSubmitAll, s.holding(s.submitAll))
 	router.GET(pathState, s.owned(s.state))
 	router.GET(pathPending, s.owned(s.pending))
 	router.POST(pathLoad, s.owned(s.load))
@@ -127,25 +130,6 @@
 	})
 }
 
-// submit takes a job in. An answer of 409 says that it was not taken.
-func (s *Server) submit(c *gin.Context, duty *owner.Duty) {
-	record, ok := s.record(c)
-	if !ok {
-		return
-	}
-	ctx, stop := context.WithTimeout(c.Request.Context(), submitTimeout)
-	defer stop()
-	err := duty.Submit(ctx, record)
-	switch {
-	case err == nil:
-		c.Status(http.StatusNoContent)
-	case outside.IsNotDone(err):
-		c.String(http.StatusConflict, err.Error())
-	default:
-		c.String(http.StatusGatewayTimeout, err.Error())
-	}
-}
-
 // record reads the record of a job; it answers the call where there is none.
 func (s *Server) record(c *gin.Context) (shard.Record, bool) {
 	body, err := io.ReadAll(io.LimitReader(c.Request.Body, maxBody))
--- /dev/null
+++ b/peer/submit_test.go
@@ -0,0 +1,165 @@
+package peer_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http/httptest"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/matryer/is"
+
+	"lemonstream.dev/lemonstream/catalog"
+	"lemonstream.dev/lemonstream/clock"
+	"lemonstream.dev/lemonstream/internal/standin"
+	"lemonstream.dev/lemonstream/job"
+	"lemonstream.dev/lemonstream/kernel"
+	"lemonstream.dev/lemonstream/outside"
+	"lemonstream.dev/lemonstream/owner"
+	"lemonstream.dev/lemonstream/peer"
+	"lemonstream.dev/lemonstream/shard"
+)
+
+// TestEachJobOfACallHasItsOwnResult hands jobs in together, in each of the states in
+// which an owner may be.
+func TestEachJobOfACallHasItsOwnResult(t *testing.T) {
+	is := is.New(t)
+	rows := standin.NewRows()
+	var away atomic.Bool
+	rows.Before = func(_ context.Context, call standin.Call) error {
+		if away.Load() && call.Kind == "transact" {
+			return &outside.NotDoneError{
+				Call: "transact",
+			}
+		}
+		return nil
+	}
+	keeper := newKeeper(t, rows)
+	address := serve(t, keeper)
+	client := peer.NewClient()
+	errs, err := client.SubmitAll(t.Context(), address, "s", records("a", "b", "a"))
+	is.NoErr(err)
+	for _, one := range errs {
+		is.NoErr(one)
+	}
+	away.Store(true)
+	errs, err = client.SubmitAll(t.Context(), address, "s", records("a", "c"))
+	is.NoErr(err)
+	is.NoErr(errs[0]) // It stands.
+	is.True(outside.IsNotDone(errs[1]))
+	away.Store(false)
+	keeper.Release(t.Context(), 10*time.Second)
+	_, err = client.SubmitAll(t.Context(), address, "s", records("d"))
+	var none *peer.NotOwnerError
+	is.True(errors.As(err, &none))
+	for id, want := range map[string]bool{
+		"a": true,
+		"b": true,
+		"c": false,
+		"d": false,
+	} {
+		row, err := rows.Table().Row(t.Context(), owner.IntakeKey("s", id))
+		is.NoErr(err)
+		is.Equal(row != nil, want)
+	}
+}
+
+// TestTooManyJobsInACallAreTurnedAway bounds what an owner holds of one call.
+func TestTooManyJobsInACallAreTurnedAway(t *testing.T) {
+	is := is.New(t)
+	rows := standin.NewRows()
+	address := serve(t, newKeeper(t, rows))
+	ids := make([]string, peer.SubmitMost+1)
+	for i := range ids {
+		ids[i] = fmt.Sprint(i)
+	}
+	_, err := peer.NewClient().SubmitAll(t.Context(), address, "s", records(ids...))
+	is.True(err != nil)
+	written, _, err := rows.Table().ReadAll(t.Context(), "intake.s", "s")
+	is.NoErr(err)
+	is.Equal(len(written), 0)
+}
+
+func records(ids ...string) []shard.Record {
+	var list []shard.Record
+	for _, id := range ids {
+		list = append(list, shard.Record{
+			ID: id,
+			Spec: job.Spec{
+				Steps: []job.Step{{
+					Count: 1,
+				}},
+			},
+		})
+	}
+	return list
+}
+
+// newKeeper returns the keeper of an entry that owns the service.
+func newKeeper(t *testing.T, rows *standin.Rows) *owner.Keeper {
+	t.Helper()
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	group := kernel.NewGroup(context.Background(), log)
+	t.Cleanup(group.Stop)
+	table := rows.Table()
+	current := &catalog.Catalog{
+		Version: 1,
+		Services: []catalog.Service{{
+			Name: "s",
+		}},
+	}
+	decode := func(string, []byte) (outside.Registration, error) { return outside.Registration{}, nil }
+	keeper := owner.NewKeeper(owner.Deps{
+		Clock:    clock.System(),
+		Group:    group,
+		Log:      log,
+		Table:    table,
+		Slow:     func() bool { return false },
+		Catalog:  func() *catalog.Catalog { return current },
+		Registry: owner.NewRegistry(table, clock.System(), "workers", decode, log),
+		Options: shard.Options{
+			Lease: time.Second,
+		},
+	}, owner.Self{
+		Member: owner.Member{
+			Incarnation: "o",
+		},
+		Peer: netip.MustParseAddrPort("127.0.0.1:1"),
+	}, func() []owner.Member { return nil }, func(context.Context, netip.AddrPort, string) (owner.Pong, error) {
+		return owner.Pong{
+			Incarnation: "o",
+			Owns:        true,
+		}, nil
+	})
+	group.Go("owners", keeper.WatchOwners)
+	group.Go("keeper", keeper.Run)
+	for {
+		if _, found := keeper.Duty("s"); found {
+			return keeper
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// serve answers other entries from what the keeper holds.
+func serve(t *testing.T, keeper *owner.Keeper) netip.AddrPort {
+	t.Helper()
+	gin.SetMode(gin.ReleaseMode)
+	server := &peer.Server{
+		Incarnation: "o",
+		Duty:        keeper.Duty,
+		Held:        keeper.Held,
+		WriteAge:    keeper.WriteAge,
+	}
+	router := gin.New()
+	server.Routes(router)
+	listener := httptest.NewServer(router)
+	t.Cleanup(listener.Close)
+	return netip.MustParseAddrPort(listener.Listener.Addr().String())
+}
--- a/scheduler/serve.go
+++ b/scheduler/serve.go
@@ -103,6 +103,7 @@
 	server := &peer.Server{
 		Incarnation: self.Incarnation,
 		Duty:        d.keeper.Duty,
+		Held:        d.keeper.Held,
 		WriteAge:    d.keeper.WriteAge,
 	}
 	server.Routes(router)
