Jobs wait for the next owner and go to it together; entries leave the part free

Cause: during a turn of demand in two overlapping series of stops, each job that met a service without an owner was written by its entry at once, alone. Besides: calls that an owner held took all 16 connections to it, so that the question whether it works got no answer in 0.4 s and the entry gave it up; a 421 opened the breaker for up to two seconds, also at an owner that was about to be ready.

Ruled out as what binds: the handing in itself.

Change: a desk for each service at each entry. No job is held into the last second of its caller's deadline.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -13,6 +13,7 @@
 	"net/netip"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/gin-gonic/gin"
@@ -70,6 +71,11 @@
 	// half of it can't come back.
 	giveUpShare = 4
 
+	// holdShare is the part of a caller's deadline, as a divisor, for which a job is
+	// held at least before its caller is told to come back. One that is held to the end
+	// hears of it too late, or not at all where this entry is at its limit.
+	holdShare = 2
+
 	// writePause is the pause before a write without success is repeated.
 	writePause = 50 * time.Millisecond
 )
@@ -83,7 +89,11 @@
 
 // Owners finds and calls the owners of services.
 type Owners struct {
-	Duty  func(service string) (*owner.Duty, bool)
+	Duty func(service string) (*owner.Duty, bool)
+
+	// Held returns the duty also while it still reads its rows: jobs may be handed in
+	// there.
+	Held  func(service string) (*owner.Duty, bool)
 	Owner func(service string) (netip.AddrPort, bool)
 	Peers *peer.Client
 }
@@ -105,6 +115,10 @@
 	// Slow reports whether the store takes much longer than on a calm day.
 	Slow func() bool
 
+	// WritePause returns the time between two transactions of this entry with records
+	// of one service, so that those of all entries leave the part free for an owner.
+	WritePause func() time.Duration
+
 	// RowBytes is the most bytes of a record. A larger one would be refused by the
 	// store, and with it every other record of the same transaction.
 	RowBytes int
@@ -115,6 +129,9 @@
 	// DeadlineHeader names the header with the caller's patience in
 	// milliseconds.
 	DeadlineHeader string
+
+	// desks maps a service to its *desk.
+	desks sync.Map
 }
 
 // request is one call of a caller on a known queue.
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -42,10 +42,38 @@
 // serveTable is serveMoved over any table.
 func serveTable(t *testing.T, table outside.Table, current *catalog.Catalog, from string) http.Handler {
 	t.Helper()
-	gin.SetMode(gin.ReleaseMode)
-	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	group := kernel.NewGroup(context.Background(), log)
+	return serveWith(t, table, current, from, func(*intake.Server) {})
+}
+
+// serveOwned is serve for one route with a changed server.
+func serveOwned(t testing.TB, rows *standin.Rows, change func(*intake.Server)) http.Handler {
+	t.Helper()
+	return serveWith(t, rows.Table(), oneRoute(), "", change)
+}
+
+func discard() *slog.Logger {
+	return slog.New(slog.NewTextHandler(io.Discard, nil))
+}
+
+func newGroup(t testing.TB) *kernel.Group {
+	t.Helper()
+	group := kernel.NewGroup(context.Background(), discard())
 	t.Cleanup(group.Stop)
+	return group
+}
+
+func jobBody() io.Reader {
+	return strings.NewReader("job")
+}
+
+func noWorker(string, []byte) (outside.Registration, error) {
+	return outside.Registration{}, nil
+}
+
+// serveWith is serveTable with a changed server.
+func serveWith(t testing.TB, table outside.Table, current *catalog.Catalog, from string, change func(*intake.Server)) http.Handler {
+	t.Helper()
+	gin.SetMode(gin.ReleaseMode)
 	server := &intake.Server{
 		Catalog: func() *catalog.Catalog { return current },
 		Clock:   clock.System(),
@@ -71,21 +99,24 @@
 			EncodeState:   func(state job.State) []byte { return []byte(state) },
 		},
 		Figures: figures.New(),
-		Group:   group,
-		Log:     log,
+		Group:   newGroup(t),
+		Log:     discard(),
 		Owners: intake.Owners{
 			Duty:  func(string) (*owner.Duty, bool) { return nil, false },
+			Held:  func(string) (*owner.Duty, bool) { return nil, false },
 			Owner: func(string) (netip.AddrPort, bool) { return netip.AddrPort{}, false },
 		},
-		Table:    table,
-		Breakers: outside.NewBreakers(clock.System(), func() time.Duration { return 250 * time.Millisecond }),
-		Slow:     func() bool { return false },
-		RowBytes: 1000,
+		Table:      table,
+		Breakers:   outside.NewBreakers(clock.System(), func() time.Duration { return 250 * time.Millisecond }),
+		Slow:       func() bool { return false },
+		RowBytes:   1000,
+		WritePause: func() time.Duration { return 0 },
 		Moved: func(string) (string, bool) {
 			return from, from != ""
 		},
 		DeadlineHeader: "Patience",
 	}
+	change(server)
 	router := gin.New()
 	server.Routes(router)
 	return router
--- a/scheduler/serve.go
+++ b/scheduler/serve.go
@@ -20,6 +20,11 @@
 )
 
 const (
+	// entryShare is the part of what one part of the store takes that all entries
+	// together spend on records which no owner takes: an owner that begins needs the
+	// rest.
+	entryShare = 0.5
+
 	// probeShare is the part of the store's writing calls that all entries together
 	// may spend on one thing that fails.
 	probeShare = 0.1
@@ -29,6 +34,10 @@
 	// seen within a second or two at 300 entries as well.
 	probePauseLeast = 100 * time.Millisecond
 	probePauseMost  = 2 * time.Second
+
+	// writePauseMost bounds the pause between two transactions of this entry with
+	// records of one service: a caller waits three seconds.
+	writePauseMost = time.Second
 )
 
 func listenPeers(settings site.Settings) (net.Listener, error) {
@@ -73,6 +82,7 @@
 		Log:     d.log,
 		Owners: intake.Owners{
 			Duty:  d.keeper.Duty,
+			Held:  d.keeper.Held,
 			Owner: d.keeper.Owner,
 			Peers: peers,
 		},
@@ -81,6 +91,7 @@
 		Slow:           d.patience.Slow,
 		Moved:          d.catalog.Moved,
 		RowBytes:       d.settings.RowBytes,
+		WritePause:     d.writePause,
 		DeadlineHeader: deadlineHeader,
 	}
 	router := gin.New()
@@ -98,6 +109,16 @@
 	return min(probePauseMost, max(probePauseLeast, fair))
 }
 
+// writePause is how long this entry waits between two transactions with records of one
+// service, so that those of all entries stay a small share of what one part takes.
+func (d *Daemon) writePause() time.Duration {
+	if d.settings.PartWrites <= 0 {
+		return 0
+	}
+	fair := time.Duration(float64(len(d.roster.Members())) / (entryShare * float64(d.settings.PartWrites)) * float64(time.Second))
+	return min(writePauseMost, fair)
+}
+
 func (d *Daemon) servePeers(listener net.Listener, self owner.Self) {
 	router := gin.New()
 	server := &peer.Server{
--- a/site/settings.go
+++ b/site/settings.go
@@ -44,6 +44,9 @@
 	Instances netip.AddrPort
 	Advice    netip.AddrPort
 
+	// PartWrites is how many transactions a second one part of the store takes.
+	PartWrites int
+
 	// StoreWrites is how many writing calls a second the store takes from all
 	// entries together.
 	StoreWrites int
