Join: jobs wait for the next owner and go to it together

Submit and SubmitAll go through the client that bounds silence; the release's own mark that nothing follows it gives way to the end of the loop, which says the same.

--- a/owner/commit.go
+++ b/owner/commit.go
@@ -25,7 +25,7 @@
 // commit starts the next transaction, unless one is under way or was given up a
 // moment ago. An idle owner writes its beat.
 func (d *Duty) commit(ctx context.Context, now time.Time) {
-	if d.committing || d.handedOver || now.Before(d.retryAt) {
+	if d.committing || now.Before(d.retryAt) {
 		if d.tenure.failing() && !d.standby.usable() {
 			d.core.RefuseSubmitted()
 		}
@@ -66,7 +66,6 @@
 			d.core.Confirm(workers, now)
 			d.core.Written(batch, at)
 			if releasing {
-				d.handedOver = true
 				close(d.released)
 			}
 		})
--- a/owner/duty.go
+++ b/owner/duty.go
@@ -104,13 +104,13 @@
 	released   chan struct{}
 	releasing  bool
 
-	// handedOver says that the release stands; nothing is written any more.
-	handedOver bool
-
 	// unwhole counts the transactions since the release was asked for that had no
 	// room for every end that was taken in.
 	unwhole int
 
+	// ended says that the loop has ended; what it has not written, it never will.
+	ended bool
+
 	// over is closed when the duty has ended.
 	over chan struct{}
 
@@ -168,7 +168,7 @@
 func (d *Duty) run(ctx context.Context) error {
 	ctx, d.cancel = context.WithCancel(ctx)
 	defer d.cancel()
-	defer close(d.over)
+	defer d.end()
 	d.deps.Group.Go("standby part of "+d.service, func(context.Context) error {
 		return d.openStandby(ctx)
 	})
@@ -212,6 +212,10 @@
 		for _, e := range d.events.Drain() {
 			e(d, now)
 		}
+		if d.handedOver() {
+			// The last transaction stands; another would carry jobs that it can't write.
+			return nil
+		}
 		if err := d.lost(now); err != nil {
 			return err
 		}
@@ -233,6 +237,16 @@
 	}
 }
 
+// handedOver reports whether the transaction that hands the service over stands.
+func (d *Duty) handedOver() bool {
+	select {
+	case <-d.released:
+		return true
+	default:
+		return false
+	}
+}
+
 func (d *Duty) lost(now time.Time) error {
 	if d.core.Deposed() {
 		return &LostError{
--- a/peer/client.go
+++ b/peer/client.go
@@ -46,13 +46,14 @@
 
 // Paths of the protocol.
 const (
-	pathCancel  = "/v1/cancel"
-	pathLoad    = "/v1/load"
-	pathOffer   = "/v1/offer"
-	pathPending = "/v1/pending"
-	pathPing    = "/v1/ping"
-	pathState   = "/v1/state"
-	pathSubmit  = "/v1/submit"
+	pathCancel    = "/v1/cancel"
+	pathLoad      = "/v1/load"
+	pathOffer     = "/v1/offer"
+	pathPending   = "/v1/pending"
+	pathPing      = "/v1/ping"
+	pathState     = "/v1/state"
+	pathSubmit    = "/v1/submit"
+	pathSubmitAll = "/v1/submit-all"
 )
 
 // queryService names the service that a call is about.
@@ -107,7 +108,7 @@
 // Cancel asks the owner to withdraw a job. It reports false where the owner
 // does not know the job.
 func (c *Client) Cancel(ctx context.Context, to netip.AddrPort, service, id string) (bool, error) {
-	status, err := c.tell(ctx, cancelTimeout, to, pathCancel, url.Values{
+	status, _, err := c.tell(ctx, cancelTimeout, to, pathCancel, url.Values{
 		queryService: {service},
 		"id":         {id},
 	}, nil)
@@ -140,7 +141,7 @@
 // Offer tells the owner of an accepted job; first says that no other entry was
 // told of it.
 func (c *Client) Offer(ctx context.Context, to netip.AddrPort, service string, record shard.Record, version int64, first bool) error {
-	_, err := c.tell(ctx, callTimeout, to, pathOffer, url.Values{
+	_, _, err := c.tell(ctx, callTimeout, to, pathOffer, url.Values{
 		queryService: {service},
 		"version":    {strconv.FormatInt(version, 10)},
 		"first":      {strconv.FormatBool(first)},
@@ -164,22 +165,6 @@
 	return answer.Count, nil
 }
 
-// Submit hands a job in at the owner of its service, and returns once its record
-// stands. A *outside.NotDoneError or a *NotOwnerError says that it was not taken.
-func (c *Client) Submit(ctx context.Context, to netip.AddrPort, service string, record shard.Record) error {
-	status, err := c.tell(ctx, submitTimeout, to, pathSubmit, url.Values{
-		queryService: {service},
-	}, record.Encode())
-	if err == nil && status == http.StatusConflict {
-		return &outside.NotDoneError{
-			Call:   pathSubmit,
-			Status: status,
-			Reason: "the owner takes no jobs now",
-		}
-	}
-	return err
-}
-
 // Ping asks an entry whether it owns a service and writes.
 func (c *Client) Ping(ctx context.Context, to netip.AddrPort, service string) (owner.Pong, error) {
 	_, body, err := c.ask(ctx, http.MethodGet, to, pathPing, url.Values{
@@ -231,14 +216,13 @@
 }
 
 // tell sends what has an effect, once.
-func (c *Client) tell(ctx context.Context, within time.Duration, to netip.AddrPort, path string, query url.Values, body []byte) (int, error) {
-	status, _, err := c.call(ctx, path, query, conns.Call{
+func (c *Client) tell(ctx context.Context, within time.Duration, to netip.AddrPort, path string, query url.Values, body []byte) (int, []byte, error) {
+	return c.call(ctx, path, query, conns.Call{
 		Method: http.MethodPost,
 		To:     to,
 		Body:   body,
 		Within: within,
 	})
-	return status, err
 }
 
 // call sends one request. Its error is a *NotOwnerError, a
