Questions for states leave reads for the owner that begins

Cause: seen on a turn of 300 requests a second in two series of stops. From 13 to 22 s a service was claimed ten times and lost each time, 'read of its records was refused with status 429': the store's 6,000 reads a second were spent.

One whose turn is not soon asks the owner again, and a caller whose time is over hears when to come back (503, as before). No answer is changed.

The cause is suspected from who called when, not counted by kind of call.

--- a/intake/ask.go
+++ b/intake/ask.go
@@ -70,8 +70,14 @@
 }
 
 // tryReading is readState, unless the rows of the service could not be read a moment
-// ago.
+// ago, or others of this entry's questions have their turn before.
 func (s *Server) tryReading(ctx context.Context, service, id string) (job.State, string, error) {
+	if !s.reads.turn(ctx, s.Clock, s.ReadPause()) {
+		return "", "", &outside.NotDoneError{
+			Call:   "reading of " + service,
+			Reason: "others were before it",
+		}
+	}
 	var state job.State
 	var found string
 	err := s.Breakers.Try(ctx, "reading of "+service, func(ctx context.Context) error {
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -119,6 +119,10 @@
 	// of one service, so that those of all entries leave the part free for an owner.
 	WritePause func() time.Duration
 
+	// ReadPause returns the mean time between two questions that this entry answers
+	// from rows, so that those of all entries leave reads for owners that begin.
+	ReadPause func() time.Duration
+
 	// RowBytes is the most bytes of a record. A larger one would be refused by the
 	// store, and with it every other record of the same transaction.
 	RowBytes int
@@ -132,6 +136,8 @@
 
 	// desks maps a service to its *desk.
 	desks sync.Map
+
+	reads readPace
 }
 
 // request is one call of a caller on a known queue.
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -110,6 +110,7 @@
 		Breakers:   outside.NewBreakers(clock.System(), func() time.Duration { return 250 * time.Millisecond }),
 		Slow:       func() bool { return false },
 		RowBytes:   1000,
+		ReadPause:  func() time.Duration { return 0 },
 		WritePause: func() time.Duration { return 0 },
 		Moved: func(string) (string, bool) {
 			return from, from != ""
--- a/scheduler/serve.go
+++ b/scheduler/serve.go
@@ -35,6 +35,14 @@
 	probePauseLeast = 100 * time.Millisecond
 	probePauseMost  = 2 * time.Second
 
+	// questionReads is how many reads a question for a state takes that is answered
+	// from rows: the record and the progress, in both parts of the service.
+	questionReads = 4
+
+	// questionShare is the part of the store's reads that all entries together spend
+	// on such questions: an owner that begins needs the rest.
+	questionShare = 0.5
+
 	// writePauseMost bounds the pause between two transactions of this entry with
 	// records of one service: a caller waits three seconds.
 	writePauseMost = time.Second
@@ -91,6 +99,7 @@
 		Slow:           d.patience.Slow,
 		Moved:          d.catalog.Moved,
 		RowBytes:       d.settings.RowBytes,
+		ReadPause:      d.readPause,
 		WritePause:     d.writePause,
 		DeadlineHeader: deadlineHeader,
 	}
@@ -109,6 +118,15 @@
 	return min(probePauseMost, max(probePauseLeast, fair))
 }
 
+// readPause is the mean time between two questions that this entry answers from rows,
+// so that those of all entries stay a share of what the store reads.
+func (d *Daemon) readPause() time.Duration {
+	if d.settings.StoreReads <= 0 {
+		return 0
+	}
+	return time.Duration(float64(len(d.roster.Members())) * questionReads / (questionShare * float64(d.settings.StoreReads)) * float64(time.Second))
+}
+
 // writePause is how long this entry waits between two transactions with records of one
 // service, so that those of all entries stay a small share of what one part takes.
 func (d *Daemon) writePause() time.Duration {
--- a/site/settings.go
+++ b/site/settings.go
@@ -47,6 +47,9 @@
 	// PartWrites is how many transactions a second one part of the store takes.
 	PartWrites int
 
+	// StoreReads is how many reading calls a second the store takes from all entries.
+	StoreReads int
+
 	// StoreWrites is how many writing calls a second the store takes from all
 	// entries together.
 	StoreWrites int
