What an entry is taking counts like what it owns

Cause: the pause that spreads services over the entries counted those that the entry owned. At a first start all services are free: the first entry that runs looked at all of them in one round, owned none yet, and took all. Test: TestEntriesThatStartTogetherShareTheServices; before, e00 owned 6 of 6.

--- a/owner/keeper.go
+++ b/owner/keeper.go
@@ -48,8 +48,8 @@
 	// the one before.
 	rankPause = 200 * time.Millisecond
 
-	// ownedPause is added for each service that the entry owns already, so
-	// that services spread over the entries.
+	// ownedPause is added for each service that the entry owns already, or is taking,
+	// so that services spread over the entries.
 	ownedPause = 300 * time.Millisecond
 
 	// takePause is the time after a failed attempt to take a service.
--- a/owner/rolling_test.go
+++ b/owner/rolling_test.go
@@ -389,3 +389,37 @@
 		})
 	}
 }
+
+// TestEntriesThatStartTogetherShareTheServices covers a first start: the first entry
+// that runs finds every service free, and the others come some milliseconds later.
+func TestEntriesThatStartTogetherShareTheServices(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	synctest.Test(t, func(t *testing.T) {
+		r := newRolling(rollingServices, rollingServices)
+		for number := range r.entries {
+			r.start(number)
+			time.Sleep(4 * rollingCall)
+		}
+		time.Sleep(10 * time.Second)
+		owned := make(map[string]int)
+		for number := range rollingServices {
+			page, err := r.rows.Table().Get(t.Context(), "owner", fmt.Sprintf("s%d", number), "")
+			if err != nil {
+				t.Fatal(err)
+			}
+			var o owner.Ownership
+			if err := cbor.Unmarshal(page.Rows[0].Value, &o); err != nil {
+				t.Fatal(err)
+			}
+			owned[o.Owner]++
+		}
+		for name, count := range owned {
+			if count > 1 {
+				t.Errorf("%s owns %d of %d services", name, count, rollingServices)
+			}
+		}
+		for _, p := range r.entries {
+			p.group.Stop()
+		}
+	})
+}
--- a/owner/succession.go
+++ b/owner/succession.go
@@ -65,7 +65,7 @@
 	default:
 		rank++
 	}
-	return rankPause*time.Duration(rank) + ownedPause*time.Duration(len(k.held))
+	return rankPause*time.Duration(rank) + ownedPause*time.Duration(len(k.seizing))
 }
 
 // rank returns this entry's place among the successors of an owner: entries
