More jobs than a release writes: the test asks for refusals again

On the joined code the owner that hands over first writes every end that it took in, and with that all of the 300 jobs; none was left to be refused, so the test's own condition that it had met refusals failed. 3,000 jobs are more than those transactions hold.

--- a/owner/release_test.go
+++ b/owner/release_test.go
@@ -18,8 +18,8 @@
 	"lemonstream.dev/lemonstream/shard"
 )
 
-// TestJobsAtAReleaseStandOrAreRefusedForSure hands three hundred jobs in while an
-// owner hands its service over: many more than its last transaction holds. Each of
+// TestJobsAtAReleaseStandOrAreRefusedForSure hands three thousand jobs in while an
+// owner hands its service over: many more than the transactions of a release hold. Each of
 // them stands, or is told that it certainly was not taken, so that it may go to the
 // next owner at once.
 func TestJobsAtAReleaseStandOrAreRefusedForSure(t *testing.T) {
@@ -44,7 +44,7 @@
 	defer cancel()
 	var all sync.WaitGroup
 	var open, refused atomic.Int64
-	for i := range 300 {
+	for i := range 3000 {
 		all.Go(func() {
 			id := fmt.Sprint(i)
 			err := duty.Submit(ctx, record(id))
