The property lets the store be away right after a release

Without the wait for a new owner's first transaction TestShardUnderFaults passed 1,500 checks: nothing kept an owner of the test world from writing at once after it took over. It now fails within 2,000 checks without that guard, and passes 2,500 with it. Taking away that starts without an answer are handed over, or that tasks wait, failed it before already; renewing a named worker too early is found by TestNamedWorkerIsNotRenewedBeforeATransaction only.

--- a/shard/shard_test.go
+++ b/shard/shard_test.go
@@ -186,6 +186,7 @@
 				w.standbyAway = rapid.Bool().Draw(t, "standby away")
 			case 9, 10:
 				w.release(time.Duration(rapid.IntRange(0, 50).Draw(t, "free for")) * tick)
+				w.storeDown = rapid.Bool().Draw(t, "down after it")
 			case 11:
 				w.takeOverFromLiving(time.Duration(rapid.IntRange(1, 300).Draw(t, "acts on")) * tick)
 			case 12:
