Keep a run that a look shows, whatever the repetition of its start meets

Cause: 10,000 checks of TestWithdrawnJobsEndUnderFaults reported one stop of a lasting task while another of its step was away. Its start had got no answer and was carried out late; a look showed the run; then the repetition of the start, under way since before, got no answer either (or was refused), and the run was stopped as one that may or may not be there. Change: a run that a look has shown is kept.

--- a/shard/orders.go
+++ b/shard/orders.go
@@ -59,7 +59,8 @@
 		w.doubted = now
 		r.tries++
 		r.unanswered = true
-		if r.phase == phaseStopping {
+		if r.phase == phaseStopping || r.phase == phaseRunning {
+			// A look has shown that the run is there; a later start of it does nothing.
 			return
 		}
 		r.phase = phaseDoubtful
@@ -77,6 +78,10 @@
 		s.deposed = true
 		return
 	}
+	if r.unanswered && r.phase == phaseRunning {
+		// A look has shown that the earlier order took effect.
+		return
+	}
 	if r.unanswered {
 		// An earlier order without an answer may still take effect.
 		s.stop(r, "start refused after one without an answer")
