Keep only connections that spoke since the answer was due

Cause: a call that waits at the other side may have begun before all connections went silent. A connection that had spoken after the call began, but before that moment, was kept, and the second try could be sent over it.

TestSecondTryUsesNoConnectionThatWentSilentMeanwhile failed before (deadline exceeded).

Change: what counts is the moment at which the answer was due, which is the beginning of a call and its wait; the count of turns is gone.

--- a/conns/client.go
+++ b/conns/client.go
@@ -6,7 +6,7 @@
 // Three bounds hold. The system ends a connection whose data the other side does
 // not confirm; see options. Once a connection that had worked leaves a call
 // without an answer, every unused one of the same address that has said nothing
-// since that call began is closed, so that one silent moment costs one such wait
+// since the answer was due is closed, so that one silent moment costs one such wait
 // and not one for each connection kept. And a call that may be made twice is sent
 // a second time over another connection at half of its time, without giving up
 // the first.
@@ -23,7 +23,6 @@
 	"net/http/httptrace"
 	"net/netip"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -74,9 +73,6 @@
 	// open holds the open connections by their address. MaxConnsPerHost and the
 	// idle time bound them.
 	open map[netip.AddrPort]map[*conn]struct{}
-
-	// turn counts the calls that have begun and the connections that were opened.
-	turn atomic.Int64
 }
 
 // Limits are those of a client.
@@ -108,10 +104,8 @@
 type use struct {
 	conn *conn
 
-	// proved says that the connection had worked before; turn is when the call got
-	// it, and at the same by time.
+	// proved says that the connection had worked before; at is when the call got it.
 	proved bool
-	turn   int64
 	at     time.Time
 }
 
@@ -165,7 +159,7 @@
 	answer, err := c.exchange(ctx, call)
 	answer.Took = time.Since(began)
 	if err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		c.unanswered(call.To, u)
+		c.unanswered(call, u)
 	}
 	return answer, err
 }
--- a/conns/client_test.go
+++ b/conns/client_test.go
@@ -237,3 +237,46 @@
 	}
 	t.Logf("%d calls arrived, first answered ones: %s", len(arrived), strings.Join(answered[0][:1], " "))
 }
+
+// TestSecondTryUsesNoConnectionThatWentSilentMeanwhile covers a call that waits at
+// the other side when all connections go silent, also one that had spoken after the
+// call began.
+func TestSecondTryUsesNoConnectionThatWentSilentMeanwhile(t *testing.T) {
+	is := is.New(t)
+	waits := make(chan struct{})
+	ended := make(chan struct{})
+	server := standin.StartSilenced(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/waits" {
+			close(waits)
+			<-ended
+		}
+		echo(w, r)
+	}), 2)
+	defer server.Close()
+	defer close(ended)
+	client := newClient()
+	ctx := context.Background()
+	var warm errgroup.Group
+	for range 2 {
+		warm.Go(func() error {
+			_, err := client.Do(ctx, call(server, "/warm"))
+			return err
+		})
+	}
+	is.NoErr(warm.Wait())
+	var waiting errgroup.Group
+	waiting.Go(func() error {
+		held := call(server, "/waits")
+		held.Second = second("/second")
+		held.Wait = 3 * time.Second
+		held.Within = 7 * time.Second
+		_, err := client.Do(ctx, held)
+		return err
+	})
+	<-waits
+	_, err := client.Do(ctx, call(server, "/meanwhile"))
+	is.NoErr(err)
+	is.Equal(server.Silence(), 2)
+	is.NoErr(waiting.Wait())
+	is.Equal(server.Used(), 0)
+}
--- a/conns/conn.go
+++ b/conns/conn.go
@@ -16,9 +16,8 @@
 	client *Client
 	to     netip.AddrPort
 
-	// heard is the client's turn at which the other side last said something, or
-	// took the connection.
-	heard atomic.Int64
+	// heard is when the other side last said something, or took the connection.
+	heard atomic.Pointer[time.Time]
 
 	// proved says that something was heard since it was opened.
 	proved atomic.Bool
@@ -46,12 +45,18 @@
 func (n *conn) Read(into []byte) (int, error) {
 	read, err := n.Conn.Read(into)
 	if read > 0 {
-		n.heard.Store(n.client.turn.Load())
+		n.hears()
 		n.proved.Store(true)
 	}
 	return read, err
 }
 
+// hears notes that the other side has said something.
+func (n *conn) hears() {
+	now := time.Now()
+	n.heard.Store(&now)
+}
+
 func (c *Client) dial(ctx context.Context, dialer *net.Dialer, network, address string) (net.Conn, error) {
 	to, err := netip.ParseAddrPort(address)
 	if err != nil {
@@ -68,7 +73,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	n.heard.Store(c.turn.Add(1))
+	n.hears()
 	if c.open[to] == nil {
 		c.open[to] = make(map[*conn]struct{})
 	}
@@ -77,14 +82,14 @@
 }
 
 // drop closes the unused connections to an address over which nothing was heard
-// since the given turn. It closes them under the lock, so that a call has one of
+// since the given moment. It closes them under the lock, so that a call has one of
 // them either before, and keeps it, or after: then nothing can be written to it, and
 // net/http takes another.
-func (c *Client) drop(to netip.AddrPort, since int64) {
+func (c *Client) drop(to netip.AddrPort, since time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for n := range c.open[to] {
-		if n.users > 0 || n.heard.Load() >= since {
+		if n.users > 0 || !n.heard.Load().Before(since) {
 			continue
 		}
 		c.remove(n)
@@ -123,14 +128,14 @@
 	return use{
 		conn:   n,
 		proved: n.proved.Load(),
-		turn:   c.turn.Add(1),
 		at:     time.Now(),
 	}
 }
 
 // unanswered takes in that a call got no answer in its time.
-func (c *Client) unanswered(to netip.AddrPort, u use) {
-	if u.proved && time.Since(u.at) >= leastWait {
-		c.drop(to, u.turn)
+func (c *Client) unanswered(call Call, u use) {
+	due := u.at.Add(call.Wait)
+	if u.proved && time.Since(due) >= leastWait {
+		c.drop(call.To, due)
 	}
 }
--- a/conns/twice.go
+++ b/conns/twice.go
@@ -59,7 +59,7 @@
 	}
 	s.timer = time.AfterFunc(s.call.Wait+left/2, func() {
 		defer close(s.done)
-		s.client.drop(s.call.To, u.turn)
+		s.client.drop(s.call.To, u.at.Add(s.call.Wait))
 		again := s.call
 		again.Target = s.call.Second.Target
 		again.Body = s.call.Second.Body
