A worker is asked once more after its lease, and an owner that is late takes none for lost

The owner had no processor time left; its looks were given up before it came to their answers; at 34.56 s 22 leases lapsed, and tasks that had ended well at 29.8 to 32.1 s were started again. The workers had listed those ends all the while, which counts as told. That renewals wait for a transaction where a beat names the worker makes it likelier: they waited whenever a worker had been silent once, named or not. Change: runs are given up only if a look that was sent after the lease was over got no answer, and only by a failure that the owner noticed in time; renewals wait only where a beat did name the worker. A worker that is cut off is given up up to a look later (0.6 s).

--- a/shard/events.go
+++ b/shard/events.go
@@ -26,15 +26,19 @@
 	}
 	w.holding = false
 	if err != nil {
+		if now.Sub(sent) <= promptFailure {
+			w.silentAt = sent
+		}
 		s.holdFailed(w, now, err)
 		return
 	}
 	if w.failures > 0 {
 		s.opts.Report("worker regained", "worker", id, "failures", w.failures)
 	}
-	if w.lapsed(now) || (!w.known && w.failures > 0) {
+	if w.named {
 		// It may stand in a row as one where nothing is started or renewed.
 		w.regained = now
+		w.named = false
 	}
 	w.failures = 0
 	w.hear(glance.Clock, now)
--- a/shard/handover.go
+++ b/shard/handover.go
@@ -57,10 +57,12 @@
 		case last && w.recorded:
 			all = append(all, w.leased(id, now))
 		case w.lapsed(now):
+			w.named = true
 			all = append(all, Leased{
 				Worker: id,
 			})
 		case !w.known && w.failures > 0 && w.recorded:
+			w.named = true
 			all = append(all, w.leased(id, now))
 		}
 	}
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -16,6 +16,11 @@
 	// times the heartbeats after which its registration disappears.
 	goneFor = 60 * time.Second
 
+	// promptFailure is how soon a look at a silent worker has failed, which waits for
+	// nothing and is given 0.6 s. One that took longer tells of this owner, which has
+	// no processor time to take answers in.
+	promptFailure = 900 * time.Millisecond
+
 	// retryFirst and retryMost are the pauses between failed looks at a worker.
 	retryFirst = 60 * time.Millisecond
 	retryMost  = 400 * time.Millisecond
@@ -156,8 +161,13 @@
 	holding bool
 	holdAt  time.Time
 
-	// failures counts looks without an answer since the last answered one.
+	// failures counts looks without an answer since the last answered one; silentAt is
+	// when the newest look was sent whose silence tells of the worker, see promptFailure.
 	failures int
+	silentAt time.Time
+
+	// named says that a beat may name the worker as one that is silent.
+	named bool
 
 	// doubted is when an order got no answer; only a look sent later clears it.
 	doubted time.Time
--- a/shard/world_test.go
+++ b/shard/world_test.go
@@ -116,6 +116,10 @@
 	batch   *shard.Batch
 	batchAt time.Time
 
+	// lookFails is when a look at a silent worker is given up; an owner without
+	// processor time notices late.
+	lookFails time.Duration
+
 	// refuseStarts is what starts are answered with after the given time, if anything;
 	// they are not done.
 	refuseStarts error
@@ -170,6 +174,7 @@
 		cancelRows:     make(map[string]bool),
 		withdrawn:      make(map[string]time.Time),
 		loseEach:       2,
+		lookFails:      600 * time.Millisecond,
 		refuseAfter:    100 * time.Millisecond,
 		heldUp:         make(map[shard.Stop]bool),
 	}
@@ -492,7 +497,7 @@
 		f := w.workers[h.Worker.ID]
 		sent := w.now
 		if f.cut || f.down {
-			answer(600*time.Millisecond, func() { core.Held(h.Worker.ID, sent, w.now, outside.Glance{}, errSilent) })
+			answer(w.lookFails, func() { core.Held(h.Worker.ID, sent, w.now, outside.Glance{}, errSilent) })
 			continue
 		}
 		if h.Renewal.Fence < f.fence {
