Revert: jobs wait at a desk for the next owner and go to it together

What stays of it: an owner that hands over says for sure which jobs it did not take, and the pace of questions that are answered from rows. Open: an owner at the limit of its processor.

--- a/intake/accept.go
+++ b/intake/accept.go
@@ -5,35 +5,27 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"time"
-
-	"github.com/gin-gonic/gin"
 
 	"lemonstream.dev/lemonstream/clock"
 	"lemonstream.dev/lemonstream/outside"
+	"lemonstream.dev/lemonstream/owner"
 	"lemonstream.dev/lemonstream/peer"
 	"lemonstream.dev/lemonstream/shard"
 )
 
 // accept makes the record of a job stand and answers. It gives up early where none
-// of its own tries can take effect any more, and else while the caller has time to
-// come back: what its tries left open, the same job handed in again settles.
+// of its own tries can take effect any more.
 func (s *Server) accept(r *request, record shard.Record, catalogVersion int64) {
 	uncertain := false
 	began := s.Clock.Now()
-	ctx, cancel := context.WithTimeout(r.ctx, s.holds(r.Context))
-	defer cancel()
-	r.ctx = ctx
 	givingUp := min(giveUpAfter, s.deadline(r.Context)/giveUpShare)
-	awaited := began.Add(min(ownerWait, s.deadline(r.Context)/ownerWaitShare))
 	for {
-		writer, err := s.take(r, record, awaited, &uncertain)
+		writer, err := s.take(r, record, &uncertain)
 		if err == nil {
 			s.accepted(r, record, writer, catalogVersion)
 			return
 		}
-		var there *OwnerThereError
-		hopeless := !uncertain && !errors.As(err, &there) && s.Clock.Now().Sub(began)+writePause > givingUp
+		hopeless := !uncertain && s.Clock.Now().Sub(began)+writePause > givingUp
 		if !hopeless && clock.Sleep(r.ctx, writePause) {
 			continue
 		}
@@ -43,40 +35,24 @@
 	}
 }
 
-// holds returns how long a job is held at most: a caller that is told to come back has
-// to have the time for it. One whose deadline is too short for that is held to its end.
-func (s *Server) holds(c *gin.Context) time.Duration {
-	deadline := s.deadline(c)
-	held := s.patience(c) - retryAfter*time.Second
-	if held < deadline/holdShare {
-		return s.patience(c)
-	}
-	return held
-}
-
-// take tries once to make the record of a job stand, and returns who wrote it. An
-// owner is waited for until the given instant. uncertain is set where a try without
-// success may yet have an effect.
-func (s *Server) take(r *request, record shard.Record, awaited time.Time, uncertain *bool) (string, error) {
+// take tries once to make the record of a job stand, and returns who wrote it.
+// uncertain is set where a try without success may yet have an effect.
+func (s *Server) take(r *request, record shard.Record, uncertain *bool) (string, error) {
 	stands, err := s.standsElsewhere(r, record)
 	if err != nil || stands {
 		return writerEarlier, err
 	}
-	d := s.desk(r.route.Service)
-	atOwner := d.hand(r.ctx, record, awaited)
+	atOwner := s.handIn(r.ctx, r.route.Service, record)
 	if atOwner == nil {
 		return writerOwner, nil
 	}
 	*uncertain = *uncertain || mayBeTaken(atOwner)
-	var busy *BusyOwnerError
-	if errors.As(atOwner, &busy) {
-		// An owner that works is the one that writes.
-		return "", atOwner
-	}
-	if s.Slow() && !isNoOwner(atOwner) {
+	if s.Slow() && !isNotOwner(atOwner) {
 		return "", fmt.Errorf("the store is slow, and at the owner: %w", atOwner)
 	}
-	err = d.scribe.write(r.ctx, record, *uncertain)
+	err = s.Breakers.Try(r.ctx, "writing to "+r.route.Service, func(ctx context.Context) error {
+		return s.write(ctx, r.route.Service, record, *uncertain)
+	})
 	if err == nil {
 		return writerEntry, nil
 	}
@@ -90,6 +66,41 @@
 	r.Status(http.StatusOK)
 }
 
+// write writes the record of a job itself, which needs no owner, and tells the
+// owner. A record that stands already is a success; known says that it may be an
+// earlier try of this very request that wrote it.
+func (s *Server) write(ctx context.Context, service string, record shard.Record, known bool) error {
+	receipt, err := s.Table.Transact(ctx, s.transaction(service, record))
+	var conflict *outside.ConflictError
+	switch {
+	case err == nil:
+		s.tell(service, record, receipt.Version)
+	case errors.As(err, &conflict):
+		s.Log.Info("job known already", "job", record.ID, "route", record.Route)
+		if known {
+			s.tell(service, record, 0)
+		}
+	default:
+		return err
+	}
+	return nil
+}
+
+func (s *Server) transaction(service string, record shard.Record) outside.Transaction {
+	key := owner.IntakeKey(service, record.ID)
+	return outside.Transaction{
+		Checks: []outside.Check{{
+			Key: key,
+		}, {
+			Key: owner.ProgressKey(service, record.ID),
+		}},
+		Puts: []outside.Put{{
+			Key:   key,
+			Value: record.Encode(),
+		}},
+	}
+}
+
 // tell makes the owner of the service aware of a job. It does not hold up the
 // answer; what is lost here the owner finds in the table.
 func (s *Server) tell(service string, record shard.Record, version int64) {
--- a/intake/handin.go
+++ b/intake/handin.go
@@ -6,6 +6,7 @@
 	"net/netip"
 
 	"lemonstream.dev/lemonstream/outside"
+	"lemonstream.dev/lemonstream/peer"
 	"lemonstream.dev/lemonstream/shard"
 )
 
@@ -20,95 +21,49 @@
 	return stands, err
 }
 
-// place returns where the owner of a service is, as far as this entry knows.
-func (s *Server) place(service string) (place, bool) {
-	if duty, mine := s.Owners.Held(service); mine {
-		return place{
-			duty: duty,
-		}, true
-	}
-	address, known := s.Owners.Owner(service)
-	return place{
-		address: address,
-	}, known
-}
-
-// handInAt hands jobs in at the owner of their service, whose transactions hold many
+// handIn hands a job to the owner of its service, whose transactions hold many
 // records: a part of the store takes them one after another, and would be full of
-// those of single jobs whenever it is slow. It returns what became of each. The entry
-// gives up on an owner that does not answer and does not write.
-func (s *Server) handInAt(ctx context.Context, to place, service string, records []shard.Record) []error {
+// those of single jobs whenever it is slow. The entry gives up on an owner that
+// does not answer and does not write.
+func (s *Server) handIn(ctx context.Context, service string, record shard.Record) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	answer := make(chan []error, 1)
-	s.Group.Go("call of the owner", func(context.Context) error {
-		answer <- s.submitAt(ctx, to, service, records)
+	var submit func() error
+	var works func() bool
+	if duty, mine := s.Owners.Duty(service); mine {
+		submit = func() error { return duty.Submit(ctx, record) }
+		works = func() bool { return duty.WriteAge() < handInStale }
+	} else if address, known := s.Owners.Owner(service); known {
+		submit = func() error {
+			return s.tryOwner(ctx, handingIn, service, address, func(ctx context.Context) error {
+				return s.Owners.Peers.Submit(ctx, address, service, record)
+			})
+		}
+		works = func() bool { return s.ownerWorks(ctx, address, service) }
+	} else {
+		return &peer.NotOwnerError{
+			Service: service,
+		}
+	}
+	answer := make(chan error, 1)
+	s.Group.Go("hand in", func(context.Context) error {
+		answer <- submit()
 		return nil
 	})
 	for {
 		select {
-		case errs := <-answer:
-			return errs
+		case err := <-answer:
+			return err
 		case <-s.Clock.After(handInLook):
 		}
-		if s.works(ctx, to, service) {
-			continue
+		if !works() {
+			s.Log.Info("owner does not take the job", "job", record.ID, "service", service)
+			return &outside.UncertainError{
+				Call:  "handing in at the owner of " + service,
+				Cause: context.DeadlineExceeded,
+			}
 		}
-		s.Log.Info("owner does not take the jobs", "jobs", len(records), "service", service)
-		return each(len(records), &outside.UncertainError{
-			Call:  "handing in at the owner of " + service,
-			Cause: context.DeadlineExceeded,
-		})
-	}
-}
-
-// submitAt makes the call.
-func (s *Server) submitAt(ctx context.Context, to place, service string, records []shard.Record) []error {
-	if to.duty != nil {
-		return to.duty.SubmitAll(ctx, records)
-	}
-	var errs []error
-	var gone error
-	err := s.tryOwner(ctx, handingIn, service, to.address, func(ctx context.Context) error {
-		var err error
-		if len(records) == 1 {
-			err = s.Owners.Peers.Submit(ctx, to.address, service, records[0])
-			errs = []error{err}
-		} else {
-			errs, err = s.Owners.Peers.SubmitAll(ctx, to.address, service, records)
-		}
-		if isNoOwner(err) {
-			// An entry that owns nothing answers well. How soon it is asked again the
-			// desk decides.
-			gone = err
-			return nil
-		}
-		return err
-	})
-	if gone != nil {
-		err = gone
-	}
-	if err != nil {
-		return each(len(records), err)
 	}
-	return errs
-}
-
-// works asks an owner that has not answered yet whether it writes.
-func (s *Server) works(ctx context.Context, to place, service string) bool {
-	if to.duty != nil {
-		return to.duty.WriteAge() < handInStale
-	}
-	return s.ownerWorks(ctx, to.address, service)
-}
-
-// each returns a list of one error.
-func each(n int, err error) []error {
-	errs := make([]error, n)
-	for i := range errs {
-		errs[i] = err
-	}
-	return errs
 }
 
 // purpose is what the owner of a service is called for. One that takes no jobs may
@@ -142,12 +97,15 @@
 	return pong.Owns && pong.WriteAge < handInStale
 }
 
+// isNotOwner reports whether an error says that there is no owner to hand a job
+// in at. Only then an entry writes to a slow store itself.
+func isNotOwner(err error) bool {
+	var notOwner *peer.NotOwnerError
+	return errors.As(err, &notOwner)
+}
+
 // mayBeTaken reports whether an owner that did not take a job for sure may have
 // taken it.
 func mayBeTaken(err error) bool {
-	var busy *BusyOwnerError
-	if isNoOwner(err) || errors.As(err, &busy) {
-		return false
-	}
-	return outside.IsUncertain(err) || !outside.IsNotDone(err)
+	return outside.IsUncertain(err) || (!outside.IsNotDone(err) && !isNotOwner(err))
 }
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -13,7 +13,6 @@
 	"net/netip"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/gin-gonic/gin"
@@ -71,11 +70,6 @@
 	// half of it can't come back.
 	giveUpShare = 4
 
-	// holdShare is the part of a caller's deadline, as a divisor, for which a job is
-	// held at least before its caller is told to come back. One that is held to the end
-	// hears of it too late, or not at all where this entry is at its limit.
-	holdShare = 2
-
 	// writePause is the pause before a write without success is repeated.
 	writePause = 50 * time.Millisecond
 )
@@ -89,11 +83,7 @@
 
 // Owners finds and calls the owners of services.
 type Owners struct {
-	Duty func(service string) (*owner.Duty, bool)
-
-	// Held returns the duty also while it still reads its rows: jobs may be handed in
-	// there.
-	Held  func(service string) (*owner.Duty, bool)
+	Duty  func(service string) (*owner.Duty, bool)
 	Owner func(service string) (netip.AddrPort, bool)
 	Peers *peer.Client
 }
@@ -115,10 +105,6 @@
 	// Slow reports whether the store takes much longer than on a calm day.
 	Slow func() bool
 
-	// WritePause returns the time between two transactions of this entry with records
-	// of one service, so that those of all entries leave the part free for an owner.
-	WritePause func() time.Duration
-
 	// ReadPause returns the mean time between two questions that this entry answers
 	// from rows, so that those of all entries leave reads for owners that begin.
 	ReadPause func() time.Duration
@@ -134,9 +120,6 @@
 	// milliseconds.
 	DeadlineHeader string
 
-	// desks maps a service to its *desk.
-	desks sync.Map
-
 	reads readPace
 }
 
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -68,18 +68,12 @@
 	return group
 }
 
-func jobBody() io.Reader {
-	return strings.NewReader("job")
-}
-
-func noWorker(string, []byte) (outside.Registration, error) {
-	return outside.Registration{}, nil
-}
-
 // serveWith is serveTable with a changed server.
 func serveWith(t testing.TB, table outside.Table, current *catalog.Catalog, from string, change func(*intake.Server)) http.Handler {
 	t.Helper()
 	gin.SetMode(gin.ReleaseMode)
+	log := discard()
+	group := newGroup(t)
 	server := &intake.Server{
 		Catalog: func() *catalog.Catalog { return current },
 		Clock:   clock.System(),
@@ -105,19 +99,17 @@
 			EncodeState:   func(state job.State) []byte { return []byte(state) },
 		},
 		Figures: figures.New(),
-		Group:   newGroup(t),
-		Log:     discard(),
+		Group:   group,
+		Log:     log,
 		Owners: intake.Owners{
 			Duty:  func(string) (*owner.Duty, bool) { return nil, false },
-			Held:  func(string) (*owner.Duty, bool) { return nil, false },
 			Owner: func(string) (netip.AddrPort, bool) { return netip.AddrPort{}, false },
 		},
-		Table:      table,
-		Breakers:   outside.NewBreakers(clock.System(), func() time.Duration { return 250 * time.Millisecond }),
-		Slow:       func() bool { return false },
-		RowBytes:   1000,
-		ReadPause:  func() time.Duration { return 0 },
-		WritePause: func() time.Duration { return 0 },
+		Table:     table,
+		Breakers:  outside.NewBreakers(clock.System(), func() time.Duration { return 250 * time.Millisecond }),
+		Slow:      func() bool { return false },
+		RowBytes:  1000,
+		ReadPause: func() time.Duration { return 0 },
 		Moved: func(string) (string, bool) {
 			return from, from != ""
 		},
--- a/intake/moved_test.go
+++ b/intake/moved_test.go
@@ -37,7 +37,6 @@
 	current.Services[1].Name = "old"
 	handler := serveOwners(t, rows.Table(), current, "old", intake.Owners{
 		Duty: func(string) (*owner.Duty, bool) { return nil, false },
-		Held: func(string) (*owner.Duty, bool) { return nil, false },
 		Owner: func(string) (netip.AddrPort, bool) {
 			return address, true
 		},
--- a/intake/refusal_test.go
+++ b/intake/refusal_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"sync"
 	"testing"
 	"testing/synctest"
 
@@ -32,10 +31,6 @@
 // faulty is a table whose transactions meet drawn fates.
 type faulty struct {
 	rows *standin.Rows
-
-	// mu is held for each transaction: an entry's own may outlive the request that
-	// asked for it.
-	mu   sync.Mutex
 	next func() fate
 
 	// late holds the transactions that are carried out later.
@@ -49,8 +44,6 @@
 }
 
 func (f *faulty) transact(ctx context.Context, tx outside.Transaction) (outside.Receipt, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	unanswered := &outside.UncertainError{
 		Call: "transact",
 	}
@@ -76,9 +69,6 @@
 
 // deliver carries out what was late; a condition that no longer holds is no fault.
 func (f *faulty) deliver(ctx context.Context) {
-	synctest.Wait()
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	for _, tx := range f.late {
 		_, _ = f.rows.Table().Transact(ctx, tx)
 	}
@@ -151,7 +141,6 @@
 		first := serveTable(t, store.table(), oneRoute(), "")
 		second := serveTable(t, store.table(), oneRoute(), "")
 		is.Equal(ask(first, http.MethodPost, "/q/a", "job").Code, http.StatusGatewayTimeout)
-		synctest.Wait()
 		now = fateNotDone
 		answer := ask(second, http.MethodPost, "/q/a", "job")
 		store.deliver(t.Context())
--- a/scheduler/serve.go
+++ b/scheduler/serve.go
@@ -21,11 +21,6 @@
 )
 
 const (
-	// entryShare is the part of what one part of the store takes that all entries
-	// together spend on records which no owner takes: an owner that begins needs the
-	// rest.
-	entryShare = 0.5
-
 	// probeShare is the part of the store's writing calls that all entries together
 	// may spend on one thing that fails.
 	probeShare = 0.1
@@ -43,10 +38,6 @@
 	// questionShare is the part of the store's reads that all entries together spend
 	// on such questions: an owner that begins needs the rest.
 	questionShare = 0.5
-
-	// writePauseMost bounds the pause between two transactions of this entry with
-	// records of one service: a caller waits three seconds.
-	writePauseMost = time.Second
 )
 
 func listenPeers(settings site.Settings) (net.Listener, error) {
@@ -92,7 +83,6 @@
 		Log:     d.log,
 		Owners: intake.Owners{
 			Duty:  d.keeper.Duty,
-			Held:  d.keeper.Held,
 			Owner: d.keeper.Owner,
 			Peers: peers,
 		},
@@ -102,7 +92,6 @@
 		Moved:          d.catalog.Moved,
 		RowBytes:       d.settings.RowBytes,
 		ReadPause:      d.readPause,
-		WritePause:     d.writePause,
 		DeadlineHeader: deadlineHeader,
 	}
 	router := gin.New()
@@ -129,16 +118,6 @@
 	return time.Duration(float64(len(d.roster.Members())) * questionReads / (questionShare * float64(d.settings.StoreReads)) * float64(time.Second))
 }
 
-// writePause is how long this entry waits between two transactions with records of one
-// service, so that those of all entries stay a small share of what one part takes.
-func (d *Daemon) writePause() time.Duration {
-	if d.settings.PartWrites <= 0 {
-		return 0
-	}
-	fair := time.Duration(float64(len(d.roster.Members())) / (entryShare * float64(d.settings.PartWrites)) * float64(time.Second))
-	return min(writePauseMost, fair)
-}
-
 func (d *Daemon) servePeers(listener net.Listener, self owner.Self) {
 	router := gin.New()
 	server := &peer.Server{
--- a/site/settings.go
+++ b/site/settings.go
@@ -44,9 +44,6 @@
 	Instances netip.AddrPort
 	Advice    netip.AddrPort
 
-	// PartWrites is how many transactions a second one part of the store takes.
-	PartWrites int
-
 	// StoreReads is how many reading calls a second the store takes from all entries.
 	StoreReads int
 
