An owner that is late itself gives no worker up

Change: the mean time until an answered start is taken in tells whether the owner is late; while it is 150 ms or more, no lease is taken for lapsed. Test: TestLateOwnerGivesNothingUp, which fails without the condition.

--- a/shard/lapse_test.go
+++ b/shard/lapse_test.go
@@ -56,3 +56,26 @@
 	}
 	return sum
 }
+
+// TestLateOwnerGivesNothingUp covers an owner whose starts are answered at once and
+// taken in late: it gives up no worker meanwhile, and does once it is in time again.
+func TestLateOwnerGivesNothingUp(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(3)
+	w.run(200 * time.Millisecond)
+	w.submit("a", lasting(1, 1))
+	w.run(time.Second)
+	silent := holderOf(w, "a")[0]
+	silent.cut = true
+	w.startAnswers = 400 * time.Millisecond
+	for i := range 20 {
+		w.submit(fmt.Sprintf("b%d", i), step(1))
+		w.run(testLease / 8)
+	}
+	is.Equal(silent.began, 1)
+	is.Equal(len(holderOf(w, "a")), 0)
+	w.startAnswers = tick
+	w.run(5 * time.Second)
+	is.Equal(len(holderOf(w, "a")), 1)
+	w.check(t)
+}
--- a/shard/lease.go
+++ b/shard/lease.go
@@ -52,10 +52,12 @@
 
 // lapse ends what ran on workers that could not be reached for a whole lease. They are
 // asked once more after that: a worker that ran all the while, and whose answers came
-// too late for an owner without processor time, lists what has ended well.
+// too late for an owner without processor time, lists what has ended well. While this
+// owner is late itself, it gives nothing up.
 func (s *Shard) lapse(now time.Time) {
+	late := s.pulse.late(now)
 	for id, w := range s.workers {
-		if w.failures > 0 && len(w.runs) > 0 && now.After(w.until) && w.silentAt.After(w.until) {
+		if w.failures > 0 && len(w.runs) > 0 && now.After(w.until) && w.silentAt.After(w.until) && !late {
 			s.opts.Report("lease lapsed", "worker", id, "runs", len(w.runs), "silent_ms", now.Sub(w.heard).Milliseconds())
 			s.loseRuns(w, now, "lease lapsed")
 		}
--- a/shard/orders.go
+++ b/shard/orders.go
@@ -31,6 +31,9 @@
 	}
 	r.calling = false
 	if err == nil {
+		if r.tries == 0 {
+			s.pulse.note(now.Sub(r.began), now)
+		}
 		w.hear(clock, now)
 		if r.phase == phaseStarting || r.phase == phaseDoubtful {
 			r.phase = phaseRunning
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -163,6 +163,9 @@
 	// forgetAt is when ended jobs are looked through next.
 	forgetAt time.Time
 
+	// pulse tells whether this owner itself is late.
+	pulse pulse
+
 	orders Orders
 }
 
--- a/shard/world_test.go
+++ b/shard/world_test.go
@@ -116,6 +116,9 @@
 	batch   *shard.Batch
 	batchAt time.Time
 
+	// startAnswers is when the answer to a start is taken in.
+	startAnswers time.Duration
+
 	// lookFails is when a look at a silent worker is given up; an owner without
 	// processor time notices late.
 	lookFails time.Duration
@@ -175,6 +178,7 @@
 		withdrawn:      make(map[string]time.Time),
 		loseEach:       2,
 		lookFails:      600 * time.Millisecond,
+		startAnswers:   tick,
 		refuseAfter:    100 * time.Millisecond,
 		heldUp:         make(map[shard.Stop]bool),
 	}
@@ -535,7 +539,7 @@
 			continue
 		}
 		err := w.startAt(f, s.Order, w.now)
-		answer(tick, func() { core.Started(s.Worker.ID, s.Order, w.now, w.now.Sub(w.start), err) })
+		answer(w.startAnswers, func() { core.Started(s.Worker.ID, s.Order, w.now, w.now.Sub(w.start), err) })
 	}
 	for _, s := range orders.Stops {
 		f := w.workers[s.Worker.ID]
