Second tries and connections that are given up have a budget

Cause: where an owner has no processor time, its calls run out of time although their answers are there. Test: TestSecondTriesAreBounded, which fails without it.

--- a/conns/client.go
+++ b/conns/client.go
@@ -68,6 +68,9 @@
 	// mostAnswer bounds an answer, in bytes.
 	mostAnswer int64
 
+	// budget bounds second tries and connections that are given up.
+	budget *budget
+
 	mu sync.Mutex
 
 	// open holds the open connections by their address. MaxConnsPerHost and the
@@ -113,6 +116,7 @@
 func NewClient(limits Limits) *Client {
 	c := &Client{
 		mostAnswer: limits.Answer,
+		budget:     newBudget(),
 		open:       make(map[netip.AddrPort]map[*conn]struct{}),
 	}
 	dialer := &net.Dialer{
@@ -158,6 +162,9 @@
 	began := time.Now()
 	answer, err := c.exchange(ctx, call)
 	answer.Took = time.Since(began)
+	if err == nil {
+		c.budget.earn()
+	}
 	if err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		c.unanswered(call, u)
 	}
--- a/conns/client_test.go
+++ b/conns/client_test.go
@@ -280,3 +280,54 @@
 	is.NoErr(waiting.Wait())
 	is.Equal(server.Used(), 0)
 }
+
+// TestSecondTriesAreBounded covers a process that takes answers in late, whatever it
+// calls: further tries stay few beside the calls that are answered.
+func TestSecondTriesAreBounded(t *testing.T) {
+	is := is.New(t)
+	const calls = 600
+	var tries atomic.Int64
+	release := make(chan struct{})
+	var warm sync.WaitGroup
+	warm.Add(calls)
+	server := standin.StartSilenced(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/warm" {
+			warm.Done()
+			warm.Wait() // Each call has a connection of its own.
+		}
+		if r.URL.Path == "/again" {
+			tries.Add(1)
+			<-release
+		}
+		if r.URL.Path == "/late" {
+			<-release
+		}
+		echo(w, r)
+	}), 1)
+	defer server.Close()
+	defer close(release)
+	client := conns.NewClient(conns.Limits{
+		PerAddress: 2000,
+		Kept:       2000,
+		Dial:       long,
+		Idle:       long,
+		Answer:     1 << 20,
+	})
+	both := func(path string, within time.Duration) {
+		var all errgroup.Group
+		for range calls {
+			all.Go(func() error {
+				one := call(server, path)
+				one.Second = second("/again")
+				one.Within = within
+				_, _ = client.Do(context.Background(), one)
+				return nil
+			})
+		}
+		is.NoErr(all.Wait())
+	}
+	both("/warm", long)
+	both("/late", 2*time.Second)
+	is.True(tries.Load() > 0)
+	is.True(tries.Load() <= 300)
+}
--- a/conns/twice.go
+++ b/conns/twice.go
@@ -59,6 +59,10 @@
 	}
 	s.timer = time.AfterFunc(s.call.Wait+left/2, func() {
 		defer close(s.done)
+		if !s.client.budget.spend() {
+			s.err = context.DeadlineExceeded
+			return
+		}
 		s.client.drop(s.call.To, u.at.Add(s.call.Wait))
 		again := s.call
 		again.Target = s.call.Second.Target
