Failing test: a stop under a short grace time cuts what its owner holds

Fails: the linger, the wait for a successor and the release are fixed spans, bounded by the whole grace time only, so that with graceS 3 the platform kills an owner whose store is silent before it has answered (unexpected EOF).

--- a/soak/stop_test.go
+++ b/soak/stop_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -22,6 +24,9 @@
 	// callerDeadline is what the callers of these tests say they wait for.
 	callerDeadline = 3 * time.Second
 
+	// shortGrace is the grace time of a platform that kills sooner.
+	shortGrace = 3 * time.Second
+
 	// stillSent is how long after the word to stop a caller still sends requests over
 	// an open connection: the balancer takes an entry out after two misses, a second
 	// apart.
@@ -175,3 +180,49 @@
 		is.True(status != http.StatusOK)
 	}
 }
+
+// TestStopOfOwnerKeepsToShortGraceTime covers a platform that kills after three seconds:
+// an entry that can't hand its services over answers what it holds all the same. Its
+// wait for the balancer, for a successor and for the release know nothing of the time
+// that is left.
+func TestStopOfOwnerKeepsToShortGraceTime(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t)
+	for _, e := range d.entries {
+		settings, err := os.ReadFile(e.settings)
+		is.NoErr(err)
+		short := strings.Replace(string(settings), "bounds.graceS=6", "bounds.graceS=3", 1)
+		is.True(short != string(settings))
+		is.NoErr(os.WriteFile(e.settings, []byte(short), 0o600))
+		is.NoErr(e.command.Process.Kill())
+		_, err = e.command.Process.Wait()
+		is.NoErr(err)
+		d.start(e)
+	}
+	d.any(http.MethodPost, "/q/00000000000000b0", body, succeeded)
+	for _, e := range d.entries {
+		d.awaitReady(e, http.StatusOK)
+	}
+	conns := make([]*openConn, len(d.entries))
+	for i, e := range d.entries {
+		conns[i] = openTo(t, e.front)
+	}
+	d.faulty.set(storeIsSilent)
+	answers := make(chan answered, len(conns))
+	for i, e := range d.entries {
+		is.NoErr(e.command.Process.Signal(syscall.SIGTERM))
+		kill := time.AfterFunc(shortGrace, func() { _ = e.command.Process.Kill() })
+		t.Cleanup(func() { kill.Stop() })
+		d.group.Go("caller", func(context.Context) error {
+			time.Sleep(shortGrace / 3)
+			answers <- conns[i].request(fmt.Sprintf("state at entry %d", i), http.MethodGet, "/q/00000000000000b1", "")
+			return nil
+		})
+	}
+	for range conns {
+		got := <-answers
+		if got.err != nil {
+			t.Errorf("%s: a whole request got no whole answer: %v", got.name, got.err)
+		}
+	}
+}
