Give up in time at a stop, also where the grace time is short

Cause: the linger (2.5 s), the wait for a successor (1 s) and the release (1.2 s) were fixed spans, and giving up was armed only after them, so that under a grace time below 6 s they added up past it: the kill came before the answers.

TestStopOfOwnerKeepsToShortGraceTime failed before: unexpected EOF at two entries or more of three, with a grace time of 3 s and a store that is silent. It passes now.

Change: giving up is armed with the first word to stop. The linger is 2.5 s or five twelfths of the grace time, the wait for a successor 1 s or half of what is left until three quarters of it, and the release ends with that. With 6 s the figures are those of before, but for an owner that finds nobody listed: its release has 1 s and not 1.2.

Soak TestStopping*, TestPlanned* passed.

--- a/owner/successor.go
+++ b/owner/successor.go
@@ -24,6 +24,10 @@
 	// rest of the time to stop is for requests that are under way.
 	alonePause = 50 * time.Millisecond
 	aloneWait  = time.Second
+
+	// aloneShare is the most of the time for a release that goes into that wait: the
+	// release itself needs the rest.
+	aloneShare = 0.5
 )
 
 // Retire has the keeper take no service any more; it keeps what it owns.
@@ -82,7 +86,7 @@
 // awaitListed returns the entries that may succeed this one. Where there is none, it
 // waits for one, but not long: the others may be stopping as well.
 func (k *Keeper) awaitListed(ctx context.Context) []Member {
-	end := k.deps.Clock.Now().Add(aloneWait)
+	end := k.deps.Clock.Now().Add(aloneBound(ctx))
 	for {
 		list := k.listed(ctx)
 		if len(strongest(list, k.self.Incarnation)) > 0 || !k.deps.Clock.Now().Before(end) {
@@ -149,6 +153,16 @@
 	return next
 }
 
+// aloneBound returns for how long an owner waits for another entry, of the time that
+// it has for its release.
+func aloneBound(ctx context.Context) time.Duration {
+	deadline, bounded := ctx.Deadline()
+	if !bounded {
+		return aloneWait
+	}
+	return min(aloneWait, time.Duration(aloneShare*float64(time.Until(deadline))))
+}
+
 // before reports whether a goes before b as a successor.
 func before(a, b Member, share int, owned map[string]int) bool {
 	overA := max(0, owned[a.Incarnation]-share+1)
--- a/scheduler/stop.go
+++ b/scheduler/stop.go
@@ -15,7 +15,13 @@
 	// misses.
 	lingerWait = 2500 * time.Millisecond
 
-	// releaseWait bounds the handing over of services at a stop.
+	// lingerShare is the most of the time until the kill that goes into taking new
+	// connections: five twelfths, lingerWait of a grace time of 6 s. A platform that
+	// kills sooner leaves less, and what is held needs its answer first.
+	lingerShare = 5.0 / 12
+
+	// releaseWait bounds the handing over of services at a stop, which ends with
+	// workShare at the latest.
 	releaseWait = 1200 * time.Millisecond
 
 	// workShare is the part of the time until the kill in which an entry works for
@@ -38,34 +44,39 @@
 	d.log.Info("stopping")
 	close(d.stopping)
 	d.requests.Leave()
-	ctx, cancel := context.WithTimeout(context.Background(), d.settings.StopGrace)
+	grace := d.settings.StopGrace
+	bounded, cancel := context.WithTimeout(context.Background(), part(grace, answerShare))
 	defer cancel()
-	d.keeper.Retire()
-	d.roster.Leave(ctx)
-	clock.Sleep(ctx, lingerWait-d.clock.Now().Sub(began))
-	d.keeper.Release(ctx, releaseWait)
-	d.answerAll(ctx, began)
+	working, done := context.WithTimeout(bounded, part(grace, workShare))
+	defer done()
+	// From here on, whatever the steps below take.
+	defer context.AfterFunc(working, d.giveUp)()
+	d.linger(working, began)
+	d.keeper.Release(working, releaseWait)
+	d.answerAll(bounded)
 	d.group.Stop()
 	d.log.Info("stopped in order", "took_ms", d.clock.Now().Sub(began).Milliseconds())
 }
 
-// answerAll takes no more requests and ends once every one that was read is answered:
-// what is not answered in its own time gets its final answer in time before the kill.
-func (d *Daemon) answerAll(ctx context.Context, began time.Time) {
-	left := func(share float64) time.Duration {
-		return time.Duration(share*float64(d.settings.StopGrace)) - d.clock.Now().Sub(began)
-	}
-	working, stop := context.WithTimeout(ctx, max(0, left(workShare)))
-	defer stop()
-	defer context.AfterFunc(working, d.giveUp)()
-	bounded, cancel := context.WithTimeout(ctx, max(0, left(answerShare)))
+// linger leaves the list and takes new connections until the balancer has taken the
+// entry out.
+func (d *Daemon) linger(ctx context.Context, began time.Time) {
+	wait := min(lingerWait, part(d.settings.StopGrace, lingerShare))
+	lingering, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
+	d.keeper.Retire()
+	d.roster.Leave(lingering)
+	clock.Sleep(lingering, wait-d.clock.Now().Sub(began))
+}
+
+// answerAll takes no more requests and ends once every one that was read is answered.
+func (d *Daemon) answerAll(ctx context.Context) {
 	var all sync.WaitGroup
 	for _, server := range d.servers {
 		all.Add(1)
 		d.group.Go("shutdown of "+server.Addr, func(context.Context) error {
 			defer all.Done()
-			d.shutDown(bounded, server)
+			d.shutDown(ctx, server)
 			return nil
 		})
 	}
@@ -80,6 +91,11 @@
 	d.requests.GiveUp()
 }
 
+// part returns a share of the time until the kill.
+func part(grace time.Duration, share float64) time.Duration {
+	return time.Duration(share * float64(grace))
+}
+
 // shutDown ends a server once it has answered what it has read.
 func (d *Daemon) shutDown(ctx context.Context, server *http.Server) {
 	if err := server.Shutdown(ctx); err != nil {
