Failing tests: Shutdown ends connections with requests that were sent and not read

Fail: http.Server.Shutdown resets what waits to be accepted, and closes a connection that it takes for idle until the headers of a request are read. A process that gets its processor late leaves whole requests without an answer, later than lossSlackMs.

--- a/conns/server_test.go
+++ b/conns/server_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,6 +22,10 @@
 	// quiet is how long connections may be quiet in these tests.
 	quiet = 1500 * time.Millisecond
 
+	// lossSlack is for how long a request may be with a process that ends its
+	// connection without an answer.
+	lossSlack = 200 * time.Millisecond
+
 	// piece is well below quiet, also on a busy machine; pieces of them are above.
 	piece  = quiet / 5
 	pieces = 8
@@ -171,3 +176,140 @@
 	is.NoErr(server.Shutdown(context.Background()))
 	is.Equal(serving.Wait(), http.ErrServerClosed)
 }
+
+// lateListener accepts, and lets read, only once it is told to: like that of a process
+// that has to wait for its processor. What callers have sent stands in the system.
+type lateListener struct {
+	net.Listener
+	accept chan struct{}
+	read   chan struct{}
+}
+
+// lateConn is a connection of a lateListener. late says that it reads no more than it
+// has.
+type lateConn struct {
+	net.Conn
+	came chan<- struct{}
+	read <-chan struct{}
+	late atomic.Bool
+}
+
+func (l *lateListener) Accept() (net.Conn, error) {
+	<-l.accept
+	return l.Listener.Accept()
+}
+
+func (c *lateConn) Read(into []byte) (int, error) {
+	n, err := c.Conn.Read(into)
+	if err == nil && c.late.Load() {
+		c.came <- struct{}{}
+		<-c.read
+	}
+	return n, err
+}
+
+// TestStoppingServerAnswersWhatItHasNotAccepted covers a caller whose whole request
+// waits in the system, in the queue of connections that are not accepted yet, when the
+// server stops.
+func TestStoppingServerAnswersWhatItHasNotAccepted(t *testing.T) {
+	is := is.New(t)
+	limits := conns.ServerLimits{
+		Header: time.Minute,
+		Quiet:  time.Minute,
+	}
+	inner, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	late := &lateListener{
+		Listener: inner,
+		accept:   make(chan struct{}),
+	}
+	server := conns.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), limits)
+	var serving errgroup.Group
+	serving.Go(func() error { return server.Serve(conns.Listen(late, limits)) })
+	conn, err := net.Dial("tcp4", inner.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, request(0))
+	is.NoErr(err)
+	time.Sleep(lossSlack)
+	var stopping errgroup.Group
+	stopping.Go(func() error { return server.Shutdown(context.Background()) })
+	time.Sleep(lossSlack) // The processor comes back a moment after the stop began.
+	close(late.accept)
+	is.NoErr(stopping.Wait())
+	is.NoErr(conn.SetReadDeadline(time.Now().Add(time.Minute)))
+	_, err = http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err) // A whole request gets an answer.
+	_ = serving.Wait()
+}
+
+// lateReads wraps the connections of a listener in lateConn.
+type lateReads struct {
+	net.Listener
+	conns chan<- *lateConn
+	came  chan<- struct{}
+	read  <-chan struct{}
+}
+
+func (l *lateReads) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &lateConn{
+		Conn: accepted,
+		came: l.came,
+		read: l.read,
+	}
+	l.conns <- c
+	return c, nil
+}
+
+// TestStoppingServerAnswersWhatItHasNotRead covers a caller who sends a whole request
+// over a connection that was idle, to a process that has not come to read it when the
+// server stops: net/http takes the connection for idle until the headers are read.
+func TestStoppingServerAnswersWhatItHasNotRead(t *testing.T) {
+	is := is.New(t)
+	limits := conns.ServerLimits{
+		Header: time.Minute,
+		Quiet:  time.Minute,
+	}
+	inner, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	accepted := make(chan *lateConn, 1)
+	came := make(chan struct{})
+	read := make(chan struct{})
+	server := conns.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), limits)
+	var serving errgroup.Group
+	serving.Go(func() error {
+		return server.Serve(conns.Listen(&lateReads{
+			Listener: inner,
+			conns:    accepted,
+			came:     came,
+			read:     read,
+		}, limits))
+	})
+	conn, err := net.Dial("tcp4", inner.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	is.NoErr(conn.SetDeadline(time.Now().Add(time.Minute)))
+	reader := bufio.NewReader(conn)
+	_, err = io.WriteString(conn, request(0))
+	is.NoErr(err)
+	response, err := http.ReadResponse(reader, nil)
+	is.NoErr(err)
+	is.NoErr(response.Body.Close())
+	(<-accepted).late.Store(true)
+	_, err = io.WriteString(conn, request(0))
+	is.NoErr(err)
+	<-came
+	time.Sleep(lossSlack)
+	var stopping errgroup.Group
+	stopping.Go(func() error { return server.Shutdown(context.Background()) })
+	time.Sleep(lossSlack) // The processor comes back a moment after the stop began.
+	close(read)
+	_, err = http.ReadResponse(reader, nil)
+	is.NoErr(err) // A whole request gets an answer.
+	is.NoErr(stopping.Wait())
+	_ = serving.Wait()
+}
