A server that stops answers what it has neither accepted nor read

Cause: http.Server.Shutdown closes its listener, and the system resets what waits to be accepted. It then closes each connection of which it has not read the headers of a request, also one that it has just accepted and whose request it reads: conn.serve returns without an answer while the server shuts down. A process that gets its processor late so ends whole requests.

TestStoppingServerAnswersWhatItHasNotAccepted (connection reset) and TestStoppingServerAnswersWhatItHasNotRead (unexpected EOF) failed before; both pass.

Change: conns.Server waits 0.35 s, empties the queue of its listener (0.5 s at the most), closes it, waits 0.15 s, and only then has net/http shut down. No system call beside those of net.

The wait is part of the 2.5 s of the linger: the services are handed over 0.5 s earlier.

--- a/conns/server.go
+++ b/conns/server.go
@@ -34,17 +34,15 @@
 	quiet time.Duration
 }
 
-// boundedListener accepts bounded connections.
-type boundedListener struct {
-	net.Listener
-	quiet time.Duration
-}
-
 // NewServer returns a server whose connections do not stay once they are silent. It
 // is to serve a listener of Listen.
-func NewServer(handler http.Handler, limits ServerLimits) *http.Server {
-	return &http.Server{
+func NewServer(handler http.Handler, limits ServerLimits) *Server {
+	s := &Server{}
+	s.Server = &http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if s.stopping.Load() {
+				w.Header().Set("Connection", "close")
+			}
 			if r.Body != nil && r.Body != http.NoBody {
 				body := &boundedBody{
 					ReadCloser: r.Body,
@@ -60,6 +58,7 @@
 		ReadHeaderTimeout: limits.Header,
 		IdleTimeout:       limits.Quiet,
 	}
+	return s
 }
 
 // Listen bounds the writing at the connections that a listener accepts.
@@ -67,21 +66,11 @@
 	return &boundedListener{
 		Listener: listener,
 		quiet:    limits.Quiet,
+		drained:  make(chan struct{}),
+		closed:   make(chan struct{}),
 	}
 }
 
-// Accept implements net.Listener.
-func (l *boundedListener) Accept() (net.Conn, error) {
-	accepted, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &boundedConn{
-		Conn:  accepted,
-		quiet: l.quiet,
-	}, nil
-}
-
 // Read implements io.Reader.
 func (b *boundedBody) Read(into []byte) (int, error) {
 	b.extend()
--- a/conns/server_test.go
+++ b/conns/server_test.go
@@ -182,7 +182,6 @@
 type lateListener struct {
 	net.Listener
 	accept chan struct{}
-	read   chan struct{}
 }
 
 // lateConn is a connection of a lateListener. late says that it reads no more than it
@@ -238,8 +237,9 @@
 	close(late.accept)
 	is.NoErr(stopping.Wait())
 	is.NoErr(conn.SetReadDeadline(time.Now().Add(time.Minute)))
-	_, err = http.ReadResponse(bufio.NewReader(conn), nil)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	is.NoErr(err) // A whole request gets an answer.
+	is.NoErr(response.Body.Close())
 	_ = serving.Wait()
 }
 
@@ -308,8 +308,9 @@
 	stopping.Go(func() error { return server.Shutdown(context.Background()) })
 	time.Sleep(lossSlack) // The processor comes back a moment after the stop began.
 	close(read)
-	_, err = http.ReadResponse(reader, nil)
+	response, err = http.ReadResponse(reader, nil)
 	is.NoErr(err) // A whole request gets an answer.
+	is.NoErr(response.Body.Close())
 	is.NoErr(stopping.Wait())
 	_ = serving.Wait()
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -6,7 +6,6 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"net/http"
 	"net/netip"
 	"os"
 	"sync"
@@ -17,6 +16,7 @@
 
 	"lemonstream.dev/lemonstream/catalog"
 	"lemonstream.dev/lemonstream/clock"
+	"lemonstream.dev/lemonstream/conns"
 	"lemonstream.dev/lemonstream/figures"
 	"lemonstream.dev/lemonstream/inflight"
 	"lemonstream.dev/lemonstream/kernel"
@@ -77,7 +77,7 @@
 	catalog  *catalog.Holder
 	roster   *roster.Roster
 	keeper   *owner.Keeper
-	servers  []*http.Server
+	servers  []*conns.Server
 
 	// requests follows what the servers have read and not answered.
 	requests *inflight.Requests
--- a/scheduler/serve.go
+++ b/scheduler/serve.go
@@ -68,7 +68,7 @@
 	}
 	server := conns.NewServer(handler, limits)
 	server.Addr = listener.Addr().String()
-	d.requests.Attach(server)
+	d.requests.Attach(server.Server)
 	d.servers = append(d.servers, server)
 	d.group.Go(name, func(context.Context) error {
 		if err := server.Serve(conns.Listen(listener, limits)); !errors.Is(err, http.ErrServerClosed) {
--- a/scheduler/stop.go
+++ b/scheduler/stop.go
@@ -2,17 +2,18 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"time"
 
 	"lemonstream.dev/lemonstream/clock"
+	"lemonstream.dev/lemonstream/conns"
 )
 
 const (
 	// lingerWait is how long an entry that was told to stop still takes new
 	// connections: the balancer asks each second and takes it out after two
-	// misses.
+	// misses. The servers take them for conns.Settle of it, after the services were
+	// handed over.
 	lingerWait = 2500 * time.Millisecond
 
 	// lingerShare is the most of the time until the kill that goes into taking new
@@ -61,7 +62,7 @@
 // linger leaves the list and takes new connections until the balancer has taken the
 // entry out.
 func (d *Daemon) linger(ctx context.Context, began time.Time) {
-	wait := min(lingerWait, part(d.settings.StopGrace, lingerShare))
+	wait := min(lingerWait, part(d.settings.StopGrace, lingerShare)) - conns.Settle
 	lingering, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	d.keeper.Retire()
@@ -97,7 +98,7 @@
 }
 
 // shutDown ends a server once it has answered what it has read.
-func (d *Daemon) shutDown(ctx context.Context, server *http.Server) {
+func (d *Daemon) shutDown(ctx context.Context, server *conns.Server) {
 	if err := server.Shutdown(ctx); err != nil {
 		held, oldest := d.requests.Held()
 		d.log.Warn("requests cut at the stop", "address", server.Addr, "held", held, "oldest_ms", oldest.Milliseconds(), "error", err)
