Failing test: who waits for a free place at the limit of callers is reset at the stop

Fails: connections beyond MaxCallers wait in the system's queue, and closing the listener resets them with the whole requests that they hold.

--- a/entry/server_test.go
+++ b/entry/server_test.go
@@ -45,3 +45,36 @@
 	is.Equal(got.outcome, entry.OutcomeUnknown)
 	is.NoErr(<-served)
 }
+
+// TestStoppingServerAnswersWhoWaitsForAConnection covers a caller beyond the limit of
+// connections, whose whole request waits for another caller to leave when the server
+// stops: it is answered like those that are held.
+func TestStoppingServerAnswersWhoWaitsForAConnection(t *testing.T) {
+	is := is.New(t)
+	p := newPath(t, defaults(), faults["never answers"])
+	server := entry.NewServer(p.handler, clock.System(), entry.ServerOptions{
+		Address:    netip.MustParseAddrPort("127.0.0.1:0"),
+		MaxCallers: 1,
+	})
+	is.NoErr(server.Listen())
+	served := make(chan error, 1)
+	time.AfterFunc(0, func() { served <- server.Serve(context.Background()) })
+	p.server.URL = "http://" + server.Address().String()
+	answers := make(chan reply, 2)
+	send := func() {
+		answers <- p.send(nil, func(header http.Header) { header.Set(entry.HeaderDeadline, "4s") })
+	}
+	time.AfterFunc(0, send)
+	for p.total() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	time.AfterFunc(0, send)
+	time.Sleep(stopTimeout / 4) // Longer than a request may be lost without being counted.
+	finishing, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	is.NoErr(server.Shutdown(finishing))
+	for range cap(answers) {
+		is.NoErr((<-answers).err)
+	}
+	is.NoErr(<-served)
+}
