A stopping entry refuses who waits for a place, and resets nobody

Cause: connections beyond MaxCallers wait in the system's queue, and closing the listener resets them with the whole requests that they hold.

TestStoppingServerAnswersWhoWaitsForAConnection failed before (connection reset by peer) and passes. It is stricter than it was: the caller must be told that the request did not run, and the endpoint must not have got it.

Change: the limit of connections is one of conns (netutil's can't be lifted). At the stop it is lifted for the 0.5 s in which conns.Server takes what was sent; what came so is refused as not run, with 1 s to come back.

--- a/conns/server.go
+++ b/conns/server.go
@@ -37,12 +37,8 @@
 // NewServer returns a server whose connections do not stay once they are silent. It
 // is to serve a listener of Listen.
 func NewServer(handler http.Handler, limits ServerLimits) *Server {
-	s := &Server{}
-	s.Server = &http.Server{
+	return Stoppable(&http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if s.stopping.Load() {
-				w.Header().Set("Connection", "close")
-			}
 			if r.Body != nil && r.Body != http.NoBody {
 				body := &boundedBody{
 					ReadCloser: r.Body,
@@ -57,18 +53,12 @@
 		}),
 		ReadHeaderTimeout: limits.Header,
 		IdleTimeout:       limits.Quiet,
-	}
-	return s
+	})
 }
 
 // Listen bounds the writing at the connections that a listener accepts.
 func Listen(listener net.Listener, limits ServerLimits) net.Listener {
-	return &boundedListener{
-		Listener: listener,
-		quiet:    limits.Quiet,
-		drained:  make(chan struct{}),
-		closed:   make(chan struct{}),
-	}
+	return newListener(listener, limits.Quiet)
 }
 
 // Read implements io.Reader.
--- a/conns/stop.go
+++ b/conns/stop.go
@@ -51,8 +51,16 @@
 // boundedListener accepts bounded connections.
 type boundedListener struct {
 	net.Listener
+
+	// quiet is 0 where writing isn't bounded.
 	quiet time.Duration
 
+	// places holds an entry for each open connection; it is nil without a limit. lifted
+	// is closed once the limit holds no more.
+	places chan struct{}
+	lifted chan struct{}
+	lift   sync.Once
+
 	// draining says that what waits to be accepted is still taken, and nothing else;
 	// drained is closed once nothing waits.
 	draining atomic.Bool
@@ -69,19 +77,47 @@
 	SetDeadline(at time.Time) error
 }
 
+// Stoppable makes a server stop as Server says. It must not serve yet.
+func Stoppable(server *http.Server) *Server {
+	s := &Server{
+		Server: server,
+	}
+	next := server.Handler
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+	server.ConnContext = markSurplus
+	return s
+}
+
+// newListener returns a listener without a limit.
+func newListener(listener net.Listener, quiet time.Duration) *boundedListener {
+	return &boundedListener{
+		Listener: listener,
+		quiet:    quiet,
+		lifted:   make(chan struct{}),
+		drained:  make(chan struct{}),
+		closed:   make(chan struct{}),
+	}
+}
+
 // Accept implements net.Listener.
 func (l *boundedListener) Accept() (net.Conn, error) {
+	placed := l.takePlace()
 	accepted, err := l.Listener.Accept()
 	if err != nil && l.draining.Load() {
 		accepted, err = l.acceptLeft()
 	}
 	if err != nil {
+		if placed {
+			l.freePlace()
+		}
 		return nil, err
 	}
-	return &boundedConn{
-		Conn:  accepted,
-		quiet: l.quiet,
-	}, nil
+	return l.wrap(accepted, placed), nil
 }
 
 // Close implements net.Listener.
@@ -133,7 +169,7 @@
 	_ = l.Listener.Close()
 }
 
-// Serve serves a listener of Listen, until Shutdown or Close.
+// Serve serves a listener of Listen or Limit, until Shutdown or Close.
 func (s *Server) Serve(listener net.Listener) error {
 	if bounded, ok := listener.(*boundedListener); ok {
 		s.listener.Store(bounded)
@@ -145,8 +181,12 @@
 // neither accepted nor read, and closes its connections. It ends with ctx at the latest.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.stopping.Store(true)
+	listener := s.listener.Load()
+	if listener != nil {
+		listener.liftLimit()
+	}
 	settle(ctx, acceptLooks)
-	if listener := s.listener.Load(); listener != nil {
+	if listener != nil {
 		listener.drain(ctx)
 	}
 	settle(ctx, readLooks)
--- a/entry/problem.go
+++ b/entry/problem.go
@@ -185,6 +185,17 @@
 	}
 }
 
+func stopping() *Problem {
+	return &Problem{
+		Type:       "urn:lemonstream:stopping",
+		Title:      "The entry stops",
+		Status:     http.StatusServiceUnavailable,
+		Detail:     "the request waited for a connection when the entry was stopped",
+		Outcome:    OutcomeNotRun,
+		RetryAfter: time.Second,
+	}
+}
+
 func tooLarge(limit int64) *Problem {
 	return &Problem{
 		Type:    "urn:lemonstream:too-large",
--- a/entry/server.go
+++ b/entry/server.go
@@ -9,9 +9,9 @@
 	"time"
 
 	"github.com/gin-gonic/gin"
-	"golang.org/x/net/netutil"
 
 	"lemonstream.dev/lemonstream/clock"
+	"lemonstream.dev/lemonstream/conns"
 	"lemonstream.dev/lemonstream/inflight"
 )
 
@@ -46,7 +46,7 @@
 
 // Server is the callers' HTTP server.
 type Server struct {
-	http     *http.Server
+	http     *conns.Server
 	listener net.Listener
 	options  ServerOptions
 	requests *inflight.Requests
@@ -59,17 +59,17 @@
 	h.Routes(engine)
 	s := &Server{
 		requests: inflight.New(c),
-		http: &http.Server{
-			Handler:           engine,
+		http: conns.Stoppable(&http.Server{
+			Handler:           refuseSurplus(engine),
 			ReadHeaderTimeout: headerTimeout,
 			ReadTimeout:       bodyTimeout,
 			WriteTimeout:      writeTimeout,
 			IdleTimeout:       idleTimeout,
 			MaxHeaderBytes:    maxHeaderBytes,
-		},
+		}),
 		options: o,
 	}
-	s.requests.Attach(s.http)
+	s.requests.Attach(s.http.Server)
 	return s
 }
 
@@ -84,7 +84,7 @@
 	if err != nil {
 		return fmt.Errorf("listening for callers: %w", err)
 	}
-	s.listener = netutil.LimitListener(listener, s.options.MaxCallers)
+	s.listener = conns.Limit(listener, s.options.MaxCallers)
 	return nil
 }
 
@@ -104,7 +104,8 @@
 }
 
 // Shutdown waits for the requests in flight, at most until ctx ends. What would
-// outlast it is given up a little earlier, and its caller is told so.
+// outlast it is given up a little earlier, and its caller is told so. Callers beyond
+// the limit of connections are refused.
 func (s *Server) Shutdown(ctx context.Context) error {
 	working, stop := workUntil(ctx)
 	defer stop()
@@ -112,6 +113,17 @@
 	return s.http.Shutdown(ctx)
 }
 
+// refuseSurplus refuses what came over a connection for which there was no place.
+func refuseSurplus(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if conns.Surplus(r) {
+			stopping().write(w)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // workUntil returns a context that ends when requests are to be given up.
 func workUntil(ctx context.Context) (context.Context, context.CancelFunc) {
 	deadline, bounded := ctx.Deadline()
--- a/entry/server_test.go
+++ b/entry/server_test.go
@@ -73,8 +73,16 @@
 	finishing, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
 	is.NoErr(server.Shutdown(finishing))
+	outcomes := make(map[string]int)
 	for range cap(answers) {
-		is.NoErr((<-answers).err)
+		got := <-answers
+		is.NoErr(got.err)
+		outcomes[got.outcome]++
 	}
+	is.Equal(outcomes, map[string]int{
+		entry.OutcomeUnknown: 1,
+		entry.OutcomeNotRun:  1, // It was never sent.
+	})
+	is.Equal(p.total(), 1)
 	is.NoErr(<-served)
 }
