--- a/conns/server.go
+++ b/conns/server.go
@@ -34,16 +34,10 @@
 	quiet time.Duration
 }
 
-// boundedListener accepts bounded connections.
-type boundedListener struct {
-	net.Listener
-	quiet time.Duration
-}
-
 // NewServer returns a server whose connections do not stay once they are silent. It
 // is to serve a listener of Listen.
-func NewServer(handler http.Handler, limits ServerLimits) *http.Server {
-	return &http.Server{
+func NewServer(handler http.Handler, limits ServerLimits) *Server {
+	return Stoppable(&http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if r.Body != nil && r.Body != http.NoBody {
 				body := &boundedBody{
@@ -59,27 +53,12 @@
 		}),
 		ReadHeaderTimeout: limits.Header,
 		IdleTimeout:       limits.Quiet,
-	}
+	})
 }
 
 // Listen bounds the writing at the connections that a listener accepts.
 func Listen(listener net.Listener, limits ServerLimits) net.Listener {
-	return &boundedListener{
-		Listener: listener,
-		quiet:    limits.Quiet,
-	}
-}
-
-// Accept implements net.Listener.
-func (l *boundedListener) Accept() (net.Conn, error) {
-	accepted, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &boundedConn{
-		Conn:  accepted,
-		quiet: l.quiet,
-	}, nil
+	return newListener(listener, limits.Quiet)
 }
 
 // Read implements io.Reader.
