Failing test: a quick second takeover forgets the owner that may still live

Fails (TWICE): InheritWorker takes the shorter of what the beat says is left of a wait and of BlindFor, which only reckons with the owner just before. An owner that is cut off with a worker renews it for longer than that.

--- a/shard/handover_test.go
+++ b/shard/handover_test.go
@@ -212,3 +212,42 @@
 		is.Equal(w.shown[fmt.Sprintf("j%d", i)], job.Completed)
 	}
 }
+
+// TestWaitForAnOwnerThatLivesOutlastsItsSuccessor lets an owner be cut off from the
+// store and from the others, but not from a worker beside it, which it renews as long as
+// an owner goes on without the store. Its successor knows how long that can take, and
+// ends at once; the one after that may not start the task elsewhere any sooner.
+func TestWaitForAnOwnerThatLivesOutlastsItsSuccessor(t *testing.T) {
+	const actsOn = 3250 * time.Millisecond // What BlindFor reckons with after a claim.
+	next := map[string]func(w *world){
+		"released": func(w *world) { w.release(0) },
+		"died":     func(w *world) { w.takeOver() },
+	}
+	for name, succeed := range next {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(3)
+			w.run(200 * time.Millisecond)
+			w.submit("a", lasting(1, 1))
+			w.run(time.Second)
+			f := holderOf(w, "a")[0]
+			first := w.epoch
+			f.cut = true // From all but the owner before.
+			until := w.now.Add(actsOn)
+			goOn := func(d time.Duration) {
+				for end := w.now.Add(d); w.now.Before(end); {
+					if w.now.Before(until) {
+						f.renew(w, first, w.now.Sub(w.start)+testLease)
+					}
+					w.run(tick)
+				}
+			}
+			w.takeOverFromLiving(actsOn)
+			goOn(time.Second)
+			succeed(w)
+			goOn(10 * time.Second)
+			is.Equal(len(holderOf(w, "a")), 1)
+			w.check(t)
+		})
+	}
+}
