--- a/shard/handover.go
+++ b/shard/handover.go
@@ -176,9 +176,8 @@
 	}
 	// The clocks of entries need not agree better than ours with a worker's.
 	left := time.Duration(float64(l.Left) * (1 + clockDrift))
-	if until := s.handedAt.Add(left); until.Before(w.blindUntil) {
-		w.blindUntil = until
-	}
+	// This may be longer than BlindFor, which knows of the owner just before only.
+	w.blindUntil = s.handedAt.Add(left)
 	if l.Unknown {
 		return
 	}
