A takeover hands on for how long an owner before the last may live

An owner that is cut off from the store acts for its horizon of 4 s. Its successor knows that, but where it ended soon, the one after it waited only for the successor: a lease at workers that no row names, and nothing at all for the instances that the first holder had ordered. The claim's beat did not even repeat which those are.

Beats have one more field, for how long an owner before this one may matter; a claim writes the longer of its own wait and of what the beat before it says, and each beat what is left of it. A row without the field reads as before.

--- /dev/null
+++ b/owner/claim_test.go
@@ -0,0 +1,91 @@
+package owner_test
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/matryer/is"
+
+	"lemonstream.dev/lemonstream/internal/standin"
+	"lemonstream.dev/lemonstream/outside"
+	"lemonstream.dev/lemonstream/owner"
+)
+
+// claimedBeats holds the beats with which an entry has claimed a service.
+type claimedBeats struct {
+	mu   sync.Mutex
+	list []owner.Beat
+}
+
+// table returns a table over the rows that notes the beats of claims.
+func (c *claimedBeats) table(t *testing.T, rows *standin.Rows) outside.Table {
+	t.Helper()
+	table := rows.Table()
+	write := table.Transact
+	table.Transact = func(ctx context.Context, tx outside.Transaction) (outside.Receipt, error) {
+		receipt, err := write(ctx, tx)
+		if err == nil && len(tx.Puts) == 2 && tx.Puts[0].Key.Table == "owner" && tx.Puts[0].Key.Part == "s" {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.list = append(c.list, beatIn(t, tx.Puts[1].Value))
+		}
+		return receipt, err
+	}
+	return table
+}
+
+// first returns the beat of the first claim.
+func (c *claimedBeats) first() owner.Beat {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.list[0]
+}
+
+// TestClaimsSayForHowLongAnOwnerBeforeMayLive lets an owner go on living without the store.
+// Its successor says so from its claim on, and the one after that passes on what is left.
+func TestClaimsSayForHowLongAnOwnerBeforeMayLive(t *testing.T) {
+	const lease = time.Second // That of newEntryOn.
+	is := is.New(t)
+	rows := standin.NewRows()
+	var away atomic.Bool
+	first := newEntryOn(t, "a", refusing(rows, &away), alive("a"))
+	until(t, "the first entry owns the service", first.owns)
+	away.Store(true)
+	var said, passedOn claimedBeats
+	second := newEntryOn(t, "b", said.table(t, rows), func(context.Context, netip.AddrPort, string) (owner.Pong, error) {
+		return owner.Pong{}, &outside.UncertainError{
+			Call: "ping",
+		}
+	})
+	until(t, "the second entry owns the service", second.owns)
+	second.group.Stop()
+	is.Equal(said.first().BlindMillis, owner.BlindFor(lease, false).Milliseconds())
+	row, err := rows.Table().Row(context.Background(), outside.Key{
+		Table: "beat",
+		Part:  "s",
+		Name:  "beat",
+	})
+	is.NoErr(err)
+	left := beatIn(t, row.Value).BlindMillis
+	third := newEntryOn(t, "c", passedOn.table(t, rows), func(context.Context, netip.AddrPort, string) (owner.Pong, error) {
+		return owner.Pong{}, &outside.NotDoneError{
+			Call: "ping",
+		}
+	})
+	until(t, "the third entry owns the service", third.owns)
+	is.Equal(passedOn.first().BlindMillis, max(left, owner.BlindFor(lease, true).Milliseconds()))
+}
+
+func beatIn(t *testing.T, value []byte) owner.Beat {
+	t.Helper()
+	var b owner.Beat
+	if err := cbor.Unmarshal(value, &b); err != nil {
+		t.Error(err)
+	}
+	return b
+}
--- a/owner/fleet.go
+++ b/owner/fleet.go
@@ -109,12 +109,19 @@
 	// have given one just now.
 	quietUntil time.Time
 
+	// aloneUntil is until when what a holder before ordered that may live is left
+	// alone; zero where there is none.
+	aloneUntil time.Time
+
 	stop     chan struct{}
 	stopOnce sync.Once
 	released chan struct{}
 }
 
-func newFleet(deps Deps, won claim, now time.Time, ended bool) *fleet {
+// newFleet returns the duty of a holder that has won the instances. What any holder before
+// that may live has ordered is left alone for aloneFor, or for what is left by the word of
+// the holder just before, which may itself have waited for one.
+func newFleet(deps Deps, won claim, now time.Time, aloneFor time.Duration) *fleet {
 	f := &fleet{
 		deps:     deps,
 		tenure:   newTenure(deps, partInstances, won, now),
@@ -129,16 +136,25 @@
 	}
 	f.inheritTaken(won.before.Taken, now)
 	f.quietUntil = now.Add(endedPause)
-	if ended {
+	if inherited := time.Duration(won.before.BlindMillis) * time.Millisecond; inherited > 0 {
+		f.aloneUntil = won.read.Add(inherited)
+	}
+	if until := now.Add(aloneFor); aloneFor > 0 && until.After(f.aloneUntil) {
+		f.aloneUntil = until
+	}
+	if f.aloneUntil.IsZero() {
 		return f
 	}
-	f.quietUntil = f.quietUntil.Add(aliveFor)
+	// The platform's pause follows the last order that one of them may give.
+	if last := f.aloneUntil.Add(endedPause - deps.Site.HolderPause); last.After(f.quietUntil) {
+		f.quietUntil = last
+	}
 	for _, instance := range won.before.Ordered {
-		f.sizer.Block(instance, now.Add(aliveFor+deps.Site.HolderPause))
+		f.sizer.Block(instance, f.aloneUntil)
 		// The next successor may come before the pause has passed.
 		f.recent[instance] = now
 	}
-	deps.Log.Info("instances left alone", "epoch", won.epoch, "count", len(won.before.Ordered), "ms", (aliveFor + deps.Site.HolderPause).Milliseconds())
+	deps.Log.Info("instances left alone", "epoch", won.epoch, "count", len(won.before.Ordered), "ms", f.aloneUntil.Sub(now).Milliseconds())
 	return f
 }
 
--- /dev/null
+++ b/owner/fleet_chain_test.go
@@ -0,0 +1,82 @@
+package owner_test
+
+import (
+	"context"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/matryer/is"
+
+	"lemonstream.dev/lemonstream/internal/standin"
+	"lemonstream.dev/lemonstream/outside"
+	"lemonstream.dev/lemonstream/owner"
+)
+
+// holderEpoch returns the epoch of whoever holds the instances.
+func holderEpoch(t *testing.T, rows *standin.Rows) int64 {
+	t.Helper()
+	row, err := rows.Table().Row(context.Background(), outside.Key{
+		Table: "owner",
+		Part:  "/instances",
+		Name:  "owner",
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var o owner.Ownership
+	if row != nil {
+		if err := cbor.Unmarshal(row.Value, &o); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return o.Epoch
+}
+
+// TestOrderedInstancesAreLeftAloneOverAQuickSecondTakeover lets a holder that goes on
+// living lose the store in the middle of its orders. Its successor ends as soon as it has
+// claimed, and the one after that leaves alone what the first one ordered.
+func TestOrderedInstancesAreLeftAloneOverAQuickSecondTakeover(t *testing.T) {
+	ends := map[string]func(second *entry){
+		"died": func(second *entry) { second.group.Stop() },
+		"released": func(second *entry) {
+			second.keeper.Release(context.Background(), patience)
+			second.group.Stop()
+		},
+	}
+	for name, end := range ends {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			rows := standin.NewRows()
+			f := &fleetOfIdle{
+				moved: make(map[string]map[string]bool),
+			}
+			var away atomic.Bool
+			newEntryWith(t, "a", refusing(rows, &away), alive("a"), f.deps)
+			until(t, "the first holder gives orders", func() bool { return f.count("a") >= 2 })
+			silent := func(context.Context, netip.AddrPort, string) (owner.Pong, error) {
+				return owner.Pong{}, &outside.UncertainError{
+					Call: "ping",
+				}
+			}
+			first := holderEpoch(t, rows)
+			second := newEntryWith(t, "b", rows.Table(), silent, f.deps)
+			away.Store(true)
+			until(t, "the second holder has claimed", func() bool { return holderEpoch(t, rows) > first })
+			end(second)
+			dead := func(context.Context, netip.AddrPort, string) (owner.Pong, error) {
+				return owner.Pong{}, &outside.NotDoneError{
+					Call: "ping",
+				}
+			}
+			newEntryWith(t, "c", rows.Table(), dead, f.deps)
+			until(t, "the third holder gives orders", func() bool { return f.count("c") >= 2 })
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			for instance := range f.moved["c"] {
+				is.True(!f.moved["a"][instance]) // The first holder may still order it about.
+			}
+		})
+	}
+}
--- a/owner/handover.go
+++ b/owner/handover.go
@@ -18,7 +18,8 @@
 // beatOf returns a beat that says what is handed over.
 func beatOf(h shard.Handover) Beat {
 	b := Beat{
-		Lapsed: h.Idle,
+		Lapsed:      h.Idle,
+		BlindMillis: millisUp(h.Blind),
 	}
 	for _, l := range h.Leased {
 		row := LeasedRow{
@@ -38,7 +39,8 @@
 // may run any.
 func handoverOf(b Beat, log *slog.Logger) shard.Handover {
 	h := shard.Handover{
-		Idle: b.Lapsed,
+		Idle:  b.Lapsed,
+		Blind: time.Duration(b.BlindMillis) * time.Millisecond,
 	}
 	for _, row := range b.Leased {
 		l := shard.Leased{
--- a/owner/keeper.go
+++ b/owner/keeper.go
@@ -324,7 +324,8 @@
 func (k *Keeper) seize(ctx context.Context, service string, o known, ended bool, still int64) {
 	defer k.unseize(service)
 	now := k.deps.Clock.Now()
-	won, err := k.claim(ctx, service, o, still)
+	blindFor := k.blindFor(service, o, ended)
+	won, err := k.claim(ctx, service, o, still, blindFor)
 	var recovered *RecoveredError
 	k.mu.Lock()
 	w := k.watches[service]
@@ -341,11 +342,7 @@
 		}
 		return
 	}
-	blindFor := BlindFor(k.deps.Options.Lease, ended)
-	if o.Epoch == 0 {
-		blindFor = 0
-	}
-	h := k.hold(service, won, now, blindFor, ended)
+	h := k.hold(service, won, now, blindFor)
 	k.held[service] = h
 	k.mu.Unlock()
 	k.deps.Log.Info("service taken", "service", service, "epoch", won.epoch, "from", o.Owner, "ended", ended)
@@ -364,22 +361,10 @@
 	delete(k.seizing, service)
 }
 
-// BlindFor returns how long after a claim a worker that can't be reached may
-// still run what the owner before started there: a lease, with the drift of the
-// worker's clock, after the last renewal. An owner that may live renews for
-// ownerHorizon after its last write.
-func BlindFor(lease time.Duration, ended bool) time.Duration {
-	blind := lease + lease/20
-	if !ended {
-		blind += ownerHorizon - silentWrites
-	}
-	return blind
-}
-
 // hold builds the duty for a part that was won.
-func (k *Keeper) hold(part string, won claim, now time.Time, blindFor time.Duration, ended bool) holding {
+func (k *Keeper) hold(part string, won claim, now time.Time, blindFor time.Duration) holding {
 	if part == partInstances {
-		f := newFleet(k.deps, won, now, ended)
+		f := newFleet(k.deps, won, now, blindFor)
 		return holding{
 			tenure:  f.tenure,
 			run:     f.run,
--- a/owner/rows.go
+++ b/owner/rows.go
@@ -59,6 +59,12 @@
 	// Taken names the workers whose instances the owner of the instances has taken
 	// lately.
 	Taken []TakenRow `cbor:"6,keyasint,omitempty"`
+
+	// BlindMillis is for how long after the transaction was made the successor has to
+	// reckon with an owner before this one that may live, even if this one has ended. At
+	// a service, something that it started may run on any worker that neither Lapsed
+	// nor Leased names; of the instances, those in Ordered are left alone.
+	BlindMillis int64 `cbor:"7,keyasint,omitempty"`
 }
 
 // LeasedRow is what may run on one worker.
--- a/owner/succession.go
+++ b/owner/succession.go
@@ -180,9 +180,10 @@
 
 // claim writes the row of the owner under the condition that it stands as
 // known, and that the owner before has written nothing since its beat was read, or
-// since it was seen to stand still at the given version; 0 for one that has ended.
-// A lost answer is resolved by reading the row.
-func (k *Keeper) claim(ctx context.Context, service string, o known, still int64) (claim, error) {
+// since it was seen to stand still at the given version; 0 for one that has ended. blindFor
+// is for how long that one may matter; the longer of it and of what was known before is
+// what the claim passes on. A lost answer is resolved by reading the row.
+func (k *Keeper) claim(ctx context.Context, service string, o known, still int64, blindFor time.Duration) (claim, error) {
 	before, version, err := k.beat(ctx, service)
 	if err != nil {
 		return claim{}, err
@@ -200,7 +201,7 @@
 		Peer:  k.self.Peer.String(),
 	}
 	value := encodeRow(next)
-	receipt, err := k.deps.Table.Transact(ctx, claiming(service, o.version, version, next, before))
+	receipt, err := k.deps.Table.Transact(ctx, claiming(service, o.version, version, next, passedOn(before, blindFor)))
 	won := claim{
 		epoch:   next.Epoch,
 		version: receipt.Version,
@@ -230,10 +231,26 @@
 	return won, nil
 }
 
+// passedOn returns what the claim's beat repeats of the one before. What that said of
+// workers and of taken instances stays true until the next owner writes: it starts nothing
+// before. Its spans have shrunk since, and are not cut: they may only be too long.
+func passedOn(before Beat, blindFor time.Duration) Beat {
+	beat := Beat{
+		Lapsed:      before.Lapsed,
+		Leased:      before.Leased,
+		Taken:       before.Taken,
+		BlindMillis: max(before.BlindMillis, millisUp(blindFor)),
+	}
+	if beat.BlindMillis > 0 {
+		beat.Ordered = before.Ordered
+	}
+	return beat
+}
+
 // claiming builds the transaction that makes a part the next owner's, if the rows of
-// the owner before still have the given versions. What the beat said of workers and of
-// taken instances stays true until the next owner writes: it starts nothing before.
-func claiming(part string, ownerVersion, beatVersion int64, next Ownership, before Beat) outside.Transaction {
+// the owner before still have the given versions. beat is what it passes on.
+func claiming(part string, ownerVersion, beatVersion int64, next Ownership, beat Beat) outside.Transaction {
+	beat.Epoch = next.Epoch
 	return outside.Transaction{
 		Checks: []outside.Check{{
 			Key:     ownerKey(part),
@@ -246,13 +263,8 @@
 			Key:   ownerKey(part),
 			Value: encodeRow(next),
 		}, {
-			Key: beatKey(part),
-			Value: encodeRow(Beat{
-				Epoch:  next.Epoch,
-				Lapsed: before.Lapsed,
-				Leased: before.Leased,
-				Taken:  before.Taken,
-			}),
+			Key:   beatKey(part),
+			Value: encodeRow(beat),
 		}},
 	}
 }
--- a/owner/waves.go
+++ b/owner/waves.go
@@ -121,8 +121,9 @@
 func (f *fleet) confirm(ctx context.Context, puts []outside.Put, release bool) error {
 	now := f.deps.Clock.Now()
 	beat := Beat{
-		Ordered: f.recentOrders(),
-		Taken:   f.taken(now),
+		Ordered:     f.recentOrders(),
+		Taken:       f.taken(now),
+		BlindMillis: max(0, millisUp(f.aloneUntil.Sub(now))),
 	}
 	bounded, cancel := context.WithTimeout(ctx, ownerHorizon)
 	defer cancel()
--- a/shard/handover.go
+++ b/shard/handover.go
@@ -28,6 +28,11 @@
 
 	// Leased holds workers on which something may run.
 	Leased []Leased
+
+	// Blind is for how long after the handover was made a worker that it does not name
+	// may run what an owner before this one started: that may live longer than this
+	// owner does. It only shrinks.
+	Blind time.Duration
 }
 
 // Leased is what may run on one worker.
@@ -71,7 +76,9 @@
 			Worker: id,
 		})
 	}
-	return cut(all, most)
+	h := cut(all, most)
+	h.Blind = max(0, s.blindUntil.Sub(now))
+	return h
 }
 
 // leased returns what may run on a worker.
@@ -152,6 +159,10 @@
 		s.leased[l.Worker] = l
 	}
 	s.handedAt = read
+	// BlindFor knows of the owner just before only.
+	if until := read.Add(drifted(h.Blind)); until.After(s.blindUntil) {
+		s.blindUntil = until
+	}
 	s.passedOn = len(h.Idle)+len(h.Leased) > 0
 }
 
@@ -169,15 +180,13 @@
 	if s.idle[ref.ID] {
 		return
 	}
-	w.blindUntil = s.taken.Add(s.opts.BlindFor)
+	w.blindUntil = s.blindUntil
 	l, found := s.leased[ref.ID]
 	if !found {
 		return
 	}
-	// The clocks of entries need not agree better than ours with a worker's.
-	left := time.Duration(float64(l.Left) * (1 + clockDrift))
 	// This may be longer than BlindFor, which knows of the owner just before only.
-	w.blindUntil = s.handedAt.Add(left)
+	w.blindUntil = s.handedAt.Add(drifted(l.Left))
 	if l.Unknown {
 		return
 	}
@@ -187,6 +196,12 @@
 	}
 }
 
+// drifted returns how long another entry's span may take by this one's clock: the clocks
+// of entries need not agree better than ours with a worker's.
+func drifted(span time.Duration) time.Duration {
+	return time.Duration(float64(span) * (1 + clockDrift))
+}
+
 // blindness is what may run somewhere without this owner having seen it.
 type blindness struct {
 	// all says that it may be any task that an earlier owner knew of; otherwise
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -148,6 +148,10 @@
 	handedAt time.Time
 	passedOn bool
 
+	// blindUntil is when everything has lapsed that earlier owners started on workers
+	// of which nothing is handed over.
+	blindUntil time.Time
+
 	// seesMost says that only tasks that are known may run unseen, sighted that none
 	// may.
 	seesMost bool
@@ -176,6 +180,7 @@
 		name:       name,
 		fence:      fence,
 		taken:      now,
+		blindUntil: now.Add(opts.BlindFor),
 		newVersion: version,
 		jobs:       make(map[string]*jobState),
 		workers:    make(map[string]*workerState),
--- a/shard/shard_test.go
+++ b/shard/shard_test.go
@@ -188,7 +188,11 @@
 				w.release(time.Duration(rapid.IntRange(0, 50).Draw(t, "free for")) * tick)
 				w.storeDown = rapid.Bool().Draw(t, "down after it")
 			case 11:
-				w.takeOverFromLiving(time.Duration(rapid.IntRange(1, 300).Draw(t, "acts on")) * tick)
+				beside := f
+				if !rapid.Bool().Draw(t, "beside") {
+					beside = nil
+				}
+				w.takeOverFromBeside(time.Duration(rapid.IntRange(1, 300).Draw(t, "acts on"))*tick, beside)
 			case 12:
 				names = append(names, w.replace(f, rapid.Bool().Draw(t, "taken")))
 			default:
--- a/shard/withdrawal_world_test.go
+++ b/shard/withdrawal_world_test.go
@@ -40,7 +40,7 @@
 // platform's rule allows. What keeps an owner from its work puts that off, a late order
 // does not: its run counts from its own start.
 func (w *world) judgeWithdrawn() {
-	if w.storeDown || w.standbyAway || w.ownerless || w.frozen || w.zombie != nil {
+	if w.storeDown || w.standbyAway || w.ownerless || w.frozen || len(w.zombies) > 0 {
 		w.disturbed = w.now
 	}
 	for _, f := range w.workers {
--- a/shard/world_owner_test.go
+++ b/shard/world_owner_test.go
@@ -1,6 +1,7 @@
 package shard_test
 
 import (
+	"slices"
 	"time"
 
 	"lemonstream.dev/lemonstream/catalog"
@@ -9,23 +10,51 @@
 	"lemonstream.dev/lemonstream/shard"
 )
 
-// actOn lets an owner before go on.
+// zombie is an owner before that acts on without having noticed that it is succeeded.
+type zombie struct {
+	core  *shard.Shard
+	until time.Time
+
+	// beside is the one worker that it reaches, cut or not; nil stands for all that are
+	// not cut.
+	beside *fakeWorker
+}
+
+// actOn lets owners before go on.
 func (w *world) actOn() {
-	if w.zombie == nil {
-		return
+	w.zombies = slices.DeleteFunc(w.zombies, func(z zombie) bool {
+		return w.now.After(z.until) || z.core.Deposed()
+	})
+	for _, z := range w.zombies {
+		orders, _ := z.core.Next(w.now)
+		w.carryOut(z.core, orders)
+	}
+}
+
+// acts reports whether an owner is the newest one or one before that acts on.
+func (w *world) acts(core *shard.Shard) bool {
+	if core == w.core {
+		return !w.ownerless
+	}
+	return slices.ContainsFunc(w.zombies, func(z zombie) bool { return z.core == core })
+}
+
+// reaches reports whether calls of an owner get through to a worker.
+func (w *world) reaches(core *shard.Shard, f *fakeWorker) bool {
+	if f.down {
+		return false
 	}
-	if w.now.After(w.zombieUntil) || w.zombie.Deposed() {
-		w.zombie = nil
-		return
+	for _, z := range w.zombies {
+		if z.core == core && z.beside != nil {
+			return f == z.beside
+		}
 	}
-	orders, _ := w.zombie.Next(w.now)
-	w.carryOut(w.zombie, orders)
+	return !f.cut
 }
 
 // takeOver starts a new owner from the rows, as after the death of the one
-// before.
+// before. Those before that one may still act on.
 func (w *world) takeOver() {
-	w.zombie = nil
 	w.takeOverAfter(0)
 }
 
@@ -39,8 +68,20 @@
 // takeOverFromLiving starts a new owner while the one before acts on for a while
 // without the store.
 func (w *world) takeOverFromLiving(on time.Duration) {
-	w.zombie = w.core
-	w.zombieUntil = w.now.Add(on)
+	w.takeOverFromBeside(on, nil)
+}
+
+// takeOverFromBeside is takeOverFromLiving of an owner that is cut off from all but one
+// worker, which is cut off from the others.
+func (w *world) takeOverFromBeside(on time.Duration, f *fakeWorker) {
+	if f != nil {
+		f.cut = true
+	}
+	w.zombies = append(w.zombies, zombie{
+		core:   w.core,
+		until:  w.now.Add(on),
+		beside: f,
+	})
 	w.takeOverAfter(on)
 }
 
@@ -56,6 +97,7 @@
 		w.now = w.now.Add(tick)
 		w.deliver()
 		w.work()
+		w.actOn()
 	}
 	w.takeOver()
 }
@@ -101,8 +143,13 @@
 			}
 		},
 	})
-	// The row of the claim passes on what the last beat said.
+	// The row of the claim passes on what the last beat said, and for how long the owner
+	// before may matter.
+	if w.waitless {
+		w.handover.Blind = 0
+	}
 	w.core.Inherit(w.handover, w.now)
+	w.handover.Blind = max(w.handover.Blind, blind)
 	w.standbyBatch = nil
 	w.standbyRead = w.epoch == 1
 	if !w.standbyRead {
--- a/shard/world_test.go
+++ b/shard/world_test.go
@@ -101,10 +101,8 @@
 	used     map[string]bool
 	handover shard.Handover
 
-	// zombie is an owner before that acts on without having noticed that it is
-	// succeeded, until the given instant.
-	zombie      *shard.Shard
-	zombieUntil time.Time
+	// zombies are owners before that act on, oldest first.
+	zombies []zombie
 
 	// regained is when the store was last regained.
 	regained time.Time
@@ -150,6 +148,10 @@
 	// blindfold takes out of what workers list the runs that began late.
 	blindfold bool
 
+	// waitless takes out of what is handed over for how long owners before the last may
+	// live.
+	waitless bool
+
 	// forgetful keeps from the owner the rows of cancellations of jobs that it does not
 	// know yet.
 	forgetful bool
@@ -214,7 +216,7 @@
 // removeOwner lets the owner end for good, with what it was about to do.
 func (w *world) removeOwner() {
 	w.ownerless = true
-	w.zombie = nil
+	w.zombies = nil
 	w.batch = nil
 	w.standbyBatch = nil
 }
@@ -487,7 +489,7 @@
 func (w *world) carryOut(core *shard.Shard, orders shard.Orders) {
 	answer := func(d time.Duration, do func()) {
 		w.after(d, func() {
-			if (core == w.core && !w.ownerless) || core == w.zombie {
+			if w.acts(core) {
 				do()
 			}
 		})
@@ -500,7 +502,7 @@
 	for _, h := range orders.Holds {
 		f := w.workers[h.Worker.ID]
 		sent := w.now
-		if f.cut || f.down {
+		if !w.reaches(core, f) {
 			answer(w.lookFails, func() { core.Held(h.Worker.ID, sent, w.now, outside.Glance{}, errSilent) })
 			continue
 		}
@@ -515,7 +517,7 @@
 		f.renew(w, h.Renewal.Fence, h.Renewal.Until)
 		w.acknowledge(f, h.Renewal.Acknowledged)
 		answer(tick, func() {
-			if f.cut || f.down {
+			if !w.reaches(core, f) {
 				core.Held(h.Worker.ID, sent, w.now, outside.Glance{}, errSilent)
 				return
 			}
@@ -530,11 +532,15 @@
 		}
 		if w.lose > 0 {
 			sent := w.now
-			w.after(w.lose, func() { _ = w.startAt(f, s.Order, sent) })
+			w.after(w.lose, func() {
+				if !f.cut {
+					_ = w.startAt(f, s.Order, sent)
+				}
+			})
 			answer(700*time.Millisecond, func() { core.Started(s.Worker.ID, s.Order, w.now, 0, errSilent) })
 			continue
 		}
-		if f.cut || f.down {
+		if !w.reaches(core, f) {
 			answer(700*time.Millisecond, func() { core.Started(s.Worker.ID, s.Order, w.now, 0, errSilent) })
 			continue
 		}
@@ -545,10 +551,14 @@
 		f := w.workers[s.Worker.ID]
 		w.stops++
 		lost := w.loseStops > 0 && w.stops%w.loseEach == 0
-		if f.cut || f.down || lost {
+		if !w.reaches(core, f) || lost {
 			if lost {
 				w.heldUp[s] = true
-				w.after(w.loseStops, func() { w.stopAt(f, s) })
+				w.after(w.loseStops, func() {
+					if !f.cut {
+						w.stopAt(f, s)
+					}
+				})
 			}
 			answer(700*time.Millisecond, func() { core.Stopped(s.Worker.ID, s.Task, s.Run, w.now, 0, errSilent) })
 			continue
@@ -561,7 +571,7 @@
 // stopAt is what a worker does with a stop. The rule on how many may be away leaves out
 // orders that were held up.
 func (w *world) stopAt(f *fakeWorker, s shard.Stop) {
-	if f.cut || f.down {
+	if f.down {
 		return
 	}
 	f.top[s.Task] = max(f.top[s.Task], s.Run)
@@ -596,7 +606,7 @@
 			Clock:  w.now.Sub(w.start),
 		}
 	}
-	if f.down || f.cut {
+	if f.down {
 		return errSilent
 	}
 	if o.Fence < f.fence {
