A question whose turn at the rows does not come is refused, and its owner asked once

A question that had no answer there and whose turn at the rows was not soon asked the owner again each 50 ms, with a second try each: an owner at the limit of its processor was kept there by them. It is what the budget of second tries, the desk and the rest of the loop did not touch. Change: the turn is waited for as long as the caller waits; one that does not come in that time is refused at once (503 and the time to come back), since the rows are all that could answer it. Test: TestOwnerIsAskedOnceForAQuestion, which failed before.

--- a/intake/ask.go
+++ b/intake/ask.go
@@ -26,6 +26,17 @@
 	contentJSON = "application/json"
 )
 
+// QueuedError reports that so many questions wait to be answered from the rows of a
+// service that this one would not be answered in its time.
+type QueuedError struct {
+	Service string
+}
+
+// Error implements error.
+func (e *QueuedError) Error() string {
+	return "too many questions wait for the rows of " + e.Service
+}
+
 // state answers with the state of a job: the owner's word where it can be had,
 // else what the rows say. Only the rows can say that a job does not exist.
 func (s *Server) state(r *request) {
@@ -44,7 +55,8 @@
 			r.Data(http.StatusOK, contentJSON, s.Codec.EncodeState(state))
 			return
 		}
-		if !clock.Sleep(r.ctx, writePause) {
+		var queued *QueuedError
+		if errors.As(err, &queued) || !clock.Sleep(r.ctx, writePause) {
 			s.refuse(r.Context, "the state can't be read")
 			return
 		}
@@ -73,9 +85,8 @@
 // ago, or others of this entry's questions have their turn before.
 func (s *Server) tryReading(ctx context.Context, service, id string) (job.State, string, error) {
 	if !s.reads.turn(ctx, s.Clock, s.ReadPause()) {
-		return "", "", &outside.NotDoneError{
-			Call:   "reading of " + service,
-			Reason: "others were before it",
+		return "", "", &QueuedError{
+			Service: service,
 		}
 	}
 	var state job.State
--- a/intake/readpace.go
+++ b/intake/readpace.go
@@ -12,9 +12,8 @@
 	// readBurst is how many questions may be answered from rows at once after a rest.
 	readBurst = 10
 
-	// readWait is how long a question waits for its turn before the owner is asked
-	// again, who answers from memory.
-	readWait = 200 * time.Millisecond
+	// readNever bounds the wait of a question without a deadline.
+	readNever = 3 * time.Second
 )
 
 // readPace spaces the questions that this entry answers from rows, over all callers.
@@ -27,27 +26,33 @@
 	next time.Time
 }
 
-// turn waits for the turn of a question; false means that it does not come soon.
+// turn waits for the turn of a question; false means that it does not come while the
+// caller waits. The owner is not asked again meanwhile: one that has no processor time
+// for a question has none for its repetitions.
 func (p *readPace) turn(ctx context.Context, c clock.Clock, pause time.Duration) bool {
-	wait, soon := p.reserve(c.Now(), pause)
-	if !soon {
+	latest := c.Now().Add(readNever)
+	if deadline, bounded := ctx.Deadline(); bounded {
+		latest = deadline
+	}
+	wait, mine := p.reserve(c.Now(), latest, pause)
+	if !mine {
 		return false
 	}
 	return wait <= 0 || clock.Sleep(ctx, wait)
 }
 
-// reserve returns how long it is to the next turn, and takes it if that is soon.
-func (p *readPace) reserve(now time.Time, pause time.Duration) (time.Duration, bool) {
+// reserve returns how long it is to the next turn, and takes it if that comes before
+// the given instant.
+func (p *readPace) reserve(now, before time.Time, pause time.Duration) (time.Duration, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	at := p.next
 	if earliest := now.Add(-readBurst * pause); at.Before(earliest) {
 		at = earliest
 	}
-	wait := at.Sub(now)
-	if wait > readWait {
+	if at.After(before) {
 		return 0, false
 	}
 	p.next = at.Add(pause)
-	return wait, true
+	return at.Sub(now), true
 }
--- a/intake/readpace_test.go
+++ b/intake/readpace_test.go
@@ -4,6 +4,9 @@
 	"context"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -15,6 +18,7 @@
 	"lemonstream.dev/lemonstream/intake"
 	"lemonstream.dev/lemonstream/internal/standin"
 	"lemonstream.dev/lemonstream/owner"
+	"lemonstream.dev/lemonstream/peer"
 	"lemonstream.dev/lemonstream/shard"
 )
 
@@ -59,3 +63,31 @@
 		is.True(reads.Load() <= 4*40)
 	})
 }
+
+// TestOwnerIsAskedOnceForAQuestion covers an owner that has no answer while the rows are
+// read for others: the question is refused, and the owner not asked again for it.
+func TestOwnerIsAskedOnceForAQuestion(t *testing.T) {
+	is := is.New(t)
+	rows := standin.NewRows()
+	var asked atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		asked.Add(1)
+		w.WriteHeader(http.StatusNotFound)
+	}))
+	t.Cleanup(server.Close)
+	entry := serveOwned(t, rows, func(s *intake.Server) {
+		s.ReadPause = func() time.Duration { return time.Hour }
+		s.Owners.Owner = func(string) (netip.AddrPort, bool) {
+			return netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")), true
+		}
+		s.Owners.Peers = peer.NewClient()
+	})
+	status := http.StatusGone
+	questions := int64(0)
+	for status == http.StatusGone {
+		questions++
+		status = ask(entry, http.MethodGet, fmt.Sprintf("/q/%d", questions), "").Code
+	}
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.Equal(asked.Load(), questions)
+}
