Callers that come together, or reach their deadline together, don't open a breaker for each other

Cause, from a trace of every call of TestCallersOfAnOutageDoNotFillTheStore beside six busy loops: two faults. At 0 ms callers were let through before the first try had failed (up to 192 calls). At 250 ms, when their time was over, each was let through as the one try of a pause, failed, and counted as given up by its caller, so that the next went at the same instant (up to 134 calls). Ruled out: the limit of tries under way alone (10 and 6: red by the second fault), and the second mend alone (red by the first). Change: while nothing shows that something works, four tries at a time; a failure of its own counts even where the caller's time is over; a caller that has gone is not let through. A question's turn at the rows that a breaker held up is given back.

--- a/intake/ask.go
+++ b/intake/ask.go
@@ -84,18 +84,24 @@
 // tryReading is readState, unless the rows of the service could not be read a moment
 // ago, or others of this entry's questions have their turn before.
 func (s *Server) tryReading(ctx context.Context, service, id string) (job.State, string, error) {
-	if !s.reads.turn(ctx, s.Clock, s.ReadPause()) {
+	pause := s.ReadPause()
+	if !s.reads.turn(ctx, s.Clock, pause) {
 		return "", "", &QueuedError{
 			Service: service,
 		}
 	}
 	var state job.State
 	var found string
+	tried := false
 	err := s.Breakers.Try(ctx, "reading of "+service, func(ctx context.Context) error {
+		tried = true
 		var err error
 		state, found, err = s.readState(ctx, service, id)
 		return err
 	})
+	if !tried {
+		s.reads.giveBack(pause)
+	}
 	return state, found, err
 }
 
--- a/intake/readpace.go
+++ b/intake/readpace.go
@@ -56,3 +56,11 @@
 	p.next = at.Add(pause)
 	return at.Sub(now), true
 }
+
+// giveBack returns a turn in which nothing was read. Otherwise questions that a breaker
+// holds up take the turns of those that come after them.
+func (p *readPace) giveBack(pause time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.next = p.next.Add(-pause)
+}
--- a/outside/breaker_test.go
+++ b/outside/breaker_test.go
@@ -90,3 +90,70 @@
 	now = now.Add(75 * time.Millisecond) // The longest first pause.
 	is.NoErr(b.Try(context.Background(), "a", func(context.Context) error { return nil }))
 }
+
+// TestCallersAtTheirDeadlineDoNotOpenTheWay covers callers that are all at their
+// deadline while a breaker is open. Each was let through as the one try of a pause,
+// failed, and counted as one that its caller had given up on, so that the next was let
+// through at the same instant: an entry made 134 calls in place of 20, all but four of
+// them at 250 ms, when the time of its callers was over.
+func TestCallersAtTheirDeadlineDoNotOpenTheWay(t *testing.T) {
+	is := is.New(t)
+	now := time.UnixMilli(1_000_000)
+	b := breakers(&now)
+	tries := 0
+	is.True(b.Try(context.Background(), "a", func(context.Context) error { return &outside.NotDoneError{} }) != nil)
+	now = now.Add(100 * time.Millisecond)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for range 300 {
+		is.True(b.Try(ctx, "a", func(context.Context) error {
+			tries++
+			cancel()
+			return &outside.UncertainError{}
+		}) != nil)
+	}
+	is.Equal(tries, 1)
+	is.True(b.Try(context.Background(), "a", func(context.Context) error {
+		tries++
+		return nil
+	}) != nil) // The failure was the store's own.
+	is.Equal(tries, 1)
+}
+
+// TestCallersThatComeTogetherAreLetThroughAFewAtATime covers callers that all arrive
+// before the first of their tries has failed. Of 300 such callers each one was let
+// through, since only a failure opened the breaker; what saved the store was that few
+// of them ran at once. Once something has succeeded, everyone is let through again,
+// and after a second without a success it has to be shown anew.
+func TestCallersThatComeTogetherAreLetThroughAFewAtATime(t *testing.T) {
+	is := is.New(t)
+	now := time.UnixMilli(1_000_000)
+	b := breakers(&now)
+	well := func(context.Context) error { return nil }
+	is.Equal(together(b, 300), 4) // Nothing is known.
+	now = now.Add(100 * time.Millisecond)
+	is.NoErr(b.Try(context.Background(), "a", well))
+	is.Equal(together(b, 300), 300)
+	now = now.Add(100 * time.Millisecond)
+	is.NoErr(b.Try(context.Background(), "a", well))
+	now = now.Add(time.Second)
+	is.Equal(together(b, 300), 4)
+}
+
+// together makes tries that are all under way before the first of them fails, and
+// returns how many were made.
+func together(b *outside.Breakers, callers int) int {
+	made := 0
+	var nest func(depth int) error
+	nest = func(depth int) error {
+		if depth > 0 {
+			_ = b.Try(context.Background(), "a", func(context.Context) error {
+				made++
+				return nest(depth - 1)
+			})
+		}
+		return &outside.NotDoneError{}
+	}
+	_ = nest(callers)
+	return made
+}
