Failing test: a task that crashes its workers is started without end

Two culprits among 12 workers and 190 innocent tasks, in four forms; the oracle counts the workers that crashed under each task.

--- a/shard/fakeworker_test.go
+++ b/shard/fakeworker_test.go
@@ -29,9 +29,11 @@
 	until  time.Time
 	top    map[job.TaskID]int64
 
-	// cut says that no call gets through; down that the worker has crashed.
-	cut  bool
-	down bool
+	// cut says that no call gets through; down that the worker has crashed, and reborn
+	// that another life answers at its address.
+	cut    bool
+	down   bool
+	reborn bool
 
 	// deaf is how many stops it answers without ending a run, began how many runs
 	// have begun, and disturbed when it was last out of reach.
--- a/shard/world_test.go
+++ b/shard/world_test.go
@@ -33,6 +33,9 @@
 	contactBound = 3 * time.Second
 	stopBound    = 400 * time.Millisecond
 
+	// crashBound is how many workers may crash under a task; it is not started after.
+	crashBound = 3
+
 	// feedPause is how long a row of an entry waits until its owner looks for it.
 	feedPause = time.Second
 )
@@ -167,6 +170,13 @@
 	// forgetful keeps from the owner the rows of cancellations of jobs that it does not
 	// know yet.
 	forgetful bool
+
+	// culprits names the tasks that crash the worker on which they start, and after how
+	// long; crashes counts the workers that crashed under each. backAfter is when another
+	// life answers at the address of a crashed worker; zero stands for never.
+	culprits  map[job.TaskID]time.Duration
+	crashes   map[job.TaskID]int
+	backAfter time.Duration
 }
 
 func newWorld(count int) *world {
@@ -198,6 +208,8 @@
 		refused:        make(map[string]shard.Refusal),
 		turned:         make(map[string]bool),
 		heard:          make(map[string]time.Time),
+		culprits:       make(map[job.TaskID]time.Duration),
+		crashes:        make(map[job.TaskID]int),
 	}
 	w.now = w.start
 	for i := 0; i < count; i++ {
@@ -411,8 +423,13 @@
 			continue
 		}
 		for id, r := range f.runs {
+			if f.down {
+				break
+			}
 			r.workLeft -= tick
 			switch {
+			case w.crashesNow(id, r):
+				w.crash(f, id)
 			case w.now.After(f.until):
 				f.end(id, outside.EndLapsed)
 			case !r.stopAt.IsZero() && !w.now.Before(r.stopAt):
@@ -508,9 +525,14 @@
 	return len(existing) > 0
 }
 
-var errSilent = &outside.UncertainError{
-	Call: "test",
-}
+var (
+	errReborn = &outside.GoneError{
+		ID: "test",
+	}
+	errSilent = &outside.UncertainError{
+		Call: "test",
+	}
+)
 
 // carryOut lets the workers answer an owner one tick later. What one sent that acts no
 // more is answered to nobody.
@@ -530,6 +552,10 @@
 	for _, h := range orders.Holds {
 		f := w.workers[h.Worker.ID]
 		sent := w.now
+		if f.reborn && !f.cut {
+			answer(tick, func() { core.Held(h.Worker.ID, sent, w.now, outside.Glance{}, errReborn) })
+			continue
+		}
 		if !w.reaches(core, f) {
 			answer(w.lookFails, func() { core.Held(h.Worker.ID, sent, w.now, outside.Glance{}, errSilent) })
 			continue
@@ -575,6 +601,10 @@
 			answer(700*time.Millisecond, func() { core.Started(s.Worker.ID, s.Order, w.now, 0, errSilent) })
 			continue
 		}
+		if f.reborn && !f.cut {
+			answer(tick, func() { core.Started(s.Worker.ID, s.Order, w.now, 0, errReborn) })
+			continue
+		}
 		if !w.reaches(core, f) {
 			answer(700*time.Millisecond, func() { core.Started(s.Worker.ID, s.Order, w.now, 0, errSilent) })
 			continue
@@ -720,6 +750,9 @@
 	if at, noted := w.noted[id]; noted && !sent.Before(at) {
 		w.fault("%s starts on %s, and its end was noted at %v", id, f.reg.ID, at.Sub(w.start))
 	}
+	if w.crashes[id] >= crashBound {
+		w.fault("%s starts on %s after %d workers have crashed under it", id, f.reg.ID, w.crashes[id])
+	}
 	if at, found := w.withdrawn[id.Job]; found && sent.Sub(latest(at, w.disturbed)) > cancelBound {
 		w.fault("%s starts on %s, and its job was withdrawn at %v", id, f.reg.ID, at.Sub(w.start))
 	}
