A task under which three workers crashed is given up, and suspects run apart

Cause: a run that was lost with its worker counted as nothing (shard.drop left its task idle as if it had never started), so a task that crashes its workers was started as long as its job was there, and its bystanders beside it again. Ruled out: counts lost at a takeover (none happened), copies alone. Change: package suspect says what a lost worker proves; the crash of a worker marks what may have run there; at three marks the job fails, its other runs are stopped. Marks stand in the job's row. A task with a mark is on trial where it runs, which stands there as well, so that a successor counts a crash that its predecessor did not see. Suspects keep apart by weight, and get no copies. An announced end, one of a registration that went first, a worker that answers again mark nobody; a lasting task that has run for 10 s is beyond doubt.

--- /dev/null
+++ b/shard/crash.go
@@ -0,0 +1,228 @@
+package shard
+
+import (
+	"strings"
+	"time"
+
+	"lemonstream.dev/lemonstream/job"
+	"lemonstream.dev/lemonstream/suspect"
+)
+
+// Weights that keep tasks under which workers crashed apart, see weights.
+const (
+	weightSuspects = 500.0
+
+	// A suspect among others, for each of them, and any other task beside a suspect: less
+	// than to run away from the data for a few of them, more for a full worker.
+	weightBystander     = 30.0
+	weightBesideSuspect = 150.0
+)
+
+// loseWorker drops a worker whose life has ended without an order of ours. Where it
+// crashed, everything that may have run there is marked: what is not counted is started
+// without end, and takes a worker each time (two tasks took twelve workers with 176 runs
+// in eleven seconds).
+func (s *Shard) loseWorker(w *workerState, now time.Time, reason string) {
+	crashed := w.loss().Crashed()
+	var lost []job.TaskID
+	if crashed {
+		lost = s.lostTasks(w, now)
+	}
+	s.endWorker(w, now, reason)
+	for _, id := range lost {
+		s.mark(id, w.reg.ID, now)
+	}
+}
+
+// loss returns what is known of the end of a worker.
+func (w *workerState) loss() suspect.Loss {
+	loss := suspect.Loss{
+		Draining: w.reg.Draining,
+		Unheard:  !w.known,
+		Silent:   w.silentSince,
+	}
+	if !w.listed {
+		loss.Unlisted = w.unlisted
+	}
+	return loss
+}
+
+// lostTasks returns what runs on a worker, is on trial there, or may run there by the
+// word of the owner before, but for lasting tasks that are beyond doubt.
+func (s *Shard) lostTasks(w *workerState, now time.Time) []job.TaskID {
+	var lost []job.TaskID
+	for id, r := range w.runs {
+		step, found := s.stepOf(id)
+		if found && (!step.Lasting || now.Sub(r.began) <= suspect.ProvedAfter) {
+			lost = append(lost, id)
+		}
+	}
+	for id := range s.trials[w.reg.ID] {
+		lost = append(lost, id)
+	}
+	if w.known {
+		return lost
+	}
+	for id := range w.mayRun {
+		lost = append(lost, id)
+	}
+	return lost
+}
+
+// mark notes that a worker crashed under a task, and gives the task up at its limit.
+func (s *Shard) mark(id job.TaskID, worker string, now time.Time) {
+	j, t := s.openTask(id)
+	if t == nil {
+		return
+	}
+	marks, fresh := t.crashed.Add(worker)
+	if !fresh {
+		return
+	}
+	t.crashed = marks
+	s.dirty[id.Job] = j
+	s.opts.Report("crash marked", "task", id.String(), "worker", worker, "crashes", len(marks))
+	if !marks.GivenUp() {
+		return
+	}
+	s.opts.Report("task given up", "job", id.Job, "task", id.String(), "crashed", strings.Join(marks, " "))
+	s.finishJob(j, job.Failed, now)
+}
+
+// openTask returns a task that has not ended, and its job; nil where there is none.
+func (s *Shard) openTask(id job.TaskID) (*jobState, *taskState) {
+	j := s.jobs[id.Job]
+	if j == nil || j.state.Final() {
+		return nil, nil
+	}
+	t := j.task(id)
+	if t == nil || t.done {
+		return nil, nil
+	}
+	return j, t
+}
+
+// try puts a task on trial on a worker: as long as nobody knows how its run there ended,
+// a successor counts the worker's crash against it as well. The row is written beside the
+// start and not before it, which takes some 20 ms.
+func (s *Shard) try(id job.TaskID, worker string) {
+	j, t := s.openTask(id)
+	if t == nil {
+		return
+	}
+	t.trials, _ = t.trials.Add(worker)
+	s.dirty[id.Job] = j
+	s.watchTrial(id, worker)
+}
+
+func (s *Shard) watchTrial(id job.TaskID, worker string) {
+	if s.trials[worker] == nil {
+		s.trials[worker] = make(map[job.TaskID]struct{})
+	}
+	s.trials[worker][id] = struct{}{}
+}
+
+// acquit ends a trial: the worker has not crashed under the task. The row is written
+// again, since a worker that is gone for another reason later would count.
+func (s *Shard) acquit(id job.TaskID, worker string) {
+	if _, found := s.trials[worker][id]; !found {
+		return
+	}
+	delete(s.trials[worker], id)
+	if len(s.trials[worker]) == 0 {
+		delete(s.trials, worker)
+	}
+	if j, t := s.openTask(id); t != nil {
+		t.trials = t.trials.Without(worker)
+		s.dirty[id.Job] = j
+	}
+}
+
+// acquitAt ends the trials of tasks that don't run on a worker which answers or has ended.
+func (s *Shard) acquitAt(w *workerState) {
+	for id := range s.trials[w.reg.ID] {
+		if _, runs := w.runs[id]; !runs {
+			s.acquit(id, w.reg.ID)
+		}
+	}
+}
+
+// judgeForgotten marks the tasks on trial at workers that no row names any more: an
+// earlier owner had taken note of their end. It waits until this owner has heard of every
+// worker that it is to know.
+func (s *Shard) judgeForgotten(now time.Time) {
+	if len(s.trials) == 0 || now.Before(s.blindUntil) {
+		return
+	}
+	for worker, tasks := range s.trials {
+		if _, known := s.workers[worker]; known {
+			continue
+		}
+		delete(s.trials, worker)
+		for id := range tasks {
+			if _, t := s.openTask(id); t != nil {
+				t.trials = t.trials.Without(worker)
+			}
+			s.mark(id, worker, now)
+		}
+	}
+}
+
+// clear forgets the marks of a lasting task that has run for long enough.
+func (s *Shard) clear(r *run, t *taskState, j *jobState, now time.Time) {
+	if !t.crashed.Suspect() || now.Sub(r.began) <= suspect.ProvedAfter || !j.record.Spec.Steps[r.id.Step].Lasting {
+		return
+	}
+	t.crashed = nil
+	s.dirty[j.record.ID] = j
+	s.acquit(r.id, r.worker.reg.ID)
+	s.unsuspect(r)
+	s.opts.Report("crashes cleared", "task", r.id.String(), "worker", r.worker.reg.ID, "ran_ms", now.Sub(r.began).Milliseconds())
+}
+
+// unsuspect takes a run out of those that others are to keep away from.
+func (s *Shard) unsuspect(r *run) {
+	if !r.suspect {
+		return
+	}
+	r.suspect = false
+	r.worker.suspects--
+}
+
+// held reports whether an idle task may not be started until it is known whether a silent
+// worker has crashed under it: with that one it would be given up.
+func (t *taskState) held() bool {
+	return len(t.trials) > 0 && len(t.crashed)+len(t.trials) >= suspect.CrashLimit
+}
+
+// weighSuspects keeps tasks under which workers crashed apart, from each other most of
+// all, so that the next crash tells who did it and takes few with it. It is a weight and
+// no bar: where there is no room to be apart, a suspect waits for nothing.
+func weighSuspects(w *workerState, t *taskState) float64 {
+	switch {
+	case t.crashed.Suspect():
+		return weightSuspects*float64(w.suspects) + weightBystander*float64(len(w.runs))
+	case w.suspects > 0:
+		return weightBesideSuspect
+	default:
+		return 0
+	}
+}
+
+// watchTrials takes in the trials of a job that was read from rows.
+func (s *Shard) watchTrials(j *jobState) {
+	for k, o := range j.occurrences {
+		for st, step := range o.steps {
+			for i, t := range step.tasks {
+				for _, worker := range t.trials {
+					s.watchTrial(job.TaskID{
+						Job:        j.record.ID,
+						Occurrence: k,
+						Step:       st,
+						Index:      i,
+					}, worker)
+				}
+			}
+		}
+	}
+}
--- a/shard/crash_test.go
+++ b/shard/crash_test.go
@@ -92,3 +92,100 @@
 		})
 	}
 }
+
+// TestCrashesCountAcrossOwners lets every crash but the first happen under another owner:
+// what one has seen stands in the job's row.
+func TestCrashesCountAcrossOwners(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(6)
+	w.backAfter = 2 * time.Second
+	w.culprits[job.TaskID{
+		Job: "bad",
+	}] = tick
+	w.run(200 * time.Millisecond)
+	w.submit("bad", step(1))
+	for range 8 {
+		w.run(4 * time.Second)
+		w.takeOver()
+	}
+	w.run(4 * time.Second)
+	w.check(t)
+	is.Equal(w.shown["bad"], job.Failed)
+}
+
+// TestWorkerThatAnswersAgainHasNotCrashed covers cuts that outlast a lease: nothing that
+// ran behind one is marked, however often.
+func TestWorkerThatAnswersAgainHasNotCrashed(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(4)
+	w.run(200 * time.Millisecond)
+	slow := step(1)
+	slow.Estimate = 60 * time.Second
+	w.submit("a", slow)
+	for range 5 {
+		w.run(time.Second)
+		f := holderOf(w, "a")[0]
+		f.cut = true
+		w.run(testLease + 2*time.Second)
+		f.cut = false
+	}
+	w.run(70 * time.Second)
+	w.check(t)
+	is.Equal(w.shown["a"], job.Completed)
+}
+
+// TestAnnouncedEndIsNoCrash lets every worker under a task end after it has drained, and
+// after its registration went without a word.
+func TestAnnouncedEndIsNoCrash(t *testing.T) {
+	for name, announce := range map[string]func(f *fakeWorker){
+		"drains":               func(f *fakeWorker) { f.reg.Draining = true },
+		"registration is gone": func(f *fakeWorker) { f.unlisted = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(4)
+			w.backAfter = time.Second
+			w.run(200 * time.Millisecond)
+			slow := step(1)
+			slow.Estimate = 20 * time.Second
+			w.submit("a", slow)
+			for range 5 {
+				w.run(time.Second)
+				f := holderOf(w, "a")[0]
+				announce(f)
+				w.list()
+				w.run(time.Second)
+				w.loseWorker(f)
+				w.run(4 * time.Second)
+			}
+			w.run(30 * time.Second)
+			w.check(t)
+			is.Equal(w.shown["a"], job.Completed)
+		})
+	}
+}
+
+// TestLastingTaskThatHasRunForLongIsBeyondDoubt lets a lasting task lose five workers
+// that have nothing to do with it, with more time between two losses than a crash at the
+// start takes. It is never given up; one that crashes each worker at the start is.
+func TestLastingTaskThatHasRunForLongIsBeyondDoubt(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(4)
+	w.backAfter = time.Second
+	w.culprits[job.TaskID{
+		Job: "bad",
+	}] = tick
+	w.run(200 * time.Millisecond)
+	w.submit("a", lasting(1, 1))
+	w.submit("bad", lasting(1, 1))
+	w.run(20 * time.Second)
+	is.Equal(w.shown["bad"], job.Failed)
+	for range 5 {
+		w.run(15 * time.Second)
+		w.loseWorker(holderOf(w, "a")[0])
+	}
+	w.run(10 * time.Second)
+	is.Equal(w.shown["a"], job.Running)
+	is.Equal(len(holderOf(w, "a")), 1)
+	w.check(t)
+}
--- a/shard/crash_world_test.go
+++ b/shard/crash_world_test.go
@@ -2,10 +2,15 @@
 
 import (
 	"fmt"
+	"time"
 
 	"lemonstream.dev/lemonstream/job"
 )
 
+// registrationKept is how long the registration of a crashed worker stands: three
+// heartbeats of the platform.
+const registrationKept = 4500 * time.Millisecond
+
 // crashesNow reports whether a run has gone on for as long as its task takes to crash
 // its worker.
 func (w *world) crashesNow(id job.TaskID, r *fakeRun) bool {
@@ -23,16 +28,25 @@
 // its address after a while.
 func (w *world) loseWorker(f *fakeWorker) {
 	f.down = true
+	f.crashed = true
 	f.runs = make(map[job.TaskID]*fakeRun)
+	w.after(registrationKept, func() {
+		f.unlisted = true
+		w.listToOwner()
+	})
 	if w.backAfter == 0 {
 		return
 	}
 	w.after(w.backAfter, func() {
 		f.reborn = true
-		f.unlisted = true
 		w.addWorker(fmt.Sprintf("w%d", len(w.workers)), f.reg.Rack)
-		if !w.ownerless {
-			w.list()
-		}
+		w.listToOwner()
 	})
 }
+
+// listToOwner tells the owner of every registration, if there is one.
+func (w *world) listToOwner() {
+	if !w.ownerless {
+		w.list()
+	}
+}
--- a/shard/events.go
+++ b/shard/events.go
@@ -41,6 +41,7 @@
 		w.named = false
 	}
 	w.failures = 0
+	w.silentSince = time.Time{}
 	w.hear(glance.Clock, now)
 	if !w.known {
 		// An earlier owner may have renewed the lease until just now.
@@ -68,6 +69,7 @@
 		w.holdAt = now.Add(retryFirst)
 	}
 	s.compare(w, sent, now, glance.Runs)
+	s.acquitAt(w)
 	s.pace(w)
 }
 
@@ -75,7 +77,7 @@
 func (s *Shard) holdFailed(w *workerState, now time.Time, err error) {
 	var gone *outside.GoneError
 	if errors.As(err, &gone) {
-		s.endWorker(w, now, "another life answers")
+		s.loseWorker(w, now, "another life answers")
 		return
 	}
 	var refused *outside.WorkerRefusedError
@@ -85,6 +87,7 @@
 		return
 	}
 	if w.failures == 0 {
+		w.silentSince = now
 		s.opts.Report("worker lost", "worker", w.reg.ID, "runs", len(w.runs), "error", err.Error())
 	}
 	w.failures++
@@ -129,6 +132,9 @@
 		r.figure = running.Figure
 		r.percent = running.Percent
 		r.listed = sent
+		if t != nil {
+			s.clear(r, t, j, now)
+		}
 		switch {
 		case r.phase == phaseStarting || r.phase == phaseDoubtful:
 			r.phase = phaseRunning
@@ -182,6 +188,10 @@
 		return
 	}
 	t.runs = append(t.runs, r)
+	if t.crashed.Suspect() {
+		r.suspect = true
+		r.worker.suspects++
+	}
 	j.active++
 	t.lastRun = max(t.lastRun, r.number)
 	j.occurrences[r.id.Occurrence].steps[r.id.Step].unidle(r.id.Index)
@@ -220,6 +230,7 @@
 	if r.unsized {
 		r.worker.unsized--
 	}
+	s.unsuspect(r)
 	j := s.jobs[r.id.Job]
 	if j == nil {
 		return
@@ -235,6 +246,7 @@
 			break
 		}
 	}
+	s.acquit(r.id, r.worker.reg.ID)
 	if len(t.runs) == 0 && !t.done && !j.state.Final() {
 		step := j.occurrences[r.id.Occurrence].steps[r.id.Step]
 		step.unidle(r.id.Index)
--- a/shard/fakeworker_test.go
+++ b/shard/fakeworker_test.go
@@ -29,11 +29,13 @@
 	until  time.Time
 	top    map[job.TaskID]int64
 
-	// cut says that no call gets through; down that the worker has crashed, and reborn
-	// that another life answers at its address.
-	cut    bool
-	down   bool
-	reborn bool
+	// cut says that no call gets through; down that the worker has ended, crashed that its
+	// registration stands for a while all the same, and reborn that another life answers
+	// at its address.
+	cut     bool
+	down    bool
+	crashed bool
+	reborn  bool
 
 	// deaf is how many stops it answers without ending a run, began how many runs
 	// have begun, and disturbed when it was last out of reach.
--- a/shard/jobs.go
+++ b/shard/jobs.go
@@ -45,6 +45,7 @@
 	if err := j.restore(*progress); err != nil {
 		return err
 	}
+	s.watchTrials(j)
 	if progress.State != job.Queued {
 		s.begin(j)
 		s.opts.Show(record.ID, job.Running)
--- a/shard/jobstate.go
+++ b/shard/jobstate.go
@@ -5,6 +5,7 @@
 
 	"lemonstream.dev/lemonstream/catalog"
 	"lemonstream.dev/lemonstream/job"
+	"lemonstream.dev/lemonstream/suspect"
 )
 
 // jobState is one job in memory.
@@ -92,6 +93,11 @@
 	// failed lists the runs that failed, each once.
 	failed []int64
 
+	// crashed holds the workers that crashed under the task; trials those where that may
+	// be so, because nobody knows how its run there ended.
+	crashed suspect.Marks
+	trials  suspect.Marks
+
 	// lastRun is the highest run number given out under this owner.
 	lastRun int64
 
--- a/shard/lease.go
+++ b/shard/lease.go
@@ -59,15 +59,20 @@
 	for id, w := range s.workers {
 		if w.failures > 0 && len(w.runs) > 0 && now.After(w.until) && w.silentAt.After(w.until) && !late {
 			s.opts.Report("lease lapsed", "worker", id, "runs", len(w.runs), "silent_ms", now.Sub(w.heard).Milliseconds())
+			lost := s.lostTasks(w, now)
 			s.loseRuns(w, now, "lease lapsed")
+			for _, task := range lost {
+				s.try(task, id)
+			}
 		}
 		unreachable := w.failures > 0 && now.After(w.until) && now.After(w.blindUntil)
 		if !w.listed && unreachable && now.Sub(w.unlisted) > unlistedGrace {
-			s.endWorker(w, now, "unlisted and silent")
+			s.loseWorker(w, now, "unlisted and silent")
 			// Its life may go on behind a cut: once it is listed again, it is looked at.
 			delete(s.gone, id)
 		}
 	}
+	s.judgeForgotten(now)
 	for id, since := range s.gone {
 		if now.Sub(since) > goneFor {
 			delete(s.gone, id)
@@ -79,6 +84,7 @@
 func (s *Shard) endWorker(w *workerState, now time.Time, reason string) {
 	s.opts.Report("worker ended", "worker", w.reg.ID, "reason", reason, "runs", len(w.runs))
 	s.loseRuns(w, now, reason)
+	s.acquitAt(w)
 	delete(s.workers, w.reg.ID)
 	s.gone[w.reg.ID] = now
 	if w.recorded {
--- a/shard/orders.go
+++ b/shard/orders.go
@@ -51,7 +51,7 @@
 	var refused *outside.WorkerRefusedError
 	switch {
 	case errors.As(err, &gone):
-		s.endWorker(w, now, "another life answers")
+		s.loseWorker(w, now, "another life answers")
 	case errors.As(err, &refused):
 		w.hear(refused.Clock, now)
 		s.startRefused(w, r, now, refused.Reason)
@@ -155,7 +155,7 @@
 	}
 	var gone *outside.GoneError
 	if errors.As(err, &gone) {
-		s.endWorker(w, now, "another life answers")
+		s.loseWorker(w, now, "another life answers")
 		return
 	}
 	var refused *outside.WorkerRefusedError
--- a/shard/outlook.go
+++ b/shard/outlook.go
@@ -150,7 +150,8 @@
 				continue
 			}
 			t := j.task(id)
-			if t == nil || len(t.runs) != 1 {
+			// A copy of a task that crashes its workers takes a second one with it.
+			if t == nil || len(t.runs) != 1 || t.crashed.Suspect() {
 				continue
 			}
 			if other := s.choose(id, spec, t, now); other != nil {
--- a/shard/place.go
+++ b/shard/place.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -120,7 +121,7 @@
 	for i := len(step.idle) - 1; i >= 0; i-- {
 		index := step.idle[i]
 		id := g.task(index)
-		if blind.hides(id) {
+		if blind.hides(id) || step.tasks[index].held() {
 			continue
 		}
 		w := s.choose(id, spec, step.tasks[index], now)
@@ -254,6 +255,7 @@
 	if spec.DataRack != "" && spec.DataRack != w.reg.Rack {
 		weight += weightFar
 	}
+	weight += weighSuspects(w, t)
 	if spec.Filler || spec.TailTarget > 0 {
 		weight += weightDisturbs * float64(s.disturbed(w, spec.Filler))
 	}
@@ -310,6 +312,9 @@
 		order:   order,
 	}
 	s.attach(r, j, t)
+	if r.suspect {
+		s.try(id, w.reg.ID)
+	}
 	s.opts.Report("start ordered", "task", id.String(), "run", number, "worker", w.reg.ID, "rack", w.reg.Rack,
 		"free_cpu", w.free().MilliCPU, "look_age_ms", now.Sub(w.heard).Milliseconds())
 	s.orders.Starts = append(s.orders.Starts, Start{
@@ -320,7 +325,7 @@
 
 // placeGang starts all tasks of a step at once or none of them.
 func (s *Shard) placeGang(g group, step *stepState, spec *job.Step, now time.Time) {
-	if len(step.idle) < step.left {
+	if len(step.idle) < step.left || slices.ContainsFunc(step.tasks, (*taskState).held) {
 		return
 	}
 	racks := []string{""}
--- a/shard/record.go
+++ b/shard/record.go
@@ -10,6 +10,7 @@
 
 	"lemonstream.dev/lemonstream/catalog"
 	"lemonstream.dev/lemonstream/job"
+	"lemonstream.dev/lemonstream/suspect"
 )
 
 // Record is the row of an accepted job, written by the entry that took it. It
@@ -37,6 +38,14 @@
 	// Failed maps OCCURRENCE.STEP.INDEX to the runs that failed, each once.
 	Failed map[string][]int64 `cbor:"4,keyasint,omitempty"`
 
+	// Crashed maps OCCURRENCE.STEP.INDEX to the workers that crashed under the task. A row
+	// of a version before has none.
+	Crashed map[string][]string `cbor:"6,keyasint,omitempty"`
+
+	// Trials maps OCCURRENCE.STEP.INDEX to the workers that may have crashed under the
+	// task: nobody knew how its run there ended when the row was written.
+	Trials map[string][]string `cbor:"7,keyasint,omitempty"`
+
 	// EndedMillis is when a final state was reached, since 1970.
 	EndedMillis int64 `cbor:"5,keyasint,omitempty"`
 }
@@ -105,6 +114,10 @@
 				p.Done[stepKey(k, s)] = bits
 			}
 			for i, t := range o.steps[s].tasks {
+				if !t.done {
+					p.Crashed = withMarks(p.Crashed, stepKey(k, s), i, t.crashed)
+					p.Trials = withMarks(p.Trials, stepKey(k, s), i, t.trials)
+				}
 				if len(t.failed) == 0 || t.done || j.record.Spec.Steps[s].Lasting {
 					continue
 				}
@@ -118,6 +131,18 @@
 	return p
 }
 
+// withMarks adds what a task is marked with, if anything, to a map of a row.
+func withMarks(list map[string][]string, step string, index int, marks suspect.Marks) map[string][]string {
+	if len(marks) == 0 {
+		return list
+	}
+	if list == nil {
+		list = make(map[string][]string)
+	}
+	list[step+"."+strconv.Itoa(index)] = marks
+	return list
+}
+
 // restore applies a row of progress to a job that was just built.
 func (j *jobState) restore(p Progress) error {
 	for key, bits := range p.Done {
@@ -136,19 +161,42 @@
 		}
 	}
 	for key, runs := range p.Failed {
-		k, s, i, err := parseKey(key)
+		t, err := j.taskAt(key)
 		if err != nil {
 			return err
 		}
-		step := j.step(k, s)
-		if step == nil || i < 0 || i >= len(step.tasks) {
-			return fmt.Errorf("progress names task %s, which job %s does not have", key, j.record.ID)
+		t.failed = runs
+	}
+	for key, workers := range p.Crashed {
+		t, err := j.taskAt(key)
+		if err != nil {
+			return err
+		}
+		t.crashed = workers
+	}
+	for key, workers := range p.Trials {
+		t, err := j.taskAt(key)
+		if err != nil {
+			return err
 		}
-		step.tasks[i].failed = runs
+		t.trials = workers
 	}
 	return nil
 }
 
+// taskAt returns the task that a row of progress names, building occurrences up to it.
+func (j *jobState) taskAt(key string) (*taskState, error) {
+	k, s, i, err := parseKey(key)
+	if err != nil {
+		return nil, err
+	}
+	step := j.step(k, s)
+	if step == nil || i < 0 || i >= len(step.tasks) {
+		return nil, fmt.Errorf("progress names task %s, which job %s does not have", key, j.record.ID)
+	}
+	return step.tasks[i], nil
+}
+
 // step returns a step of an occurrence, building occurrences up to it.
 func (j *jobState) step(occurrence, step int) *stepState {
 	if occurrence < 0 || occurrence >= j.record.Spec.Occurrences() || step < 0 || step >= len(j.record.Spec.Steps) {
--- a/shard/record_test.go
+++ b/shard/record_test.go
@@ -1,6 +1,7 @@
 package shard_test
 
 import (
+	"encoding/hex"
 	"testing"
 	"time"
 
@@ -38,12 +39,47 @@
 		Failed: map[string][]int64{
 			"0.1.2": {1, 5},
 		},
+		Crashed: map[string][]string{
+			"0.1.2": {"w1", "w2"},
+		},
+		Trials: map[string][]string{
+			"0.1.2": {"w3"},
+		},
 	}
 	read, err := shard.DecodeProgress(progress.Encode())
 	is.NoErr(err)
 	is.Equal(read, progress)
 }
 
+// TestFormOfProgressRows keeps the bytes of a row: entries of two versions read each
+// other's while one replaces the other.
+func TestFormOfProgressRows(t *testing.T) {
+	is := is.New(t)
+	before := shard.Progress{
+		State: job.Running,
+		Route: "q",
+		Failed: map[string][]int64{
+			"0.1.2": {1, 5},
+		},
+	}
+	const bytesBefore = "a3016772756e6e696e6702617104a165302e312e32820105"
+	is.Equal(hex.EncodeToString(before.Encode()), bytesBefore) // Nothing is added where nothing crashed.
+	now := before
+	now.Crashed = map[string][]string{
+		"0.1.2": {"w1"},
+	}
+	now.Trials = map[string][]string{
+		"0.1.2": {"w3"},
+	}
+	const bytesNow = "a5016772756e6e696e6702617104a165302e312e3282010506a165302e312e328162773107a165302e312e3281627733"
+	is.Equal(hex.EncodeToString(now.Encode()), bytesNow)
+	row, err := hex.DecodeString(bytesBefore)
+	is.NoErr(err)
+	read, err := shard.DecodeProgress(row)
+	is.NoErr(err)
+	is.Equal(read, before)
+}
+
 func TestBrokenRowsAreRefused(t *testing.T) {
 	is := is.New(t)
 	_, err := shard.DecodeRecord([]byte("not a row"))
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -101,6 +101,9 @@
 	// once more.
 	due map[*run]struct{}
 
+	// trials holds the tasks on trial by their worker, see try.
+	trials map[string]map[job.TaskID]struct{}
+
 	// speculateAt is when stragglers are looked for next.
 	speculateAt time.Time
 
@@ -221,6 +224,7 @@
 		refused:    make(map[string]Refusal),
 		deciding:   make(map[string]*refusing),
 		gone:       make(map[string]time.Time),
+		trials:     make(map[string]map[job.TaskID]struct{}),
 	}
 }
 
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -93,6 +93,9 @@
 	// order is what starts the run; it is repeated as it is.
 	order outside.StartOrder
 
+	// suspect says that a worker had crashed under the task when this run of it began.
+	suspect bool
+
 	// reason says why the run is stopped, for the log.
 	reason string
 
@@ -161,6 +164,12 @@
 	holding bool
 	holdAt  time.Time
 
+	// silentSince is when the first of the failures below was noted.
+	silentSince time.Time
+
+	// suspects counts the runs of tasks under which a worker has crashed.
+	suspects int
+
 	// failures counts looks without an answer since the last answered one; silentAt is
 	// when the newest look was sent whose silence tells of the worker, see promptFailure.
 	failures int
--- a/shard/world_test.go
+++ b/shard/world_test.go
@@ -276,7 +276,7 @@
 func (w *world) list() {
 	var list []outside.Registration
 	for _, f := range w.workers {
-		if !f.down && !f.unlisted {
+		if !f.unlisted && (!f.down || f.crashed) {
 			list = append(list, f.reg)
 		}
 	}
--- /dev/null
+++ b/suspect/suspect.go
@@ -0,0 +1,78 @@
+// Package suspect decides what the loss of a worker tells of the tasks that ran on it.
+// A task may crash each worker that starts it; most tasks on a crashed worker are
+// bystanders. The package is pure: it knows no clock, no table and no connection.
+package suspect
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// CrashLimit is how many workers may crash under a task before it is given up. The
+	// platform lets a task go after two and allows two more starts after three; three
+	// leaves room for an innocent that was on crashed workers twice, and for the crashes
+	// that no owner saw because it was being succeeded.
+	CrashLimit = 3
+
+	// ProvedAfter is how long a lasting task must have run to be beyond doubt: ten times
+	// what a crash at the start takes to be noticed. Without it, a task that lasts for
+	// months is given up after three unrelated crashes.
+	ProvedAfter = 10 * time.Second
+)
+
+// Loss is what an owner knows of a worker whose life has ended or is taken for ended.
+type Loss struct {
+	// Draining says that the worker had announced its end.
+	Draining bool
+
+	// Unheard says that this owner has never heard from it, so that it can't tell which
+	// came first, the silence or the end of the registration.
+	Unheard bool
+
+	// Unlisted is since when its registration is gone; zero while it stands.
+	Unlisted time.Time
+
+	// Silent is since when it does not answer; zero if its end was heard from itself.
+	Silent time.Time
+}
+
+// Crashed reports whether a worker ended without a word. One that announced its end, or
+// whose registration went while it still answered, did not. A successor that never heard
+// from the worker takes the end for a crash: only what was on trial there is marked.
+func (l Loss) Crashed() bool {
+	if l.Draining {
+		return false
+	}
+	if l.Unheard || l.Unlisted.IsZero() {
+		return true
+	}
+	return !l.Silent.IsZero() && l.Silent.Before(l.Unlisted)
+}
+
+// Marks are the lives of workers that crashed under a task, each once: an owner and its
+// successor may both see the same crash.
+type Marks []string
+
+// Add returns the marks with one more worker, and whether it was not among them.
+func (m Marks) Add(worker string) (Marks, bool) {
+	if slices.Contains(m, worker) {
+		return m, false
+	}
+	return append(m, worker), true
+}
+
+// Without returns the marks less one worker.
+func (m Marks) Without(worker string) Marks {
+	return slices.DeleteFunc(slices.Clone(m), func(other string) bool { return other == worker })
+}
+
+// Suspect reports whether the task is to run apart from others as far as there is room.
+func (m Marks) Suspect() bool {
+	return len(m) > 0
+}
+
+// GivenUp reports whether the task may not be started any more.
+func (m Marks) GivenUp() bool {
+	return len(m) >= CrashLimit
+}
