The product's own jobs: one that loses its workers is set aside

Now three workers at the most, the job is set aside with a reason of its own, and a job that lost a worker goes where most is free. A lapse under a worker that lives, or that is to leave, marks nobody.

--- a/internal/standin/tasks.go
+++ b/internal/standin/tasks.go
@@ -17,6 +17,10 @@
 	Fails  func(task store.Task) bool
 	Save   time.Duration
 
+	// Crashed reports whether a worker has ended without a word: what ran there goes on
+	// being listed until its lease is over.
+	Crashed func(worker string) bool
+
 	// Now is the time as workers see it.
 	Now func() time.Time
 
@@ -39,10 +43,11 @@
 // NewTasks returns workers on which every task takes length.
 func NewTasks(now func() time.Time, length time.Duration) *Tasks {
 	return &Tasks{
-		Length: func(store.Task) time.Duration { return length },
-		Fails:  func(store.Task) bool { return false },
-		Now:    now,
-		tasks:  make(map[string]*task),
+		Length:  func(store.Task) time.Duration { return length },
+		Fails:   func(store.Task) bool { return false },
+		Crashed: func(string) bool { return false },
+		Now:     now,
+		tasks:   make(map[string]*task),
 	}
 }
 
@@ -92,7 +97,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, id := range ids {
-		if one := t.tasks[id]; one != nil {
+		if one := t.tasks[id]; one != nil && !t.Crashed(one.Worker) {
 			t.settle(one)
 			one.lease = t.Now().Add(lease)
 		}
@@ -104,6 +109,10 @@
 	now := t.Now()
 	switch {
 	case one.State != store.TaskRunning:
+	case t.Crashed(one.Worker):
+		if !one.lease.After(now) {
+			one.State = store.TaskLapsed
+		}
 	case t.Fails(one.Task):
 		one.State = store.TaskFailed
 	case !one.ends.After(now) && (one.saved.IsZero() || one.ends.Before(one.saved)):
--- a/place/place.go
+++ b/place/place.go
@@ -17,13 +17,17 @@
 	// jobs do well.
 	ReasonFails Reason = "fails-on-several-workers"
 
+	// ReasonLosesWorkers means that one worker after the other ended under it.
+	ReasonLosesWorkers Reason = "its-workers-end"
+
 	// ReasonNeverFits means that no worker of the pool, empty, could hold it.
 	ReasonNeverFits Reason = "no-worker-can-hold-it"
 )
 
 const (
 	// blameJobAfter is the number of different good workers a job must fail
-	// on before the job is blamed.
+	// on, or that must end under it, before the job is blamed. A job that is not
+	// blamed for its workers takes the whole pool, one after the other.
 	blameJobAfter = 3
 
 	// blameWorkerAfter is the number of different jobs that must fail on a
@@ -58,6 +62,9 @@
 
 	// FailedOn are the workers on which it failed.
 	FailedOn map[string]bool
+
+	// LostOn are the workers that ended while it ran there.
+	LostOn map[string]bool
 }
 
 // Pool is what a call looks at.
@@ -169,7 +176,9 @@
 }
 
 // best returns the slot that the job fits most tightly, so that large gaps
-// stay whole; a worker on which the job failed is not tried again.
+// stay whole; a worker on which the job failed is not tried again. A job that
+// lost a worker goes where most is free, apart from others: packed tightly, its
+// companions lose each worker with it and are set aside as well.
 func best(slots []*slot, job *Job) *slot {
 	var chosen *slot
 	var least float64
@@ -178,6 +187,9 @@
 			continue
 		}
 		left := s.free.minus(job.Size).part(s.worker.Size)
+		if len(job.LostOn) > 0 {
+			left = -left
+		}
 		if chosen == nil || left < least {
 			chosen = s
 			least = left
@@ -210,6 +222,10 @@
 	sort.Strings(steps.TakeOut)
 	for i := range p.Jobs {
 		job := &p.Jobs[i]
+		if len(job.LostOn) >= blameJobAfter {
+			steps.SetAside[job.ID] = ReasonLosesWorkers
+			continue
+		}
 		good := 0
 		for worker := range job.FailedOn {
 			if !bad[worker] {
--- a/work/duty.go
+++ b/work/duty.go
@@ -170,7 +170,7 @@
 	now := d.clock.Now()
 	for _, job := range next {
 		if task, found := byID[job.TaskID()]; found && job.Worker != "" {
-			job.observe(task, now)
+			job.observe(task, d.endedSilently(job.Worker), now)
 		}
 	}
 	d.decide(pool, next)
@@ -180,6 +180,12 @@
 	return d.enact(ctx, k, byID, now)
 }
 
+// endedSilently reports whether a worker is lost that nobody wanted to leave.
+func (d *Duty) endedSilently(worker string) bool {
+	view := d.view()
+	return view.Lost(worker) && view.Instances[worker].Phase == fleet.PhaseServing
+}
+
 // decide changes the jobs as package place says.
 func (d *Duty) decide(pool string, jobs map[string]*Job) {
 	input := d.input(pool, jobs)
@@ -343,6 +349,7 @@
 	for id, job := range k.jobs {
 		copied := *job
 		copied.FailedOn = maps.Clone(job.FailedOn)
+		copied.LostOn = maps.Clone(job.LostOn)
 		jobs[id] = &copied
 	}
 	return jobs
--- a/work/job.go
+++ b/work/job.go
@@ -82,6 +82,9 @@
 	Checkpoints int             `json:"checkpoints,omitempty"`
 	FailedOn    map[string]bool `json:"failed_on,omitempty"`
 
+	// LostOn are the workers that ended without a word while an attempt ran there.
+	LostOn map[string]bool `json:"lost_on,omitempty"`
+
 	// Submitted and Waiting are in milliseconds since the Unix epoch; Waiting
 	// is since when the job waits.
 	Submitted int64 `json:"submitted"`
@@ -110,8 +113,9 @@
 	return j.State == StateFinished || j.State == StateCancelled || j.State == StateSetAside
 }
 
-// observe takes in what the platform says of the newest attempt.
-func (j *Job) observe(task store.Task, now time.Time) {
+// observe takes in what the platform says of the newest attempt. lost says that its
+// worker has ended without a word.
+func (j *Job) observe(task store.Task, lost bool, now time.Time) {
 	j.Seen = store.Resources{
 		Milliprocessors: max(j.Seen.Milliprocessors, task.Usage.Milliprocessors),
 		Memory:          max(j.Seen.Memory, task.Usage.Memory),
@@ -124,21 +128,30 @@
 	case store.TaskFinished:
 		j.State = StateFinished
 	case store.TaskFailed:
-		if j.FailedOn == nil {
-			j.FailedOn = make(map[string]bool)
-		}
-		j.FailedOn[task.Worker] = true
+		j.FailedOn = with(j.FailedOn, task.Worker)
 		j.requeue(now)
 	case store.TaskCheckpointed:
 		j.Checkpoints++
 		j.resume(now)
 	case store.TaskLapsed:
+		if lost {
+			j.LostOn = with(j.LostOn, task.Worker)
+		}
 		j.requeue(now)
 	case store.TaskStopped:
 		j.State = StateCancelled
 	}
 }
 
+// with returns a set with one more worker.
+func with(set map[string]bool, worker string) map[string]bool {
+	if set == nil {
+		set = make(map[string]bool)
+	}
+	set[worker] = true
+	return set
+}
+
 // requeue has the job wait for another attempt, unless it may not have one.
 func (j *Job) requeue(now time.Time) {
 	if j.Unrepeatable && j.State != StateCancelling {
@@ -171,6 +184,7 @@
 		Worker:      j.Worker,
 		Checkpoints: j.Checkpoints,
 		FailedOn:    j.FailedOn,
+		LostOn:      j.LostOn,
 	}
 }
 
--- a/work/work_test.go
+++ b/work/work_test.go
@@ -15,6 +15,7 @@
 	"lemonstream.dev/lemonstream/internal/prove"
 	"lemonstream.dev/lemonstream/internal/standin"
 	"lemonstream.dev/lemonstream/lease"
+	"lemonstream.dev/lemonstream/place"
 	"lemonstream.dev/lemonstream/state"
 	"lemonstream.dev/lemonstream/store"
 	"lemonstream.dev/lemonstream/work"
@@ -224,6 +225,45 @@
 	}
 }
 
+// TestJobThatLosesItsWorkersIsSetAside covers a job under which each worker ends that
+// starts it. Its attempts lapsed with their workers, and a lapse counted as nothing, so
+// that it took one worker after the other: 8 of 8 in this test.
+func TestJobThatLosesItsWorkersIsSetAside(t *testing.T) {
+	is := is.New(t)
+	f := newFarm(1, 8, time.Second, 0)
+	crashed := make(map[string]bool)
+	f.tasks.Crashed = func(worker string) bool { return crashed[worker] }
+	f.tasks.Fails = func(task store.Task) bool {
+		if task.ID[:len(task.ID)-2] == "modelos/bad" {
+			crashed[task.Worker] = true
+			line := f.view.Listed[task.Worker]
+			line.State = ""
+			f.view.Listed[task.Worker] = line
+		}
+		return false
+	}
+	is.NoErr(f.submit(work.Job{
+		ID: "bad",
+	}))
+	for number := range 5 {
+		is.NoErr(f.submit(work.Job{
+			ID: fmt.Sprintf("good%02d", number),
+		}))
+	}
+	for range 1200 {
+		f.round()
+	}
+	is.Equal(len(crashed), 3)
+	for id, job := range f.jobs() {
+		if id == "bad" {
+			is.Equal(job.State, work.StateSetAside)
+			is.Equal(job.Reason, place.ReasonLosesWorkers)
+			continue
+		}
+		is.Equal(job.State, work.StateFinished)
+	}
+}
+
 func TestBadRowHoldsUpNothing(t *testing.T) {
 	is := is.New(t)
 	f := newFarm(1, 1, time.Second, 0)
