The row of another writer names no worker, and a changed room is told at once

A change of the room alone was told to nobody. One WARN line a key until it is a worker's again, and a counter. The list is told when anything in a registration changes but its heartbeat.

--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -91,7 +91,7 @@
 
 // Registration returns the row that the worker records about itself.
 func (w *Worker) Registration() string {
-	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z","state":"ready","capacity":{"cpu":4000,"memMb":4000,"gpus":0},"labels":["a","r1-1"],"clockMs":%d,"callSeq":1}`,
+	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z","version":"v1","slots":8,"coldLeftMs":0,"state":"ready","capacity":{"cpu":4000,"memMb":4000,"gpus":0},"labels":["a","r1-1"],"clockMs":%d,"callSeq":1}`,
 		w.Service, w.Address, w.clock().Milliseconds())
 }
 
--- a/outside/worker.go
+++ b/outside/worker.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"reflect"
+	"slices"
 	"time"
 
 	"lemonstream.dev/lemonstream/job"
@@ -82,6 +84,15 @@
 	Remaining time.Duration
 }
 
+// Equal reports whether two registrations say the same of a worker.
+func (r Registration) Equal(o Registration) bool {
+	if !slices.Equal(r.Labels, o.Labels) {
+		return false
+	}
+	o.Labels = r.Labels
+	return reflect.DeepEqual(r, o)
+}
+
 // Renewal extends the lease of everything that runs on a worker.
 type Renewal struct {
 	// Until is on the worker's clock; 0 extends nothing.
--- a/owner/registry.go
+++ b/owner/registry.go
@@ -19,6 +19,10 @@
 
 	// registryWait is how long a look may wait for a change.
 	registryWait = 750 * time.Millisecond
+
+	// foreignMost bounds the rows of other writers that are remembered to log each once;
+	// a deployment has some hundred workers.
+	foreignMost = 1000
 )
 
 // Listing is what the registry knows of the workers of a service.
@@ -32,6 +36,9 @@
 
 // Registry follows the workers' registrations while anybody watches.
 type Registry struct {
+	// Count counts the rows of other writers; set before use.
+	Count func(name, outcome string)
+
 	table  outside.Table
 	clock  clock.Clock
 	name   string
@@ -43,6 +50,9 @@
 	workers  map[string]registered
 	watchers map[string]func(Listing)
 
+	// foreign holds the keys of rows that no worker wrote, as logged.
+	foreign map[string]bool
+
 	// away says that the last look failed; regained is when one succeeded
 	// again.
 	away     bool
@@ -61,6 +71,7 @@
 // NewRegistry returns a registry over the table of the given name.
 func NewRegistry(table outside.Table, clock clock.Clock, name string, decode func(string, []byte) (outside.Registration, error), log *slog.Logger) *Registry {
 	return &Registry{
+		Count:    func(string, string) {},
 		table:    table,
 		clock:    clock,
 		name:     name,
@@ -68,6 +79,7 @@
 		log:      log,
 		workers:  make(map[string]registered),
 		watchers: make(map[string]func(Listing)),
+		foreign:  make(map[string]bool),
 		wanted:   make(chan struct{}, 1),
 	}
 }
@@ -176,32 +188,51 @@
 // apply takes in one row and marks the services whose list changed.
 func (r *Registry) apply(row outside.Row, touched map[string]bool) {
 	before, known := r.workers[row.Key.Name]
-	if row.Gone {
+	if !row.Gone && row.Version < before.version {
+		// A refresh has shown a newer row than this change.
+		return
+	}
+	var reg outside.Registration
+	sound := false
+	if !row.Gone {
+		reg, sound = r.sound(row)
+	}
+	if !sound {
+		// The row of another writer names no worker to use. What runs on one that stood
+		// there before is looked at like that of any worker whose row is gone.
 		if known {
 			touched[before.Service] = true
 			delete(r.workers, row.Key.Name)
 		}
 		return
 	}
-	reg, err := r.decode(row.Key.Name, row.Value)
-	if err != nil {
-		r.log.Error("registration left out", "worker", row.Key.Name, "error", err)
-		return
-	}
-	if row.Version < before.version {
-		// A refresh has shown a newer row than this change.
-		return
-	}
 	r.workers[row.Key.Name] = registered{
 		Registration: reg,
 		version:      row.Version,
 	}
-	if !known || before.Draining != reg.Draining || before.Remaining != reg.Remaining || before.Service != reg.Service {
+	if !known || !before.Equal(reg) {
 		touched[reg.Service] = true
 		touched[before.Service] = true
 	}
 }
 
+// sound reads a row; false where no worker wrote it. Each such key is logged once, until
+// it holds a worker's row again: another writer may write it every second.
+func (r *Registry) sound(row outside.Row) (outside.Registration, bool) {
+	key := row.Key.Name
+	reg, err := r.decode(key, row.Value)
+	if err == nil {
+		delete(r.foreign, key)
+		return reg, true
+	}
+	r.Count("row_left_out", r.name)
+	if !r.foreign[key] && len(r.foreign) < foreignMost {
+		r.foreign[key] = true
+		r.log.Warn("registration left out", "worker", key, "version", row.Version, "error", err.Error())
+	}
+	return reg, false
+}
+
 func (r *Registry) of(service string) Listing {
 	l := Listing{
 		Regained: r.regained,
--- /dev/null
+++ b/owner/registry_test.go
@@ -0,0 +1,169 @@
+package owner_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lemonstream.dev/lemonstream/clock"
+	"lemonstream.dev/lemonstream/internal/standin"
+	"lemonstream.dev/lemonstream/job"
+	"lemonstream.dev/lemonstream/outside"
+	"lemonstream.dev/lemonstream/owner"
+)
+
+// follower is a registry over rows, with the newest list that it told.
+type follower struct {
+	rows   *standin.Rows
+	table  outside.Table
+	logged *bytes.Buffer
+	counts map[string]int
+
+	mu   sync.Mutex
+	list []outside.Registration
+	told int
+}
+
+// follow starts a registry whose rows hold the processor of a worker as text; anything
+// else is the row of another writer.
+func follow(t *testing.T) *follower {
+	t.Helper()
+	f := &follower{
+		rows:   standin.NewRows(),
+		logged: &bytes.Buffer{},
+		counts: make(map[string]int),
+	}
+	f.table = f.rows.Table()
+	decode := func(id string, value []byte) (outside.Registration, error) {
+		cpu, err := strconv.Atoi(string(value))
+		return outside.Registration{
+			ID:      id,
+			Service: "s",
+			Address: netip.MustParseAddrPort("127.0.0.1:1"),
+			Capacity: job.Room{
+				MilliCPU: cpu,
+			},
+		}, err
+	}
+	registry := owner.NewRegistry(f.table, clock.System(), "workers", decode, slog.New(slog.NewTextHandler(f.logged, nil)))
+	registry.Count = func(name, outcome string) { f.counts[name+" "+outcome]++ }
+	registry.Watch("s", func(l owner.Listing) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.list = l.Workers
+		f.told++
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { _ = registry.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	return f
+}
+
+// write puts a row and lets the registry follow.
+func (f *follower) write(worker, value string) {
+	key := outside.Key{
+		Table: "workers",
+		Name:  worker,
+	}
+	if value == "" {
+		_, _ = f.table.Transact(context.Background(), outside.Transaction{
+			Removes: []outside.Key{key},
+		})
+	} else {
+		f.rows.Write(key, []byte(value))
+	}
+	time.Sleep(2 * time.Second)
+	synctest.Wait()
+}
+
+// workers returns the list as text, in its order.
+func (f *follower) workers() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []string
+	for _, reg := range f.list {
+		list = append(list, fmt.Sprint(reg.ID, "=", reg.Capacity.MilliCPU))
+	}
+	slices.Sort(list)
+	return list
+}
+
+// TestListIsThatOfTheSoundRows writes any sequence of rows, sound ones, those of other
+// writers and none, over each other: the list is that of the keys whose newest row is
+// sound. The registration that stood before stayed in force where a row of another writer
+// came in its place.
+func TestListIsThatOfTheSoundRows(t *testing.T) {
+	for seed := range uint64(30) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f := follow(t)
+			draw := rand.New(rand.NewPCG(seed, seed))
+			want := make(map[string]string)
+			for range 20 {
+				worker := fmt.Sprint("w", draw.IntN(3))
+				value := []string{"", "4000", "2000", "asleep", "{}", "\xff"}[draw.IntN(6)]
+				f.write(worker, value)
+				delete(want, worker)
+				if _, err := strconv.Atoi(value); err == nil {
+					want[worker] = worker + "=" + value
+				}
+				var list []string
+				for _, one := range want {
+					list = append(list, one)
+				}
+				slices.Sort(list)
+				is.Equal(f.workers(), list)
+			}
+		})
+	}
+}
+
+// TestRoomThatChangesIsToldAtOnce covers a worker of which only the room changes. The
+// registry stored the row and told nobody until something else of the service changed, so
+// that tasks were started on a worker that had no room for them any more.
+func TestRoomThatChangesIsToldAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := follow(t)
+		f.write("w", "4000")
+		is.Equal(f.workers(), []string{"w=4000"})
+		f.write("w", "1000")
+		is.Equal(f.workers(), []string{"w=1000"})
+		told := f.told
+		f.write("w", "1000")
+		is.Equal(f.told, told) // A heartbeat alone is no change.
+	})
+}
+
+// TestRowsOfAnotherWriterAreLoggedOnce lets another writer write a row again and again.
+func TestRowsOfAnotherWriterAreLoggedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := follow(t)
+		for range 5 {
+			f.write("x", "asleep")
+		}
+		is.Equal(strings.Count(f.logged.String(), "registration left out"), 1)
+		is.Equal(f.counts["row_left_out workers"], 5)
+		f.write("x", "4000")
+		f.write("x", "asleep")
+		is.Equal(strings.Count(f.logged.String(), "registration left out"), 2)
+		is.True(!strings.Contains(f.logged.String(), "ERROR")) // It is no fault of this entry.
+	})
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -154,6 +154,7 @@
 	d.roster = roster.New(d.table, log, settings.Name, self)
 	peers := peer.NewClient(d.figures.Link)
 	registry := owner.NewRegistry(d.table, d.clock, platform.TableWorkers, platform.DecodeRegistration, log)
+	registry.Count = d.figures.Count
 	d.keeper = owner.NewKeeper(d.deps(registry, peers), self, d.roster.Members, peers.Ping)
 	d.group.Go("registrations", registry.Run)
 	d.servePeers(listener, self)
