Pools and admission reckon with the room that workers have, not the one they were built with

A worker's room shrinks and grows while it runs; the size of pools went by the list of instances, and the mean for admission counted workers known by their row only as without room. Now the load of a service tells the mean room by its workers' word, and a service whose workers have half of it wants twice as many (test failed before: no change). What runs over a shrunk room goes on: the platform counts starts, and moving work costs more than it mends.

--- a/peer/load.go
+++ b/peer/load.go
@@ -63,6 +63,9 @@
 
 	Late       roomBody `cbor:"8,keyasint"`
 	LateComing roomBody `cbor:"9,keyasint"`
+
+	// Room is missing in what entries of earlier versions send.
+	Room roomBody `cbor:"10,keyasint"`
 }
 
 // EncodeLoad writes a load in its compact form.
@@ -78,6 +81,7 @@
 
 		Late:       roomBodyOf(load.Late),
 		LateComing: roomBodyOf(load.LateComing),
+		Room:       roomBodyOf(load.Room),
 	}
 	for label, room := range load.Labelled {
 		body.Labelled[label] = roomBodyOf(room)
@@ -116,6 +120,7 @@
 
 		Late:       body.Late.room(),
 		LateComing: body.LateComing.room(),
+		Room:       body.Room.room(),
 	}
 	for label, room := range body.Labelled {
 		load.Labelled[label] = room.room()
--- a/peer/load_test.go
+++ b/peer/load_test.go
@@ -37,6 +37,7 @@
 			LateComing: drawRoom(t, "late, coming"),
 
 			Spread:   rapid.IntRange(0, 100).Draw(t, "spread"),
+			Room:     drawRoom(t, "room"),
 			Labelled: make(map[string]job.Room),
 			Workers:  make(map[string]shard.WorkerLoad),
 		}
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -158,6 +158,23 @@
 	is.True(len(f.plan().Moves) >= 6)
 }
 
+// TestShrunkRoomWakesInstances lets the workers of a service lose half of their room. The
+// list of instances goes on telling the room that they are built with.
+func TestShrunkRoomWakesInstances(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(map[string]int{
+		"a":    10,
+		asleep: 20,
+	})
+	f.service("a").Load.Used = cpu(8 * 16)
+	before := f.plan().Targets["a"]
+	f.service("a").Load.Room = job.Room{
+		MilliCPU: each.MilliCPU / 2,
+		MemoryMB: each.MemoryMB / 2,
+	}
+	is.Equal(f.plan().Targets["a"], 2*before)
+}
+
 func TestServicePastItsPeakGivesInstances(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(map[string]int{
--- a/pool/round.go
+++ b/pool/round.go
@@ -181,8 +181,13 @@
 	return max(floorInstances, r.services[name].Load.Spread+1)
 }
 
-// room returns the mean room of a service's instances, or of all instances.
+// room returns the mean room of a service's instances, or of all instances. What the
+// workers say goes first: a room that has shrunk holds less than the list of instances
+// tells, and a service whose workers have half of it needs twice as many.
 func (r *round) room(service string) job.Room {
+	if told := r.services[service].Load.Room; told.MilliCPU > 0 {
+		return told
+	}
 	var sum job.Room
 	count := 0
 	for _, sp := range r.spots {
--- a/shard/admit.go
+++ b/shard/admit.go
@@ -146,13 +146,18 @@
 	return time.Duration(share * float64(count) * float64(takes))
 }
 
-// meanRoom returns the mean room of the service's workers.
+// meanRoom returns the mean room of the service's workers by their own word; zero where
+// none is listed. Of a worker that is known by its row only, the room is not known.
 func (s *Shard) meanRoom() job.Room {
 	var sum job.Room
+	count := 0
 	for _, w := range s.workers {
-		sum = sum.Add(w.reg.Capacity)
+		if w.listed {
+			sum = sum.Add(w.reg.Capacity)
+			count++
+		}
 	}
-	count := max(1, len(s.workers))
+	count = max(1, count)
 	return job.Room{
 		MilliCPU:     sum.MilliCPU / count,
 		MemoryMB:     sum.MemoryMB / count,
--- a/shard/load.go
+++ b/shard/load.go
@@ -37,6 +37,10 @@
 	// Lasting is the part of Used that lasting tasks take.
 	Lasting job.Room
 
+	// Room is the mean room of a worker by the workers' own word, which shrinks and grows
+	// while they run; zero where it is not known.
+	Room job.Room
+
 	// Workers holds each worker by its id.
 	Workers map[string]WorkerLoad
 }
@@ -102,6 +106,7 @@
 func (s *Shard) Load(now time.Time) Load {
 	load := Load{
 		Labelled: make(map[string]job.Room),
+		Room:     s.meanRoom(),
 		Workers:  make(map[string]WorkerLoad, len(s.workers)),
 	}
 	for id, w := range s.workers {
