Decisions are counted by their kind

The log is bounded and leaves lines out; lemonstream_decision_total tells how many crashes were marked, tasks given up and workers lost all the same.

--- a/owner/duty.go
+++ b/owner/duty.go
@@ -65,6 +65,9 @@
 	Instances outside.Instances
 	Waves     WaveSource
 
+	// Count counts a decision; the bounded log leaves out lines that this counts.
+	Count func(name, outcome string)
+
 	// Loads asks the owner of a service, wherever it runs.
 	Loads func(ctx context.Context, service string, told Directive) (shard.Load, error)
 
@@ -151,6 +154,7 @@
 		over:      make(chan struct{}),
 	}
 	options.Report = func(event string, fields ...any) {
+		deps.Count("decision", event)
 		log.Info(event, fields...)
 	}
 	options.Show = func(id string, state job.State) {
--- a/owner/keeper_test.go
+++ b/owner/keeper_test.go
@@ -101,6 +101,7 @@
 		group: group,
 		lines: l,
 		keeper: owner.NewKeeper(change(owner.Deps{
+			Count:    func(string, string) {},
 			Clock:    clock.System(),
 			Group:    group,
 			Log:      log,
--- a/owner/rolling_test.go
+++ b/owner/rolling_test.go
@@ -158,6 +158,7 @@
 	}
 	p.roster = roster.New(table, log, name, p.Self)
 	p.keeper = owner.NewKeeper(owner.Deps{
+		Count:    func(string, string) {},
 		Clock:    clock.System(),
 		Group:    p.group,
 		Log:      log,
--- a/peer/submit_test.go
+++ b/peer/submit_test.go
@@ -120,6 +120,7 @@
 	}
 	decode := func(string, []byte) (outside.Registration, error) { return outside.Registration{}, nil }
 	keeper := owner.NewKeeper(owner.Deps{
+		Count:    func(string, string) {},
 		Clock:    clock.System(),
 		Group:    group,
 		Log:      log,
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -194,6 +194,7 @@
 		Loads: func(ctx context.Context, service string, told owner.Directive) (shard.Load, error) {
 			return d.load(ctx, peers, service, told)
 		},
+		Count:  d.figures.Count,
 		Holder: d.settings.Name,
 		Site:   d.settings,
 	}
