A suspension counts: the clock adds it to the steady one

Cause: clock.System followed Go's steady clock, which does not count a suspension, so that a lease, a claim or a tenure looked valid after one of any length; in the new test a holder said that it held its lease beside the entry that had taken it. Change: the time since start plus what CLOCK_BOOTTIME has more, read only when the wall clock and the steady one part by a millisecond. Steps of the wall clock still move nothing. Each suspension is one log line and a counter, before the time is given out. Not Linux: not counted.

--- a/clock/clock.go
+++ b/clock/clock.go
@@ -25,15 +25,12 @@
 	return t.UnixMilli()
 }
 
-// System returns the clock of this machine. It reads the wall clock once and
-// then follows the monotonic clock, so a step of the wall clock while the
-// process runs moves no lease and no deadline.
+// System returns the clock of this machine, see Suspendable.
 func System() Clock {
-	start := time.Now()
-	return Clock{
-		Now: func() time.Time {
-			return start.Round(0).Add(time.Since(start)).UTC().Truncate(time.Millisecond)
-		},
-		After: time.After,
-	}
+	return SystemNoticing(func(time.Duration) {})
+}
+
+// SystemNoticing is System, and tells of each suspension. noticed must not ask the clock.
+func SystemNoticing(noticed func(time.Duration)) Clock {
+	return Suspendable(machineReadings(), noticed)
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -5,6 +5,7 @@
 	"context"
 	"log/slog"
 	"os"
+	"time"
 
 	"github.com/google/uuid"
 	"go.uber.org/fx"
@@ -57,7 +58,8 @@
 		Operators:   d.Operators,
 	}
 	log.Info("starting", "incarnation", self.Incarnation, "callers", d.Callers.String())
-	err := kernel.Run(ctx, log, fx.Supply(d, self, clock.System(), store.NewHTTP(d.Platform)))
+	now := clock.SystemNoticing(func(gap time.Duration) { log.Warn("suspended", "for_ms", gap.Milliseconds()) })
+	err := kernel.Run(ctx, log, fx.Supply(d, self, now, store.NewHTTP(d.Platform)))
 	if err == nil {
 		log.Info("stopped in order")
 	}
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"lemonstream.dev/lemonstream/clock"
 	"lemonstream.dev/lemonstream/internal/standin"
 	"lemonstream.dev/lemonstream/lease"
 )
@@ -75,3 +76,40 @@
 	is.NoErr(err)
 	is.True(held) // A lease that was cleaned can be taken as ever.
 }
+
+// TestSuspendedHolderHoldsNothing suspends the machine of a holder for longer than its
+// lease, at any point between two looks: its steady clock does not count that time. A
+// holder that went by the steady clock said that it held the lease, without a read,
+// beside the entry that had taken it.
+func TestSuspendedHolderHoldsNothing(t *testing.T) {
+	for at := time.Duration(0); at < 5*time.Second; at += 250 * time.Millisecond {
+		is := is.New(t)
+		ctx := context.Background()
+		seam := standin.InMemory(standin.NewTable(), &standin.Switch{}, &standin.Late{})
+		origin := time.UnixMilli(1_000_000)
+		var steady, suspended time.Duration
+		var gap time.Duration
+		mine := clock.Suspendable(clock.Readings{
+			Now:  func() (time.Time, time.Duration) { return origin.Add(steady + suspended), steady },
+			Boot: func() (time.Duration, bool) { return steady + suspended, true },
+		}, func(d time.Duration) { gap += d })
+		others := clock.Clock{
+			Now:   func() time.Time { return origin.Add(steady + suspended) },
+			After: time.After,
+		}
+		a := lease.NewHolder(seam, mine, "a", 10*time.Second)
+		b := lease.NewHolder(seam, others, "b", 10*time.Second)
+		_, held, err := a.Hold(ctx, "duty")
+		is.NoErr(err)
+		is.True(held)
+		steady += at
+		suspended += 11 * time.Second
+		_, held, err = b.Hold(ctx, "duty")
+		is.NoErr(err)
+		is.True(held)
+		_, held, err = a.Hold(ctx, "duty")
+		is.NoErr(err)
+		is.True(!held)
+		is.Equal(gap, 11*time.Second) // The gap is noticed first.
+	}
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -119,13 +119,18 @@
 
 func newDaemon(ctx context.Context, log *slog.Logger, settings site.Settings) (*Daemon, error) {
 	gin.SetMode(gin.ReleaseMode)
+	set := figures.New()
+	now := clock.SystemNoticing(func(gap time.Duration) {
+		set.Count("suspension", "noticed")
+		log.Warn("suspended", "for_ms", gap.Milliseconds())
+	})
 	d := &Daemon{
 		settings: settings,
-		clock:    clock.System(),
+		clock:    now,
 		group:    kernel.NewGroup(context.WithoutCancel(ctx), log),
 		log:      log,
-		catalog:  catalog.NewHolder(clock.System(), log),
-		figures:  figures.New(),
+		catalog:  catalog.NewHolder(now, log),
+		figures:  set,
 		waves:    make(map[string]outside.Wave),
 		stopping: make(chan struct{}),
 	}
