Guards of the crash limit, and tasks that crash their workers among real processes

Two guards: marks and trials in rows; each taken away lets a task be started beyond the limit. The stand-in's workers crash under a task whose text says so, another life answers at their address 0.5 s later, and its oracle counts starts after the third crash.

--- a/internal/prove/prove.go
+++ b/internal/prove/prove.go
@@ -35,6 +35,7 @@
 	AtMostOnce    = "at-most-once"
 	Budget        = "budget"
 	Configuration = "configuration"
+	CrashLimit    = "crash-limit"
 	Leaving       = "leaving"
 	NotRun        = "not-run"
 	OnePool       = "one-pool"
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -260,6 +260,8 @@
 	i.lives++
 	i.worker = NewWorker(fmt.Sprintf("%s-%d", i.id, i.lives), i.pool, f.oracle)
 	i.worker.Address = i.address
+	worker := i.worker
+	worker.crash = func() { f.crash(i, worker) }
 	i.router = gin.New()
 	i.worker.Routes(i.router)
 	f.rows.Write(outside.Key{
@@ -268,6 +270,31 @@
 	}, []byte(i.worker.Registration()))
 }
 
+// crash ends the worker of an instance without a word, and lets another one come.
+func (f *Fleet) crash(i *fleetInstance, worker *Worker) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if i.worker != worker {
+		return
+	}
+	worker.die()
+	i.worker = nil
+	i.router = nil
+	time.AfterFunc(registeredFor, func() {
+		f.rows.Write(outside.Key{
+			Table: "servers",
+			Name:  worker.ID,
+		}, nil)
+	})
+	time.AfterFunc(crashedFor, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if i.worker == nil && i.state == "up" {
+			f.wake(i)
+		}
+	})
+}
+
 // die ends everything that runs on a worker.
 func (w *Worker) die() {
 	w.mu.Lock()
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -17,6 +17,19 @@
 	// lastingTime is longer than any stand-in is used.
 	lastingTime = 24 * time.Hour
 
+	// CrashText is the text of a job each of whose tasks crashes its worker, crashAfter its
+	// start. Another life answers at the worker's address crashedFor later; the
+	// registration goes after three heartbeats.
+	CrashText     = "crash"
+	crashAfter    = 10 * time.Millisecond
+	crashedFor    = 500 * time.Millisecond
+	registeredFor = 4500 * time.Millisecond
+
+	// crashLimit is how many workers may crash under a task, startsOver how often it may be
+	// started after them.
+	crashLimit = 3
+	startsOver = 2
+
 	// stopTime is how long a task takes to stop.
 	stopTime = 20 * time.Millisecond
 
@@ -32,6 +45,11 @@
 	done    map[string]bool
 	starts  int
 	faults  []string
+
+	// crashes counts the workers that crashed under a task, over its starts after the
+	// limit.
+	crashes map[string]int
+	over    map[string]int
 }
 
 // Worker is a stand-in for one worker of the users' platform. It serves the
@@ -52,8 +70,10 @@
 	ends   [][]any
 	number int64
 
-	// dead says that the worker's life has ended.
-	dead bool
+	// dead says that the worker's life has ended; crash ends it, as a task does whose text
+	// is CrashText.
+	dead  bool
+	crash func()
 }
 
 type workerRun struct {
@@ -66,6 +86,8 @@
 func NewOracle() *Oracle {
 	return &Oracle{
 		running: make(map[string]string),
+		crashes: make(map[string]int),
+		over:    make(map[string]int),
 		done:    make(map[string]bool),
 	}
 }
@@ -180,6 +202,10 @@
 	}
 	w.runs[order.Task] = r
 	w.oracle.start(order.Task, w.ID)
+	if order.Spec == CrashText {
+		w.oracle.crash(order.Task, w.ID)
+		time.AfterFunc(crashAfter, w.crash)
+	}
 	c.JSON(http.StatusOK, gin.H{
 		"clockMs": w.clock().Milliseconds(),
 	})
@@ -279,6 +305,19 @@
 	j.running[task] = worker
 }
 
+// crash notes that a worker crashes under a task.
+func (j *Oracle) crash(task, worker string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.crashes[task] >= crashLimit {
+		j.over[task]++
+	}
+	if j.over[task] > startsOver {
+		j.faults = append(j.faults, fmt.Sprintf("%s starts on %s after %d workers have crashed under it", task, worker, j.crashes[task]))
+	}
+	j.crashes[task]++
+}
+
 func (j *Oracle) end(task, worker string) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
--- a/shard/crash_test.go
+++ b/shard/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -254,3 +255,56 @@
 		}
 	})
 }
+
+// TestCrashesAreCountedAcrossOwners takes away what rows hold of crashes: the workers that
+// crashed under a task, and those where that is not known yet. An owner dies each time
+// after it has marked a crash, or between the crash and its mark.
+func TestCrashesAreCountedAcrossOwners(t *testing.T) {
+	for name, scenario := range map[string]struct {
+		off func(w *world)
+
+		// dies is how long after a crash its owner does.
+		dies time.Duration
+	}{
+		"marks-outlast-their-owner": {
+			off:  func(w *world) { w.unmarked = true },
+			dies: 3 * time.Second,
+		},
+		"trials-outlast-their-owner": {
+			off:  func(w *world) { w.untried = true },
+			dies: time.Second,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			prove.Scenario(t, prove.CrashLimit, name, func(on bool) string {
+				w := newWorld(8)
+				w.lenient = true
+				w.backAfter = 2 * time.Second
+				w.culprits[job.TaskID{
+					Job: "bad",
+				}] = tick
+				if !on {
+					scenario.off(w)
+				}
+				w.run(200 * time.Millisecond)
+				w.submit("bad", step(1))
+				for range 12 {
+					before := w.crashes[job.TaskID{
+						Job: "bad",
+					}]
+					for range 800 {
+						w.run(tick)
+						if w.crashes[job.TaskID{
+							Job: "bad",
+						}] > before {
+							break
+						}
+					}
+					w.run(scenario.dies)
+					w.takeOver()
+				}
+				return strings.Join(w.faults, "; ")
+			})
+		})
+	}
+}
--- a/shard/world_owner_test.go
+++ b/shard/world_owner_test.go
@@ -178,6 +178,12 @@
 	for id, r := range w.records {
 		var known *shard.Progress
 		if p, found := w.progress[id]; found {
+			if w.unmarked {
+				p.Crashed = nil
+			}
+			if w.untried {
+				p.Trials = nil
+			}
 			known = &p
 		}
 		if err := w.core.Restore(r, known, w.now); err != nil {
--- a/shard/world_test.go
+++ b/shard/world_test.go
@@ -186,6 +186,11 @@
 	// under counts the workers that crashed while a task ran there, whoever did it.
 	under map[job.TaskID]int
 
+	// unmarked and untried take the marks and the trials out of the rows that an owner
+	// reads.
+	unmarked bool
+	untried  bool
+
 	// lenient allows startsAfter starts after the last crash, which startsOver counts.
 	lenient    bool
 	startsOver map[job.TaskID]int
