--- a/job/job.go
+++ b/job/job.go
@@ -140,6 +140,22 @@
 	return o.MilliCPU <= r.MilliCPU && o.MemoryMB <= r.MemoryMB && o.Accelerators <= r.Accelerators
 }
 
+// Share returns which part of a room r takes, by whatever binds first: above 1 where it
+// does not fit. What the room has none of binds nothing.
+func (r Room) Share(of Room) float64 {
+	share := 0.0
+	for _, one := range [][2]int{
+		{r.MilliCPU, of.MilliCPU},
+		{r.MemoryMB, of.MemoryMB},
+		{r.Accelerators, of.Accelerators},
+	} {
+		if one[1] > 0 {
+			share = max(share, float64(one[0])/float64(one[1]))
+		}
+	}
+	return share
+}
+
 // Sub returns r less o.
 func (r Room) Sub(o Room) Room {
 	return Room{
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -317,16 +317,8 @@
 // instancesFor returns how many instances of the given room hold what is needed now, and
 // the part of the coming work that starts soon.
 func instancesFor(need, coming, each job.Room) float64 {
-	instances := 0.0
-	ratio := func(amount, one int) {
-		if one > 0 {
-			instances = max(instances, float64(amount)/float64(one))
-		}
-	}
-	ratio(need.MilliCPU+int(comingShare*float64(coming.MilliCPU)), each.MilliCPU)
-	ratio(need.MemoryMB, each.MemoryMB)
-	ratio(need.Accelerators, each.Accelerators)
-	return instances
+	need.MilliCPU += int(comingShare * float64(coming.MilliCPU))
+	return need.Share(each)
 }
 
 // byName sorts instances for a plan that is the same each time.
--- a/shard/admit.go
+++ b/shard/admit.go
@@ -133,17 +133,7 @@
 
 // of returns what tasks of a step take, in instances for a time.
 func (v *survey) of(step *job.Step, takes time.Duration, count int) time.Duration {
-	share := 0.0
-	need := step.Charge()
-	ratio := func(amount, one int) {
-		if one > 0 {
-			share = max(share, float64(amount)/float64(one))
-		}
-	}
-	ratio(need.MilliCPU, v.each.MilliCPU)
-	ratio(need.MemoryMB, v.each.MemoryMB)
-	ratio(need.Accelerators, v.each.Accelerators)
-	return time.Duration(share * float64(count) * float64(takes))
+	return time.Duration(step.Charge().Share(v.each) * float64(count) * float64(takes))
 }
 
 // meanRoom returns the mean room of the service's workers by their own word; zero where
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -176,7 +176,9 @@
 
 	// refusing holds jobs that are to be turned away and that no batch holds, deciding all
 	// that are to be, until the row stands or is given up; refused the refusals that stand, and
-	// refusals their jobs by their age.
+	// refusals their jobs in the order in which they were given, or read at a takeover. A
+	// job that is refused again stands there twice, and holds up the refusals behind it until
+	// it may be lifted itself: they go later than they could, and none too early.
 	refusing []*refusing
 	deciding map[string]*refusing
 	refused  map[string]Refusal
