A lasting task is given up for crashes at its start only, and alone

Lasting tasks that had lost three workers to other causes, each within 10 s of a start, were given up, and their job's other tasks all stopped at once. Now a crash counts against a lasting task within 2 s of its start, not if it was found running, and the others of its step serve on.

--- a/shard/crash.go
+++ b/shard/crash.go
@@ -15,7 +15,7 @@
 // an owner that dies in the meantime leaves nothing of the crash to its successor.
 const trialAfter = 2
 
-// Weights that keep tasks under which workers crashed apart, see weights.
+// Weights that keep tasks under which workers crashed apart, see weighSuspects.
 const (
 	weightSuspects = 500.0
 
@@ -62,18 +62,35 @@
 		lost = make(map[job.TaskID]struct{})
 	}
 	for id, r := range w.runs {
-		step, found := s.stepOf(id)
-		if found && (!step.Lasting || now.Sub(r.began) <= suspect.ProvedAfter) {
+		if step, found := s.stepOf(id); found && (!step.Lasting || !r.isProved(now)) {
 			lost[id] = struct{}{}
 		}
 	}
-	if !w.known {
-		maps.Copy(lost, w.mayRun)
+	if w.known {
+		return lost
+	}
+	for id := range w.mayRun {
+		// How long a lasting task has run is not known here.
+		if step, found := s.stepOf(id); found && !step.Lasting {
+			lost[id] = struct{}{}
+		}
 	}
 	return lost
 }
 
-// mark notes that a worker crashed under a task, and gives the task up at its limit.
+// isProved reports whether a run has gone on for so long that its worker did not crash at
+// its start. One that was found has been listed by an earlier owner's time.
+func (r *run) isProved(now time.Time) bool {
+	last := now
+	if silent := r.worker.silentSince; !silent.IsZero() {
+		last = silent
+	}
+	return r.found || last.Sub(r.began) > suspect.ProvedAfter
+}
+
+// mark notes that a worker crashed under a task, and gives the task up at its limit. The
+// job fails with it, unless the task lasts: the others of its step serve on, and to stop
+// them all breaks what may be missed of them.
 func (s *Shard) mark(id job.TaskID, worker string, now time.Time) {
 	j, t := s.openTask(id)
 	if t == nil {
@@ -91,7 +108,9 @@
 		return
 	}
 	s.opts.Report("task given up", "job", id.Job, "task", id.String(), "crashed", strings.Join(marks, " "))
-	s.finishJob(j, job.Failed, now)
+	if !j.record.Spec.Steps[id.Step].Lasting {
+		s.finishJob(j, job.Failed, now)
+	}
 }
 
 // openTask returns a task that has not ended, and its job; nil where there is none.
@@ -175,7 +194,7 @@
 
 // clear forgets the marks of a lasting task that has run for long enough.
 func (s *Shard) clear(r *run, t *taskState, j *jobState, now time.Time) {
-	if !t.crashed.Suspect() || now.Sub(r.began) <= suspect.ProvedAfter || !j.record.Spec.Steps[r.id.Step].Lasting {
+	if !t.crashed.Suspect() || !r.isProved(now) || !j.record.Spec.Steps[r.id.Step].Lasting {
 		return
 	}
 	t.crashed = nil
@@ -202,10 +221,13 @@
 	}
 }
 
-// held reports whether an idle task may not be started for now. With one more crash it is
-// given up, and a silent worker may have crashed under it; or its newest mark does not
-// stand in a row yet: while the store is away, each owner would start it anew.
+// held reports whether an idle task may not be started for now. It is given up; or it is
+// with one more crash, and a silent worker may have crashed under it; or its newest mark
+// does not stand in a row yet: while the store is away, each owner would start it anew.
 func (s *Shard) held(t *taskState) bool {
+	if t.crashed.GivenUp() {
+		return true
+	}
 	if len(t.trials) > 0 && len(t.crashed)+len(t.trials) >= suspect.CrashLimit {
 		return true
 	}
--- a/shard/crash_test.go
+++ b/shard/crash_test.go
@@ -168,28 +168,42 @@
 	}
 }
 
-// TestLastingTaskThatHasRunForLongIsBeyondDoubt lets a lasting task lose five workers
-// that have nothing to do with it, with more time between two losses than a crash at the
-// start takes. It is never given up; one that crashes each worker at the start is.
-func TestLastingTaskThatHasRunForLongIsBeyondDoubt(t *testing.T) {
+// TestLastingTaskThatHasRunIsBeyondDoubt lets lasting tasks lose one worker after the other
+// that has nothing to do with them, four seconds after each start. They were given up with
+// the third, and their job's other tasks stopped all at once:
+//
+//	12.121 crash marked task=d5effe17ba0a02af.0.0.5 crashes=1
+//	19.585 crash marked task=d5effe17ba0a02af.0.0.5 crashes=2
+//	27.980 stopped, 1 others of its step are away and 1 may be
+//
+// A task that crashes its workers at the start is not started again; the others of its step
+// go on.
+func TestLastingTaskThatHasRunIsBeyondDoubt(t *testing.T) {
 	is := is.New(t)
-	w := newWorld(4)
+	w := newWorld(6)
 	w.backAfter = time.Second
-	w.culprits[job.TaskID{
-		Job: "bad",
-	}] = tick
+	bad := job.TaskID{
+		Job:   "bad",
+		Index: 1,
+	}
+	w.culprits[bad] = tick
 	w.run(200 * time.Millisecond)
-	w.submit("a", lasting(1, 1))
-	w.submit("bad", lasting(1, 1))
+	w.submit("a", lasting(2, 1))
+	w.submit("bad", lasting(3, 1))
 	w.run(20 * time.Second)
-	is.Equal(w.shown["bad"], job.Failed)
-	for range 5 {
-		w.run(15 * time.Second)
+	is.Equal(w.crashes[bad], 3)
+	is.Equal(w.running("bad"), 2)
+	for range 6 {
 		w.loseWorker(holderOf(w, "a")[0])
+		w.run(6 * time.Second)
 	}
-	w.run(10 * time.Second)
 	is.Equal(w.shown["a"], job.Running)
-	is.Equal(len(holderOf(w, "a")), 1)
+	is.Equal(w.running("a"), 2)
+	is.Equal(w.running("bad"), 2)
+	w.takeOver()
+	w.run(10 * time.Second)
+	is.Equal(w.running("bad"), 2)
+	is.Equal(w.crashes[bad], 3) // No successor starts it either.
 	w.check(t)
 }
 
--- a/suspect/suspect.go
+++ b/suspect/suspect.go
@@ -26,10 +26,11 @@
 	// run alone; one worker always may. Many such tasks at once must not empty a pool.
 	AloneShare = 10
 
-	// ProvedAfter is how long a lasting task must have run to be beyond doubt: ten times
-	// what a crash at the start takes to be noticed. Without it, a task that lasts for
-	// months is given up after three unrelated crashes.
-	ProvedAfter = 10 * time.Second
+	// ProvedAfter is how long a lasting task must have run to be beyond doubt: many times
+	// what a crash at the start takes to be noticed, which is some 10 ms. Without it, a
+	// task that lasts for months is given up after three unrelated crashes; with 10 s one
+	// was whose workers crashed 12, 20 and 28 s after its hand-in for another cause.
+	ProvedAfter = 2 * time.Second
 )
 
 // Loss is what an owner knows of a worker whose life has ended or is taken for ended.
