--- a/place/place.go
+++ b/place/place.go
@@ -198,46 +198,6 @@
 	return chosen
 }
 
-// blame finds jobs that fail wherever they go and workers on which everything
-// fails. A failure counts against a job only on workers that are not blamed,
-// and against a worker only by jobs that fail nowhere else.
-func (p Pool) blame(steps *Steps) {
-	only := make(map[string]int)
-	for i := range p.Jobs {
-		job := &p.Jobs[i]
-		if len(job.FailedOn) != 1 {
-			continue
-		}
-		for worker := range job.FailedOn {
-			only[worker]++
-		}
-	}
-	bad := make(map[string]bool)
-	for worker, count := range only {
-		if count >= blameWorkerAfter {
-			bad[worker] = true
-			steps.TakeOut = append(steps.TakeOut, worker)
-		}
-	}
-	sort.Strings(steps.TakeOut)
-	for i := range p.Jobs {
-		job := &p.Jobs[i]
-		if len(job.LostOn) >= blameJobAfter {
-			steps.SetAside[job.ID] = ReasonLosesWorkers
-			continue
-		}
-		good := 0
-		for worker := range job.FailedOn {
-			if !bad[worker] {
-				good++
-			}
-		}
-		if good >= blameJobAfter {
-			steps.SetAside[job.ID] = ReasonFails
-		}
-	}
-}
-
 // couldHold reports whether some worker, empty, could hold the job.
 func (p Pool) couldHold(job *Job) bool {
 	for _, worker := range p.Workers {
