Sight: logs tell which tasks of a step were away when one is ended

Nobody was told that lines are missing.

- Lines about lasting tasks have a bound of their own, and say how many others of their step are away and how many may be.
- 'availability budget exceeded' (also counted) says that a stop, an order to an instance or a lease that was not renewed ended one too many, by what the owner itself knows.
- 'lines left out' says how many, each 5 s.
- Orders to instances tell how old the loads are that they go by.

No decision changes.

--- a/logbook/logbook.go
+++ b/logbook/logbook.go
@@ -1,13 +1,14 @@
 // Package logbook writes structured logs without ever holding up who logs: lines
 // go into a bounded queue, and what does not fit is dropped and counted. Lines
 // of one event are bounded in each second, so that a busy day can't fill the
-// output.
+// output; lines that a field sets apart have a bound of their own.
 package logbook
 
 import (
 	"context"
 	"io"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -29,6 +30,9 @@
 	out   io.Writer
 	lines *ring.Ring[[]byte]
 
+	// apart names the fields that set a line apart where they are true.
+	apart []string
+
 	mu sync.Mutex
 
 	// second is the second that counts belong to; counts holds the lines of
@@ -45,10 +49,13 @@
 	book *Book
 }
 
-// New returns a book that writes to out once Run runs.
-func New(out io.Writer) *Book {
+// New returns a book that writes to out once Run runs. A line that carries one of the fields
+// named by apart as true does not share the bound of its event, so that a few lines that
+// matter are not left out for many others of the same event.
+func New(out io.Writer, apart ...string) *Book {
 	return &Book{
 		out:     out,
+		apart:   apart,
 		lines:   ring.New[[]byte](linesMost),
 		counts:  make(map[string]int),
 		dropped: make(map[string]int),
@@ -127,12 +134,25 @@
 
 // Handle implements slog.Handler.
 func (h *handler) Handle(ctx context.Context, record slog.Record) error {
-	if !h.book.allow(record.Message, record.Time) {
+	if !h.book.allow(h.book.boundOf(record), record.Time) {
 		return nil
 	}
 	return h.Handler.Handle(ctx, record)
 }
 
+// boundOf returns the name under which a line is counted.
+func (b *Book) boundOf(record slog.Record) string {
+	event := record.Message
+	record.Attrs(func(attr slog.Attr) bool {
+		if !slices.Contains(b.apart, attr.Key) || attr.Value.Kind() != slog.KindBool || !attr.Value.Bool() {
+			return true
+		}
+		event += " " + attr.Key
+		return false
+	})
+	return event
+}
+
 // WithAttrs implements slog.Handler.
 func (h *handler) WithAttrs(attrs []slog.Attr) slog.Handler {
 	return &handler{
--- a/owner/fleet.go
+++ b/owner/fleet.go
@@ -107,6 +107,9 @@
 	closed map[string][]string
 	ended  map[string]map[string]time.Time
 
+	// asked is when the owners were last asked for their loads, which the last plan goes by.
+	asked time.Time
+
 	// most is how many instances each service could have, by the last plan.
 	most map[string]int
 
@@ -217,6 +220,7 @@
 			f.listed = f.deps.Clock.Now()
 		}
 	}
+	f.asked = f.deps.Clock.Now()
 	view := pool.View{
 		Services:  f.services(ctx),
 		Instances: f.instances,
--- a/owner/orders.go
+++ b/owner/orders.go
@@ -114,7 +114,8 @@
 	var lost *LostError
 	switch {
 	case err == nil:
-		f.deps.Log.Info("instance ordered", "instance", instance, "worker", worker.String(), "from", from, "to", to, "wave", wave, "epoch", f.tenure.epoch)
+		f.deps.Log.Info("instance ordered", "instance", instance, "worker", worker.String(), "from", from, "to", to, "wave", wave, "epoch", f.tenure.epoch,
+			"load_age_ms", now.Sub(f.asked).Milliseconds())
 		f.sizer.Ordered(instance, to, worker, wave, now)
 		if f.ended[from] == nil {
 			f.ended[from] = make(map[string]time.Time)
@@ -131,6 +132,7 @@
 		f.sizer.Unsure(instance, from, to, worker, wave, now)
 	}
 	if err != nil {
-		f.deps.Log.Warn("instance order without success", "instance", instance, "worker", worker.String(), "from", from, "to", to, "wave", wave, "error", err.Error())
+		f.deps.Log.Warn("instance order without success", "instance", instance, "worker", worker.String(), "from", from, "to", to, "wave", wave, "error", err.Error(),
+			"load_age_ms", now.Sub(f.asked).Milliseconds())
 	}
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -93,7 +93,7 @@
 
 // Run runs an entry until ctx ends and everything has stopped in order.
 func Run(ctx context.Context) error {
-	book := logbook.New(os.Stdout)
+	book := logbook.New(os.Stdout, shard.LastingField)
 	log := book.Logger(slog.LevelInfo)
 	path := platform.SettingsPath()
 	body, err := os.ReadFile(path)
@@ -108,6 +108,7 @@
 	reload := newReload(path, body, log)
 	writer := kernel.NewGroup(context.WithoutCancel(ctx), log)
 	writer.Go("log", book.Run)
+	writer.Go("lines left out", func(ctx context.Context) error { return reportLeftOut(ctx, book.Dropped, log) })
 	defer writer.Stop()
 	d, err := newDaemon(ctx, log, settings)
 	if err != nil {
--- a/shard/away.go
+++ b/shard/away.go
@@ -57,20 +57,30 @@
 	r.phase = phaseRunning
 	r.settled = now
 	delete(s.due, r)
-	s.opts.Report("stop taken back", "task", r.id.String(), "run", r.number, "worker", r.worker.reg.ID, "tries", r.tries)
+	s.reportRun("stop taken back", r.id, r.number, r.worker, "tries", r.tries)
 	return true
 }
 
 // canSpare reports whether fewer of the others of a task's step are away than it may miss.
 func (s *Shard) canSpare(id job.TaskID, spec *job.Step) bool {
-	step := s.jobs[id.Job].occurrences[id.Occurrence].steps[id.Step]
+	away, known := s.othersAway(id)
+	return known && spares(spec, away)
+}
+
+// spares reports whether a step may miss one more task while so many of it are away.
+func spares(spec *job.Step, away int) bool {
+	return away < max(1, spec.MayMiss) && (!spec.HasMayMiss || away < spec.MayMiss)
+}
+
+// away returns how many tasks of a step are not at work, the one with the given index left out.
+func (s *Shard) away(step *stepState, index int) int {
 	away := 0
 	for i, t := range step.tasks {
-		if i != id.Index && !s.atWork(t) {
+		if i != index && !s.atWork(t) {
 			away++
 		}
 	}
-	return away < max(1, spec.MayMiss) && (!spec.HasMayMiss || away < spec.MayMiss)
+	return away
 }
 
 // places returns how many tasks of a step other workers could take now.
--- a/shard/events.go
+++ b/shard/events.go
@@ -107,7 +107,7 @@
 		switch {
 		case r.phase == phaseRunning && sent.After(r.settled),
 			r.phase == phaseStopped && sent.After(r.settled.Add(s.opts.StopTask)):
-			s.opts.Report("run vanished", "task", id.String(), "run", r.number, "worker", w.reg.ID, "acknowledged", w.acked)
+			s.reportRun("run vanished", id, r.number, w, "acknowledged", w.acked)
 			s.drop(r, now)
 		}
 	}
@@ -164,7 +164,7 @@
 	if !wanted {
 		s.stop(r, "not wanted here")
 	}
-	s.opts.Report("run found", "task", running.Task.String(), "run", running.Run, "worker", w.reg.ID, "wanted", wanted)
+	s.reportRun("run found", running.Task, running.Run, w, "wanted", wanted, "percent", running.Percent)
 }
 
 // taskOf returns a task, building its occurrence where an earlier owner had.
@@ -275,10 +275,13 @@
 	} else {
 		r = nil
 	}
-	s.opts.Report("run ended", "task", end.Task.String(), "run", end.Run, "worker", w.reg.ID, "how", string(end.Kind), "number", end.Number, "known", r != nil)
+	s.reportRun("run ended", end.Task, end.Run, w, "how", string(end.Kind), "number", end.Number, "known", r != nil)
 	if t == nil || j.state.Final() {
 		return
 	}
+	if end.Kind == outside.EndLapsed && len(t.runs) == 0 {
+		s.reportExceeded("lease lapsed", end.Task, end.Run, w)
+	}
 	if end.Checkpoint != "" {
 		t.checkpoint = end.Checkpoint
 	}
--- a/shard/lease.go
+++ b/shard/lease.go
@@ -80,6 +80,11 @@
 // endWorker drops a worker whose incarnation has ended.
 func (s *Shard) endWorker(w *workerState, now time.Time, reason string) {
 	s.opts.Report("worker ended", "worker", w.incarnation().String(), "reason", reason, "runs", len(w.runs))
+	if reason == reasonTaken {
+		for _, r := range w.runs {
+			s.reportExceeded("instance order", r.id, r.number, w)
+		}
+	}
 	s.loseRuns(w, now, reason)
 	s.acquitAt(w)
 	s.forgetTicketsOf(w.reg.ID)
@@ -94,7 +99,7 @@
 func (s *Shard) loseRuns(w *workerState, now time.Time, reason string) {
 	for _, r := range w.runs {
 		s.drop(r, now)
-		s.opts.Report("run lost", "task", r.id.String(), "run", r.number, "worker", w.reg.ID, "reason", reason)
+		s.reportRun("run lost", r.id, r.number, w, "reason", reason)
 	}
 }
 
--- a/shard/load.go
+++ b/shard/load.go
@@ -13,6 +13,9 @@
 // open again soon.
 const closeFor = 2 * time.Second
 
+// reasonTaken says that a worker ended because its instance was moved or taken down.
+const reasonTaken = "instance was taken"
+
 // Load is what a service needs and has, for whoever sizes its pool.
 type Load struct {
 	// Used is the room that runs take; Waiting is what tasks need that could
@@ -134,7 +137,7 @@
 			// Its row will tell whether it has started again.
 			s.takenUnseen = append(s.takenUnseen, name)
 		case w.incarnation().Same(taken):
-			s.endWorker(w, now, "instance was taken")
+			s.endWorker(w, now, reasonTaken)
 		}
 	}
 }
--- a/shard/orders.go
+++ b/shard/orders.go
@@ -45,7 +45,7 @@
 
 // startFailed decides what becomes of a run whose start did not succeed.
 func (s *Shard) startFailed(w *workerState, r *run, now time.Time, err error) {
-	s.opts.Report("start failed", "task", r.id.String(), "run", r.number, "worker", w.reg.ID, "error", err.Error())
+	s.reportRun("start failed", r.id, r.number, w, "error", err.Error())
 	var gone *outside.GoneError
 	var refused *outside.WorkerRefusedError
 	switch {
@@ -124,7 +124,10 @@
 				continue
 			}
 			r.call = s.nextCall()
-			s.opts.Report("stop ordered", "task", r.id.String(), "run", r.number, "worker", w.reg.ID, "reason", r.reason)
+			if r.percent >= fullPercent {
+				s.reportExceeded("stop", r.id, r.number, w)
+			}
+			s.reportRun("stop ordered", r.id, r.number, w, "reason", r.reason)
 			s.orders.Stops = append(s.orders.Stops, Stop{
 				Call:   r.call,
 				Worker: w.ref(),
--- a/shard/place.go
+++ b/shard/place.go
@@ -310,7 +310,7 @@
 	if r.suspect {
 		s.try(id, w.incarnation().String())
 	}
-	s.opts.Report("start ordered", "task", id.String(), "run", number, "worker", w.reg.ID, "rack", w.reg.Rack,
+	s.reportRun("start ordered", id, number, w, "rack", w.reg.Rack, "closed", now.Before(w.closedUntil),
 		"free_cpu", w.free().MilliCPU, "look_age_ms", now.Sub(w.heard).Milliseconds())
 	s.orders.Starts = append(s.orders.Starts, Start{
 		Call:   r.call,
