A stop without an answer is held back and not taken back

Cause: a stop that got no answer, and that the step could not spare any more when it was to be repeated, was taken back in the owner's memory: the run counted as at work. The worker carried the stop out all the same, and while that took its time the owner stopped another task of the step. Class: an order without an answer that is taken for one not given.

The run now stays one that is being stopped, and so counts as away, until the stop was answered: it is repeated once the step can spare it, and nothing else of the step goes meanwhile.

--- a/shard/away.go
+++ b/shard/away.go
@@ -6,10 +6,6 @@
 	"lemonstream.dev/lemonstream/job"
 )
 
-// reasonEmptied says that a run is stopped because its worker is wanted elsewhere, and only as
-// long as its step can spare it.
-const reasonEmptied = "worker to be emptied"
-
 // moveOffDraining stops lasting tasks on workers that drain or are closed, so
 // that they start elsewhere before the worker ends, and tasks that save their
 // progress shortly before a draining worker does.
@@ -31,7 +27,7 @@
 			case spec.Lasting && w.reg.Draining:
 				s.stop(r, "worker drains")
 			case spec.Lasting && s.maySendAway(id, spec, now):
-				s.stop(r, reasonEmptied)
+				s.sendAway(r)
 			case spec.Checkpoints && soon:
 				s.stop(r, "worker drains")
 			}
@@ -47,17 +43,28 @@
 	return s.canSpare(id, spec) && s.places(id, spec, now) > step.seeking()
 }
 
-// takeBack ends the stop of a run that got no answer when its step can't spare the task any
-// more: repeated, it would end the task while others are away. It reports whether it did.
-func (s *Shard) takeBack(r *run, now time.Time) bool {
+// sendAway asks for the end of a lasting task whose worker is wanted elsewhere, for as long as
+// its step can spare it.
+func (s *Shard) sendAway(r *run) {
+	s.stop(r, "worker to be emptied")
+	r.spared = true
+}
+
+// holdsBack reports whether a stop without success is not to be repeated now, because the step
+// of its task can't spare it any more. The run counts as being stopped all the while: the stop
+// may yet be carried out, and a step that took it for at work sent another task away beside it.
+func (s *Shard) holdsBack(r *run) bool {
+	if !r.spared || r.tries == 0 {
+		return false
+	}
 	spec, found := s.stepOf(r.id)
-	if r.tries == 0 || r.reason != reasonEmptied || !found || s.canSpare(r.id, spec) {
+	if !found || s.canSpare(r.id, spec) {
 		return false
 	}
-	r.phase = phaseRunning
-	r.settled = now
-	delete(s.due, r)
-	s.reportRun("stop taken back", r.id, r.number, r.worker, "tries", r.tries)
+	if !r.heldBack {
+		r.heldBack = true
+		s.reportRun("stop held back", r.id, r.number, r.worker, "tries", r.tries)
+	}
 	return true
 }
 
--- a/shard/orders.go
+++ b/shard/orders.go
@@ -7,18 +7,21 @@
 	"lemonstream.dev/lemonstream/outside"
 )
 
-// stop asks for the end of a run. One that is being stopped takes a reason that leaves no
-// choice in place of one that may be taken back.
+// stop asks for the end of a run, whatever its step can spare. One that is being stopped only
+// as long as its step can spare it is so no more.
 func (s *Shard) stop(r *run, reason string) {
 	if r.phase == phaseStopping || r.phase == phaseStopped {
-		if r.reason == reasonEmptied {
+		if r.spared {
 			r.reason = reason
+			r.spared = false
 		}
 		return
 	}
 	r.phase = phaseStopping
 	r.reason = reason
 	r.tries = 0
+	r.spared = false
+	r.heldBack = false
 	s.due[r] = struct{}{}
 }
 
@@ -120,7 +123,7 @@
 				Order:  r.order,
 			})
 		case phaseStopping:
-			if (w.failures > 0 && r.tries > 0) || now.Before(r.stopAt) || s.takeBack(r, now) {
+			if (w.failures > 0 && r.tries > 0) || now.Before(r.stopAt) || s.holdsBack(r) {
 				continue
 			}
 			r.call = s.nextCall()
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -102,8 +102,11 @@
 	suspect bool
 	alone   bool
 
-	// reason says why the run is stopped, for the log.
-	reason string
+	// reason says why the run is stopped, for the log. spared says that it is only as long as
+	// its step can spare the task, heldBack that it was logged that the step can't.
+	reason   string
+	spared   bool
+	heldBack bool
 
 	// figure is the last figure that the worker reported of the run.
 	figure  int
