A lasting task whose start got no answer is stopped only once a look shows that it isn't there

Callers' lasting services had two tasks away at once where one may be: both were at work, and were stopped so that they could start elsewhere.

Cause: a start that got no answer twice counts as not begun, and its run was stopped 1.4 s after the first order; a lasting task is at work by then if the order was carried out. The stops were repeated although a look had shown the run. Class, as for stops: an order without an answer that is taken for one not given.

The run of a lasting task waits for a look that was sent after its last order. Where that shows the run, it goes on; where it doesn't, the stop ends nothing that works. One that begins after that look is stopped only while its step can spare it. A stop that is held back and can't be carried out any more is given up, so that two of a step don't hold each other back for ever.

--- a/shard/alone.go
+++ b/shard/alone.go
@@ -178,7 +178,7 @@
 
 func (s *Shard) holdsLasting(w *workerState) bool {
 	for id := range w.runs {
-		if step, found := s.stepOf(id); found && step.Lasting {
+		if s.isLasting(id) {
 			return true
 		}
 	}
--- a/shard/away.go
+++ b/shard/away.go
@@ -53,7 +53,8 @@
 // holdsBack reports whether a stop without success is not to be repeated now, because the step
 // of its task can't spare it any more. The run counts as being stopped all the while: the stop
 // may yet be carried out, and a step that took it for at work sent another task away beside it.
-func (s *Shard) holdsBack(r *run) bool {
+// Once it can't be any more, the run goes on.
+func (s *Shard) holdsBack(r *run, now time.Time) bool {
 	if !r.spared || r.tries == 0 {
 		return false
 	}
@@ -65,6 +66,12 @@
 		r.heldBack = true
 		s.reportRun("stop held back", r.id, r.number, r.worker, "tries", r.tries)
 	}
+	if r.listed.Sub(r.ordered) > lateMost {
+		s.reportRun("stop given up", r.id, r.number, r.worker, "tries", r.tries)
+		r.phase = phaseRunning
+		r.settled = now
+		delete(s.due, r)
+	}
 	return true
 }
 
--- a/shard/away_test.go
+++ b/shard/away_test.go
@@ -48,6 +48,26 @@
 	}
 }
 
+// TestStopThatCanNotBeCarriedOutAnyMoreIsGivenUp loses such a stop for good, while its step can't
+// spare the task for longer than an order may be late. The task goes on.
+func TestStopThatCanNotBeCarriedOutAnyMoreIsGivenUp(t *testing.T) {
+	is := is.New(t)
+	w, emptied, _ := loseStopAndWorker(is, time.Hour)
+	w.core.SetClosed(nil, w.now)
+	for _, f := range w.workers {
+		f.cut = f != emptied && len(f.runs) == 0 // The lost task has nowhere to go.
+	}
+	w.run(20 * time.Second)
+	for _, f := range w.workers {
+		f.cut = false
+	}
+	w.run(5 * time.Second)
+	w.check(t)
+	is.Equal(w.atWorkOf("a"), 3)
+	is.Equal(emptied.began, 1)
+	is.Equal(len(emptied.runs), 1)
+}
+
 // TestLostStopOfACancelledJobIsRepeated cancels the job of such a task: whatever its step can
 // spare, it ends.
 func TestLostStopOfACancelledJobIsRepeated(t *testing.T) {
--- a/shard/events.go
+++ b/shard/events.go
@@ -14,7 +14,7 @@
 	ackPause = 300 * time.Millisecond
 
 	// startTries is how often an unanswered start is sent before it is stopped
-	// instead.
+	// instead; that of a lasting task, once a look shows that it isn't there.
 	startTries = 2
 )
 
@@ -105,6 +105,10 @@
 			continue
 		}
 		switch {
+		case r.phase == phaseDoubtful && r.call == 0 && r.tries >= startTries && !sent.Before(r.doubted):
+			// Stopped unseen, it ended tasks that were at work, more of a step than it may miss.
+			s.stop(r, reasonNoAnswer)
+			r.notThere = true
 		case r.phase == phaseRunning && sent.After(r.settled),
 			r.phase == phaseStopped && sent.After(r.settled.Add(s.opts.StopTask)):
 			s.reportRun("run vanished", id, r.number, w, "acknowledged", w.acked)
@@ -138,6 +142,9 @@
 		case r.phase == phaseStarting || r.phase == phaseDoubtful:
 			r.phase = phaseRunning
 			r.settled = now
+		case r.phase == phaseStopping && r.notThere:
+			// It has begun after all, before its stop was answered.
+			r.spared = true
 		case r.phase == phaseStopped && sent.After(r.settled.Add(s.opts.StopTask+foundSlack)):
 			// The stop was answered, and its time is over.
 			r.phase = phaseRunning
--- a/shard/load.go
+++ b/shard/load.go
@@ -252,6 +252,12 @@
 	return &j.record.Spec.Steps[id.Step], true
 }
 
+// isLasting reports whether a task of a known job is to run until its job is cancelled.
+func (s *Shard) isLasting(id job.TaskID) bool {
+	spec, found := s.stepOf(id)
+	return found && spec.Lasting
+}
+
 func times(r job.Room, n int) job.Room {
 	return job.Room{
 		MilliCPU:     r.MilliCPU * n,
--- a/shard/orders.go
+++ b/shard/orders.go
@@ -7,13 +7,17 @@
 	"lemonstream.dev/lemonstream/outside"
 )
 
+// reasonNoAnswer says that a run is stopped because nobody knows whether it begins.
+const reasonNoAnswer = "start without an answer"
+
 // stop asks for the end of a run, whatever its step can spare. One that is being stopped only
 // as long as its step can spare it is so no more.
 func (s *Shard) stop(r *run, reason string) {
 	if r.phase == phaseStopping || r.phase == phaseStopped {
-		if r.spared {
+		if r.spared || r.notThere {
 			r.reason = reason
 			r.spared = false
+			r.notThere = false
 		}
 		return
 	}
@@ -22,6 +26,7 @@
 	r.tries = 0
 	r.spared = false
 	r.heldBack = false
+	r.notThere = false
 	s.due[r] = struct{}{}
 }
 
@@ -69,9 +74,12 @@
 			return
 		}
 		r.phase = phaseDoubtful
+		r.doubted = now
 		s.due[r] = struct{}{}
-		if r.tries >= startTries {
-			s.stop(r, "start without an answer")
+		if r.tries >= startTries && !s.isLasting(r.id) {
+			// A short task is better started elsewhere at once: it would wait for a look that
+			// may get no answer either.
+			s.stop(r, reasonNoAnswer)
 		}
 	}
 }
@@ -87,6 +95,12 @@
 		// A look has shown that the earlier order took effect.
 		return
 	}
+	if r.unanswered && reason == outside.RefusedUnhealthy && r.phase == phaseDoubtful && s.isLasting(r.id) {
+		// It says nothing of the run, which an order before may have begun.
+		r.tries = startTries
+		r.doubted = now
+		return
+	}
 	if r.unanswered {
 		// An earlier order without an answer may still take effect.
 		s.stop(r, "start refused after one without an answer")
@@ -113,7 +127,7 @@
 		}
 		switch r.phase {
 		case phaseDoubtful:
-			if w.failures > 0 {
+			if w.failures > 0 || r.tries >= startTries {
 				continue
 			}
 			r.call = s.nextCall()
@@ -123,10 +137,11 @@
 				Order:  r.order,
 			})
 		case phaseStopping:
-			if (w.failures > 0 && r.tries > 0) || now.Before(r.stopAt) || s.holdsBack(r) {
+			if (w.failures > 0 && r.tries > 0) || now.Before(r.stopAt) || s.holdsBack(r, now) {
 				continue
 			}
 			r.call = s.nextCall()
+			r.ordered = now
 			if r.percent >= fullPercent {
 				s.reportExceeded("stop", r.id, r.number, w)
 			}
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -88,8 +88,15 @@
 	tries      int
 	unanswered bool
 
-	// stopAt is when a stop may be ordered again that had no success.
-	stopAt time.Time
+	// doubted is when the last order to start the run got no answer, or one that says nothing
+	// of it. notThere says that a look has shown since that it had not begun.
+	doubted  time.Time
+	notThere bool
+
+	// stopAt is when a stop may be ordered again that had no success; ordered is when it last
+	// was.
+	stopAt  time.Time
+	ordered time.Time
 
 	// call is the number of the order for the run that is under way, 0 for none.
 	call int64
