An instance whose order got no answer keeps its worker closed, and is ordered again only empty

Callers' tasks could end with an instance that was ordered elsewhere before they began, more of a lasting step at once than may be.

Cause: the plan closes the workers that it sends away itself. One whose order got no answer counts as on its way, so that no later plan closed it: it was open again within 200 ms. The repetition of the order went by the first one and asked nothing. Class: an order without an answer that is taken for one not given.

Workers of such orders, and of those that a holder before may just have given, stay closed until the order shows or can't be carried out any more; it is repeated only once nothing runs there.

--- a/pool/pool.go
+++ b/pool/pool.go
@@ -189,6 +189,7 @@
 func (s *Sizer) Plan(v View) Plan {
 	s.settle(v)
 	r := newRound(s, v)
+	r.guard()
 	r.repeat()
 	r.targets()
 	r.maintain()
--- a/pool/round.go
+++ b/pool/round.go
@@ -104,38 +104,14 @@
 			sp.pool = o.to
 		}
 	}
-	if service, found := r.services[sp.pool]; found {
+	// Where an order is under way, the worker is still that of the pool that it leaves.
+	if service, found := r.services[m.Pool]; found {
 		sp.load, sp.known = service.Load.Workers[m.Worker]
 		sp.known = sp.known && service.Known
 	}
 	return sp
 }
 
-// repeat gives orders without an answer again.
-func (r *round) repeat() {
-	for _, sp := range r.spots {
-		o, found := r.sizer.ordered[sp.instance.ID]
-		if !found || !o.unsure || r.view.Now.Sub(o.tried) < retryPause || sp.instance.State != outside.InstanceUp {
-			continue
-		}
-		if o.wave > 0 {
-			r.plan.Maintenances = append(r.plan.Maintenances, Maintenance{
-				Instance: sp.instance.ID,
-				Worker:   o.worker,
-				Pool:     o.from,
-				Wave:     o.wave,
-			})
-			continue
-		}
-		r.plan.Moves = append(r.plan.Moves, Move{
-			Instance: sp.instance.ID,
-			Worker:   o.worker,
-			From:     o.from,
-			To:       o.to,
-		})
-	}
-}
-
 // targets works out how many instances each service should have.
 func (r *round) targets() {
 	for i := range r.view.Services {
@@ -356,6 +332,11 @@
 	return sp.pool
 }
 
+// awake reports whether a worker runs on the instance.
+func (sp *spot) awake() bool {
+	return sp.instance.State == outside.InstanceUp && sp.instance.Worker != ""
+}
+
 // incarnation returns which life of the instance's worker this is, as far as its service
 // tells.
 func (sp *spot) incarnation() outside.Incarnation {
--- a/shard/world_test.go
+++ b/shard/world_test.go
@@ -230,6 +230,9 @@
 	presences map[job.TaskID]*presence
 	holder    *holder
 
+	// fences holds the fence of each owner there was.
+	fences map[*shard.Shard]int64
+
 	// report receives the lines that owners log; nil drops them.
 	report func(event string, fields ...any)
 
@@ -274,6 +277,7 @@
 		under:          make(map[job.TaskID]int),
 		startsOver:     make(map[job.TaskID]int),
 		presences:      make(map[job.TaskID]*presence),
+		fences:         make(map[*shard.Shard]int64),
 		started:        make(map[job.TaskID]time.Time),
 	}
 	w.now = w.start
@@ -745,16 +749,16 @@
 				w.heldUp[uncalled(s)] = true
 				w.after(w.loseStops, func() {
 					if !f.cut {
-						w.stopAt(f, s)
+						_ = w.stopAt(f, s, w.fences[core])
 					}
 				})
 			}
 			answer(700*time.Millisecond, func() { core.Stopped(s, w.now, 0, errSilent) })
 			continue
 		}
-		w.stopAt(f, s)
+		err := w.stopAt(f, s, w.fences[core])
 		zero := f.clockZero
-		answer(tick, func() { core.Stopped(s, w.now, w.now.Sub(zero), nil) })
+		answer(tick, func() { core.Stopped(s, w.now, w.now.Sub(zero), err) })
 	}
 }
 
@@ -775,16 +779,23 @@
 	w.acknowledge(f, r.Acknowledged)
 }
 
-// stopAt is what a worker does with a stop. The rule on how many may be away leaves out
-// orders that were held up.
-func (w *world) stopAt(f *fakeWorker, s shard.Stop) {
+// stopAt is what a worker does with a stop: nothing for one of an owner before, once it has
+// heard of a newer one. The rule on how many may be away leaves out orders that were held up.
+func (w *world) stopAt(f *fakeWorker, s shard.Stop, fence int64) error {
 	if f.down {
-		return
+		return errSilent
+	}
+	if fence < f.fence {
+		return &outside.WorkerRefusedError{
+			Reason: outside.RefusedFence,
+			Clock:  f.clock(w.now),
+		}
 	}
+	f.fence = fence
 	f.top[s.Task] = max(f.top[s.Task], s.Run)
 	if f.deaf > 0 {
 		f.deaf--
-		return
+		return nil
 	}
 	if r, found := f.runs[s.Task]; found && r.number <= s.Run {
 		if w.judgeRepeated || !w.heldUp[uncalled(s)] {
@@ -793,6 +804,7 @@
 		w.judgeOrdered(f, s.Task, r, "a stop", w.heldUp[uncalled(s)])
 		r.stopAt = w.now.Add(200 * time.Millisecond)
 	}
+	return nil
 }
 
 // uncalled returns what a stop asks for, which its repetitions ask for as well.
