A successor starts nothing where an order to the instance is announced by its predecessor's word

Callers' tasks could be ended by an order to an instance that was decided before they began: more of a lasting step at once than may be.

Cause: the holder of the instances orders by a load that an owner told, up to 1.3 s later. A successor of that owner knew nothing of it, and used the worker at once. Class: a word whose giver has been succeeded.

The holder announces the workers with the instances, and then looks whether the owner that told the load still owns the service (one read for each such round and service). So one of two holds: the successor claimed first, and no order is given; or it reads the announcement, and starts nothing on these workers until the holder tells it what is closed, or 2 s have passed. Where it can't read, that holds of every empty worker.

TestSuccessorStartsNothingOnAWorkerThatIsGivenAway failed at all of 60 moments; owner TestHolderOrdersNothingByTheLoadOfAnOwnerThatWasSucceeded is new.

--- a/owner/fleet.go
+++ b/owner/fleet.go
@@ -110,6 +110,11 @@
 	// asked is when the owners were last asked for their loads, which the last plan goes by.
 	asked time.Time
 
+	// fences holds the fence of each owner that told its load; given names the workers whose
+	// instances are about to be ordered by those loads.
+	fences map[string]int64
+	given  []GivenRow
+
 	// most is how many instances each service could have, by the last plan.
 	most map[string]int
 
@@ -297,6 +302,10 @@
 		})
 	}
 	all.Wait()
+	f.fences = make(map[string]int64, len(list))
+	for _, service := range list {
+		f.fences[service.Name] = service.Load.Fence
+	}
 	return list
 }
 
--- a/owner/fleet_chain_test.go
+++ b/owner/fleet_chain_test.go
@@ -16,10 +16,16 @@
 
 // holderEpoch returns the epoch of whoever holds the instances.
 func holderEpoch(t *testing.T, rows *standin.Rows) int64 {
+	t.Helper()
+	return epochOf(t, rows, "/instances")
+}
+
+// epochOf returns the epoch of whoever owns a part.
+func epochOf(t *testing.T, rows *standin.Rows, part string) int64 {
 	t.Helper()
 	row, err := rows.Table().Row(context.Background(), outside.Key{
 		Table: "owner",
-		Part:  "/instances",
+		Part:  part,
 		Name:  "owner",
 	})
 	if err != nil {
@@ -80,3 +86,56 @@
 		})
 	}
 }
+
+// TestHolderOrdersNothingByTheLoadOfAnOwnerThatWasSucceeded lets the holder of the instances ask
+// an owner that has been succeeded and does not know it: what that told of its workers holds no
+// more.
+func TestHolderOrdersNothingByTheLoadOfAnOwnerThatWasSucceeded(t *testing.T) {
+	for name, behind := range map[string]int64{
+		"owner":     0,
+		"succeeded": 1,
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			rows := standin.NewRows()
+			own(t, rows, 5)
+			f := &fleetOfIdle{
+				moved: make(map[string]map[string]bool),
+				fence: func() int64 { return epochOf(t, rows, awake) - behind },
+			}
+			newEntryWith(t, "a", rows.Table(), alive("a"), f.deps)
+			if behind == 0 {
+				until(t, "the holder gives orders", func() bool { return f.count("a") >= 2 })
+				return
+			}
+			until(t, "the holder has asked for loads", func() bool { return f.asked.Load() >= 20 })
+			is.Equal(f.count("a"), 0)
+		})
+	}
+}
+
+// own writes the row of an owner of the service whose instances are awake.
+func own(t *testing.T, rows *standin.Rows, epoch int64) {
+	t.Helper()
+	value, err := cbor.Marshal(owner.Ownership{
+		Epoch: epoch,
+		Owner: "x",
+		Peer:  "127.0.0.1:1",
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = rows.Table().Transact(context.Background(), outside.Transaction{
+		Puts: []outside.Put{{
+			Key: outside.Key{
+				Table: "owner",
+				Part:  awake,
+				Name:  "owner",
+			},
+			Value: value,
+		}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
--- a/owner/fleet_test.go
+++ b/owner/fleet_test.go
@@ -37,6 +37,11 @@
 
 	// moved holds, by holder, the instances that it ordered to move.
 	moved map[string]map[string]bool
+
+	// fence returns that of the owner that tells the loads, nil for none; asked counts the
+	// questions for them.
+	fence func() int64
+	asked atomic.Int64
 }
 
 func (f *fleetOfIdle) list(context.Context) ([]outside.Instance, error) {
@@ -75,9 +80,13 @@
 // loads says that nothing runs on any worker and that those that should be closed
 // are.
 func (f *fleetOfIdle) loads(_ context.Context, service string, told owner.Directive) (shard.Load, error) {
+	f.asked.Add(1)
 	load := shard.Load{
 		Workers: make(map[string]shard.WorkerLoad),
 	}
+	if f.fence != nil {
+		load.Fence = f.fence()
+	}
 	if service != awake {
 		return load, nil
 	}
--- a/owner/handover.go
+++ b/owner/handover.go
@@ -106,7 +106,9 @@
 }
 
 // inheritTaken reads which instances of the service were taken lately, so that this
-// owner need not wait until it is told. Without the answer it is told all the same.
+// owner need not wait until it is told, and which are about to be ordered by what the owner
+// before has told. Without the answer it is told all the same, and starts nothing on empty
+// workers for a while.
 func (d *Duty) inheritTaken(ctx context.Context, now time.Time) {
 	if !d.deps.Site.Instances.IsValid() {
 		return
@@ -114,6 +116,7 @@
 	row, err := d.deps.Table.Row(ctx, beatKey(partInstances))
 	if err != nil {
 		d.deps.Log.Warn("taken instances not read", "service", d.service, "epoch", d.tenure.epoch, "error", err.Error())
+		d.core.InheritGiven(nil, false, d.deps.Clock.Now())
 		return
 	}
 	if row == nil {
@@ -122,8 +125,16 @@
 	beat, err := decodeBeat(row.Value)
 	if err != nil {
 		d.deps.Log.Error("row left out", "table", row.Key.Table, "key", row.Key.Part, "error", err)
+		d.core.InheritGiven(nil, false, d.deps.Clock.Now())
 		return
 	}
+	var given []string
+	for _, one := range beat.Given {
+		if one.Service == d.service {
+			given = append(given, one.Worker)
+		}
+	}
+	d.core.InheritGiven(given, true, d.deps.Clock.Now())
 	var ended []string
 	for _, taken := range beat.Taken {
 		if taken.Service == d.service {
--- a/owner/orders.go
+++ b/owner/orders.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -36,17 +37,60 @@
 	return list
 }
 
+// instanceOrder is one order of a plan, and what came of it.
+type instanceOrder struct {
+	instance, from, to string
+	worker             outside.Incarnation
+	wave               int64
+	err                error
+}
+
 // order gives the orders of a plan, all at once, and takes in their answers.
 func (f *fleet) order(ctx context.Context, plan pool.Plan) error {
-	type outcome struct {
-		instance, from, to string
-		worker             outside.Incarnation
-		wave               int64
-		err                error
+	orders := ordersOf(plan)
+	limit := max(1, int(f.deps.Site.InstanceCalls*fleetPause.Seconds()))
+	orders = orders[:min(len(orders), limit)]
+	if len(orders) == 0 {
+		return nil
+	}
+	announced := make([]string, 0, len(orders))
+	f.given = nil
+	for _, o := range orders {
+		announced = append(announced, o.instance)
+		if o.worker.Worker != "" {
+			f.given = append(f.given, GivenRow{
+				Service: o.from,
+				Worker:  o.worker.Worker,
+			})
+		}
+	}
+	if err := f.announce(ctx, announced); err != nil {
+		return err
 	}
-	outcomes := make([]outcome, 0, len(plan.Moves)+len(plan.Maintenances))
+	orders = f.withoutSucceeded(ctx, orders)
+	var all sync.WaitGroup
+	for i := range orders {
+		o := &orders[i]
+		all.Add(1)
+		f.deps.Group.Go("instance order", func(context.Context) error {
+			defer all.Done()
+			o.err = f.orderOne(ctx, o.instance, o.to, o.wave)
+			return nil
+		})
+	}
+	all.Wait()
+	f.given = nil
+	for _, o := range orders {
+		f.settle(o)
+	}
+	return nil
+}
+
+// ordersOf returns the orders of a plan.
+func ordersOf(plan pool.Plan) []instanceOrder {
+	orders := make([]instanceOrder, 0, len(plan.Moves)+len(plan.Maintenances))
 	for _, m := range plan.Moves {
-		outcomes = append(outcomes, outcome{
+		orders = append(orders, instanceOrder{
 			instance: m.Instance,
 			worker:   m.Worker,
 			from:     m.From,
@@ -54,42 +98,53 @@
 		})
 	}
 	for _, m := range plan.Maintenances {
-		outcomes = append(outcomes, outcome{
+		orders = append(orders, instanceOrder{
 			instance: m.Instance,
 			worker:   m.Worker,
 			from:     m.Pool,
 			wave:     m.Wave,
 		})
 	}
-	limit := max(1, int(f.deps.Site.InstanceCalls*fleetPause.Seconds()))
-	if len(outcomes) > limit {
-		outcomes = outcomes[:limit]
-	}
-	if len(outcomes) == 0 {
-		return nil
+	return orders
+}
+
+// withoutSucceeded leaves out the orders to instances of services whose owner, by whose word
+// nothing runs there, has been succeeded since. It looks after the orders were announced: a
+// successor that claims later reads what is announced, and starts nothing there.
+func (f *fleet) withoutSucceeded(ctx context.Context, orders []instanceOrder) []instanceOrder {
+	owned := make(map[string]bool)
+	for _, o := range orders {
+		if _, asked := owned[o.from]; o.worker.Worker != "" && !asked {
+			owned[o.from] = f.isOwnedAsTold(ctx, o.from)
+		}
 	}
-	announced := make([]string, 0, len(outcomes))
-	for _, o := range outcomes {
-		announced = append(announced, o.instance)
+	return slices.DeleteFunc(orders, func(o instanceOrder) bool { return o.worker.Worker != "" && !owned[o.from] })
+}
+
+// isOwnedAsTold reports whether the owner that told the last load of a service still owns it.
+// Owners of earlier versions don't say which one they are.
+func (f *fleet) isOwnedAsTold(ctx context.Context, service string) bool {
+	told := f.fences[service]
+	if told == 0 {
+		return true
+	}
+	row, err := f.deps.Table.Row(ctx, ownerKey(service))
+	if err != nil {
+		f.deps.Log.Warn("instances not ordered: owner not read", "service", service, "error", err.Error())
+		return false
 	}
-	if err := f.announce(ctx, announced); err != nil {
-		return err
+	if row == nil {
+		return false
 	}
-	var all sync.WaitGroup
-	for i := range outcomes {
-		o := &outcomes[i]
-		all.Add(1)
-		f.deps.Group.Go("instance order", func(context.Context) error {
-			defer all.Done()
-			o.err = f.orderOne(ctx, o.instance, o.to, o.wave)
-			return nil
-		})
+	o, err := decodeOwnership(row.Value)
+	if err != nil {
+		f.deps.Log.Error("row left out", "table", row.Key.Table, "key", row.Key.Part, "error", err)
+		return false
 	}
-	all.Wait()
-	for _, o := range outcomes {
-		f.settle(o.instance, o.worker, o.from, o.to, o.wave, o.err)
+	if o.Epoch != told {
+		f.deps.Log.Info("instances not ordered: owner was succeeded", "service", service, "told", told, "epoch", o.Epoch)
 	}
-	return nil
+	return o.Epoch == told
 }
 
 // orderOne gives one order, if the tenure was confirmed a moment ago.
@@ -107,32 +162,32 @@
 }
 
 // settle takes in the answer to an order.
-func (f *fleet) settle(instance string, worker outside.Incarnation, from, to string, wave int64, err error) {
+func (f *fleet) settle(o instanceOrder) {
 	now := f.deps.Clock.Now()
 	var refused *outside.InstanceRefusedError
 	var notDone *outside.NotDoneError
 	var lost *LostError
 	switch {
-	case err == nil:
-		f.deps.Log.Info("instance ordered", "instance", instance, "worker", worker.String(), "from", from, "to", to, "wave", wave, "epoch", f.tenure.epoch,
-			"load_age_ms", now.Sub(f.asked).Milliseconds())
-		f.sizer.Ordered(instance, to, worker, wave, now)
-		if f.ended[from] == nil {
-			f.ended[from] = make(map[string]time.Time)
+	case o.err == nil:
+		f.deps.Log.Info("instance ordered", "instance", o.instance, "worker", o.worker.String(), "from", o.from, "to", o.to, "wave", o.wave,
+			"epoch", f.tenure.epoch, "load_age_ms", now.Sub(f.asked).Milliseconds())
+		f.sizer.Ordered(o.instance, o.to, o.worker, o.wave, now)
+		if f.ended[o.from] == nil {
+			f.ended[o.from] = make(map[string]time.Time)
 		}
-		f.ended[from][worker.String()] = now
-		f.done(wave, instance)
-	case errors.As(err, &refused):
-		f.sizer.Refused(instance, to, false, now)
-	case outside.IsNotDone(err):
-		f.sizer.Refused(instance, to, errors.As(err, &notDone) && notDone.Status == statusBadRequest, now)
-	case errors.As(err, &lost):
+		f.ended[o.from][o.worker.String()] = now
+		f.done(o.wave, o.instance)
+	case errors.As(o.err, &refused):
+		f.sizer.Refused(o.instance, o.to, false, now)
+	case outside.IsNotDone(o.err):
+		f.sizer.Refused(o.instance, o.to, errors.As(o.err, &notDone) && notDone.Status == statusBadRequest, now)
+	case errors.As(o.err, &lost):
 	default:
 		// It may have been done, or may be later: the instance counts as under way.
-		f.sizer.Unsure(instance, from, to, worker, wave, now)
+		f.sizer.Unsure(o.instance, o.from, o.to, o.worker, o.wave, now)
 	}
-	if err != nil {
-		f.deps.Log.Warn("instance order without success", "instance", instance, "worker", worker.String(), "from", from, "to", to, "wave", wave, "error", err.Error(),
-			"load_age_ms", now.Sub(f.asked).Milliseconds())
+	if o.err != nil {
+		f.deps.Log.Warn("instance order without success", "instance", o.instance, "worker", o.worker.String(), "from", o.from, "to", o.to, "wave", o.wave,
+			"error", o.err.Error(), "load_age_ms", now.Sub(f.asked).Milliseconds())
 	}
 }
--- a/owner/rows.go
+++ b/owner/rows.go
@@ -61,6 +61,11 @@
 	// lately.
 	Taken []TakenRow `cbor:"6,keyasint,omitempty"`
 
+	// Given names the workers whose instances the owner of the instances is about to order:
+	// the owner of their service had told that nothing runs there. It writes this before it
+	// looks whether that is still the owner, and gives the orders after it.
+	Given []GivenRow `cbor:"8,keyasint,omitempty"`
+
 	// BlindMillis is for how long after the transaction was made the successor has to
 	// reckon with an owner before this one that may live, even if this one has ended. At
 	// a service, something that it started may run on any worker that neither Lapsed
@@ -68,6 +73,12 @@
 	BlindMillis int64 `cbor:"7,keyasint,omitempty"`
 }
 
+// GivenRow is a worker of a service whose instance is about to be ordered.
+type GivenRow struct {
+	Service string `cbor:"1,keyasint"`
+	Worker  string `cbor:"2,keyasint"`
+}
+
 // LeasedRow is what may run on one worker.
 type LeasedRow struct {
 	Worker string `cbor:"1,keyasint"`
--- a/owner/succession.go
+++ b/owner/succession.go
@@ -239,6 +239,7 @@
 		Lapsed:      before.Lapsed,
 		Leased:      before.Leased,
 		Taken:       before.Taken,
+		Given:       before.Given,
 		BlindMillis: max(before.BlindMillis, millisUp(blindFor)),
 	}
 	if beat.BlindMillis > 0 {
--- a/owner/waves.go
+++ b/owner/waves.go
@@ -123,6 +123,7 @@
 	beat := Beat{
 		Ordered:     f.recentOrders(),
 		Taken:       f.taken(now),
+		Given:       f.given,
 		BlindMillis: max(0, millisUp(f.aloneUntil.Sub(now))),
 	}
 	bounded, cancel := context.WithTimeout(ctx, ownerHorizon)
--- a/peer/load.go
+++ b/peer/load.go
@@ -64,6 +64,9 @@
 	Late       roomBody `cbor:"8,keyasint"`
 	LateComing roomBody `cbor:"9,keyasint"`
 
+	// Fence is missing in what entries of earlier versions send.
+	Fence int64 `cbor:"12,keyasint,omitempty"`
+
 	// Room is missing in what entries of earlier versions send.
 	Room roomBody `cbor:"10,keyasint"`
 
@@ -75,6 +78,7 @@
 // EncodeLoad writes a load in its compact form.
 func EncodeLoad(load shard.Load) ([]byte, error) {
 	body := loadBody{
+		Fence:    load.Fence,
 		Used:     roomBodyOf(load.Used),
 		Waiting:  roomBodyOf(load.Waiting),
 		Coming:   roomBodyOf(load.Coming),
@@ -120,6 +124,7 @@
 		return shard.Load{}, fmt.Errorf("decoding a load: %w", err)
 	}
 	load := shard.Load{
+		Fence:    body.Fence,
 		Used:     body.Used.room(),
 		Waiting:  body.Waiting.room(),
 		Coming:   body.Coming.room(),
--- a/shard/holder_world_test.go
+++ b/shard/holder_world_test.go
@@ -65,6 +65,12 @@
 	taken int
 }
 
+// asking is when an owner was asked for its load, and which one.
+type asking struct {
+	at    time.Time
+	epoch int64
+}
+
 // newHolder returns a holder of an instance for each worker of the world, and of others that
 // are asleep.
 func newHolder(w *world, sleeping int) *holder {
@@ -98,7 +104,10 @@
 		return
 	}
 	h.busy = true
-	asked := h.w.now
+	asked := asking{
+		at:    h.w.now,
+		epoch: h.w.epoch,
+	}
 	list := h.list()
 	load, known := h.ask()
 	h.w.after(tick, func() { h.plan(list, load, known, asked) })
@@ -142,7 +151,7 @@
 }
 
 // plan makes a plan, and orders what it says once that is announced.
-func (h *holder) plan(list []outside.Instance, load shard.Load, known bool, asked time.Time) {
+func (h *holder) plan(list []outside.Instance, load shard.Load, known bool, asked asking) {
 	plan := h.sizer.Plan(pool.View{
 		Now:       h.w.now,
 		Instances: list,
@@ -161,17 +170,30 @@
 		h.end()
 		return
 	}
-	announced := h.w.now
+	h.w.giving = givenBy(plan)
 	h.w.after(h.announces, func() {
 		waits := tick
-		if h.w.now.Sub(announced) <= holderFresh {
+		if h.w.now.Sub(asked.at) <= holderFresh && h.w.epoch == asked.epoch {
 			waits = h.order(plan)
 		}
 		h.w.after(waits, h.end)
 	})
 }
 
+// givenBy returns the workers whose instances a plan orders.
+func givenBy(plan pool.Plan) []string {
+	var list []string
+	for _, move := range plan.Moves {
+		list = append(list, move.Worker.Worker)
+	}
+	for _, one := range plan.Maintenances {
+		list = append(list, one.Worker.Worker)
+	}
+	return list
+}
+
 func (h *holder) end() {
+	h.w.giving = nil
 	h.busy = false
 	h.nextAt = h.w.now.Add(holderPause)
 }
--- a/shard/load.go
+++ b/shard/load.go
@@ -18,6 +18,9 @@
 
 // Load is what a service needs and has, for whoever sizes its pool.
 type Load struct {
+	// Fence is that of the owner that tells it; 0 where an earlier version does.
+	Fence int64
+
 	// Used is the room that runs take; Waiting is what tasks need that could
 	// start on any worker if there were room.
 	Used    job.Room
@@ -103,6 +106,8 @@
 // SetClosed replaces the set of workers where nothing new is placed and lasting
 // tasks are moved away, as far as their steps allow it.
 func (s *Shard) SetClosed(ids []string, now time.Time) {
+	s.given = nil
+	s.anyGivenUntil = time.Time{}
 	closed := make(map[string]bool, len(ids))
 	for _, id := range ids {
 		closed[id] = true
@@ -119,6 +124,27 @@
 	}
 }
 
+// InheritGiven takes in the workers whose instances were about to be ordered when this owner
+// took the shard: an owner before had told that nothing runs there. Where that is not known, it
+// may be any on which nothing runs. Until the holder of the instances says what is closed, or
+// its orders must have had their effect, nothing is started there: the order would end it.
+func (s *Shard) InheritGiven(ids []string, known bool, now time.Time) {
+	until := now.Add(closeFor)
+	if !known {
+		s.anyGivenUntil = until
+	}
+	s.given = make(map[string]time.Time, len(ids))
+	for _, id := range ids {
+		s.given[id] = until
+	}
+}
+
+// mayBeGiven reports whether an order to a worker's instance may be under way of which this
+// owner was not told.
+func (s *Shard) mayBeGiven(w *workerState, now time.Time) bool {
+	return len(w.runs) == 0 && (now.Before(s.anyGivenUntil) || now.Before(s.given[w.reg.ID]))
+}
+
 // End drops workers whose instance was moved or taken down, also those that were not listed
 // yet. It is told their incarnations by name, several times: a worker that has started again
 // since goes on. By the id alone it was refused for goneFor, and a new owner gave up what the
@@ -145,6 +171,7 @@
 // Load returns what the service needs and has.
 func (s *Shard) Load(now time.Time) Load {
 	load := Load{
+		Fence:    s.fence,
 		Labelled: make(map[string]job.Room),
 		Room:     s.meanRoom(),
 		Workers:  make(map[string]WorkerLoad, len(s.workers)),
--- a/shard/refusal.go
+++ b/shard/refusal.go
@@ -87,7 +87,7 @@
 		return refusedLabel
 	case !s.permitted(c.id, w, now):
 		return refusedTicket
-	case now.Before(w.closedUntil) && (!c.inNeed || len(w.runs) == 0):
+	case s.mayBeGiven(w, now), now.Before(w.closedUntil) && (!c.inNeed || len(w.runs) == 0):
 		return refusedClosed
 	case w.alone > 0 || (!c.emptied && !s.admits(w, c, now)):
 		return refusedCompany
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -182,6 +182,11 @@
 	seesMost bool
 	sighted  bool
 
+	// given holds until when an order to the instance of a worker may be under way that this
+	// owner was not told of, anyGivenUntil until when it may be that of any empty one.
+	given         map[string]time.Time
+	anyGivenUntil time.Time
+
 	// standbyUnread says that an earlier owner may have written to the standby part
 	// what this one has not read.
 	standbyUnread bool
--- a/shard/vacancy_test.go
+++ b/shard/vacancy_test.go
@@ -43,37 +43,73 @@
 // A holder of the instances asks an owner for its load, announces its orders in a row, and gives
 // them. Where the owner was succeeded meanwhile, its successor knew nothing of what was closed,
 // and started tasks on a worker that the load had shown closed and empty: the order to its
-// instance ended them, more of a step at once than may be missing.
+// instance ended them, more of a step at once than may be missing. A successor that claims
+// after the announcement reads it, or knows that it can't; before it, the holder finds another
+// owner and gives no order.
 func TestSuccessorStartsNothingOnAWorkerThatIsGivenAway(t *testing.T) {
 	for name, succeed := range map[string]func(*world){
 		"died":     func(w *world) { w.takeOver() },
 		"released": func(w *world) { w.release(10 * tick) },
+		"can't read": func(w *world) {
+			w.givingUnread = true
+			w.takeOver()
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
 			for at := time.Duration(0); at < 600*time.Millisecond; at += 2 * tick {
-				w := newWorld(2)
-				w.run(200 * time.Millisecond)
-				free := w.workers["w1"]
-				w.workers["w0"].unlisted = true // It takes nothing new.
-				w.list()
-				for range 4 {
-					w.core.SetClosed([]string{free.reg.ID}, w.now)
-					w.run(100 * time.Millisecond)
-				}
-				given := givenAway(w, free)
+				w, free := closedAndEmpty(is)
+				w.giving = []string{free.reg.ID}
 				w.run(at)
 				w.submit("a", lasting(2, 1))
 				succeed(w)
 				w.run(orderedWithin + orderTakes - at)
-				if given {
-					w.take(free)
-				}
+				w.take(free)
 				w.check(t)
 			}
 		})
 	}
 }
 
+// TestSuccessorUsesWorkersThatWereNotGivenAway covers the end of such a wait: the holder of the
+// instances says what is closed, or its orders must have had their effect.
+func TestSuccessorUsesWorkersThatWereNotGivenAway(t *testing.T) {
+	for name, tell := range map[string]func(*world){
+		"told":     func(w *world) { w.core.SetClosed(nil, w.now) },
+		"not told": func(w *world) { w.run(2 * time.Second) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w, free := closedAndEmpty(is)
+			w.giving = []string{free.reg.ID}
+			w.submit("a", lasting(2, 1))
+			w.takeOver()
+			w.run(200 * time.Millisecond)
+			is.Equal(len(free.runs), 0)
+			tell(w)
+			w.run(200 * time.Millisecond)
+			is.Equal(len(free.runs), 2)
+			w.check(t)
+		})
+	}
+}
+
+// closedAndEmpty returns a world whose only worker that takes tasks is closed, and taken for
+// empty by the pool.
+func closedAndEmpty(is *is.I) (*world, *fakeWorker) {
+	w := newWorld(2)
+	w.run(200 * time.Millisecond)
+	free := w.workers["w1"]
+	w.workers["w0"].unlisted = true
+	w.list()
+	for range 4 {
+		w.core.SetClosed([]string{free.reg.ID}, w.now)
+		w.run(100 * time.Millisecond)
+	}
+	is.True(givenAway(w, free))
+	return w, free
+}
+
 // emptyAndTake has a worker emptied for a while, and gives an order to its instance by each
 // load that lets the pool take it for empty, as late as it may have its effect.
 func (w *world) emptyAndTake(f *fakeWorker, d time.Duration) {
--- a/shard/world_owner_test.go
+++ b/shard/world_owner_test.go
@@ -174,6 +174,7 @@
 			Address: w.workers[id].reg.Address,
 		}, w.now)
 	}
+	w.core.InheritGiven(w.giving, !w.givingUnread, w.now)
 	w.core.End(w.takenFirst, w.now)
 	for id, p := range w.progress {
 		if p.State.Final() {
--- a/shard/world_test.go
+++ b/shard/world_test.go
@@ -230,6 +230,11 @@
 	presences map[job.TaskID]*presence
 	holder    *holder
 
+	// giving names the workers whose instances are announced to be ordered, givingUnread says
+	// that a new owner can't read which.
+	giving       []string
+	givingUnread bool
+
 	// fences holds the fence of each owner there was.
 	fences map[*shard.Shard]int64
 
