A stop that had no effect is repeated only while the step can spare the task

A worker that answers the stop of a lasting task and goes on running it was told to stop it again once the time of a stop was over, whoever else of the step was away by then.

Cause: the second stop was a new one, and a new one asks nobody. It is now the same one, repeated: what leaves a choice still does, and what doesn't (a cancelled job) still doesn't.

--- a/shard/away_test.go
+++ b/shard/away_test.go
@@ -1,6 +1,7 @@
 package shard_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -48,6 +49,23 @@
 	}
 }
 
+// TestStopThatHadNoEffectIsNotRepeatedWhileOthersAreAway covers a worker that answers the stop of
+// a lasting task and goes on running it. Once the time of a stop was over, the owner ordered
+// another one, whoever else of the step was away by then.
+func TestStopThatHadNoEffectIsNotRepeatedWhileOthersAreAway(t *testing.T) {
+	is := is.New(t)
+	w, emptied, other := stepOnThree(is)
+	emptied.deaf = 1
+	w.empty(emptied, 100*time.Millisecond)
+	is.Equal(emptied.deaf, 0)
+	w.startAgain(other, 3*time.Second)
+	w.empty(emptied, 3*time.Second)
+	w.check(t)
+	w.empty(emptied, 12*time.Second)
+	w.check(t)
+	is.Equal(len(emptied.runs), 0) // Once the others were at work, it went.
+}
+
 // TestStopThatCanNotBeCarriedOutAnyMoreIsGivenUp loses such a stop for good, while its step can't
 // spare the task for longer than an order may be late. The task goes on.
 func TestStopThatCanNotBeCarriedOutAnyMoreIsGivenUp(t *testing.T) {
@@ -83,21 +101,7 @@
 // emptied, has just got no answer, and the worker of another task of its step has been lost as
 // well; that worker, and what goes on emptying it. The stop is carried out late.
 func loseStopAndWorker(is *is.I, late time.Duration) (*world, *fakeWorker, func(time.Duration)) {
-	w := newWorld(4)
-	w.judgeRepeated = true
-	w.run(200 * time.Millisecond)
-	s := lasting(3, 1)
-	s.PerWorker = 1
-	w.submit("a", s)
-	w.run(5 * time.Second)
-	var with []*fakeWorker
-	for _, name := range w.names() {
-		if f := w.workers[name]; len(f.runs) > 0 {
-			with = append(with, f)
-		}
-	}
-	is.Equal(len(with), 3)
-	emptied, other := with[0], with[1]
+	w, emptied, other := stepOnThree(is)
 	empty := func(d time.Duration) { w.empty(emptied, d) }
 	w.loseEach = 1
 	w.loseStops = late
@@ -108,6 +112,22 @@
 	return w, emptied, empty
 }
 
+// stepOnThree returns a world of four workers with a lasting task on each of three, of which
+// one may be away, and two of those workers.
+func stepOnThree(is *is.I) (w *world, one, other *fakeWorker) {
+	w = newWorld(4)
+	w.judgeRepeated = true
+	w.run(200 * time.Millisecond)
+	s := lasting(3, 1)
+	s.PerWorker = 1
+	w.submit("a", s)
+	w.run(5 * time.Second)
+	is.Equal(w.atWorkOf("a"), 3)
+	holders := w.holders()
+	slices.Sort(holders)
+	return w, w.workers[holders[0]], w.workers[holders[1]]
+}
+
 // empty has a worker emptied for a while.
 func (w *world) empty(f *fakeWorker, d time.Duration) {
 	for end := w.now.Add(d); w.now.Before(end); {
--- a/shard/events.go
+++ b/shard/events.go
@@ -146,9 +146,7 @@
 			// It has begun after all, before its stop was answered.
 			r.spared = true
 		case r.phase == phaseStopped && sent.After(r.settled.Add(s.opts.StopTask+foundSlack)):
-			// The stop was answered, and its time is over.
-			r.phase = phaseRunning
-			s.stop(r, "listed after its stop")
+			s.stopAgain(r)
 		}
 		return
 	}
--- a/shard/orders.go
+++ b/shard/orders.go
@@ -30,6 +30,15 @@
 	s.due[r] = struct{}{}
 }
 
+// stopAgain asks once more for the end of a run that a worker lists although it has answered the
+// stop, and the time of that is over. What could be spared then may not be any more.
+func (s *Shard) stopAgain(r *run) {
+	r.phase = phaseStopping
+	r.tries = max(1, r.tries)
+	s.due[r] = struct{}{}
+	s.reportRun("listed after its stop", r.id, r.number, r.worker, "reason", r.reason)
+}
+
 // Started takes in the answer to a start.
 func (s *Shard) Started(start Start, now time.Time, clock time.Duration, err error) {
 	r := s.answered(start.Worker.ID, start.Order.Task, start.Call)
