Draining workers are emptied of a step's tasks one after the other

The users' rule leaves draining workers out; the service was short all the same.

Cause: the row's word that a worker drains stood for a reason to ask nobody. It announces seconds in which tasks can go in turn: they do now, as their steps can spare them, and what is left is stopped shortly before the worker ends. The end is reckoned from when it was announced, since a row need not be written anew as the time passes, and a row of the life before says nothing of a worker that has started again.

TestDrainingWorkersAreEmptiedOneTaskOfAStepAtATime failed each time.

--- a/shard/away.go
+++ b/shard/away.go
@@ -6,35 +6,41 @@
 	"lemonstream.dev/lemonstream/job"
 )
 
-// moveOffDraining stops lasting tasks on workers that drain or are closed, so
-// that they start elsewhere before the worker ends, and tasks that save their
-// progress shortly before a draining worker does.
+// moveOffDraining stops lasting tasks on workers that drain or are closed, as their steps can
+// spare them, so that they start elsewhere before the worker ends. Shortly before a draining
+// worker does, it stops all of them, which end with it otherwise, and tasks that save their
+// progress.
 func (s *Shard) moveOffDraining(now time.Time) {
 	for _, w := range s.workers {
 		// A worker that is kept for a task that is to run alone is to be emptied as well: a
 		// lasting task on it would keep that task waiting for as long as suspect.AloneWait.
 		closed := now.Before(w.closedUntil) || now.Before(w.keptUntil)
-		if len(w.runs) == 0 || (!w.reg.Draining && !closed) {
+		draining := w.drains()
+		if len(w.runs) == 0 || (!draining && !closed) {
 			continue
 		}
-		soon := w.reg.Draining && w.reg.Remaining < s.opts.StopTask+drainReserve
+		soon := draining && w.drainEnds.Sub(now) < s.opts.StopTask+drainReserve
 		for id, r := range w.runs {
 			spec, found := s.stepOf(id)
-			if !found || r.phase != phaseRunning {
+			if !found || (r.phase != phaseRunning && !r.spared) {
 				continue
 			}
 			switch {
-			case spec.Lasting && w.reg.Draining:
+			case soon && (spec.Lasting || spec.Checkpoints):
 				s.stop(r, "worker drains")
-			case spec.Lasting && s.maySendAway(id, spec, now):
+			case r.phase == phaseRunning && spec.Lasting && s.maySendAway(id, spec, now):
 				s.sendAway(r)
-			case spec.Checkpoints && soon:
-				s.stop(r, "worker drains")
 			}
 		}
 	}
 }
 
+// drains reports whether this incarnation of the worker has announced its end: a row may still
+// be that of the one before.
+func (w *workerState) drains() bool {
+	return w.reg.Draining && !w.isOther(w.reg.Born)
+}
+
 // maySendAway reports whether a lasting task may be stopped now: fewer of the
 // others of its step than it may miss are away, and other workers have room for it
 // beside those of its step that look for some already.
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -130,6 +130,9 @@
 type workerState struct {
 	reg outside.Registration
 
+	// drainEnds is when a draining worker ends at the earliest; zero for any other.
+	drainEnds time.Time
+
 	// listed says that the registration stands in the newest list; unlisted is
 	// since when it does not.
 	listed   bool
@@ -322,6 +325,7 @@
 		}
 		w.reg = reg
 		w.listed = true
+		w.noteDrain(now)
 	}
 	for id, w := range s.workers {
 		if !seen[id] && w.listed {
@@ -336,6 +340,18 @@
 	s.End(taken, now)
 }
 
+// noteDrain notes when a draining worker ends at the earliest. The least of what its rows have
+// said counts: they need not be written anew as the time passes.
+func (w *workerState) noteDrain(now time.Time) {
+	if !w.drains() {
+		w.drainEnds = time.Time{}
+		return
+	}
+	if ends := now.Add(w.reg.Remaining); w.drainEnds.IsZero() || ends.Before(w.drainEnds) {
+		w.drainEnds = ends
+	}
+}
+
 // newWorker adds a worker that this owner has not looked at. One that no owner
 // before has written down runs nothing of the shard.
 func (s *Shard) newWorker(id string, now time.Time) *workerState {
