--- a/shard/world_test.go
+++ b/shard/world_test.go
@@ -212,6 +212,9 @@
 	// untold takes out of what workers say which incarnation says it.
 	untold bool
 
+	// full lets workers report every run as fully at work.
+	full bool
+
 	// unnamed lets the answer to any look pass for that to the last one, whose numbers
 	// lastLook holds.
 	unnamed  bool
