Callers' keys are checked on routes that are not public

Requests were served without a key, or with one that had been withdrawn: no code read the organisations of the configuration. Digests of keys are indexed once a version; a call to a route that needs a key gets 401 without one.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -19,6 +19,14 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
+
+	// Organisations are those that may call routes which are not public.
+	Organisations []Organisation
+
+	// holders holds the organisations' names by the digests of their keys, byName the
+	// organisations by name; both are set by IndexKeys.
+	holders map[KeyDigest]string
+	byName  map[string]Organisation
 }
 
 // Limits bound what a caller may send.
@@ -55,6 +63,9 @@
 	Service string
 	Timeout time.Duration
 	Policy  Policy
+
+	// Public says that callers need no key.
+	Public bool
 }
 
 // Service is one pool of workers.
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -79,6 +79,11 @@
 	DecodeJob     func(body []byte) (job.Spec, error)
 	EncodePending func(count int) []byte
 	EncodeState   func(state job.State) []byte
+
+	// Key returns the key that a call carries; false where there is none that is well formed.
+	// KeyScheme names how callers present one.
+	Key       func(header http.Header) (string, bool)
+	KeyScheme string
 }
 
 // Owners finds and calls the owners of services.
@@ -130,6 +135,9 @@
 	ctx   context.Context
 	route catalog.Route
 	id    string
+
+	// organisation is whose key the call carries; empty for none.
+	organisation string
 }
 
 // Routes adds the callers' interface to a router.
@@ -153,6 +161,10 @@
 		c.Status(http.StatusNotFound)
 		return
 	}
+	organisation, admitted := s.authenticate(c, current, route)
+	if !admitted {
+		return
+	}
 	ctx, cancel := context.WithTimeout(c.Request.Context(), s.patience(c))
 	defer cancel()
 	began := s.Clock.Now()
@@ -164,6 +176,8 @@
 		ctx:     ctx,
 		route:   route,
 		id:      strings.TrimPrefix(c.Request.URL.Path, route.Prefix),
+
+		organisation: organisation,
 	}
 	switch {
 	case r.id == "" && c.Request.Method == http.MethodGet:
@@ -242,6 +256,7 @@
 		Policy:         r.route.Policy,
 		Spec:           spec,
 		AcceptedMillis: clock.Millis(s.Clock.Now()),
+		Organisation:   r.organisation,
 	}
 	if size := len(record.Encode()); size > s.RowBytes {
 		s.Log.Info("job refused", "job", r.id, "route", r.route.Name, "reason", "record too large", "bytes", size, "most", s.RowBytes)
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -97,6 +97,7 @@
 			},
 			EncodePending: func(int) []byte { return nil },
 			EncodeState:   func(state job.State) []byte { return []byte(state) },
+			Key:           func(http.Header) (string, bool) { return "", false },
 		},
 		Figures: figures.New(),
 		Group:   group,
@@ -129,6 +130,7 @@
 			Host:    "h",
 			Prefix:  "/q/",
 			Service: "s",
+			Public:  true,
 		}},
 		Services: []catalog.Service{{
 			Name: "s",
--- a/scheduler/serve.go
+++ b/scheduler/serve.go
@@ -79,6 +79,8 @@
 			DecodeJob:     platform.DecodeJob,
 			EncodePending: platform.EncodePending,
 			EncodeState:   platform.EncodeState,
+			Key:           platform.CallerKey,
+			KeyScheme:     platform.KeyScheme,
 		},
 		Figures: d.figures,
 		Group:   d.group,
--- a/shard/record.go
+++ b/shard/record.go
@@ -23,6 +23,9 @@
 
 	// AcceptedMillis is when an entry first read the job, since 1970.
 	AcceptedMillis int64 `cbor:"5,keyasint"`
+
+	// Organisation is whose quota the job's tasks count against; empty for none.
+	Organisation string `cbor:"6,keyasint,omitempty"`
 }
 
 // Progress is the row of what has happened to a job, written by its owner.
