Quotas of organisations hold over all services and owners

An organisation ran more on all services together than its quota allows: no code counted it. Each service now holds a share of the limit, written by its owner into a row of the organisation under the condition that it stands as it was read, so that the shares of all never come to more than the whole. A share that isn't used goes back; where all want more than there is, each gets an equal part. A limit that was lowered is used only once each service has written that it is under it. A successor counts what may run on workers that it has not seen, up to what the owner before was allowed.

--- a/catalog/organisation.go
+++ b/catalog/organisation.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"fmt"
+	"slices"
 
 	"lemonstream.dev/lemonstream/job"
 )
@@ -27,6 +28,11 @@
 	Keys []KeyDigest
 }
 
+// Bounded reports whether there is a limit to what the organisation may run.
+func (o Organisation) Bounded() bool {
+	return o.Limit != (job.Room{})
+}
+
 // OrganisationError reports an organisation that no configuration may hold.
 type OrganisationError struct {
 	Organisation string
@@ -93,6 +99,11 @@
 	return name, found
 }
 
+// HasLimits reports whether an organisation has a limit to what it may run.
+func (c *Catalog) HasLimits() bool {
+	return slices.ContainsFunc(c.Organisations, Organisation.Bounded)
+}
+
 // Organisation returns the organisation of the given name.
 func (c *Catalog) Organisation(name string) (Organisation, bool) {
 	o, found := c.byName[name]
--- a/internal/prove/prove.go
+++ b/internal/prove/prove.go
@@ -40,6 +40,7 @@
 	NotRun        = "not-run"
 	OnePool       = "one-pool"
 	PlannedStop   = "planned-stop"
+	Quota         = "quota"
 	WholeAnswer   = "whole-answer"
 )
 
--- a/job/job.go
+++ b/job/job.go
@@ -165,6 +165,24 @@
 	}
 }
 
+// AtLeast returns the larger of two rooms, part by part.
+func (r Room) AtLeast(o Room) Room {
+	return Room{
+		MilliCPU:     max(r.MilliCPU, o.MilliCPU),
+		MemoryMB:     max(r.MemoryMB, o.MemoryMB),
+		Accelerators: max(r.Accelerators, o.Accelerators),
+	}
+}
+
+// AtMost returns the smaller of two rooms, part by part.
+func (r Room) AtMost(o Room) Room {
+	return Room{
+		MilliCPU:     min(r.MilliCPU, o.MilliCPU),
+		MemoryMB:     min(r.MemoryMB, o.MemoryMB),
+		Accelerators: min(r.Accelerators, o.Accelerators),
+	}
+}
+
 // Charge returns the room that a task of the step takes on a worker.
 func (s Step) Charge() Room {
 	need := s.Need
--- a/owner/duty.go
+++ b/owner/duty.go
@@ -115,6 +115,9 @@
 	// inherited is what the beat of the claim says, until this owner has read its rows.
 	inherited Beat
 
+	// quotas is what the service holds of the organisations' limits.
+	quotas *quotas
+
 	// retryAt is when a transaction may be sent after one that was given up.
 	retryAt time.Time
 
@@ -150,6 +153,7 @@
 		tenure:    newTenure(deps, service, won, now),
 		events:    ring.New[event](eventsMost),
 		inherited: passedOn(won.before, blindFor),
+		quotas:    newQuotas(service, won.epoch),
 		released:  make(chan struct{}),
 		over:      make(chan struct{}),
 	}
@@ -169,6 +173,9 @@
 		found, ok := deps.Catalog().Route(route)
 		return found.Policy, ok
 	}
+	options.Quota = func(organisation string) (shard.Quota, bool) {
+		return d.quotas.of(organisation, deps.Catalog())
+	}
 	d.core = shard.New(service, won.epoch, won.version, now, options)
 	handover := handoverOf(won.before, log)
 	d.core.Inherit(handover, won.read)
@@ -193,6 +200,9 @@
 	d.deps.Group.Go("standby part of "+d.service, func(context.Context) error {
 		return d.openStandby(ctx)
 	})
+	if d.deps.Catalog().HasLimits() {
+		d.readQuotas(ctx, d.deps.Clock.Now())
+	}
 	since, err := d.load(ctx)
 	if err != nil {
 		return err
@@ -244,6 +254,7 @@
 		if !d.releasing {
 			orders, wake := d.core.Next(now)
 			d.carryOut(ctx, orders, now)
+			d.balance(ctx, now)
 			next = wake
 		}
 		d.commit(ctx, now)
--- a/shard/alone.go
+++ b/shard/alone.go
@@ -37,6 +37,10 @@
 		t.waitAlone(now)
 		id := a.group.task(a.index)
 		spec := &a.group.job.record.Spec.Steps[a.group.step]
+		if !s.withinQuota(a.group.job, spec, 1) {
+			s.waitForQuota(a.group.job, spec, 1)
+			continue
+		}
 		w := s.choose(id, spec, t, now)
 		if w == nil {
 			s.keep(id, spec, t, now)
--- a/shard/events.go
+++ b/shard/events.go
@@ -189,8 +189,10 @@
 		r.worker.unsized++
 	}
 	if t == nil {
+		s.chargeQuota(r, "", job.Room{})
 		return
 	}
+	s.chargeQuota(r, j.record.Organisation, j.record.Spec.Steps[r.id.Step].Need)
 	t.runs = append(t.runs, r)
 	if t.isSuspect() {
 		r.suspect = true
@@ -242,6 +244,7 @@
 		r.worker.unsized--
 	}
 	s.unsuspect(r)
+	s.releaseQuota(r)
 	j := s.jobs[r.id.Job]
 	if j == nil {
 		return
--- a/shard/gang.go
+++ b/shard/gang.go
@@ -30,6 +30,10 @@
 	if len(step.idle) < step.left || s.heldAny(step) {
 		return
 	}
+	if !s.withinQuota(g.job, spec, len(step.idle)) {
+		s.waitForQuota(g.job, spec, len(step.idle))
+		return
+	}
 	racks := []string{""}
 	if spec.SameRack {
 		racks = append(s.racks(), "")
--- a/shard/outlook.go
+++ b/shard/outlook.go
@@ -151,7 +151,7 @@
 			}
 			t := j.task(id)
 			// A copy of a task that crashes its workers takes a second one with it.
-			if t == nil || len(t.runs) != 1 || t.crashed.Suspect() {
+			if t == nil || len(t.runs) != 1 || t.crashed.Suspect() || !s.withinQuota(j, spec, 1) {
 				continue
 			}
 			if other := s.choose(id, spec, t, now); other != nil {
--- a/shard/place.go
+++ b/shard/place.go
@@ -88,6 +88,7 @@
 
 // place starts the tasks that may start and fit, the most urgent first.
 func (s *Shard) place(now time.Time) {
+	s.lookForUnseen(now)
 	if len(s.waiting) == 0 {
 		return
 	}
@@ -130,6 +131,10 @@
 		if blind.hides(id) || s.held(step.tasks[index]) || step.tasks[index].crashed.Alone() {
 			continue
 		}
+		if !s.withinQuota(g.job, spec, 1) {
+			s.waitForQuota(g.job, spec, i+1)
+			return full
+		}
 		w := s.choose(id, spec, step.tasks[index], now)
 		if w != nil && !s.affords(spec, g.job, 1, now) {
 			return full
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -68,6 +68,10 @@
 	// Policy returns the newest policy of a route; false where it is gone.
 	Policy func(route string) (catalog.Policy, bool)
 
+	// Quota returns what the service may use of an organisation's limit; false where there is
+	// no limit. nil knows of none.
+	Quota func(organisation string) (Quota, bool)
+
 	// Starts bounds the bytes of orders to start tasks; nil bounds nothing.
 	Starts *link.Budget
 
@@ -139,6 +143,11 @@
 	// pending counts the jobs of each route that have not begun.
 	pending map[string]int
 
+	// usages holds what runs by organisation, and unseen where more may; the latter is as of
+	// the last placement.
+	usages map[string]*usage
+	unseen unseen
+
 	// learned holds what was measured of run times by image.
 	learned map[string]*measure
 
@@ -247,6 +256,7 @@
 		tickets:    make(map[string]*permission),
 		dirty:      make(map[string]*jobState),
 		pending:    make(map[string]int),
+		usages:     make(map[string]*usage),
 		learned:    make(map[string]*measure),
 		unrecord:   make(map[string]struct{}),
 		idle:       make(map[string]bool),
--- a/shard/shard_test.go
+++ b/shard/shard_test.go
@@ -156,73 +156,75 @@
 // TestShardUnderFaults lets random faults meet random jobs; the oracle in
 // world_test.go knows only the published rules.
 func TestShardUnderFaults(t *testing.T) {
-	prove.Property(t, func(t *rapid.T) {
-		w := newWorld(4)
-		w.run(200 * time.Millisecond)
-		names := []string{"w0", "w1", "w2", "w3"}
-		count := rapid.IntRange(5, 25).Draw(t, "rounds")
-		for i := 0; i < count; i++ {
-			f := w.workers[rapid.SampledFrom(names).Draw(t, "worker")]
-			id := fmt.Sprintf("j%d", i)
-			switch rapid.IntRange(0, 17).Draw(t, "what") {
-			case 0:
-				f.cut = true
-			case 1:
-				f.cut = false
-			case 2:
-				w.takeOver()
-			case 3:
-				w.lose = time.Duration(rapid.IntRange(1, 5).Draw(t, "late")) * time.Second
-			case 4:
-				w.lose = 0
-			case 5:
-				w.storeDown = rapid.Bool().Draw(t, "down")
-			case 6:
-				w.core.SetClosed([]string{f.reg.ID}, w.now)
-			case 7:
-				w.standbyOn = rapid.Bool().Draw(t, "standby on")
-				w.storeDown = w.standbyOn || w.storeDown
-			case 8:
-				w.standbyAway = rapid.Bool().Draw(t, "standby away")
-			case 9, 10:
-				w.release(time.Duration(rapid.IntRange(0, 50).Draw(t, "free for")) * tick)
-				w.storeDown = rapid.Bool().Draw(t, "down after it")
-			case 11:
-				beside := f
-				if !rapid.Bool().Draw(t, "beside") {
-					beside = nil
-				}
-				w.takeOverFromBeside(time.Duration(rapid.IntRange(1, 300).Draw(t, "acts on"))*tick, beside)
-			case 12:
-				names = append(names, w.replace(f, rapid.Bool().Draw(t, "taken")))
-			default:
-				s := step(rapid.IntRange(1, 5).Draw(t, "tasks"))
-				s.PerWorker = rapid.IntRange(0, 2).Draw(t, "per worker")
-				if rapid.Bool().Draw(t, "at the owner") {
-					w.handIn(id, s, step(2, 0))
-				}
-				if rapid.Bool().Draw(t, "at an entry") && !w.stood[id] {
-					// Its caller asked for it again before the owner had written it.
-					w.submit(id, s, step(2, 0))
-				}
-			}
-			w.run(time.Duration(rapid.IntRange(1, 150).Draw(t, "wait")) * tick)
-		}
-		w.lose = 0
-		w.storeDown = false
-		w.standbyAway = false
-		for _, f := range w.workers {
+	prove.Property(t, func(t *rapid.T) { underFaults(t, newWorld(4)) })
+}
+
+// underFaults lets random faults meet random jobs in a world of four workers.
+func underFaults(t *rapid.T, w *world) {
+	w.run(200 * time.Millisecond)
+	names := []string{"w0", "w1", "w2", "w3"}
+	count := rapid.IntRange(5, 25).Draw(t, "rounds")
+	for i := 0; i < count; i++ {
+		f := w.workers[rapid.SampledFrom(names).Draw(t, "worker")]
+		id := fmt.Sprintf("j%d", i)
+		switch rapid.IntRange(0, 17).Draw(t, "what") {
+		case 0:
+			f.cut = true
+		case 1:
 			f.cut = false
+		case 2:
+			w.takeOver()
+		case 3:
+			w.lose = time.Duration(rapid.IntRange(1, 5).Draw(t, "late")) * time.Second
+		case 4:
+			w.lose = 0
+		case 5:
+			w.storeDown = rapid.Bool().Draw(t, "down")
+		case 6:
+			w.core.SetClosed([]string{f.reg.ID}, w.now)
+		case 7:
+			w.standbyOn = rapid.Bool().Draw(t, "standby on")
+			w.storeDown = w.standbyOn || w.storeDown
+		case 8:
+			w.standbyAway = rapid.Bool().Draw(t, "standby away")
+		case 9, 10:
+			w.release(time.Duration(rapid.IntRange(0, 50).Draw(t, "free for")) * tick)
+			w.storeDown = rapid.Bool().Draw(t, "down after it")
+		case 11:
+			beside := f
+			if !rapid.Bool().Draw(t, "beside") {
+				beside = nil
+			}
+			w.takeOverFromBeside(time.Duration(rapid.IntRange(1, 300).Draw(t, "acts on"))*tick, beside)
+		case 12:
+			names = append(names, w.replace(f, rapid.Bool().Draw(t, "taken")))
+		default:
+			s := step(rapid.IntRange(1, 5).Draw(t, "tasks"))
+			s.PerWorker = rapid.IntRange(0, 2).Draw(t, "per worker")
+			if rapid.Bool().Draw(t, "at the owner") {
+				w.handIn(id, s, step(2, 0))
+			}
+			if rapid.Bool().Draw(t, "at an entry") && !w.stood[id] {
+				// Its caller asked for it again before the owner had written it.
+				w.submit(id, s, step(2, 0))
+			}
 		}
-		w.run(30 * time.Second)
-		for id := range w.records {
-			t.Errorf("job %s has not ended: %s", id, w.shown[id])
-		}
-		if left := len(w.standbyRecords) + len(w.standbyEnded); left > 0 {
-			t.Errorf("%d rows are left in the standby part", left)
-		}
-		w.check(t)
-	})
+		w.run(time.Duration(rapid.IntRange(1, 150).Draw(t, "wait")) * tick)
+	}
+	w.lose = 0
+	w.storeDown = false
+	w.standbyAway = false
+	for _, f := range w.workers {
+		f.cut = false
+	}
+	w.run(30 * time.Second)
+	for id := range w.records {
+		t.Errorf("job %s has not ended: %s", id, w.shown[id])
+	}
+	if left := len(w.standbyRecords) + len(w.standbyEnded); left > 0 {
+		t.Errorf("%d rows are left in the standby part", left)
+	}
+	w.check(t)
 }
 
 func TestNewWorkerIsUsedOnlyUnderConfirmedOwnership(t *testing.T) {
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -67,6 +67,11 @@
 	phase  phase
 	charge job.Room
 
+	// organisation is whose quota the run counts against, empty for none, and need what it
+	// takes of it: a filler's processor, too.
+	organisation string
+	need         job.Room
+
 	// unsized says that the charge is not known: of the run's job only the final state
 	// is left, or nothing.
 	unsized bool
--- a/shard/world_test.go
+++ b/shard/world_test.go
@@ -108,6 +108,10 @@
 	policy catalog.Policy
 	asks   []shard.Ask
 
+	// quota is what the service may use of the limit of the organisation that every job
+	// belongs to; nil where it belongs to none.
+	quota *worldQuota
+
 	// used holds the rows of workers that may run something; handover is what the
 	// owner's last transaction says of workers.
 	used     map[string]bool
@@ -404,6 +408,7 @@
 			Steps: steps,
 		},
 		AcceptedMillis: w.now.UnixMilli(),
+		Organisation:   w.quota.organisation(),
 	}
 }
 
@@ -887,6 +892,7 @@
 		workLeft: step.Estimate,
 		late:     sent.Before(w.now),
 	}
+	w.judgeQuota(o.Task)
 	return nil
 }
 
