Workers are weighed once for the tasks of a step

In a turn of demand a look at what waits weighed every worker for each task anew. Tasks of a step are alike unless one has failed or crashed somewhere, so the list of workers is filled once a step and changed where a task started. Workers that take nothing are passed over once a look.

--- a/shard/bench_test.go
+++ b/shard/bench_test.go
@@ -6,6 +6,9 @@
 	"time"
 )
 
+// workerTasks is how many tasks a worker of these tests has room for.
+const workerTasks = 4
+
 // BenchmarkBusyShard measures a second of a full shard by its number of workers:
 // tasks of one second on workers with room for four, more waiting than fit.
 func BenchmarkBusyShard(b *testing.B) {
@@ -22,3 +25,20 @@
 		})
 	}
 }
+
+// BenchmarkTurn measures the look at what waits in which a turn of demand begins: a thousand
+// tasks find room on as many free places.
+func BenchmarkTurn(b *testing.B) {
+	const workers, tasks = 290, 8
+	for b.Loop() {
+		b.StopTimer()
+		w := newWorld(workers)
+		w.run(200 * time.Millisecond)
+		for i := range workers * workerTasks / tasks {
+			w.submit(fmt.Sprintf("j%d", i), step(tasks))
+		}
+		b.StartTimer()
+		orders, _ := w.core.Next(w.now)
+		b.ReportMetric(float64(len(orders.Starts)), "starts")
+	}
+}
--- a/shard/place.go
+++ b/shard/place.go
@@ -124,6 +124,10 @@
 // placeStep starts the idle tasks of a step until none fits, but none that may run
 // unseen. It adds to what no worker has room for when that alone was the reason.
 func (s *Shard) placeStep(g group, step *stepState, spec *job.Step, full []job.Room, blind blindness, now time.Time) []job.Room {
+	choices := &picks{
+		shard: s,
+		now:   now,
+	}
 	// A task that starts leaves the list, and what stands after it was passed over.
 	for i := len(step.idle) - 1; i >= 0; i-- {
 		index := step.idle[i]
@@ -135,7 +139,7 @@
 			s.waitForQuota(g.job, spec, i+1)
 			return full
 		}
-		w := s.choose(id, spec, step.tasks[index], now)
+		w := choices.choose(id, spec, step.tasks[index])
 		if w != nil && !s.affords(spec, g.job, 1, now) {
 			return full
 		}
@@ -147,6 +151,7 @@
 			return full
 		}
 		s.start(g.job, step.tasks[index], spec, id, w, now)
+		choices.started = append(choices.started, w)
 	}
 	return full
 }
@@ -214,20 +219,28 @@
 // choose returns the best worker that can take the task now, or nil. A lasting task
 // that has been without a worker for long may also go to one that is closed.
 func (s *Shard) choose(id job.TaskID, spec *job.Step, t *taskState, now time.Time) *workerState {
-	c := newCandidate(id, spec, t)
-	best := s.best(c, now)
-	if best == nil && spec.Lasting && t.isStuck(now) {
-		c.inNeed = true
-		best = s.best(c, now)
+	if best := s.best(newCandidate(id, spec, t), now); best != nil {
+		return best
 	}
-	return best
+	return s.chooseInNeed(id, spec, t, now)
+}
+
+// chooseInNeed returns the best worker, closed or not, for a lasting task that has been without
+// one for long, and nil for any other.
+func (s *Shard) chooseInNeed(id job.TaskID, spec *job.Step, t *taskState, now time.Time) *workerState {
+	if !spec.Lasting || !t.isStuck(now) {
+		return nil
+	}
+	c := newCandidate(id, spec, t)
+	c.inNeed = true
+	return s.best(c, now)
 }
 
 // best returns the best of the workers that take a task, or nil.
 func (s *Shard) best(c candidate, now time.Time) *workerState {
 	var best *workerState
 	bestWeight := 0.0
-	for _, w := range s.workers {
+	for _, w := range s.usable {
 		if s.refuses(w, c, now) != takes {
 			continue
 		}
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -155,6 +155,9 @@
 	// registration or a late word of a taken instance does not bring one back.
 	gone map[string][]ended
 
+	// usable holds the workers that take tasks, as of the beginning of Next.
+	usable []*workerState
+
 	// unanswered holds by worker the starts that may still take effect there, of runs that
 	// were dropped, see rememberStart.
 	unanswered map[string]map[job.TaskID]unansweredStart
@@ -325,6 +328,7 @@
 		return Orders{}, now.Add(time.Second)
 	}
 	s.lapse(now)
+	s.findUsable(now)
 	s.beginOccurrences(now)
 	s.moveOffDraining(now)
 	s.reportSight(now)
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -303,6 +303,16 @@
 	return w.listed || now.Sub(s.storeRegained) < returnGrace
 }
 
+// findUsable notes which workers can run tasks.
+func (s *Shard) findUsable(now time.Time) {
+	s.usable = s.usable[:0]
+	for _, w := range s.workers {
+		if s.isUsable(w, now) {
+			s.usable = append(s.usable, w)
+		}
+	}
+}
+
 // SetWorkers takes in the registrations of the service, and when the store was
 // last regained; zero where it never was away. Whoever is missing is looked at
 // until its lease has lapsed.
