Jobs that their organisation's quota keeps waiting past all use are turned away

Admission counted all work that waits as if it could run, so that what one organisation had waiting for its quota delayed the jobs of all others on paper, and its own were taken without an end in sight. Work is counted by organisation: an organisation's own wait is what its quota takes for it, and others wait only for what the quota lets run meanwhile.

--- a/backlog/backlog.go
+++ b/backlog/backlog.go
@@ -6,7 +6,8 @@
 //
 // A job is turned away where it is certain that it can't end in a time that is of use,
 // even if its service got every instance that others don't need. So room that is on its
-// way, or could be, never counts as missing. The package knows no clock, no store and no
+// way, or could be, never counts as missing. Work that its organisation's quota keeps waiting
+// delays that organisation's jobs and not those of others. The package knows no clock, no store and no
 // connection: all of it are functions of what is given.
 package backlog
 
@@ -45,6 +46,10 @@
 	// Starts is the number of its tasks.
 	Starts int
 
+	// Quota is how long its work and what waits of its organisation take within the
+	// organisation's quota; 0 where there is none.
+	Quota time.Duration
+
 	// Chain is how long its longest chain of tasks takes, Objective the time in which
 	// it is to end, and Waited what has passed of that.
 	Chain     time.Duration
@@ -58,8 +63,9 @@
 	// nobody else needs for work in time. 0 means that nobody knows.
 	Instances float64
 
-	// Work is what is left to do of jobs that can end in time, in the unit of Job.Work;
-	// Starts is the number of tasks of them that have yet to start.
+	// Work is what is left to do of jobs that can end in time, in the unit of Job.Work, as
+	// far as quotas let it run within the time that the job is of use; Starts is the number of
+	// tasks of it that have yet to start.
 	Work   time.Duration
 	Starts int
 
@@ -84,8 +90,7 @@
 		Take: true,
 		Wait: s.wait(j),
 	}
-	useful := time.Duration(usefulFactor * float64(j.Objective))
-	missing := j.Waited + v.Wait + j.Chain - useful
+	missing := j.Waited + v.Wait + j.Chain - j.Useful()
 	if s.Instances <= 0 || missing <= 0 {
 		return v
 	}
@@ -94,8 +99,13 @@
 	return v
 }
 
-// wait returns how long the work before a job and its own take, beyond its chain: room
-// and link work at the same time, so that the slower one counts.
+// Useful returns for how long after it was handed in a job is of use.
+func (j Job) Useful() time.Duration {
+	return time.Duration(usefulFactor * float64(j.Objective))
+}
+
+// wait returns how long the work before a job and its own take, beyond its chain: room, link
+// and quota bound it at the same time, so that the slowest one counts.
 func (s Service) wait(j Job) time.Duration {
 	if s.Instances <= 0 {
 		return 0
@@ -105,7 +115,7 @@
 	if s.StartsPerSecond > 0 {
 		link = time.Duration(float64(s.Starts+j.Starts) / s.StartsPerSecond * float64(time.Second))
 	}
-	return max(room, link)
+	return max(room, link, j.Quota)
 }
 
 // comeBack returns when what is missing has drained, spread and cut to whole seconds.
--- a/shard/admit.go
+++ b/shard/admit.go
@@ -18,12 +18,22 @@
 	spreadSteps = 1 << 16
 )
 
-// survey is the work of jobs that can end in time, as reckoned at an instant.
-type survey struct {
-	at     time.Time
+// demand is work that has to be done.
+type demand struct {
+	// work is what it takes in instances for a time, quota the same in all of its
+	// organisation's quota, 0 where there is none, and starts its tasks.
 	work   time.Duration
+	quota  time.Duration
 	starts int
-	each   job.Room
+}
+
+// survey is the work of jobs that can end in time, as reckoned at an instant.
+type survey struct {
+	at   time.Time
+	each job.Room
+
+	// demands holds the work by organisation.
+	demands map[string]demand
 }
 
 // SetMost takes in how many instances the service could have at the most, by the word of
@@ -41,10 +51,11 @@
 	}
 	s.look(now)
 	asked := s.asked(record, now)
+	work, starts := s.survey.within(asked.Useful())
 	verdict := backlog.Decide(backlog.Service{
 		Instances:       float64(s.most),
-		Work:            s.survey.work,
-		Starts:          s.survey.starts,
+		Work:            work,
+		Starts:          starts,
 		StartsPerSecond: s.opts.Starts.PerSecond(startBytes + len(record.Spec.Text)),
 	}, asked, float64(xxhash.Sum64String(record.ID)%spreadSteps)/spreadSteps)
 	if asked.Work == 0 {
@@ -52,29 +63,79 @@
 		verdict.Take = true
 	}
 	if verdict.Take {
-		s.survey.work += asked.Work
-		s.survey.starts += asked.Starts
+		s.survey.add(record.Organisation, s.demandOf(record))
 	}
 	return verdict
 }
 
+// within returns the work and the starts that quotas let run in a time.
+func (v *survey) within(span time.Duration) (time.Duration, int) {
+	work, starts := 0.0, 0.0
+	for _, d := range v.demands {
+		part := 1.0
+		if d.quota > span {
+			part = float64(span) / float64(d.quota)
+		}
+		work += part * float64(d.work)
+		starts += part * float64(d.starts)
+	}
+	return time.Duration(work), int(starts)
+}
+
+func (v *survey) add(organisation string, d demand) {
+	v.demands[organisation] = v.demands[organisation].plus(d)
+}
+
 // asked returns what a job that is handed in asks for.
 func (s *Shard) asked(record Record, now time.Time) backlog.Job {
+	if record.Spec.Lasting() {
+		return backlog.Job{}
+	}
 	j := newJob(record, record.Policy)
-	asked := backlog.Job{
+	d := s.demandOf(record)
+	return backlog.Job{
 		Chain:     chain(record.Spec),
 		Objective: j.deadline.Sub(record.accepted()),
 		Waited:    now.Sub(record.accepted()),
+		Work:      d.work,
+		Starts:    d.starts,
+		Quota:     s.survey.demands[record.Organisation].quota + d.quota,
 	}
+}
+
+// demandOf returns what all tasks of a job take.
+func (s *Shard) demandOf(record Record) demand {
+	j := newJob(record, record.Policy)
+	var sum demand
 	for i := range record.Spec.Steps {
 		step := &record.Spec.Steps[i]
 		if step.Lasting {
-			return backlog.Job{}
+			return demand{}
 		}
-		asked.Work += s.survey.of(step, s.expect(j, step), step.Count)
-		asked.Starts += step.Count
+		sum = sum.plus(s.demand(j, step, s.expect(j, step), step.Count))
+		sum.starts += step.Count
+	}
+	return sum
+}
+
+// demand returns what some tasks of a step take.
+func (s *Shard) demand(j *jobState, step *job.Step, takes time.Duration, count int) demand {
+	all := float64(count) * float64(takes)
+	d := demand{
+		work: time.Duration(step.Charge().Share(s.survey.each) * all),
+	}
+	if q, bounded := s.quotaOf(j.record.Organisation); bounded {
+		d.quota = time.Duration(step.Need.Share(q.Limit) * all)
+	}
+	return d
+}
+
+func (d demand) plus(o demand) demand {
+	return demand{
+		work:   d.work + o.work,
+		quota:  d.quota + o.quota,
+		starts: d.starts + o.starts,
 	}
-	return asked
 }
 
 // look reckons the work that is left of all jobs that can end in time.
@@ -83,15 +144,16 @@
 		return
 	}
 	s.survey = survey{
-		at:   now,
-		each: s.meanRoom(),
+		at:      now,
+		each:    s.meanRoom(),
+		demands: make(map[string]demand),
 	}
 	for _, w := range s.workers {
 		for id, r := range w.runs {
 			j := s.jobs[id.Job]
 			step, found := s.stepOf(id)
 			if found && !step.Lasting && !j.isLate(now) {
-				s.survey.work += s.survey.of(step, s.left(r, step, now), 1)
+				s.survey.add(r.organisation, s.demand(j, step, s.left(r, step, now), 1))
 			}
 		}
 	}
@@ -107,11 +169,7 @@
 	}
 	if j.begunOccurrences == 0 {
 		// Its record does not stand yet.
-		for i := range j.record.Spec.Steps {
-			step := &j.record.Spec.Steps[i]
-			s.survey.work += s.survey.of(step, s.expect(j, step), step.Count)
-			s.survey.starts += step.Count
-		}
+		s.survey.add(j.record.Organisation, s.demandOf(j.record))
 		return
 	}
 	for k, o := range j.occurrences {
@@ -125,17 +183,13 @@
 				continue
 			}
 			spec := &j.record.Spec.Steps[st]
-			s.survey.work += s.survey.of(spec, s.expect(j, spec), len(step.idle))
-			s.survey.starts += len(step.idle)
+			d := s.demand(j, spec, s.expect(j, spec), len(step.idle))
+			d.starts = len(step.idle)
+			s.survey.add(j.record.Organisation, d)
 		}
 	}
 }
 
-// of returns what tasks of a step take, in instances for a time.
-func (v *survey) of(step *job.Step, takes time.Duration, count int) time.Duration {
-	return time.Duration(step.Charge().Share(v.each) * float64(count) * float64(takes))
-}
-
 // meanRoom returns the mean room of the service's workers by their own word; zero where
 // none is listed. Of a worker that is known by its row only, the room is not known.
 func (s *Shard) meanRoom() job.Room {
--- a/shard/quota_test.go
+++ b/shard/quota_test.go
@@ -1,6 +1,7 @@
 package shard_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -49,7 +50,10 @@
 
 // quotaOf returns what the owner of an epoch is told.
 func (w *world) quotaOf(epoch int64) func(string) (shard.Quota, bool) {
-	return func(string) (shard.Quota, bool) {
+	return func(name string) (shard.Quota, bool) {
+		if name != organisation {
+			return shard.Quota{}, false
+		}
 		q := shard.Quota{
 			Share: w.quota.share,
 			Limit: w.quota.limit,
@@ -68,8 +72,9 @@
 	}
 	var running job.Room
 	for _, f := range w.workers {
-		for _, r := range f.runs {
-			if !f.down {
+		for task, r := range f.runs {
+			record, known := w.recordOf(task.Job)
+			if !f.down && (!known || record.Organisation == organisation) {
 				running = running.Add(r.step.Need)
 			}
 		}
@@ -151,3 +156,36 @@
 	w.run(10 * time.Second)
 	is.Equal(w.shown["a"], job.Completed)
 }
+
+// An organisation that asked for several times its quota had all of its jobs taken, since the
+// service had room for them. They waited for the quota until they were of no use, and so did
+// what counted as work before the jobs of others.
+func TestWorkThatWaitsForItsQuotaIsTurnedAway(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(20)
+	w.quota = newQuota()
+	w.takeOver()
+	w.run(6 * time.Second)
+	w.core.SetMost(20)
+	const jobs = 60
+	for i := range jobs {
+		w.ask(fmt.Sprintf("job-%02d", i), 0, step(4))
+		w.run(tick)
+	}
+	w.run(300 * time.Millisecond)
+	turned := 0
+	for i := range jobs {
+		if w.turned[fmt.Sprintf("job-%02d", i)] {
+			turned++
+		}
+	}
+	is.True(turned >= jobs/2) // A third of it can run within a useful time.
+	is.True(turned < jobs*9/10)
+	other := w.record("other", step(4))
+	other.Organisation = "south"
+	taken := false
+	w.core.Submit(other, w.now, func(answer shard.Answer) { taken = answer.Taken })
+	w.run(300 * time.Millisecond)
+	is.True(taken)
+	w.check(t)
+}
--- a/shard/refuse.go
+++ b/shard/refuse.go
@@ -99,8 +99,10 @@
 
 // refuse turns a job away once a row says so.
 func (s *Shard) refuse(record Record, verdict backlog.Verdict, now time.Time, done func(Answer)) {
+	work, starts := s.survey.within(verdict.Wait)
 	s.opts.Report("job turned away", "job", record.ID, "route", record.Route, "instances", s.most,
-		"work_ms", s.survey.work.Milliseconds(), "starts", s.survey.starts, "wait_ms", verdict.Wait.Milliseconds(),
+		"work_ms", work.Milliseconds(), "starts", starts,
+		"organisation", record.Organisation, "quota_ms", s.survey.demands[record.Organisation].quota.Milliseconds(), "wait_ms", verdict.Wait.Milliseconds(),
 		"survey_age_ms", now.Sub(s.survey.at).Milliseconds(), "come_back_ms", verdict.ComeBack.Milliseconds())
 	r := &refusing{
 		id:       record.ID,
