An owner that the store turns away is succeeded soon

An owner whose writes the store refused, while it served all other entries, knew so within 60 ms and told its successor how old its last write was. That one waited until the beat had stood still for 0.75 s after it was 0.6 s old; meanwhile nobody took the service's jobs, and with the owner of the instances no pool grew: 1.5 to 2 s of a turn of 4.5 s. The owner now tells for how long all of its writes were turned away. A successor that reads the rows at that moment takes over after 0.3 s, under the condition that the beat stands as it was read. In an outage that meets both it can't read, and waits as before.

--- a/outside/call.go
+++ b/outside/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net/http"
 	"syscall"
 )
 
@@ -20,3 +21,10 @@
 		Cause: err,
 	}
 }
+
+// IsTurnedAway reports whether the other side said that it serves nothing at the moment. One
+// that is busy with what it was asked before says something else.
+func IsTurnedAway(err error) bool {
+	var refused *NotDoneError
+	return errors.As(err, &refused) && refused.Status == http.StatusServiceUnavailable
+}
--- a/owner/keeper.go
+++ b/owner/keeper.go
@@ -44,6 +44,10 @@
 	// slow; twice the second stays below ownerHorizon.
 	slowFactor = 2
 
+	// turnedAway is for how long the store must have turned an owner away for a successor that
+	// reads its rows to take over without waiting for more: several tries of the owner.
+	turnedAway = 300 * time.Millisecond
+
 	// rankPause keeps successors from racing: each waits this much longer than
 	// the one before.
 	rankPause = 200 * time.Millisecond
@@ -65,6 +69,9 @@
 
 	// WriteAge is how long ago its last write was.
 	WriteAge time.Duration
+
+	// TurnedAway is for how long the store has turned away all of its writes.
+	TurnedAway time.Duration
 }
 
 // Self is this entry.
@@ -224,6 +231,18 @@
 	return h.tenure.age(), true
 }
 
+// TurnedAway returns for how long the store has turned away the duty of a service; 0 where
+// it does not, or this entry does not own it.
+func (k *Keeper) TurnedAway(service string) time.Duration {
+	k.mu.Lock()
+	h, found := k.held[service]
+	k.mu.Unlock()
+	if !found {
+		return 0
+	}
+	return h.tenure.away()
+}
+
 // Run watches the owners of all services until ctx ends.
 func (k *Keeper) Run(ctx context.Context) error {
 	ticker := time.NewTicker(keeperPause)
--- a/owner/keeper_test.go
+++ b/owner/keeper_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"io"
 	"log/slog"
+	"net/http"
 	"net/netip"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -144,6 +146,7 @@
 			Incarnation: name,
 			Owns:        owns,
 			WriteAge:    age,
+			TurnedAway:  e.keeper.TurnedAway("s"),
 		}, nil
 	}
 }
@@ -156,7 +159,8 @@
 	table.Transact = func(ctx context.Context, tx outside.Transaction) (outside.Receipt, error) {
 		if away.Load() {
 			return outside.Receipt{}, &outside.NotDoneError{
-				Call: "transact",
+				Call:   "transact",
+				Status: http.StatusServiceUnavailable,
 			}
 		}
 		return write(ctx, tx)
@@ -247,7 +251,8 @@
 	rows.Before = func(context.Context, standin.Call) error {
 		if away.Load() {
 			return &outside.NotDoneError{
-				Call: "any",
+				Call:   "any",
+				Status: http.StatusServiceUnavailable,
 			}
 		}
 		return nil
@@ -281,6 +286,25 @@
 	until(t, "the second entry owns the service", second.owns)
 }
 
+// An owner that the store turned away while it served all others knew so at once. Its successor
+// waited until the owner had written nothing for two beats, and meanwhile nobody took the
+// service's jobs.
+func TestOwnerThatTheStoreTurnsAwayIsSucceededSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		rows := standin.NewRows()
+		var away atomic.Bool
+		first := newEntryOn(t, "a", refusing(rows, &away), alive("a"))
+		until(t, "the first entry owns the service", first.owns)
+		second := newEntry(t, "b", rows, first.ownWord("a"))
+		time.Sleep(time.Second)
+		is.True(!second.owns())
+		away.Store(true)
+		time.Sleep(1200 * time.Millisecond)
+		is.True(second.owns())
+	})
+}
+
 // TestSuccessorForgetsOldSuspicion lets an entry lose a service to an owner that
 // it once found silent, and that is well now.
 func TestSuccessorForgetsOldSuspicion(t *testing.T) {
--- a/owner/succession.go
+++ b/owner/succession.go
@@ -106,11 +106,12 @@
 		return
 	}
 	defer func() { w.pinging = false }()
+	away := err == nil && pong.TurnedAway >= turnedAway
 	suspect, silent := k.judge(w, o, pong, err)
 	if w.dead {
 		k.deps.Log.Info("owner has ended", "service", service, "owner", o.Owner, "epoch", o.Epoch)
 	}
-	if !suspect {
+	if !suspect && !away {
 		w.still = stillness{}
 		return
 	}
@@ -118,10 +119,12 @@
 	_, version, err := k.beat(ctx, service)
 	k.mu.Lock()
 	still := w.still.note(version, err, k.deps.Clock.Now())
-	if silent && still >= k.patient(silentWrites) {
+	// The store serves this entry and, by the owner's own word, not the owner.
+	if served := err == nil; (away && served) || (silent && still >= k.patient(silentWrites)) {
 		w.lost = true
 		k.deps.Log.Info("owner writes nothing", "service", service, "owner", o.Owner, "epoch", o.Epoch,
-			"still_ms", still.Milliseconds(), "write_age_ms", pong.WriteAge.Milliseconds(), "failed_pings", w.failures)
+			"still_ms", still.Milliseconds(), "write_age_ms", pong.WriteAge.Milliseconds(), "failed_pings", w.failures,
+			"turned_away_ms", pong.TurnedAway.Milliseconds())
 	}
 }
 
--- a/owner/tenure.go
+++ b/owner/tenure.go
@@ -77,6 +77,10 @@
 	// failures counts the tries without success since the last one with it.
 	failures atomic.Int64
 
+	// turnedAway is since when the store has turned away every try, in milliseconds; 0 where
+	// the last one had another outcome.
+	turnedAway atomic.Int64
+
 	// successor is the entry that the part is released for; nil before one was
 	// chosen.
 	successor atomic.Pointer[string]
@@ -107,6 +111,24 @@
 	return t.failures.Load() >= failingAfter
 }
 
+// away returns for how long the store has turned away every try.
+func (t *tenure) away() time.Duration {
+	since := t.turnedAway.Load()
+	if since == 0 {
+		return 0
+	}
+	return t.clock.Now().Sub(clock.FromMillis(since))
+}
+
+// noteOutcome notes whether the store turned a try away.
+func (t *tenure) noteOutcome(err error) {
+	if outside.IsTurnedAway(err) {
+		t.turnedAway.CompareAndSwap(0, clock.Millis(t.clock.Now()))
+		return
+	}
+	t.turnedAway.Store(0)
+}
+
 // noteWrite notes that a transaction sent at the instant was applied.
 func (t *tenure) noteWrite(sent time.Time) {
 	t.lastWrite = sent
@@ -216,6 +238,7 @@
 // writeOnce sends a transaction once.
 func (t *tenure) writeOnce(ctx context.Context, tx outside.Transaction) (int64, error) {
 	receipt, err := t.table.Transact(ctx, tx)
+	t.noteOutcome(err)
 	if err == nil {
 		t.failures.Store(0)
 		return receipt.Version, nil
--- a/peer/client.go
+++ b/peer/client.go
@@ -90,6 +90,9 @@
 
 	// WriteAgeMillis is in milliseconds.
 	WriteAgeMillis int64 `json:"write_age_ms"`
+
+	// TurnedAwayMillis is in milliseconds; entries of earlier versions don't tell it.
+	TurnedAwayMillis int64 `json:"turned_away_ms,omitempty"`
 }
 
 // NewClient returns a client with its own connections.
@@ -183,6 +186,7 @@
 		Incarnation: answer.Incarnation,
 		Owns:        answer.Owns,
 		WriteAge:    time.Duration(answer.WriteAgeMillis) * time.Millisecond,
+		TurnedAway:  time.Duration(answer.TurnedAwayMillis) * time.Millisecond,
 	}, nil
 }
 
--- a/peer/server.go
+++ b/peer/server.go
@@ -26,6 +26,9 @@
 
 	// WriteAge returns how long ago the duty of a service last wrote.
 	WriteAge func(service string) (time.Duration, bool)
+
+	// TurnedAway returns for how long the store has turned away all of that duty's writes.
+	TurnedAway func(service string) time.Duration
 }
 
 // Routes adds the protocol to a router.
@@ -119,9 +122,10 @@
 func (s *Server) ping(c *gin.Context) {
 	age, owns := s.WriteAge(c.Query(queryService))
 	c.JSON(http.StatusOK, pongAnswer{
-		Incarnation:    s.Incarnation,
-		Owns:           owns,
-		WriteAgeMillis: age.Milliseconds(),
+		Incarnation:      s.Incarnation,
+		Owns:             owns,
+		WriteAgeMillis:   age.Milliseconds(),
+		TurnedAwayMillis: s.TurnedAway(c.Query(queryService)).Milliseconds(),
 	})
 }
 
--- a/peer/submit_test.go
+++ b/peer/submit_test.go
@@ -135,6 +135,7 @@
 		Duty:        keeper.Duty,
 		Held:        keeper.Held,
 		WriteAge:    keeper.WriteAge,
+		TurnedAway:  keeper.TurnedAway,
 	}
 	router := gin.New()
 	server.Routes(router)
--- a/scheduler/serve.go
+++ b/scheduler/serve.go
@@ -129,6 +129,7 @@
 		Duty:        d.keeper.Duty,
 		Held:        d.keeper.Held,
 		WriteAge:    d.keeper.WriteAge,
+		TurnedAway:  d.keeper.TurnedAway,
 	}
 	server.Routes(router)
 	d.serve("peers", listener, router)
