Pools follow a turn of demand sooner and let it go sooner

A turn lasts a few seconds. Its rise was measured over 0.5 s, so that it was followed from the fourth round of 200 ms on, and its high was kept for 2.5 s after it. Now 0.3 and 1.5 s.

--- a/pool/pool.go
+++ b/pool/pool.go
@@ -23,11 +23,11 @@
 	// holdDemand is how long a high of the demand is kept before instances are
 	// sent to sleep: a move costs about as much as a second awake, and a turn
 	// of demand lasts several.
-	holdDemand = 2500 * time.Millisecond
+	holdDemand = 1500 * time.Millisecond
 
 	// trendSpan is how far back the rise of the demand is measured at least: a turn shows
 	// within a few rounds of 200 ms, and a longer span averages it away.
-	trendSpan = 500 * time.Millisecond
+	trendSpan = 300 * time.Millisecond
 
 	// readyTime is added to the time of a move for how far ahead the rise is
 	// followed: a round until the order, the new worker's registration, and the
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -435,3 +435,25 @@
 	// 120 cores, 7.5 instances, have come within 600 ms.
 	is.Equal(targets, []int{27, 36, 57})
 }
+
+// Turns of demand last a few seconds. Pools followed one only in its fourth round, and kept its
+// high for half as long as the turn itself had lasted, while instances stood idle.
+func TestTurnOfDemandIsFollowedSoonAndLetGoSoon(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(map[string]int{
+		"a":    3,
+		"b":    3,
+		asleep: 90,
+	})
+	target := 0
+	for step := range 3 {
+		f.service("a").Load.Waiting = cpu(40 * step)
+		target = f.plan().Targets["a"]
+	}
+	is.True(target >= 30) // It asks for five instances now, and for as many again in each 400 ms.
+	f.service("a").Load.Waiting = job.Room{}
+	for range 8 {
+		target = f.plan().Targets["a"]
+	}
+	is.Equal(target, 3)
+}
