--- a/conns/server_test.go
+++ b/conns/server_test.go
@@ -8,8 +8,10 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -211,106 +213,129 @@
 // waits in the system, in the queue of connections that are not accepted yet, when the
 // server stops.
 func TestStoppingServerAnswersWhatItHasNotAccepted(t *testing.T) {
-	is := is.New(t)
-	limits := conns.ServerLimits{
-		Header: time.Minute,
-		Quiet:  time.Minute,
-	}
-	inner, err := net.Listen("tcp4", "127.0.0.1:0")
-	is.NoErr(err)
-	late := &lateListener{
-		Listener: inner,
-		accept:   make(chan struct{}),
-	}
-	server := conns.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), limits)
-	var serving errgroup.Group
-	serving.Go(func() error { return server.Serve(conns.Listen(late, limits)) })
-	conn, err := net.Dial("tcp4", inner.Addr().String())
-	is.NoErr(err)
-	defer func() { _ = conn.Close() }()
-	_, err = io.WriteString(conn, request(0))
-	is.NoErr(err)
-	time.Sleep(lossSlack)
-	var stopping errgroup.Group
-	stopping.Go(func() error { return server.Shutdown(context.Background()) })
-	time.Sleep(lossSlack) // The processor comes back a moment after the stop began.
-	close(late.accept)
-	is.NoErr(stopping.Wait())
-	is.NoErr(conn.SetReadDeadline(time.Now().Add(time.Minute)))
-	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	is.NoErr(err) // A whole request gets an answer.
-	is.NoErr(response.Body.Close())
-	_ = serving.Wait()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		limits := conns.ServerLimits{
+			Header: time.Minute,
+			Quiet:  time.Minute,
+		}
+		inner := newPipeListener()
+		late := &lateListener{
+			Listener: inner,
+			accept:   make(chan struct{}),
+		}
+		server := conns.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), limits)
+		var serving errgroup.Group
+		serving.Go(func() error { return server.Serve(conns.Listen(late, limits)) })
+		conn := inner.dial(func(accepted net.Conn) net.Conn { return accepted })
+		defer func() { _ = conn.Close() }()
+		is.NoErr(conn.SetDeadline(time.Now().Add(time.Minute)))
+		var sending errgroup.Group
+		sending.Go(func() error {
+			_, err := io.WriteString(conn, request(0))
+			return err
+		})
+		time.Sleep(lossSlack)
+		var stopping errgroup.Group
+		stopping.Go(func() error { return server.Shutdown(context.Background()) })
+		time.Sleep(lossSlack) // The processor comes back a moment after the stop began.
+		close(late.accept)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		is.NoErr(err) // A whole request gets an answer.
+		is.NoErr(response.Body.Close())
+		is.NoErr(sending.Wait())
+		is.NoErr(stopping.Wait())
+		_ = serving.Wait()
+	})
 }
 
-// lateReads wraps the connections of a listener in lateConn.
-type lateReads struct {
-	net.Listener
-	conns chan<- *lateConn
-	came  chan<- struct{}
-	read  <-chan struct{}
+// pipeListener accepts one end of each pipe that is dialed. One pipe waits in its queue.
+type pipeListener struct {
+	dialed chan net.Conn
+	closed chan struct{}
+	once   sync.Once
 }
 
-func (l *lateReads) Accept() (net.Conn, error) {
-	accepted, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+func newPipeListener() *pipeListener {
+	return &pipeListener{
+		dialed: make(chan net.Conn, 1),
+		closed: make(chan struct{}),
 	}
-	c := &lateConn{
-		Conn: accepted,
-		came: l.came,
-		read: l.read,
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case accepted := <-l.dialed:
+		return accepted, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
 	}
-	l.conns <- c
-	return c, nil
+}
+
+func (l *pipeListener) Addr() net.Addr {
+	return &net.TCPAddr{}
+}
+
+func (l *pipeListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+// dial returns the caller's end of a connection whose other end is accepted.
+func (l *pipeListener) dial(wrap func(net.Conn) net.Conn) net.Conn {
+	caller, accepted := net.Pipe()
+	l.dialed <- wrap(accepted)
+	return caller
 }
 
 // TestStoppingServerAnswersWhatItHasNotRead covers a caller who sends a whole request
 // over a connection that was idle, to a process that has not come to read it when the
 // server stops: net/http takes the connection for idle until the headers are read.
+//
+// It runs in virtual time. On a busy machine, a test in real time came back from its
+// wait after the server had used up its own, and so let the server read too late.
 func TestStoppingServerAnswersWhatItHasNotRead(t *testing.T) {
-	is := is.New(t)
-	limits := conns.ServerLimits{
-		Header: time.Minute,
-		Quiet:  time.Minute,
-	}
-	inner, err := net.Listen("tcp4", "127.0.0.1:0")
-	is.NoErr(err)
-	accepted := make(chan *lateConn, 1)
-	came := make(chan struct{})
-	read := make(chan struct{})
-	server := conns.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), limits)
-	var serving errgroup.Group
-	serving.Go(func() error {
-		return server.Serve(conns.Listen(&lateReads{
-			Listener: inner,
-			conns:    accepted,
-			came:     came,
-			read:     read,
-		}, limits))
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		limits := conns.ServerLimits{
+			Header: time.Minute,
+			Quiet:  time.Minute,
+		}
+		listener := newPipeListener()
+		came := make(chan struct{})
+		read := make(chan struct{})
+		server := conns.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), limits)
+		var serving errgroup.Group
+		serving.Go(func() error { return server.Serve(conns.Listen(listener, limits)) })
+		late := &lateConn{
+			came: came,
+			read: read,
+		}
+		conn := listener.dial(func(accepted net.Conn) net.Conn {
+			late.Conn = accepted
+			return late
+		})
+		defer func() { _ = conn.Close() }()
+		is.NoErr(conn.SetDeadline(time.Now().Add(time.Minute)))
+		reader := bufio.NewReader(conn)
+		_, err := io.WriteString(conn, request(0))
+		is.NoErr(err)
+		response, err := http.ReadResponse(reader, nil)
+		is.NoErr(err)
+		is.NoErr(response.Body.Close())
+		late.late.Store(true)
+		_, err = io.WriteString(conn, request(0))
+		is.NoErr(err)
+		<-came
+		time.Sleep(lossSlack)
+		var stopping errgroup.Group
+		stopping.Go(func() error { return server.Shutdown(context.Background()) })
+		time.Sleep(lossSlack) // The processor comes back a moment after the stop began.
+		close(read)
+		response, err = http.ReadResponse(reader, nil)
+		is.NoErr(err) // A whole request gets an answer.
+		is.NoErr(response.Body.Close())
+		is.NoErr(stopping.Wait())
+		_ = serving.Wait()
 	})
-	conn, err := net.Dial("tcp4", inner.Addr().String())
-	is.NoErr(err)
-	defer func() { _ = conn.Close() }()
-	is.NoErr(conn.SetDeadline(time.Now().Add(time.Minute)))
-	reader := bufio.NewReader(conn)
-	_, err = io.WriteString(conn, request(0))
-	is.NoErr(err)
-	response, err := http.ReadResponse(reader, nil)
-	is.NoErr(err)
-	is.NoErr(response.Body.Close())
-	(<-accepted).late.Store(true)
-	_, err = io.WriteString(conn, request(0))
-	is.NoErr(err)
-	<-came
-	time.Sleep(lossSlack)
-	var stopping errgroup.Group
-	stopping.Go(func() error { return server.Shutdown(context.Background()) })
-	time.Sleep(lossSlack) // The processor comes back a moment after the stop began.
-	close(read)
-	response, err = http.ReadResponse(reader, nil)
-	is.NoErr(err) // A whole request gets an answer.
-	is.NoErr(response.Body.Close())
-	is.NoErr(stopping.Wait())
-	_ = serving.Wait()
 }
