--- a/figures/figures.go
+++ b/figures/figures.go
@@ -56,6 +56,11 @@
 	metrics.GetOrRegisterHistogram(name+"_ms", s.registry, metrics.NewExpDecaySample(samples, decay)).Update(took.Milliseconds())
 }
 
+// Gauge shows a figure that is read whenever it is asked for; the name says its unit.
+func (s *Set) Gauge(name string, read func() float64) {
+	s.registry.GetOrRegister(name, metrics.NewFunctionalGaugeFloat64(read))
+}
+
 // Text returns every figure, one a line, sorted by name.
 func (s *Set) Text() string {
 	var lines []string
@@ -64,6 +69,8 @@
 		switch figure := value.(type) {
 		case metrics.Counter:
 			lines = append(lines, fmt.Sprintf("lemonstream_%s{outcome=%q} %d", base, outcome, figure.Count()))
+		case metrics.GaugeFloat64:
+			lines = append(lines, fmt.Sprintf("lemonstream_%s %g", base, figure.Value()))
 		case metrics.Histogram:
 			snapshot := figure.Snapshot()
 			for i, at := range snapshot.Percentiles(quantiles) {
--- a/figures/figures_test.go
+++ b/figures/figures_test.go
@@ -28,3 +28,13 @@
 	is.True(strings.Contains(text, `lemonstream_caller_post_total{outcome="200"} 1`))
 	is.True(strings.Contains(text, `lemonstream_caller_post_ms{quantile="0.5"} 30`))
 }
+
+func TestGaugeIsReadWhenItIsAskedFor(t *testing.T) {
+	is := is.New(t)
+	set := figures.New()
+	value := 1.0
+	set.Gauge("evacuated_zones", func() float64 { return value })
+	is.True(strings.Contains(set.Text(), "lemonstream_evacuated_zones 1\n"))
+	value = 2
+	is.True(strings.Contains(set.Text(), "lemonstream_evacuated_zones 2\n"))
+}
--- a/internal/prove/prove.go
+++ b/internal/prove/prove.go
@@ -36,6 +36,7 @@
 	Budget        = "budget"
 	Configuration = "configuration"
 	CrashLimit    = "crash-limit"
+	Evacuation    = "evacuation"
 	Leaving       = "leaving"
 	NotRun        = "not-run"
 	OnePool       = "one-pool"
--- a/owner/fleet.go
+++ b/owner/fleet.go
@@ -231,6 +231,7 @@
 		Instances: f.instances,
 		Waves:     f.openWaves(),
 		Now:       f.deps.Clock.Now(),
+		Evacuated: f.deps.Options.Evacuated,
 	}
 	if view.Now.Sub(f.listed) < listAges*f.listPause() {
 		plan := f.sizer.Plan(view)
--- a/pool/labels.go
+++ b/pool/labels.go
@@ -36,7 +36,7 @@
 	count := 0
 	for _, sp := range r.spots {
 		leaving := sp.closed && sp.to == ""
-		if sp.target() == pool && sp.carries(label) && !leaving {
+		if sp.target() == pool && sp.carries(label) && !leaving && !sp.evacuated {
 			count++
 		}
 	}
--- a/pool/maintain.go
+++ b/pool/maintain.go
@@ -48,7 +48,9 @@
 			closing[sp.pool]++
 			// Another instance takes its place meanwhile, so that what runs there
 			// has somewhere to go.
-			r.count[sp.pool]--
+			if !sp.evacuated {
+				r.count[sp.pool]--
+			}
 			r.plan.Closed[sp.pool] = append(r.plan.Closed[sp.pool], sp.instance.Worker)
 			if !sp.empty() {
 				down++
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -92,6 +92,10 @@
 	Services  []Service
 	Instances []outside.Instance
 	Waves     []*Wave
+
+	// Evacuated reports whether nothing may start in an availability zone; nil knows of
+	// none.
+	Evacuated func(zone string) bool
 }
 
 // Move is an order to put an instance into another pool.
--- a/pool/round.go
+++ b/pool/round.go
@@ -32,6 +32,10 @@
 	// free says that the instance is up and no order for it is under way.
 	free bool
 
+	// evacuated says that nothing may start there: it counts as no room of its pool, and
+	// no service is given it.
+	evacuated bool
+
 	// load is what its worker does; known says that its owner reports it.
 	load  shard.WorkerLoad
 	known bool
@@ -56,8 +60,10 @@
 	// needs holds how many instances each service can't spare at this moment.
 	needs map[string]int
 
-	// count is the number of instances that each pool has or will have.
-	count map[string]int
+	// count is the number of instances that each pool has or will have, available that of
+	// all that some pool may use.
+	count     map[string]int
+	available int
 }
 
 func newRound(s *Sizer, v View) *round {
@@ -85,9 +91,12 @@
 	byName(r.spots)
 	for _, sp := range r.spots {
 		// One that is down runs nothing, and nobody knows for how long.
-		if sp.instance.State != outside.InstanceDown {
+		if sp.instance.State != outside.InstanceDown && !sp.evacuated {
 			r.count[sp.pool]++
 		}
+		if !sp.evacuated {
+			r.available++
+		}
 	}
 	return r
 }
@@ -98,6 +107,7 @@
 		pool:     m.Pool,
 		free:     m.State == outside.InstanceUp && !r.view.Now.Before(r.sizer.notBefore[m.ID]),
 	}
+	sp.evacuated = r.view.Evacuated != nil && r.view.Evacuated(m.Zone)
 	if o, found := r.sizer.ordered[m.ID]; found {
 		sp.free = false
 		if o.to != "" {
@@ -140,10 +150,10 @@
 		sum += need
 		floors += min(need, r.floor(name))
 	}
-	if sum <= len(r.spots) || sum == floors {
+	if sum <= r.available || sum == floors {
 		return
 	}
-	part := float64(max(0, len(r.spots)-floors)) / float64(sum-floors)
+	part := float64(max(0, r.available-floors)) / float64(sum-floors)
 	for name, need := range r.needs {
 		floor := min(need, r.floor(name))
 		r.needs[name] = floor + int(part*float64(need-floor))
@@ -261,7 +271,7 @@
 }
 
 func (r *round) movable(sp *spot, to string) bool {
-	if !sp.free || sp.closed || sp.pool == to || r.sizer.refused[sp.instance.ID][to] {
+	if !sp.free || sp.closed || sp.evacuated || sp.pool == to || r.sizer.refused[sp.instance.ID][to] {
 		return false
 	}
 	if sp.pool == r.asleep {
@@ -369,7 +379,7 @@
 	r.plan.Counts = r.count
 	r.plan.Most = make(map[string]int, len(r.needs))
 	for name := range r.needs {
-		most := len(r.spots)
+		most := r.available
 		for other, need := range r.needs {
 			if other != name {
 				most -= need
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -76,9 +76,13 @@
 	figures  *figures.Set
 	health   *storeHealth
 	catalog  *catalog.Holder
-	roster   *roster.Roster
-	keeper   *owner.Keeper
-	servers  []*conns.Server
+
+	// evacuations are known before the first configuration is.
+	evacuations *catalog.Evacuations
+
+	roster  *roster.Roster
+	keeper  *owner.Keeper
+	servers []*conns.Server
 
 	// requests follows what the servers have read and not answered.
 	requests *inflight.Requests
@@ -131,6 +135,9 @@
 		group:    kernel.NewGroup(context.WithoutCancel(ctx), log),
 		log:      log,
 		catalog:  catalog.NewHolder(now, log),
+
+		evacuations: catalog.NewEvacuations(log),
+
 		figures:  set,
 		waves:    make(map[string]outside.Wave),
 		stopping: make(chan struct{}),
@@ -139,6 +146,7 @@
 	d.health = &storeHealth{
 		now: d.clock.Now,
 	}
+	d.figures.Gauge("evacuated_zones", func() float64 { return float64(len(d.evacuations.Zones())) })
 	d.patience = outside.NewPatience(d.clock)
 	d.table = d.patience.Hasten(figures.ObserveTable(d.figures, d.health.observe(platform.NewTable(settings.Store, d.figures.Link))))
 	d.workers = figures.ObserveWorkers(d.figures, platform.NewWorkers(d.figures.Link))
@@ -189,6 +197,7 @@
 			ShownFor:  d.settings.ShownFor,
 			FarFactor: d.settings.FarFactor,
 			Starts:    link.StartBudget(d.settings.LinkBits),
+			Evacuated: d.evacuations.Has,
 		},
 		Listed:    d.roster.Read,
 		Advice:    platform.NewAdvice(d.settings.Advice, d.figures.Link),
--- /dev/null
+++ b/shard/evacuation_test.go
@@ -0,0 +1,157 @@
+package shard_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"lemonstream.dev/lemonstream/internal/prove"
+	"lemonstream.dev/lemonstream/job"
+)
+
+const (
+	// evacuationLag is how long after an evacuation was acknowledged an owner knows of it
+	// in these tests, evacuationBound how long after it nothing may be ordered to start in
+	// the zone any more.
+	evacuationLag   = time.Second
+	evacuationBound = 2 * time.Second
+)
+
+// evacuations are the operator's requests that nothing start in a zone.
+type evacuations struct {
+	// acknowledged holds since when each zone is evacuated.
+	acknowledged map[string]time.Time
+
+	// ignored takes from owners that a zone is evacuated.
+	ignored bool
+}
+
+// zoneOf returns the zone of a rack.
+func zoneOf(rack string) string {
+	zone, _, _ := strings.Cut(rack, "-")
+	return zone
+}
+
+// evacuate acknowledges the evacuation of a zone.
+func (w *world) evacuate(zone string) {
+	if w.evacuations.acknowledged == nil {
+		w.evacuations.acknowledged = make(map[string]time.Time)
+	}
+	if _, found := w.evacuations.acknowledged[zone]; !found {
+		w.evacuations.acknowledged[zone] = w.now
+	}
+}
+
+// takeBack ends the evacuation of a zone.
+func (w *world) takeBack(zone string) {
+	delete(w.evacuations.acknowledged, zone)
+}
+
+// isEvacuated is what owners know.
+func (w *world) isEvacuated(zone string) bool {
+	at, found := w.evacuations.acknowledged[zone]
+	return found && !w.evacuations.ignored && w.now.Sub(at) >= evacuationLag
+}
+
+// judgeEvacuated notes a start that was ordered in an evacuated zone.
+func (w *world) judgeEvacuated(f *fakeWorker, id job.TaskID, sent time.Time) {
+	if at, found := w.evacuations.acknowledged[f.reg.Zone]; found && sent.Sub(at) > evacuationBound {
+		w.fault("%s starts on %s, whose zone %s was evacuated at %v", id, f.reg.ID, f.reg.Zone, at.Sub(w.start))
+	}
+}
+
+// Owners knew nothing of evacuated zones and went on to start tasks there, some two thousand
+// in a zone that was evacuated for ten seconds.
+func TestNothingStartsInAnEvacuatedZone(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(3)
+	w.run(200 * time.Millisecond)
+	w.submit("stays", lasting(3, 1))
+	w.run(time.Second)
+	evacuated := w.workers["w0"]
+	before := evacuated.began
+	is.True(before > 0)
+	w.evacuate(evacuated.reg.Zone)
+	w.run(evacuationLag)
+	for i := range 6 {
+		w.submit(fmt.Sprintf("j%d", i), step(4))
+	}
+	w.run(8 * time.Second)
+	is.Equal(evacuated.began, before)
+	is.True(len(evacuated.runs) > 0) // What runs there goes on.
+	w.takeBack(evacuated.reg.Zone)
+	w.submit("after", step(12))
+	w.run(6 * time.Second)
+	is.True(evacuated.began > before)
+	w.check(t)
+}
+
+// A start that got no answer is repeated. The answer may be lost before the zone is evacuated,
+// and the repetition be due after it.
+func TestStartWithoutAnswerIsNotRepeatedInAnEvacuatedZone(t *testing.T) {
+	for name, s := range map[string]job.Step{
+		"short":   step(1),
+		"lasting": lasting(1, 1),
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(1)
+			w.run(200 * time.Millisecond)
+			w.lose = time.Minute
+			w.submit("a", s)
+			w.run(4 * tick)
+			w.evacuate(w.workers["w0"].reg.Zone)
+			w.workers["w0"].cut = true
+			w.run(3 * time.Second)
+			w.lose = 0
+			w.workers["w0"].cut = false
+			w.run(4 * time.Second)
+			is.Equal(w.workers["w0"].began, 0)
+			w.takeBack(w.workers["w0"].reg.Zone)
+			w.run(4 * time.Second)
+			is.True(w.workers["w0"].began > 0)
+			w.check(t)
+		})
+	}
+}
+
+// TestTaskOfAnEvacuatedZoneTellsWhyItWaits covers a task that runs on one rack only.
+func TestTaskOfAnEvacuatedZoneTellsWhyItWaits(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(3)
+	w.run(200 * time.Millisecond)
+	evacuated := w.workers["w0"].reg
+	w.evacuate(evacuated.Zone)
+	w.run(evacuationLag)
+	s := step(1)
+	s.Label = evacuated.Rack
+	w.submit("a", s)
+	w.run(4 * time.Second)
+	is.True(w.refusedFor["evacuated"] > 0)
+	w.takeBack(evacuated.Zone)
+	w.run(3 * time.Second)
+	is.Equal(w.shown["a"], job.Completed)
+	w.check(t)
+}
+
+// TestEvacuatedZonesUnderFaults evacuates zones beside random faults and takeovers.
+func TestEvacuatedZonesUnderFaults(t *testing.T) {
+	prove.Guard(t, prove.Evacuation, "evacuated-worker-takes-nothing", func(on bool) func(*rapid.T) {
+		return func(t *rapid.T) {
+			w := newWorld(4)
+			w.evacuations.ignored = !on
+			for _, zone := range []string{"r0", "r1", "r2"} {
+				if rapid.Bool().Draw(t, "evacuated") {
+					from := time.Duration(rapid.IntRange(0, 500).Draw(t, "from")) * tick
+					w.after(from, func() { w.evacuate(zone) })
+					w.after(from+time.Duration(rapid.IntRange(100, 1500).Draw(t, "for"))*tick, func() { w.takeBack(zone) })
+				}
+			}
+			underFaults(t, w)
+		}
+	})
+}
--- a/shard/orders.go
+++ b/shard/orders.go
@@ -85,14 +85,21 @@
 		r.phase = phaseDoubtful
 		r.doubted = now
 		s.due[r] = struct{}{}
-		if r.tries >= startTries && !s.isLasting(r.id) {
-			// A short task is better started elsewhere at once: it would wait for a look that
-			// may get no answer either.
-			s.stop(r, reasonNoAnswer)
+		if r.tries >= startTries {
+			s.giveUpStart(r)
 		}
 	}
 }
 
+// giveUpStart repeats a start no more that got no answer. A short task is better started
+// elsewhere at once: it would wait for a look that may get no answer either.
+func (s *Shard) giveUpStart(r *run) {
+	r.tries = max(r.tries, startTries)
+	if !s.isLasting(r.id) {
+		s.stop(r, reasonNoAnswer)
+	}
+}
+
 // startRefused handles a worker's own refusal: the run is not there.
 func (s *Shard) startRefused(w *workerState, r *run, now time.Time, reason outside.Refusal) {
 	if reason == outside.RefusedFence {
@@ -136,6 +143,10 @@
 		}
 		switch r.phase {
 		case phaseDoubtful:
+			if s.isEvacuated(w) {
+				s.giveUpStart(r)
+				continue
+			}
 			if w.failures > 0 || r.tries >= startTries {
 				continue
 			}
--- a/shard/refusal.go
+++ b/shard/refusal.go
@@ -24,6 +24,9 @@
 	// worker is kept for such a task.
 	refusedCompany refusal = "company"
 
+	// refusedEvacuated means that the operator has evacuated its availability zone.
+	refusedEvacuated refusal = "evacuated"
+
 	// refusedLabel means that it lacks the step's label.
 	refusedLabel refusal = "label"
 
@@ -79,6 +82,8 @@
 // placement, gangs, what is sent away and what is kept ask it alone.
 func (s *Shard) refuses(w *workerState, c candidate, now time.Time) refusal {
 	switch {
+	case s.isEvacuated(w):
+		return refusedEvacuated
 	case !s.isUsable(w, now):
 		return refusedUnusable
 	case !c.roomOn(w).Fits(c.charge):
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -72,6 +72,9 @@
 	// no limit. nil knows of none.
 	Quota func(organisation string) (Quota, bool)
 
+	// Evacuated reports whether nothing may start in an availability zone; nil knows of none.
+	Evacuated func(zone string) bool
+
 	// Starts bounds the bytes of orders to start tasks; nil bounds nothing.
 	Starts *link.Budget
 
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -294,7 +294,7 @@
 
 // isUsable reports whether a worker can run tasks, closed or not.
 func (s *Shard) isUsable(w *workerState, now time.Time) bool {
-	if !w.recorded || s.isNamed(w) || w.unsized > 0 {
+	if !w.recorded || s.isNamed(w) || w.unsized > 0 || s.isEvacuated(w) {
 		return false
 	}
 	if !w.known || w.reg.Draining || w.failures > 0 || !w.doubted.IsZero() || now.Before(w.avoidUntil) {
@@ -303,6 +303,12 @@
 	return w.listed || now.Sub(s.storeRegained) < returnGrace
 }
 
+// isEvacuated reports whether nothing may start on a worker because the operator has
+// evacuated its availability zone. What runs there goes on.
+func (s *Shard) isEvacuated(w *workerState) bool {
+	return s.opts.Evacuated != nil && s.opts.Evacuated(w.reg.Zone)
+}
+
 // findUsable notes which workers can run tasks.
 func (s *Shard) findUsable(now time.Time) {
 	s.usable = s.usable[:0]
--- a/shard/world_owner_test.go
+++ b/shard/world_owner_test.go
@@ -137,6 +137,7 @@
 		ShownFor:  time.Hour,
 		BlindFor:  blind,
 		Starts:    w.starts,
+		Evacuated: w.isEvacuated,
 		Quota:     w.quotaOf(w.epoch),
 		Policy:    func(string) (catalog.Policy, bool) { return catalog.Policy{}, false },
 		Report: func(event string, fields ...any) {
--- a/shard/world_test.go
+++ b/shard/world_test.go
@@ -245,6 +245,9 @@
 	// fences holds the fence of each owner there was.
 	fences map[*shard.Shard]int64
 
+	// evacuations is what the operator has evacuated.
+	evacuations evacuations
+
 	// report receives the lines that owners log; nil drops them.
 	report func(event string, fields ...any)
 
@@ -307,6 +310,7 @@
 			Born:    w.now,
 			Service: "s",
 			Address: netip.MustParseAddrPort("127.0.0.1:1"),
+			Zone:    zoneOf(rack),
 			Rack:    rack,
 			Labels:  []string{"a", rack},
 			Capacity: job.Room{
@@ -931,6 +935,7 @@
 		w.fault("%s starts on %s, and its end was noted at %v", id, f.reg.ID, at.Sub(w.start))
 	}
 	w.judgeCrashes(f, id)
+	w.judgeEvacuated(f, id, sent)
 	if at, found := w.withdrawn[id.Job]; found && sent.Sub(latest(at, w.disturbed)) > cancelBound {
 		w.fault("%s starts on %s, and its job was withdrawn at %v", id, f.reg.ID, at.Sub(w.start))
 	}
