Entries follow the store's tables through one another

Cause: each entry asked the store for changes of the configuration and of the owners once a second, and read the list of entries whole; each owner of a service read every heartbeat of every worker.

Change: an owner reads the changes at the store and passes them on; the others ask an owner in place of the store, and the owners of services ask that of the instances for registrations, without the heartbeats. What a source tells counts only while its own word from the store is new; beyond that the store is read. Sources need no election: they are the owners, which everybody knows, watches and replaces already.

--- a/link/budget.go
+++ b/link/budget.go
@@ -19,6 +19,10 @@
 	// its transactions, measured in bytes over 5 s on a link of 2 Mbit/s.
 	startShare = 0.45
 
+	// feedShare is the part of the link that may go into passing changes of tables on, beside
+	// the work that an owner does on it.
+	feedShare = 0.1
+
 	// burst is for how long a budget that was not used adds up: orders that go out at one
 	// moment delay what comes after them by no more than this.
 	burst = 100 * time.Millisecond
@@ -44,11 +48,21 @@
 // StartBudget returns the budget of orders to start tasks on a link of so many bits a
 // second; nil where that is not known.
 func StartBudget(bitsPerSecond float64) *Budget {
+	return newBudget(startShare * bitsPerSecond)
+}
+
+// FeedBudget returns the budget of table changes that are passed on over such a link; nil where
+// its rate is not known.
+func FeedBudget(bitsPerSecond float64) *Budget {
+	return newBudget(feedShare * bitsPerSecond)
+}
+
+func newBudget(bitsPerSecond float64) *Budget {
 	if bitsPerSecond <= 0 {
 		return nil
 	}
 	return &Budget{
-		perSecond: startShare * bitsPerSecond / bitsPerByte,
+		perSecond: bitsPerSecond / bitsPerByte,
 	}
 }
 
--- a/outside/table.go
+++ b/outside/table.go
@@ -22,6 +22,9 @@
 
 	// Version is where the next call continues.
 	Version int64
+
+	// Relayed says that another entry told the changes.
+	Relayed bool
 }
 
 // Check is a condition of a transaction.
--- a/owner/duty.go
+++ b/owner/duty.go
@@ -46,10 +46,13 @@
 	// Slow reports whether the store takes much longer than on a calm day.
 	Slow func() bool
 
-	Clock    clock.Clock
-	Group    *kernel.Group
-	Log      *slog.Logger
-	Table    outside.Table
+	Clock clock.Clock
+	Group *kernel.Group
+	Log   *slog.Logger
+	Table outside.Table
+
+	// Followed is Table with changes that other entries may have told.
+	Followed outside.Table
 	Workers  outside.Workers
 	Catalog  func() *catalog.Catalog
 	Registry *Registry
--- a/owner/fleet.go
+++ b/owner/fleet.go
@@ -183,6 +183,8 @@
 	if err := f.load(ctx); err != nil {
 		return err
 	}
+	// The owners of services follow the registrations through this entry.
+	defer f.deps.Registry.Watch(partInstances, func(Listing) {})()
 	for {
 		select {
 		case <-ctx.Done():
--- a/owner/keeper.go
+++ b/owner/keeper.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -219,6 +220,34 @@
 	return address, err == nil
 }
 
+// Owners returns where the other entries answer that own something. It reports whether this
+// entry owns something itself.
+func (k *Keeper) Owners() ([]netip.AddrPort, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var list []netip.AddrPort
+	for _, o := range k.owners {
+		address, err := netip.ParseAddrPort(o.Peer)
+		if err != nil || o.Released || o.Owner == k.self.Incarnation || slices.Contains(list, address) {
+			continue
+		}
+		list = append(list, address)
+	}
+	return list, len(k.held) > 0
+}
+
+// InstancesOwner returns where the owner of the instances answers; false where it is this
+// entry, or none is known.
+func (k *Keeper) InstancesOwner() (netip.AddrPort, bool) {
+	k.mu.Lock()
+	_, mine := k.held[partInstances]
+	k.mu.Unlock()
+	if mine {
+		return netip.AddrPort{}, false
+	}
+	return k.Owner(partInstances)
+}
+
 // WriteAge returns how long ago the duty of a service last wrote; false where
 // this entry does not own it.
 func (k *Keeper) WriteAge(service string) (time.Duration, bool) {
@@ -261,8 +290,8 @@
 // WatchOwners follows the rows of owners until ctx ends.
 func (k *Keeper) WatchOwners(ctx context.Context) error {
 	return Follower{
-		Table: k.deps.Table,
-		Name:  tableOwner,
+		Table: k.deps.Followed,
+		Name:  TableOwners,
 		Log:   k.deps.Log,
 		Wait:  PromptWait,
 		Read:  k.readOwners,
@@ -274,7 +303,7 @@
 func (k *Keeper) readOwners(ctx context.Context) (int64, error) {
 	first := int64(-1)
 	for _, service := range k.services() {
-		page, err := k.deps.Table.Get(ctx, tableOwner, service, "", 0)
+		page, err := k.deps.Table.Get(ctx, TableOwners, service, "", 0)
 		if err != nil {
 			return 0, err
 		}
--- a/owner/registry.go
+++ b/owner/registry.go
@@ -18,6 +18,10 @@
 	// row every second or two.
 	registryPause = 250 * time.Millisecond
 
+	// relayedPause is that time where another entry tells the changes: it leaves out the
+	// heartbeats, so that a look ends only with something new.
+	relayedPause = 30 * time.Millisecond
+
 	// registryWait is how long a look may wait for a change.
 	registryWait = 750 * time.Millisecond
 
@@ -46,8 +50,13 @@
 	decode func(id string, value []byte) (outside.Registration, error)
 	log    *slog.Logger
 
-	mu       sync.Mutex
-	loaded   bool
+	mu sync.Mutex
+
+	// loaded says that all registrations were read and have been followed since, or can be
+	// from version on, which is that of the read.
+	loaded  bool
+	version int64
+
 	workers  map[string]registered
 	watchers map[string]func(Listing)
 
@@ -106,14 +115,18 @@
 			}
 			continue
 		}
-		next, err := r.follow(ctx, version)
+		next, relayed, err := r.follow(ctx, version)
 		if err != nil {
 			r.setAway()
 			r.log.Warn("registrations not read", "error", err.Error())
 		} else {
 			version = next
 		}
-		if !clock.Sleep(ctx, registryPause) {
+		pause := registryPause
+		if relayed {
+			pause = relayedPause
+		}
+		if !clock.Sleep(ctx, pause) {
 			return nil
 		}
 	}
@@ -139,17 +152,24 @@
 	}
 }
 
-func (r *Registry) follow(ctx context.Context, version int64) (int64, error) {
+// follow takes in what has changed after a version, or all where that is below 0. It returns the
+// version from which to go on, and whether another entry told the changes.
+func (r *Registry) follow(ctx context.Context, version int64) (int64, bool, error) {
 	if version < 0 {
-		return r.read(ctx)
+		if next, read := r.refreshed(); read {
+			return next, false, nil
+		}
+		next, err := r.read(ctx)
+		return next, false, err
 	}
 	change, err := r.table.Feed(ctx, r.name, version, registryWait)
 	var gone *outside.HistoryGoneError
 	if errors.As(err, &gone) {
-		return r.read(ctx)
+		next, err := r.read(ctx)
+		return next, false, err
 	}
 	if err != nil {
-		return 0, err
+		return 0, false, err
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -159,7 +179,7 @@
 		r.apply(row, touched)
 	}
 	r.tell(touched)
-	return change.Version, nil
+	return change.Version, change.Relayed, nil
 }
 
 func (r *Registry) read(ctx context.Context) (int64, error) {
@@ -184,11 +204,20 @@
 		touched[service] = true
 	}
 	r.loaded = true
+	r.version = version
 	r.noteRead(touched)
 	r.tell(touched)
 	return version, nil
 }
 
+// refreshed returns the version of a read that was made before anybody watched; false where there
+// was none.
+func (r *Registry) refreshed() (int64, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.version, r.loaded
+}
+
 // apply takes in one row and marks the services whose list changed.
 func (r *Registry) apply(row outside.Row, touched map[string]bool) {
 	before, known := r.workers[row.Key.Name]
--- a/owner/rows.go
+++ b/owner/rows.go
@@ -13,8 +13,8 @@
 	// tableBeat holds a row that every transaction of an owner writes.
 	tableBeat = "beat"
 
-	// tableOwner holds who owns a service; it changes only with the owner.
-	tableOwner = "owner"
+	// TableOwners holds who owns a service; it changes only with the owner.
+	TableOwners = "owner"
 
 	// tableUsed holds the workers that the owner may have given tasks, so that a
 	// successor looks at them whether or not they are registered.
@@ -169,7 +169,7 @@
 
 func ownerKey(service string) outside.Key {
 	return outside.Key{
-		Table: tableOwner,
+		Table: TableOwners,
 		Part:  service,
 		Name:  keyOwner,
 	}
--- a/owner/succession.go
+++ b/owner/succession.go
@@ -218,7 +218,7 @@
 		k.take(conflict.Rows)
 		return claim{}, err
 	case outside.IsUncertain(err):
-		page, readErr := k.deps.Table.Get(ctx, tableOwner, service, "", 0)
+		page, readErr := k.deps.Table.Get(ctx, TableOwners, service, "", 0)
 		if readErr != nil || len(page.Rows) == 0 || string(page.Rows[0].Value) != string(value) {
 			return claim{}, err
 		}
--- a/peer/client.go
+++ b/peer/client.go
@@ -47,6 +47,7 @@
 // Paths of the protocol.
 const (
 	pathCancel  = "/v1/cancel"
+	pathChanges = "/v1/changes"
 	pathLoad    = "/v1/load"
 	pathOffer   = "/v1/offer"
 	pathPending = "/v1/pending"
@@ -241,7 +242,7 @@
 		return 0, nil, outside.CallError(path, err)
 	}
 	switch answer.Status {
-	case http.StatusOK, http.StatusNoContent, http.StatusNotFound, http.StatusConflict, http.StatusTooManyRequests:
+	case http.StatusOK, http.StatusNoContent, http.StatusNotFound, http.StatusConflict, http.StatusGone, http.StatusTooManyRequests:
 		return answer.Status, answer.Body, nil
 	case http.StatusMisdirectedRequest:
 		return 0, nil, &NotOwnerError{
--- a/peer/server.go
+++ b/peer/server.go
@@ -9,6 +9,7 @@
 
 	"github.com/gin-gonic/gin"
 
+	"lemonstream.dev/lemonstream/feed"
 	"lemonstream.dev/lemonstream/owner"
 	"lemonstream.dev/lemonstream/shard"
 )
@@ -27,12 +28,16 @@
 	// WriteAge returns how long ago the duty of a service last wrote.
 	WriteAge func(service string) (time.Duration, bool)
 
+	// Pass returns what this entry passes on of a table's changes; see feed.Reader.
+	Pass func(ctx context.Context, table string, after int64, wait time.Duration) (feed.Passed, error)
+
 	// TurnedAway returns for how long the store has turned away all of that duty's writes.
 	TurnedAway func(service string) time.Duration
 }
 
 // Routes adds the protocol to a router.
 func (s *Server) Routes(router *gin.Engine) {
+	router.GET(pathChanges, s.changes)
 	router.GET(pathPing, s.ping)
 	router.POST(pathSubmit, s.holding(s.submit))
 	router.GET(pathState, s.owned(s.state))
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -32,11 +32,15 @@
 	changeWait = 20 * time.Second
 	changeRest = time.Second
 
+	// ListLag is how old the list may be as another entry tells it.
+	ListLag = changeWait + changeRest
+
 	// leaveWait bounds the removal of the own row, several times what it takes on a
 	// calm day: the services are handed over after it, and callers wait for that.
 	leaveWait = 150 * time.Millisecond
 
-	tableMembers = "member"
+	// TableMembers holds the list.
+	TableMembers = "member"
 	partMembers  = "member"
 )
 
@@ -137,7 +141,7 @@
 
 // Read returns all entries as they are listed at this moment.
 func (r *Roster) Read(ctx context.Context) ([]owner.Member, error) {
-	rows, _, err := r.table.ReadAll(ctx, tableMembers, partMembers)
+	rows, _, err := r.table.ReadAll(ctx, TableMembers, partMembers)
 	if err != nil {
 		return nil, err
 	}
@@ -153,7 +157,7 @@
 func (r *Roster) Run(ctx context.Context) error {
 	return owner.Follower{
 		Table: r.table,
-		Name:  tableMembers,
+		Name:  TableMembers,
 		Log:   r.log,
 		Wait:  changeWait,
 		Rest:  changeRest,
@@ -231,14 +235,14 @@
 
 func (r *Roster) key() outside.Key {
 	return outside.Key{
-		Table: tableMembers,
+		Table: TableMembers,
 		Part:  partMembers,
 		Name:  r.name,
 	}
 }
 
 func (r *Roster) read(ctx context.Context) (int64, error) {
-	rows, version, err := r.table.ReadAll(ctx, tableMembers, partMembers)
+	rows, version, err := r.table.ReadAll(ctx, TableMembers, partMembers)
 	if err != nil {
 		return 0, err
 	}
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -51,7 +51,12 @@
 	}
 }
 
-// silence returns how long ago the store last answered.
+// heard notes that another entry has told what the store confirmed a moment ago.
+func (h *storeHealth) heard() {
+	h.answered.Store(h.now().UnixMilli())
+}
+
+// silence returns how long ago the store last answered, or another entry told of it.
 func (h *storeHealth) silence() time.Duration {
 	return h.now().Sub(time.UnixMilli(h.answered.Load()))
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -17,6 +17,7 @@
 	"lemonstream.dev/lemonstream/catalog"
 	"lemonstream.dev/lemonstream/clock"
 	"lemonstream.dev/lemonstream/conns"
+	"lemonstream.dev/lemonstream/feed"
 	"lemonstream.dev/lemonstream/figures"
 	"lemonstream.dev/lemonstream/inflight"
 	"lemonstream.dev/lemonstream/kernel"
@@ -77,6 +78,11 @@
 	health   *storeHealth
 	catalog  *catalog.Holder
 
+	// feeds reads changes of the store's tables through other entries, followed is the table
+	// whose changes are read so.
+	feeds    *feed.Reader
+	followed outside.Table
+
 	// evacuations are known before the first configuration is.
 	evacuations *catalog.Evacuations
 
@@ -165,9 +171,10 @@
 		},
 		Peer: address,
 	}
-	d.roster = roster.New(d.table, log, settings.Name, self)
 	peers := peer.NewClient(d.figures.Link)
-	registry := owner.NewRegistry(d.table, d.clock, platform.TableWorkers, platform.DecodeRegistration, log)
+	d.shareFeeds(peers, self.Incarnation)
+	d.roster = roster.New(d.followed, log, settings.Name, self)
+	registry := owner.NewRegistry(d.followed, d.clock, platform.TableWorkers, platform.DecodeRegistration, log)
 	registry.Count = d.figures.Count
 	d.keeper = owner.NewKeeper(d.deps(registry, peers), self, d.roster.Members, peers.Ping)
 	d.group.Go("registrations", registry.Run)
@@ -184,6 +191,7 @@
 		Group:    d.group,
 		Log:      d.log,
 		Table:    d.table,
+		Followed: d.followed,
 		Slow:     d.patience.Slow,
 		Workers:  d.workers,
 		Catalog:  d.catalog.Current,
@@ -221,7 +229,7 @@
 	d.log.Info("starting", "callers", d.settings.Callers.String(), "peers", d.roster.Peer().String())
 	d.group.Go("configuration", func(ctx context.Context) error {
 		return owner.Follower{
-			Table: d.table,
+			Table: d.followed,
 			Name:  platform.TableOperator,
 			Log:   d.log,
 			Wait:  owner.PromptWait,
--- a/scheduler/serve.go
+++ b/scheduler/serve.go
@@ -130,6 +130,7 @@
 		Held:        d.keeper.Held,
 		WriteAge:    d.keeper.WriteAge,
 		TurnedAway:  d.keeper.TurnedAway,
+		Pass:        d.feeds.Pass,
 	}
 	server.Routes(router)
 	d.serve("peers", listener, router)
--- a/site/settings.go
+++ b/site/settings.go
@@ -64,6 +64,9 @@
 	// MaxLease is the longest lease that a worker grants.
 	MaxLease time.Duration
 
+	// ConfigApply is how long after its acknowledgement a configuration must be in force.
+	ConfigApply time.Duration
+
 	// StopGrace is the time between the request to stop and the kill.
 	StopGrace time.Duration
 
