Instances go straight from one service's turn of demand to the next

At the end of a turn instances are closed and sent to sleep, and in the same rounds others are woken for the turn that begins: two moves in place of one.

Change: a service that lacks instances takes first those that are about to be sent to sleep, closed and empty; sleeping ones after that, and awake ones with work last.

--- a/pool/round.go
+++ b/pool/round.go
@@ -17,6 +17,13 @@
 	// away for about a second.
 	lastingCost = 10
 
+	// leavingCost, asleepCost and awakeCost are what instances cost a service that lacks
+	// some: one that is about to be sent to sleep, with nothing on it, one that sleeps, and,
+	// besides what runs there, one that is awake.
+	leavingCost = 0
+	asleepCost  = 1
+	awakeCost   = 2
+
 	// closedBonus is the weight of a worker that would have to be closed first;
 	// it is more than a few seconds of work.
 	closedBonus = 100
@@ -198,8 +205,10 @@
 	}
 }
 
-// grow gives services what they lack: sleeping instances first, then instances
-// of services that have too many.
+// grow gives services what they lack: empty instances of services that have too many, then
+// sleeping ones, then others of services that have too many. Load pattern: while one service's
+// turn of demand ends, that of the next one grows; each instance that goes straight from one to
+// the other is moved once and not twice, to sleep and back.
 func (r *round) grow() {
 	for i := range r.view.Services {
 		r.growLabelled(&r.view.Services[i])
@@ -245,12 +254,12 @@
 		if !r.movable(sp, to) || !sp.carries(label) {
 			continue
 		}
-		cost := 0
+		cost := asleepCost
 		if sp.pool != r.asleep {
 			if r.count[sp.pool] <= r.keeps(sp.pool, to) {
 				continue
 			}
-			cost = 1 + sp.cost()
+			cost = r.costOf(sp)
 		}
 		if best == nil || cost < bestCost {
 			best = sp
@@ -260,6 +269,14 @@
 	return best
 }
 
+// costOf returns what an awake instance costs that its service can spare.
+func (r *round) costOf(sp *spot) int {
+	if sp.empty() && r.count[sp.pool] > r.plan.Targets[sp.pool] {
+		return leavingCost
+	}
+	return awakeCost + sp.cost()
+}
+
 // keeps returns how many instances a service keeps when another lacks some. For what the
 // other needs now it gives up all that it does not need itself; for what the other only
 // wants, as room for work that is late, it gives up no more than it wants itself.
