What a move costs is an option of the operator

An idle instance is held for as long as the two moves cost that sending it to sleep and waking it would take: at most twice the best choice in hindsight, as a property. The time was a constant of 1.5 s; the default (750 ms a move) is the same.

--- a/cmd/lemonsched/main.go
+++ b/cmd/lemonsched/main.go
@@ -4,18 +4,21 @@
 
 import (
 	"context"
+	"errors"
+	"flag"
 	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
-
-	"lemonstream.dev/lemonstream/scheduler"
 )
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	if err := scheduler.Run(ctx); err != nil {
+	if err := newRunCmd().ParseAndRun(ctx, os.Args[1:]); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			os.Exit(2)
+		}
 		fmt.Fprintln(os.Stderr, "lemonsched:", err)
 		os.Exit(1)
 	}
--- a/owner/duty.go
+++ b/owner/duty.go
@@ -64,6 +64,9 @@
 	// Advice knows which workers may run the steps of some queues.
 	Advice outside.Advice
 
+	// MoveCost is what a move of an instance costs; see pool.Options.
+	MoveCost time.Duration
+
 	// Instances and Waves are what the duty for the instances works with.
 	Instances outside.Instances
 	Waves     WaveSource
--- a/owner/fleet.go
+++ b/owner/fleet.go
@@ -138,6 +138,15 @@
 	released chan struct{}
 }
 
+// sizing returns what pools are sized by.
+func (d Deps) sizing() pool.Options {
+	return pool.Options{
+		MoveTime:     d.Site.MoveTime,
+		MaintainTime: d.Site.MaintainTime,
+		MoveCost:     d.MoveCost,
+	}
+}
+
 // newFleet returns the duty of a holder that has won the instances. What any holder before
 // that may live has ordered is left alone for aloneFor, or for what is left by the word of
 // the holder just before, which may itself have waited for one.
@@ -145,7 +154,7 @@
 	f := &fleet{
 		deps:     deps,
 		tenure:   newTenure(deps, partInstances, won, now),
-		sizer:    pool.NewSizer(deps.Site.MoveTime, deps.Site.MaintainTime),
+		sizer:    pool.NewSizer(deps.sizing()),
 		waves:    make(map[int64]*waveState),
 		closed:   make(map[string][]string),
 		ended:    make(map[string]map[string]time.Time),
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -20,10 +20,14 @@
 	// still take what comes at once.
 	floorInstances = 3
 
-	// holdDemand is how long a high of the demand is kept before instances are
-	// sent to sleep: a move costs about as much as a second awake, and a turn
-	// of demand lasts several.
-	holdDemand = 1500 * time.Millisecond
+	// DefaultMoveCost is what a move costs where nobody says otherwise: about half of the
+	// time for which it takes an instance out of use.
+	DefaultMoveCost = 750 * time.Millisecond
+
+	// holdMoves is for how many moves' cost a high of the demand is kept: an instance that is
+	// sent to sleep and woken again is moved twice. What is held for as long as that costs is
+	// at most twice as dear as by the best choice in hindsight.
+	holdMoves = 2
 
 	// trendSpan is how far back the rise of the demand is measured at least: a turn shows
 	// within a few rounds of 200 ms, and a longer span averages it away.
@@ -131,11 +135,20 @@
 	Most map[string]int
 }
 
+// Options are the bounds that a sizer works under.
+type Options struct {
+	// MoveTime and MaintainTime are how long an instance is dark.
+	MoveTime     time.Duration
+	MaintainTime time.Duration
+
+	// MoveCost is what a move of an instance costs, in the time for which an idle one may be
+	// held awake for the same.
+	MoveCost time.Duration
+}
+
 // Sizer remembers the demand of each service and what was ordered lately.
 type Sizer struct {
-	// moveTime and maintainTime are how long an instance is dark.
-	moveTime     time.Duration
-	maintainTime time.Duration
+	opts Options
 
 	demand map[string][]sample
 
@@ -177,15 +190,14 @@
 }
 
 // NewSizer returns a sizer that remembers nothing yet.
-func NewSizer(moveTime, maintainTime time.Duration) *Sizer {
+func NewSizer(opts Options) *Sizer {
 	return &Sizer{
-		moveTime:     moveTime,
-		maintainTime: maintainTime,
-		demand:       make(map[string][]sample),
-		ordered:      make(map[string]order),
-		refused:      make(map[string]map[string]bool),
-		blocked:      make(map[string]time.Time),
-		notBefore:    make(map[string]time.Time),
+		opts:      opts,
+		demand:    make(map[string][]sample),
+		ordered:   make(map[string]order),
+		refused:   make(map[string]map[string]bool),
+		blocked:   make(map[string]time.Time),
+		notBefore: make(map[string]time.Time),
 	}
 }
 
@@ -264,9 +276,9 @@
 	for id, o := range s.ordered {
 		m, found := listed[id]
 		age := v.Now.Sub(o.at)
-		dark := s.moveTime
+		dark := s.opts.MoveTime
 		if o.wave > 0 {
-			dark = s.maintainTime
+			dark = s.opts.MaintainTime
 		}
 		// A sleeping instance has no worker by which its return could be told, and one that
 		// starts again under its id is told by the time alone.
@@ -299,7 +311,7 @@
 		instances: instances,
 		timely:    timely,
 	})
-	for len(list) > 0 && now.Sub(list[0].at) > holdDemand {
+	for len(list) > 0 && now.Sub(list[0].at) > holdMoves*s.opts.MoveCost {
 		list = list[1:]
 	}
 	s.demand[service.Name] = list
@@ -309,7 +321,7 @@
 	for _, one := range list {
 		high = max(high, one.instances)
 		if span := now.Sub(one.at); span >= trendSpan {
-			ahead := float64(s.moveTime+readyTime) / float64(span)
+			ahead := float64(s.opts.MoveTime+readyTime) / float64(span)
 			rise = max(0, instances-one.instances) * ahead
 			timelyRise = max(0, timely-one.timely) * ahead
 		}
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -20,6 +20,15 @@
 	MemoryMB: 32_000,
 }
 
+// sizing returns the bounds of a sizer whose moves take a time.
+func sizing(move time.Duration) pool.Options {
+	return pool.Options{
+		MoveTime:     move,
+		MaintainTime: 2 * time.Second,
+		MoveCost:     pool.DefaultMoveCost,
+	}
+}
+
 // fleet is a view under construction.
 type fleet struct {
 	view  pool.View
@@ -28,7 +37,7 @@
 
 func newFleet(counts map[string]int) *fleet {
 	f := &fleet{
-		sizer: pool.NewSizer(1500*time.Millisecond, 2*time.Second),
+		sizer: pool.NewSizer(sizing(1500 * time.Millisecond)),
 	}
 	f.view.Now = time.UnixMilli(1_000_000)
 	for _, name := range []string{"a", "b", asleep} {
@@ -423,7 +432,7 @@
 			"b":    3,
 			asleep: 90,
 		})
-		f.sizer = pool.NewSizer(move, 2*time.Second)
+		f.sizer = pool.NewSizer(sizing(move))
 		target := 0
 		for step := range 4 {
 			// 40 cores more in each round of 200 ms: 200 cores a second.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -68,6 +68,7 @@
 // Daemon is one running entry.
 type Daemon struct {
 	settings site.Settings
+	options  Options
 	clock    clock.Clock
 	group    *kernel.Group
 	log      *slog.Logger
@@ -102,7 +103,10 @@
 }
 
 // Run runs an entry until ctx ends and everything has stopped in order.
-func Run(ctx context.Context) error {
+func Run(ctx context.Context, options Options) error {
+	if err := options.Check(); err != nil {
+		return err
+	}
 	book := logbook.New(os.Stdout, shard.LastingField)
 	log := book.Logger(slog.LevelInfo)
 	path := platform.SettingsPath()
@@ -120,7 +124,7 @@
 	writer.Go("log", book.Run)
 	writer.Go("lines left out", func(ctx context.Context) error { return reportLeftOut(ctx, book.Dropped, log) })
 	defer writer.Stop()
-	d, err := newDaemon(ctx, log, settings)
+	d, err := newDaemon(ctx, log, settings, options)
 	if err != nil {
 		return err
 	}
@@ -128,7 +132,7 @@
 	return d.run(ctx)
 }
 
-func newDaemon(ctx context.Context, log *slog.Logger, settings site.Settings) (*Daemon, error) {
+func newDaemon(ctx context.Context, log *slog.Logger, settings site.Settings, options Options) (*Daemon, error) {
 	gin.SetMode(gin.ReleaseMode)
 	set := figures.New()
 	now := clock.SystemNoticing(func(gap time.Duration) {
@@ -137,6 +141,7 @@
 	})
 	d := &Daemon{
 		settings: settings,
+		options:  options,
 		clock:    now,
 		group:    kernel.NewGroup(context.WithoutCancel(ctx), log),
 		log:      log,
@@ -208,6 +213,7 @@
 			Evacuated: d.evacuations.Has,
 		},
 		Listed:    d.roster.Read,
+		MoveCost:  d.options.MoveCost,
 		Advice:    platform.NewAdvice(d.settings.Advice, d.figures.Link),
 		Instances: platform.NewInstances(d.settings.Instances, d.figures.Link),
 		Waves: owner.WaveSource{
--- a/shard/holder_world_test.go
+++ b/shard/holder_world_test.go
@@ -71,12 +71,19 @@
 	epoch int64
 }
 
+// testSizing is what holders size pools by.
+var testSizing = pool.Options{
+	MoveTime:     testMove,
+	MaintainTime: testMaintain,
+	MoveCost:     pool.DefaultMoveCost,
+}
+
 // newHolder returns a holder of an instance for each worker of the world, and of others that
 // are asleep.
 func newHolder(w *world, sleeping int) *holder {
 	h := &holder{
 		w:     w,
-		sizer: pool.NewSizer(testMove, testMaintain),
+		sizer: pool.NewSizer(testSizing),
 		ended: make(map[string]time.Time),
 	}
 	for _, id := range w.names() {
--- a/shard/vacancy_test.go
+++ b/shard/vacancy_test.go
@@ -135,7 +135,7 @@
 		Seen: w.now,
 		Done: make(map[string]bool),
 	}
-	plan := pool.NewSizer(testMove, testMaintain).Plan(pool.View{
+	plan := pool.NewSizer(testSizing).Plan(pool.View{
 		Now:   w.now,
 		Waves: []*pool.Wave{wave},
 		Instances: []outside.Instance{{
