A gang above its organisation's whole limit is turned away when it is handed in

It was taken in and waited for good, since its tasks only start together. The test fails before the change. The caller hears that the job was not taken; the reason is in the log of the owner.

--- a/shard/admit.go
+++ b/shard/admit.go
@@ -44,7 +44,13 @@
 
 // admit decides whether a job that is handed in is taken.
 func (s *Shard) admit(record Record, now time.Time) backlog.Verdict {
-	if record.Spec.Repeats > 0 || s.most <= 0 || s.standbyUnread || len(s.refused)+len(s.refusing) >= refusedMost {
+	mayRefuse := !s.standbyUnread && len(s.refused)+len(s.refusing) < refusedMost
+	if mayRefuse && s.exceedsQuota(record) {
+		return backlog.Verdict{
+			ComeBack: backlog.ComeBackMost,
+		}
+	}
+	if record.Spec.Repeats > 0 || s.most <= 0 || !mayRefuse {
 		return backlog.Verdict{
 			Take: true,
 		}
--- a/shard/quota.go
+++ b/shard/quota.go
@@ -158,6 +158,25 @@
 	return false
 }
 
+// exceedsQuota reports whether a job has a gang that is larger than the whole limit of its
+// organisation: its tasks only start together, and so never would. Other tasks start one at a
+// time.
+func (s *Shard) exceedsQuota(record Record) bool {
+	q, bounded := s.quotaOf(record.Organisation)
+	if !bounded {
+		return false
+	}
+	for i := range record.Spec.Steps {
+		step := &record.Spec.Steps[i]
+		if step.Gang && quota.ShareOf(times(step.Need, step.Count), q.Limit) > quota.Whole {
+			s.opts.Report("gang exceeds its organisation's limit", "job", record.ID, "organisation", record.Organisation,
+				"step", i, "tasks", step.Count, "limit_cpu", q.Limit.MilliCPU)
+			return true
+		}
+	}
+	return false
+}
+
 // waitForQuota notes that tasks of a step wait for the quota of their organisation.
 func (s *Shard) waitForQuota(j *jobState, spec *job.Step, count int) {
 	u := s.usageOf(j.record.Organisation)
--- a/shard/quota_test.go
+++ b/shard/quota_test.go
@@ -189,3 +189,27 @@
 	is.True(taken)
 	w.check(t)
 }
+
+// A gang that is larger than the whole limit of its organisation was taken in, and waited for
+// good: its tasks only start together.
+func TestGangAboveTheWholeLimitIsTurnedAway(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(4)
+	w.quota = newQuota()
+	w.quota.share = quota.Whole
+	w.run(200 * time.Millisecond)
+	gang := step(2*quotaTasks + 1)
+	gang.Gang = true
+	w.handIn("large", gang)
+	fitting := step(2 * quotaTasks)
+	fitting.Gang = true
+	w.handIn("fitting", fitting)
+	w.handIn("wide", step(2*quotaTasks+1)) // Its tasks start as others end.
+	w.run(8 * time.Second)
+	is.Equal(w.taken["large"], false)
+	_, turnedAway := w.refused["large"]
+	is.True(turnedAway)
+	is.Equal(w.shown["fitting"], job.Completed)
+	is.Equal(w.shown["wide"], job.Completed)
+	w.check(t)
+}
