--- /dev/null
+++ b/owner/tell.go
@@ -0,0 +1,79 @@
+package owner
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// Duty returns the duty of a service that this entry owns and has loaded.
+func (k *Keeper) Duty(service string) (*Duty, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	h, found := k.held[service]
+	return h.duty, found && h.duty != nil && h.duty.ready.Load()
+}
+
+// Owner returns where the owner of a service answers; false where none is known.
+func (k *Keeper) Owner(service string) (netip.AddrPort, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	o, found := k.owners[service]
+	if !found || o.Released {
+		return netip.AddrPort{}, false
+	}
+	address, err := netip.ParseAddrPort(o.Peer)
+	return address, err == nil
+}
+
+// Owners returns where the other entries answer that own something. It reports whether this
+// entry owns something itself.
+func (k *Keeper) Owners() ([]netip.AddrPort, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var list []netip.AddrPort
+	for _, o := range k.owners {
+		address, err := netip.ParseAddrPort(o.Peer)
+		if err != nil || o.Released || o.Owner == k.self.Incarnation || slices.Contains(list, address) {
+			continue
+		}
+		list = append(list, address)
+	}
+	return list, len(k.held) > 0
+}
+
+// InstancesOwner returns where the owner of the instances answers; false where it is this
+// entry, or none is known.
+func (k *Keeper) InstancesOwner() (netip.AddrPort, bool) {
+	k.mu.Lock()
+	_, mine := k.held[partInstances]
+	k.mu.Unlock()
+	if mine {
+		return netip.AddrPort{}, false
+	}
+	return k.Owner(partInstances)
+}
+
+// WriteAge returns how long ago the duty of a service last wrote; false where
+// this entry does not own it.
+func (k *Keeper) WriteAge(service string) (time.Duration, bool) {
+	k.mu.Lock()
+	h, found := k.held[service]
+	k.mu.Unlock()
+	if !found {
+		return 0, false
+	}
+	return h.tenure.age(), true
+}
+
+// TurnedAway returns for how long the store has turned away the duty of a service; 0 where
+// it does not, or this entry does not own it.
+func (k *Keeper) TurnedAway(service string) time.Duration {
+	k.mu.Lock()
+	h, found := k.held[service]
+	k.mu.Unlock()
+	if !found {
+		return 0
+	}
+	return h.tenure.away()
+}
