Instances are ordered at the rate that the platform takes

Cause: a round of the instances' owner takes 0.4 to 0.75 s on 6,000 instances, most of it for their list, and each gave what the platform takes in 0.2 s: 210 orders a second of 590. The pools that start with 5,040 awake instances were still shrinking 8 s into the traffic (pool sized, closed=371 at 7.96 s).

Change: orders by the time since the last ones, of a second at the most, and no more than half of a row of the beat can name. The tests fail before the change.

--- a/owner/fleet.go
+++ b/owner/fleet.go
@@ -42,6 +42,14 @@
 	// so that an owner that was frozen gives none when it wakes.
 	orderFresh = time.Second
 
+	// orderSpan is the span of which the platform counts the orders.
+	orderSpan = time.Second
+
+	// orderedShare is the part of a row that the instances which were ordered lately may take
+	// in the beat, each orderedBytes: its name, and what encodes it.
+	orderedShare = 0.5
+	orderedBytes = 16
+
 	// aliveFor is how long after a claim a holder before that may live may still
 	// give an order: it gave its last one at most orderFresh after its last write,
 	// and was seen not to write for silentWrites.
@@ -125,6 +133,9 @@
 	// successor.
 	recent map[string]time.Time
 
+	// orderedAt is when the last orders were given.
+	orderedAt time.Time
+
 	// quietUntil is until when no order is given, because the holder before may
 	// have given one just now.
 	quietUntil time.Time
@@ -162,6 +173,8 @@
 		recent:   make(map[string]time.Time),
 		stop:     make(chan struct{}),
 		released: make(chan struct{}),
+
+		orderedAt: now,
 	}
 	f.inheritTaken(won.before.Taken, now)
 	f.quietUntil = now.Add(endedPause)
--- a/owner/fleet_test.go
+++ b/owner/fleet_test.go
@@ -169,3 +169,58 @@
 		is.True(!f.moved["b"][instance])
 	}
 }
+
+// Orders were bounded by what the platform takes in the shortest pause between two rounds. On a
+// fleet of thousands a round takes several times that, most of it for the list of instances, and
+// pools that had to shrink by thousands of instances did so at a third of the rate.
+func TestOrdersFollowTheTimeThatARoundTakes(t *testing.T) {
+	f := &fleetOfIdle{
+		moved: make(map[string]map[string]bool),
+	}
+	var mu sync.Mutex
+	inRound, most := 0, 0
+	newEntryWith(t, "a", standin.NewRows().Table(), alive("a"), func(deps owner.Deps, name string) owner.Deps {
+		deps = f.deps(deps, name)
+		list := deps.Instances.List
+		deps.Instances.List = func(ctx context.Context) ([]outside.Instance, error) {
+			mu.Lock()
+			inRound = 0
+			mu.Unlock()
+			time.Sleep(900 * time.Millisecond)
+			return list(ctx)
+		}
+		move := deps.Instances.Move
+		deps.Instances.Move = func(ctx context.Context, instance, to, holder string, fence int64) error {
+			mu.Lock()
+			inRound++
+			most = max(most, inRound)
+			mu.Unlock()
+			return move(ctx, instance, to, holder, fence)
+		}
+		return deps
+	})
+	// The platform takes five a second, one of them in the shortest round.
+	until(t, "a long round gives several orders", func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return most >= fleetOrder-1
+	})
+}
+
+// TestOrdersFitIntoTheBeat bounds how many instances are ordered before their row would be too
+// large for the store.
+func TestOrdersFitIntoTheBeat(t *testing.T) {
+	is := is.New(t)
+	f := &fleetOfIdle{
+		moved: make(map[string]map[string]bool),
+	}
+	newEntryWith(t, "a", standin.NewRows().Table(), alive("a"), func(deps owner.Deps, name string) owner.Deps {
+		deps = f.deps(deps, name)
+		deps.Site.RowBytes = 320
+		deps.Site.InstanceCalls = 100
+		return deps
+	})
+	until(t, "the holder gives orders", func() bool { return f.count("a") >= 10 })
+	time.Sleep(time.Second)
+	is.Equal(f.count("a"), 10) // Half of a row, and its pause is an hour here.
+}
--- a/owner/orders.go
+++ b/owner/orders.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"sort"
 	"sync"
@@ -16,11 +17,6 @@
 // leaves just these alone.
 func (f *fleet) announce(ctx context.Context, instances []string) error {
 	now := f.deps.Clock.Now()
-	for instance, at := range f.recent {
-		if now.Sub(at) > f.deps.Site.HolderPause+orderFresh {
-			delete(f.recent, instance)
-		}
-	}
 	for _, instance := range instances {
 		f.recent[instance] = now
 	}
@@ -48,11 +44,11 @@
 // order gives the orders of a plan, all at once, and takes in their answers.
 func (f *fleet) order(ctx context.Context, plan pool.Plan) error {
 	orders := ordersOf(plan)
-	limit := max(1, int(f.deps.Site.InstanceCalls*fleetPause.Seconds()))
-	orders = orders[:min(len(orders), limit)]
+	orders = orders[:min(len(orders), f.ordersMost())]
 	if len(orders) == 0 {
 		return nil
 	}
+	f.orderedAt = f.deps.Clock.Now()
 	announced := make([]string, 0, len(orders))
 	f.given = nil
 	for _, o := range orders {
@@ -86,6 +82,20 @@
 	return nil
 }
 
+// ordersMost returns how many orders may be given now: what the platform takes in the time since
+// the last ones, of a second at the most, as far as the row of the beat can name them. A round
+// takes longer the larger the fleet is.
+func (f *fleet) ordersMost() int {
+	now := f.deps.Clock.Now()
+	maps.DeleteFunc(f.recent, func(_ string, at time.Time) bool { return now.Sub(at) > f.deps.Site.HolderPause+orderFresh })
+	since := min(orderSpan, max(fleetPause, now.Sub(f.orderedAt)))
+	most := max(1, int(f.deps.Site.InstanceCalls*since.Seconds()))
+	if f.deps.Site.RowBytes <= 0 {
+		return most
+	}
+	return max(0, min(most, int(orderedShare*float64(f.deps.Site.RowBytes))/orderedBytes-len(f.recent)))
+}
+
 // ordersOf returns the orders of a plan.
 func ordersOf(plan pool.Plan) []instanceOrder {
 	orders := make([]instanceOrder, 0, len(plan.Moves)+len(plan.Maintenances))
