--- a/feed/reader.go
+++ b/feed/reader.go
@@ -13,7 +13,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"lemonstream.dev/lemonstream/clock"
-	"lemonstream.dev/lemonstream/link"
 	"lemonstream.dev/lemonstream/outside"
 )
 
@@ -33,9 +32,6 @@
 	// askedFor is for how long after a question an entry counts as a source.
 	askedFor = 5 * time.Second
 
-	// rowBytes is what a row takes beside its value, about.
-	rowBytes = 50
-
 	// holdMost bounds how long a question for changes is held.
 	holdMost = 2 * time.Second
 )
@@ -71,7 +67,7 @@
 
 	// Ask asks a source for the changes after a version; it holds the question for the given
 	// time at the most. A *outside.HistoryGoneError says that the source is up to date and
-	// does not know changes that old.
+	// does not know changes that old, a *BusyError that it has no room to tell them.
 	Ask func(ctx context.Context, to netip.AddrPort, table string, after int64, wait time.Duration) (Passed, error)
 
 	// Heard is called when a source has told what the store confirmed a moment ago.
@@ -81,9 +77,6 @@
 	// of the rest is not passed on. Tables without it pass on every change.
 	Essence map[string]func(value []byte) []byte
 
-	// Budget bounds the bytes of changes that this entry passes on; nil bounds nothing.
-	Budget *link.Budget
-
 	// Wait is how long a source may hold a question. Fresh bounds how long before its answer
 	// arrived the store must have confirmed it; Lag holds what is added for tables that may
 	// be older.
@@ -176,7 +169,7 @@
 }
 
 // Pass answers another entry: it waits for changes after a version, at most for wait. Its errors
-// are *StaleError, *BusyError and *outside.HistoryGoneError.
+// are *StaleError and *outside.HistoryGoneError.
 func (r *Reader) Pass(ctx context.Context, table string, after int64, wait time.Duration) (Passed, error) {
 	began := r.Clock.Now()
 	r.noteAsked(table, began)
@@ -216,12 +209,6 @@
 		}
 	}
 	now := r.Clock.Now()
-	if size := sizeOf(change); size > 0 && !r.Budget.Take(size, now) {
-		return Passed{}, &BusyError{
-			Table: table,
-			Bytes: size,
-		}
-	}
 	return Passed{
 		Rows:    change.Rows,
 		Version: change.Version,
@@ -377,12 +364,3 @@
 	}
 	return answered
 }
-
-// sizeOf returns the bytes of changed rows; 0 where there are none.
-func sizeOf(change outside.Change) int {
-	size := 0
-	for _, row := range change.Rows {
-		size += rowBytes + len(row.Value)
-	}
-	return size
-}
--- a/peer/changes.go
+++ b/peer/changes.go
@@ -29,6 +29,9 @@
 	Value   []byte `cbor:"3,keyasint,omitempty"`
 	Version int64  `cbor:"4,keyasint"`
 	Gone    bool   `cbor:"5,keyasint,omitempty"`
+
+	// Packed is the value where it is large, compressed by DEFLATE (RFC 1951).
+	Packed []byte `cbor:"6,keyasint,omitempty"`
 }
 
 // changesAnswer is what an entry passes on of a table.
@@ -72,7 +75,7 @@
 	if err := cbor.Unmarshal(body, &answer); err != nil {
 		return feed.Passed{}, fmt.Errorf("changes of %s from %s: %w", table, to, err)
 	}
-	return answer.passed(table), nil
+	return answer.passed(table)
 }
 
 // changes answers a question for the changes of a table.
@@ -89,61 +92,78 @@
 	}
 	passed, err := s.Pass(c.Request.Context(), c.Query("table"), after, time.Duration(wait)*time.Millisecond)
 	var gone *outside.HistoryGoneError
-	var busy *feed.BusyError
-	switch {
-	case errors.As(err, &gone):
+	if errors.As(err, &gone) {
 		c.Status(http.StatusGone)
 		return
-	case errors.As(err, &busy):
-		c.Status(http.StatusTooManyRequests)
-		return
-	case err != nil:
+	}
+	if err != nil {
 		c.String(http.StatusServiceUnavailable, err.Error())
 		return
 	}
-	body, err := cbor.Marshal(changesOf(passed))
+	body, err := s.encodeChanges(passed)
 	if err != nil {
 		c.String(http.StatusInternalServerError, err.Error())
 		return
 	}
+	if len(passed.Rows) > 0 && !s.PassBudget.Take(len(body), time.Now()) {
+		c.Status(http.StatusTooManyRequests)
+		return
+	}
 	c.Data(http.StatusOK, "application/cbor", body)
 }
 
-func changesOf(passed feed.Passed) changesAnswer {
+// encodeChanges returns the body of an answer.
+func (s *Server) encodeChanges(passed feed.Passed) ([]byte, error) {
 	answer := changesAnswer{
 		Version:    passed.Version,
 		AgeMicros:  passed.Age.Microseconds(),
 		HeldMicros: passed.Held.Microseconds(),
 	}
 	for _, row := range passed.Rows {
-		answer.Rows = append(answer.Rows, changedRow{
+		changed := changedRow{
 			Part:    row.Key.Part,
 			Name:    row.Key.Name,
 			Value:   row.Value,
 			Version: row.Version,
 			Gone:    row.Gone,
-		})
+		}
+		if len(row.Value) >= packFrom {
+			packed, err := s.packed.of(row)
+			if err != nil {
+				return nil, err
+			}
+			changed.Value = nil
+			changed.Packed = packed
+		}
+		answer.Rows = append(answer.Rows, changed)
 	}
-	return answer
+	return cbor.Marshal(answer)
 }
 
-func (a changesAnswer) passed(table string) feed.Passed {
+func (a changesAnswer) passed(table string) (feed.Passed, error) {
 	passed := feed.Passed{
 		Version: a.Version,
 		Age:     time.Duration(a.AgeMicros) * time.Microsecond,
 		Held:    time.Duration(a.HeldMicros) * time.Microsecond,
 	}
 	for _, row := range a.Rows {
+		value := row.Value
+		if len(row.Packed) > 0 {
+			var err error
+			if value, err = unpack(row.Packed); err != nil {
+				return feed.Passed{}, fmt.Errorf("row %s of %s: %w", row.Name, table, err)
+			}
+		}
 		passed.Rows = append(passed.Rows, outside.Row{
 			Key: outside.Key{
 				Table: table,
 				Part:  row.Part,
 				Name:  row.Name,
 			},
-			Value:   row.Value,
+			Value:   value,
 			Version: row.Version,
 			Gone:    row.Gone,
 		})
 	}
-	return passed
+	return passed, nil
 }
--- a/peer/changes_test.go
+++ b/peer/changes_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http/httptest"
 	"net/netip"
 	"testing"
@@ -12,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"lemonstream.dev/lemonstream/feed"
+	"lemonstream.dev/lemonstream/link"
 	"lemonstream.dev/lemonstream/outside"
 	"lemonstream.dev/lemonstream/peer"
 )
@@ -77,13 +79,48 @@
 		is.True(errors.As(ask(t, &outside.HistoryGoneError{}), &gone))
 		is.Equal(gone.After, int64(16))
 	})
-	t.Run("no room on the link", func(t *testing.T) {
-		is := is.New(t)
-		var busy *feed.BusyError
-		is.True(errors.As(ask(t, &feed.BusyError{}), &busy))
-	})
 	t.Run("not followed", func(t *testing.T) {
 		is := is.New(t)
 		is.True(ask(t, &feed.StaleError{}) != nil)
 	})
 }
+
+// TestLargeChangeIsLeftToTheStoreWhereTheLinkIsShort covers a configuration that every entry asks
+// an owner for at the moment in which it changes, over a link that has other work to carry.
+func TestLargeChangeIsLeftToTheStoreWhereTheLinkIsShort(t *testing.T) {
+	is := is.New(t)
+	value := make([]byte, 1_000_000)
+	draw := rand.New(rand.NewPCG(1, 2))
+	for i := range value {
+		value[i] = "0123456789abcdef"[draw.IntN(16)] // About a half of it once compressed.
+	}
+	gin.SetMode(gin.TestMode)
+	router := gin.New()
+	server := &peer.Server{
+		Pass: func(context.Context, string, int64, time.Duration) (feed.Passed, error) {
+			return feed.Passed{
+				Rows: []outside.Row{{
+					Key: outside.Key{
+						Table: "op",
+						Name:  "config",
+					},
+					Value:   value,
+					Version: 17,
+				}},
+				Version: 17,
+			}, nil
+		},
+		PassBudget: link.FeedBudget(2_000_000),
+	}
+	server.Routes(router)
+	listening := httptest.NewServer(router)
+	t.Cleanup(listening.Close)
+	to := netip.MustParseAddrPort(listening.Listener.Addr().String())
+	client := peer.NewClient(func(string, int, int) {})
+	got, err := client.Changes(context.Background(), to, "op", 16, 0)
+	is.NoErr(err)
+	is.Equal(got.Rows[0].Value, value)
+	var busy *feed.BusyError
+	_, err = client.Changes(context.Background(), to, "op", 16, 0)
+	is.True(errors.As(err, &busy)) // Another one would have to wait for many seconds.
+}
--- a/peer/server.go
+++ b/peer/server.go
@@ -10,6 +10,7 @@
 	"github.com/gin-gonic/gin"
 
 	"lemonstream.dev/lemonstream/feed"
+	"lemonstream.dev/lemonstream/link"
 	"lemonstream.dev/lemonstream/owner"
 	"lemonstream.dev/lemonstream/shard"
 )
@@ -31,6 +32,12 @@
 	// Pass returns what this entry passes on of a table's changes; see feed.Reader.
 	Pass func(ctx context.Context, table string, after int64, wait time.Duration) (feed.Passed, error)
 
+	// PassBudget bounds the bytes of the changes that are passed on; nil bounds nothing.
+	PassBudget *link.Budget
+
+	// packed holds large values of rows that were passed on.
+	packed packed
+
 	// TurnedAway returns for how long the store has turned away all of that duty's writes.
 	TurnedAway func(service string) time.Duration
 }
--- a/scheduler/feeds.go
+++ b/scheduler/feeds.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"lemonstream.dev/lemonstream/feed"
-	"lemonstream.dev/lemonstream/link"
 	"lemonstream.dev/lemonstream/owner"
 	"lemonstream.dev/lemonstream/peer"
 	"lemonstream.dev/lemonstream/platform"
@@ -38,8 +37,6 @@
 		Essence: map[string]func([]byte) []byte{
 			platform.TableWorkers: platform.EssenceOfRegistration,
 		},
-		Budget: link.FeedBudget(d.settings.LinkBits),
-
 		Wait:  min(owner.PromptWait, part(d.settings.ConfigApply, feedWaitShare)),
 		Fresh: owner.PromptWait + feedSlack,
 		Lag: map[string]time.Duration{
--- a/scheduler/serve.go
+++ b/scheduler/serve.go
@@ -13,6 +13,7 @@
 
 	"lemonstream.dev/lemonstream/conns"
 	"lemonstream.dev/lemonstream/intake"
+	"lemonstream.dev/lemonstream/link"
 	"lemonstream.dev/lemonstream/outside"
 	"lemonstream.dev/lemonstream/owner"
 	"lemonstream.dev/lemonstream/peer"
@@ -131,6 +132,7 @@
 		WriteAge:    d.keeper.WriteAge,
 		TurnedAway:  d.keeper.TurnedAway,
 		Pass:        d.feeds.Pass,
+		PassBudget:  link.FeedBudget(d.settings.LinkBits),
 	}
 	server.Routes(router)
 	d.serve("peers", listener, router)
