What an entry keeps for others is bounded in bytes, and only new word counts for readiness

Found by reading: 4,096 changes of a configuration of 300 kB would not fit into an entry of 160 MB, and a list of entries that is 20 s old counted as word from the store.

--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -252,6 +252,34 @@
 	is.Equal(len(change.Rows), 1_000)
 }
 
+// TestLargeChangesAreForgottenSooner covers a configuration of some hundred kilobytes that changes
+// again and again, on entries with little memory.
+func TestLargeChangesAreForgottenSooner(t *testing.T) {
+	is := is.New(t)
+	log := feed.NewLog(clock.System(), nil)
+	add := func(version int64, size int) {
+		log.Add(version-1, outside.Change{
+			Rows: []outside.Row{{
+				Value:   make([]byte, size),
+				Version: version,
+			}},
+			Version: version,
+		}, time.Now())
+	}
+	for version := int64(1); version <= 100; version++ {
+		add(version, 300_000)
+	}
+	_, _, known, _ := log.After(90)
+	is.Equal(known, false)
+	change, _, known, _ := log.After(95)
+	is.True(known)
+	is.Equal(len(change.Rows), 5)
+	add(101, 5_000_000)
+	change, _, known, _ = log.After(100)
+	is.True(known) // The newest one is kept, whatever its size.
+	is.Equal(len(change.Rows), 1)
+}
+
 // TestTimeOfConfirmation covers what a read that was held tells of the store.
 func TestTimeOfConfirmation(t *testing.T) {
 	is := is.New(t)
--- a/feed/log.go
+++ b/feed/log.go
@@ -19,9 +19,12 @@
 	"lemonstream.dev/lemonstream/outside"
 )
 
-// logMost bounds the changes of a table that are kept. Whoever is further behind reads the
-// store.
-const logMost = 4096
+const (
+	// logMost bounds the changes of a table that are kept, and logBytesMost their values, but
+	// for the newest one. Whoever is further behind reads the store.
+	logMost      = 4096
+	logBytesMost = 2 << 20
+)
 
 // Log holds the latest changes of a table, as read from the store.
 type Log struct {
@@ -42,6 +45,9 @@
 	floor   int64
 	version int64
 
+	// bytes is the size of the rows' values.
+	bytes int
+
 	// confirmed is when the store had nothing after version; zero before the first read.
 	confirmed time.Time
 
@@ -95,6 +101,7 @@
 	if after > l.version || l.confirmed.IsZero() {
 		// What came in between is not known.
 		l.rows = nil
+		l.bytes = 0
 		clear(l.essences)
 		l.floor = after
 		l.version = after
@@ -106,6 +113,7 @@
 	for _, row := range change.Rows {
 		if row.Version > l.version && l.isNews(row) {
 			l.rows = append(l.rows, row)
+			l.bytes += len(row.Value)
 		}
 	}
 	l.version = change.Version
@@ -115,12 +123,22 @@
 	if len(l.rows) == before {
 		return
 	}
-	if over := len(l.rows) - logMost; over > 0 {
+	l.trim()
+	close(l.news)
+	l.news = make(chan struct{})
+}
+
+// trim forgets the oldest changes where too much is kept.
+func (l *Log) trim() {
+	over := 0
+	for over < len(l.rows)-1 && (len(l.rows)-over > logMost || l.bytes > logBytesMost) {
+		l.bytes -= len(l.rows[over].Value)
+		over++
+	}
+	if over > 0 {
 		l.floor = l.rows[over-1].Version
 		l.rows = append([]outside.Row(nil), l.rows[over:]...)
 	}
-	close(l.news)
-	l.news = make(chan struct{})
 }
 
 // isNews reports whether a row says something that matters and is not known.
--- a/feed/reader.go
+++ b/feed/reader.go
@@ -228,14 +228,13 @@
 		// These changes are read from the store once.
 		return outside.Change{}, err
 	}
-	if err == nil {
-		// Whatever the answer did not spend being held, it was on its way or waited for a
-		// processor, and the store may have changed meanwhile.
-		if age := passed.Age + now.Sub(began) - passed.Held; age > r.freshFor(table) {
-			err = &StaleError{
-				Table: table,
-				Age:   age,
-			}
+	// Whatever the answer did not spend being held, it was on its way or waited for a
+	// processor, and the store may have changed meanwhile.
+	age := passed.Age + now.Sub(began) - passed.Held
+	if err == nil && age > r.freshFor(table) {
+		err = &StaleError{
+			Table: table,
+			Age:   age,
 		}
 	}
 	if err != nil {
@@ -245,7 +244,9 @@
 		}
 		return outside.Change{}, err
 	}
-	r.Heard()
+	if age <= r.Fresh {
+		r.Heard()
+	}
 	return outside.Change{
 		Rows:    passed.Rows,
 		Version: max(after, passed.Version),
@@ -294,8 +295,8 @@
 	r.asked[table] = now
 }
 
-// audit reads the store although a source tells of all changes, and avoids one that has left
-// some out.
+// audit reads the store although a source tells of all changes, and logs what it has not told
+// yet.
 func (r *Reader) audit(ctx context.Context, source netip.AddrPort, table string, after int64) (outside.Change, error) {
 	r.Count(countReads, outcomeAudit)
 	change, err := r.Table.Feed(ctx, table, after, 0)
