Plans of pools grow with the instances and not with their square

Cause: for each instance that is moved, the plan looked through all of them for the one that is missed least, and for each instance through the list of a wave.

The tests of plans and of the shard's worlds pass as they are.

--- a/pool/labels.go
+++ b/pool/labels.go
@@ -11,8 +11,9 @@
 		return
 	}
 	for _, label := range r.labels(service) {
+		offer := r.offerTo(service.Name, label)
 		for r.labelled(service.Name, label) < r.wanted(service, label) {
-			sp := r.spare(service.Name, label)
+			sp := offer.next()
 			if sp == nil {
 				break
 			}
@@ -31,8 +32,21 @@
 	return list
 }
 
+// poolLabel is a label in a pool.
+type poolLabel struct {
+	pool  string
+	label string
+}
+
 // labelled counts the instances of a pool that carry a label.
 func (r *round) labelled(pool, label string) int {
+	key := poolLabel{
+		pool:  pool,
+		label: label,
+	}
+	if count, counted := r.labelCounts[key]; counted {
+		return count
+	}
 	count := 0
 	for _, sp := range r.spots {
 		leaving := sp.closed && sp.to == ""
@@ -40,6 +54,10 @@
 			count++
 		}
 	}
+	if r.labelCounts == nil {
+		r.labelCounts = make(map[poolLabel]int)
+	}
+	r.labelCounts[key] = count
 	return count
 }
 
@@ -80,7 +98,7 @@
 	}
 	for label := range service.Load.Labelled {
 		scarce := sp.carries(label) && r.labelled(sp.pool, label) <= r.wanted(service, label)
-		if scarce && r.spare(sp.pool, label) == nil {
+		if scarce && r.offerTo(sp.pool, label).next() == nil {
 			return true
 		}
 	}
--- a/pool/maintain.go
+++ b/pool/maintain.go
@@ -18,8 +18,9 @@
 	down := 0
 	var left []*spot
 	closing := make(map[string]int)
+	members := wave.members()
 	for _, sp := range r.spots {
-		if !wave.holds(sp.instance.ID) {
+		if !members[sp.instance.ID] {
 			continue
 		}
 		o, ordered := r.sizer.ordered[sp.instance.ID]
@@ -44,6 +45,7 @@
 			continue
 		}
 		sp.closed = true
+		r.labelCounts = nil
 		if awake {
 			closing[sp.pool]++
 			// Another instance takes its place meanwhile, so that what runs there
@@ -86,21 +88,21 @@
 	return 1 + sp.cost()
 }
 
-// holds reports whether an instance belongs to the wave.
-func (w *Wave) holds(instance string) bool {
+// members returns the instances of the wave.
+func (w *Wave) members() map[string]bool {
+	members := make(map[string]bool, len(w.Instances))
 	for _, id := range w.Instances {
-		if id == instance {
-			return true
-		}
+		members[id] = true
 	}
-	return false
+	return members
 }
 
 // Complete reports whether every instance of the wave that is still there has
 // begun its maintenance.
 func (w *Wave) Complete(instances []outside.Instance) bool {
+	members := w.members()
 	for _, m := range instances {
-		if w.holds(m.ID) && !w.Done[m.ID] {
+		if members[m.ID] && !w.Done[m.ID] {
 			return false
 		}
 	}
--- a/pool/round.go
+++ b/pool/round.go
@@ -17,13 +17,6 @@
 	// away for about a second.
 	lastingCost = 10
 
-	// leavingCost, asleepCost and awakeCost are what instances cost a service that lacks
-	// some: one that is about to be sent to sleep, with nothing on it, one that sleeps, and,
-	// besides what runs there, one that is awake.
-	leavingCost = 0
-	asleepCost  = 1
-	awakeCost   = 2
-
 	// closedBonus is the weight of a worker that would have to be closed first;
 	// it is more than a few seconds of work.
 	closedBonus = 100
@@ -71,6 +64,9 @@
 	// all that some pool may use.
 	count     map[string]int
 	available int
+
+	// labelCounts holds what labelled has counted since the last change.
+	labelCounts map[poolLabel]int
 }
 
 func newRound(s *Sizer, v View) *round {
@@ -214,8 +210,9 @@
 		r.growLabelled(&r.view.Services[i])
 	}
 	for _, name := range r.byLack() {
+		offer := r.offerTo(name, "")
 		for r.count[name] < r.plan.Targets[name] {
-			sp := r.spare(name, "")
+			sp := offer.next()
 			if sp == nil {
 				break
 			}
@@ -245,38 +242,6 @@
 	return names
 }
 
-// spare returns the instance that is missed least elsewhere; it carries the label
-// unless that is empty.
-func (r *round) spare(to, label string) *spot {
-	var best *spot
-	bestCost := 0
-	for _, sp := range r.spots {
-		if !r.movable(sp, to) || !sp.carries(label) {
-			continue
-		}
-		cost := asleepCost
-		if sp.pool != r.asleep {
-			if r.count[sp.pool] <= r.keeps(sp.pool, to) {
-				continue
-			}
-			cost = r.costOf(sp)
-		}
-		if best == nil || cost < bestCost {
-			best = sp
-			bestCost = cost
-		}
-	}
-	return best
-}
-
-// costOf returns what an awake instance costs that its service can spare.
-func (r *round) costOf(sp *spot) int {
-	if sp.empty() && r.count[sp.pool] > r.plan.Targets[sp.pool] {
-		return leavingCost
-	}
-	return awakeCost + sp.cost()
-}
-
 // keeps returns how many instances a service keeps when another lacks some. For what the
 // other needs now it gives up all that it does not need itself; for what the other only
 // wants, as room for work that is late, it gives up no more than it wants itself.
@@ -307,27 +272,30 @@
 		if name == r.asleep || !r.view.Services[i].Known {
 			continue
 		}
-		for r.count[name] > r.plan.Targets[name] {
-			sp := r.leastUsed(name)
-			if sp == nil {
+		for _, sp := range r.leastUsed(name) {
+			if r.count[name] <= r.plan.Targets[name] {
 				break
 			}
-			r.send(sp, r.asleep)
+			if r.movable(sp, r.asleep) {
+				r.send(sp, r.asleep)
+			}
 		}
 	}
 }
 
-func (r *round) leastUsed(name string) *spot {
-	var best *spot
+// leastUsed returns the instances of a service, those that are emptied soonest first.
+func (r *round) leastUsed(name string) []*spot {
+	if r.count[name] <= r.plan.Targets[name] {
+		return nil
+	}
+	var list []*spot
 	for _, sp := range r.spots {
-		if sp.pool != name || !r.movable(sp, r.asleep) {
-			continue
-		}
-		if best == nil || sp.cost() < best.cost() {
-			best = sp
+		if sp.pool == name && r.movable(sp, r.asleep) {
+			list = append(list, sp)
 		}
 	}
-	return best
+	sortByCost(list)
+	return list
 }
 
 // send moves an instance if nothing runs there and its worker is closed, and
@@ -338,6 +306,7 @@
 	r.count[to]++
 	sp.closed = true
 	sp.to = to
+	r.labelCounts = nil
 	if from == r.asleep || sp.empty() {
 		r.plan.Moves = append(r.plan.Moves, Move{
 			Instance: sp.instance.ID,
