--- a/conns/server_test.go
+++ b/conns/server_test.go
@@ -215,18 +215,12 @@
 func TestStoppingServerAnswersWhatItHasNotAccepted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		limits := conns.ServerLimits{
-			Header: time.Minute,
-			Quiet:  time.Minute,
-		}
 		inner := newPipeListener()
 		late := &lateListener{
 			Listener: inner,
 			accept:   make(chan struct{}),
 		}
-		server := conns.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), limits)
-		var serving errgroup.Group
-		serving.Go(func() error { return server.Serve(conns.Listen(late, limits)) })
+		server, serving := serveOn(late)
 		conn := inner.dial(func(accepted net.Conn) net.Conn { return accepted })
 		defer func() { _ = conn.Close() }()
 		is.NoErr(conn.SetDeadline(time.Now().Add(time.Minute)))
@@ -281,6 +275,18 @@
 	return nil
 }
 
+// serveOn starts a server on a listener that answers every request at once.
+func serveOn(listener net.Listener) (*conns.Server, *errgroup.Group) {
+	limits := conns.ServerLimits{
+		Header: time.Minute,
+		Quiet:  time.Minute,
+	}
+	server := conns.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), limits)
+	serving := &errgroup.Group{}
+	serving.Go(func() error { return server.Serve(conns.Listen(listener, limits)) })
+	return server, serving
+}
+
 // dial returns the caller's end of a connection whose other end is accepted.
 func (l *pipeListener) dial(wrap func(net.Conn) net.Conn) net.Conn {
 	caller, accepted := net.Pipe()
@@ -297,16 +303,10 @@
 func TestStoppingServerAnswersWhatItHasNotRead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		limits := conns.ServerLimits{
-			Header: time.Minute,
-			Quiet:  time.Minute,
-		}
 		listener := newPipeListener()
 		came := make(chan struct{})
 		read := make(chan struct{})
-		server := conns.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), limits)
-		var serving errgroup.Group
-		serving.Go(func() error { return server.Serve(conns.Listen(listener, limits)) })
+		server, serving := serveOn(listener)
 		late := &lateConn{
 			came: came,
 			read: read,
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -19,12 +19,8 @@
 // settled is longer than any call that nobody waits for any more goes on.
 const settled = 20 * time.Second
 
-// day lets a world run for a while beside faults of its entries, and returns what it broke: an
-// entry in touch that has not heard of a change in time, or one that went back.
-func day(seed uint64, guarded bool) []string {
-	draw := rand.New(rand.NewPCG(seed, 7))
-	entries := []int{3, 8, 40}[draw.IntN(3)]
-	w := newWorld(entries, 1+draw.IntN(2), draw, guarded)
+// followAll lets all entries follow the table, until the returned function is called.
+func (w *world) followAll() (stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var running errgroup.Group
 	for _, m := range w.members {
@@ -33,6 +29,20 @@
 			return nil
 		})
 	}
+	return func() {
+		cancel()
+		_ = running.Wait()
+		time.Sleep(settled)
+	}
+}
+
+// day lets a world run for a while beside faults of its entries, and returns what it broke: an
+// entry in touch that has not heard of a change in time, or one that went back.
+func day(seed uint64, guarded bool) []string {
+	draw := rand.New(rand.NewPCG(seed, 7))
+	entries := []int{3, 8, 40}[draw.IntN(3)]
+	w := newWorld(entries, 1+draw.IntN(2), draw, guarded)
+	stop := w.followAll()
 	var faults []string
 	for range 60 {
 		w.disturb(draw)
@@ -42,9 +52,7 @@
 		time.Sleep(time.Duration(100+draw.IntN(700)) * time.Millisecond)
 		faults = append(faults, w.judge()...)
 	}
-	cancel()
-	_ = running.Wait()
-	time.Sleep(settled)
+	stop()
 	return faults
 }
 
@@ -132,14 +140,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		w := newWorld(entries, sources, rand.New(rand.NewPCG(1, 7)), true)
-		ctx, cancel := context.WithCancel(context.Background())
-		var running errgroup.Group
-		for _, m := range w.members {
-			running.Go(func() error {
-				m.follow(ctx)
-				return nil
-			})
-		}
+		stop := w.followAll()
 		time.Sleep(3 * time.Second)
 		began := time.Now().Unix()
 		for range span {
@@ -150,9 +151,7 @@
 				is.Equal(m.seen(), w.store.newest())
 			}
 		}
-		cancel()
-		_ = running.Wait()
-		time.Sleep(settled)
+		stop()
 		sum := 0
 		for second, count := range w.store.reads {
 			if second >= began {
