--- a/conns/server_test.go
+++ b/conns/server_test.go
@@ -323,6 +323,7 @@
 		response, err := http.ReadResponse(reader, nil)
 		is.NoErr(err)
 		is.NoErr(response.Body.Close())
+		synctest.Wait() // The server waits for the next request.
 		late.late.Store(true)
 		_, err = io.WriteString(conn, request(0))
 		is.NoErr(err)
