--- a/owner/keeper.go
+++ b/owner/keeper.go
@@ -217,7 +217,7 @@
 // WatchOwners follows the rows of owners until ctx ends.
 func (k *Keeper) WatchOwners(ctx context.Context) error {
 	return Follower{
-		Table: k.deps.Followed,
+		Table: k.deps.Table,
 		Name:  TableOwners,
 		Log:   k.deps.Log,
 		Wait:  PromptWait,
--- a/scheduler/feeds.go
+++ b/scheduler/feeds.go
@@ -13,7 +13,7 @@
 
 const (
 	// sharedFrom is the number of entries from which they follow the operator's table and the
-	// owners through one another. A few cost the store little, and each knows a change
+	// list of entries through one another. A few cost the store little, and each knows a change
 	// without the help of another.
 	sharedFrom = 16
 
@@ -47,7 +47,9 @@
 		Count: d.figures.Count,
 		Log:   d.log,
 	})
-	d.followed = d.feeds.Shared(platform.TableOperator, platform.TableWorkers, owner.TableOwners, roster.TableMembers)
+	// The owners are read from the store alone: an entry that has not heard of a takeover tells
+	// the owner before of a job that it has written itself, and both would run it.
+	d.followed = d.feeds.Shared(platform.TableOperator, platform.TableWorkers, roster.TableMembers)
 }
 
 // feedSources returns the entries that follow a table at the store: the owner of the instances
