What the feed left dead is gone: an unread table of the owners' duties, a clock and a size that nobody sets

Deps.Followed lost its only reader when the owners' rows went back to the store; a Log never asked its clock; the size in BusyError was not filled any more. No behaviour changes; the tests keep their assertions.

--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -20,7 +20,7 @@
 // TestSourceOfEarlierChangesOnly covers an entry that is behind what its source has kept.
 func TestSourceOfEarlierChangesOnly(t *testing.T) {
 	is := is.New(t)
-	log := feed.NewLog(clock.System(), nil)
+	log := feed.NewLog(nil)
 	_, confirmed, _, _ := log.After(0)
 	is.True(confirmed.IsZero())
 	now := time.Now()
@@ -59,7 +59,7 @@
 // nothing new in them.
 func TestHeartbeatsAreNotPassedOn(t *testing.T) {
 	is := is.New(t)
-	log := feed.NewLog(clock.System(), func(value []byte) []byte { return value[:1] })
+	log := feed.NewLog(func(value []byte) []byte { return value[:1] })
 	add := func(after int64, value string) {
 		log.Add(after, outside.Change{
 			Rows: []outside.Row{{
@@ -86,7 +86,7 @@
 // TestOldChangesAreForgotten bounds what is kept.
 func TestOldChangesAreForgotten(t *testing.T) {
 	is := is.New(t)
-	log := feed.NewLog(clock.System(), nil)
+	log := feed.NewLog(nil)
 	log.Add(0, outside.Change{
 		Version: 0,
 	}, time.Now())
@@ -107,7 +107,7 @@
 // again and again, on entries with little memory.
 func TestLargeChangesAreForgottenSooner(t *testing.T) {
 	is := is.New(t)
-	log := feed.NewLog(clock.System(), nil)
+	log := feed.NewLog(nil)
 	add := func(version int64, size int) {
 		log.Add(version-1, outside.Change{
 			Rows: []outside.Row{{
--- a/feed/log.go
+++ b/feed/log.go
@@ -15,7 +15,6 @@
 	"sync"
 	"time"
 
-	"lemonstream.dev/lemonstream/clock"
 	"lemonstream.dev/lemonstream/outside"
 )
 
@@ -28,8 +27,6 @@
 
 // Log holds the latest changes of a table, as read from the store.
 type Log struct {
-	clock clock.Clock
-
 	// essence returns what matters of a row's value; nil stands for all of it, and for every
 	// change. One that changes nothing that matters is passed on to nobody.
 	essence func(value []byte) []byte
@@ -58,7 +55,6 @@
 // BusyError reports that an entry's link has no room for changes that are to be passed on.
 type BusyError struct {
 	Table string
-	Bytes int
 }
 
 // StaleError reports that an entry can't pass on the changes of a table: it does not follow it
@@ -72,9 +68,8 @@
 
 // NewLog returns a log without changes, which leaves out those of nothing that matters; nil
 // leaves out none.
-func NewLog(clock clock.Clock, essence func(value []byte) []byte) *Log {
+func NewLog(essence func(value []byte) []byte) *Log {
 	return &Log{
-		clock:    clock,
 		essence:  essence,
 		essences: make(map[outside.Key][]byte),
 		news:     make(chan struct{}),
@@ -83,7 +78,7 @@
 
 // Error implements error.
 func (e *BusyError) Error() string {
-	return fmt.Sprintf("no room on the link for %d bytes of changes of table %s", e.Bytes, e.Table)
+	return "no room on the link for changes of table " + e.Table
 }
 
 // Error implements error.
--- a/feed/reader.go
+++ b/feed/reader.go
@@ -163,7 +163,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.logs[table] == nil {
-		r.logs[table] = NewLog(r.Clock, r.Essence[table])
+		r.logs[table] = NewLog(r.Essence[table])
 	}
 	return r.logs[table]
 }
--- a/owner/duty.go
+++ b/owner/duty.go
@@ -51,8 +51,6 @@
 	Log   *slog.Logger
 	Table outside.Table
 
-	// Followed is Table with changes that other entries may have told.
-	Followed outside.Table
 	Workers  outside.Workers
 	Catalog  func() *catalog.Catalog
 	Registry *Registry
--- a/owner/keeper_test.go
+++ b/owner/keeper_test.go
@@ -108,7 +108,6 @@
 			Group:    group,
 			Log:      log,
 			Table:    table,
-			Followed: table,
 			Slow:     func() bool { return false },
 			Workers:  outside.Workers{},
 			Catalog:  func() *catalog.Catalog { return current },
--- a/owner/rolling_test.go
+++ b/owner/rolling_test.go
@@ -163,7 +163,6 @@
 		Group:    p.group,
 		Log:      log,
 		Table:    table,
-		Followed: table,
 		Slow:     func() bool { return false },
 		Workers:  outside.Workers{},
 		Catalog:  func() *catalog.Catalog { return current },
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -196,7 +196,6 @@
 		Group:    d.group,
 		Log:      d.log,
 		Table:    d.table,
-		Followed: d.followed,
 		Slow:     d.patience.Slow,
 		Workers:  d.workers,
 		Catalog:  d.catalog.Current,
