Owners look up jobs that they do not know before they stop their runs

Cause: an owner took a run or an end of a job that it did not know for one of a job that is gone. It stopped the run and acknowledged the end, read the record half a second later, and started the task again.

Found by looking for the same fault: a job that is handed in again at the successor runs twice as well. The runs that were found counted for the record that the successor was about to write, and were dropped with it when that write met the record which stood.

Now such runs go on and such ends are kept, neither taken in nor acknowledged, until the job is known or a read that began later shows that no record names it. No run begins before its record stands, so that this read can't miss it. It is one read of the changes of the jobs' rows for all jobs in question. A release hands over the tasks of ends that were kept.

Not made: a check of the owner's version in an entry's write.

--- a/owner/duty.go
+++ b/owner/duty.go
@@ -116,6 +116,10 @@
 	// own part, until the standby part is read.
 	recordless map[string]shard.Progress
 
+	// lookups holds the lookup that waits for the next read of the jobs' rows; the shard has
+	// one under way at a time.
+	lookups chan shard.Lookup
+
 	// inherited is what the beat of the claim says, until this owner has read its rows.
 	inherited Beat
 
@@ -158,6 +162,7 @@
 		events:    ring.New[event](eventsMost),
 		inherited: passedOn(won.before, blindFor),
 		quotas:    newQuotas(service, won.epoch),
+		lookups:   make(chan shard.Lookup, 1),
 		released:  make(chan struct{}),
 		over:      make(chan struct{}),
 	}
@@ -319,6 +324,9 @@
 			return nil
 		})
 	}
+	for _, lookup := range orders.Lookups {
+		d.askLookup(lookup)
+	}
 	for _, start := range orders.Starts {
 		d.deps.Group.Go("start", func(context.Context) error {
 			heard, err := d.deps.Workers.Start(ctx, start.Worker, start.Order)
--- a/owner/hands_test.go
+++ b/owner/hands_test.go
@@ -27,8 +27,9 @@
 	ends  map[string][]outside.End
 	looks map[string]int
 
-	// started counts the starts of each job.
+	// started counts the starts of each job, stopped the stops.
 	started map[string]int
+	stopped map[string]int
 }
 
 func newHands(rows *standin.Rows, ids ...string) *hands {
@@ -39,6 +40,7 @@
 		ends:    make(map[string][]outside.End),
 		looks:   make(map[string]int),
 		started: make(map[string]int),
+		stopped: make(map[string]int),
 	}
 	for _, id := range ids {
 		h.list(rows, id)
@@ -94,6 +96,13 @@
 	return h.started[id]
 }
 
+// stopsOf returns how often tasks of a job were stopped.
+func (h *hands) stopsOf(id string) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.stopped[id]
+}
+
 // holder returns the worker that runs a task of a job, or nothing.
 func (h *hands) holder(id string) string {
 	h.mu.Lock()
@@ -152,11 +161,25 @@
 	return time.Since(h.start), nil
 }
 
+func (h *hands) stopOne(_ context.Context, worker outside.WorkerRef, task job.TaskID, run, _ int64) (time.Duration, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if err := h.refused(worker); err != nil {
+		return 0, err
+	}
+	if h.runs[worker.ID][task] == run {
+		delete(h.runs[worker.ID], task)
+	}
+	h.stopped[task.Job]++
+	return time.Since(h.start), nil
+}
+
 // deps turns those of an entry into those of one that works with these workers.
 func (h *hands) deps(deps owner.Deps, _ string) owner.Deps {
 	deps.Workers = outside.Workers{
 		Hold:  h.hold,
 		Start: h.startOne,
+		Stop:  h.stopOne,
 	}
 	deps.Options = shard.Options{
 		Lease:    endlessLease,
--- /dev/null
+++ b/owner/intake_test.go
@@ -0,0 +1,87 @@
+package owner_test
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lemonstream.dev/lemonstream/internal/standin"
+	"lemonstream.dev/lemonstream/job"
+	"lemonstream.dev/lemonstream/outside"
+	"lemonstream.dev/lemonstream/owner"
+)
+
+// startedElsewhere lets an entry write the record of a job and an owner before start its task on
+// a worker.
+func startedElsewhere(rows *standin.Rows, h *hands, worker, id string) {
+	accept(rows, id)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.runs[worker][job.TaskID{
+		Job: id,
+	}] = 1
+}
+
+// TestOwnerLooksUpTheJobOfARunThatItFinds lists runs of jobs that the owner was not told of: one
+// whose record stands goes on, also where the first read fails, and one without is stopped.
+func TestOwnerLooksUpTheJobOfARunThatItFinds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		rows := standin.NewRows()
+		var away atomic.Bool
+		table := rows.Table()
+		feed := table.Feed
+		table.Feed = func(ctx context.Context, name string, after int64, wait time.Duration) (outside.Change, error) {
+			if away.Load() && name == owner.IntakeKey("s", "").Table {
+				return outside.Change{}, errors.New("no answer")
+			}
+			return feed(ctx, name, after, wait)
+		}
+		h := newHands(rows, "w0", "w1")
+		e := newEntryWith(t, "a", table, alive("a"), h.deps)
+		until(t, "both workers are used", func() bool { return isUsed(t, rows, "w0", "w1") })
+
+		startedElsewhere(rows, h, "w0", "a")
+		untilRuns(t, e, "a")
+
+		away.Store(true)
+		startedElsewhere(rows, h, "w1", "b")
+		time.Sleep(3 * time.Second)
+		is.Equal(h.stopsOf("b"), 0) // No read has shown that its record is missing.
+		away.Store(false)
+		untilRuns(t, e, "b")
+
+		rows.Forget()
+		startedElsewhere(rows, h, "w1", "c")
+		untilRuns(t, e, "c")
+
+		h.mu.Lock()
+		h.runs["w0"][job.TaskID{
+			Job: "gone",
+		}] = 1
+		h.mu.Unlock()
+		until(t, "the run without a record is stopped", func() bool { return h.stopsOf("gone") > 0 })
+		for _, id := range []string{"a", "b", "c"} {
+			is.Equal(h.startsOf(id), 0)
+			is.Equal(h.stopsOf(id), 0)
+		}
+	})
+}
+
+// untilRuns waits until the owner shows a job as running.
+func untilRuns(t *testing.T, e *entry, id string) {
+	t.Helper()
+	until(t, "job "+id+" is shown as running", func() bool {
+		duty, owns := e.keeper.Duty("s")
+		if !owns {
+			return false
+		}
+		state, found := duty.State(id)
+		return found && state == job.Running
+	})
+}
--- a/owner/restore.go
+++ b/owner/restore.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"net/netip"
 	"strings"
 	"time"
 
-	"lemonstream.dev/lemonstream/clock"
 	"lemonstream.dev/lemonstream/outside"
 	"lemonstream.dev/lemonstream/shard"
 )
@@ -127,47 +125,3 @@
 	}
 	d.inheritTaken(ctx, now)
 }
-
-// watchIntake looks for jobs and cancellations that nobody told the owner of.
-func (d *Duty) watchIntake(ctx context.Context, since int64) error {
-	for clock.Sleep(ctx, intakePause) {
-		change, err := d.deps.Table.Feed(ctx, prefixIntake+d.service, since, 0)
-		var gone *outside.HistoryGoneError
-		if errors.As(err, &gone) {
-			rows, version, readErr := d.deps.Table.ReadAll(ctx, prefixIntake+d.service, d.service)
-			change = outside.Change{
-				Rows:    rows,
-				Version: version,
-			}
-			err = readErr
-		}
-		if err != nil {
-			d.deps.Log.Warn("changes of jobs not read", "service", d.service, "error", err.Error())
-			continue
-		}
-		since = change.Version
-		for _, row := range change.Rows {
-			d.takeRow(row)
-		}
-	}
-	return nil
-}
-
-func (d *Duty) takeRow(row outside.Row) {
-	if row.Gone {
-		return
-	}
-	if id, found := strings.CutPrefix(row.Key.Name, prefixCancel); found {
-		d.pushLogged(func(d *Duty, now time.Time) { d.core.CancelByRow(id, now) })
-		return
-	}
-	if _, known := d.shown.Load(row.Key.Name); known {
-		return
-	}
-	record, err := shard.DecodeRecord(row.Value)
-	if err != nil {
-		d.deps.Log.Error("row left out", "table", row.Key.Table, "key", row.Key.Name, "error", err)
-		return
-	}
-	d.pushLogged(func(d *Duty, now time.Time) { d.core.Accept(record, row.Version, false, now) })
-}
--- a/shard/batch.go
+++ b/shard/batch.go
@@ -225,7 +225,7 @@
 		s.writtenProgress(w, now)
 	}
 	for _, w := range s.workers {
-		if w.acked < w.processed && s.done >= w.ackBatch && w.look == 0 && w.failures == 0 {
+		if w.acked < w.acknowledgeable() && s.done >= w.ackBatch && w.look == 0 && w.failures == 0 {
 			w.holdAt = now
 		}
 	}
--- a/shard/calls.go
+++ b/shard/calls.go
@@ -19,13 +19,15 @@
 	Renewal outside.Renewal
 }
 
-// Orders are what a shard wants done. Each start, stop and look is answered by
-// one call of Started, Stopped or Held.
+// Orders are what a shard wants done. Each start, stop, look and lookup is answered by
+// one call of Started, Stopped, Held or LookedUp.
 type Orders struct {
 	Starts []Start
 	Stops  []Stop
 	Holds  []Hold
 
+	Lookups []Lookup
+
 	// Paces are answered by one call of Paced each.
 	Paces []Pace
 
--- a/shard/events.go
+++ b/shard/events.go
@@ -30,6 +30,7 @@
 		return
 	}
 	w.look = 0
+	s.resolveUnknown(now)
 	if err != nil {
 		if now.Sub(sent) <= promptFailure {
 			w.silentAt = sent
@@ -123,7 +124,7 @@
 	if found && r.number != running.Run {
 		return
 	}
-	j := s.jobs[running.Task.Job]
+	j := s.standing(running.Task.Job)
 	var t *taskState
 	if j != nil {
 		t = s.taskOf(j, running.Task)
@@ -161,15 +162,18 @@
 		share:   sharedUnknown,
 		unsized: t == nil,
 	}
-	wanted := j != nil && t != nil && !j.state.Final() && !t.done && len(t.runs) == 0
+	wanted := t != nil && needsRun(j, t)
 	if t != nil {
 		r.charge = j.record.Spec.Steps[running.Task.Step].Charge()
 	}
 	s.attach(r, j, t)
-	if !wanted {
-		s.stop(r, "not wanted here")
+	switch {
+	case j == nil:
+		s.noteUnknown(running.Task.Job)
+	case !wanted:
+		s.stop(r, reasonUnwanted)
 	}
-	s.reportRun("run found", running.Task, running.Run, w, "wanted", wanted, "percent", running.Percent)
+	s.reportRun("run found", running.Task, running.Run, w, "job_known", j != nil, "wanted", wanted, "percent", running.Percent)
 }
 
 // taskOf returns a task, building its occurrence where an earlier owner had.
@@ -272,7 +276,7 @@
 
 // ended takes in one end.
 func (s *Shard) ended(w *workerState, end outside.End, now time.Time) {
-	j := s.jobs[end.Task.Job]
+	j := s.standing(end.Task.Job)
 	var t *taskState
 	if j != nil {
 		t = s.taskOf(j, end.Task)
--- a/shard/handover.go
+++ b/shard/handover.go
@@ -99,6 +99,7 @@
 	for task := range w.runs {
 		l.Tasks = append(l.Tasks, task)
 	}
+	l.Tasks = w.heldTasks(l.Tasks)
 	return l
 }
 
--- a/shard/lease.go
+++ b/shard/lease.go
@@ -115,7 +115,7 @@
 			continue
 		}
 		if s.done >= w.ackBatch || s.allWritten() {
-			w.acked = w.processed
+			w.acked = w.acknowledgeable()
 		}
 		// A worker that was silent gets no longer lease until it answers again:
 		// each one sent would put off the moment when it has lapsed for sure. The
@@ -170,6 +170,10 @@
 		}
 		if end.Number > w.processed {
 			w.processed = end.Number
+			if s.standing(end.Task.Job) == nil {
+				s.holdEnd(w, end, now)
+				continue
+			}
 			s.ended(w, end, now)
 			w.ackBatch = s.batch + 1
 			w.holdAt = now.Add(ackPause)
@@ -180,14 +184,14 @@
 		w.ackBatch = s.done
 		w.holdAt = now
 	}
-	if len(listed) > 0 && w.holdAt.Equal(now) && w.processed == w.acked {
+	if len(listed) > 0 && w.holdAt.Equal(now) && w.acknowledgeable() == w.acked {
 		w.holdAt = now.Add(retryFirst)
 	}
 }
 
 // holdWait returns how long a look may wait at the worker for an end.
 func (s *Shard) holdWait(w *workerState) time.Duration {
-	if w.failures > 0 || !w.known || !w.doubted.IsZero() || w.acked < w.processed {
+	if w.failures > 0 || !w.known || !w.doubted.IsZero() || w.acked < w.acknowledgeable() {
 		return 0
 	}
 	wait := s.opts.IdleWait
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -126,6 +126,14 @@
 	// tickets holds, by the name of a step, which workers may run it.
 	tickets map[string]*permission
 
+	// unknown holds the jobs that are not known and of which workers list something. lookup is
+	// the number of the lookup that is under way, 0 for none, whose answer is waited for until
+	// lookupUntil; lookupAt is when the next may be ordered.
+	unknown     map[string]*unknownJob
+	lookup      int64
+	lookupUntil time.Time
+	lookupAt    time.Time
+
 	// submitted holds jobs whose record no batch holds yet, in their order.
 	submitted []*jobState
 
@@ -268,6 +276,7 @@
 		idle:       make(map[string]bool),
 		leased:     make(map[string]Leased),
 		withdrawn:  make(map[string]bool),
+		unknown:    make(map[string]*unknownJob),
 		refused:    make(map[string]Refusal),
 		deciding:   make(map[string]*refusing),
 		gone:       make(map[string][]ended),
@@ -330,6 +339,7 @@
 	if s.deposed {
 		return Orders{}, now.Add(time.Second)
 	}
+	s.resolveUnknown(now)
 	s.lapse(now)
 	s.findUsable(now)
 	s.beginOccurrences(now)
@@ -339,6 +349,7 @@
 	s.speculate(now)
 	s.stops(now)
 	s.holds(now)
+	s.lookUp(now)
 	s.forget(now)
 	orders := s.orders
 	s.orders = Orders{}
--- /dev/null
+++ b/shard/unknown_test.go
@@ -0,0 +1,198 @@
+package shard_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"lemonstream.dev/lemonstream/internal/prove"
+	"lemonstream.dev/lemonstream/job"
+)
+
+// tellDeposed lets an entry write the record of a job and tell the owner before, which lives on.
+func tellDeposed(w *world, id string, steps ...job.Step) {
+	record := w.record(id, steps...)
+	w.store(record)
+	w.zombies[len(w.zombies)-1].core.Accept(record, w.version, true, w.now)
+}
+
+// deposedWorld returns a world in which a deposed owner lives on for a while, and its successor
+// has looked at no worker yet.
+func deposedWorld() *world {
+	w := newWorld(3)
+	w.run(200 * time.Millisecond)
+	w.standbyAway = true
+	w.takeOverFromLiving(2 * time.Second)
+	w.run(100 * time.Millisecond)
+	return w
+}
+
+// The caller hands the job in again at the successor, which takes the runs that it finds for
+// those of the job that it is about to write. Its write tells it that the record stands: the
+// tasks were started beside the runs that it had found.
+func TestJobHandedInAgainAtSuccessorRunsOnce(t *testing.T) {
+	for name, order := range map[string]struct{ before, after time.Duration }{
+		"before its runs are found": {before: 300 * time.Millisecond, after: 0},
+		"after its runs are found":  {before: 0, after: 100 * time.Millisecond},
+		"after its runs have ended": {before: 0, after: 1500 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := deposedWorld()
+			w.lookupsFail = true // The write alone tells of the record.
+			tellDeposed(w, "a", step(4))
+			w.run(order.before + 100*time.Millisecond)
+			if order.before > 0 {
+				w.handIn("a", step(4))
+			}
+			w.standbyAway = false
+			w.run(order.after + 50*time.Millisecond)
+			if order.after > 0 {
+				w.handIn("a", step(4))
+			}
+			w.run(10 * time.Second)
+			w.check(t)
+			is.True(w.taken["a"])
+			is.Equal(w.shown["a"], job.Completed)
+		})
+	}
+}
+
+// Nobody tells the successor of the job: it has to look for the record itself.
+func TestSuccessorLooksUpJobsOfRunsThatItFinds(t *testing.T) {
+	is := is.New(t)
+	w := deposedWorld()
+	tellDeposed(w, "a", step(4))
+	w.run(100 * time.Millisecond)
+	w.standbyAway = false
+	w.run(10 * time.Second)
+	w.check(t)
+	is.Equal(w.shown["a"], job.Completed)
+}
+
+// Runs and ends of a job whose record is gone must not stay for good.
+func TestRunsOfAJobWithoutARecordAreStopped(t *testing.T) {
+	for name, sight := range map[string]time.Duration{
+		"its runs go on":      100 * time.Millisecond,
+		"its runs have ended": 1500 * time.Millisecond,
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := deposedWorld()
+			tellDeposed(w, "a", step(4))
+			w.run(sight)
+			delete(w.records, "a")
+			w.standbyAway = false
+			w.run(700 * time.Millisecond)
+			for _, f := range w.workers {
+				is.Equal(len(f.runs), 0) // Each run is stopped.
+				is.Equal(len(f.ends), 0) // Each end is acknowledged.
+			}
+			w.submit("b", step(8))
+			w.run(5 * time.Second)
+			is.Equal(w.shown["b"], job.Completed)
+			w.check(t)
+		})
+	}
+}
+
+// An owner that is stopped before it could look up the job of an end must not hand over that
+// nothing runs there: its successor starts the task before it sees the end.
+func TestEndOfAnUnknownJobIsHandedOver(t *testing.T) {
+	is := is.New(t)
+	w := deposedWorld()
+	w.lookupsFail = true
+	tellDeposed(w, "a", step(4))
+	w.run(1500 * time.Millisecond)
+	w.standbyAway = false
+	w.run(200 * time.Millisecond)
+	for _, f := range w.workers {
+		f.cut = len(f.ends) > 0
+	}
+	w.release(0)
+	w.run(time.Second)
+	for _, f := range w.workers {
+		f.cut = false
+	}
+	w.run(10 * time.Second)
+	w.check(t)
+	is.Equal(w.shown["a"], job.Completed)
+}
+
+// A cancellation may arrive before the record that it is for.
+func TestUnknownJobThatIsCancelledIsStopped(t *testing.T) {
+	is := is.New(t)
+	w := deposedWorld()
+	w.lookupsFail = true
+	tellDeposed(w, "a", lasting(3, 1))
+	w.run(200 * time.Millisecond)
+	w.standbyAway = false
+	w.run(200 * time.Millisecond)
+	w.cancelRows["a"] = true
+	w.readCancelRow("a")
+	w.lookupsFail = false
+	w.run(2 * time.Second)
+	is.Equal(len(w.holders()), 0)
+	is.Equal(w.shown["a"], job.Cancelled)
+	w.check(t)
+}
+
+// Entries tell deposed owners of jobs at any moment, and the successors by a row, by the caller
+// or not at all.
+func TestJobsThatDeposedOwnersAreToldOfRunOnce(t *testing.T) {
+	prove.Property(t, func(t *rapid.T) {
+		w := newWorld(4)
+		w.run(200 * time.Millisecond)
+		count := rapid.IntRange(3, 15).Draw(t, "rounds")
+		for i := 0; i < count; i++ {
+			id := fmt.Sprintf("j%d", i)
+			f := w.workers[fmt.Sprintf("w%d", rapid.IntRange(0, 3).Draw(t, "worker"))]
+			switch rapid.IntRange(0, 9).Draw(t, "what") {
+			case 0:
+				f.cut = !f.cut
+			case 1:
+				w.standbyAway = rapid.Bool().Draw(t, "standby away")
+			case 2:
+				w.lookupsFail = rapid.Bool().Draw(t, "lookups fail")
+			case 3:
+				w.lookupsLate = time.Duration(rapid.IntRange(0, 100).Draw(t, "lookups take")) * tick
+			case 4:
+				w.release(time.Duration(rapid.IntRange(0, 50).Draw(t, "free for")) * tick)
+			case 5, 6:
+				w.takeOverFromLiving(time.Duration(rapid.IntRange(1, 300).Draw(t, "acts on")) * tick)
+			default:
+				s := step(rapid.IntRange(1, 5).Draw(t, "tasks"))
+				if len(w.zombies) == 0 {
+					w.submit(id, s, step(2, 0))
+					break
+				}
+				tellDeposed(w, id, s, step(2, 0))
+				if rapid.Bool().Draw(t, "handed in again") {
+					w.run(time.Duration(rapid.IntRange(0, 150).Draw(t, "after")) * tick)
+					w.handIn(id, s, step(2, 0))
+				}
+			}
+			w.run(time.Duration(rapid.IntRange(1, 150).Draw(t, "wait")) * tick)
+		}
+		w.standbyAway = false
+		w.lookupsFail = false
+		for _, f := range w.workers {
+			f.cut = false
+		}
+		// What no run was found of, the rows tell.
+		for id, record := range w.records {
+			w.core.Accept(record, w.version, false, w.now)
+			if w.progress[id].State.Final() {
+				t.Errorf("job %s has ended and its record stands", id)
+			}
+		}
+		w.run(30 * time.Second)
+		for id := range w.records {
+			t.Errorf("job %s has not ended: %s", id, w.shown[id])
+		}
+		w.check(t)
+	})
+}
--- a/shard/world_test.go
+++ b/shard/world_test.go
@@ -152,6 +152,10 @@
 	// startAnswers is when the answer to a start is taken in.
 	startAnswers time.Duration
 
+	// lookupsFail lets every lookup fail; lookupsLate is when the answer to one arrives.
+	lookupsFail bool
+	lookupsLate time.Duration
+
 	// lookFails is when a look at a silent worker is given up; an owner without
 	// processor time notices late.
 	lookFails time.Duration
@@ -650,6 +654,9 @@
 		})
 	}
 	w.asks = append(w.asks, orders.Asks...)
+	for _, l := range orders.Lookups {
+		w.lookUp(core, l, answer)
+	}
 	for _, p := range orders.Paces {
 		w.workers[p.Worker.ID].shares[p.Task] = p.Percent
 		answer(tick, func() { core.Paced(p, nil) })
@@ -779,6 +786,27 @@
 	}
 }
 
+// lookUp answers a lookup from the rows, as they stand when it is ordered.
+func (w *world) lookUp(core *shard.Shard, l shard.Lookup, answer func(time.Duration, func())) {
+	if w.storeDown || w.lookupsFail {
+		answer(tick, func() { core.LookedUp(l, errSilent, w.now) })
+		return
+	}
+	var records []shard.Record
+	for _, id := range l.Jobs {
+		if record, stands := w.records[id]; stands {
+			records = append(records, record)
+		}
+	}
+	version := w.version
+	answer(max(tick, w.lookupsLate), func() {
+		for _, record := range records {
+			core.Accept(record, version, false, w.now)
+		}
+		core.LookedUp(l, nil, w.now)
+	})
+}
+
 // nameLook returns the look that an answer is given for.
 func (w *world) nameLook(h shard.Hold) shard.Hold {
 	if w.unnamed {
