Starts without an answer are refused by the next incarnation of a worker

Seen in virtual time: a task runs twice. A start gets no answer, its worker crashes, the task is started elsewhere, and the worker is back under its id and carries the old order out before the stop that its first answer brings about.

Cause: all orders of an owner had one fence, its epoch, so that an order which was given up was as good as any later one.

The fence is now the epoch and a count within it for each worker, raised when a look fails while starts there are open. Ruled out: to wait for 13 s after such a start; to raise the fence also at workers that answer (late starts at living workers would be refused, which four tests showed).

In the tests' world a stop carries its own fence in place of the owner's; what a stop asks for leaves the fence out as it does the order's number, so that repetitions are judged as before.

--- a/owner/duty.go
+++ b/owner/duty.go
@@ -336,7 +336,7 @@
 	}
 	for _, pace := range orders.Paces {
 		d.deps.Group.Go("pace", func(context.Context) error {
-			_, err := d.deps.Workers.Pace(ctx, pace.Worker, pace.Task, pace.Run, pace.Percent, d.tenure.epoch)
+			_, err := d.deps.Workers.Pace(ctx, pace.Worker, pace.Task, pace.Run, pace.Percent, pace.Fence)
 			d.pushLogged(func(d *Duty, _ time.Time) { d.core.Paced(pace, err) })
 			return nil
 		})
@@ -350,7 +350,7 @@
 	}
 	for _, stop := range orders.Stops {
 		d.deps.Group.Go("stop", func(context.Context) error {
-			heard, err := d.deps.Workers.Stop(ctx, stop.Worker, stop.Task, stop.Run, d.tenure.epoch)
+			heard, err := d.deps.Workers.Stop(ctx, stop.Worker, stop.Task, stop.Run, stop.Fence)
 			d.pushLogged(func(d *Duty, at time.Time) { d.core.Stopped(stop, at, heard, err) })
 			return nil
 		})
--- a/shard/calls.go
+++ b/shard/calls.go
@@ -41,6 +41,7 @@
 	Task    job.TaskID
 	Run     int64
 	Percent int
+	Fence   int64
 }
 
 // Start is an order to start a run.
@@ -58,6 +59,7 @@
 	Worker outside.WorkerRef
 	Task   job.TaskID
 	Run    int64
+	Fence  int64
 }
 
 // nextCall returns the number of another order. Its answer is taken in by whoever waits for
--- a/shard/events.go
+++ b/shard/events.go
@@ -35,7 +35,7 @@
 		if now.Sub(sent) <= promptFailure {
 			w.silentAt = sent
 		}
-		s.holdFailed(w, now, err)
+		s.holdFailed(w, hold, now, err)
 		return
 	}
 	if w.failures > 0 {
@@ -69,7 +69,7 @@
 }
 
 // holdFailed notes a look without an answer.
-func (s *Shard) holdFailed(w *workerState, now time.Time, err error) {
+func (s *Shard) holdFailed(w *workerState, hold Hold, now time.Time, err error) {
 	var gone *outside.GoneError
 	if errors.As(err, &gone) {
 		s.loseWorker(w, now, "another worker answers")
@@ -77,10 +77,14 @@
 	}
 	var refused *outside.WorkerRefusedError
 	if errors.As(err, &refused) && refused.Reason == outside.RefusedFence {
-		s.opts.Report("deposed", "worker", w.reg.ID, "fence", s.fence)
-		s.deposed = true
+		if s.isOutdated(w.reg.ID, hold.Renewal.Fence) {
+			w.holdAt = now
+			return
+		}
+		s.seeNewerOwner(w)
 		return
 	}
+	s.raiseFence(w)
 	if w.failures == 0 {
 		w.silentSince = now
 		s.opts.Report("worker lost", "worker", w.reg.ID, "runs", len(w.runs), "error", err.Error())
--- a/shard/gang.go
+++ b/shard/gang.go
@@ -46,7 +46,7 @@
 		if !s.affords(spec, g.job, len(chosen), now) {
 			return
 		}
-		number := (s.fence-1)*runsPerEpoch + 1
+		number := (s.epoch-1)*runsPerEpoch + 1
 		checkpoint := ""
 		for _, t := range step.tasks {
 			number = max(number, t.lastRun+1)
--- /dev/null
+++ b/shard/late_start_test.go
@@ -0,0 +1,86 @@
+package shard_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"lemonstream.dev/lemonstream/internal/prove"
+	"lemonstream.dev/lemonstream/job"
+)
+
+// An order to start a task gets no answer, its worker crashes, and the task is started elsewhere.
+// The worker is back under its id, and carries the order out while its first answer is on its
+// way: the task ran twice until the stop arrived that the answer brings about.
+func TestLateStartIsRefusedByTheNextIncarnation(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(2)
+	w.run(200 * time.Millisecond)
+	long := step(1)
+	long.Estimate = 8 * time.Second
+	w.lose = 6 * time.Second
+	w.submit("a", long)
+	w.run(50 * time.Millisecond)
+	w.lose = 0
+	crashed := startedAt(w, "a")
+	w.startAgain(crashed, 5500*time.Millisecond)
+	w.run(5400 * time.Millisecond)
+	is.Equal(len(holderOf(w, "a")), 1) // It runs at the other worker.
+	w.lateAnswers = 800 * time.Millisecond
+	w.run(300 * time.Millisecond)
+	is.True(crashed.fence > 0) // The first look has reached the next incarnation.
+	w.run(time.Second)
+	w.lateAnswers = 0
+	w.run(10 * time.Second)
+	w.check(t)
+	is.Equal(crashed.began, 0)
+	is.Equal(w.shown["a"], job.Completed)
+}
+
+// startedAt returns the worker that the only start so far was ordered at.
+func startedAt(w *world, id string) *fakeWorker {
+	for worker, load := range w.core.Load(w.now).Workers {
+		if load.Runs > 0 {
+			return w.workers[worker]
+		}
+	}
+	panic("no task of job " + id + " was started")
+}
+
+// TestLateStartsUnderFaults lets workers crash and start again under their ids while orders to
+// start tasks get no answer and are carried out up to 3 s late, and answers to looks are on
+// their way for up to 1.5 s.
+func TestLateStartsUnderFaults(t *testing.T) {
+	prove.Property(t, lateStarts)
+}
+
+// lateStarts plays one such day.
+func lateStarts(t *rapid.T) {
+	w := newWorld(4)
+	w.run(200 * time.Millisecond)
+	names := []string{"w0", "w1", "w2", "w3"}
+	count := rapid.IntRange(5, 25).Draw(t, "rounds")
+	for i := 0; i < count; i++ {
+		f := w.workers[rapid.SampledFrom(names).Draw(t, "worker")]
+		away := time.Duration(rapid.IntRange(0, 100).Draw(t, "away")) * tick
+		switch rapid.IntRange(0, 9).Draw(t, "what") {
+		case 0:
+			w.takeOver()
+		case 1, 2:
+			w.lose = time.Duration(rapid.IntRange(0, 300).Draw(t, "late starts")) * tick
+		case 3, 4, 5:
+			w.startAgain(f, away)
+		case 6:
+			w.lateAnswers = time.Duration(rapid.IntRange(0, 150).Draw(t, "late answers")) * tick
+		default:
+			s := step(rapid.IntRange(1, 5).Draw(t, "tasks"))
+			s.Estimate = time.Duration(rapid.IntRange(10, 300).Draw(t, "takes")) * tick
+			w.submit(fmt.Sprintf("j%d", i), s, step(2, 0))
+		}
+		w.run(time.Duration(rapid.IntRange(1, 100).Draw(t, "wait")) * tick)
+	}
+	w.endRestarts(t)
+}
--- a/shard/lease.go
+++ b/shard/lease.go
@@ -130,7 +130,7 @@
 			Worker: w.ref(),
 			Renewal: outside.Renewal{
 				Until:        until,
-				Fence:        s.fence,
+				Fence:        s.fenceAt(w.reg.ID),
 				Acknowledged: w.acknowledgement(),
 				Wait:         s.holdWait(w),
 			},
--- a/shard/load.go
+++ b/shard/load.go
@@ -171,7 +171,7 @@
 // Load returns what the service needs and has.
 func (s *Shard) Load(now time.Time) Load {
 	load := Load{
-		Fence:    s.fence,
+		Fence:    s.epoch,
 		Labelled: make(map[string]job.Room),
 		Room:     s.meanRoom(),
 		Workers:  make(map[string]WorkerLoad, len(s.workers)),
--- a/shard/orders.go
+++ b/shard/orders.go
@@ -102,9 +102,8 @@
 
 // startRefused handles a worker's own refusal: the run is not there.
 func (s *Shard) startRefused(w *workerState, r *run, now time.Time, reason outside.Refusal) {
-	if reason == outside.RefusedFence {
-		s.opts.Report("deposed", "worker", w.reg.ID, "fence", s.fence)
-		s.deposed = true
+	if reason == outside.RefusedFence && !s.isOutdated(w.reg.ID, r.order.Fence) {
+		s.seeNewerOwner(w)
 		return
 	}
 	if r.unanswered && r.phase == phaseRunning {
@@ -124,12 +123,18 @@
 	}
 	if reason == outside.RefusedTicket {
 		delete(s.tickets, r.id.StepName())
-	} else if reason != outside.RefusedOld && reason != outside.RefusedLate {
+	} else if reason != outside.RefusedOld && reason != outside.RefusedLate && reason != outside.RefusedFence {
 		w.avoidUntil = now.Add(avoidAfterRefusal)
 	}
 	s.drop(r, now)
 }
 
+// seeNewerOwner gives no more orders: a worker has heard of a higher fence than this owner gave.
+func (s *Shard) seeNewerOwner(w *workerState) {
+	s.opts.Report("deposed", "worker", w.reg.ID, "epoch", s.epoch, "fence", s.fenceAt(w.reg.ID))
+	s.deposed = true
+}
+
 // stops orders the stops that are due, and repeats doubtful starts.
 func (s *Shard) stops(now time.Time) {
 	for r := range s.due {
@@ -151,6 +156,7 @@
 				continue
 			}
 			r.call = s.nextCall()
+			r.order.Fence = s.fenceAt(w.reg.ID)
 			s.orders.Starts = append(s.orders.Starts, Start{
 				Call:   r.call,
 				Worker: w.ref(),
@@ -171,6 +177,7 @@
 				Worker: w.ref(),
 				Task:   r.id,
 				Run:    r.number,
+				Fence:  s.fenceAt(w.reg.ID),
 			})
 		default:
 			delete(s.due, r)
@@ -198,13 +205,13 @@
 	}
 	var refused *outside.WorkerRefusedError
 	if errors.As(err, &refused) {
-		if refused.Reason == outside.RefusedFence {
-			s.deposed = true
+		if refused.Reason == outside.RefusedFence && !s.isOutdated(w.reg.ID, stop.Fence) {
+			s.seeNewerOwner(w)
 			return
 		}
 		// The worker knows of no such run, or takes no orders now.
 		r.delayStop(now)
-		if refused.Reason != outside.RefusedUnhealthy {
+		if refused.Reason != outside.RefusedUnhealthy && refused.Reason != outside.RefusedFence {
 			r.phase = phaseStopped
 			r.settled = now
 		}
--- a/shard/pace.go
+++ b/shard/pace.go
@@ -101,5 +101,6 @@
 		Task:    r.id,
 		Run:     r.number,
 		Percent: wanted,
+		Fence:   s.fenceAt(w.reg.ID),
 	})
 }
--- a/shard/place.go
+++ b/shard/place.go
@@ -297,7 +297,7 @@
 
 // start orders the start of a task on a worker.
 func (s *Shard) start(j *jobState, t *taskState, spec *job.Step, id job.TaskID, w *workerState, now time.Time) {
-	t.lastRun = max(t.lastRun+1, (s.fence-1)*runsPerEpoch+1)
+	t.lastRun = max(t.lastRun+1, (s.epoch-1)*runsPerEpoch+1)
 	s.startRun(j, t, spec, id, w, t.lastRun, now)
 }
 
@@ -308,7 +308,7 @@
 		Run:        number,
 		Text:       j.record.Spec.Text,
 		Until:      w.deadline(now, s.opts.Lease),
-		Fence:      s.fence,
+		Fence:      s.fenceAt(w.reg.ID),
 		Checkpoint: t.checkpoint,
 		Ticket:     s.ticket(id, w),
 	}
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -92,11 +92,15 @@
 	Show func(id string, state job.State)
 }
 
-// Shard holds the jobs and workers of one service under one fence.
+// Shard holds the jobs and workers of one service under one epoch.
 type Shard struct {
 	opts  Options
 	name  string
-	fence int64
+	epoch int64
+
+	// raised holds by worker how often the fence was raised there. It is kept for as long as the
+	// owner lives: a worker that comes back may have heard of it.
+	raised map[string]int64
 
 	// taken is when this owner took the shard; newVersion is the version of
 	// that write. A job written later and told to this owner first has never
@@ -253,12 +257,13 @@
 	orders Orders
 }
 
-// New returns an empty shard for the owner with the given fence.
-func New(name string, fence, version int64, now time.Time, opts Options) *Shard {
+// New returns an empty shard for the owner with the given epoch.
+func New(name string, epoch, version int64, now time.Time, opts Options) *Shard {
 	return &Shard{
 		opts:       opts,
 		name:       name,
-		fence:      fence,
+		epoch:      epoch,
+		raised:     make(map[string]int64),
 		taken:      now,
 		blindUntil: now.Add(opts.BlindFor),
 		newVersion: version,
--- a/shard/world_owner_test.go
+++ b/shard/world_owner_test.go
@@ -152,7 +152,6 @@
 			}
 		},
 	})
-	w.fences[w.core] = w.epoch
 	// The row of the claim passes on what the last beat said, and for how long the owner
 	// before may matter.
 	if w.waitless {
--- a/shard/world_test.go
+++ b/shard/world_test.go
@@ -246,9 +246,6 @@
 	giving       []string
 	givingUnread bool
 
-	// fences holds the fence of each owner there was.
-	fences map[*shard.Shard]int64
-
 	// evacuations is what the operator has evacuated.
 	evacuations evacuations
 
@@ -296,7 +293,6 @@
 		under:          make(map[job.TaskID]int),
 		startsOver:     make(map[job.TaskID]int),
 		presences:      make(map[job.TaskID]*presence),
-		fences:         make(map[*shard.Shard]int64),
 		started:        make(map[job.TaskID]time.Time),
 	}
 	w.now = w.start
@@ -773,14 +769,14 @@
 				w.heldUp[uncalled(s)] = true
 				w.after(w.loseStops, func() {
 					if !f.cut {
-						_ = w.stopAt(f, s, w.fences[core])
+						_ = w.stopAt(f, s, s.Fence)
 					}
 				})
 			}
 			answer(700*time.Millisecond, func() { core.Stopped(s, w.now, 0, errSilent) })
 			continue
 		}
-		err := w.stopAt(f, s, w.fences[core])
+		err := w.stopAt(f, s, s.Fence)
 		zero := f.clockZero
 		answer(tick, func() { core.Stopped(s, w.now, w.now.Sub(zero), err) })
 	}
@@ -855,6 +851,7 @@
 // uncalled returns what a stop asks for, which its repetitions ask for as well.
 func uncalled(s shard.Stop) shard.Stop {
 	s.Call = 0
+	s.Fence = 0
 	return s
 }
 
