--- /dev/null
+++ b/shard/world_calls_test.go
@@ -0,0 +1,312 @@
+package shard_test
+
+import (
+	"time"
+
+	"lemonstream.dev/lemonstream/outside"
+	"lemonstream.dev/lemonstream/shard"
+)
+
+var (
+	errReborn = &outside.GoneError{
+		ID: "test",
+	}
+	errSilent = &outside.UncertainError{
+		Call: "test",
+	}
+)
+
+// answerer lets an owner take in an answer after a time.
+type answerer func(after time.Duration, take func())
+
+// carryOut lets the workers answer an owner one tick later. What one sent that acts no
+// more is answered to nobody.
+func (w *world) carryOut(core *shard.Shard, orders shard.Orders) {
+	answer := func(d time.Duration, do func()) {
+		w.after(d, func() {
+			if w.acts(core) {
+				do()
+			}
+		})
+	}
+	w.asks = append(w.asks, orders.Asks...)
+	for _, l := range orders.Lookups {
+		w.lookUp(core, l, answer)
+	}
+	for _, p := range orders.Paces {
+		w.workers[p.Worker.ID].shares[p.Task] = p.Percent
+		answer(tick, func() { core.Paced(p, nil) })
+	}
+	for _, h := range orders.Holds {
+		w.carryOutHold(core, h, answer)
+	}
+	for _, s := range orders.Starts {
+		w.carryOutStart(core, s, answer)
+	}
+	for _, s := range orders.Stops {
+		w.carryOutStop(core, s, answer)
+	}
+}
+
+// carryOutHold lets a worker answer a look.
+func (w *world) carryOutHold(core *shard.Shard, h shard.Hold, answer answerer) {
+	f := w.workers[h.Worker.ID]
+	w.lastLook[h.Worker.ID] = h.Call
+	sent := w.now
+	if h.Renewal.Acknowledged > 0 {
+		w.acknowledging++
+	}
+	if w.loseLooks > 0 && w.reaches(core, f) {
+		w.after(w.loseLooks, func() {
+			if !f.down && !f.cut {
+				w.holdAt(f, h.Renewal)
+			}
+		})
+		answer(w.lookFails, func() { core.Held(h, sent, w.now, outside.Glance{}, errSilent) })
+		return
+	}
+	if f.reborn && !f.cut {
+		answer(tick, func() { core.Held(h, sent, w.now, outside.Glance{}, errReborn) })
+		return
+	}
+	if f.crashed && !f.cut {
+		answer(tick, func() { core.Held(h, sent, w.now, outside.Glance{}, errSilent) })
+		return
+	}
+	if !w.reaches(core, f) {
+		answer(w.lookFails, func() { core.Held(h, sent, w.now, outside.Glance{}, errSilent) })
+		return
+	}
+	if h.Renewal.Fence < f.fence {
+		answer(tick, func() {
+			core.Held(h, sent, w.now, outside.Glance{}, &outside.WorkerRefusedError{
+				Reason: outside.RefusedFence,
+			})
+		})
+		return
+	}
+	queued := w.wire.send(lookBytes, w.now)
+	if queued > w.lookFails {
+		w.after(queued, func() { f.renew(w, h.Renewal.Fence, h.Renewal.Until) })
+		w.wire.unanswered++
+		answer(w.lookFails, func() { core.Held(h, sent, w.now, outside.Glance{}, errSilent) })
+		return
+	}
+	w.holdAt(f, h.Renewal)
+	if w.lateAnswers > 0 {
+		glance := f.glance(w)
+		answer(w.lateAnswers, func() { core.Held(w.nameLook(h), sent, w.now, glance, nil) })
+		return
+	}
+	life := f.lives
+	answer(queued+tick, func() {
+		if !w.reaches(core, f) || f.lives != life {
+			core.Held(h, sent, w.now, outside.Glance{}, errSilent)
+			return
+		}
+		core.Held(w.nameLook(h), sent, w.now, f.glance(w), nil)
+	})
+}
+
+// carryOutStart lets a worker answer an order to start a task.
+func (w *world) carryOutStart(core *shard.Shard, s shard.Start, answer answerer) {
+	f := w.workers[s.Worker.ID]
+	if w.refuseStarts != nil {
+		answer(w.refuseAfter, func() { core.Started(s, w.now, 0, w.refuseStarts) })
+		return
+	}
+	if w.lose > 0 {
+		sent := w.now
+		w.after(w.lose, func() {
+			// What an incarnation begins before any owner has reached it, no owner can help.
+			if !f.cut && f.fence > 0 {
+				_ = w.startAt(f, s.Order, sent)
+			}
+		})
+		answer(700*time.Millisecond, func() { core.Started(s, w.now, 0, errSilent) })
+		return
+	}
+	if f.reborn && !f.cut {
+		answer(tick, func() { core.Started(s, w.now, 0, errReborn) })
+		return
+	}
+	if !w.reaches(core, f) {
+		answer(700*time.Millisecond, func() { core.Started(s, w.now, 0, errSilent) })
+		return
+	}
+	queued := w.wire.send(startBytes+len(s.Order.Text), w.now)
+	if queued > startFails {
+		sent := w.now
+		w.after(queued, func() { _ = w.startAt(f, s.Order, sent) })
+		w.wire.unanswered++
+		answer(startFails, func() { core.Started(s, w.now, 0, errSilent) })
+		return
+	}
+	err := w.startAt(f, s.Order, w.now)
+	zero := f.clockZero
+	answer(queued+w.startAnswers, func() { core.Started(s, w.now, w.now.Sub(zero), err) })
+}
+
+// carryOutStop lets a worker answer an order to stop a run.
+func (w *world) carryOutStop(core *shard.Shard, s shard.Stop, answer answerer) {
+	f := w.workers[s.Worker.ID]
+	w.stops++
+	if f.unhealthy {
+		answer(tick, func() {
+			core.Stopped(s, w.now, 0, &outside.WorkerRefusedError{
+				Reason: outside.RefusedUnhealthy,
+			})
+		})
+		return
+	}
+	lost := w.loseStops > 0 && w.stops%w.loseEach == 0
+	if !w.reaches(core, f) || lost {
+		if lost {
+			w.heldUp[uncalled(s)] = true
+			w.after(w.loseStops, func() {
+				if !f.cut {
+					_ = w.stopAt(f, s)
+				}
+			})
+		}
+		answer(700*time.Millisecond, func() { core.Stopped(s, w.now, 0, errSilent) })
+		return
+	}
+	err := w.stopAt(f, s)
+	zero := f.clockZero
+	answer(tick, func() { core.Stopped(s, w.now, w.now.Sub(zero), err) })
+}
+
+// lookUp answers a lookup from the rows, as they stand when it is ordered.
+func (w *world) lookUp(core *shard.Shard, l shard.Lookup, answer answerer) {
+	if w.storeDown || w.lookupsFail {
+		answer(tick, func() { core.LookedUp(l, errSilent, w.now) })
+		return
+	}
+	var records []shard.Record
+	for _, id := range l.Jobs {
+		if record, stands := w.records[id]; stands {
+			records = append(records, record)
+		}
+	}
+	version := w.version
+	answer(max(tick, w.lookupsLate), func() {
+		for _, record := range records {
+			core.Accept(record, version, false, w.now)
+		}
+		core.LookedUp(l, nil, w.now)
+	})
+}
+
+// nameLook returns the look that an answer is given for.
+func (w *world) nameLook(h shard.Hold) shard.Hold {
+	if w.unnamed {
+		h.Call = w.lastLook[h.Worker.ID]
+	}
+	return h
+}
+
+// holdAt is what a worker does with a look.
+func (w *world) holdAt(f *fakeWorker, r outside.Renewal) {
+	if r.Fence < f.fence {
+		return
+	}
+	f.renew(w, r.Fence, r.Until)
+	w.acknowledge(f, r.Acknowledged)
+}
+
+// stopAt is what a worker does with a stop: nothing for one of an owner before, once it has
+// heard of a newer one. The rule on how many may be away leaves out orders that were held up.
+func (w *world) stopAt(f *fakeWorker, s shard.Stop) error {
+	if f.down {
+		return errSilent
+	}
+	if s.Fence < f.fence {
+		return &outside.WorkerRefusedError{
+			Reason: outside.RefusedFence,
+			Clock:  f.clock(w.now),
+		}
+	}
+	f.fence = s.Fence
+	f.top[s.Task] = max(f.top[s.Task], s.Run)
+	if f.deaf > 0 {
+		f.deaf--
+		return nil
+	}
+	if r, found := f.runs[s.Task]; found && r.number <= s.Run {
+		if w.judgeRepeated || !w.heldUp[uncalled(s)] {
+			w.judgeStop(f, s.Task, r)
+		}
+		w.judgeOrdered(f, s.Task, r, "a stop", w.heldUp[uncalled(s)])
+		r.stopAt = w.now.Add(200 * time.Millisecond)
+	}
+	return nil
+}
+
+// uncalled returns what a stop asks for, which its repetitions ask for as well.
+func uncalled(s shard.Stop) shard.Stop {
+	s.Call = 0
+	s.Fence = 0
+	return s
+}
+
+// acknowledge lets a worker forget ends, and the oracle note them.
+func (w *world) acknowledge(f *fakeWorker, last int64) {
+	for len(f.ends) > 0 && f.ends[0].Number <= last {
+		if f.ends[0].Kind == outside.EndDone {
+			w.judgeNoted(f, f.ends[0])
+			w.noted[f.ends[0].Task] = w.now
+		}
+		f.ends = f.ends[1:]
+	}
+}
+
+// startAt is what a worker does with a start that was sent at the instant, and what
+// the oracle says of it.
+func (w *world) startAt(f *fakeWorker, o outside.StartOrder, sent time.Time) error {
+	refuse := func(reason outside.Refusal) error {
+		return &outside.WorkerRefusedError{
+			Reason: reason,
+			Clock:  f.clock(w.now),
+		}
+	}
+	if f.down {
+		return errSilent
+	}
+	if o.Fence < f.fence {
+		return refuse(outside.RefusedFence)
+	}
+	f.fence = o.Fence
+	if f.clock(w.now) > o.Until {
+		return refuse(outside.RefusedLate)
+	}
+	if r, found := f.runs[o.Task]; found && r.number == o.Run {
+		return nil
+	}
+	if o.Run <= f.top[o.Task] {
+		return refuse(outside.RefusedOld)
+	}
+	f.renew(w, o.Fence, o.Until)
+	if w.turned[o.Task.Job] {
+		w.fault("%s starts although its job's last answer was a refusal", o.Task)
+	}
+	step := w.stepOf(o.Task)
+	w.judge(f, o.Task, step, sent)
+	f.top[o.Task] = o.Run
+	if o.Ticket != "" {
+		f.tickets++
+	}
+	f.began++
+	if !sent.Before(w.now) {
+		w.started[o.Task] = w.now
+	}
+	f.runs[o.Task] = &fakeRun{
+		number:   o.Run,
+		step:     step,
+		began:    w.now,
+		workLeft: step.Estimate,
+		late:     sent.Before(w.now),
+	}
+	w.judgeQuota(o.Task)
+	return nil
+}
--- /dev/null
+++ b/shard/world_rows_test.go
@@ -0,0 +1,131 @@
+package shard_test
+
+import (
+	"lemonstream.dev/lemonstream/shard"
+)
+
+// writeStandby reads the standby part once, writes there while the store is down,
+// and removes what has become needless once it is back.
+func (w *world) writeStandby() {
+	if w.standbyAway {
+		return
+	}
+	if !w.standbyRead {
+		w.standbyRead = true
+		records := make([]shard.Record, 0, len(w.standbyRecords))
+		for _, record := range w.standbyRecords {
+			records = append(records, record)
+		}
+		if err := w.core.ReadStandby(records, w.standbyEnded, w.progress, w.now); err != nil {
+			w.fault("standby part: %v", err)
+		}
+	}
+	switch {
+	case w.standbyBatch != nil && w.now.Sub(w.standbyAt) >= 2*tick:
+		w.applyStandby(*w.standbyBatch)
+		w.standbyBatch = nil
+	case w.standbyBatch == nil && w.standbyOn && w.storeDown:
+		if b := w.core.TakeStandby(testEntries); !b.Empty() {
+			w.standbyBatch = &b
+			w.standbyAt = w.now
+		}
+	case !w.storeDown:
+		ids := w.core.Settled(testEntries)
+		for _, id := range ids {
+			delete(w.standbyRecords, id)
+			delete(w.standbyEnded, id)
+		}
+		w.core.StandbyRemoved(ids)
+	}
+}
+
+func (w *world) applyStandby(b shard.Standby) {
+	for _, record := range b.Records {
+		w.standbyRecords[record.ID] = record
+		w.stood[record.ID] = true
+	}
+	for _, ended := range b.Ended {
+		w.standbyEnded[ended.ID] = ended.Progress
+	}
+	w.core.StandbyWritten(b, w.now)
+}
+
+// write applies the batch of 20 ms ago and takes the next.
+func (w *world) write() {
+	if w.batch != nil && !w.storeDown && w.now.Sub(w.batchAt) >= 2*tick {
+		w.apply()
+	}
+	if !w.storeDown && !w.frozen {
+		rows := w.core.WorkerRows(8)
+		for _, ref := range rows.Used {
+			w.used[ref.ID] = true
+		}
+		for _, id := range rows.Ended {
+			delete(w.used, id)
+		}
+		w.handover = w.core.HandOver(w.now, false, testRowBytes)
+		w.core.Confirm(rows, w.now)
+	}
+	if w.batch == nil {
+		if b, found := w.core.TakeBatch(testEntries, w.now); found {
+			w.batch = &b
+			w.batchAt = w.now
+		}
+	}
+}
+
+// apply writes the batch that is under way, or takes it back.
+func (w *world) apply() {
+	b := *w.batch
+	w.batch = nil
+	if w.undo(b) {
+		return
+	}
+	for _, record := range b.Records {
+		w.store(record)
+	}
+	for _, id := range b.Lifted {
+		delete(w.refused, id)
+	}
+	for _, one := range b.Refused {
+		w.refused[one.ID] = one.Refusal
+	}
+	for _, one := range b.Writes {
+		if one.Forget {
+			delete(w.progress, one.ID)
+			continue
+		}
+		w.progress[one.ID] = one.Progress
+		if one.EndsRecord {
+			delete(w.records, one.ID)
+		}
+		if one.EndsCancel {
+			delete(w.cancelRows, one.ID)
+		}
+	}
+	w.core.Written(b, w.now)
+}
+
+// undo takes a batch back of which a record stands already.
+func (w *world) undo(b shard.Batch) bool {
+	var existing []shard.Existing
+	absent := make([]string, 0, len(b.Records))
+	for _, record := range b.Records {
+		absent = append(absent, record.ID)
+	}
+	for _, one := range b.Refused {
+		absent = append(absent, one.ID)
+	}
+	for _, id := range absent {
+		if stands, found := w.records[id]; found {
+			existing = append(existing, shard.Existing{
+				Record:  stands,
+				Version: w.version,
+			})
+		}
+	}
+	if len(existing) > 0 {
+		w.core.Undo(b, existing, w.now)
+	}
+	return len(existing) > 0
+}
