--- a/shard/events.go
+++ b/shard/events.go
@@ -128,7 +128,7 @@
 	if found && r.number != running.Run {
 		return
 	}
-	j := s.standing(running.Task.Job)
+	j := s.knownJob(running.Task.Job)
 	var t *taskState
 	if j != nil {
 		t = s.taskOf(j, running.Task)
@@ -280,7 +280,7 @@
 
 // ended takes in one end.
 func (s *Shard) ended(w *workerState, end outside.End, now time.Time) {
-	j := s.standing(end.Task.Job)
+	j := s.knownJob(end.Task.Job)
 	var t *taskState
 	if j != nil {
 		t = s.taskOf(j, end.Task)
--- a/shard/handover.go
+++ b/shard/handover.go
@@ -99,7 +99,7 @@
 	for task := range w.runs {
 		l.Tasks = append(l.Tasks, task)
 	}
-	l.Tasks = w.heldTasks(l.Tasks)
+	l.Tasks = w.deferredTasks(l.Tasks)
 	return l
 }
 
--- a/shard/lease.go
+++ b/shard/lease.go
@@ -170,8 +170,8 @@
 		}
 		if end.Number > w.processed {
 			w.processed = end.Number
-			if s.standing(end.Task.Job) == nil {
-				s.holdEnd(w, end, now)
+			if s.knownJob(end.Task.Job) == nil {
+				s.deferEnd(w, end, now)
 				continue
 			}
 			s.ended(w, end, now)
--- a/shard/restart.go
+++ b/shard/restart.go
@@ -140,7 +140,7 @@
 	next.stopAt = time.Time{}
 	next.suspect = false
 	next.alone = false
-	j := s.standing(r.id.Job)
+	j := s.knownJob(r.id.Job)
 	var t *taskState
 	if j != nil {
 		t = s.taskOf(j, r.id)
--- a/shard/unknown.go
+++ b/shard/unknown.go
@@ -37,9 +37,9 @@
 	lookup int64
 }
 
-// standing returns a job whose record stands, or whose final state is decided; nil for any
+// knownJob returns a job whose record stands, or whose final state is decided; nil for any
 // other. What workers list of one that waits for its record was started by an owner before.
-func (s *Shard) standing(id string) *jobState {
+func (s *Shard) knownJob(id string) *jobState {
 	j := s.jobs[id]
 	if j == nil || (j.unwritten && !j.state.Final()) {
 		return nil
@@ -54,21 +54,21 @@
 	}
 }
 
-// holdEnd keeps an end of a job that this owner does not know. It is neither taken in nor
+// deferEnd keeps an end of a job that this owner does not know. It is neither taken in nor
 // acknowledged until the job is known, or no row names it: the task would run again.
-func (s *Shard) holdEnd(w *workerState, end outside.End, now time.Time) {
+func (s *Shard) deferEnd(w *workerState, end outside.End, now time.Time) {
 	if r, found := w.runs[end.Task]; found && r.number == end.Run {
 		s.drop(r, now)
 	}
-	w.held = append(w.held, end)
+	w.deferred = append(w.deferred, end)
 	s.noteUnknown(end.Task.Job)
 	s.reportRun("end of an unknown job", end.Task, end.Run, w, "how", string(end.Kind), "number", end.Number)
 }
 
 // acknowledgeable returns the last end that may be acknowledged once its batch is written.
 func (w *workerState) acknowledgeable() int64 {
-	if len(w.held) > 0 {
-		return min(w.processed, w.held[0].Number-1)
+	if len(w.deferred) > 0 {
+		return min(w.processed, w.deferred[0].Number-1)
 	}
 	return w.processed
 }
@@ -76,7 +76,7 @@
 // resolveUnknown takes in what workers list of jobs that have become known.
 func (s *Shard) resolveUnknown(now time.Time) {
 	for id := range s.unknown {
-		if s.standing(id) != nil {
+		if s.knownJob(id) != nil {
 			s.resolve(id, now)
 		}
 	}
@@ -86,7 +86,7 @@
 func (s *Shard) resolve(id string, now time.Time) {
 	delete(s.unknown, id)
 	for _, w := range s.workers {
-		s.takeHeld(w, id, now)
+		s.takeDeferred(w, id, now)
 	}
 	for _, w := range s.workers {
 		for _, r := range w.runs {
@@ -97,13 +97,13 @@
 	}
 }
 
-// takeHeld takes in the ends of a job that were kept.
-func (s *Shard) takeHeld(w *workerState, id string, now time.Time) {
-	kept := w.held
-	w.held = nil
+// takeDeferred takes in the ends of a job that were kept.
+func (s *Shard) takeDeferred(w *workerState, id string, now time.Time) {
+	kept := w.deferred
+	w.deferred = nil
 	for _, end := range kept {
 		if end.Task.Job != id {
-			w.held = append(w.held, end)
+			w.deferred = append(w.deferred, end)
 			continue
 		}
 		s.ended(w, end, now)
@@ -115,7 +115,7 @@
 // recognise makes a run that was found count as one of its task, or stops it where the task
 // needs none.
 func (s *Shard) recognise(r *run) {
-	j := s.standing(r.id.Job)
+	j := s.knownJob(r.id.Job)
 	var t *taskState
 	if j != nil {
 		t = s.taskOf(j, r.id)
@@ -197,9 +197,9 @@
 	}
 }
 
-// heldTasks adds the tasks of ends that were kept.
-func (w *workerState) heldTasks(tasks []job.TaskID) []job.TaskID {
-	for _, end := range w.held {
+// deferredTasks adds the tasks of ends that were kept.
+func (w *workerState) deferredTasks(tasks []job.TaskID) []job.TaskID {
+	for _, end := range w.deferred {
 		tasks = append(tasks, end.Task)
 	}
 	return tasks
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -191,9 +191,9 @@
 	acked     int64
 	forgotten int64
 
-	// held holds, by rising number, the ends of jobs that are not known; none of them, and none
+	// deferred holds, by rising number, the ends of jobs that are not known; none of them, and none
 	// behind the first, is acknowledged.
-	held []outside.End
+	deferred []outside.End
 
 	// look is the number of the look that is under way, 0 for none; holdAt is when the
 	// next is due.
