A failed job says on which evidence it was failed

The record of the incident can't tell a job that used up its attempts from one that lost its workers, nor which owner decided: the owner's log is gone, and the entry that showed the state logged nothing. No decision changes.

- The progress row of a failed job holds epoch, task, failed runs and crashed workers.
- 'crash marked' says how the end of the worker is known, 'attempts used' the limit and the runs, 'job ended' the evidence.
- An entry logs 'job shown as failed' with its source: the owner or the rows, and what they say.

--- a/intake/ask.go
+++ b/intake/ask.go
@@ -42,17 +42,17 @@
 func (s *Server) state(r *request) {
 	for {
 		if state, known := s.askOwner(r.ctx, r.route.Service, r.id); known {
-			r.Data(http.StatusOK, contentJSON, s.Codec.EncodeState(state))
+			s.show(r, state, "owner", nil)
 			return
 		}
-		state, service, err := s.tryReading(r.ctx, r.route.Service, r.id)
+		progress, service, err := s.tryReading(r.ctx, r.route.Service, r.id)
 		if err == nil && service == "" {
 			s.Log.Info("job unknown", "job", r.id, "route", r.route.Name)
 			r.Status(http.StatusGone)
 			return
 		}
 		if err == nil {
-			r.Data(http.StatusOK, contentJSON, s.Codec.EncodeState(state))
+			s.show(r, progress.State, "rows of "+service, progress.Failure)
 			return
 		}
 		var queued *QueuedError
@@ -63,6 +63,18 @@
 	}
 }
 
+// show answers with the state of a job. It logs where it learned that a job failed, and why where
+// the rows say so: the entry that failed it may be gone by the time someone asks.
+func (s *Server) show(r *request, state job.State, source string, failure *shard.Failure) {
+	if state == job.Failed {
+		fields := []any{
+			"job", r.id, "route", r.route.Name, "service", r.route.Service, "source", source,
+		}
+		s.Log.Info("job shown as failed", append(fields, failure.LogFields()...)...)
+	}
+	r.Data(http.StatusOK, contentJSON, s.Codec.EncodeState(state))
+}
+
 func (s *Server) askOwner(ctx context.Context, service, id string) (job.State, bool) {
 	if duty, mine := s.Owners.Duty(service); mine {
 		return duty.State(id)
@@ -83,32 +95,32 @@
 
 // tryReading is readState, unless the rows of the service could not be read a moment
 // ago, or others of this entry's questions have their turn before.
-func (s *Server) tryReading(ctx context.Context, service, id string) (job.State, string, error) {
+func (s *Server) tryReading(ctx context.Context, service, id string) (shard.Progress, string, error) {
 	pause := s.ReadPause()
 	if !s.reads.turn(ctx, s.Clock, pause) {
-		return "", "", &QueuedError{
+		return shard.Progress{}, "", &QueuedError{
 			Service: service,
 		}
 	}
-	var state job.State
+	var progress shard.Progress
 	var found string
 	tried := false
 	err := s.Breakers.Try(ctx, "reading of "+service, func(ctx context.Context) error {
 		tried = true
 		var err error
-		state, found, err = s.readState(ctx, service, id)
+		progress, found, err = s.readState(ctx, service, id)
 		return err
 	})
 	if !tried {
 		s.reads.giveBack(pause)
 	}
-	return state, found, err
+	return progress, found, err
 }
 
 // readState reads the state of a job from the rows of its service, and then of
 // the other services, since a route may have moved. It returns the service that
 // holds the job, or an empty one where none does.
-func (s *Server) readState(ctx context.Context, service, id string) (job.State, string, error) {
+func (s *Server) readState(ctx context.Context, service, id string) (shard.Progress, string, error) {
 	services := []string{service}
 	for _, other := range s.Catalog().Services {
 		if other.Name != service {
@@ -116,48 +128,50 @@
 		}
 	}
 	for _, candidate := range services {
-		state, found, err := s.readRows(ctx, candidate, id)
+		progress, found, err := s.readRows(ctx, candidate, id)
 		if err != nil || found {
-			return state, candidate, err
+			return progress, candidate, err
 		}
 	}
-	return "", "", nil
+	return shard.Progress{}, "", nil
 }
 
 // readRows reads the state of a job from the rows of one service: from its own part,
 // and where that has nothing, or can't be read, from its standby part.
-func (s *Server) readRows(ctx context.Context, service, id string) (job.State, bool, error) {
-	state, found, err := s.readPair(ctx, owner.IntakeKey(service, id), owner.ProgressKey(service, id))
-	if found && err == nil && state.Final() {
-		return state, true, nil
+func (s *Server) readRows(ctx context.Context, service, id string) (shard.Progress, bool, error) {
+	progress, found, err := s.readPair(ctx, owner.IntakeKey(service, id), owner.ProgressKey(service, id))
+	if found && err == nil && progress.State.Final() {
+		return progress, true, nil
 	}
 	standby, inStandby, standbyErr := s.readPair(ctx, owner.StandbyIntakeKey(service, id), owner.StandbyProgressKey(service, id))
-	if inStandby && standbyErr == nil && (standby.Final() || !found) {
+	if inStandby && standbyErr == nil && (standby.State.Final() || !found) {
 		return standby, true, nil
 	}
 	if err == nil && !found {
 		err = standbyErr
 	}
-	return state, found, err
+	return progress, found, err
 }
 
-// readPair reads the state of a job from its record and its progress.
-func (s *Server) readPair(ctx context.Context, intake, progress outside.Key) (job.State, bool, error) {
+// readPair reads the progress of a job from its record and its progress row.
+func (s *Server) readPair(ctx context.Context, intake, progress outside.Key) (shard.Progress, bool, error) {
 	// The record goes in the transaction that writes the final state, so it is
 	// read first: what is missing there is in the progress that is read later.
 	record, err := s.Table.Row(ctx, intake)
 	if err != nil {
-		return "", false, err
+		return shard.Progress{}, false, err
 	}
 	row, err := s.Table.Row(ctx, progress)
 	if err != nil {
-		return "", false, err
+		return shard.Progress{}, false, err
 	}
 	if row == nil {
-		return job.Queued, record != nil, nil
+		return shard.Progress{
+			State: job.Queued,
+		}, record != nil, nil
 	}
 	decoded, err := shard.DecodeProgress(row.Value)
-	return decoded.State, true, err
+	return decoded, true, err
 }
 
 // cancel withdraws a job.
@@ -183,11 +197,11 @@
 	if s.cancelAtOwner(r.ctx, r.route.Service, r.id) {
 		return http.StatusOK, nil
 	}
-	state, service, err := s.tryReading(r.ctx, r.route.Service, r.id)
+	progress, service, err := s.tryReading(r.ctx, r.route.Service, r.id)
 	if err != nil {
 		return 0, err
 	}
-	if service == "" || state.Final() {
+	if service == "" || progress.State.Final() {
 		return http.StatusGone, nil
 	}
 	// The job stays with the service that its route had when it was accepted.
--- a/shard/crash.go
+++ b/shard/crash.go
@@ -39,7 +39,7 @@
 		return
 	}
 	for id := range lost {
-		s.recordCrash(id, w.incarnation().String(), now)
+		s.recordCrash(id, w.incarnation().String(), reason, now)
 	}
 }
 
@@ -95,7 +95,8 @@
 // counted by worker id, one task crashed the only worker of a pool, which was back a second after
 // each crash, 30 times in 40 s. The job of a long-running task does not fail: the other tasks of
 // the step go on, since stopping them all would exceed the step's limit of unavailable tasks.
-func (s *Shard) recordCrash(id job.TaskID, worker string, now time.Time) {
+// evidence says how the end of the incarnation is known, for the log.
+func (s *Shard) recordCrash(id job.TaskID, worker, evidence string, now time.Time) {
 	j, t := s.openTask(id)
 	if t == nil {
 		return
@@ -107,13 +108,13 @@
 	t.crashes = marks
 	t.crashBatch = s.lastBatch + 1
 	s.dirty[id.Job] = j
-	s.opts.LogEvent("crash marked", "task", id.String(), "worker", worker, "crashes", len(marks))
+	s.opts.LogEvent("crash marked", "task", id.String(), "worker", worker, "crashes", len(marks), "evidence", evidence)
 	if !marks.GivenUp() {
 		return
 	}
 	s.opts.LogEvent("task given up", "job", id.Job, "task", id.String(), "crashed", strings.Join(marks, " "))
 	if !j.record.Spec.Steps[id.Step].Lasting {
-		s.finishJob(j, job.Failed, now)
+		s.failJob(j, id, t, now)
 	}
 }
 
@@ -213,7 +214,7 @@
 			if _, t := s.openTask(id); t != nil {
 				t.possibleCrashes = t.possibleCrashes.Without(name)
 			}
-			s.recordCrash(id, name, now)
+			s.recordCrash(id, name, "possible crash of an ended worker", now)
 		}
 	}
 }
--- a/shard/events.go
+++ b/shard/events.go
@@ -369,11 +369,24 @@
 	t.failedRuns = append(t.failedRuns, end.Run)
 	s.dirty[j.record.ID] = j
 	if attempts := j.attempts(end.Task, t); attempts >= j.policy.Attempts && !t.done {
-		s.opts.LogEvent("attempts used", "job", j.record.ID, "task", end.Task.String(), "attempts", attempts)
-		s.finishJob(j, job.Failed, now)
+		s.opts.LogEvent("attempts used", "job", j.record.ID, "task", end.Task.String(), "attempts", attempts, "limit", j.policy.Attempts,
+			"runs", t.failedRuns)
+		s.failJob(j, end.Task, t, now)
 	}
 }
 
+// failJob fails a job because of a task, and keeps the evidence.
+func (s *Shard) failJob(j *jobState, id job.TaskID, t *taskState, now time.Time) {
+	j.failure = &Failure{
+		Epoch:           s.epoch,
+		Task:            id.String(),
+		FailedRuns:      t.failedRuns,
+		Crashed:         t.crashes,
+		PossiblyCrashed: t.possibleCrashes,
+	}
+	s.finishJob(j, job.Failed, now)
+}
+
 // finishJob sets the final state of a job and stops its remaining runs.
 func (s *Shard) finishJob(j *jobState, state job.State, now time.Time) {
 	if !j.started {
--- a/shard/jobs.go
+++ b/shard/jobs.go
@@ -66,6 +66,7 @@
 		started:     true,
 		finalStored: true,
 		endedAt:     time.UnixMilli(progress.EndedMillis),
+		failure:     progress.Failure,
 	}
 	s.opts.PublishState(id, progress.State)
 }
--- a/shard/jobstate.go
+++ b/shard/jobstate.go
@@ -41,8 +41,9 @@
 	// deadline is the time until which the completed job earns its full value.
 	deadline time.Time
 
-	// endedAt is when the job reached a final state.
+	// endedAt is when the job reached a final state, failure why that state is Failed.
 	endedAt time.Time
+	failure *Failure
 
 	// activeRuns counts the runs on workers, including those that are being stopped.
 	activeRuns int
--- a/shard/record.go
+++ b/shard/record.go
@@ -51,6 +51,25 @@
 
 	// EndedMillis is when a final state was reached, in Unix milliseconds.
 	EndedMillis int64 `cbor:"5,keyasint,omitempty"`
+
+	// Failure is why the job failed; nil for any other state. Rows written by earlier versions have
+	// none.
+	Failure *Failure `cbor:"8,keyasint,omitempty"`
+}
+
+// Failure is the evidence on which an owner failed a job.
+type Failure struct {
+	// Epoch is the epoch of the owner, Task the task that could not be done.
+	Epoch int64  `cbor:"1,keyasint"`
+	Task  string `cbor:"2,keyasint"`
+
+	// FailedRuns are the numbers of the runs that failed.
+	FailedRuns []int64 `cbor:"3,keyasint,omitempty"`
+
+	// Crashed are the worker incarnations that crashed while they ran the task, PossiblyCrashed
+	// those that may have.
+	Crashed         []string `cbor:"4,keyasint,omitempty"`
+	PossiblyCrashed []string `cbor:"5,keyasint,omitempty"`
 }
 
 // DecodeProgress decodes a row written by Progress.Encode.
@@ -72,6 +91,16 @@
 	return r, r.Spec.Check()
 }
 
+// LogFields returns the evidence as fields of a log line; none for nil.
+func (f *Failure) LogFields() []any {
+	if f == nil {
+		return nil
+	}
+	return []any{
+		"failed_under", f.Epoch, "task", f.Task, "failed_runs", f.FailedRuns, "crashed", f.Crashed, "possibly_crashed", f.PossiblyCrashed,
+	}
+}
+
 // Encode returns the row in CBOR.
 func (p Progress) Encode() []byte {
 	return encode(p)
@@ -107,6 +136,7 @@
 	}
 	if j.state.Final() {
 		p.EndedMillis = j.endedAt.UnixMilli()
+		p.Failure = j.failure
 		return p
 	}
 	for k, o := range j.occurrences {
--- a/shard/restart.go
+++ b/shard/restart.go
@@ -74,7 +74,7 @@
 	s.clearStalePossibleCrashes(before)
 	if crashed {
 		for id := range lost {
-			s.recordCrash(id, before.incarnation().String(), now)
+			s.recordCrash(id, before.incarnation().String(), "worker started again", now)
 		}
 	}
 	return w
--- a/shard/standby.go
+++ b/shard/standby.go
@@ -95,6 +95,7 @@
 		return
 	}
 	s.unsubmit(j)
+	j.failure = progress.Failure
 	s.finishJob(j, progress.State, now)
 	s.opts.PublishState(id, progress.State)
 }
@@ -189,7 +190,10 @@
 // publishEnd publishes the final state of a job once the state is written.
 func (s *Shard) publishEnd(j *jobState, state job.State, now time.Time) {
 	s.opts.PublishState(j.record.ID, state)
-	s.opts.LogEvent("job ended", "job", j.record.ID, "state", string(state), "late_ms", now.Sub(j.deadline).Milliseconds())
+	fields := []any{
+		"job", j.record.ID, "state", string(state), "late_ms", now.Sub(j.deadline).Milliseconds(),
+	}
+	s.opts.LogEvent("job ended", append(fields, j.failure.LogFields()...)...)
 	j.unwritten = false
 	j.answerSubmitters(true)
 	for _, done := range j.cancelWaiters {
