A lost claim logs no error

Cause: the transaction of a claim checks the owner's row and its heartbeat, and an entry that loses the claim decoded both as rows of owners. Only the owner's row is taken now.

--- a/owner/claim.go
+++ b/owner/claim.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -222,7 +223,8 @@
 	switch {
 	case err == nil:
 	case errors.As(err, &conflict):
-		k.applyOwners(conflict.Rows)
+		// The heartbeat row is among the checked rows as well.
+		k.applyOwners(slices.DeleteFunc(slices.Clone(conflict.Rows), func(row outside.Row) bool { return row.Key.Table != TableOwners }))
 		return claim{}, err
 	case outside.IsUncertain(err):
 		page, readErr := k.deps.Table.Get(ctx, TableOwners, service, "", 0)
--- a/owner/keeper_test.go
+++ b/owner/keeper_test.go
@@ -47,7 +47,7 @@
 func (l *lines) Write(line []byte) (int, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, event := range []string{"service taken", "service lost"} {
+	for _, event := range []string{"service taken", "service not taken", "service lost", "row left out"} {
 		if strings.Contains(string(line), `"msg":"`+event+`"`) {
 			l.count[event]++
 		}
@@ -182,6 +182,33 @@
 	return owns
 }
 
+// TestLostClaimLogsNoError lets two entries claim a service at the same time. The one that loses gets
+// the heartbeat row of the other one, which was decoded as the row of an owner.
+func TestLostClaimLogsNoError(t *testing.T) {
+	is := is.New(t)
+	rows := standin.NewRows()
+	var both sync.WaitGroup
+	both.Add(2)
+	var first [2]sync.Once
+	list := make([]*entry, 2)
+	for i, name := range []string{"a", "b"} {
+		table := rows.Table()
+		write := table.Transact
+		table.Transact = func(ctx context.Context, tx outside.Transaction) (outside.Receipt, error) {
+			first[i].Do(func() {
+				both.Done()
+				both.Wait()
+			})
+			return write(ctx, tx)
+		}
+		list[i] = newEntryOn(t, name, table, alive(name))
+	}
+	until(t, "one entry owns the service and the other has lost its claim", func() bool {
+		return list[0].owns() != list[1].owns() && list[0].lines.of("service not taken")+list[1].lines.of("service not taken") == 1
+	})
+	is.Equal(list[0].lines.of("row left out")+list[1].lines.of("row left out"), 0)
+}
+
 // TestSlowAnswerToClaimStartsOneDuty lets the entry read the row of its claim long before the
 // answer to the claim arrives.
 func TestSlowAnswerToClaimStartsOneDuty(t *testing.T) {
