A worker that is gone from sight has not crashed

Cause: an owner counted a crash under every task of a worker that did not answer and whose registration had lapsed, that another worker had replaced, or that a new owner did not know. A worker that is cut off or paused, one that announced its end while the registrations could not be read or while nobody owned the service, and one whose instance was ordered away and of which the owner heard late look the same. Three such losses failed the job. A crash also counted twice if it was known by the worker's id alone and with its start.

Change: a loss is a crash only if someone else has taken the worker's place, and it had announced nothing by registrations that were read late enough to show it, and its instance was not wanted elsewhere. Any other loss is a possible crash, which is withdrawn when the worker answers again or turns out to have been taken, and becomes a crash when its place is taken. A task is given up after three losses if two of them are crashes, which the platform permits, and else after five. Why it works: what fails a job is now evidence that the worker's process has ended, and no incarnation can give it while it runs.

--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -3,9 +3,11 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/netip"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -17,6 +19,9 @@
 // darkTime is how long an instance of the stand-in is dark after an order.
 const darkTime = 200 * time.Millisecond
 
+// heartbeat is how often a worker writes its registration.
+const heartbeat = 1500 * time.Millisecond
+
 // livesOfAnID is how many lives of a worker share its id: the platform lets one start again
 // under the id that it had.
 const livesOfAnID = 2
@@ -53,6 +58,10 @@
 	worker *Worker
 	router *gin.Engine
 
+	// cuts counts the partitions in force, during which nobody reaches the worker and its
+	// registration lapses.
+	cuts int
+
 	// state and wave are what the instance is doing, and for which wave; done holds
 	// the waves that it went through.
 	state string
@@ -85,8 +94,14 @@
 	}
 	serve := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		f.mu.Lock()
-		router := i.router
+		router, cut := i.router, i.cuts > 0
 		f.mu.Unlock()
+		if cut {
+			// The server notices that the caller has left only once the body is read.
+			_, _ = io.Copy(io.Discard, r.Body)
+			<-r.Context().Done()
+			return
+		}
 		if router == nil {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
@@ -286,6 +301,75 @@
 	}
 }
 
+// CutOff partitions the instance that runs a task of a job from everybody, and returns what ends
+// the partition; nil if none runs one. The worker goes on running. Its registration lapses after
+// three heartbeats, and is back with the next one.
+func (f *Fleet) CutOff(job string) func() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, i := range f.instances {
+		if i.worker == nil || i.cuts > 0 || !i.worker.runsTaskOf(job) {
+			continue
+		}
+		i.cuts++
+		worker := i.worker
+		time.AfterFunc(registeredFor, func() { f.register(i, worker, true) })
+		f.advanceCut(i, worker)
+		return func() {
+			f.mu.Lock()
+			i.cuts--
+			f.mu.Unlock()
+			time.AfterFunc(heartbeat, func() { f.register(i, worker, false) })
+		}
+	}
+	return nil
+}
+
+// advanceCut lets the time go by for a worker that is cut off, which no call does.
+func (f *Fleet) advanceCut(i *fleetInstance, worker *Worker) {
+	time.AfterFunc(workerPoll, func() {
+		worker.mu.Lock()
+		worker.advance()
+		worker.mu.Unlock()
+		f.mu.Lock()
+		cut := i.cuts > 0 && i.worker == worker
+		f.mu.Unlock()
+		if cut {
+			f.advanceCut(i, worker)
+		}
+	})
+}
+
+// register removes the registration of a worker that is cut off, or writes that of one that is not,
+// unless the worker has ended.
+func (f *Fleet) register(i *fleetInstance, worker *Worker, lapsed bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if i.worker != worker || lapsed != (i.cuts > 0) {
+		return
+	}
+	var row []byte
+	if !lapsed {
+		row = []byte(worker.Registration())
+	}
+	f.rows.Write(outside.Key{
+		Table: "servers",
+		Name:  worker.ID,
+	}, row)
+}
+
+// runsTaskOf reports whether a task of a job runs on the worker.
+func (w *Worker) runsTaskOf(job string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for task := range w.runs {
+		if strings.HasPrefix(task, job+".") {
+			return true
+		}
+	}
+	return false
+}
+
 // crash ends the worker of an instance without a word, and lets another one come.
 func (f *Fleet) crash(i *fleetInstance, worker *Worker) {
 	f.mu.Lock()
--- a/owner/duty.go
+++ b/owner/duty.go
@@ -224,8 +224,13 @@
 	d.deps.Group.Go("intake of "+d.service, func(context.Context) error {
 		return d.pollIntake(ctx, since)
 	})
-	stop := d.deps.Registry.Watch(d.service, func(l Listing) {
-		d.pushLogged(func(d *Duty, now time.Time) { d.core.SetWorkers(l.Workers, l.Regained, now) })
+	stop := d.deps.Registry.Watch(d.service, Watcher{
+		Changed: func(l Listing) {
+			d.pushLogged(func(d *Duty, now time.Time) { d.core.SetWorkers(l.Workers, l.Regained, now) })
+		},
+		Read: func() {
+			d.pushLogged(func(d *Duty, now time.Time) { d.core.RegistrationsRead(now) })
+		},
 	})
 	defer stop()
 	d.ready.Store(true)
--- a/owner/fleet.go
+++ b/owner/fleet.go
@@ -212,7 +212,9 @@
 	}
 	// Watching keeps the registry of this entry up to date: service owners read the
 	// registrations through it.
-	defer f.deps.Registry.Watch(partInstances, func(Listing) {})()
+	defer f.deps.Registry.Watch(partInstances, Watcher{
+		Changed: func(Listing) {},
+	})()
 	for {
 		select {
 		case <-ctx.Done():
--- a/owner/registry.go
+++ b/owner/registry.go
@@ -25,6 +25,10 @@
 	// registryFeedWait is how long a read may wait for a change.
 	registryFeedWait = 750 * time.Millisecond
 
+	// readNotifyInterval is the minimum time between two notifications of reads without a
+	// change. Relayed reads end more often.
+	readNotifyInterval = 500 * time.Millisecond
+
 	// maxForeignRows is the maximum number of rows of other writers that are remembered in
 	// order to log each once. A deployment has a few hundred workers.
 	maxForeignRows = 1000
@@ -39,6 +43,15 @@
 	Regained time.Time
 }
 
+// Watcher is told of the registrations of a service.
+type Watcher struct {
+	// Changed is called with the registrations after each change.
+	Changed func(Listing)
+
+	// Read is called after reads without a change, at most once in readNotifyInterval.
+	Read func()
+}
+
 // Registry tracks the registrations of workers while it has watchers.
 type Registry struct {
 	// Count counts the rows of other writers. It must be set before use.
@@ -58,7 +71,10 @@
 	version int64
 
 	workers  map[string]registrationRow
-	watchers map[string]func(Listing)
+	watchers map[string]Watcher
+
+	// readNotifiedAt is when the watchers were last told that the registrations were read.
+	readNotifiedAt time.Time
 
 	// foreign holds the keys of rows that were not written by a worker and have been logged,
 	// as long as these rows are stored.
@@ -89,7 +105,7 @@
 		decode:     decode,
 		log:        log,
 		workers:    make(map[string]registrationRow),
-		watchers:   make(map[string]func(Listing)),
+		watchers:   make(map[string]Watcher),
 		foreign:    make(map[string]bool),
 		watchAdded: make(chan struct{}, 1),
 	}
@@ -133,14 +149,14 @@
 	}
 }
 
-// Watch calls changed with the service's registrations after each change until the returned
-// function is called. It also calls changed immediately if the registrations are known.
-func (r *Registry) Watch(service string, changed func(Listing)) func() {
+// Watch tells a watcher of the service's registrations until the returned function is called. It
+// also calls Changed immediately if the registrations are known.
+func (r *Registry) Watch(service string, watcher Watcher) func() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.watchers[service] = changed
+	r.watchers[service] = watcher
 	if r.loaded {
-		changed(r.listing(service))
+		watcher.Changed(r.listing(service))
 	}
 	select {
 	case r.watchAdded <- struct{}{}:
@@ -310,10 +326,20 @@
 	r.loaded = false
 }
 
+// notify tells the watchers of the services in touched that their registrations have changed, and
+// the others that they were read.
 func (r *Registry) notify(touched map[string]bool) {
-	for service, changed := range r.watchers {
-		if touched[service] {
-			changed(r.listing(service))
+	now := r.clock.Now()
+	due := now.Sub(r.readNotifiedAt) >= readNotifyInterval
+	if due {
+		r.readNotifiedAt = now
+	}
+	for service, watcher := range r.watchers {
+		switch {
+		case touched[service]:
+			watcher.Changed(r.listing(service))
+		case due && watcher.Read != nil:
+			watcher.Read()
 		}
 	}
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -206,6 +206,7 @@
 			BusyPollWait: busyWait,
 			IdlePollWait: idleWait,
 			StopTimeout:  d.settings.StopTimeout,
+			DrainTime:    d.settings.DrainTime,
 			JobRetention: d.settings.JobRetention,
 			RemoteFactor: d.settings.RemoteFactor,
 			Starts:       link.StartBudget(d.settings.LinkBits),
--- a/shard/crash.go
+++ b/shard/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -11,6 +12,15 @@
 	"lemonstream.dev/lemonstream/suspect"
 )
 
+// announcementSlack is the time for which a worker certainly answers on after it has announced its
+// end, subtracted from what the platform states, since a read of the registrations takes time.
+const announcementSlack = 250 * time.Millisecond
+
+// replacementWait is how long after a silent worker was given up another one is expected at its
+// address if it crashed. The platform starts a crashed worker again after some seconds, and a silent
+// one is given up after about seven.
+const replacementWait = 5 * time.Second
+
 // possibleCrashAfter is how many polls of a worker have to fail in a row before its tasks are
 // stored with a possible crash there. A crashed worker resets its connections, so that this takes
 // some 100 ms. If the owner dies before that, the next owner does not learn of the crash.
@@ -27,28 +37,87 @@
 	weightBesideSuspect = 150.0
 )
 
-// workerLost drops a worker that ended without an order of this owner. If it crashed, the crash is
-// recorded for every task that may have run there. A task whose crashes are not counted starts
-// again and again and crashes a worker each time: two tasks once crashed twelve workers with
+// How the end of a worker is known, in the log.
+const (
+	evidenceAddress   = "another worker has its address"
+	evidenceReplaced  = "another worker answers"
+	evidenceRestarted = "worker started again"
+	evidenceSilent    = "unlisted and silent"
+)
+
+// recentCrash is the crash of a worker incarnation that was recorded or read lately, with the tasks
+// for which it was.
+type recentCrash struct {
+	tasks []job.TaskID
+	at    time.Time
+}
+
+// silentLoss is a worker incarnation that was given up because it did not answer.
+type silentLoss struct {
+	loss    suspect.Loss
+	address netip.AddrPort
+	at      time.Time
+}
+
+// workerLost drops a worker that ended, or is assumed to have ended, without an order of this owner.
+// A crash is recorded for every task that may have run there. A task whose crashes are not counted
+// starts again and again and crashes a worker each time: two tasks once crashed twelve workers with
 // 176 runs in eleven seconds.
-func (s *Shard) workerLost(w *workerState, now time.Time, reason string) {
-	crashed := w.loss().Crashed()
+func (s *Shard) workerLost(w *workerState, now time.Time, evidence string) {
+	verdict := s.verdict(w, now, evidence != evidenceSilent)
 	lost := s.lostTasks(w, now)
-	s.removeWorker(w, now, reason)
-	if !crashed {
-		return
+	if evidence == evidenceSilent && verdict == suspect.PossibleCrash {
+		s.silentLosses[w.incarnation().String()] = silentLoss{
+			loss:    s.loss(w, now),
+			address: w.reg.Address,
+			at:      now,
+		}
 	}
+	s.removeWorker(w, now, evidence)
+	s.recordLoss(w, lost, verdict, evidence, now)
+}
+
+// recordLoss records what the loss of a worker means for the tasks that may have run there.
+func (s *Shard) recordLoss(w *workerState, lost map[job.TaskID]struct{}, verdict suspect.Verdict, evidence string, now time.Time) {
+	name := w.incarnation().String()
 	for id := range lost {
-		s.recordCrash(id, w.incarnation().String(), reason, now)
+		switch verdict {
+		case suspect.Crash:
+			s.recordCrash(id, name, evidence, now)
+		case suspect.PossibleCrash:
+			s.addPossibleCrash(id, name)
+		case suspect.NoCrash:
+		}
 	}
 }
 
+// verdict returns whether a worker crashed. ended says that another worker or incarnation answers in
+// its place.
+func (s *Shard) verdict(w *workerState, now time.Time, ended bool) suspect.Verdict {
+	loss := s.loss(w, now)
+	loss.Ended = ended
+	return loss.Verdict(s.announcementLead())
+}
+
+// announcementLead is how long a worker certainly answers on after it has announced its end.
+func (s *Shard) announcementLead() time.Duration {
+	return s.opts.DrainTime - announcementSlack
+}
+
 // loss returns what is known about the end of a worker.
-func (w *workerState) loss() suspect.Loss {
+func (s *Shard) loss(w *workerState, now time.Time) suspect.Loss {
 	loss := suspect.Loss{
-		Draining:    w.reg.Draining,
-		Unheard:     !w.contacted,
-		SilentSince: w.silentSince,
+		Announced: w.announced,
+		Unheard:   !w.contacted,
+		ListedAt:  w.listedAt,
+		LostAt:    now,
+	}
+	if !w.silentSince.IsZero() {
+		loss.LostAt = w.silentSince
+	}
+	loss.Closed = loss.LostAt.Before(w.closedUntil)
+	if w.listed && !w.isOtherIncarnation(w.reg.Born) {
+		loss.ListedAt = latestOf(w.listedAt, s.listReadAt)
 	}
 	if !w.listed {
 		loss.UnlistedAt = w.unlistedAt
@@ -60,7 +129,7 @@
 // according to the previous owner. It leaves out proven runs of long-running tasks, see isProven.
 func (s *Shard) lostTasks(w *workerState, now time.Time) map[job.TaskID]struct{} {
 	lost := make(map[job.TaskID]struct{})
-	for _, name := range s.possibleCrashKeys(w) {
+	for _, name := range s.possibleCrashKeys(w.incarnation()) {
 		maps.Copy(lost, s.possibleCrashes[name])
 	}
 	for id, r := range w.runs {
@@ -93,26 +162,34 @@
 // recordCrash records that an incarnation of a worker crashed under a task. At suspect.CrashLimit
 // it gives the task up and fails the job. Each incarnation of a worker counts: when crashes were
 // counted by worker id, one task crashed the only worker of a pool, which was back a second after
-// each crash, 30 times in 40 s. The job of a long-running task does not fail: the other tasks of
-// the step go on, since stopping them all would exceed the step's limit of unavailable tasks.
-// evidence says how the end of the incarnation is known, for the log.
+// each crash, 30 times in 40 s. evidence says how the end of the incarnation is known, for the log.
 func (s *Shard) recordCrash(id job.TaskID, worker, evidence string, now time.Time) {
 	j, t := s.openTask(id)
 	if t == nil {
 		return
 	}
+	s.removePossibleCrashes(id, outside.ParseIncarnation(worker))
 	marks, fresh := t.crashes.Add(worker)
+	t.crashes = marks
 	if !fresh {
 		return
 	}
-	t.crashes = marks
 	t.crashBatch = s.lastBatch + 1
 	s.dirty[id.Job] = j
-	s.opts.LogEvent("crash marked", "task", id.String(), "worker", worker, "crashes", len(marks), "evidence", evidence)
-	if !marks.GivenUp() {
-		return
+	s.opts.LogEvent("crash marked", "task", id.String(), "worker", worker, "crashes", len(marks), "possible", len(t.possibleCrashes),
+		"evidence", evidence)
+	s.indexCrash(id, worker, now)
+	if t.crashes.GivenUp(s.settledCrashes(t, now)) {
+		s.giveUp(j, id, t, now)
 	}
-	s.opts.LogEvent("task given up", "job", id.Job, "task", id.String(), "crashed", strings.Join(marks, " "))
+}
+
+// giveUp stops starting a task under which too many workers were lost, and fails its job. The job of
+// a long-running task does not fail: the other tasks of the step go on, since stopping them all would
+// exceed the step's limit of unavailable tasks.
+func (s *Shard) giveUp(j *jobState, id job.TaskID, t *taskState, now time.Time) {
+	s.opts.LogEvent("task given up", "job", id.Job, "task", id.String(), "crashed", strings.Join(t.crashes, " "),
+		"possibly_crashed", strings.Join(t.possibleCrashes, " "))
 	if !j.record.Spec.Steps[id.Step].Lasting {
 		s.failJob(j, id, t, now)
 	}
@@ -140,9 +217,20 @@
 	if t == nil {
 		return
 	}
-	t.possibleCrashes, _ = t.possibleCrashes.Add(worker)
+	if t.crashes.Contains(worker) {
+		return
+	}
+	known := t.possibleCrashes
+	t.possibleCrashes, _ = known.Add(worker)
 	s.dirty[id.Job] = j
-	s.indexPossibleCrash(id, worker)
+	for _, name := range known {
+		if !slices.Contains(t.possibleCrashes, name) {
+			s.unindexPossibleCrash(id, name)
+		}
+	}
+	for _, name := range t.possibleCrashes {
+		s.indexPossibleCrash(id, name)
+	}
 }
 
 // indexPossibleCrash adds a task's possible crash to the index by worker.
@@ -153,23 +241,31 @@
 	s.possibleCrashes[worker][id] = struct{}{}
 }
 
+// unindexPossibleCrash removes a task's possible crash from the index by worker.
+func (s *Shard) unindexPossibleCrash(id job.TaskID, worker string) {
+	delete(s.possibleCrashes[worker], id)
+	if len(s.possibleCrashes[worker]) == 0 {
+		delete(s.possibleCrashes, worker)
+	}
+}
+
 // possibleCrashKeys returns the keys of Shard.possibleCrashes for a worker's incarnation. There may
 // be two: while the start time of an incarnation is unknown, its key is the worker's id alone.
-func (s *Shard) possibleCrashKeys(w *workerState) []string {
+func (s *Shard) possibleCrashKeys(incarnation outside.Incarnation) []string {
 	var names []string
 	for name := range s.possibleCrashes {
-		if outside.ParseIncarnation(name).Same(w.incarnation()) {
+		if outside.ParseIncarnation(name).Same(incarnation) {
 			names = append(names, name)
 		}
 	}
 	return names
 }
 
-// clearPossibleCrash removes the possible crashes of a task on a worker, which did not crash under
-// it. The row is written again: otherwise a later end of the worker for another reason would count
-// against the task.
-func (s *Shard) clearPossibleCrash(id job.TaskID, w *workerState) {
-	for _, name := range s.possibleCrashKeys(w) {
+// removePossibleCrashes removes the possible crashes of a task on an incarnation, which did not crash
+// under it or is known to have. The row is written again: otherwise a later end of the worker for
+// another reason would count against the task.
+func (s *Shard) removePossibleCrashes(id job.TaskID, incarnation outside.Incarnation) {
+	for _, name := range s.possibleCrashKeys(incarnation) {
 		s.removePossibleCrash(id, name)
 	}
 }
@@ -179,10 +275,7 @@
 	if _, found := s.possibleCrashes[worker][id]; !found {
 		return
 	}
-	delete(s.possibleCrashes[worker], id)
-	if len(s.possibleCrashes[worker]) == 0 {
-		delete(s.possibleCrashes, worker)
-	}
+	s.unindexPossibleCrash(id, worker)
 	if j, t := s.openTask(id); t != nil {
 		t.possibleCrashes = t.possibleCrashes.Without(worker)
 		s.dirty[id.Job] = j
@@ -192,7 +285,7 @@
 // clearStalePossibleCrashes removes the possible crashes of tasks that do not run on a worker which
 // answers or has ended.
 func (s *Shard) clearStalePossibleCrashes(w *workerState) {
-	for _, name := range s.possibleCrashKeys(w) {
+	for _, name := range s.possibleCrashKeys(w.incarnation()) {
 		for id := range s.possibleCrashes[name] {
 			if _, runs := w.runs[id]; !runs {
 				s.removePossibleCrash(id, name)
@@ -201,42 +294,134 @@
 	}
 }
 
-// resolvePossibleCrashes turns possible crashes into recorded ones if the worker is unknown to this
-// owner or a later incarnation of it has answered. A possible crash that is still stored then was
-// not cleared by an earlier owner.
-func (s *Shard) resolvePossibleCrashes(now time.Time) {
+// withdrawCrashes removes the crashes and possible crashes of an incarnation, whose instance was
+// ordered away. The owner may hear of the order only after it has lost the worker.
+func (s *Shard) withdrawCrashes(taken outside.Incarnation) {
+	for _, name := range s.possibleCrashKeys(taken) {
+		for id := range s.possibleCrashes[name] {
+			s.removePossibleCrash(id, name)
+		}
+	}
+	for name, crash := range s.recentCrashes {
+		if !outside.ParseIncarnation(name).Same(taken) {
+			continue
+		}
+		for _, id := range crash.tasks {
+			s.withdrawCrash(id, name)
+		}
+		delete(s.recentCrashes, name)
+	}
+}
+
+// withdrawCrash removes a recorded crash of an open task.
+func (s *Shard) withdrawCrash(id job.TaskID, worker string) {
+	j, t := s.openTask(id)
+	if t == nil || !t.crashes.Contains(worker) {
+		return
+	}
+	t.crashes = t.crashes.Without(worker)
+	s.dirty[id.Job] = j
+	s.opts.LogEvent("crash withdrawn", "task", id.String(), "worker", worker, "crashes", len(t.crashes), "reason", reasonInstanceTaken)
+}
+
+// recordReplaced records the possible crashes of silent workers as crashes if another worker is
+// registered at their address, so that they have ended.
+func (s *Shard) recordReplaced(reg outside.Registration, now time.Time) {
+	for name, lost := range s.silentLosses {
+		if lost.address != reg.Address || outside.ParseIncarnation(name).Same(reg.Incarnation()) {
+			continue
+		}
+		delete(s.silentLosses, name)
+		lost.loss.Ended = true
+		if lost.loss.Verdict(s.announcementLead()) != suspect.Crash {
+			continue
+		}
+		for id := range s.possibleCrashes[name] {
+			s.recordCrash(id, name, evidenceAddress, now)
+		}
+	}
+}
+
+// purgeLosses drops the recorded crashes and losses of workers of which no more is learnt.
+func (s *Shard) purgeLosses(now time.Time) {
+	for name, lost := range s.silentLosses {
+		if now.Sub(lost.at) > endedRetention {
+			delete(s.silentLosses, name)
+		}
+	}
+	for name, crash := range s.recentCrashes {
+		if now.Sub(crash.at) > endedRetention {
+			delete(s.recentCrashes, name)
+		}
+	}
+}
+
+// recordEarlierCrashes records the possible crashes that an earlier owner stored for a worker's
+// previous incarnations as crashes, once this owner gets its first answer from a later one.
+func (s *Shard) recordEarlierCrashes(w *workerState, now time.Time) {
 	for name, tasks := range s.possibleCrashes {
-		if !s.isPastIncarnation(outside.ParseIncarnation(name), now) {
+		incarnation := outside.ParseIncarnation(name)
+		if incarnation.Worker != w.reg.ID || incarnation.Same(w.incarnation()) {
 			continue
 		}
-		delete(s.possibleCrashes, name)
 		for id := range tasks {
-			if _, t := s.openTask(id); t != nil {
-				t.possibleCrashes = t.possibleCrashes.Without(name)
+			s.recordCrash(id, name, evidenceRestarted, now)
+		}
+	}
+}
+
+// giveUpLostTasks gives up the tasks under which too many workers have crashed or possibly crashed,
+// counting only possible crashes of which no more can be learnt. A possible crash stays one if this
+// owner no longer knows the worker: it may have left in an orderly way, or run on behind a
+// partition.
+func (s *Shard) giveUpLostTasks(now time.Time) {
+	for name, tasks := range s.possibleCrashes {
+		for id := range tasks {
+			j, t := s.openTask(id)
+			switch {
+			case t == nil:
+				s.unindexPossibleCrash(id, name)
+			case len(t.runs) == 0 && t.isGivenUp() && !j.record.Spec.Steps[id.Step].Lasting && t.crashes.GivenUp(s.settledCrashes(t, now)):
+				s.giveUp(j, id, t, now)
 			}
-			s.recordCrash(id, name, "possible crash of an ended worker", now)
 		}
 	}
 }
 
-// isPastIncarnation reports whether an incarnation with possible crashes has ended. An unknown
-// worker counts as ended once everything that earlier owners started has lapsed.
-func (s *Shard) isPastIncarnation(trial outside.Incarnation, now time.Time) bool {
-	w, found := s.workers[trial.Worker]
-	if !found {
-		return !now.Before(s.unobservedUntil)
+// settledCrashes returns how many possible crashes of a task will stay possible.
+func (s *Shard) settledCrashes(t *taskState, now time.Time) int {
+	return len(t.possibleCrashes) - s.pendingCrashes(t, now)
+}
+
+// pendingCrashes returns how many possible crashes of a task are at workers of which this owner may
+// still learn whether they crashed. An unknown worker may still be read from a registration until
+// everything that earlier owners started has lapsed. One that was given up may soon be replaced.
+func (s *Shard) pendingCrashes(t *taskState, now time.Time) int {
+	pending := 0
+	for _, name := range t.possibleCrashes {
+		incarnation := outside.ParseIncarnation(name)
+		w, found := s.workers[incarnation.Worker]
+		lost, silent := s.silentLosses[name]
+		switch {
+		case found && w.incarnation().Same(incarnation),
+			!found && now.Before(s.unobservedUntil),
+			silent && now.Sub(lost.at) < replacementWait:
+			pending++
+		}
 	}
-	return w.contacted && !w.incarnation().Same(trial)
+	return pending
 }
 
 // clear removes the recorded crashes of a long-running task once its run is proven.
 func (s *Shard) clear(r *run, t *taskState, j *jobState, now time.Time) {
-	if !t.crashes.Suspect() || !r.isProven(now) || !j.record.Spec.Steps[r.id.Step].Lasting {
+	if !t.isSuspect() || !r.isProven(now) || !j.record.Spec.Steps[r.id.Step].Lasting {
 		return
 	}
 	t.crashes = nil
 	s.dirty[j.record.ID] = j
-	s.clearPossibleCrash(r.id, r.worker)
+	for _, name := range slices.Clone(t.possibleCrashes) {
+		s.removePossibleCrash(r.id, name)
+	}
 	s.removeSuspect(r)
 	s.opts.LogEvent("crashes cleared", "task", r.id.String(), "worker", r.worker.reg.ID, "ran_ms", now.Sub(r.startedAt).Milliseconds())
 }
@@ -258,23 +443,33 @@
 	}
 }
 
+// needsIsolation reports whether the task must run on a dedicated worker.
+func (t *taskState) needsIsolation() bool {
+	return t.crashes.NeedsIsolation(len(t.possibleCrashes))
+}
+
+// isGivenUp reports whether the task must not be started again.
+func (t *taskState) isGivenUp() bool {
+	return t.crashes.GivenUp(len(t.possibleCrashes))
+}
+
 // isBlocked reports whether an idle task must not be started now. A task is blocked if it is given
-// up, or would be if its possible crashes turn out to be crashes, or if its newest crash is not
-// stored yet. If tasks with unstored crashes started while the store is unavailable, each new owner
+// up, or may be once it is known whether its pending crashes are crashes, or if its newest crash is
+// not stored yet. If tasks with unstored crashes started while the store is unavailable, each new owner
 // would start them again.
-func (s *Shard) isBlocked(t *taskState) bool {
-	if t.crashes.GivenUp() {
+func (s *Shard) isBlocked(t *taskState, now time.Time) bool {
+	if t.isGivenUp() {
 		return true
 	}
-	if len(t.possibleCrashes) > 0 && len(t.crashes)+len(t.possibleCrashes) >= suspect.CrashLimit {
+	if len(t.crashes)+len(t.possibleCrashes) >= suspect.CrashLimit && s.pendingCrashes(t, now) > 0 {
 		return true
 	}
 	return s.writtenBatch < t.crashBatch && !s.allWritten()
 }
 
 // isAnyBlocked reports whether a task of a gang is blocked.
-func (s *Shard) isAnyBlocked(step *stepState) bool {
-	return slices.ContainsFunc(step.tasks, s.isBlocked)
+func (s *Shard) isAnyBlocked(step *stepState, now time.Time) bool {
+	return slices.ContainsFunc(step.tasks, func(t *taskState) bool { return s.isBlocked(t, now) })
 }
 
 // suspectWeight returns the weight that keeps suspects apart from other tasks, and most of all from
@@ -291,20 +486,32 @@
 	}
 }
 
-// indexPossibleCrashes indexes the possible crashes of a job that was read from its rows.
-func (s *Shard) indexPossibleCrashes(j *jobState) {
+// indexCrashes indexes the crashes and possible crashes of a job that was read from its rows.
+func (s *Shard) indexCrashes(j *jobState, now time.Time) {
 	for k, o := range j.occurrences {
 		for st, step := range o.steps {
 			for i, t := range step.tasks {
+				id := job.TaskID{
+					Job:        j.record.ID,
+					Occurrence: k,
+					Step:       st,
+					Index:      i,
+				}
 				for _, worker := range t.possibleCrashes {
-					s.indexPossibleCrash(job.TaskID{
-						Job:        j.record.ID,
-						Occurrence: k,
-						Step:       st,
-						Index:      i,
-					}, worker)
+					s.indexPossibleCrash(id, worker)
+				}
+				for _, worker := range t.crashes {
+					s.indexCrash(id, worker, now)
 				}
 			}
 		}
 	}
 }
+
+// indexCrash adds a task's crash to the recent crashes.
+func (s *Shard) indexCrash(id job.TaskID, worker string, now time.Time) {
+	s.recentCrashes[worker] = recentCrash{
+		tasks: append(s.recentCrashes[worker].tasks, id),
+		at:    now,
+	}
+}
--- a/shard/events.go
+++ b/shard/events.go
@@ -56,6 +56,9 @@
 	w.failures = 0
 	w.silentSince = time.Time{}
 	w.updateClock(glance.Clock, now)
+	if !w.contacted && !again {
+		s.recordEarlierCrashes(w, now)
+	}
 	if !w.contacted {
 		s.handleFirstAnswer(w, again && len(glance.Runs) > 0, now)
 	}
@@ -72,7 +75,7 @@
 func (s *Shard) pollFailed(w *workerState, poll Poll, now time.Time, err error) {
 	var gone *outside.GoneError
 	if errors.As(err, &gone) {
-		s.workerLost(w, now, "another worker answers")
+		s.workerLost(w, now, evidenceReplaced)
 		return
 	}
 	var refused *outside.WorkerRefusedError
@@ -209,7 +212,7 @@
 		r.suspect = true
 		r.worker.suspects++
 	}
-	if t.crashes.NeedsIsolation() {
+	if t.needsIsolation() {
 		r.isolated = true
 		r.worker.isolated++
 	}
@@ -271,7 +274,7 @@
 			break
 		}
 	}
-	s.clearPossibleCrash(r.id, r.worker)
+	s.removePossibleCrashes(r.id, r.worker.incarnation())
 	if len(t.runs) == 0 && !t.done && !j.state.Final() {
 		step := j.occurrences[r.id.Occurrence].steps[r.id.Step]
 		step.removeIdle(r.id.Index)
--- a/shard/gang.go
+++ b/shard/gang.go
@@ -28,7 +28,7 @@
 
 // placeGang starts either all tasks of a step or none.
 func (s *Shard) placeGang(g group, step *stepState, spec *job.Step, now time.Time) {
-	if len(step.idle) < step.remaining || s.isAnyBlocked(step) {
+	if len(step.idle) < step.remaining || s.isAnyBlocked(step, now) {
 		return
 	}
 	if !s.withinQuota(g.job, spec, len(step.idle)) {
@@ -70,7 +70,7 @@
 	reserved := false
 	for _, index := range step.idle {
 		t := step.tasks[index]
-		if !t.crashes.NeedsIsolation() {
+		if !t.needsIsolation() {
 			continue
 		}
 		t.beginIsolationWait(now)
@@ -128,7 +128,7 @@
 	if t.isSuspect() {
 		a.suspectCount[best]++
 	}
-	a.dedicated[best] = t.crashes.NeedsIsolation()
+	a.dedicated[best] = t.needsIsolation()
 	return true
 }
 
@@ -139,7 +139,7 @@
 	if a.shard.checkEligibility(w, c, now) != eligible {
 		return false
 	}
-	if a.dedicated[w] || (t.crashes.NeedsIsolation() && a.memberCount[w] > 0) || (a.rack != "" && w.reg.Rack != a.rack) {
+	if a.dedicated[w] || (t.needsIsolation() && a.memberCount[w] > 0) || (a.rack != "" && w.reg.Rack != a.rack) {
 		return false
 	}
 	if a.spec.PerWorker > 0 && a.memberCount[w]+w.countRuns(c.id) >= a.spec.PerWorker {
--- a/shard/isolation.go
+++ b/shard/isolation.go
@@ -30,7 +30,7 @@
 // other tasks are placed, which don't use reserved workers: placing isolated tasks first serves
 // less work in time and fails more jobs when many tasks crash their workers.
 func (s *Shard) placeIsolated(groups []group, unobserved unobservedTasks, now time.Time) {
-	for _, a := range s.isolatedTasks(groups, unobserved) {
+	for _, a := range s.isolatedTasks(groups, unobserved, now) {
 		if !s.ensureTickets(a.group, now) {
 			continue
 		}
@@ -57,7 +57,7 @@
 
 // isolatedTasks returns the idle isolated tasks that may start, the longest wait first. It
 // leaves out members of a gang, which start with their gang.
-func (s *Shard) isolatedTasks(groups []group, unobserved unobservedTasks) []isolatedTask {
+func (s *Shard) isolatedTasks(groups []group, unobserved unobservedTasks, now time.Time) []isolatedTask {
 	var list []isolatedTask
 	for _, g := range groups {
 		step := g.job.occurrences[g.occurrence].steps[g.step]
@@ -66,7 +66,7 @@
 		}
 		for _, index := range step.idle {
 			t := step.tasks[index]
-			if t.crashes.NeedsIsolation() && !s.isBlocked(t) && !unobserved.contains(g.task(index)) {
+			if t.needsIsolation() && !s.isBlocked(t, now) && !unobserved.contains(g.task(index)) {
 				list = append(list, isolatedTask{
 					group:        g,
 					index:        index,
@@ -125,7 +125,7 @@
 	if w.isolated > 0 {
 		return false
 	}
-	if c.task.crashes.NeedsIsolation() {
+	if c.task.needsIsolation() {
 		return len(w.runs) == 0 || c.task.isolationWaitExpired(c.spec.Lasting, now)
 	}
 	return !now.Before(w.reservedUntil)
--- a/shard/jobs.go
+++ b/shard/jobs.go
@@ -42,7 +42,7 @@
 	if err := j.restore(*progress); err != nil {
 		return err
 	}
-	s.indexPossibleCrashes(j)
+	s.indexCrashes(j, now)
 	if progress.State != job.Queued {
 		s.markStarted(j)
 		s.opts.PublishState(record.ID, job.Running)
--- a/shard/lease.go
+++ b/shard/lease.go
@@ -67,13 +67,14 @@
 		}
 		unreachable := w.failures > 0 && now.After(w.leaseEnd) && now.After(w.unobservedUntil)
 		if !w.listed && unreachable && now.Sub(w.unlistedAt) > unlistedGrace {
-			s.workerLost(w, now, "unlisted and silent")
+			s.workerLost(w, now, evidenceSilent)
 			// The incarnation may still run behind a network partition. It is polled once it
 			// is listed again.
 			delete(s.endedIncarnations, id)
 		}
 	}
-	s.resolvePossibleCrashes(now)
+	s.giveUpLostTasks(now)
+	s.purgeLosses(now)
 	s.purgeEnded(now)
 	s.purgeUnansweredStarts(now)
 }
--- a/shard/load.go
+++ b/shard/load.go
@@ -70,7 +70,7 @@
 func (n *isolatedDemand) need(step *stepState) job.Room {
 	var sum job.Room
 	for _, index := range step.idle {
-		if t := step.tasks[index]; t.crashes.NeedsIsolation() && !t.crashes.GivenUp() && n.left > 0 {
+		if t := step.tasks[index]; t.needsIsolation() && !t.isGivenUp() && n.left > 0 {
 			n.left--
 			sum = sum.Add(n.workerCapacity)
 		}
@@ -154,6 +154,7 @@
 func (s *Shard) RemoveTaken(names []string, now time.Time) {
 	for _, name := range names {
 		taken := outside.ParseIncarnation(name)
+		s.withdrawCrashes(taken)
 		if s.hasEnded(taken) {
 			continue
 		}
--- a/shard/orders.go
+++ b/shard/orders.go
@@ -67,7 +67,7 @@
 	var refused *outside.WorkerRefusedError
 	switch {
 	case errors.As(err, &gone):
-		s.workerLost(w, now, "another worker answers")
+		s.workerLost(w, now, evidenceReplaced)
 	case errors.As(err, &refused):
 		w.updateClock(refused.Clock, now)
 		s.handleStartRefusal(w, r, now, refused.Reason)
@@ -201,7 +201,7 @@
 	}
 	var gone *outside.GoneError
 	if errors.As(err, &gone) {
-		s.workerLost(w, now, "another worker answers")
+		s.workerLost(w, now, evidenceReplaced)
 		return
 	}
 	var refused *outside.WorkerRefusedError
--- a/shard/place.go
+++ b/shard/place.go
@@ -138,7 +138,7 @@
 	for i := len(step.idle) - 1; i >= 0; i-- {
 		index := step.idle[i]
 		id := g.task(index)
-		if unobserved.contains(id) || s.isBlocked(step.tasks[index]) || step.tasks[index].crashes.NeedsIsolation() {
+		if unobserved.contains(id) || s.isBlocked(step.tasks[index], now) || step.tasks[index].needsIsolation() {
 			continue
 		}
 		if !s.withinQuota(g.job, spec, 1) {
--- a/shard/restart.go
+++ b/shard/restart.go
@@ -53,7 +53,7 @@
 // must not be compared with the numbers of the old incarnation: they would be acknowledged without
 // being applied, and each of their tasks would run again (one did five times in a row).
 func (s *Shard) replaceIncarnation(before *workerState, status outside.WorkerStatus, sent, now time.Time) *workerState {
-	crashed := before.loss().Crashed()
+	verdict := s.verdict(before, now, true)
 	lost := s.lostTasks(before, now)
 	w := s.addWorker(before.reg.ID, now)
 	w.born = status.Born
@@ -64,19 +64,19 @@
 	w.regainedAt = before.regainedAt
 	w.inHandover = before.inHandover
 	w.closedUntil = before.closedUntil
+	if !w.isOtherIncarnation(w.reg.Born) {
+		w.announced = w.reg.Draining
+		w.listedAt = before.listedAt
+	}
 	s.opts.LogEvent("worker started again", "worker", w.incarnation().String(), "before", before.incarnation().String(),
 		"runs", len(before.runs), "taken_in", before.processed, "ends", len(status.Ends))
 	s.forgetWorkerTickets(w.reg.ID)
 	for id := range s.transferRuns(before, w, status.Runs, sent, now) {
 		delete(lost, id)
 	}
-	s.dropRuns(before, now, "worker started again")
+	s.dropRuns(before, now, evidenceRestarted)
 	s.clearStalePossibleCrashes(before)
-	if crashed {
-		for id := range lost {
-			s.recordCrash(id, before.incarnation().String(), "worker started again", now)
-		}
-	}
+	s.recordLoss(before, lost, verdict, evidenceRestarted, now)
 	return w
 }
 
@@ -148,7 +148,7 @@
 	}
 	s.attachRun(&next, j, t)
 	if !listed || unwanted {
-		s.stop(&next, "worker started again")
+		s.stop(&next, evidenceRestarted)
 	}
 }
 
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -57,6 +57,9 @@
 	// JobRetention is how long an ended job is kept.
 	JobRetention time.Duration
 
+	// DrainTime is how long a worker answers on after it has announced its end.
+	DrainTime time.Duration
+
 	// RemoteFactor is how many times longer a task takes when it runs away from its data.
 	RemoteFactor float64
 
@@ -123,6 +126,14 @@
 	// possibleCrashes holds, by worker incarnation, the tasks whose run there may have crashed it.
 	possibleCrashes map[string]map[job.TaskID]struct{}
 
+	// recentCrashes holds, by worker incarnation, the crashes that this owner recorded or read
+	// lately.
+	recentCrashes map[string]recentCrash
+
+	// silentLosses holds, by worker incarnation, the workers that were given up lately because they
+	// did not answer.
+	silentLosses map[string]silentLoss
+
 	// nextSpeculationAt is when the next search for stragglers is due.
 	nextSpeculationAt time.Time
 
@@ -176,6 +187,9 @@
 	// unanswered holds, by worker, the starts of dropped runs that may still take effect there.
 	unanswered map[string]map[job.TaskID]unansweredStart
 
+	// listReadAt is when the registrations were last read.
+	listReadAt time.Time
+
 	// registrationsRead says that this owner has read the registrations. removedUnlisted names
 	// worker incarnations that were reported as ended with their instances before that.
 	registrationsRead bool
@@ -289,6 +303,8 @@
 		undecidedRefusals:  make(map[string]*refusing),
 		endedIncarnations:  make(map[string][]endedIncarnation),
 		unanswered:         make(map[string]map[job.TaskID]unansweredStart),
+		silentLosses:       make(map[string]silentLoss),
+		recentCrashes:      make(map[string]recentCrash),
 		possibleCrashes:    make(map[string]map[job.TaskID]struct{}),
 	}
 }
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -143,6 +143,12 @@
 	listed     bool
 	unlistedAt time.Time
 
+	// listedAt is when the registrations were last read with this incarnation among them and
+	// without an announcement, as of the last change of the list. announced says that the
+	// incarnation has announced its end.
+	listedAt  time.Time
+	announced bool
+
 	// recorded says that a row of this or an earlier owner names the worker as one that may have
 	// runs.
 	recorded bool
@@ -340,18 +346,26 @@
 		w, found := s.workers[reg.ID]
 		if !found {
 			w = s.addWorker(reg.ID, now)
+			s.recordReplaced(reg, now)
 			s.opts.LogEvent("worker listed", "worker", reg.Incarnation().String(), "labels", reg.Labels, "draining", reg.Draining)
 		}
 		if found && reg.Draining && !w.reg.Draining {
 			s.opts.LogEvent("worker drains", "worker", reg.ID, "runs", len(w.runs), "remaining_ms", reg.Remaining.Milliseconds())
 		}
 		if found && w.isOtherIncarnation(reg.Born) && !reg.Born.Equal(w.reg.Born) {
+			if w.listed {
+				w.listedAt = latestOf(w.listedAt, s.listReadAt)
+			}
 			// The row may be newer than the last answer: nothing is placed on the worker before the
 			// next answer.
 			s.opts.LogEvent("registration of another incarnation", "worker", reg.Incarnation().String(), "answered", w.incarnation().String())
 			w.uncertainAt = now
 			w.nextPollAt = now
 		}
+		if !w.isOtherIncarnation(reg.Born) {
+			w.announced = w.announced || reg.Draining
+			w.listedAt = now
+		}
 		w.reg = reg
 		w.listed = true
 		w.updateDrainEnd(now)
@@ -360,15 +374,30 @@
 		if !seen[id] && w.listed {
 			w.listed = false
 			w.unlistedAt = now
+			w.listedAt = latestOf(w.listedAt, s.listReadAt)
 			s.opts.LogEvent("worker unlisted", "worker", id, "runs", len(w.runs))
 		}
 	}
+	s.listReadAt = now
 	s.registrationsRead = true
 	taken := s.removedUnlisted
 	s.removedUnlisted = nil
 	s.RemoveTaken(taken, now)
 }
 
+// RegistrationsRead records that the registrations were read and have not changed.
+func (s *Shard) RegistrationsRead(now time.Time) {
+	s.listReadAt = now
+}
+
+// latestOf returns the later of two times.
+func latestOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // updateDrainEnd updates the earliest end of a draining worker. The earliest time that any row has
 // implied counts, because a worker need not rewrite its row as time passes.
 func (w *workerState) updateDrainEnd(now time.Time) {
--- a/shard/world_owner_test.go
+++ b/shard/world_owner_test.go
@@ -133,6 +133,7 @@
 		BusyPollWait:  200 * time.Millisecond,
 		IdlePollWait:  200 * time.Millisecond,
 		StopTimeout:   300 * time.Millisecond,
+		DrainTime:     lingerTime,
 		JobRetention:  time.Hour,
 		UnobservedFor: unobserved,
 		Starts:        w.starts,
--- a/suspect/suspect.go
+++ b/suspect/suspect.go
@@ -6,6 +6,8 @@
 import (
 	"slices"
 	"time"
+
+	"lemonstream.dev/lemonstream/outside"
 )
 
 const (
@@ -15,8 +17,19 @@
 	// crashes that no owner saw because ownership was changing.
 	CrashLimit = 3
 
+	// MinCrashes is how many of them must be certain. The platform does not permit giving up
+	// a task under which fewer workers crashed, however many of its workers were lost.
+	MinCrashes = 2
+
+	// LossLimit is the number of workers, crashed or possibly crashed, after which a task is
+	// given up although fewer than MinCrashes are certain. A task that takes its worker's
+	// host down leaves no proof of a crash, and must not be started without end. The limit is
+	// as many starts as the platform permits after three crashes.
+	LossLimit = 5
+
 	// MinIsolationCrashes is the number of crashed workers from which on a task runs
 	// isolated on a dedicated worker, so that bystanders are not given up because of it.
+	// With possible crashes among them, one more is needed.
 	// Isolation does not start at the first crash: that makes about a dozen tasks suspect,
 	// and a dedicated worker for each would take up a whole pool.
 	MinIsolationCrashes = 2
@@ -45,48 +58,93 @@
 	ProvenAfter = 2 * time.Second
 )
 
+// What an owner may conclude from the loss of a worker.
+const (
+	// NoCrash means that the worker announced its end, or left in an orderly way.
+	NoCrash Verdict = iota
+
+	// PossibleCrash means that the worker may have crashed, may be partitioned or suspended, or
+	// may have left in an orderly way that the owner did not learn of.
+	PossibleCrash
+
+	// Crash means that the incarnation has ended without an announcement.
+	Crash
+)
+
+// Verdict is what an owner concludes from the loss of a worker.
+type Verdict int
+
 // Loss is what an owner knows of a worker whose incarnation has ended or is assumed to
 // have ended.
 type Loss struct {
-	// Draining means that the worker had announced that it would stop.
-	Draining bool
+	// Announced means that the worker had announced that it would stop.
+	Announced bool
+
+	// Closed means that the worker's instance may have been ordered away.
+	Closed bool
+
+	// Ended means that another worker, or another incarnation, answers in place of the
+	// incarnation. Otherwise its end is only assumed, because it does not answer.
+	Ended bool
 
 	// Unheard means that this owner never got an answer from the worker. The owner then
 	// does not know whether the worker stopped answering before its registration ended.
 	Unheard bool
 
+	// ListedAt is when the registrations were last read with the worker among them and
+	// without an announcement; zero if they never were.
+	ListedAt time.Time
+
 	// UnlistedAt is the time at which the registration ended; zero while it exists.
 	UnlistedAt time.Time
 
-	// SilentSince is the time since which the worker does not answer; zero if no poll
-	// failed before its end was known.
-	SilentSince time.Time
+	// LostAt is the time since which the worker does not answer, or the time at which its end
+	// became known if no poll failed before.
+	LostAt time.Time
 }
 
-// Crashed reports whether the worker ended unannounced. A worker that announced its end,
-// or whose registration ended while it still answered, did not crash. An owner that never
-// got an answer from the worker assumes a crash; the crash is then recorded only for tasks
-// with a possible crash there.
-func (l Loss) Crashed() bool {
-	if l.Draining {
-		return false
+// Verdict returns whether the worker crashed. lead is how long a worker goes on answering after it
+// has announced its end: an owner that has read the registrations since then knows of an
+// announcement.
+func (l Loss) Verdict(lead time.Duration) Verdict {
+	if l.Announced {
+		return NoCrash
 	}
-	if l.Unheard || l.UnlistedAt.IsZero() {
-		return true
+	if !l.Unheard && !l.UnlistedAt.IsZero() && !l.LostAt.Before(l.UnlistedAt) {
+		return NoCrash
 	}
-	return !l.SilentSince.IsZero() && l.SilentSince.Before(l.UnlistedAt)
+	if !l.Ended || l.Closed || l.ListedAt.Before(l.LostAt.Add(-lead)) {
+		return PossibleCrash
+	}
+	return Crash
 }
 
 // Crashes holds the incarnations of workers that crashed under a task. Each appears once,
-// although an owner and the next owner may both see the same crash.
+// although an owner and the next owner may both see the same crash, and know the incarnation by
+// its worker's id alone or with its start time.
 type Crashes []string
 
 // Add returns the crashes with a worker incarnation added, and whether it is new.
 func (m Crashes) Add(worker string) (Crashes, bool) {
-	if slices.Contains(m, worker) {
+	added := outside.ParseIncarnation(worker)
+	for i, other := range m {
+		known := outside.ParseIncarnation(other)
+		if !known.Same(added) {
+			continue
+		}
+		if known.Born.IsZero() && !added.Born.IsZero() {
+			m = slices.Clone(m)
+			m[i] = worker
+		}
 		return m, false
 	}
-	return append(m, worker), true
+	return append(slices.Clip(m), worker), true
+}
+
+// Contains reports whether a worker incarnation is among the crashes.
+func (m Crashes) Contains(worker string) bool {
+	incarnation := outside.ParseIncarnation(worker)
+	return slices.ContainsFunc(m, func(other string) bool { return outside.ParseIncarnation(other).Same(incarnation) })
 }
 
 // Without returns a copy of the crashes without a worker incarnation.
@@ -99,14 +157,17 @@
 	return len(m) > 0
 }
 
-// NeedsIsolation reports whether the task must run on a dedicated worker.
-func (m Crashes) NeedsIsolation() bool {
-	return len(m) >= MinIsolationCrashes
+// NeedsIsolation reports whether the task must run on a dedicated worker, given how many more
+// workers may have crashed under it.
+func (m Crashes) NeedsIsolation(possible int) bool {
+	return len(m) >= MinIsolationCrashes || len(m)+possible > MinIsolationCrashes
 }
 
-// GivenUp reports whether the task must not be started again.
-func (m Crashes) GivenUp() bool {
-	return len(m) >= CrashLimit
+// GivenUp reports whether the task must not be started again, given how many more workers may have
+// crashed under it.
+func (m Crashes) GivenUp(possible int) bool {
+	lost := len(m) + possible
+	return (len(m) >= MinCrashes && lost >= CrashLimit) || lost >= LossLimit
 }
 
 // MaxReserved returns how many of the workers may be reserved for isolated tasks.
