A crash is attributed to the newest task, and possible crashes isolate a task

What callers saw: beside tasks that crash their workers, jobs fail that only ran beside them.

Cause: a crash counted in full under everything that ran on the worker; and the tasks of one crashed worker started again together, since it takes seconds until a crash is certain.

Change: a crash beside a task that was started more than 100 ms later (AttributionSlack) does not count as certain under the older one: it needs two others of its own, or five in all. Possible crashes count for isolation, except that of the run's own worker. The row keeps which crashes these are (BesideCrashes).

TestTaskBesideNewerOnesOutlastsThirdCrash failed before (failed != completed).

--- a/shard/crash.go
+++ b/shard/crash.go
@@ -1,7 +1,6 @@
 package shard
 
 import (
-	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -55,6 +54,7 @@
 // silentLoss is a worker incarnation that was given up because it did not answer.
 type silentLoss struct {
 	loss    suspect.Loss
+	lost    lostTasks
 	address netip.AddrPort
 	at      time.Time
 }
@@ -69,6 +69,7 @@
 	if evidence == evidenceSilent && verdict == suspect.PossibleCrash {
 		s.silentLosses[w.incarnation().String()] = silentLoss{
 			loss:    s.loss(w, now),
+			lost:    lost,
 			address: w.reg.Address,
 			at:      now,
 		}
@@ -78,12 +79,12 @@
 }
 
 // recordLoss records what the loss of a worker means for the tasks that may have run there.
-func (s *Shard) recordLoss(w *workerState, lost map[job.TaskID]struct{}, verdict suspect.Verdict, evidence string, now time.Time) {
+func (s *Shard) recordLoss(w *workerState, lost lostTasks, verdict suspect.Verdict, evidence string, now time.Time) {
 	name := w.incarnation().String()
-	for id := range lost {
+	for id, beside := range lost {
 		switch verdict {
 		case suspect.Crash:
-			s.recordCrash(id, name, evidence, now)
+			s.recordCrash(id, name, evidence, beside, now)
 		case suspect.PossibleCrash:
 			s.addPossibleCrash(id, name)
 		case suspect.NoCrash:
@@ -125,16 +126,24 @@
 	return loss
 }
 
+// lostTasks holds the tasks that may have run on a worker, and whether another task was started there
+// later.
+type lostTasks map[job.TaskID]bool
+
 // lostTasks returns the tasks that run on a worker, have a possible crash there, or may run there
 // according to the previous owner. It leaves out proven runs of long-running tasks, see isProven.
-func (s *Shard) lostTasks(w *workerState, now time.Time) map[job.TaskID]struct{} {
-	lost := make(map[job.TaskID]struct{})
+func (s *Shard) lostTasks(w *workerState, now time.Time) lostTasks {
+	lost := make(lostTasks)
+	newest := w.newestStart()
 	for _, name := range s.possibleCrashKeys(w.incarnation()) {
-		maps.Copy(lost, s.possibleCrashes[name])
+		for id := range s.possibleCrashes[name] {
+			beside, lapsed := w.lapsed[id]
+			lost[id] = beside || (!lapsed && !newest.IsZero())
+		}
 	}
 	for id, r := range w.runs {
 		if step, found := s.stepOf(id); found && (!step.Lasting || !r.isProven(now)) {
-			lost[id] = struct{}{}
+			lost[id] = newest.Sub(r.startedAt) > suspect.AttributionSlack
 		}
 	}
 	if w.contacted {
@@ -143,12 +152,24 @@
 	for id := range w.unobservedTasks {
 		// How long a long-running task of the previous owner has run is unknown.
 		if step, found := s.stepOf(id); found && !step.Lasting {
-			lost[id] = struct{}{}
+			lost[id] = !newest.IsZero()
 		}
 	}
 	return lost
 }
 
+// newestStart returns when the newest run that this owner ordered on the worker was started; zero if
+// there is none.
+func (w *workerState) newestStart() time.Time {
+	var newest time.Time
+	for _, r := range w.runs {
+		if !r.found {
+			newest = latestOf(newest, r.startedAt)
+		}
+	}
+	return newest
+}
+
 // isProven reports whether a run has gone on for so long that its start did not crash the worker. A
 // run that was found on the worker counts as proven, because an earlier owner started it.
 func (r *run) isProven(now time.Time) bool {
@@ -159,11 +180,12 @@
 	return r.found || last.Sub(r.startedAt) > suspect.ProvenAfter
 }
 
-// recordCrash records that an incarnation of a worker crashed under a task. At suspect.CrashLimit
-// it gives the task up and fails the job. Each incarnation of a worker counts: when crashes were
+// recordCrash records that an incarnation of a worker crashed under a task, and gives the task up if
+// it is one too many. beside says that another task was started there later, which is more likely to
+// be the cause. Each incarnation of a worker counts: when crashes were
 // counted by worker id, one task crashed the only worker of a pool, which was back a second after
 // each crash, 30 times in 40 s. evidence says how the end of the incarnation is known, for the log.
-func (s *Shard) recordCrash(id job.TaskID, worker, evidence string, now time.Time) {
+func (s *Shard) recordCrash(id job.TaskID, worker, evidence string, beside bool, now time.Time) {
 	j, t := s.openTask(id)
 	if t == nil {
 		return
@@ -174,12 +196,15 @@
 	if !fresh {
 		return
 	}
+	if beside {
+		t.besideCrashes, _ = t.besideCrashes.Add(worker)
+	}
 	t.crashBatch = s.lastBatch + 1
 	s.dirty[id.Job] = j
-	s.opts.LogEvent("crash marked", "task", id.String(), "worker", worker, "crashes", len(marks), "possible", len(t.possibleCrashes),
-		"evidence", evidence)
+	s.opts.LogEvent("crash marked", "task", id.String(), "worker", worker, "crashes", len(marks), "beside", len(t.besideCrashes),
+		"possible", len(t.possibleCrashes), "evidence", evidence)
 	s.indexCrash(id, worker, now)
-	if t.crashes.GivenUp(s.settledCrashes(t, now)) {
+	if t.isGivenUpAfter(s.settledCrashes(t, now)) {
 		s.giveUp(j, id, t, now)
 	}
 }
@@ -320,6 +345,7 @@
 		return
 	}
 	t.crashes = t.crashes.Without(worker)
+	t.besideCrashes = t.besideCrashes.Without(worker)
 	s.dirty[id.Job] = j
 	s.opts.LogEvent("crash withdrawn", "task", id.String(), "worker", worker, "crashes", len(t.crashes), "reason", reasonInstanceTaken)
 }
@@ -337,7 +363,7 @@
 			continue
 		}
 		for id := range s.possibleCrashes[name] {
-			s.recordCrash(id, name, evidenceAddress, now)
+			s.recordCrash(id, name, evidenceAddress, lost.lost[id], now)
 		}
 	}
 }
@@ -365,7 +391,7 @@
 			continue
 		}
 		for id := range tasks {
-			s.recordCrash(id, name, evidenceRestarted, now)
+			s.recordCrash(id, name, evidenceRestarted, false, now)
 		}
 	}
 }
@@ -381,7 +407,8 @@
 			switch {
 			case t == nil:
 				s.unindexPossibleCrash(id, name)
-			case len(t.runs) == 0 && t.isGivenUp() && !j.record.Spec.Steps[id.Step].Lasting && t.crashes.GivenUp(s.settledCrashes(t, now)):
+			case len(t.runs) == 0 && t.isGivenUp() && !j.record.Spec.Steps[id.Step].Lasting &&
+				t.isGivenUpAfter(s.settledCrashes(t, now)):
 				s.giveUp(j, id, t, now)
 			}
 		}
@@ -418,6 +445,7 @@
 		return
 	}
 	t.crashes = nil
+	t.besideCrashes = nil
 	s.dirty[j.record.ID] = j
 	for _, name := range slices.Clone(t.possibleCrashes) {
 		s.removePossibleCrash(r.id, name)
@@ -445,12 +473,29 @@
 
 // needsIsolation reports whether the task must run on a dedicated worker.
 func (t *taskState) needsIsolation() bool {
-	return t.crashes.NeedsIsolation(len(t.possibleCrashes))
+	return suspect.NeedsIsolation(len(t.crashes) + len(t.possibleCrashes))
+}
+
+// needsIsolationOn reports whether a run of the task on a worker must be the only one there. That the
+// worker may yet crash under this run does not count.
+func (t *taskState) needsIsolationOn(w *workerState) bool {
+	losses := len(t.crashes)
+	for _, name := range t.possibleCrashes {
+		if !outside.ParseIncarnation(name).Same(w.incarnation()) {
+			losses++
+		}
+	}
+	return suspect.NeedsIsolation(losses)
 }
 
 // isGivenUp reports whether the task must not be started again.
 func (t *taskState) isGivenUp() bool {
-	return t.crashes.GivenUp(len(t.possibleCrashes))
+	return t.isGivenUpAfter(len(t.possibleCrashes))
+}
+
+// isGivenUpAfter is isGivenUp if so many of the possible crashes count.
+func (t *taskState) isGivenUpAfter(possible int) bool {
+	return suspect.GivenUp(len(t.crashes)-len(t.besideCrashes), len(t.besideCrashes)+possible)
 }
 
 // isBlocked reports whether an idle task must not be started now. A task is blocked if it is given
--- a/shard/crash_test.go
+++ b/shard/crash_test.go
@@ -105,6 +105,33 @@
 	is.Equal(w.shown["bad"], job.Failed)
 }
 
+// TestTaskBesideNewerOnesOutlastsThirdCrash crashes the only worker three times under a task, twice
+// right after another task has started there. The newer tasks are more likely to be the cause.
+func TestTaskBesideNewerOnesOutlastsThirdCrash(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1)
+	w.restartDelay = time.Second
+	w.run(200 * time.Millisecond)
+	slow := step(1)
+	slow.Estimate = 20 * time.Second
+	w.submit("a", slow)
+	for i := range 3 {
+		w.run(4 * time.Second)
+		newer := fmt.Sprint("newer", i)
+		w.submit(newer, step(1))
+		w.run(2 * tick)
+		for _, f := range reachableWorkersOf(w, "a") {
+			w.crashWorker(f)
+		}
+		w.run(4 * time.Second)
+		w.core.Cancel(newer, w.now, func() {})
+	}
+	is.Equal(w.maxCrashes("a"), 3)
+	w.run(60 * time.Second)
+	w.check(t)
+	is.Equal(w.shown["a"], job.Completed)
+}
+
 // TestWorkerThatAnswersAgainHasNotCrashed covers partitions that outlast a lease. They never count
 // as a crash under the tasks of the partitioned worker, however often they occur.
 func TestWorkerThatAnswersAgainHasNotCrashed(t *testing.T) {
--- a/shard/events.go
+++ b/shard/events.go
@@ -212,7 +212,7 @@
 		r.suspect = true
 		r.worker.suspects++
 	}
-	if t.needsIsolation() {
+	if t.needsIsolationOn(r.worker) {
 		r.isolated = true
 		r.worker.isolated++
 	}
@@ -385,6 +385,7 @@
 		Task:            id.String(),
 		FailedRuns:      t.failedRuns,
 		Crashed:         t.crashes,
+		Beside:          t.besideCrashes,
 		PossiblyCrashed: t.possibleCrashes,
 	}
 	s.finishJob(j, job.Failed, now)
--- a/shard/jobstate.go
+++ b/shard/jobstate.go
@@ -97,9 +97,11 @@
 	failedRuns []int64
 
 	// crashes holds the workers that crashed while they ran the task, and possibleCrashes those
-	// that may have, because it is unknown how the run there ended. crashBatch is the batch that
-	// stores the newest of crashes.
+	// that may have, because it is unknown how the run there ended. besideCrashes are those of
+	// crashes on which another task was started later. crashBatch is the batch that stores the
+	// newest of crashes.
 	crashes         suspect.Crashes
+	besideCrashes   suspect.Crashes
 	possibleCrashes suspect.Crashes
 	crashBatch      int64
 
--- a/shard/lease.go
+++ b/shard/lease.go
@@ -61,6 +61,7 @@
 			s.opts.LogEvent("lease lapsed", "worker", id, "runs", len(w.runs), "silent_ms", now.Sub(w.clockReadAt).Milliseconds())
 			lost := s.lostTasks(w, now)
 			s.dropRuns(w, now, "lease lapsed")
+			w.lapsed = lost
 			for task := range lost {
 				s.addPossibleCrash(task, w.incarnation().String())
 			}
--- a/shard/record.go
+++ b/shard/record.go
@@ -49,6 +49,10 @@
 	// ran the task: how the run there ended was not known when the row was written.
 	PossibleCrashes map[string][]string `cbor:"7,keyasint,omitempty"`
 
+	// BesideCrashes maps OCCURRENCE.STEP.INDEX to those workers of Crashed on which another task
+	// was started later. Rows written by earlier versions have none.
+	BesideCrashes map[string][]string `cbor:"9,keyasint,omitempty"`
+
 	// EndedMillis is when a final state was reached, in Unix milliseconds.
 	EndedMillis int64 `cbor:"5,keyasint,omitempty"`
 
@@ -70,6 +74,9 @@
 	// those that may have.
 	Crashed         []string `cbor:"4,keyasint,omitempty"`
 	PossiblyCrashed []string `cbor:"5,keyasint,omitempty"`
+
+	// Beside are those of Crashed on which another task was started later.
+	Beside []string `cbor:"6,keyasint,omitempty"`
 }
 
 // DecodeProgress decodes a row written by Progress.Encode.
@@ -97,7 +104,8 @@
 		return nil
 	}
 	return []any{
-		"failed_under", f.Epoch, "task", f.Task, "failed_runs", f.FailedRuns, "crashed", f.Crashed, "possibly_crashed", f.PossiblyCrashed,
+		"failed_under", f.Epoch, "task", f.Task, "failed_runs", f.FailedRuns, "crashed", f.Crashed,
+		"beside", f.Beside, "possibly_crashed", f.PossiblyCrashed,
 	}
 }
 
@@ -161,6 +169,7 @@
 // long-running tasks are not stored.
 func (p *Progress) addTask(key string, t *taskState, lasting bool) {
 	p.Crashed = withMarks(p.Crashed, key, t.crashes)
+	p.BesideCrashes = withMarks(p.BesideCrashes, key, t.besideCrashes)
 	p.PossibleCrashes = withMarks(p.PossibleCrashes, key, t.possibleCrashes)
 	if len(t.failedRuns) == 0 || lasting {
 		return
@@ -215,6 +224,13 @@
 		}
 		t.crashes = workers
 	}
+	for key, workers := range p.BesideCrashes {
+		t, err := j.taskByKey(key)
+		if err != nil {
+			return err
+		}
+		t.besideCrashes = workers
+	}
 	for key, workers := range p.PossibleCrashes {
 		t, err := j.taskByKey(key)
 		if err != nil {
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -201,6 +201,10 @@
 	// end after the first of them, is acknowledged.
 	deferred []outside.End
 
+	// lapsed holds the tasks whose runs were dropped when their leases lapsed while the worker was
+	// silent.
+	lapsed lostTasks
+
 	// pollCall is the number of the poll under way, 0 for none. nextPollAt is when the next poll is
 	// due.
 	pollCall   int64
--- a/suspect/suspect.go
+++ b/suspect/suspect.go
@@ -17,19 +17,25 @@
 	// crashes that no owner saw because ownership was changing.
 	CrashLimit = 3
 
-	// MinCrashes is how many of them must be certain. The platform does not permit giving up
-	// a task under which fewer workers crashed, however many of its workers were lost.
+	// MinCrashes is how many of them must be certain to be crashes, and attributed to the
+	// task rather than to one that was started later on the same worker. The platform does
+	// not permit giving up a task under which fewer workers crashed.
 	MinCrashes = 2
 
+	// AttributionSlack is by how much the starts of two tasks may differ for a crash to be
+	// attributed to both: orders that are sent together are carried out in any order.
+	AttributionSlack = 100 * time.Millisecond
+
 	// LossLimit is the number of workers, crashed or possibly crashed, after which a task is
 	// given up although fewer than MinCrashes are certain. A task that takes its worker's
 	// host down leaves no proof of a crash, and must not be started without end. The limit is
 	// as many starts as the platform permits after three crashes.
 	LossLimit = 5
 
-	// MinIsolationCrashes is the number of crashed workers from which on a task runs
-	// isolated on a dedicated worker, so that bystanders are not given up because of it.
-	// With possible crashes among them, one more is needed.
+	// MinIsolationCrashes is the number of crashed or possibly crashed workers from which on
+	// a task runs isolated on a dedicated worker, so that bystanders are not given up because
+	// of it. Possible crashes count, because it takes seconds until a crash is certain, and
+	// the tasks of one crashed worker start again together.
 	// Isolation does not start at the first crash: that makes about a dozen tasks suspect,
 	// and a dedicated worker for each would take up a whole pool.
 	MinIsolationCrashes = 2
@@ -149,7 +155,8 @@
 
 // Without returns a copy of the crashes without a worker incarnation.
 func (m Crashes) Without(worker string) Crashes {
-	return slices.DeleteFunc(slices.Clone(m), func(other string) bool { return other == worker })
+	incarnation := outside.ParseIncarnation(worker)
+	return slices.DeleteFunc(slices.Clone(m), func(other string) bool { return outside.ParseIncarnation(other).Same(incarnation) })
 }
 
 // Suspect reports whether the task should run apart from others if resources permit.
@@ -157,17 +164,17 @@
 	return len(m) > 0
 }
 
-// NeedsIsolation reports whether the task must run on a dedicated worker, given how many more
-// workers may have crashed under it.
-func (m Crashes) NeedsIsolation(possible int) bool {
-	return len(m) >= MinIsolationCrashes || len(m)+possible > MinIsolationCrashes
+// NeedsIsolation reports whether a task must run on a dedicated worker, after so many workers crashed
+// or possibly crashed while they ran it.
+func NeedsIsolation(losses int) bool {
+	return losses >= MinIsolationCrashes
 }
 
-// GivenUp reports whether the task must not be started again, given how many more workers may have
-// crashed under it.
-func (m Crashes) GivenUp(possible int) bool {
-	lost := len(m) + possible
-	return (len(m) >= MinCrashes && lost >= CrashLimit) || lost >= LossLimit
+// GivenUp reports whether a task must not be started again: certain is the number of workers that
+// certainly crashed under it, uncertain how many more may have.
+func GivenUp(certain, uncertain int) bool {
+	lost := certain + uncertain
+	return (certain >= MinCrashes && lost >= CrashLimit) || lost >= LossLimit
 }
 
 // MaxReserved returns how many of the workers may be reserved for isolated tasks.
