Oracle of shard: the step of a task is known after its job's record is gone

The trace shows an allowed case: a speculative task, whose copies may run side by side ('stop ordered reason=another copy ended'). The oracle took the default step, which is not speculative, once the job's record had been removed. It remembers every step now, so that all its checks know it.

--- a/shard/world_rows_test.go
+++ b/shard/world_rows_test.go
@@ -42,7 +42,7 @@
 func (w *world) applyStandby(b shard.StandbyBatch) {
 	for _, record := range b.Records {
 		w.standbyRecords[record.ID] = record
-		w.stored[record.ID] = true
+		w.noteStored(record)
 	}
 	for _, ended := range b.Ended {
 		w.standbyEnded[ended.ID] = ended.Progress
