Copies are started again for a task on a silent worker

The change of what counts as a crash kept copies from tasks with any possible crash, and with that from speculative tasks whose own worker is silent, for which a copy is meant. Only losses on other workers keep copies back, as recorded crashes did before.

--- a/shard/crash.go
+++ b/shard/crash.go
@@ -476,16 +476,21 @@
 	return suspect.NeedsIsolation(len(t.crashes) + len(t.possibleCrashes))
 }
 
-// needsIsolationOn reports whether a run of the task on a worker must be the only one there. That the
-// worker may yet crash under this run does not count.
+// needsIsolationOn reports whether a run of the task on a worker must be the only one there.
 func (t *taskState) needsIsolationOn(w *workerState) bool {
+	return suspect.NeedsIsolation(t.lossesElsewhere(w))
+}
+
+// lossesElsewhere returns how many workers crashed or possibly crashed under the task, without a
+// worker that may yet crash under its run there.
+func (t *taskState) lossesElsewhere(w *workerState) int {
 	losses := len(t.crashes)
 	for _, name := range t.possibleCrashes {
 		if !outside.ParseIncarnation(name).Same(w.incarnation()) {
 			losses++
 		}
 	}
-	return suspect.NeedsIsolation(losses)
+	return losses
 }
 
 // isGivenUp reports whether the task must not be started again.
--- a/shard/priority.go
+++ b/shard/priority.go
@@ -155,7 +155,7 @@
 			}
 			t := j.task(id)
 			// A copy of a task that crashes its workers would crash a second worker.
-			if t == nil || len(t.runs) != 1 || t.isSuspect() || !s.withinQuota(j, spec, 1) {
+			if t == nil || len(t.runs) != 1 || t.lossesElsewhere(r.worker) > 0 || !s.withinQuota(j, spec, 1) {
 				continue
 			}
 			if other := s.choose(id, spec, t, now); other != nil {
