--- a/shard/crash.go
+++ b/shard/crash.go
@@ -1,7 +1,6 @@
 package shard
 
 import (
-	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -11,20 +10,6 @@
 	"lemonstream.dev/lemonstream/suspect"
 )
 
-// announcementSlack is the time for which a worker certainly answers on after it has announced its
-// end, subtracted from what the platform states, since a read of the registrations takes time.
-const announcementSlack = 250 * time.Millisecond
-
-// replacementWait is how long after a silent worker was given up another one is expected at its
-// address if it crashed. The platform starts a crashed worker again after some seconds, and a silent
-// one is given up after about seven.
-const replacementWait = 5 * time.Second
-
-// possibleCrashAfter is how many polls of a worker have to fail in a row before its tasks are
-// stored with a possible crash there. A crashed worker resets its connections, so that this takes
-// some 100 ms. If the owner dies before that, the next owner does not learn of the crash.
-const possibleCrashAfter = 2
-
 // Weights that keep suspects, tasks under which workers crashed, apart; see suspectWeight.
 const (
 	weightPerSuspect = 500.0
@@ -36,14 +21,6 @@
 	weightBesideSuspect = 150.0
 )
 
-// How the end of a worker is known, in the log.
-const (
-	evidenceAddress   = "another worker has its address"
-	evidenceReplaced  = "another worker answers"
-	evidenceRestarted = "worker started again"
-	evidenceSilent    = "unlisted and silent"
-)
-
 // recentCrash is the crash of a worker incarnation that was recorded or read lately, with the tasks
 // for which it was.
 type recentCrash struct {
@@ -51,140 +28,11 @@
 	at    time.Time
 }
 
-// silentLoss is a worker incarnation that was given up because it did not answer.
-type silentLoss struct {
-	loss    suspect.Loss
-	lost    lostTasks
-	address netip.AddrPort
-	at      time.Time
-}
-
-// workerLost drops a worker that ended, or is assumed to have ended, without an order of this owner.
-// A crash is recorded for every task that may have run there. A task whose crashes are not counted
-// starts again and again and crashes a worker each time: two tasks once crashed twelve workers with
-// 176 runs in eleven seconds.
-func (s *Shard) workerLost(w *workerState, now time.Time, evidence string) {
-	verdict := s.verdict(w, now, evidence != evidenceSilent)
-	lost := s.lostTasks(w, now)
-	if evidence == evidenceSilent && verdict == suspect.PossibleCrash {
-		s.silentLosses[w.incarnation().String()] = silentLoss{
-			loss:    s.loss(w, now),
-			lost:    lost,
-			address: w.reg.Address,
-			at:      now,
-		}
-	}
-	s.removeWorker(w, now, evidence)
-	s.recordLoss(w, lost, verdict, evidence, now)
-}
-
-// recordLoss records what the loss of a worker means for the tasks that may have run there.
-func (s *Shard) recordLoss(w *workerState, lost lostTasks, verdict suspect.Verdict, evidence string, now time.Time) {
-	name := w.incarnation().String()
-	for id, beside := range lost {
-		switch verdict {
-		case suspect.Crash:
-			s.recordCrash(id, name, evidence, beside, now)
-		case suspect.PossibleCrash:
-			s.addPossibleCrash(id, name)
-		case suspect.NoCrash:
-		}
-	}
-}
-
-// verdict returns whether a worker crashed. ended says that another worker or incarnation answers in
-// its place.
-func (s *Shard) verdict(w *workerState, now time.Time, ended bool) suspect.Verdict {
-	loss := s.loss(w, now)
-	loss.Ended = ended
-	return loss.Verdict(s.announcementLead())
-}
-
-// announcementLead is how long a worker certainly answers on after it has announced its end.
-func (s *Shard) announcementLead() time.Duration {
-	return s.opts.DrainTime - announcementSlack
-}
-
-// loss returns what is known about the end of a worker.
-func (s *Shard) loss(w *workerState, now time.Time) suspect.Loss {
-	loss := suspect.Loss{
-		Announced: w.announced,
-		Unheard:   !w.contacted,
-		ListedAt:  w.listedAt,
-		LostAt:    now,
-	}
-	if !w.silentSince.IsZero() {
-		loss.LostAt = w.silentSince
-	}
-	loss.Closed = loss.LostAt.Before(w.closedUntil)
-	if w.listed && !w.isOtherIncarnation(w.reg.Born) {
-		loss.ListedAt = latestOf(w.listedAt, s.listReadAt)
-	}
-	if !w.listed {
-		loss.UnlistedAt = w.unlistedAt
-	}
-	return loss
-}
-
-// lostTasks holds the tasks that may have run on a worker, and whether another task was started there
-// later.
-type lostTasks map[job.TaskID]bool
-
-// lostTasks returns the tasks that run on a worker, have a possible crash there, or may run there
-// according to the previous owner. It leaves out proven runs of long-running tasks, see isProven.
-func (s *Shard) lostTasks(w *workerState, now time.Time) lostTasks {
-	lost := make(lostTasks)
-	newest := w.newestStart()
-	for _, name := range s.possibleCrashKeys(w.incarnation()) {
-		for id := range s.possibleCrashes[name] {
-			beside, lapsed := w.lapsed[id]
-			lost[id] = beside || (!lapsed && !newest.IsZero())
-		}
-	}
-	for id, r := range w.runs {
-		if step, found := s.stepOf(id); found && (!step.Lasting || !r.isProven(now)) {
-			lost[id] = newest.Sub(r.startedAt) > suspect.AttributionSlack
-		}
-	}
-	if w.contacted {
-		return lost
-	}
-	for id := range w.unobservedTasks {
-		// How long a long-running task of the previous owner has run is unknown.
-		if step, found := s.stepOf(id); found && !step.Lasting {
-			lost[id] = !newest.IsZero()
-		}
-	}
-	return lost
-}
-
-// newestStart returns when the newest run that this owner ordered on the worker was started; zero if
-// there is none.
-func (w *workerState) newestStart() time.Time {
-	var newest time.Time
-	for _, r := range w.runs {
-		if !r.found {
-			newest = latestOf(newest, r.startedAt)
-		}
-	}
-	return newest
-}
-
-// isProven reports whether a run has gone on for so long that its start did not crash the worker. A
-// run that was found on the worker counts as proven, because an earlier owner started it.
-func (r *run) isProven(now time.Time) bool {
-	last := now
-	if silent := r.worker.silentSince; !silent.IsZero() {
-		last = silent
-	}
-	return r.found || last.Sub(r.startedAt) > suspect.ProvenAfter
-}
-
 // recordCrash records that an incarnation of a worker crashed under a task, and gives the task up if
-// it is one too many. beside says that another task was started there later, which is more likely to
-// be the cause. Each incarnation of a worker counts: when crashes were
-// counted by worker id, one task crashed the only worker of a pool, which was back a second after
-// each crash, 30 times in 40 s. evidence says how the end of the incarnation is known, for the log.
+// it is one too many. Each incarnation of a worker counts: when crashes were counted by worker id, one
+// task crashed the only worker of a pool, which was back a second after each crash, 30 times in 40 s.
+// evidence says how the end of the incarnation is known, for the log. beside says that another task
+// was started there later, which is more likely to be the cause.
 func (s *Shard) recordCrash(id job.TaskID, worker, evidence string, beside bool, now time.Time) {
 	j, t := s.openTask(id)
 	if t == nil {
@@ -233,92 +81,6 @@
 	return j, t
 }
 
-// addPossibleCrash records that an incarnation of a worker may have crashed under a task. While it
-// is unknown how the task's run there ended, a later owner counts the worker's crash against the
-// task as well. The row is written in parallel to the start and does not delay it, since a write
-// takes some 20 ms.
-func (s *Shard) addPossibleCrash(id job.TaskID, worker string) {
-	j, t := s.openTask(id)
-	if t == nil {
-		return
-	}
-	if t.crashes.Contains(worker) {
-		return
-	}
-	known := t.possibleCrashes
-	t.possibleCrashes, _ = known.Add(worker)
-	s.dirty[id.Job] = j
-	for _, name := range known {
-		if !slices.Contains(t.possibleCrashes, name) {
-			s.unindexPossibleCrash(id, name)
-		}
-	}
-	for _, name := range t.possibleCrashes {
-		s.indexPossibleCrash(id, name)
-	}
-}
-
-// indexPossibleCrash adds a task's possible crash to the index by worker.
-func (s *Shard) indexPossibleCrash(id job.TaskID, worker string) {
-	if s.possibleCrashes[worker] == nil {
-		s.possibleCrashes[worker] = make(map[job.TaskID]struct{})
-	}
-	s.possibleCrashes[worker][id] = struct{}{}
-}
-
-// unindexPossibleCrash removes a task's possible crash from the index by worker.
-func (s *Shard) unindexPossibleCrash(id job.TaskID, worker string) {
-	delete(s.possibleCrashes[worker], id)
-	if len(s.possibleCrashes[worker]) == 0 {
-		delete(s.possibleCrashes, worker)
-	}
-}
-
-// possibleCrashKeys returns the keys of Shard.possibleCrashes for a worker's incarnation. There may
-// be two: while the start time of an incarnation is unknown, its key is the worker's id alone.
-func (s *Shard) possibleCrashKeys(incarnation outside.Incarnation) []string {
-	var names []string
-	for name := range s.possibleCrashes {
-		if outside.ParseIncarnation(name).Same(incarnation) {
-			names = append(names, name)
-		}
-	}
-	return names
-}
-
-// removePossibleCrashes removes the possible crashes of a task on an incarnation, which did not crash
-// under it or is known to have. The row is written again: otherwise a later end of the worker for
-// another reason would count against the task.
-func (s *Shard) removePossibleCrashes(id job.TaskID, incarnation outside.Incarnation) {
-	for _, name := range s.possibleCrashKeys(incarnation) {
-		s.removePossibleCrash(id, name)
-	}
-}
-
-// removePossibleCrash removes the possible crash of a task under one key of a worker.
-func (s *Shard) removePossibleCrash(id job.TaskID, worker string) {
-	if _, found := s.possibleCrashes[worker][id]; !found {
-		return
-	}
-	s.unindexPossibleCrash(id, worker)
-	if j, t := s.openTask(id); t != nil {
-		t.possibleCrashes = t.possibleCrashes.Without(worker)
-		s.dirty[id.Job] = j
-	}
-}
-
-// clearStalePossibleCrashes removes the possible crashes of tasks that do not run on a worker which
-// answers or has ended.
-func (s *Shard) clearStalePossibleCrashes(w *workerState) {
-	for _, name := range s.possibleCrashKeys(w.incarnation()) {
-		for id := range s.possibleCrashes[name] {
-			if _, runs := w.runs[id]; !runs {
-				s.removePossibleCrash(id, name)
-			}
-		}
-	}
-}
-
 // withdrawCrashes removes the crashes and possible crashes of an incarnation, whose instance was
 // ordered away. The owner may hear of the order only after it has lost the worker.
 func (s *Shard) withdrawCrashes(taken outside.Incarnation) {
@@ -350,52 +112,6 @@
 	s.opts.LogEvent("crash withdrawn", "task", id.String(), "worker", worker, "crashes", len(t.crashes), "reason", reasonInstanceTaken)
 }
 
-// recordReplaced records the possible crashes of silent workers as crashes if another worker is
-// registered at their address, so that they have ended.
-func (s *Shard) recordReplaced(reg outside.Registration, now time.Time) {
-	for name, lost := range s.silentLosses {
-		if lost.address != reg.Address || outside.ParseIncarnation(name).Same(reg.Incarnation()) {
-			continue
-		}
-		delete(s.silentLosses, name)
-		lost.loss.Ended = true
-		if lost.loss.Verdict(s.announcementLead()) != suspect.Crash {
-			continue
-		}
-		for id := range s.possibleCrashes[name] {
-			s.recordCrash(id, name, evidenceAddress, lost.lost[id], now)
-		}
-	}
-}
-
-// purgeLosses drops the recorded crashes and losses of workers of which no more is learnt.
-func (s *Shard) purgeLosses(now time.Time) {
-	for name, lost := range s.silentLosses {
-		if now.Sub(lost.at) > endedRetention {
-			delete(s.silentLosses, name)
-		}
-	}
-	for name, crash := range s.recentCrashes {
-		if now.Sub(crash.at) > endedRetention {
-			delete(s.recentCrashes, name)
-		}
-	}
-}
-
-// recordEarlierCrashes records the possible crashes that an earlier owner stored for a worker's
-// previous incarnations as crashes, once this owner gets its first answer from a later one.
-func (s *Shard) recordEarlierCrashes(w *workerState, now time.Time) {
-	for name, tasks := range s.possibleCrashes {
-		incarnation := outside.ParseIncarnation(name)
-		if incarnation.Worker != w.reg.ID || incarnation.Same(w.incarnation()) {
-			continue
-		}
-		for id := range tasks {
-			s.recordCrash(id, name, evidenceRestarted, false, now)
-		}
-	}
-}
-
 // giveUpLostTasks gives up the tasks under which too many workers have crashed or possibly crashed,
 // counting only possible crashes of which no more can be learnt. A possible crash stays one if this
 // owner no longer knows the worker: it may have left in an orderly way, or run on behind a
@@ -415,30 +131,6 @@
 	}
 }
 
-// settledCrashes returns how many possible crashes of a task will stay possible.
-func (s *Shard) settledCrashes(t *taskState, now time.Time) int {
-	return len(t.possibleCrashes) - s.pendingCrashes(t, now)
-}
-
-// pendingCrashes returns how many possible crashes of a task are at workers of which this owner may
-// still learn whether they crashed. An unknown worker may still be read from a registration until
-// everything that earlier owners started has lapsed. One that was given up may soon be replaced.
-func (s *Shard) pendingCrashes(t *taskState, now time.Time) int {
-	pending := 0
-	for _, name := range t.possibleCrashes {
-		incarnation := outside.ParseIncarnation(name)
-		w, found := s.workers[incarnation.Worker]
-		lost, silent := s.silentLosses[name]
-		switch {
-		case found && w.incarnation().Same(incarnation),
-			!found && now.Before(s.unobservedUntil),
-			silent && now.Sub(lost.at) < replacementWait:
-			pending++
-		}
-	}
-	return pending
-}
-
 // clear removes the recorded crashes of a long-running task once its run is proven.
 func (s *Shard) clear(r *run, t *taskState, j *jobState, now time.Time) {
 	if !t.isSuspect() || !r.isProven(now) || !j.record.Spec.Steps[r.id.Step].Lasting {
@@ -505,8 +197,8 @@
 
 // isBlocked reports whether an idle task must not be started now. A task is blocked if it is given
 // up, or may be once it is known whether its pending crashes are crashes, or if its newest crash is
-// not stored yet. If tasks with unstored crashes started while the store is unavailable, each new owner
-// would start them again.
+// not stored yet. If tasks with unstored crashes started while the store is unavailable, each new
+// owner would start them again.
 func (s *Shard) isBlocked(t *taskState, now time.Time) bool {
 	if t.isGivenUp() {
 		return true
--- /dev/null
+++ b/shard/loss.go
@@ -0,0 +1,183 @@
+package shard
+
+import (
+	"net/netip"
+	"time"
+
+	"lemonstream.dev/lemonstream/job"
+	"lemonstream.dev/lemonstream/outside"
+	"lemonstream.dev/lemonstream/suspect"
+)
+
+// announcementSlack is the time for which a worker certainly answers on after it has announced its
+// end, subtracted from what the platform states, since a read of the registrations takes time.
+const announcementSlack = 250 * time.Millisecond
+
+// How the end of a worker is known, in the log.
+const (
+	evidenceAddress   = "another worker has its address"
+	evidenceReplaced  = "another worker answers"
+	evidenceRestarted = "worker started again"
+	evidenceSilent    = "unlisted and silent"
+)
+
+// silentLoss is a worker incarnation that was given up because it did not answer.
+type silentLoss struct {
+	loss    suspect.Loss
+	lost    lostTasks
+	address netip.AddrPort
+	at      time.Time
+}
+
+// lostTasks holds the tasks that may have run on a worker, and whether another task was started there
+// later.
+type lostTasks map[job.TaskID]bool
+
+// workerLost drops a worker that ended, or is assumed to have ended, without an order of this owner.
+// A crash is recorded for every task that may have run there. A task whose crashes are not counted
+// starts again and again and crashes a worker each time: two tasks once crashed twelve workers with
+// 176 runs in eleven seconds.
+func (s *Shard) workerLost(w *workerState, now time.Time, evidence string) {
+	verdict := s.verdict(w, now, evidence != evidenceSilent)
+	lost := s.lostTasks(w, now)
+	if evidence == evidenceSilent && verdict == suspect.PossibleCrash {
+		s.silentLosses[w.incarnation().String()] = silentLoss{
+			loss:    s.loss(w, now),
+			lost:    lost,
+			address: w.reg.Address,
+			at:      now,
+		}
+	}
+	s.removeWorker(w, now, evidence)
+	s.recordLoss(w, lost, verdict, evidence, now)
+}
+
+// recordLoss records what the loss of a worker means for the tasks that may have run there.
+func (s *Shard) recordLoss(w *workerState, lost lostTasks, verdict suspect.Verdict, evidence string, now time.Time) {
+	name := w.incarnation().String()
+	for id, beside := range lost {
+		switch verdict {
+		case suspect.Crash:
+			s.recordCrash(id, name, evidence, beside, now)
+		case suspect.PossibleCrash:
+			s.addPossibleCrash(id, name)
+		case suspect.NoCrash:
+		}
+	}
+}
+
+// verdict returns whether a worker crashed. ended says that another worker or incarnation answers in
+// its place.
+func (s *Shard) verdict(w *workerState, now time.Time, ended bool) suspect.Verdict {
+	loss := s.loss(w, now)
+	loss.Ended = ended
+	return loss.Verdict(s.announcementLead())
+}
+
+// announcementLead is how long a worker certainly answers on after it has announced its end.
+func (s *Shard) announcementLead() time.Duration {
+	return s.opts.DrainTime - announcementSlack
+}
+
+// loss returns what is known about the end of a worker.
+func (s *Shard) loss(w *workerState, now time.Time) suspect.Loss {
+	loss := suspect.Loss{
+		Announced: w.announced,
+		Unheard:   !w.contacted,
+		ListedAt:  w.listedAt,
+		LostAt:    now,
+	}
+	if !w.silentSince.IsZero() {
+		loss.LostAt = w.silentSince
+	}
+	loss.Closed = loss.LostAt.Before(w.closedUntil)
+	if w.listed && !w.isOtherIncarnation(w.reg.Born) {
+		loss.ListedAt = latestOf(w.listedAt, s.listReadAt)
+	}
+	if !w.listed {
+		loss.UnlistedAt = w.unlistedAt
+	}
+	return loss
+}
+
+// lostTasks returns the tasks that run on a worker, have a possible crash there, or may run there
+// according to the previous owner. It leaves out proven runs of long-running tasks, see isProven.
+func (s *Shard) lostTasks(w *workerState, now time.Time) lostTasks {
+	lost := make(lostTasks)
+	newest := w.newestStart()
+	for _, name := range s.possibleCrashKeys(w.incarnation()) {
+		for id := range s.possibleCrashes[name] {
+			beside, lapsed := w.lapsed[id]
+			lost[id] = beside || (!lapsed && !newest.IsZero())
+		}
+	}
+	for id, r := range w.runs {
+		if step, found := s.stepOf(id); found && (!step.Lasting || !r.isProven(now)) {
+			lost[id] = newest.Sub(r.startedAt) > suspect.AttributionSlack
+		}
+	}
+	if w.contacted {
+		return lost
+	}
+	for id := range w.unobservedTasks {
+		// How long a long-running task of the previous owner has run is unknown.
+		if step, found := s.stepOf(id); found && !step.Lasting {
+			lost[id] = !newest.IsZero()
+		}
+	}
+	return lost
+}
+
+// newestStart returns when the newest run that this owner ordered on the worker was started; zero if
+// there is none.
+func (w *workerState) newestStart() time.Time {
+	var newest time.Time
+	for _, r := range w.runs {
+		if !r.found {
+			newest = latestOf(newest, r.startedAt)
+		}
+	}
+	return newest
+}
+
+// isProven reports whether a run has gone on for so long that its start did not crash the worker. A
+// run that was found on the worker counts as proven, because an earlier owner started it.
+func (r *run) isProven(now time.Time) bool {
+	last := now
+	if silent := r.worker.silentSince; !silent.IsZero() {
+		last = silent
+	}
+	return r.found || last.Sub(r.startedAt) > suspect.ProvenAfter
+}
+
+// recordReplaced records the possible crashes of silent workers as crashes if another worker is
+// registered at their address, so that they have ended.
+func (s *Shard) recordReplaced(reg outside.Registration, now time.Time) {
+	for name, lost := range s.silentLosses {
+		if lost.address != reg.Address || outside.ParseIncarnation(name).Same(reg.Incarnation()) {
+			continue
+		}
+		delete(s.silentLosses, name)
+		lost.loss.Ended = true
+		if lost.loss.Verdict(s.announcementLead()) != suspect.Crash {
+			continue
+		}
+		for id := range s.possibleCrashes[name] {
+			s.recordCrash(id, name, evidenceAddress, lost.lost[id], now)
+		}
+	}
+}
+
+// purgeLosses drops the recorded crashes and losses of workers of which no more is learnt.
+func (s *Shard) purgeLosses(now time.Time) {
+	for name, lost := range s.silentLosses {
+		if now.Sub(lost.at) > endedRetention {
+			delete(s.silentLosses, name)
+		}
+	}
+	for name, crash := range s.recentCrashes {
+		if now.Sub(crash.at) > endedRetention {
+			delete(s.recentCrashes, name)
+		}
+	}
+}
--- /dev/null
+++ b/shard/possiblecrash.go
@@ -0,0 +1,143 @@
+package shard
+
+import (
+	"slices"
+	"time"
+
+	"lemonstream.dev/lemonstream/job"
+	"lemonstream.dev/lemonstream/outside"
+)
+
+// replacementWait is how long after a silent worker was given up another one is expected at its
+// address if it crashed. The platform starts a crashed worker again after some seconds, and a silent
+// one is given up after about seven.
+const replacementWait = 5 * time.Second
+
+// possibleCrashAfter is how many polls of a worker have to fail in a row before its tasks are
+// stored with a possible crash there. A crashed worker resets its connections, so that this takes
+// some 100 ms. If the owner dies before that, the next owner does not learn of the crash.
+const possibleCrashAfter = 2
+
+// addPossibleCrash records that an incarnation of a worker may have crashed under a task. While it
+// is unknown how the task's run there ended, a later owner counts the worker's crash against the
+// task as well. The row is written in parallel to the start and does not delay it, since a write
+// takes some 20 ms.
+func (s *Shard) addPossibleCrash(id job.TaskID, worker string) {
+	j, t := s.openTask(id)
+	if t == nil {
+		return
+	}
+	if t.crashes.Contains(worker) {
+		return
+	}
+	known := t.possibleCrashes
+	t.possibleCrashes, _ = known.Add(worker)
+	s.dirty[id.Job] = j
+	for _, name := range known {
+		if !slices.Contains(t.possibleCrashes, name) {
+			s.unindexPossibleCrash(id, name)
+		}
+	}
+	for _, name := range t.possibleCrashes {
+		s.indexPossibleCrash(id, name)
+	}
+}
+
+// indexPossibleCrash adds a task's possible crash to the index by worker.
+func (s *Shard) indexPossibleCrash(id job.TaskID, worker string) {
+	if s.possibleCrashes[worker] == nil {
+		s.possibleCrashes[worker] = make(map[job.TaskID]struct{})
+	}
+	s.possibleCrashes[worker][id] = struct{}{}
+}
+
+// unindexPossibleCrash removes a task's possible crash from the index by worker.
+func (s *Shard) unindexPossibleCrash(id job.TaskID, worker string) {
+	delete(s.possibleCrashes[worker], id)
+	if len(s.possibleCrashes[worker]) == 0 {
+		delete(s.possibleCrashes, worker)
+	}
+}
+
+// possibleCrashKeys returns the keys of Shard.possibleCrashes for a worker's incarnation. There may
+// be two: while the start time of an incarnation is unknown, its key is the worker's id alone.
+func (s *Shard) possibleCrashKeys(incarnation outside.Incarnation) []string {
+	var names []string
+	for name := range s.possibleCrashes {
+		if outside.ParseIncarnation(name).Same(incarnation) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// removePossibleCrashes removes the possible crashes of a task on an incarnation, which did not crash
+// under it or is known to have. The row is written again: otherwise a later end of the worker for
+// another reason would count against the task.
+func (s *Shard) removePossibleCrashes(id job.TaskID, incarnation outside.Incarnation) {
+	for _, name := range s.possibleCrashKeys(incarnation) {
+		s.removePossibleCrash(id, name)
+	}
+}
+
+// removePossibleCrash removes the possible crash of a task under one key of a worker.
+func (s *Shard) removePossibleCrash(id job.TaskID, worker string) {
+	if _, found := s.possibleCrashes[worker][id]; !found {
+		return
+	}
+	s.unindexPossibleCrash(id, worker)
+	if j, t := s.openTask(id); t != nil {
+		t.possibleCrashes = t.possibleCrashes.Without(worker)
+		s.dirty[id.Job] = j
+	}
+}
+
+// clearStalePossibleCrashes removes the possible crashes of tasks that do not run on a worker which
+// answers or has ended.
+func (s *Shard) clearStalePossibleCrashes(w *workerState) {
+	for _, name := range s.possibleCrashKeys(w.incarnation()) {
+		for id := range s.possibleCrashes[name] {
+			if _, runs := w.runs[id]; !runs {
+				s.removePossibleCrash(id, name)
+			}
+		}
+	}
+}
+
+// recordEarlierCrashes records the possible crashes that an earlier owner stored for a worker's
+// previous incarnations as crashes, once this owner gets its first answer from a later one.
+func (s *Shard) recordEarlierCrashes(w *workerState, now time.Time) {
+	for name, tasks := range s.possibleCrashes {
+		incarnation := outside.ParseIncarnation(name)
+		if incarnation.Worker != w.reg.ID || incarnation.Same(w.incarnation()) {
+			continue
+		}
+		for id := range tasks {
+			s.recordCrash(id, name, evidenceRestarted, false, now)
+		}
+	}
+}
+
+// settledCrashes returns how many possible crashes of a task will stay possible.
+func (s *Shard) settledCrashes(t *taskState, now time.Time) int {
+	return len(t.possibleCrashes) - s.pendingCrashes(t, now)
+}
+
+// pendingCrashes returns how many possible crashes of a task are at workers of which this owner may
+// still learn whether they crashed. An unknown worker may still be read from a registration until
+// everything that earlier owners started has lapsed. One that was given up may soon be replaced.
+func (s *Shard) pendingCrashes(t *taskState, now time.Time) int {
+	pending := 0
+	for _, name := range t.possibleCrashes {
+		incarnation := outside.ParseIncarnation(name)
+		w, found := s.workers[incarnation.Worker]
+		lost, silent := s.silentLosses[name]
+		switch {
+		case found && w.incarnation().Same(incarnation),
+			!found && now.Before(s.unobservedUntil),
+			silent && now.Sub(lost.at) < replacementWait:
+			pending++
+		}
+	}
+	return pending
+}
