A job on workers that were cut off is not set aside

What operators saw (read, shown by the test): a job of lemonstreamd is set aside as 'loses its workers' after three attempts lapsed on workers that were not listed as live, also if these answer again and have not started since.

Change: a loss is withdrawn once its worker is listed as live with the boot that the attempt was placed under. TestJobOnCutOffWorkersIsNotSetAside failed before (set aside instead of finished); TestJobThatLosesItsWorkersIsSetAside and TestJobThatLosesOneWorkerAgainAndAgainIsSetAside pass as before.

--- a/work/duty.go
+++ b/work/duty.go
@@ -169,6 +169,7 @@
 	next := k.clone()
 	now := d.clock.Now()
 	for _, job := range next {
+		job.withdrawLosses(d.answersAgain)
 		if task, found := byID[job.TaskID()]; found && job.Worker != "" {
 			job.observe(task, d.endedSilently(job), now)
 		}
@@ -188,6 +189,12 @@
 	return (again || view.Lost(job.Worker)) && view.Instances[job.Worker].Phase == fleet.PhaseServing
 }
 
+// answersAgain reports whether a worker that counted as lost answers, and has not started again since.
+func (d *Duty) answersAgain(worker string, boot int64) bool {
+	view := d.view()
+	return boot != 0 && view.Listed[worker].Boot == boot && !view.Lost(worker)
+}
+
 // decide changes the jobs as package place says.
 func (d *Duty) decide(pool string, jobs map[string]*Job) {
 	view := d.view()
--- a/work/job.go
+++ b/work/job.go
@@ -8,6 +8,9 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
+	"strconv"
+	"strings"
 	"time"
 
 	"lemonstream.dev/lemonstream/clock"
@@ -141,7 +144,7 @@
 		j.resume(now)
 	case store.TaskLapsed:
 		if lost {
-			j.LostOn = with(j.LostOn, fmt.Sprintf("%s/%d", task.Worker, j.Boot))
+			j.LostOn = with(j.LostOn, lossOn(task.Worker, j.Boot))
 		}
 		j.requeue(now)
 	case store.TaskStopped:
@@ -149,6 +152,20 @@
 	}
 }
 
+// withdrawLosses removes the workers from LostOn that answer again: they were cut off, and did not end.
+func (j *Job) withdrawLosses(answersAgain func(worker string, boot int64) bool) {
+	maps.DeleteFunc(j.LostOn, func(loss string, _ bool) bool {
+		at := strings.LastIndexByte(loss, '/')
+		boot, err := strconv.ParseInt(loss[at+1:], 10, 64)
+		return err == nil && at >= 0 && answersAgain(loss[:at], boot)
+	})
+}
+
+// lossOn names a worker with its boot in LostOn.
+func lossOn(worker string, boot int64) string {
+	return fmt.Sprintf("%s/%d", worker, boot)
+}
+
 // with returns a set with one more worker.
 func with(set map[string]bool, worker string) map[string]bool {
 	if set == nil {
--- a/work/work_test.go
+++ b/work/work_test.go
@@ -303,6 +303,49 @@
 	is.Equal(len(f.starts["modelos/bad"]), 3)
 }
 
+// TestJobOnCutOffWorkersIsNotSetAside cuts off four workers under a job, each for two leases.
+func TestJobOnCutOffWorkersIsNotSetAside(t *testing.T) {
+	is := is.New(t)
+	const cuts, cutRounds = 4, 250
+	f := newFarm(1, 8, time.Second, 0)
+	down := make(map[string]int)
+	set := func(worker string, state store.ListedState) {
+		line := f.view.Listed[worker]
+		line.State = state
+		line.Boot = 1
+		f.view.Listed[worker] = line
+	}
+	for worker := range f.view.Listed {
+		set(worker, store.ListedLive)
+	}
+	seen := 0
+	f.tasks.Crashed = func(worker string) bool { return down[worker] > 0 }
+	f.tasks.Fails = func(task store.Task) bool {
+		if down[task.Worker] == 0 && seen < cuts {
+			seen++
+			down[task.Worker] = cutRounds
+			set(task.Worker, "")
+		}
+		return false
+	}
+	is.NoErr(f.submit(work.Job{
+		ID: "cut",
+	}))
+	for range 1200 {
+		f.round()
+		for worker, left := range down {
+			if left > 0 {
+				down[worker]--
+			}
+			if left == 1 {
+				set(worker, store.ListedLive)
+			}
+		}
+	}
+	is.Equal(seen, cuts)
+	is.Equal(f.jobs()["cut"].State, work.StateFinished)
+}
+
 func TestBadRowHoldsUpNothing(t *testing.T) {
 	is := is.New(t)
 	f := newFarm(1, 1, time.Second, 0)
