The next incarnation of a taken worker is used, although the one before was known by its id alone

Cause: a new owner knew the worker from its row of workers, which has no start time, and the registration was gone with the order. Told that the incarnation was taken, it remembered the id alone as ended, and took every later registration under that id for the ended one, for 60 s and until the next change of the list after that.

Change: the name that tells of the taken incarnation has its start, and that is what is remembered. TestNextIncarnationOfTakenWorkerIsUsed failed before.

--- a/shard/load.go
+++ b/shard/load.go
@@ -166,6 +166,10 @@
 			// The worker's row will show whether it has restarted.
 			s.removedUnlisted = append(s.removedUnlisted, name)
 		case w.incarnation().Same(taken):
+			if w.incarnation().Born.IsZero() {
+				// Known by its id alone, it would hide the next incarnation under that id.
+				w.born = taken.Born
+			}
 			s.removeWorker(w, now, reasonInstanceTaken)
 		}
 	}
--- a/shard/loss_test.go
+++ b/shard/loss_test.go
@@ -90,6 +90,30 @@
 	}
 }
 
+// TestNextIncarnationOfTakenWorkerIsUsed takes the instance of a worker that a new owner knows by its id
+// alone, because its registration is gone. The worker comes back under that id.
+func TestNextIncarnationOfTakenWorkerIsUsed(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(2)
+	w.run(200 * time.Millisecond)
+	f := w.workers["w0"]
+	taken := f.reg.Incarnation().String()
+	f.down = true
+	f.unlisted = true
+	w.takeOver()
+	w.run(100 * time.Millisecond)
+	w.core.RemoveTaken([]string{taken}, w.now)
+	w.run(testMoveTime)
+	w.startIncarnation(f)
+	w.run(time.Second)
+	w.submit("a", step(8))
+	w.run(500 * time.Millisecond)
+	is.Equal(len(f.runs), 4)
+	w.run(3 * time.Second)
+	w.check(t)
+	is.Equal(w.shown["a"], job.Completed)
+}
+
 // TestFailedJobHasACause combines every way in which a worker may disappear with takeovers and
 // registrations that can't be read. No job is shown as failed before two workers have crashed under
 // one of its tasks.
