A loss is judged once, and fake workers end in one way

Found in a second reading of the change; behaviour stays. What is known of a lost worker was collected twice when it was given up as silent; loss takes whether the incarnation has ended, and the function that only set that is gone. Tests: four places ended a fake worker by the same three lines.

--- a/shard/crash_world_test.go
+++ b/shard/crash_world_test.go
@@ -58,9 +58,7 @@
 // after that time: by its next incarnation if sameID is set, otherwise by a worker with another id
 // at the same address.
 func (w *world) failWorker(f *fakeWorker) {
-	f.down = true
-	f.crashed = true
-	f.runs = make(map[job.TaskID]*fakeRun)
+	f.endAtOnce()
 	incarnation := f.restarts
 	w.after(registrationTTL, func() {
 		if f.restarts == incarnation {
@@ -86,9 +84,7 @@
 		return
 	}
 	incarnation := f.restarts
-	f.down = true
-	f.crashed = true
-	f.runs = make(map[job.TaskID]*fakeRun)
+	f.endAtOnce()
 	w.after(registrationTTL, func() {
 		if f.restarts == incarnation {
 			f.unlisted = true
--- a/shard/fakeworker_test.go
+++ b/shard/fakeworker_test.go
@@ -82,6 +82,13 @@
 	delete(f.runs, id)
 }
 
+// endAtOnce ends the worker with all its runs. Its registration stays for a while.
+func (f *fakeWorker) endAtOnce() {
+	f.down = true
+	f.crashed = true
+	f.runs = make(map[job.TaskID]*fakeRun)
+}
+
 func (f *fakeWorker) renewLease(w *world, fence int64, leaseUntil time.Duration) {
 	f.fence = max(f.fence, fence)
 	at := f.clockZero.Add(leaseUntil)
--- a/shard/loss.go
+++ b/shard/loss.go
@@ -38,11 +38,12 @@
 // starts again and again and crashes a worker each time: two tasks once crashed twelve workers with
 // 176 runs in eleven seconds.
 func (s *Shard) workerLost(w *workerState, now time.Time, evidence string) {
-	verdict := s.verdict(w, now, evidence != evidenceSilent)
+	loss := s.loss(w, now, evidence != evidenceSilent)
+	verdict := loss.Verdict(s.announcementLead())
 	lost := s.lostTasks(w, now)
 	if evidence == evidenceSilent && verdict == suspect.PossibleCrash {
 		s.silentLosses[w.incarnation().String()] = silentLoss{
-			loss:    s.loss(w, now),
+			loss:    loss,
 			lost:    lost,
 			address: w.reg.Address,
 			at:      now,
@@ -66,23 +67,17 @@
 	}
 }
 
-// verdict returns whether a worker crashed. ended says that another worker or incarnation answers in
-// its place.
-func (s *Shard) verdict(w *workerState, now time.Time, ended bool) suspect.Verdict {
-	loss := s.loss(w, now)
-	loss.Ended = ended
-	return loss.Verdict(s.announcementLead())
-}
-
 // announcementLead is how long a worker certainly answers on after it has announced its end.
 func (s *Shard) announcementLead() time.Duration {
 	return s.opts.DrainTime - announcementSlack
 }
 
-// loss returns what is known about the end of a worker.
-func (s *Shard) loss(w *workerState, now time.Time) suspect.Loss {
+// loss returns what is known about the end of a worker. ended says that another worker or incarnation
+// answers in its place.
+func (s *Shard) loss(w *workerState, now time.Time, ended bool) suspect.Loss {
 	loss := suspect.Loss{
 		Announced: w.announced,
+		Ended:     ended,
 		Unheard:   !w.contacted,
 		ListedAt:  w.listedAt,
 		LostAt:    now,
--- a/shard/loss_test.go
+++ b/shard/loss_test.go
@@ -58,9 +58,7 @@
 			f.reg.Remaining = lingerTime
 			w.sendRegistrations()
 			w.run(lingerTime)
-			f.down = true
-			f.crashed = true
-			f.runs = make(map[job.TaskID]*fakeRun)
+			f.endAtOnce()
 			w.run(time.Second)
 			f.reg.Draining = false
 			w.startIncarnation(f)
--- a/shard/loss_world_test.go
+++ b/shard/loss_world_test.go
@@ -57,9 +57,7 @@
 		return
 	}
 	name := f.reg.Incarnation().String()
-	f.down = true
-	f.crashed = true
-	f.runs = make(map[job.TaskID]*fakeRun)
+	f.endAtOnce()
 	w.after(registrationTTL, func() {
 		f.crashed = false
 		f.unlisted = true
--- a/shard/restart.go
+++ b/shard/restart.go
@@ -53,7 +53,7 @@
 // must not be compared with the numbers of the old incarnation: they would be acknowledged without
 // being applied, and each of their tasks would run again (one did five times in a row).
 func (s *Shard) replaceIncarnation(before *workerState, status outside.WorkerStatus, sent, now time.Time) *workerState {
-	verdict := s.verdict(before, now, true)
+	verdict := s.loss(before, now, true).Verdict(s.announcementLead())
 	lost := s.lostTasks(before, now)
 	w := s.addWorker(before.reg.ID, now)
 	w.born = status.Born
