Jobs that are not accepted wait in one queue for each service

With the store away, each caller's job was tried every 50 ms for 150 ms, and until the caller's deadline once a try had an unknown outcome. Waiting jobs of a service share a queue (package retry): one at a time probes, each success doubles the attempts within a round trip, a full queue answers at once. Looks at an owner that does not answer are shared between the jobs handed in there. Tested: intake, scheduler and cmd/lemonsched with the race detector.

--- a/cmd/lemonsched/runcmd.go
+++ b/cmd/lemonsched/runcmd.go
@@ -7,6 +7,7 @@
 	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"lemonstream.dev/lemonstream/intake"
 	"lemonstream.dev/lemonstream/pool"
 	"lemonstream.dev/lemonstream/scheduler"
 )
@@ -18,6 +19,8 @@
 	flags := flag.NewFlagSet("lemonsched", flag.ContinueOnError)
 	moveCost := flags.Duration("move-cost", pool.DefaultMoveCost,
 		"what a move of an instance costs: the time for which an idle one may be held awake for the same")
+	offerTime := flags.Duration("offer-time", intake.DefaultOfferTime,
+		"how long a job is offered to a store that does not accept it, at most a quarter of what its caller waits")
 	return &ffcli.Command{
 		Name:       "lemonsched",
 		ShortUsage: "lemonsched [flags]",
@@ -26,7 +29,8 @@
 		Options:    []ff.Option{ff.WithEnvVarPrefix(optionsPrefix)},
 		Exec: func(ctx context.Context, _ []string) error {
 			return scheduler.Run(ctx, scheduler.Options{
-				MoveCost: *moveCost,
+				MoveCost:  *moveCost,
+				OfferTime: *offerTime,
 			})
 		},
 	}
--- a/intake/accept.go
+++ b/intake/accept.go
@@ -14,39 +14,63 @@
 	"lemonstream.dev/lemonstream/outside"
 	"lemonstream.dev/lemonstream/owner"
 	"lemonstream.dev/lemonstream/peer"
+	"lemonstream.dev/lemonstream/retry"
 	"lemonstream.dev/lemonstream/shard"
 )
 
-// accept makes the record of a job stand and answers. It gives up early where none
-// of its own tries can take effect any more.
+// accept makes the record of a job stand and answers. A job that is not accepted is tried again
+// until its offer time is up; its caller comes back with the same id, also at another entry. A try
+// that has begun is awaited.
 func (s *Server) accept(r *request, record shard.Record, catalogVersion int64) {
-	uncertain := false
 	began := s.Clock.Now()
-	givingUp := min(giveUpAfter, s.deadline(r.Context)/giveUpShare)
+	o := &offer{
+		began:      began,
+		queue:      s.offers.queue(r.route.Service, s.Clock, s.Group),
+		writeUntil: retry.WriteUntil(began, s.deadline(r.Context)),
+	}
+	var last error
 	for {
-		writer, err := s.take(r, record, &uncertain)
-		if err == nil {
-			s.accepted(r, record, writer, catalogVersion)
+		until := retry.OfferUntil(o.began, s.OfferTime, s.deadline(r.Context), o.uncertain)
+		attempt, result := o.nextAttempt(r.ctx, until)
+		if result != "" {
+			s.giveUp(r, record, o, result, last)
 			return
 		}
+		o.attempts++
+		writer, err := s.take(r, record, o)
 		var away *owner.RefusedError
 		if errors.As(err, &away) {
+			// The refusal is a row that was written.
+			o.queue.end(attempt, retry.StoredByOwner)
+			s.countOffer(o, offerRefused)
 			s.turnAway(r, record, away.RetryAfter)
 			return
 		}
-		hopeless := !uncertain && s.Clock.Now().Sub(began)+writePause > givingUp
-		if !hopeless && clock.Sleep(r.ctx, writePause) {
-			continue
+		o.queue.end(attempt, resultOf(r, writer, err))
+		if err == nil {
+			s.countOffer(o, offerAccepted)
+			s.accepted(r, record, writer, catalogVersion)
+			return
 		}
-		s.Log.Warn("job not accepted", "job", record.ID, "route", record.Route, "uncertain", uncertain, "error", err.Error())
-		s.notTaken(r.Context, "the store does not take the job")
-		return
+		last = err
 	}
 }
 
+// giveUp answers the caller of a job that is no longer offered.
+func (s *Server) giveUp(r *request, record shard.Record, o *offer, result string, last error) {
+	s.countOffer(o, result)
+	cause := "not tried"
+	if last != nil {
+		cause = last.Error()
+	}
+	s.Log.Warn("job not accepted", "job", record.ID, "route", record.Route, "result", result, "uncertain", o.uncertain,
+		"attempts", o.attempts, "error", cause)
+	s.notTaken(r.Context, reasonOf(result))
+}
+
 // take tries once to make the record of a job stand, and returns who wrote it.
-// uncertain is set where a try without success may yet have an effect.
-func (s *Server) take(r *request, record shard.Record, uncertain *bool) (string, error) {
+// o.uncertain is set where a try without success may yet have an effect.
+func (s *Server) take(r *request, record shard.Record, o *offer) (string, error) {
 	stands, err := s.standsElsewhere(r, record)
 	if err != nil || stands {
 		return writerEarlier, err
@@ -59,17 +83,20 @@
 	if errors.As(atOwner, &away) {
 		return "", away
 	}
-	*uncertain = *uncertain || mayBeTaken(atOwner)
+	o.uncertain = o.uncertain || mayBeTaken(atOwner)
 	if s.Slow() && !isNotOwner(atOwner) {
 		return "", fmt.Errorf("the store is slow, and at the owner: %w", atOwner)
 	}
+	if !s.Clock.Now().Before(o.writeUntil) {
+		return "", fmt.Errorf("too late for a write, and at the owner: %w", atOwner)
+	}
 	err = s.Breakers.Try(r.ctx, "writing to "+r.route.Service, func(ctx context.Context) error {
-		return s.write(ctx, r.route.Service, record, *uncertain)
+		return s.write(ctx, r.route.Service, record, o.uncertain)
 	})
 	if err == nil {
 		return writerEntry, nil
 	}
-	*uncertain = *uncertain || outside.IsUncertain(err)
+	o.uncertain = o.uncertain || outside.IsUncertain(err)
 	return "", fmt.Errorf("at the owner: %w; at this entry: %w", atOwner, err)
 }
 
--- a/intake/handin.go
+++ b/intake/handin.go
@@ -103,16 +103,6 @@
 	})
 }
 
-// ownerWorks asks another entry whether it owns a service and writes.
-func (s *Server) ownerWorks(ctx context.Context, address netip.AddrPort, service string) bool {
-	pong, err := s.Owners.Peers.Ping(ctx, address, service)
-	if err != nil {
-		s.Log.Info("owner not asked", "service", service, "owner", address.String(), "error", err.Error())
-		return false
-	}
-	return pong.Owns && pong.WriteAge < handInStale
-}
-
 // isNotOwner reports whether an error says that there is no owner to hand a job
 // in at. Only then an entry writes to a slow store itself.
 func isNotOwner(err error) bool {
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -48,11 +48,6 @@
 	// are over within seconds.
 	retryAfter = 1
 
-	// giveUpAfter is how long a job is offered to a store that certainly does not
-	// take it. A caller that comes back in a second is served sooner than one
-	// whose only try is held here.
-	giveUpAfter = 150 * time.Millisecond
-
 	// handInLook is the time between two looks whether an owner that does not
 	// answer still works; handInStale is how old its last write may be. With the
 	// store 60 times slower one takes 0.6 s, and two follow each other.
@@ -65,12 +60,7 @@
 	writerEntry   = "entry"
 	writerOwner   = "owner"
 
-	// giveUpShare is the part of a caller's deadline that this may take at most, as
-	// a divisor: a caller's last tries leave little time, and one that is held for
-	// half of it can't come back.
-	giveUpShare = 4
-
-	// writePause is the pause before a write without success is repeated.
+	// writePause is the pause before a question or a withdrawal without success is repeated.
 	writePause = 50 * time.Millisecond
 )
 
@@ -125,7 +115,13 @@
 	// milliseconds.
 	DeadlineHeader string
 
-	reads readPace
+	// OfferTime is how long a job is offered that is not accepted, and at most a quarter of
+	// the caller's deadline.
+	OfferTime time.Duration
+
+	looks  ownerLooks
+	offers offers
+	reads  readPace
 }
 
 // request is one call of a caller on a known queue.
@@ -142,6 +138,7 @@
 
 // Routes adds the callers' interface to a router.
 func (s *Server) Routes(router *gin.Engine) {
+	s.Figures.Gauge("jobs_waiting_for_store", func() float64 { return float64(s.offers.waiting()) })
 	router.NoRoute(s.serve)
 }
 
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -115,6 +115,7 @@
 			return from, from != ""
 		},
 		DeadlineHeader: "Patience",
+		OfferTime:      intake.DefaultOfferTime,
 	}
 	change(server)
 	router := gin.New()
--- a/scheduler/options.go
+++ b/scheduler/options.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"lemonstream.dev/lemonstream/intake"
 )
 
 // moveCostMost is the most that a move may be said to cost: an instance that is held for longer
@@ -13,6 +15,10 @@
 type Options struct {
 	// MoveCost is what a move of an instance costs; see pool.Options.
 	MoveCost time.Duration
+
+	// OfferTime is how long a job is offered to a store that does not accept it; see
+	// intake.Server.
+	OfferTime time.Duration
 }
 
 // OptionError reports an option that can't be used.
@@ -36,5 +42,12 @@
 			Reason: "is not between 0s and " + moveCostMost.String(),
 		}
 	}
+	if o.OfferTime < 0 || o.OfferTime > intake.MaxOfferTime {
+		return &OptionError{
+			Name:   "offer-time",
+			Value:  o.OfferTime.String(),
+			Reason: "is not between 0s and " + intake.MaxOfferTime.String(),
+		}
+	}
 	return nil
 }
--- a/scheduler/serve.go
+++ b/scheduler/serve.go
@@ -98,6 +98,7 @@
 		RowBytes:       d.settings.RowBytes,
 		ReadPause:      d.readPause,
 		DeadlineHeader: deadlineHeader,
+		OfferTime:      d.options.OfferTime,
 	}
 	router := gin.New()
 	server.Routes(router)
