--- a/retry/retry.go
+++ b/retry/retry.go
@@ -75,10 +75,10 @@
 
 // Queue limits the concurrent attempts to store jobs of one service, and holds the jobs that
 // wait, in order of arrival. After a failure a single attempt at a time probes. Each success
-// raises the limit by one, so that it doubles with each round trip. Once no job waits, there is
-// no limit. A Queue is not safe for concurrent use.
+// raises the limit by one, so that it doubles with each round trip, until no job waits. A Queue is not safe for concurrent use.
 type Queue struct {
-	// open is set if there is no limit as long as the last success proves that jobs are accepted.
+	// open is set unless an attempt has failed. Then there is no limit as long as the last success
+	// proves that jobs are accepted, and that of unprovenWindow otherwise.
 	open        bool
 	lastSuccess time.Time
 
@@ -225,12 +225,7 @@
 	q.nextProbe = now.Add(probePause)
 }
 
-// start begins an attempt. The first one without a recent success ends the time without a limit.
 func (q *Queue) start(now time.Time) Attempt {
-	if q.open && !q.proven(now) {
-		q.open = false
-		q.window = unprovenWindow
-	}
 	q.inFlight++
 	q.lastStart = now
 	return Attempt{
