The first success at an owner releases as many jobs as one transaction stores

Doubling from one, a slow store (1.2 s for each attempt) would keep 100 jobs a second waiting for 8 s. Tested: intake and retry with the race detector, linter.

--- a/retry/retry.go
+++ b/retry/retry.go
@@ -31,10 +31,14 @@
 	// exceed the 200 transactions a second that one partition of the store accepts.
 	maxOwnWrites = 4
 
-	// maxWindow is the maximum number of concurrent attempts while waiting jobs are accepted by
-	// the owner, which stores some 90 records in a transaction. With a slow store, 100 jobs a
-	// second that take 1.2 s each are in flight together; a limit near 90 would reject them.
-	maxWindow = 512
+	// ownerWindow is the number of concurrent attempts after the first success at the owner. It is
+	// what the owner stores in one transaction; those of 42 entries fit into the 4096 jobs that
+	// an owner holds without a record. Starting from one attempt, a store 60 times slower than
+	// usual (1.2 s for each attempt) would keep 100 jobs a second waiting for 8 s.
+	ownerWindow = 90
+
+	// maxOwnerWindow is the maximum number of concurrent attempts at the owner while jobs wait.
+	maxOwnerWindow = 512
 
 	// probePause is the pause between a failed attempt and the next one. Most attempts end at
 	// once at the circuit breakers, whose pauses begin at 25 ms and bound the actual calls.
@@ -73,10 +77,11 @@
 	generation int
 }
 
-// Queue limits the concurrent attempts to store jobs of one service, and holds the jobs that
-// wait, in order of the time until which they do: in order of arrival, a caller near its deadline is
-// offered for 0.1 s and would leave before its turn. After a failure a single attempt at a time probes. Each success
-// raises the limit by one, so that it doubles with each round trip, until no job waits. A Queue is not safe for concurrent use.
+// Queue limits the concurrent attempts to store jobs of one service, and holds the jobs that wait,
+// in order of the time until which they do. In order of arrival, a caller near its deadline, whose
+// job is offered for 0.1 s, would leave before its turn. After a failure a single attempt at a time
+// probes. The first success raises the limit, and each further one raises it by one, until no job
+// waits. A Queue is not safe for concurrent use.
 type Queue struct {
 	// open is set unless an attempt has failed. Then there is no limit as long as the last success
 	// proves that jobs are accepted, and that of unprovenWindow otherwise.
@@ -215,9 +220,9 @@
 	}
 	switch result {
 	case StoredByEntry:
-		q.succeeded(now, maxOwnWrites)
+		q.succeeded(now, min(q.window+1, maxOwnWrites))
 	case StoredByOwner:
-		q.succeeded(now, maxWindow)
+		q.succeeded(now, min(max(q.window+1, ownerWindow), maxOwnerWindow))
 	case Failed:
 		if current {
 			q.failed(now)
@@ -226,11 +231,11 @@
 	}
 }
 
-func (q *Queue) succeeded(now time.Time, limit int) {
+func (q *Queue) succeeded(now time.Time, window int) {
 	q.lastSuccess = now
 	q.nextProbe = now
 	if !q.open {
-		q.window = min(q.window+1, limit)
+		q.window = window
 		q.open = q.waiting.Len() == 0
 	}
 }
