--- a/intake/offers_test.go
+++ b/intake/offers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -228,6 +229,10 @@
 	pings   atomic.Int64
 	submits atomic.Int64
 
+	// worksFor is how long after began the owner says that it writes.
+	began    time.Time
+	worksFor time.Duration
+
 	// ended is closed at the end of the test, when no call may hang any more.
 	ended chan struct{}
 }
@@ -236,7 +241,11 @@
 	switch {
 	case strings.HasSuffix(r.URL.Path, "/ping"):
 		o.pings.Add(1)
-		_, _ = w.Write([]byte(`{"owns":true,"write_age_ms":2000}`))
+		age := 2 * time.Second
+		if time.Since(o.began) < o.worksFor {
+			age = 0
+		}
+		_, _ = fmt.Fprintf(w, `{"owns":true,"write_age_ms":%d}`, age.Milliseconds())
 	case o.accepts.Load():
 		o.submits.Add(1)
 		w.WriteHeader(http.StatusNoContent)
@@ -249,8 +258,8 @@
 	}
 }
 
-// serve returns an entry that knows the owner and whose own store is away.
-func (o *fakeOwner) serve(t *testing.T) http.Handler {
+// serve returns an entry that knows the owner, and its own store, which is away.
+func (o *fakeOwner) serve(t *testing.T) (http.Handler, *storeAway) {
 	server := httptest.NewServer(o)
 	t.Cleanup(server.Close)
 	t.Cleanup(func() { close(o.ended) })
@@ -262,7 +271,23 @@
 			Owner: func(string) (netip.AddrPort, bool) { return address, true },
 			Peers: peer.NewClient(nil),
 		}
-	})
+	}), store
+}
+
+// TestNoWriteBeginsLate guards against a caller that is held for a write after its owner has held
+// the job for half of the caller's deadline.
+func TestNoWriteBeginsLate(t *testing.T) {
+	is := is.New(t)
+	fake := &fakeOwner{
+		began:    time.Now(),
+		worksFor: time.Second,
+		ended:    make(chan struct{}),
+	}
+	fake.hangs.Store(true)
+	entry, store := fake.serve(t)
+	is.Equal(submit(entry, "a", 2*time.Second).Code, http.StatusGatewayTimeout)
+	is.True(fake.pings.Load() >= 2)
+	is.Equal(store.calls.Load(), int64(0))
 }
 
 // TestCallsToTheOwnerDoNotGrowWithTheCallers guards against an owner that each waiting caller
@@ -301,7 +326,7 @@
 				ended: make(chan struct{}),
 			}
 			fake.hangs.Store(c.hangs)
-			entry := fake.serve(t)
+			entry, _ := fake.serve(t)
 			if c.acceptsOne {
 				fake.accepts.Store(true)
 				is.Equal(submit(entry, "first", callerPatience).Code, http.StatusOK)
