Owners continue through a store outage on promises of witnesses

An owner gave up its service 4 s after its last write, because a successor on the other side of a partition may start what it still renews. Its heartbeat row now names up to three successors. While the store is away, it asks them for promises not to claim the part and continues for up to 8 s. Claimers that are not named wait longer.

--- a/cmd/lemonsched/runcmd.go
+++ b/cmd/lemonsched/runcmd.go
@@ -9,6 +9,7 @@
 
 	"lemonstream.dev/lemonstream/pool"
 	"lemonstream.dev/lemonstream/scheduler"
+	"lemonstream.dev/lemonstream/witness"
 )
 
 // optionsPrefix begins the names of environment variables that stand for flags.
@@ -18,6 +19,8 @@
 	flags := flag.NewFlagSet("lemonsched", flag.ContinueOnError)
 	moveCost := flags.Duration("move-cost", pool.DefaultMoveCost,
 		"what a move of an instance costs: the time for which an idle one may be held awake for the same")
+	outageTimeout := flags.Duration("outage-timeout", witness.Limit,
+		"how long an owner continues without a write while the store is away from its witnesses as well, 8s at the most; up to 4s or 0s: not beyond 4s")
 	return &ffcli.Command{
 		Name:       "lemonsched",
 		ShortUsage: "lemonsched [flags]",
@@ -26,7 +29,8 @@
 		Options:    []ff.Option{ff.WithEnvVarPrefix(optionsPrefix)},
 		Exec: func(ctx context.Context, _ []string) error {
 			return scheduler.Run(ctx, scheduler.Options{
-				MoveCost: *moveCost,
+				MoveCost:      *moveCost,
+				OutageTimeout: *outageTimeout,
 			})
 		},
 	}
--- a/figures/figures.go
+++ b/figures/figures.go
@@ -6,8 +6,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"sort"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -33,6 +35,17 @@
 // Set is the figures of one entry.
 type Set struct {
 	registry metrics.Registry
+
+	// labelled holds the gauges of GaugeBy by their name. The registry takes figures of one
+	// value only.
+	mu       sync.Mutex
+	labelled map[string]labelledGauge
+}
+
+// labelledGauge is a gauge with one value for each value of a label.
+type labelledGauge struct {
+	label string
+	read  func() map[string]float64
 }
 
 // quantiles are the points of a latency that are written.
@@ -42,6 +55,7 @@
 func New() *Set {
 	return &Set{
 		registry: metrics.NewRegistry(),
+		labelled: make(map[string]labelledGauge),
 	}
 }
 
@@ -61,9 +75,34 @@
 	s.registry.GetOrRegister(name, metrics.NewFunctionalGaugeFloat64(read))
 }
 
+// GaugeBy shows figures that are read whenever they are asked for, by the values of a label; the name
+// says their unit.
+func (s *Set) GaugeBy(name, label string, read func() map[string]float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.labelled[name] = labelledGauge{
+		label: label,
+		read:  read,
+	}
+}
+
+// labelledLines returns the lines of the gauges of GaugeBy.
+func (s *Set) labelledLines() []string {
+	s.mu.Lock()
+	gauges := maps.Clone(s.labelled)
+	s.mu.Unlock()
+	var lines []string
+	for name, gauge := range gauges {
+		for value, figure := range gauge.read() {
+			lines = append(lines, fmt.Sprintf("lemonstream_%s{%s=%q} %g", name, gauge.label, value, figure))
+		}
+	}
+	return lines
+}
+
 // Text returns every figure, one a line, sorted by name.
 func (s *Set) Text() string {
-	var lines []string
+	lines := s.labelledLines()
 	s.registry.Each(func(name string, value any) {
 		base, outcome, _ := strings.Cut(name, "|")
 		switch figure := value.(type) {
--- a/owner/claim.go
+++ b/owner/claim.go
@@ -10,8 +10,36 @@
 	"github.com/cespare/xxhash/v2"
 
 	"lemonstream.dev/lemonstream/outside"
+	"lemonstream.dev/lemonstream/witness"
 )
 
+// claim is the result of a successful claim of a part by this entry.
+type claim struct {
+	epoch   int64
+	version int64
+
+	// before is the last heartbeat of the previous owner. read is a time after it was read; the
+	// durations in before count from it.
+	before Beat
+	read   time.Time
+
+	// unobservedFor is how long runs or orders of earlier owners may still be unobserved.
+	unobservedFor time.Duration
+
+	// outsider reports that the previous heartbeat names witnesses and this entry is none of
+	// them, and that the previous owner may be alive.
+	outsider bool
+}
+
+// previousOwner is what a claimer knows of the owner that it replaces.
+type previousOwner struct {
+	// ended says that the owner's process has certainly ended or has released the part.
+	ended bool
+
+	// unchanged is the heartbeat that was seen to be unchanged; zero if the owner has ended.
+	unchanged unchangedBeat
+}
+
 // maybeClaim pings the current owner of a service when a ping is due, and starts to claim the
 // service once it has been free for long enough. The caller holds k.mu.
 func (k *Keeper) maybeClaim(ctx context.Context, service string, now time.Time) {
@@ -40,18 +68,25 @@
 	if w.freeSince.IsZero() {
 		w.freeSince = now
 	}
+	from := previousOwner{
+		ended: w.dead || o.Released || o.Owner == "" || o.Owner == k.self.Incarnation,
+	}
 	wait := k.claimDelay(o, rank)
+	if !from.ended {
+		from.unchanged = w.still
+		if w.outsider {
+			wait += witness.OutsiderDelay
+		}
+	}
 	if now.Before(w.notBefore) || now.Sub(w.freeSince) < wait {
 		return
 	}
-	k.active[service] = true
-	ended := w.dead || o.Released || o.Owner == "" || o.Owner == k.self.Incarnation
-	still := int64(0)
-	if !ended {
-		still = w.still.version
+	if !from.ended && !k.mayClaim(service, now) {
+		return
 	}
+	k.active[service] = true
 	k.deps.Group.Go("take "+service, func(context.Context) error {
-		k.claimAndRun(ctx, service, o, ended, still)
+		k.claimAndRun(ctx, service, o, from)
 		return nil
 	})
 }
@@ -119,9 +154,10 @@
 		return
 	}
 	k.mu.Unlock()
-	_, version, err := k.beat(ctx, service)
+	beat, version, err := k.beat(ctx, service)
 	k.mu.Lock()
 	still := w.still.observe(version, err, k.deps.Clock.Now())
+	w.outsider = k.isOutsider(beat)
 	// The store serves this entry, but by the owner's own report rejects the owner's writes.
 	if served := err == nil; (away && served) || (silent && still >= k.scaleTimeout(silenceTimeout)) {
 		w.lost = true
@@ -188,59 +224,88 @@
 // claim makes this entry the owner of a service. The transaction checks that the owner's row is
 // still o and that the previous owner has not written since its heartbeat was read here.
 //
-// unchangedVersion is the version at which the previous owner's heartbeat was seen to be
-// unchanged; if it has another version now, claim returns a *RecoveredError. It is 0 if the
-// previous owner has ended or has released the service. unobservedFor is how long runs or orders
-// of earlier owners may still be unobserved; the claim writes the longer of it and of what the
-// previous heartbeat says. If the transaction gets no answer, claim reads the row to find out
-// whether it was applied.
-func (k *Keeper) claim(ctx context.Context, service string, o ownerRow, unchangedVersion int64, unobservedFor time.Duration) (claim, error) {
+// If the previous owner may be alive and its heartbeat has another version now than when it was seen
+// to be unchanged, claim returns a *RecoveredError; if this entry has promised that owner not to
+// claim the part, a *PromisedError. The claim writes for how long runs or orders of earlier owners
+// may still be unobserved: the longer of unobservedFor and of what the previous heartbeat says. If
+// the transaction gets no answer, claim reads the row to find out whether it was applied.
+func (k *Keeper) claim(ctx context.Context, service string, o ownerRow, from previousOwner) (claim, error) {
 	before, version, err := k.beat(ctx, service)
 	if err != nil {
 		return claim{}, err
 	}
 	read := k.deps.Clock.Now()
-	if unchangedVersion != 0 && version != unchangedVersion {
+	if !from.ended && version != from.unchanged.version {
 		return claim{}, &RecoveredError{
 			Part:  service,
 			Owner: o.Owner,
 		}
 	}
+	won := claim{
+		epoch:    o.Epoch + 1,
+		read:     read,
+		outsider: !from.ended && k.isOutsider(before),
+	}
+	won.unobservedFor = k.unobservedFor(service, o, from, won.outsider)
+	ordered, err := k.beginClaim(service, o, version, from.ended)
+	if err != nil {
+		return claim{}, err
+	}
+	before.Ordered = mergeOrdered(before.Ordered, ordered)
+	won.before = before
+	won.version, err = k.sendClaim(ctx, service, o, version, claimBeat(before, won.unobservedFor))
+	k.endClaim(service, claimResult(err))
+	return won, err
+}
+
+// sendClaim sends the transaction of a claim and returns the version of the owner's row. beatVersion
+// is the version of the previous heartbeat, beat the heartbeat to write.
+func (k *Keeper) sendClaim(ctx context.Context, service string, o ownerRow, beatVersion int64, beat Beat) (int64, error) {
 	next := Ownership{
 		Epoch: o.Epoch + 1,
 		Owner: k.self.Incarnation,
 		Peer:  k.self.Peer.String(),
 	}
 	value := encodeRow(next)
-	receipt, err := k.deps.Table.Transact(ctx, claimTransaction(service, o.version, version, next, claimBeat(before, unobservedFor)))
-	won := claim{
-		epoch:   next.Epoch,
-		version: receipt.Version,
-		before:  before,
-		read:    read,
-	}
+	receipt, err := k.deps.Table.Transact(ctx, claimTransaction(service, o.version, beatVersion, next, beat))
+	version := receipt.Version
 	var conflict *outside.ConflictError
 	switch {
 	case err == nil:
 	case errors.As(err, &conflict):
 		// The heartbeat row is among the checked rows as well.
 		k.applyOwners(slices.DeleteFunc(slices.Clone(conflict.Rows), func(row outside.Row) bool { return row.Key.Table != TableOwners }))
-		return claim{}, err
+		return 0, err
 	case outside.IsUncertain(err):
 		page, readErr := k.deps.Table.Get(ctx, TableOwners, service, "", 0)
 		if readErr != nil || len(page.Rows) == 0 || string(page.Rows[0].Value) != string(value) {
-			return claim{}, err
+			return 0, err
 		}
-		won.version = page.Rows[0].Version
+		version = page.Rows[0].Version
 	default:
-		return claim{}, err
+		return 0, err
 	}
 	k.applyOwners([]outside.Row{{
 		Key:     ownerKey(service),
 		Value:   value,
-		Version: won.version,
+		Version: version,
 	}})
-	return won, nil
+	return version, nil
+}
+
+// isOutsider reports whether a heartbeat names witnesses and this entry is none of them.
+func (k *Keeper) isOutsider(beat Beat) bool {
+	return len(beat.Witnesses) > 0 && !slices.Contains(beat.Witnesses, k.self.Incarnation)
+}
+
+// mergeOrdered returns the instances of both lists, sorted.
+func mergeOrdered(recorded, told []string) []string {
+	if len(told) == 0 {
+		return recorded
+	}
+	all := slices.Concat(recorded, told)
+	slices.Sort(all)
+	return slices.Compact(all)
 }
 
 // claimBeat returns the heartbeat that a claim writes, built from that of the previous owner.
--- a/owner/duty.go
+++ b/owner/duty.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,10 +34,11 @@
 	loopPauseFactor = 2
 	maxLoopPause    = 30 * time.Millisecond
 
-	// ownerTimeout is how long an owner continues without a successful write. It spans the
-	// shorter outages of the store. It must not be longer: a successor that can't reach a worker
-	// waits this long plus a lease, and the platform expects a task that can run to do so about
-	// 7 s after the last disruption. See UnobservedFor.
+	// ownerTimeout is how long an owner continues without a successful write and without
+	// promises; see package witness. It spans the shorter outages of the store. It must not be
+	// longer: a successor that can't reach a worker waits this long plus a lease, and the
+	// platform expects a task that can run to do so about 7 s after the last disruption. See
+	// UnobservedFor.
 	ownerTimeout = 4 * time.Second
 )
 
@@ -76,6 +78,14 @@
 	// service's load.
 	RequestLoad func(ctx context.Context, service string, told Directive) (shard.Load, error)
 
+	// RequestPromise asks another entry not to claim a part; nil if owners can't ask.
+	RequestPromise func(ctx context.Context, to netip.AddrPort, request PromiseRequest) (PromiseAnswer, error)
+
+	// OutageTimeout is how long an owner continues without a successful write while its
+	// witnesses promise not to claim its part. A value that is not above ownerTimeout switches
+	// this off.
+	OutageTimeout time.Duration
+
 	// Holder is the name under which this entry orders instances.
 	Holder string
 
@@ -263,7 +273,7 @@
 			// The last transaction is applied. Another one would take up jobs that it can't write.
 			return nil
 		}
-		if err := d.checkLost(now); err != nil {
+		if err := d.checkLost(); err != nil {
 			return err
 		}
 		next := now.Add(beatInterval)
@@ -295,18 +305,15 @@
 	}
 }
 
-func (d *Duty) checkLost(now time.Time) error {
+func (d *Duty) checkLost() error {
 	if d.core.Deposed() {
 		return &LostError{
 			Part:   d.service,
 			Reason: "a newer owner was seen",
 		}
 	}
-	if now.Sub(d.tenure.lastWrite) > ownerTimeout {
-		return &LostError{
-			Part:   d.service,
-			Reason: "nothing could be written for " + now.Sub(d.tenure.lastWrite).String(),
-		}
+	if !d.tenure.mayAct(ownerTimeout) {
+		return d.tenure.silentError()
 	}
 	return nil
 }
--- a/owner/keeper.go
+++ b/owner/keeper.go
@@ -87,6 +87,9 @@
 	// Incarnation is unique to the process.
 	Incarnation string
 
+	// Peer is the address of the entry for other entries. Rows of earlier versions have none.
+	Peer string `json:",omitempty"`
+
 	// Cores is the number of processor cores that the entry may use.
 	Cores float64
 
@@ -124,6 +127,14 @@
 	// watches holds what the keeper has observed of the owner of each part.
 	watches map[string]*ownerWatch
 
+	// witnessed holds what this entry has promised as a witness of each part.
+	witnessed map[string]*witnessing
+
+	// contacts holds when other entries last pinged this one. earlierVersion is a listed entry
+	// of an earlier version; empty if there is none.
+	contacts       map[string]time.Time
+	earlierVersion string
+
 	// ownersRead says that the rows of all owners have been read once. Before that no part is
 	// known to be free.
 	ownersRead bool
@@ -140,8 +151,12 @@
 // heldPart is a part that this entry owns.
 type heldPart struct {
 	// duty is the scheduler of a service; nil for the instance controller.
-	duty    *Duty
-	tenure  *tenure
+	duty   *Duty
+	tenure *tenure
+
+	// base is how long the owner may act after its last write without promises.
+	base time.Duration
+
 	run     func(ctx context.Context) error
 	release func(ctx context.Context, wait time.Duration)
 }
@@ -152,17 +167,6 @@
 	version int64
 }
 
-// claim is the result of a successful claim of a part by this entry.
-type claim struct {
-	epoch   int64
-	version int64
-
-	// before is the last heartbeat of the previous owner. read is a time after it was read; the
-	// durations in before count from it.
-	before Beat
-	read   time.Time
-}
-
 // ownerWatch is what a successor has observed of one owner.
 type ownerWatch struct {
 	epoch int64
@@ -175,8 +179,10 @@
 	failures int
 	pinging  bool
 
-	// still records since when the owner's heartbeat is unchanged.
-	still unchangedBeat
+	// still records since when the owner's heartbeat is unchanged. outsider reports that this
+	// heartbeat names witnesses and this entry is none of them.
+	still    unchangedBeat
+	outsider bool
 
 	// dead says that the owner's process has certainly ended. lost says that the owner has
 	// stopped writing, although its process may still run.
@@ -199,6 +205,9 @@
 		owners:  make(map[string]ownerRow),
 		watches: make(map[string]*ownerWatch),
 		notify:  make(chan struct{}, 1),
+
+		witnessed: make(map[string]*witnessing),
+		contacts:  make(map[string]time.Time),
 	}
 }
 
@@ -301,11 +310,10 @@
 
 // claimAndRun claims a part for this entry and runs its duty until that ends. It returns early if
 // the claim fails, for example because another entry has claimed the part.
-func (k *Keeper) claimAndRun(ctx context.Context, service string, o ownerRow, ended bool, beatVersion int64) {
+func (k *Keeper) claimAndRun(ctx context.Context, service string, o ownerRow, from previousOwner) {
 	defer k.clearActive(service)
 	now := k.deps.Clock.Now()
-	unobservedFor := k.unobservedFor(service, o, ended)
-	won, err := k.claim(ctx, service, o, beatVersion, unobservedFor)
+	won, err := k.claim(ctx, service, o, from)
 	var recovered *RecoveredError
 	k.mu.Lock()
 	w := k.watches[service]
@@ -322,11 +330,16 @@
 		}
 		return
 	}
-	h := k.newHeldPart(service, won, now, unobservedFor)
+	h := k.newHeldPart(service, won, now)
 	k.held[service] = h
 	k.mu.Unlock()
-	k.deps.Log.Info("service taken", "service", service, "epoch", won.epoch, "from", o.Owner, "ended", ended)
+	k.deps.Log.Info("service taken", "service", service, "epoch", won.epoch, "from", o.Owner, "ended", from.ended, "outsider", won.outsider)
+	held, cancel := context.WithCancel(ctx)
+	k.deps.Group.Go("promises of "+service, func(context.Context) error {
+		return h.tenure.keepPromises(held, h.base)
+	})
 	err = h.run(ctx)
+	cancel()
 	k.mu.Lock()
 	delete(k.held, service)
 	k.mu.Unlock()
@@ -342,19 +355,23 @@
 }
 
 // newHeldPart builds the duty for a part that was claimed.
-func (k *Keeper) newHeldPart(part string, won claim, now time.Time, unobservedFor time.Duration) heldPart {
+func (k *Keeper) newHeldPart(part string, won claim, now time.Time) heldPart {
 	if part == partInstances {
-		f := newInstanceController(k.deps, won, now, unobservedFor)
+		f := newInstanceController(k.deps, won, now, won.unobservedFor)
+		k.extend(f.tenure)
 		return heldPart{
 			tenure:  f.tenure,
+			base:    maxOrderWriteAge,
 			run:     f.run,
 			release: f.release,
 		}
 	}
-	d := newDuty(k.deps, part, won, now, unobservedFor)
+	d := newDuty(k.deps, part, won, now, won.unobservedFor)
+	k.extend(d.tenure)
 	return heldPart{
 		duty:    d,
 		tenure:  d.tenure,
+		base:    ownerTimeout,
 		run:     d.run,
 		release: d.release,
 	}
--- a/owner/queries.go
+++ b/owner/queries.go
@@ -66,6 +66,18 @@
 	return h.tenure.age(), true
 }
 
+// WriteAges returns, for each part that this entry owns, the time since it sent its last applied
+// transaction, in milliseconds.
+func (k *Keeper) WriteAges() map[string]float64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	ages := make(map[string]float64, len(k.held))
+	for part, h := range k.held {
+		ages[part] = float64(h.tenure.age().Milliseconds())
+	}
+	return ages
+}
+
 // TurnedAway returns for how long the store has rejected all writes of the duty of a service.
 // It is 0 if the last write was not rejected or this entry does not own the service.
 func (k *Keeper) TurnedAway(service string) time.Duration {
--- a/owner/rows.go
+++ b/owner/rows.go
@@ -68,6 +68,11 @@
 	// owner, and then sends the orders.
 	ReleasedWorkers []ReleasedRow `cbor:"8,keyasint,omitempty"`
 
+	// Witnesses names the incarnations of the entries that have to promise not to claim the part
+	// for the owner to act beyond its usual time without a write; see package witness. If there
+	// are none, the owner does not.
+	Witnesses []string `cbor:"9,keyasint,omitempty"`
+
 	// UnobservedMillis is how long after this transaction was made, in milliseconds, an
 	// previous owner may still matter, even if this one has ended. For a service,
 	// runs that it started may still exist on any worker that is neither in IdleWorkers nor
--- a/owner/tenure.go
+++ b/owner/tenure.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"lemonstream.dev/lemonstream/clock"
+	"lemonstream.dev/lemonstream/kernel"
 	"lemonstream.dev/lemonstream/outside"
 )
 
@@ -60,10 +61,15 @@
 type tenure struct {
 	table outside.Table
 	clock clock.Clock
+	group *kernel.Group
 	log   *slog.Logger
+	count func(name, outcome string)
 	part  string
 	epoch int64
 
+	// promises are those of the witnesses that the heartbeat row names.
+	promises promises
+
 	// ownerVersion and beatVersion are the row versions that the next transaction checks;
 	// sequence is the number of the last transaction.
 	ownerVersion int64
@@ -79,6 +85,9 @@
 	// success or a conflict.
 	failures atomic.Int64
 
+	// attemptSince is since when an attempt has been in flight, in milliseconds; 0 if none is.
+	attemptSince atomic.Int64
+
 	// rejectedSince is since when the store has rejected every attempt, in milliseconds; 0 if
 	// the last attempt had another outcome.
 	rejectedSince atomic.Int64
@@ -91,7 +100,9 @@
 	t := &tenure{
 		table:        deps.Table,
 		clock:        deps.Clock,
+		group:        deps.Group,
 		log:          deps.Log,
+		count:        deps.Count,
 		part:         part,
 		epoch:        won.epoch,
 		ownerVersion: won.version,
@@ -134,6 +145,7 @@
 func (t *tenure) recordWrite(sent time.Time) {
 	t.lastWrite = sent
 	t.lastWriteMillis.Store(clock.Millis(sent))
+	t.promises.applied()
 }
 
 // rowChanges are the changes to rows in one transaction, besides the tenure's own rows.
@@ -146,12 +158,13 @@
 }
 
 // transaction builds the next transaction. beat holds what the next owner needs to know; its
-// epoch and sequence are set here. With release, the transaction also releases the part: the
+// epoch, sequence and witnesses are set here. With release, the transaction also releases the part: the
 // owner sends no more orders.
 func (t *tenure) transaction(beat Beat, rows rowChanges, release bool) outside.Transaction {
 	t.sequence++
 	beat.Epoch = t.epoch
 	beat.Sequence = t.sequence
+	beat.Witnesses = t.promises.name()
 	tx := outside.Transaction{
 		Checks: []outside.Check{{
 			Key:     ownerKey(t.part),
@@ -229,6 +242,31 @@
 	}
 }
 
+// writeWhileHeld is like write, but returns a *LostError once this entry may no longer act as the
+// owner.
+func (t *tenure) writeWhileHeld(ctx context.Context, tx outside.Transaction) (int64, error) {
+	for {
+		version, err := t.writeOnce(ctx, tx)
+		if err == nil || !needsRetry(err) {
+			return version, err
+		}
+		if !t.mayAct(ownerTimeout) {
+			return 0, t.silentError()
+		}
+		if !clock.Sleep(ctx, commitRetryInterval) {
+			return 0, ctx.Err()
+		}
+	}
+}
+
+// silentError returns the error of a tenure that has written nothing for too long.
+func (t *tenure) silentError() *LostError {
+	return &LostError{
+		Part:   t.part,
+		Reason: "nothing could be written for " + t.age().String(),
+	}
+}
+
 // needsRetry reports whether a transaction with this error has to be sent again, either because
 // it was not applied or because its result is not known.
 func needsRetry(err error) bool {
@@ -237,7 +275,9 @@
 
 // writeOnce sends a transaction once.
 func (t *tenure) writeOnce(ctx context.Context, tx outside.Transaction) (int64, error) {
+	t.attemptSince.Store(clock.Millis(t.clock.Now()))
 	receipt, err := t.table.Transact(ctx, tx)
+	t.attemptSince.Store(0)
 	t.trackRejection(err)
 	if err == nil {
 		t.failures.Store(0)
--- a/owner/unobserved.go
+++ b/owner/unobserved.go
@@ -1,6 +1,10 @@
 package owner
 
-import "time"
+import (
+	"time"
+
+	"lemonstream.dev/lemonstream/witness"
+)
 
 // UnobservedFor returns how long after a claim an unreachable worker may still run tasks that the
 // previous owner started there: one lease, with the drift of the worker's clock, after the last
@@ -17,14 +21,26 @@
 // unobservedFor returns how long after a claim the previous owner may still have an effect. For a
 // service, see UnobservedFor. A previous instance controller that may be alive gets the time to
 // send its last orders, followed by the platform's HolderPause.
-func (k *Keeper) unobservedFor(part string, before ownerRow, ended bool) time.Duration {
+//
+// If outsider is set, the previous owner may act by promises of witnesses that this entry knows
+// nothing of. It then has the longest time for which any owner acts, less the time for which its
+// heartbeat was seen unchanged. A controller may also have ordered instances that only its witnesses
+// know: a second HolderPause lets this entry and its successors order nothing at all for the first
+// one.
+func (k *Keeper) unobservedFor(part string, before ownerRow, from previousOwner, outsider bool) time.Duration {
+	lease := k.deps.Options.Lease
+	acting := witness.Standard().OutsiderWait(k.deps.Clock.Now().Sub(from.unchanged.since))
 	switch {
 	case before.Epoch == 0:
 		return 0
+	case part != partInstances && outsider:
+		return max(UnobservedFor(lease, false), UnobservedFor(lease, true)+acting)
 	case part != partInstances:
-		return UnobservedFor(k.deps.Options.Lease, ended)
-	case ended:
+		return UnobservedFor(lease, from.ended)
+	case from.ended:
 		return 0
+	case outsider:
+		return max(staleOrderWindow, acting) + 2*k.deps.Site.HolderPause
 	default:
 		return staleOrderWindow + k.deps.Site.HolderPause
 	}
--- a/owner/waves.go
+++ b/owner/waves.go
@@ -127,9 +127,9 @@
 		ReleasedWorkers:  f.releasedWorkers,
 		UnobservedMillis: max(0, ceilMillis(f.blockedUntil.Sub(now))),
 	}
-	bounded, cancel := context.WithTimeout(ctx, ownerTimeout)
+	bounded, cancel := context.WithTimeout(ctx, max(ownerTimeout, f.deps.OutageTimeout))
 	defer cancel()
-	version, err := f.tenure.write(bounded, f.tenure.transaction(beat, rowChanges{
+	version, err := f.tenure.writeWhileHeld(bounded, f.tenure.transaction(beat, rowChanges{
 		puts: puts,
 	}, release))
 	if err != nil {
--- a/peer/client.go
+++ b/peer/client.go
@@ -54,6 +54,7 @@
 	pathOffer   = "/v1/offer"
 	pathPending = "/v1/pending"
 	pathPing    = "/v1/ping"
+	pathPromise = "/v1/promise"
 	pathState   = "/v1/state"
 	pathSubmit  = "/v1/submit"
 )
@@ -61,8 +62,16 @@
 // queryService is the query parameter with the name of the service.
 const queryService = "service"
 
+// queryFrom is the query parameter of a ping with the incarnation of the calling entry. Entries of
+// earlier versions don't send it.
+const queryFrom = "from"
+
 // Client calls other entries.
 type Client struct {
+	// From is the incarnation of this entry, which pings carry. It may be empty and must be set
+	// before use.
+	From string
+
 	conns *conns.Client
 }
 
@@ -181,6 +190,7 @@
 func (c *Client) Ping(ctx context.Context, to netip.AddrPort, service string) (owner.Pong, error) {
 	_, body, err := c.callIdempotent(ctx, http.MethodGet, to, pathPing, url.Values{
 		queryService: {service},
+		queryFrom:    {c.From},
 	}, nil)
 	if err != nil {
 		return owner.Pong{}, err
--- a/peer/server.go
+++ b/peer/server.go
@@ -40,12 +40,19 @@
 
 	// TurnedAway returns for how long the store has rejected all writes of a service's duty.
 	TurnedAway func(service string) time.Duration
+
+	// Contacted is told of each entry that pings this one; nil if nobody wants to know.
+	Contacted func(incarnation string)
+
+	// Promise decides on an owner's request for a promise.
+	Promise func(ctx context.Context, request owner.PromiseRequest) owner.PromiseAnswer
 }
 
 // Routes registers the handlers of the protocol with a router.
 func (s *Server) Routes(router *gin.Engine) {
 	router.GET(pathChanges, s.changes)
 	router.GET(pathPing, s.ping)
+	router.POST(pathPromise, s.promise)
 	router.POST(pathSubmit, s.requireHeld(s.submit))
 	router.GET(pathState, s.requireOwned(s.state))
 	router.GET(pathPending, s.requireOwned(s.pending))
@@ -133,6 +140,9 @@
 }
 
 func (s *Server) ping(c *gin.Context) {
+	if s.Contacted != nil {
+		s.Contacted(c.Query(queryFrom))
+	}
 	age, owns := s.WriteAge(c.Query(queryService))
 	c.JSON(http.StatusOK, pongAnswer{
 		Incarnation:      s.Incarnation,
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -66,6 +66,9 @@
 
 // New returns the roster of the entry of the given name.
 func New(table outside.Table, log *slog.Logger, name string, self owner.Self) *Roster {
+	if self.Peer.IsValid() {
+		self.Member.Peer = self.Peer.String()
+	}
 	return &Roster{
 		table: table,
 		log:   log,
--- a/scheduler/options.go
+++ b/scheduler/options.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"lemonstream.dev/lemonstream/witness"
 )
 
 // moveCostMost is the most that a move may be said to cost: an instance that is held for longer
@@ -13,6 +15,10 @@
 type Options struct {
 	// MoveCost is what a move of an instance costs; see pool.Options.
 	MoveCost time.Duration
+
+	// OutageTimeout is how long an owner continues without a successful write while its
+	// witnesses promise not to claim its part; see owner.Deps. 0 switches this off.
+	OutageTimeout time.Duration
 }
 
 // OptionError reports an option that can't be used.
@@ -36,5 +42,12 @@
 			Reason: "is not between 0s and " + moveCostMost.String(),
 		}
 	}
+	if o.OutageTimeout < 0 || o.OutageTimeout > witness.Limit {
+		return &OptionError{
+			Name:   "outage-timeout",
+			Value:  o.OutageTimeout.String(),
+			Reason: "is not between 0s and " + witness.Limit.String() + ", the longest time that other entries allow for",
+		}
+	}
 	return nil
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -177,11 +177,13 @@
 		Peer: address,
 	}
 	peers := peer.NewClient(d.figures.Link)
+	peers.From = self.Incarnation
 	d.shareFeeds(peers, self.Incarnation)
 	d.roster = roster.New(d.followed, log, settings.Name, self)
 	registry := owner.NewRegistry(d.followed, d.clock, platform.TableWorkers, platform.DecodeRegistration, log)
 	registry.Count = d.figures.Count
 	d.keeper = owner.NewKeeper(d.deps(registry, peers), self, d.roster.Members, peers.Ping)
+	d.figures.GaugeBy("write_age_ms", "part", d.keeper.WriteAges)
 	d.group.Go("registrations", registry.Run)
 	d.servePeers(listener, self)
 	d.serveReadiness()
@@ -224,6 +226,9 @@
 		RequestLoad: func(ctx context.Context, service string, told owner.Directive) (shard.Load, error) {
 			return d.load(ctx, peers, service, told)
 		},
+		RequestPromise: peers.Promise,
+		OutageTimeout:  d.options.OutageTimeout,
+
 		Count:  d.figures.Count,
 		Holder: d.settings.Name,
 		Site:   d.settings,
--- a/scheduler/serve.go
+++ b/scheduler/serve.go
@@ -131,6 +131,8 @@
 		Held:        d.keeper.Held,
 		WriteAge:    d.keeper.WriteAge,
 		TurnedAway:  d.keeper.TurnedAway,
+		Contacted:   d.keeper.Contacted,
+		Promise:     d.keeper.Promise,
 		Pass:        d.feeds.Pass,
 		PassBudget:  link.FeedBudget(d.settings.LinkBits),
 	}
