--- a/owner/claim.go
+++ b/owner/claim.go
@@ -198,6 +198,14 @@
 			since:   now,
 		}
 	}
+	return s.duration(now)
+}
+
+// duration returns for how long the version has not changed; 0 while no heartbeat is watched.
+func (s *unchangedBeat) duration(now time.Time) time.Duration {
+	if s.since.IsZero() {
+		return 0
+	}
 	return now.Sub(s.since)
 }
 
@@ -247,7 +255,7 @@
 		outsider: !from.ended && k.isOutsider(before),
 	}
 	won.unobservedFor = k.unobservedFor(service, o, from, won.outsider)
-	ordered, err := k.beginClaim(service, o, version, from.ended)
+	ordered, err := k.beginClaim(service, o, before, version, from.ended)
 	if err != nil {
 		return claim{}, err
 	}
--- a/owner/unobserved.go
+++ b/owner/unobserved.go
@@ -29,7 +29,7 @@
 // one.
 func (k *Keeper) unobservedFor(part string, before ownerRow, from previousOwner, outsider bool) time.Duration {
 	lease := k.deps.Options.Lease
-	acting := witness.Standard().OutsiderWait(k.deps.Clock.Now().Sub(from.unchanged.since))
+	acting := witness.Standard().OutsiderWait(from.unchanged.duration(k.deps.Clock.Now()))
 	switch {
 	case before.Epoch == 0:
 		return 0
--- a/owner/witness.go
+++ b/owner/witness.go
@@ -86,12 +86,12 @@
 	bounded, cancel := context.WithTimeout(ctx, witnessReadTimeout)
 	defer cancel()
 	// A failure is the expected result during an outage; the owner counts the promise.
-	_, version, err := k.beat(bounded, part)
+	beat, version, err := k.beat(bounded, part)
 	w.readAt = k.deps.Clock.Now()
 	w.readable = err == nil
 	if w.readable {
 		k.mu.Lock()
-		w.promises.ObserveBeat(version)
+		w.promises.ObserveBeat(beat.Epoch, version)
 		k.mu.Unlock()
 	}
 	return w.readable
@@ -116,11 +116,12 @@
 
 // beginClaim records that a claim is about to be sent; see witness.Promises. It returns the
 // instances that the previous owner may have ordered without a write.
-func (k *Keeper) beginClaim(part string, o ownerRow, beatVersion int64, ended bool) ([]string, error) {
+func (k *Keeper) beginClaim(part string, o ownerRow, before Beat, beatVersion int64, ended bool) ([]string, error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.deps.Clock.Now()
 	w := k.witnessing(part)
+	w.promises.ObserveBeat(before.Epoch, beatVersion)
 	if !w.promises.BeginClaim(now, o.Epoch, beatVersion, ended) {
 		return nil, &PromisedError{
 			Part:  part,
@@ -227,10 +228,8 @@
 	switch {
 	case err == nil:
 		return witness.ResultApplied
-	case outside.IsNotDone(err):
-		return witness.ResultNotDone
-	case errors.As(err, &conflict):
-		return witness.ResultConflict
+	case outside.IsNotDone(err), errors.As(err, &conflict):
+		return witness.ResultFailed
 	default:
 		return witness.ResultUncertain
 	}
--- a/witness/promises.go
+++ b/witness/promises.go
@@ -24,6 +24,10 @@
 	// keepOrdered is how long an instance is remembered that a request named.
 	keepOrdered time.Duration
 
+	// epoch is the highest epoch in a heartbeat row that was read or in a request. An owner sends
+	// requests only after its claim was applied.
+	epoch int64
+
 	// until is when the last promise ends, on the clock of the witness.
 	until time.Time
 
@@ -57,7 +61,7 @@
 
 // Known is what the witness knows of a part when it gets a request.
 type Known struct {
-	// Epoch is the highest epoch that it has seen.
+	// Epoch is the highest epoch in an owner's row that it has seen.
 	Epoch int64
 
 	// Readable reports whether it can read the heartbeat row.
@@ -72,12 +76,9 @@
 	// ResultApplied means that the claim was applied: this entry is the owner.
 	ResultApplied Result = iota
 
-	// ResultConflict means that a row had another version, so that no attempt with the same or
-	// older versions takes effect any more.
-	ResultConflict
-
-	// ResultNotDone means that this attempt certainly has no effect.
-	ResultNotDone
+	// ResultFailed means that this attempt certainly has no effect. After a conflict, an earlier
+	// attempt may have caused it.
+	ResultFailed
 
 	// ResultUncertain means that this attempt may have been applied or may be later.
 	ResultUncertain
@@ -96,6 +97,7 @@
 // Grant decides on a request and returns for how long the witness promises, or 0 and the reason for
 // the refusal.
 func (p *Promises) Grant(now time.Time, request Request, known Known) (time.Duration, string) {
+	p.epoch = max(p.epoch, request.Epoch)
 	if p.claim != nil && request.Epoch > p.claim.epoch {
 		// The claim was against an earlier owner and checks the row that the requesting
 		// owner has replaced.
@@ -104,7 +106,7 @@
 	switch {
 	case p.claim != nil && p.rules.RefuseClaiming:
 		return 0, ReasonClaiming
-	case known.Epoch > request.Epoch:
+	case max(known.Epoch, p.epoch) > request.Epoch:
 		return 0, ReasonEpoch
 	case known.Readable:
 		return 0, ReasonReadable
@@ -179,9 +181,9 @@
 		return
 	}
 	switch result {
-	case ResultApplied, ResultConflict:
+	case ResultApplied:
 		p.claim = nil
-	case ResultNotDone:
+	case ResultFailed:
 		if !p.claim.uncertain {
 			p.claim = nil
 		}
@@ -190,9 +192,10 @@
 	}
 }
 
-// ObserveBeat records that the heartbeat row was read with a version. A claim that checks an earlier
-// version can't take effect any more.
-func (p *Promises) ObserveBeat(version int64) {
+// ObserveBeat records that the heartbeat row was read, with its epoch and version. A claim that checks
+// an earlier version can't take effect any more; if it was applied, the epoch shows that.
+func (p *Promises) ObserveBeat(epoch, version int64) {
+	p.epoch = max(p.epoch, epoch)
 	if p.claim != nil && version > p.claim.beatVersion {
 		p.claim = nil
 	}
