--- a/figures/figures_test.go
+++ b/figures/figures_test.go
@@ -38,3 +38,16 @@
 	value = 2
 	is.True(strings.Contains(set.Text(), "lemonstream_evacuated_zones 2\n"))
 }
+
+// TestGaugeByLabel covers a gauge with a value for each part that an entry owns at the moment.
+func TestGaugeByLabel(t *testing.T) {
+	is := is.New(t)
+	set := figures.New()
+	ages := map[string]float64{
+		"render": 40,
+	}
+	set.GaugeBy("write_age_ms", "part", func() map[string]float64 { return ages })
+	is.True(strings.Contains(set.Text(), `lemonstream_write_age_ms{part="render"} 40`+"\n"))
+	delete(ages, "render")
+	is.True(!strings.Contains(set.Text(), "render"))
+}
--- a/roster/leave_test.go
+++ b/roster/leave_test.go
@@ -48,3 +48,34 @@
 	is.NoErr(err)
 	is.Equal(len(list), 0)
 }
+
+// TestRowCarriesPeerAddress covers the address by which an owner asks its witnesses, and a row of an
+// earlier version, which has none.
+func TestRowCarriesPeerAddress(t *testing.T) {
+	is := is.New(t)
+	rows := standin.NewRows()
+	address := netip.MustParseAddrPort("127.0.0.1:1")
+	r := roster.New(rows.Table(), slog.New(slog.DiscardHandler), "e", owner.Self{
+		Member: owner.Member{
+			Incarnation: "e/1",
+			Cores:       1,
+		},
+		Peer: address,
+	})
+	is.NoErr(r.Join(context.Background()))
+	rows.Write(outside.Key{
+		Table: roster.TableMembers,
+		Part:  "member",
+		Name:  "f",
+	}, []byte(`{"Incarnation":"f/1","Cores":2}`))
+	list, err := r.Read(context.Background())
+	is.NoErr(err)
+	peers := make(map[string]string)
+	for _, member := range list {
+		peers[member.Incarnation] = member.Peer
+	}
+	is.Equal(peers, map[string]string{
+		"e/1": address.String(),
+		"f/1": "",
+	})
+}
--- a/witness/rules.go
+++ b/witness/rules.go
@@ -24,9 +24,12 @@
 	// the heartbeat interval of 500 ms.
 	RequestAfter = 600 * time.Millisecond
 
-	// RequestInterval is the time between two requests to a witness. RequestTimeout bounds one.
+	// RequestInterval is the time between two requests to a witness.
 	RequestInterval = 250 * time.Millisecond
-	RequestTimeout  = 200 * time.Millisecond
+
+	// RequestTimeout bounds a request. It is below RequestInterval, so that at most one is under
+	// way.
+	RequestTimeout = 200 * time.Millisecond
 
 	// OutsiderDelay is how much later than a witness an entry claims that is no witness. The
 	// waits after the claim of a witness are shorter.
