--- a/cmd/lemonsched/runcmd.go
+++ b/cmd/lemonsched/runcmd.go
@@ -10,6 +10,7 @@
 	"lemonstream.dev/lemonstream/intake"
 	"lemonstream.dev/lemonstream/pool"
 	"lemonstream.dev/lemonstream/scheduler"
+	"lemonstream.dev/lemonstream/witness"
 )
 
 // optionsPrefix begins the names of environment variables that stand for flags.
@@ -21,6 +22,8 @@
 		"what a move of an instance costs: the time for which an idle one may be held awake for the same")
 	offerTime := flags.Duration("offer-time", intake.DefaultOfferTime,
 		"how long a job is offered to a store that does not accept it, at most a quarter of what its caller waits")
+	outageTimeout := flags.Duration("outage-timeout", witness.Limit,
+		"how long an owner continues without a write while the store is away from its witnesses as well, 8s at the most; up to 4s or 0s: not beyond 4s")
 	return &ffcli.Command{
 		Name:       "lemonsched",
 		ShortUsage: "lemonsched [flags]",
@@ -29,8 +32,9 @@
 		Options:    []ff.Option{ff.WithEnvVarPrefix(optionsPrefix)},
 		Exec: func(ctx context.Context, _ []string) error {
 			return scheduler.Run(ctx, scheduler.Options{
-				MoveCost:  *moveCost,
-				OfferTime: *offerTime,
+				MoveCost:      *moveCost,
+				OfferTime:     *offerTime,
+				OutageTimeout: *outageTimeout,
 			})
 		},
 	}
--- a/scheduler/options.go
+++ b/scheduler/options.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lemonstream.dev/lemonstream/intake"
+	"lemonstream.dev/lemonstream/witness"
 )
 
 // moveCostMost is the most that a move may be said to cost: an instance that is held for longer
@@ -19,6 +20,9 @@
 	// OfferTime is how long a job is offered to a store that does not accept it; see
 	// intake.Server.
 	OfferTime time.Duration
+	// OutageTimeout is how long an owner continues without a successful write while its
+	// witnesses promise not to claim its part; see owner.Deps. 0 switches this off.
+	OutageTimeout time.Duration
 }
 
 // OptionError reports an option that can't be used.
@@ -49,5 +53,12 @@
 			Reason: "is not between 0s and " + intake.MaxOfferTime.String(),
 		}
 	}
+	if o.OutageTimeout < 0 || o.OutageTimeout > witness.Limit {
+		return &OptionError{
+			Name:   "outage-timeout",
+			Value:  o.OutageTimeout.String(),
+			Reason: "is not between 0s and " + witness.Limit.String() + ", the longest time that other entries allow for",
+		}
+	}
 	return nil
 }
