Tell workers that fail what they start from tasks that fail anywhere

A worker that fails all that it starts took dozens of tasks to their end. Package outlier estimates from the ends of runs whether the worker or the job is at fault; shard ejects such workers, probes them, bounds runs on doubted ones and holds last attempts back. Off by default until the flags are in place. Tested: go test ./shard.

--- a/shard/eligibility.go
+++ b/shard/eligibility.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lemonstream.dev/lemonstream/job"
+	"lemonstream.dev/lemonstream/outlier"
 )
 
 const (
@@ -25,6 +26,10 @@
 	// the worker is reserved for an isolated task.
 	ineligibleIsolation eligibility = "company"
 
+	// ineligibleEjected means that the worker has failed what it started, or has not shown yet
+	// that it does not, and may have no more now.
+	ineligibleEjected eligibility = "ejected"
+
 	// ineligibleEvacuated means that the operator has evacuated the worker's availability zone.
 	ineligibleEvacuated eligibility = "evacuated"
 
@@ -44,6 +49,10 @@
 	// ineligibleTicket means that the step needs a ticket and has none for the worker.
 	ineligibleTicket eligibility = "ticket"
 
+	// ineligibleUnproven means that the task has one attempt left, and the worker has not ended a
+	// run well lately.
+	ineligibleUnproven eligibility = "unproven"
+
 	// ineligibleUnusable means that the worker takes no tasks at all: it drains, does not answer,
 	// or its state is not known.
 	ineligibleUnusable eligibility = "unusable"
@@ -66,6 +75,9 @@
 	// closed worker is taken only once nothing runs there, so an empty one may go at any moment.
 	allowClosed bool
 
+	// allowUnproven says that a last attempt may use a worker that is not proven.
+	allowUnproven bool
+
 	// assumeEmpty says that workers are checked as if nothing ran on them.
 	assumeEmpty bool
 }
@@ -98,6 +110,10 @@
 		return ineligibleClosed
 	case w.isolated > 0 || (!c.assumeEmpty && !s.allowsSharing(w, c, now)):
 		return ineligibleIsolation
+	case s.outliers.Allowance(w.health, now) != outlier.AllowAll && !s.isAllowed(w, c, now):
+		return ineligibleEjected
+	case !w.proven && !c.allowUnproven && s.holdsLastAttempt(c.task, now):
+		return ineligibleUnproven
 	case c.assumeEmpty:
 		return eligible
 	case w.runs[c.id] != nil:
--- a/shard/events.go
+++ b/shard/events.go
@@ -307,9 +307,9 @@
 	if end.Checkpoint != "" {
 		t.checkpoint = end.Checkpoint
 	}
+	s.recordEvidence(w, j, r, end, now)
 	switch end.Kind {
 	case outside.EndDone:
-		w.recentFailures = max(0, w.recentFailures-1)
 		s.recordRunTime(j, end.Task, r, now)
 		s.taskDone(j, end.Task, now)
 	case outside.EndFailed:
--- a/shard/gang.go
+++ b/shard/gang.go
@@ -61,6 +61,9 @@
 		}
 		return
 	}
+	for _, index := range step.idle {
+		step.tasks[index].hold(now)
+	}
 	s.reserveForGang(g, step, spec, now)
 }
 
--- a/shard/handover.go
+++ b/shard/handover.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lemonstream.dev/lemonstream/job"
+	"lemonstream.dev/lemonstream/outlier"
 	"lemonstream.dev/lemonstream/outside"
 )
 
@@ -28,6 +29,9 @@
 	// Leased lists workers on which something may run.
 	Leased []Leased
 
+	// Evidence is what speaks against workers, the worst first.
+	Evidence []outlier.Evidence
+
 	// UnobservedFor is how long, counted from when the handover was made, a worker that is not
 	// listed may run what an owner earlier than this one started. Such runs may outlive this
 	// owner. The value only decreases from one handover to the next.
@@ -75,6 +79,7 @@
 		})
 	}
 	h := truncateHandover(all, maxBytes)
+	h.Evidence = s.outliers.Evidence(now)
 	h.UnobservedFor = max(0, s.unobservedUntil.Sub(now))
 	return h
 }
@@ -159,6 +164,7 @@
 		s.inheritedLeases[l.Worker] = l
 	}
 	s.handoverReadAt = read
+	s.inheritEvidence(h.Evidence)
 	// The limit set at the takeover covers the immediately preceding owner only.
 	if until := read.Add(withClockDrift(h.UnobservedFor)); until.After(s.unobservedUntil) {
 		s.unobservedUntil = until
--- a/shard/isolation.go
+++ b/shard/isolation.go
@@ -44,6 +44,7 @@
 		}
 		w := s.choose(id, spec, t, now)
 		if w == nil {
+			t.hold(now)
 			s.reserveWorker(id, spec, t, now)
 			s.logWait(a.group.job, newCandidate(id, spec, t), now)
 			continue
--- a/shard/jobstate.go
+++ b/shard/jobstate.go
@@ -5,6 +5,7 @@
 
 	"lemonstream.dev/lemonstream/catalog"
 	"lemonstream.dev/lemonstream/job"
+	"lemonstream.dev/lemonstream/outlier"
 	"lemonstream.dev/lemonstream/outside"
 	"lemonstream.dev/lemonstream/suspect"
 )
@@ -24,6 +25,9 @@
 	// restored means that the job was read from rows, with the progress stored by earlier owners.
 	restored bool
 
+	// fault is what the ends of the job's runs say of the job itself.
+	fault outlier.Work
+
 	// canBeOnTime means that the job had not started and could still meet its deadline at the
 	// last evaluation.
 	canBeOnTime bool
@@ -110,6 +114,12 @@
 	isolatedWaitSince time.Time
 	loggedWait        bool
 
+	// lastAttempt says that one more failed run fails the job, triedBefore that an attempt was used
+	// already. heldSince is since when the task has waited for a worker; zero if it does not.
+	lastAttempt bool
+	triedBefore bool
+	heldSince   time.Time
+
 	// lastRun is the highest run number that this owner has assigned or found on a worker.
 	lastRun int64
 
@@ -185,7 +195,9 @@
 			remaining: count,
 		}
 		for i := 0; i < count; i++ {
-			step.tasks = append(step.tasks, &taskState{})
+			step.tasks = append(step.tasks, &taskState{
+				lastAttempt: j.policy.Attempts <= 1,
+			})
 			step.idle = append(step.idle, count-1-i)
 		}
 		o.steps = append(o.steps, step)
--- a/shard/lease.go
+++ b/shard/lease.go
@@ -92,6 +92,7 @@
 	s.clearStalePossibleCrashes(w)
 	s.forgetWorkerTickets(w.reg.ID)
 	delete(s.workers, w.reg.ID)
+	s.outliers.Remove(w.health, now)
 	s.recordEnded(w.incarnation(), now)
 	if w.recorded {
 		s.workerRowsToDelete[w.reg.ID] = struct{}{}
--- a/shard/load.go
+++ b/shard/load.go
@@ -102,6 +102,11 @@
 
 	// Reached means that the worker answered the last poll.
 	Reached bool
+
+	// Ejected means that the worker fails what it starts and adds no capacity. GiveBack means that
+	// it has been so for some time, so that its instance should go.
+	Ejected  bool
+	GiveBack bool
 }
 
 // SetClosed replaces the set of closed workers. No new task is placed on a closed worker, and its
@@ -195,6 +200,8 @@
 			Draining: w.reg.Draining,
 			Known:    w.contacted,
 			Reached:  w.contacted && w.failures == 0,
+			Ejected:  w.health.IsEjected(),
+			GiveBack: w.health.GiveBack(now),
 		}
 		if workerLoad.Closed {
 			workerLoad.Born = w.incarnation().Born
--- a/shard/orders.go
+++ b/shard/orders.go
@@ -127,6 +127,9 @@
 	} else if reason != outside.RefusedOld && reason != outside.RefusedLate && reason != outside.RefusedFence {
 		w.avoidUntil = now.Add(refusalBackoff)
 	}
+	if reason == outside.RefusedUnhealthy {
+		s.outliers.Refused(w.health, now)
+	}
 	s.dropRun(r, now)
 }
 
--- a/shard/outcome.go
+++ b/shard/outcome.go
@@ -49,7 +49,6 @@
 // taskFailed counts a failed run once, and fails the job when the task has used its attempts. The
 // failures of long-running tasks don't count.
 func (s *Shard) taskFailed(j *jobState, t *taskState, w *workerState, end outside.End, now time.Time) {
-	w.recentFailures++
 	t.failedWorkers = append(t.failedWorkers, w.incarnation())
 	if j.record.Spec.Steps[end.Task.Step].Lasting {
 		return
@@ -60,6 +59,7 @@
 		}
 	}
 	t.failedRuns = append(t.failedRuns, end.Run)
+	j.noteLastAttempt(end.Task, t)
 	s.dirty[j.record.ID] = j
 	if attempts := j.attempts(end.Task, t); attempts >= j.policy.Attempts && !t.done {
 		s.opts.LogEvent("attempts used", "job", j.record.ID, "task", end.Task.String(), "attempts", attempts, "limit", j.policy.Attempts,
--- /dev/null
+++ b/shard/outlier.go
@@ -0,0 +1,214 @@
+package shard
+
+import (
+	"time"
+
+	"lemonstream.dev/lemonstream/job"
+	"lemonstream.dev/lemonstream/outlier"
+	"lemonstream.dev/lemonstream/outside"
+)
+
+const (
+	// lastAttemptWait is how long a task with one attempt left waits for a proven worker. A busy
+	// worker ends a run in a fraction of a second.
+	lastAttemptWait = 2 * time.Second
+
+	// hangingFactor is the multiple of its usual run time after which a run is evidence against
+	// its worker. Interference and remote data make sound runs up to three times as long.
+	hangingFactor = 6
+
+	// minHangingTime is the least run time that is evidence against a worker. The end of a run is
+	// noticed after a poll, which may have to be repeated.
+	minHangingTime = 5 * time.Second
+
+	// evidenceTimeout is how long after the takeover evidence is kept for a worker that has not
+	// been met.
+	evidenceTimeout = 15 * time.Second
+)
+
+// recordEvidence records what the end of a run says of its worker and its job. r is nil if the run
+// was not known.
+func (s *Shard) recordEvidence(w *workerState, j *jobState, r *run, end outside.End, now time.Time) {
+	var began time.Time
+	if r != nil && !r.found {
+		began = r.startedAt
+	}
+	kind := runTimeKey(j, &j.record.Spec.Steps[end.Task.Step])
+	switch end.Kind {
+	case outside.EndDone:
+		s.outliers.Done(w.health, &j.fault, kind, began, now)
+	case outside.EndFailed:
+		s.outliers.Failed(w.health, &j.fault, kind, began, now)
+	default:
+		// Any other end was ordered, or has a cause outside of the worker and the job.
+	}
+}
+
+// recordHanging records a run that takes far longer than usual as evidence against its worker,
+// once.
+func (s *Shard) recordHanging(j *jobState, spec *job.Step, r *run, now time.Time) {
+	if r.hanging || r.found || spec.Lasting || spec.Filler || r.worker.failures > 0 || now.Sub(r.startedAt) < minHangingTime {
+		return
+	}
+	m := s.runTimes[runTimeKey(j, spec)]
+	if m == nil || m.count < minSpeculateSamples || now.Sub(r.startedAt) < hangingFactor*max(m.mean, spec.Estimate) {
+		return
+	}
+	r.hanging = true
+	s.logRun("run hangs", r.id, r.number, r.worker, "ran_ms", now.Sub(r.startedAt).Milliseconds())
+	s.outliers.Hanging(r.worker.health, now)
+}
+
+// isAllowed reports whether a worker that may not be filled may take a task.
+func (s *Shard) isAllowed(w *workerState, c candidate, now time.Time) bool {
+	switch allowance := s.outliers.Allowance(w.health, now); allowance {
+	case outlier.AllowProbe, outlier.AllowNone:
+		if s.mayUseEjected(c, now) {
+			return true
+		}
+		runs, _ := s.shortRuns(w)
+		return allowance == outlier.AllowProbe && runs == 0 && !c.task.lastAttempt && !c.spec.Lasting && !c.spec.Gang && !c.assumeEmpty
+	case outlier.AllowFew:
+		runs, _ := s.shortRuns(w)
+		return c.spec.Lasting || c.assumeEmpty || runs < outlier.MaxFew
+	case outlier.AllowPart:
+		runs, used := s.shortRuns(w)
+		half := w.reg.Capacity
+		half.MilliCPU /= 2
+		half.MemoryMB /= 2
+		return c.spec.Lasting || c.assumeEmpty || runs < outlier.MinPart || half.Fits(used.Add(c.charge))
+	default:
+		return true
+	}
+}
+
+// mayUseEjected reports whether a task may start on an ejected worker although it is no probe. Its
+// step accepts only some of the workers, and none of the others has taken it for lastAttemptWait:
+// it might never run.
+func (s *Shard) mayUseEjected(c candidate, now time.Time) bool {
+	return acceptsSome(c.spec) && !c.task.heldSince.IsZero() && now.Sub(c.task.heldSince) >= lastAttemptWait
+}
+
+// acceptsSome reports whether the tasks of a step may run only on some of the workers, or must not
+// be spent on a probe.
+func acceptsSome(spec *job.Step) bool {
+	return spec.Label != "" || spec.PerWorker > 0 || spec.Lasting || spec.Gang
+}
+
+// shortRuns returns the number of runs on a worker that are not long-running, and their resources.
+func (s *Shard) shortRuns(w *workerState) (int, job.Room) {
+	count := 0
+	var used job.Room
+	for id, r := range w.runs {
+		if !s.isLongRunning(id) {
+			count++
+			used = used.Add(r.charge)
+		}
+	}
+	return count, used
+}
+
+// holdsLastAttempt reports whether a task waits for a proven worker, because it has one attempt left
+// and there is such a worker.
+func (s *Shard) holdsLastAttempt(t *taskState, now time.Time) bool {
+	if s.opts.EjectShare == 0 || !s.anyProven || !t.lastAttempt || !t.triedBefore {
+		return false
+	}
+	return t.heldSince.IsZero() || now.Sub(t.heldSince) < lastAttemptWait
+}
+
+// hold records that a task waits for a worker, unless it waits already.
+func (t *taskState) hold(now time.Time) {
+	if t.heldSince.IsZero() {
+		t.heldSince = now
+	}
+}
+
+// noteLastAttempt records that a run of a task has failed. A failed run of a gang's member counts
+// for all members.
+func (j *jobState) noteLastAttempt(id job.TaskID, t *taskState) {
+	tasks := []*taskState{t}
+	if j.record.Spec.Steps[id.Step].Gang {
+		tasks = j.occurrences[id.Occurrence].steps[id.Step].tasks
+	}
+	for _, member := range tasks {
+		member.triedBefore = true
+		member.lastAttempt = j.attempts(id, member)+1 >= j.policy.Attempts
+	}
+}
+
+// restoreLastAttempt does the same for a task whose failed runs were read from a row under the given
+// key.
+func (j *jobState) restoreLastAttempt(key string, t *taskState) {
+	if occurrence, step, index, err := parseKey(key); err == nil {
+		j.noteLastAttempt(job.TaskID{
+			Job:        j.record.ID,
+			Occurrence: occurrence,
+			Step:       step,
+			Index:      index,
+		}, t)
+	}
+}
+
+// isHeldBack reports whether a task that no worker has taken waits for a proven worker only, and
+// records when its wait began. The wait of a task of a step that accepts only some workers begins in
+// any case, see mayUseEjected.
+func (s *Shard) isHeldBack(id job.TaskID, spec *job.Step, t *taskState, now time.Time) bool {
+	if acceptsSome(spec) {
+		t.hold(now)
+	}
+	if !s.holdsLastAttempt(t, now) {
+		return false
+	}
+	c := newCandidate(id, spec, t)
+	c.allowUnproven = true
+	if s.best(c, now) == nil {
+		return false
+	}
+	t.hold(now)
+	return true
+}
+
+// doubtWeight returns the weight of what speaks against a worker. One that is due for a probe comes
+// first: it would never return where others have room.
+func (s *Shard) doubtWeight(w *workerState, spec *job.Step, t *taskState) float64 {
+	weight := weightDoubt * w.health.Doubt()
+	if w.health.IsEjected() && !acceptsSome(spec) {
+		weight = -weightProbe
+	}
+	if t.lastAttempt && t.triedBefore && !w.proven {
+		weight += weightUnproven
+	}
+	return weight
+}
+
+// inheritEvidence keeps the evidence of the previous owner until the workers answer.
+func (s *Shard) inheritEvidence(list []outlier.Evidence) {
+	for _, e := range list {
+		if err := e.Check(); err != nil {
+			s.opts.LogEvent("evidence left out", "error", err.Error())
+			continue
+		}
+		s.inheritedEvidence[e.Worker] = e
+	}
+}
+
+// restoreEvidence uses the inherited evidence about a worker that has answered.
+func (s *Shard) restoreEvidence(w *workerState, now time.Time) {
+	name := w.incarnation().String()
+	w.health.Rename(name)
+	if e, found := s.inheritedEvidence[name]; found {
+		delete(s.inheritedEvidence, name)
+		s.outliers.Restore(w.health, e, now)
+	}
+}
+
+// dropUnusedEvidence drops evidence about workers that have not answered in time, and logs their
+// number.
+func (s *Shard) dropUnusedEvidence(now time.Time) {
+	if len(s.inheritedEvidence) == 0 || now.Sub(s.takenAt) < evidenceTimeout {
+		return
+	}
+	s.opts.LogEvent("evidence left out", "unknown_workers", len(s.inheritedEvidence))
+	clear(s.inheritedEvidence)
+}
--- a/shard/place.go
+++ b/shard/place.go
@@ -9,10 +9,6 @@
 )
 
 const (
-	// excessFailureLimit is how many more failed runs than successful ones a worker may have
-	// before it is used only where no other worker has room.
-	excessFailureLimit = 2
-
 	// drainMargin is how long before the end of a draining worker a task that saves its progress
 	// is stopped there, in addition to the time that the stop takes.
 	drainMargin = 700 * time.Millisecond
@@ -58,7 +54,9 @@
 // their sizes matters: a stronger reason outweighs all weaker ones.
 const (
 	weightFailedHere   = 1000.0
-	weightFailures     = 300.0
+	weightUnproven     = 500.0
+	weightDoubt        = 300.0
+	weightProbe        = 200.0
 	weightRemoteData   = 100.0
 	weightInterference = 10.0
 	weightLoad         = 1.0
@@ -133,6 +131,7 @@
 		shard: s,
 		now:   now,
 	}
+	holding := false
 	// The list is walked from its end: a task that starts is removed from it, and the tasks
 	// behind it were skipped before.
 	for i := len(step.idle) - 1; i >= 0; i-- {
@@ -141,6 +140,10 @@
 		if unobserved.contains(id) || s.isBlocked(step.tasks[index], now) || step.tasks[index].needsIsolation() {
 			continue
 		}
+		if holding && s.holdsLastAttempt(step.tasks[index], now) {
+			step.tasks[index].hold(now)
+			continue
+		}
 		if !s.withinQuota(g.job, spec, 1) {
 			s.waitForQuota(g.job, spec, i+1)
 			return full
@@ -149,6 +152,12 @@
 		if w != nil && !s.takeStartBudget(spec, g.job, 1, now) {
 			return full
 		}
+		if w == nil && s.isHeldBack(id, spec, step.tasks[index], now) {
+			// Other tasks go on, but not another last attempt of the step: each search looks at all
+			// workers.
+			holding = true
+			continue
+		}
 		if w == nil {
 			s.logWait(g.job, newCandidate(id, spec, step.tasks[index]), now)
 			if spec.Label == "" && spec.PerWorker == 0 && !g.job.policy.Advised {
@@ -268,9 +277,7 @@
 			weight += weightFailedHere
 		}
 	}
-	if w.recentFailures > excessFailureLimit {
-		weight += weightFailures * float64(w.recentFailures)
-	}
+	weight += s.doubtWeight(w, spec, t)
 	if spec.DataRack != "" && spec.DataRack != w.reg.Rack {
 		weight += weightRemoteData
 	}
@@ -332,6 +339,7 @@
 		order:     order,
 	}
 	s.endIsolationWait(id, t, w, now)
+	t.heldSince = time.Time{}
 	s.attachRun(r, j, t)
 	if r.suspect {
 		s.addPossibleCrash(id, w.incarnation().String())
--- a/shard/priority.go
+++ b/shard/priority.go
@@ -150,6 +150,7 @@
 				continue
 			}
 			spec := &j.record.Spec.Steps[id.Step]
+			s.recordHanging(j, spec, r, now)
 			if !spec.Speculative || !s.isStraggler(j, spec, r, now) {
 				continue
 			}
--- a/shard/record.go
+++ b/shard/record.go
@@ -216,6 +216,7 @@
 			return err
 		}
 		t.failedRuns = runs
+		j.restoreLastAttempt(key, t)
 	}
 	for key, workers := range p.Crashed {
 		t, err := j.taskByKey(key)
--- a/shard/registration.go
+++ b/shard/registration.go
@@ -91,6 +91,7 @@
 	w := &workerState{
 		runs:       make(map[job.TaskID]*run),
 		nextPollAt: now,
+		health:     s.outliers.Add(id),
 	}
 	s.workers[id] = w
 	return w
--- a/shard/restart.go
+++ b/shard/restart.go
@@ -55,6 +55,7 @@
 func (s *Shard) replaceIncarnation(before *workerState, status outside.WorkerStatus, sent, now time.Time) *workerState {
 	verdict := s.loss(before, now, true).Verdict(s.announcementLead())
 	lost := s.lostTasks(before, now)
+	s.outliers.Remove(before.health, now)
 	w := s.addWorker(before.reg.ID, now)
 	w.born = status.Born
 	w.reg = before.reg
@@ -84,6 +85,7 @@
 // lists runs that may have been started by orders to the previous incarnation.
 func (s *Shard) handleFirstAnswer(w *workerState, mayHaveOldRuns bool, now time.Time) {
 	w.contacted = true
+	s.restoreEvidence(w, now)
 	s.stopUnansweredStarts(w)
 	lease := s.opts.Lease // An earlier owner may have renewed it until just now.
 	if mayHaveOldRuns || len(w.runs) > 0 {
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -15,6 +15,7 @@
 	"lemonstream.dev/lemonstream/catalog"
 	"lemonstream.dev/lemonstream/job"
 	"lemonstream.dev/lemonstream/link"
+	"lemonstream.dev/lemonstream/outlier"
 )
 
 const (
@@ -81,6 +82,15 @@
 	// Starts bounds the bytes of orders to start tasks; nil means no bound.
 	Starts *link.Budget
 
+	// EjectShare is the maximum share of the workers that are ejected at one time because they
+	// fail what they start; 0 ejects none. ProbeAfter is the time from an ejection to the first
+	// probe.
+	EjectShare float64
+	ProbeAfter time.Duration
+
+	// EstimateFaults estimates what the end of a run shows; see outlier.Options.Update.
+	EstimateFaults func(outlier.Observation) (worker, work float64)
+
 	// RejectsOverload says that workers refuse tasks that do not fit.
 	RejectsOverload bool
 
@@ -114,6 +124,13 @@
 	jobs    map[string]*jobState
 	workers map[string]*workerState
 
+	// outliers tells which workers fail what they start. inheritedEvidence holds, by worker
+	// incarnation, what the previous owner knew and this one has not used yet. anyProven says that a
+	// usable worker is proven, as of the beginning of Next.
+	outliers          *outlier.Fleet
+	inheritedEvidence map[string]outlier.Evidence
+	anyProven         bool
+
 	// waiting holds the jobs with tasks that may have to start.
 	waiting map[string]*jobState
 
@@ -277,7 +294,14 @@
 // New returns an empty shard for the owner with the given epoch.
 func New(name string, epoch, version int64, now time.Time, opts Options) *Shard {
 	return &Shard{
-		opts:               opts,
+		opts: opts,
+		outliers: outlier.New(outlier.Options{
+			Share:      opts.EjectShare,
+			ProbeAfter: opts.ProbeAfter,
+			Update:     opts.EstimateFaults,
+			Report:     opts.LogEvent,
+		}),
+		inheritedEvidence:  make(map[string]outlier.Evidence),
 		name:               name,
 		epoch:              epoch,
 		fenceRaises:        make(map[string]int64),
@@ -365,6 +389,7 @@
 	}
 	s.resolveUnknownJobs(now)
 	s.expireLeases(now)
+	s.dropUnusedEvidence(now)
 	s.updateUsable(now)
 	s.addDueOccurrences(now)
 	s.moveOffDraining(now)
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"lemonstream.dev/lemonstream/job"
+	"lemonstream.dev/lemonstream/outlier"
 	"lemonstream.dev/lemonstream/outside"
 )
 
@@ -107,6 +108,9 @@
 	// order is the order that starts the run. A repeated order is the same but for the fence.
 	order outside.StartOrder
 
+	// hanging says that the run has counted as evidence against its worker because it hangs.
+	hanging bool
+
 	// suspect says that a worker had crashed under the task when this run began. isolated says that
 	// no other task may join the run on its worker.
 	suspect  bool
@@ -242,8 +246,10 @@
 	// sharedByFillers says that fillers run beside serving tasks.
 	sharedByFillers bool
 
-	// recentFailures counts runs that failed, less runs that ended well; it is never negative.
-	recentFailures int
+	// health is what the ends of its runs say of the worker. proven says that it has ended a run
+	// well lately and nothing speaks against it, as of the beginning of Next.
+	health *outlier.Worker
+	proven bool
 }
 
 // incarnation returns the worker's incarnation as its own answers report it, or as its registration
@@ -329,9 +335,12 @@
 // updateUsable collects the workers that can run tasks.
 func (s *Shard) updateUsable(now time.Time) {
 	s.usable = s.usable[:0]
+	s.anyProven = false
 	for _, w := range s.workers {
+		w.proven = w.health.IsProven(now)
 		if s.isUsable(w, now) {
 			s.usable = append(s.usable, w)
+			s.anyProven = s.anyProven || w.proven
 		}
 	}
 }
