Eject failing workers in pools, heartbeat rows and by flags

An ejected worker adds no capacity to its pool, and one that stays ejected is given back. The evidence goes to the successor in field 10 of the heartbeat. Flags eject-share and probe-after. Tested: go test ./pool ./peer ./cmd/lemonsched.

--- a/cmd/lemonsched/runcmd.go
+++ b/cmd/lemonsched/runcmd.go
@@ -7,6 +7,7 @@
 	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"lemonstream.dev/lemonstream/outlier"
 	"lemonstream.dev/lemonstream/pool"
 	"lemonstream.dev/lemonstream/scheduler"
 )
@@ -18,6 +19,10 @@
 	flags := flag.NewFlagSet("lemonsched", flag.ContinueOnError)
 	moveCost := flags.Duration("move-cost", pool.DefaultMoveCost,
 		"what a move of an instance costs: the time for which an idle one may be held awake for the same")
+	ejectShare := flags.Float64("eject-share", outlier.DefaultShare,
+		"the share of a service's workers, 0 to 0.5, that may be out of use at one time because they fail what they start; 0 switches it off")
+	probeAfter := flags.Duration("probe-after", outlier.DefaultProbeAfter,
+		"how long after that a worker gets a first task to prove itself")
 	return &ffcli.Command{
 		Name:       "lemonsched",
 		ShortUsage: "lemonsched [flags]",
@@ -26,7 +31,9 @@
 		Options:    []ff.Option{ff.WithEnvVarPrefix(optionsPrefix)},
 		Exec: func(ctx context.Context, _ []string) error {
 			return scheduler.Run(ctx, scheduler.Options{
-				MoveCost: *moveCost,
+				MoveCost:   *moveCost,
+				EjectShare: *ejectShare,
+				ProbeAfter: *probeAfter,
 			})
 		},
 	}
--- a/owner/commit.go
+++ b/owner/commit.go
@@ -14,8 +14,8 @@
 const maxWorkerRows = 24
 
 // handoverOverheadBytes is the size of a heartbeat row without its workers: the epoch, the
-// sequence number, and the keys and lengths of the fields.
-const handoverOverheadBytes = 256
+// sequence number, the keys and lengths of the fields, and the evidence.
+const handoverOverheadBytes = 256 + maxEvidenceBytes
 
 // maxIncompleteCommits bounds the transactions during a release that are too full to hold every
 // end. Each holds about 30 jobs, so they cover several hundred jobs in about the time that a
--- a/owner/rows.go
+++ b/owner/rows.go
@@ -68,6 +68,10 @@
 	// owner, and then sends the orders.
 	ReleasedWorkers []ReleasedRow `cbor:"8,keyasint,omitempty"`
 
+	// Evidence holds what speaks against the workers of a service, the worst first, as a list of
+	// EvidenceRow. It is encoded by itself: if it can't be read, the rest of the row still counts.
+	Evidence cbor.RawMessage `cbor:"10,keyasint,omitempty"`
+
 	// UnobservedMillis is how long after this transaction was made, in milliseconds, an
 	// previous owner may still matter, even if this one has ended. For a service,
 	// runs that it started may still exist on any worker that is neither in IdleWorkers nor
--- a/peer/load.go
+++ b/peer/load.go
@@ -27,6 +27,8 @@
 	flagDraining
 	flagKnown
 	flagReached
+	flagEjected
+	flagGiveBack
 )
 
 // roomBody encodes a job.Room.
@@ -154,6 +156,8 @@
 			Draining: w.Flags&flagDraining != 0,
 			Known:    w.Flags&flagKnown != 0,
 			Reached:  w.Flags&flagReached != 0,
+			Ejected:  w.Flags&flagEjected != 0,
+			GiveBack: w.Flags&flagGiveBack != 0,
 		}
 	}
 	return load, nil
@@ -167,6 +171,8 @@
 		flagDraining: w.Draining,
 		flagKnown:    w.Known,
 		flagReached:  w.Reached,
+		flagEjected:  w.Ejected,
+		flagGiveBack: w.GiveBack,
 	} {
 		if set {
 			flags |= flag
--- a/pool/offer.go
+++ b/pool/offer.go
@@ -31,7 +31,7 @@
 			c.sleeping = append(c.sleeping, sp)
 			continue
 		}
-		if sp.isEmpty() {
+		if sp.isEmpty() && !sp.ejected {
 			c.leaving = append(c.leaving, sp)
 		}
 		c.awake = append(c.awake, sp)
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -212,6 +212,7 @@
 	r.retryUncertain()
 	r.computeTargets()
 	r.maintain()
+	r.giveBack()
 	r.grow()
 	r.shrink()
 	return r.finish()
--- a/pool/round.go
+++ b/pool/round.go
@@ -36,6 +36,10 @@
 	// adds no capacity to its pool and is not moved to another one.
 	evacuated bool
 
+	// ejected says that the worker fails what it starts. The instance adds no capacity to its
+	// pool.
+	ejected bool
+
 	// load is the load of the worker. known says that the owner of the service reports it.
 	load  shard.WorkerLoad
 	known bool
@@ -94,7 +98,7 @@
 	sortByID(r.instances)
 	for _, sp := range r.instances {
 		// An instance that is down runs nothing for an unknown time.
-		if sp.instance.State != outside.InstanceDown && !sp.evacuated {
+		if sp.instance.State != outside.InstanceDown && !sp.evacuated && !sp.ejected {
 			r.count[sp.pool]++
 		}
 		if !sp.evacuated {
@@ -121,6 +125,7 @@
 	if service, found := r.services[m.Pool]; found {
 		sp.load, sp.known = service.Load.Workers[m.Worker]
 		sp.known = sp.known && service.Known
+		sp.ejected = sp.known && sp.load.Ejected
 	}
 	return sp
 }
@@ -308,7 +313,9 @@
 // closed in either case.
 func (r *round) reassign(sp *instanceState, to string) {
 	from := sp.pool
-	r.count[from]--
+	if !sp.ejected {
+		r.count[from]--
+	}
 	r.count[to]++
 	sp.closed = true
 	sp.to = to
@@ -357,6 +364,9 @@
 // long-running tasks the most. Workers that are closed already come before open ones: choosing
 // others would undo the work of closing them.
 func (sp *instanceState) cost() int {
+	if sp.ejected && sp.load.Lasting == 0 {
+		return 0
+	}
 	cost := sp.load.Runs + int(sp.load.Busy/costUnit) + longRunningCost*sp.load.Lasting
 	if !sp.load.Closed {
 		cost += openPenalty
--- a/scheduler/options.go
+++ b/scheduler/options.go
@@ -2,9 +2,16 @@
 
 import (
 	"fmt"
+	"strconv"
 	"time"
+
+	"lemonstream.dev/lemonstream/outlier"
 )
 
+// probeAfterLeast is the shortest time to the first probe of an ejected worker: what ran there at
+// its ejection has to end first.
+const probeAfterLeast = 100 * time.Millisecond
+
 // moveCostMost is the most that a move may be said to cost: an instance that is held for longer
 // is not sent to sleep in effect.
 const moveCostMost = time.Hour
@@ -13,6 +20,13 @@
 type Options struct {
 	// MoveCost is what a move of an instance costs; see pool.Options.
 	MoveCost time.Duration
+
+	// EjectShare is the maximum share of a service's workers that are ejected at one time because
+	// they fail what they start; 0 ejects none. See outlier.Options.
+	EjectShare float64
+
+	// ProbeAfter is the time from the ejection of a worker to its first probe.
+	ProbeAfter time.Duration
 }
 
 // OptionError reports an option that can't be used.
@@ -29,6 +43,20 @@
 
 // Check returns an *OptionError for the first option that can't be used.
 func (o Options) Check() error {
+	if !(o.EjectShare >= 0 && o.EjectShare <= outlier.MaxShare) {
+		return &OptionError{
+			Name:   "eject-share",
+			Value:  strconv.FormatFloat(o.EjectShare, 'g', -1, 64),
+			Reason: fmt.Sprintf("is not between 0 and %g", outlier.MaxShare),
+		}
+	}
+	if o.ProbeAfter < probeAfterLeast || o.ProbeAfter > outlier.MaxProbeAfter {
+		return &OptionError{
+			Name:   "probe-after",
+			Value:  o.ProbeAfter.String(),
+			Reason: fmt.Sprintf("is not between %v and %v", probeAfterLeast, outlier.MaxProbeAfter),
+		}
+	}
 	if o.MoveCost < 0 || o.MoveCost > moveCostMost {
 		return &OptionError{
 			Name:   "move-cost",
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -211,6 +211,8 @@
 			RemoteFactor: d.settings.RemoteFactor,
 			Starts:       link.StartBudget(d.settings.LinkBits),
 			Evacuated:    d.evacuations.Has,
+			EjectShare:   d.options.EjectShare,
+			ProbeAfter:   d.options.ProbeAfter,
 		},
 		ListMembers: d.roster.Read,
 		MoveCost:    d.options.MoveCost,
--- a/shard/fakeworker_test.go
+++ b/shard/fakeworker_test.go
@@ -66,6 +66,9 @@
 	// tickets counts the starts that carried a ticket.
 	tickets int
 
+	// fails says which runs fail; nil for none but those of poison steps.
+	fails func(id job.TaskID) bool
+
 	// unlisted says that the worker's registration was removed.
 	unlisted bool
 }
--- a/shard/world_owner_test.go
+++ b/shard/world_owner_test.go
@@ -6,6 +6,7 @@
 
 	"lemonstream.dev/lemonstream/catalog"
 	"lemonstream.dev/lemonstream/job"
+	"lemonstream.dev/lemonstream/outlier"
 	"lemonstream.dev/lemonstream/outside"
 	"lemonstream.dev/lemonstream/shard"
 )
@@ -138,6 +139,10 @@
 		UnobservedFor: unobserved,
 		Starts:        w.starts,
 		Evacuated:     w.isEvacuated,
+		EjectShare:    w.ejectShare,
+		ProbeAfter:    outlier.DefaultProbeAfter,
+
+		EstimateFaults: w.estimateFaults,
 		Quota:         w.quotaOf(w.epoch),
 		Policy:        func(string) (catalog.Policy, bool) { return catalog.Policy{}, false },
 		LogEvent: func(event string, fields ...any) {
@@ -157,6 +162,9 @@
 	if w.dropHandoverWait {
 		w.handover.UnobservedFor = 0
 	}
+	if w.dropEvidence {
+		w.handover.Evidence = nil
+	}
 	w.core.ApplyHandover(w.handover, w.now)
 	w.handover.UnobservedFor = max(w.handover.UnobservedFor, unobserved)
 	w.standbyBatch = nil
--- a/shard/world_test.go
+++ b/shard/world_test.go
@@ -8,6 +8,7 @@
 	"lemonstream.dev/lemonstream/catalog"
 	"lemonstream.dev/lemonstream/job"
 	"lemonstream.dev/lemonstream/link"
+	"lemonstream.dev/lemonstream/outlier"
 	"lemonstream.dev/lemonstream/outside"
 	"lemonstream.dev/lemonstream/shard"
 )
@@ -259,6 +260,12 @@
 	// logEvent receives the lines that owners log; nil drops them.
 	logEvent func(event string, fields ...any)
 
+	// ejectShare is the share of the workers that may be ejected, estimateFaults the estimator.
+	// dropEvidence omits the evidence against workers from handovers.
+	ejectShare     float64
+	estimateFaults func(outlier.Observation) (worker, work float64)
+	dropEvidence   bool
+
 	// allowExtraStarts allows maxExtraStarts starts of a task after maxCrashesPerTask
 	// crashes. extraStarts counts these starts.
 	allowExtraStarts bool
@@ -281,6 +288,7 @@
 			Stretch:  2,
 			Target:   time.Second,
 		},
+		ejectShare:          outlier.DefaultShare,
 		acked:               make(map[job.TaskID]time.Time),
 		standbyRecords:      make(map[string]shard.Record),
 		standbyEnded:        make(map[string]shard.Progress),
@@ -518,6 +526,8 @@
 				f.endRun(id, outside.EndBroken, w.now) // Another member failed; which one depends on the run.
 			case r.workLeft <= 0 && !r.step.Lasting && r.step.Label == "poison":
 				f.endRun(id, outside.EndFailed, w.now)
+			case r.workLeft <= 0 && !r.step.Lasting && f.fails != nil && f.fails(id):
+				f.endRun(id, outside.EndFailed, w.now)
 			case r.workLeft <= 0 && !r.step.Lasting:
 				f.endRun(id, outside.EndDone, w.now)
 			}
