--- a/figures/figures.go
+++ b/figures/figures.go
@@ -61,6 +61,11 @@
 	s.registry.GetOrRegister(name, metrics.NewFunctionalGaugeFloat64(read))
 }
 
+// SetService sets a figure of one service; the name says its unit.
+func (s *Set) SetService(name, service string, value float64) {
+	metrics.GetOrRegisterGaugeFloat64(name+"|"+service, s.registry).Update(value)
+}
+
 // Text returns every figure, one a line, sorted by name.
 func (s *Set) Text() string {
 	var lines []string
@@ -70,6 +75,10 @@
 		case metrics.Counter:
 			lines = append(lines, fmt.Sprintf("lemonstream_%s{outcome=%q} %d", base, outcome, figure.Count()))
 		case metrics.GaugeFloat64:
+			if outcome != "" {
+				lines = append(lines, fmt.Sprintf("lemonstream_%s{service=%q} %g", base, outcome, figure.Value()))
+				return
+			}
 			lines = append(lines, fmt.Sprintf("lemonstream_%s %g", base, figure.Value()))
 		case metrics.Histogram:
 			snapshot := figure.Snapshot()
--- a/figures/figures_test.go
+++ b/figures/figures_test.go
@@ -29,6 +29,16 @@
 	is.True(strings.Contains(text, `lemonstream_caller_post_ms{quantile="0.5"} 30`))
 }
 
+// TestFiguresOfServicesAreKeptApart guards against one service's figure replacing another's.
+func TestFiguresOfServicesAreKeptApart(t *testing.T) {
+	is := is.New(t)
+	set := figures.New()
+	set.SetService("ejected_workers", "a", 2)
+	set.SetService("ejected_workers", "b", 1)
+	set.SetService("ejected_workers", "a", 0)
+	is.Equal(set.Text(), "lemonstream_ejected_workers{service=\"a\"} 0\nlemonstream_ejected_workers{service=\"b\"} 1\n")
+}
+
 func TestGaugeIsReadWhenItIsAskedFor(t *testing.T) {
 	is := is.New(t)
 	set := figures.New()
--- a/outlier/worker.go
+++ b/outlier/worker.go
@@ -97,9 +97,11 @@
 		return AllowNone
 	case f.elsewhere:
 		return AllowAll
+	case w.state == returning && w.failures == 0:
+		return AllowPart
 	case w.odds >= fewOdds, w.odds >= doubtOdds && w.failures > 0:
 		return AllowFew
-	case w.odds >= doubtOdds, w.state == returning, w.succeededAt.IsZero() && now.Before(f.alertUntil):
+	case w.odds >= doubtOdds, w.succeededAt.IsZero() && now.Before(f.alertUntil):
 		return AllowPart
 	default:
 		return AllowAll
--- a/owner/duty.go
+++ b/owner/duty.go
@@ -72,6 +72,9 @@
 	// rate-limited log drops.
 	Count func(name, outcome string)
 
+	// SetFigure sets a figure of a service; nil sets none.
+	SetFigure func(name, service string, value float64)
+
 	// RequestLoad sends a directive to the owner of a service, on any entry, and returns the
 	// service's load.
 	RequestLoad func(ctx context.Context, service string, told Directive) (shard.Load, error)
@@ -320,6 +323,7 @@
 func (d *Duty) publishPending() {
 	counts := d.core.Pending()
 	d.pending.Store(&counts)
+	d.setFigure(figureEjected, float64(d.core.Ejected()))
 }
 
 // sendOrders sends each order in a goroutine of its own; the answer comes back as an event.
--- a/owner/evidence.go
+++ b/owner/evidence.go
@@ -17,6 +17,9 @@
 	// evidenceHeadBytes is the maximum size of the head of the list, which grows with its length.
 	evidenceHeadBytes = 3
 
+	// figureEjected is the figure of the ejected workers of a service.
+	figureEjected = "ejected_workers"
+
 	// oddsScale is by how much the odds in a row are multiplied: they are stored as whole numbers.
 	oddsScale = 100
 )
@@ -40,9 +43,9 @@
 	OutMillis   int64
 }
 
-// encodeEvidence returns as much of the evidence as fits into maxEvidenceBytes; nil if there is
+// EncodeEvidence returns as much of the evidence as fits into maxEvidenceBytes; nil if there is
 // none.
-func encodeEvidence(list []outlier.Evidence) cbor.RawMessage {
+func EncodeEvidence(list []outlier.Evidence) cbor.RawMessage {
 	var rows []EvidenceRow
 	size := evidenceHeadBytes
 	for _, e := range list {
@@ -68,9 +71,9 @@
 	return encodeRow(rows)
 }
 
-// decodeEvidence returns the evidence in a heartbeat row. Evidence that can't be read counts as
+// DecodeEvidence returns the evidence in a heartbeat row. Evidence that can't be read counts as
 // none; entries that cannot be true are left out by the shard.
-func decodeEvidence(encoded cbor.RawMessage, log *slog.Logger) []outlier.Evidence {
+func DecodeEvidence(encoded cbor.RawMessage, log *slog.Logger) []outlier.Evidence {
 	if len(encoded) == 0 {
 		return nil
 	}
@@ -93,3 +96,10 @@
 	}
 	return list
 }
+
+// setFigure sets a figure of the service of this duty.
+func (d *Duty) setFigure(name string, value float64) {
+	if d.deps.SetFigure != nil {
+		d.deps.SetFigure(name, d.service, value)
+	}
+}
--- a/owner/handover.go
+++ b/owner/handover.go
@@ -18,7 +18,7 @@
 func beatOf(h shard.Handover) Beat {
 	b := Beat{
 		IdleWorkers:      h.Idle,
-		Evidence:         encodeEvidence(h.Evidence),
+		Evidence:         EncodeEvidence(h.Evidence),
 		UnobservedMillis: ceilMillis(h.UnobservedFor),
 	}
 	for _, l := range h.Leased {
@@ -40,7 +40,7 @@
 func handoverOf(b Beat, log *slog.Logger) shard.Handover {
 	h := shard.Handover{
 		Idle:          b.IdleWorkers,
-		Evidence:      decodeEvidence(b.Evidence, log),
+		Evidence:      DecodeEvidence(b.Evidence, log),
 		UnobservedFor: time.Duration(b.UnobservedMillis) * time.Millisecond,
 	}
 	for _, row := range b.Leased {
--- a/owner/submit.go
+++ b/owner/submit.go
@@ -194,6 +194,7 @@
 func (d *Duty) end() {
 	d.ended = true
 	d.core.RefuseSubmitted()
+	d.setFigure(figureEjected, 0)
 	close(d.done)
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -226,7 +226,9 @@
 		RequestLoad: func(ctx context.Context, service string, told owner.Directive) (shard.Load, error) {
 			return d.load(ctx, peers, service, told)
 		},
-		Count:  d.figures.Count,
+		Count:     d.figures.Count,
+		SetFigure: d.figures.SetService,
+
 		Holder: d.settings.Name,
 		Site:   d.settings,
 	}
--- a/shard/outlier.go
+++ b/shard/outlier.go
@@ -26,6 +26,11 @@
 	evidenceTimeout = 15 * time.Second
 )
 
+// Ejected returns the number of workers that are ejected because they fail what they start.
+func (s *Shard) Ejected() int {
+	return s.outliers.Ejected()
+}
+
 // recordEvidence records what the end of a run says of its worker and its job. r is nil if the run
 // was not known.
 func (s *Shard) recordEvidence(w *workerState, j *jobState, r *run, end outside.End, now time.Time) {
--- a/shard/world_owner_test.go
+++ b/shard/world_owner_test.go
@@ -143,8 +143,8 @@
 		ProbeAfter:    outlier.DefaultProbeAfter,
 
 		EstimateFaults: w.estimateFaults,
-		Quota:         w.quotaOf(w.epoch),
-		Policy:        func(string) (catalog.Policy, bool) { return catalog.Policy{}, false },
+		Quota:          w.quotaOf(w.epoch),
+		Policy:         func(string) (catalog.Policy, bool) { return catalog.Policy{}, false },
 		LogEvent: func(event string, fields ...any) {
 			if w.logEvent != nil {
 				w.logEvent(event, fields...)
