--- a/outlier/estimate.go
+++ b/outlier/estimate.go
@@ -12,17 +12,18 @@
 	workPriorOdds = -3.5
 
 	// ejectOdds is how far above priorOdds the log odds of a worker must be for it to be ejected:
-	// at a chance of about 0.8, which is three failures in a row of jobs that have not failed
-	// elsewhere. doubtOdds and fewOdds are the limits from which on it gets less: about one such
-	// failure, and two with a success in between.
-	ejectOdds = 6.0
+	// at a chance of about 0.9, which is three failures in a row of jobs that have not failed
+	// elsewhere. With 6.0, two such failures ejected a sound worker once in 700 s. doubtOdds and
+	// fewOdds are the limits from which on it gets less: about one such failure, and two with a
+	// success in between.
+	ejectOdds = 7.0
 	doubtOdds = 1.5
-	fewOdds   = 3.5
+	fewOdds   = 4.0
 
 	// maxOdds and minWorkOdds bound the log odds, so that a worker or a job that changes is
 	// noticed after a few runs.
 	maxOdds     = 12.0
-	minWorkOdds = -4.0
+	minWorkOdds = -2.0
 
 	// returnOdds are the odds of a worker that returns: one failure ejects it again.
 	returnOdds = ejectOdds - 2.3
@@ -45,8 +46,8 @@
 	// baseRate is the share of runs that fail by their own fault, before anything is known of
 	// their kind. It counts like baseRuns runs. minBase and maxBase bound the learned rate.
 	baseRate = 0.02
-	baseRuns = 30
-	minBase  = 0.005
+	baseRuns = 100
+	minBase  = 0.02
 	maxBase  = 0.3
 
 	// maxKindRuns is the number of runs of a kind after which older ones lose half of their
--- a/outlier/evidence.go
+++ b/outlier/evidence.go
@@ -44,7 +44,7 @@
 
 // Check returns an *EvidenceError if the evidence cannot be true.
 func (e Evidence) Check() error {
-	reason := ""
+	var reason string
 	switch {
 	case e.Worker == "":
 		reason = "no worker is named"
--- a/outlier/outlier.go
+++ b/outlier/outlier.go
@@ -12,14 +12,17 @@
 )
 
 const (
-	// DefaultShare is the default of Options.Share, MaxShare its maximum.
+	// DefaultShare is the default of Options.Share.
 	DefaultShare = 0.3
-	MaxShare     = 0.5
 
-	// DefaultProbeAfter is the default of Options.ProbeAfter, MaxProbeAfter its maximum and the
-	// longest time between two probes.
+	// MaxShare is the maximum of Options.Share.
+	MaxShare = 0.5
+
+	// DefaultProbeAfter is the default of Options.ProbeAfter.
 	DefaultProbeAfter = time.Second
-	MaxProbeAfter     = 16 * time.Second
+
+	// MaxProbeAfter is the maximum of Options.ProbeAfter, and the longest time between two probes.
+	MaxProbeAfter = 16 * time.Second
 
 	// elsewhereShare is the share of the workers with known ends that must have to be ejected for
 	// the cause to be elsewhere, so that none is.
--- a/pool/ejected.go
+++ b/pool/ejected.go
@@ -22,3 +22,8 @@
 		}
 	}
 }
+
+// addsCapacity reports whether the instance counts in its pool.
+func (sp *instanceState) addsCapacity() bool {
+	return !sp.evacuated && !sp.ejected
+}
--- a/pool/labels.go
+++ b/pool/labels.go
@@ -39,7 +39,7 @@
 }
 
 // countLabelled counts the instances with the label that are in the pool or on their way to it.
-// Instances that are closed for maintenance or in an evacuated availability zone do not count.
+// Instances that are closed for maintenance or add no capacity do not count.
 // The result is cached in labelCounts.
 func (r *round) countLabelled(pool, label string) int {
 	key := poolLabel{
@@ -52,7 +52,7 @@
 	count := 0
 	for _, sp := range r.instances {
 		leaving := sp.closed && sp.to == ""
-		if sp.target() == pool && sp.hasLabel(label) && !leaving && !sp.evacuated {
+		if sp.target() == pool && sp.hasLabel(label) && !leaving && sp.addsCapacity() {
 			count++
 		}
 	}
--- a/pool/maintain.go
+++ b/pool/maintain.go
@@ -53,7 +53,7 @@
 			closing[sp.pool]++
 			// Not counting the instance lets another one replace it, so that the tasks on
 			// it have somewhere to go.
-			if !sp.evacuated && !sp.ejected {
+			if sp.addsCapacity() {
 				r.count[sp.pool]--
 			}
 			r.plan.Closed[sp.pool] = append(r.plan.Closed[sp.pool], sp.instance.Worker)
--- a/pool/round.go
+++ b/pool/round.go
@@ -98,7 +98,7 @@
 	sortByID(r.instances)
 	for _, sp := range r.instances {
 		// An instance that is down runs nothing for an unknown time.
-		if sp.instance.State != outside.InstanceDown && !sp.evacuated && !sp.ejected {
+		if sp.instance.State != outside.InstanceDown && sp.addsCapacity() {
 			r.count[sp.pool]++
 		}
 		if !sp.evacuated {
