--- a/outlier/evidence.go
+++ b/outlier/evidence.go
@@ -65,6 +65,14 @@
 	}
 }
 
+// Compare returns a negative number if e is to be told before o: the worst comes first.
+func (e Evidence) Compare(o Evidence) int {
+	if e.Odds != o.Odds {
+		return cmp.Compare(o.Odds, e.Odds)
+	}
+	return cmp.Compare(e.Worker, o.Worker)
+}
+
 // Evidence returns what speaks against workers, the worst first.
 func (f *Fleet) Evidence(now time.Time) []Evidence {
 	var list []Evidence
@@ -86,12 +94,7 @@
 		}
 		list = append(list, e)
 	}
-	slices.SortFunc(list, func(a, b Evidence) int {
-		if a.Odds != b.Odds {
-			return cmp.Compare(b.Odds, a.Odds)
-		}
-		return cmp.Compare(a.Worker, b.Worker)
-	})
+	slices.SortFunc(list, Evidence.Compare)
 	return list
 }
 
--- a/shard/handover.go
+++ b/shard/handover.go
@@ -79,7 +79,7 @@
 		})
 	}
 	h := truncateHandover(all, maxBytes)
-	h.Evidence = s.outliers.Evidence(now)
+	h.Evidence = s.evidence(now)
 	h.UnobservedFor = max(0, s.unobservedUntil.Sub(now))
 	return h
 }
--- a/shard/outlier.go
+++ b/shard/outlier.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"slices"
 	"time"
 
 	"lemonstream.dev/lemonstream/job"
@@ -198,6 +199,17 @@
 	}
 }
 
+// evidence returns what a successor is told about workers, the worst first: what this owner knows,
+// and what it has inherited about workers that have not answered yet.
+func (s *Shard) evidence(now time.Time) []outlier.Evidence {
+	list := s.outliers.Evidence(now)
+	for _, e := range s.inheritedEvidence {
+		list = append(list, e)
+	}
+	slices.SortStableFunc(list, outlier.Evidence.Compare)
+	return list
+}
+
 // restoreEvidence uses the inherited evidence about a worker that has answered.
 func (s *Shard) restoreEvidence(w *workerState, now time.Time) {
 	name := w.incarnation().String()
