--- a/shard/outlier_test.go
+++ b/shard/outlier_test.go
@@ -83,3 +83,49 @@
 		})
 	}
 }
+
+// TestEjectedWorkerTakesProbesOnly guards against an ejected worker being filled, and against a probe
+// that is the last attempt of its task, a long-running task or a member of a gang.
+func TestEjectedWorkerTakesProbesOnly(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(4)
+	bad := w.workers["w1"]
+	bad.fails = always
+	w.policy.Attempts = 2
+	ejectedAt := time.Time{}
+	probes := 0
+	began := 0
+	w.logEvent = func(event string, fields ...any) {
+		switch {
+		case event == outlier.EventEjected && ejectedAt.IsZero():
+			ejectedAt = w.now
+		case event == "start ordered" && fields[5] == "w1" && !ejectedAt.IsZero():
+			probes++
+		}
+	}
+	w.run(200 * time.Millisecond)
+	for i := range 600 {
+		if i%8 == 0 {
+			w.submit(fmt.Sprintf("a%d", i), step(1))
+		}
+		if i%40 == 20 {
+			gang := step(2)
+			gang.Gang = true
+			w.submit(fmt.Sprintf("g%d", i), gang)
+			w.submit(fmt.Sprintf("l%d", i), lasting(1, 1))
+			w.cancel(fmt.Sprintf("l%d", i-40))
+		}
+		w.run(2 * tick)
+		if ejectedAt.IsZero() || w.now.Sub(ejectedAt) < 2*time.Second {
+			began = probes
+			continue
+		}
+		is.True(len(bad.runs) <= 1) // It takes one probe at a time.
+		for id := range bad.runs {
+			is.True(id.Job[0] == 'a')                           // Neither of a gang nor long-running.
+			is.Equal(len(w.progress[id.Job].Failed["0.0.0"]), 0) // Not the last attempt.
+		}
+	}
+	is.True(probes > began) // Probes go on.
+	w.check(t)
+}
