--- a/shard/outlier_test.go
+++ b/shard/outlier_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -92,6 +93,8 @@
 	bad := w.workers["w1"]
 	bad.fails = always
 	w.policy.Attempts = 2
+	faults := rand.New(rand.NewPCG(1, 7))
+	w.workers["w0"].fails = func(job.TaskID) bool { return faults.Float64() < 0.1 }
 	ejectedAt := time.Time{}
 	probes := 0
 	began := 0
@@ -105,7 +108,7 @@
 	}
 	w.run(200 * time.Millisecond)
 	for i := range 600 {
-		if i%8 == 0 {
+		if i%4 == 0 { // More than the other workers can take.
 			w.submit(fmt.Sprintf("a%d", i), step(1))
 		}
 		if i%40 == 20 {
@@ -129,3 +132,128 @@
 	is.True(probes > began) // Probes go on.
 	w.check(t)
 }
+
+// TestProbesRiskNothingElse guards against a probe with a task that must not be risked, on an ejected
+// worker that alone has room. Such a task waits at first.
+func TestProbesRiskNothingElse(t *testing.T) {
+	pair := step(2)
+	pair.Gang = true
+	for name, c := range map[string]struct {
+		step     job.Step
+		attempts int
+		starts   bool
+	}{
+		"task with two attempts": {
+			step:     step(1),
+			attempts: 2,
+			starts:   true,
+		},
+		"last attempt": {
+			step:     step(1),
+			attempts: 1,
+		},
+		"gang": {
+			step:     pair,
+			attempts: 2,
+		},
+		"long-running task": {
+			step:     lasting(1, 1),
+			attempts: 2,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(2)
+			bad := w.workers["w1"]
+			bad.fails = always
+			w.policy.Attempts = 10
+			w.run(200 * time.Millisecond)
+			w.submit("good", fill("r0-1", time.Second))
+			for i := range 4 {
+				w.submit(fmt.Sprintf("bad%d", i), fill("r1-1", 300*time.Millisecond))
+			}
+			for !w.core.Load(w.now).Workers["w1"].Ejected {
+				w.run(tick)
+			}
+			bad.reg.Labels = nil // The jobs above don't start there any more.
+			w.list()
+			w.submit("filled", fill("r0-1", 20*time.Second))
+			w.run(2500 * time.Millisecond)
+			is.Equal(len(w.workers["w0"].runs), 4)
+			began := bad.began
+			w.policy.Attempts = c.attempts
+			w.submit("probe", c.step)
+			w.run(1500 * time.Millisecond)
+			is.Equal(bad.began > began, c.starts)
+		})
+	}
+}
+
+// TestDoubtedAndNewWorkersAreBounded guards against many more starts on a worker that has just failed
+// a run, and on one that nobody has seen succeed while another one is ejected.
+func TestDoubtedAndNewWorkersAreBounded(t *testing.T) {
+	for name, c := range map[string]struct {
+		share  float64
+		fails  int
+		starts int
+	}{
+		"doubted": {
+			share:  outlier.DefaultShare,
+			fails:  1,
+			starts: outlier.MaxFew,
+		},
+		"new beside an ejected one": {
+			share:  outlier.DefaultShare,
+			fails:  4,
+			starts: 8, // Half of its room.
+		},
+		"off": {
+			fails:  4,
+			starts: 12,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(2)
+			w.ejectShare = c.share
+			w.takeOver()
+			w.workers["w1"].fails = always
+			w.policy.Attempts = 10
+			w.run(5 * time.Second)
+			w.submit("good", fill("r0-1", 100*time.Millisecond))
+			w.run(time.Second)
+			large := "w1"
+			if c.fails > 1 {
+				large = "w2"
+			}
+			for i := range c.fails {
+				one := step(1)
+				one.Label = "r1-1"
+				one.Estimate = 100 * time.Millisecond
+				w.submit(fmt.Sprintf("bad%d", i), one)
+			}
+			w.run(150 * time.Millisecond)
+			for i := range c.fails {
+				w.cancel(fmt.Sprintf("bad%d", i))
+			}
+			f := w.workers[large]
+			if f == nil {
+				f = w.addWorker(large, "r2-1")
+			}
+			f.reg.Labels = []string{"large"}
+			f.reg.Capacity = job.Room{
+				MilliCPU: 16_000,
+				MemoryMB: 16_000,
+			}
+			w.list()
+			w.run(600 * time.Millisecond)
+			many := step(12)
+			many.Label = "large"
+			many.Estimate = 10 * time.Second
+			began := f.began
+			w.submit("many", many)
+			w.run(time.Second)
+			is.Equal(f.began-began, c.starts)
+		})
+	}
+}
