--- a/outlier/outlier.go
+++ b/outlier/outlier.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -74,11 +75,11 @@
 	workers map[*Worker]struct{}
 	kinds   map[string]*kind
 
-	// heard counts the workers of which the end of a run is known, over those whose log odds are
-	// at least ejectOdds or that are ejected, ejected those that are ejected.
+	// heard counts the workers of which the end of a run is known, ejected those that are ejected.
+	// over holds the workers whose log odds are at least ejectOdds or that are ejected.
 	heard   int
-	over    int
 	ejected int
+	over    map[*Worker]struct{}
 
 	// elsewhere says that nearly all workers fail. limited says that more workers are to be
 	// ejected than may be.
@@ -97,6 +98,7 @@
 	return &Fleet{
 		opts:    opts,
 		workers: make(map[*Worker]struct{}),
+		over:    make(map[*Worker]struct{}),
 		kinds:   make(map[string]*kind),
 	}
 }
@@ -127,9 +129,7 @@
 	if w.state == ejected {
 		f.ejected--
 	}
-	if w.isOver() {
-		f.over--
-	}
+	delete(f.over, w)
 	f.apportion(now)
 }
 
@@ -225,11 +225,11 @@
 	apply()
 	if after := w.isOver(); after != before {
 		if after {
-			f.over++
+			f.over[w] = struct{}{}
 		} else {
-			f.over--
+			delete(f.over, w)
 		}
-	} else if f.over == 0 {
+	} else if len(f.over) == 0 {
 		return
 	}
 	f.apportion(now)
@@ -238,27 +238,22 @@
 // apportion decides who is ejected: the worst of those whose odds say so, up to the share, and none
 // if nearly all fail. Without such workers it takes no time.
 func (f *Fleet) apportion(now time.Time) {
-	if f.opts.Share == 0 || (f.over == 0 && !f.elsewhere && !f.limited) {
+	if f.opts.Share == 0 || (len(f.over) == 0 && !f.elsewhere && !f.limited) {
 		return
 	}
-	elsewhere := f.over >= minElsewhere && float64(f.over) >= elsewhereShare*float64(f.heard)
+	over := len(f.over)
+	elsewhere := over >= minElsewhere && float64(over) >= elsewhereShare*float64(f.heard)
 	most := max(1, int(f.opts.Share*float64(len(f.workers))))
 	if elsewhere {
 		most = 0
 	}
-	limited := f.over > most
+	limited := over > most
 	if limited && (!f.limited || elsewhere != f.elsewhere) {
-		f.opts.Report(EventLimit, "failing", f.over, "most", most, "workers", len(f.workers), "elsewhere", elsewhere)
+		f.opts.Report(EventLimit, "failing", over, "most", most, "workers", len(f.workers), "elsewhere", elsewhere)
 	}
 	f.elsewhere = elsewhere
 	f.limited = limited
-	list := make([]*Worker, 0, f.over)
-	for w := range f.workers {
-		if w.isOver() {
-			list = append(list, w)
-		}
-	}
-	slices.SortFunc(list, func(a, b *Worker) int {
+	list := slices.SortedFunc(maps.Keys(f.over), func(a, b *Worker) int {
 		if badA, badB := a.rank(), b.rank(); badA != badB {
 			if badA > badB {
 				return -1
@@ -302,7 +297,7 @@
 	f.report(EventReturned, w, "after_ms", now.Sub(w.ejectedSince).Milliseconds())
 	w.ejectedSince = time.Time{}
 	if !w.isOver() {
-		f.over--
+		delete(f.over, w)
 	}
 }
 
