--- a/cmd/lemonsched/runcmd.go
+++ b/cmd/lemonsched/runcmd.go
@@ -8,6 +8,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"lemonstream.dev/lemonstream/intake"
+	"lemonstream.dev/lemonstream/outlier"
 	"lemonstream.dev/lemonstream/pool"
 	"lemonstream.dev/lemonstream/scheduler"
 	"lemonstream.dev/lemonstream/witness"
@@ -24,6 +25,10 @@
 		"how long a job is offered to a store that does not accept it, at most a quarter of what its caller waits")
 	outageTimeout := flags.Duration("outage-timeout", witness.Limit,
 		"how long an owner continues without a write while the store is away from its witnesses as well, 8s at the most; up to 4s or 0s: not beyond 4s")
+	ejectShare := flags.Float64("eject-share", outlier.DefaultShare,
+		"the share of a service's workers, 0 to 0.5, that may be out of use at one time because they fail what they start; 0 switches it off")
+	probeAfter := flags.Duration("probe-after", outlier.DefaultProbeAfter,
+		"how long after that a worker gets a first task to prove itself")
 	return &ffcli.Command{
 		Name:       "lemonsched",
 		ShortUsage: "lemonsched [flags]",
@@ -35,6 +40,8 @@
 				MoveCost:      *moveCost,
 				OfferTime:     *offerTime,
 				OutageTimeout: *outageTimeout,
+				EjectShare:    *ejectShare,
+				ProbeAfter:    *probeAfter,
 			})
 		},
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -213,6 +213,8 @@
 			RemoteFactor: d.settings.RemoteFactor,
 			Starts:       link.StartBudget(d.settings.LinkBits),
 			Evacuated:    d.evacuations.Has,
+			EjectShare:   d.options.EjectShare,
+			ProbeAfter:   d.options.ProbeAfter,
 		},
 		ListMembers: d.roster.Read,
 		MoveCost:    d.options.MoveCost,
@@ -229,7 +231,9 @@
 		RequestPromise: peers.Promise,
 		OutageTimeout:  d.options.OutageTimeout,
 
-		Count:  d.figures.Count,
+		Count:     d.figures.Count,
+		SetFigure: d.figures.SetService,
+
 		Holder: d.settings.Name,
 		Site:   d.settings,
 	}
