Jobs are shown to and cancelled by their organisation only

A job could be asked for and cancelled with any valid key by whoever knew its ID. Owners and entries now compare the caller's organisation with that of the job and answer as for an unknown ID: the owner reports that it does not know the job, the same rows are read, and the caller gets 410. Rows of progress name the organisation, so this holds for ended jobs as well. A job that is submitted under the ID of another organisation's job gets 409. Calls of entries that send no organisation are not compared.

--- a/intake/accept.go
+++ b/intake/accept.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"lemonstream.dev/lemonstream/backlog"
+	"lemonstream.dev/lemonstream/catalog"
 	"lemonstream.dev/lemonstream/clock"
 	"lemonstream.dev/lemonstream/outside"
 	"lemonstream.dev/lemonstream/owner"
@@ -34,6 +35,11 @@
 			s.turnAway(r, record, away.RetryAfter)
 			return
 		}
+		var foreign *owner.ForeignError
+		if errors.As(err, &foreign) {
+			s.deny(r, record)
+			return
+		}
 		hopeless := !uncertain && s.Clock.Now().Sub(began)+writePause > givingUp
 		if !hopeless && clock.Sleep(r.ctx, writePause) {
 			continue
@@ -55,9 +61,8 @@
 	if atOwner == nil {
 		return writerOwner, nil
 	}
-	var away *owner.RefusedError
-	if errors.As(atOwner, &away) {
-		return "", away
+	if isAnswer(atOwner) {
+		return "", atOwner
 	}
 	*uncertain = *uncertain || mayBeTaken(atOwner)
 	if s.Slow() && !isNotOwner(atOwner) {
@@ -88,6 +93,14 @@
 	r.String(http.StatusTooManyRequests, "too much to do; the job was not taken\n")
 }
 
+// deny tells a caller that its job was not taken, because its ID is that of another organisation's
+// job.
+func (s *Server) deny(r *request, record shard.Record) {
+	s.Log.Info("job refused", "job", record.ID, "route", record.Route, "reason", "the ID is that of another organisation's job", "organisation", record.Organisation)
+	s.Figures.Count("job_access_denied", r.Request.Method)
+	r.String(http.StatusConflict, "the id is in use; the job was not taken\n")
+}
+
 // write writes the record of a job itself, which needs no owner, and tells the
 // owner. A record that stands already is a success; known says that it may be an
 // earlier try of this very request that wrote it.
@@ -109,6 +122,10 @@
 	}
 	var conflict *outside.ConflictError
 	switch {
+	case s.isForeign(record, err):
+		return &owner.ForeignError{
+			Job: record.ID,
+		}
 	case err == nil:
 		s.tell(service, record, receipt.Version)
 	case errors.As(err, &conflict) && !recordIn(conflict):
@@ -142,6 +159,43 @@
 	return outside.Row{}, false
 }
 
+// isForeign reports whether the rows that stood in the way of a record are those of another
+// organisation's job.
+func (s *Server) isForeign(record shard.Record, err error) bool {
+	var conflict *outside.ConflictError
+	if !errors.As(err, &conflict) {
+		return false
+	}
+	route, _ := s.Catalog().Route(record.Route)
+	caller := catalog.Caller{
+		Organisation: record.Organisation,
+		Public:       route.Public,
+	}
+	for _, row := range conflict.Rows {
+		if of, known := jobOwnerIn(row); known && !s.admits(caller, of) {
+			return true
+		}
+	}
+	return false
+}
+
+// jobOwnerIn returns whose job a row belongs to; false where the row does not tell.
+func jobOwnerIn(row outside.Row) (catalog.JobOwner, bool) {
+	if row.Version == 0 {
+		return catalog.JobOwner{}, false
+	}
+	switch row.Key.Table {
+	case owner.ProgressKey("", "").Table:
+		progress, err := shard.DecodeProgress(row.Value)
+		return progress.Owner(), err == nil
+	case owner.RefusedKey("", "").Table:
+		return catalog.JobOwner{}, false
+	default:
+		of, err := shard.DecodeJobOwner(row.Value)
+		return of, err == nil
+	}
+}
+
 // recordIn reports whether a job was known already: its record or its progress stands.
 func recordIn(conflict *outside.ConflictError) bool {
 	refused := owner.RefusedKey("", "").Table
--- a/intake/ask.go
+++ b/intake/ask.go
@@ -41,11 +41,11 @@
 // else what the rows say. Only the rows can say that a job does not exist.
 func (s *Server) state(r *request) {
 	for {
-		if state, known := s.askOwner(r.ctx, r.route.Service, r.id); known {
+		if state, known := s.askOwner(r, r.route.Service); known {
 			s.show(r, state, "owner", nil)
 			return
 		}
-		progress, service, err := s.tryReading(r.ctx, r.route.Service, r.id)
+		progress, service, err := s.tryReading(r, r.route.Service)
 		if err == nil && service == "" {
 			s.Log.Info("job unknown", "job", r.id, "route", r.route.Name)
 			r.Status(http.StatusGone)
@@ -75,9 +75,9 @@
 	r.Data(http.StatusOK, contentJSON, s.Codec.EncodeState(state))
 }
 
-func (s *Server) askOwner(ctx context.Context, service, id string) (job.State, bool) {
+func (s *Server) askOwner(r *request, service string) (job.State, bool) {
 	if duty, mine := s.Owners.Duty(service); mine {
-		return duty.State(id)
+		return duty.State(r.caller(), r.id)
 	}
 	address, known := s.Owners.Owner(service)
 	if !known {
@@ -85,95 +85,14 @@
 	}
 	var state job.State
 	var found bool
-	err := s.tryOwner(ctx, asking, service, address, func(ctx context.Context) error {
+	err := s.tryOwner(r.ctx, asking, service, address, func(ctx context.Context) error {
 		var err error
-		state, found, err = s.Owners.Peers.State(ctx, address, service, id)
+		state, found, err = s.Owners.Peers.State(ctx, address, service, r.caller(), r.id)
 		return err
 	})
 	return state, found && err == nil
 }
 
-// tryReading is readState, unless the rows of the service could not be read a moment
-// ago, or others of this entry's questions have their turn before.
-func (s *Server) tryReading(ctx context.Context, service, id string) (shard.Progress, string, error) {
-	pause := s.ReadPause()
-	if !s.reads.turn(ctx, s.Clock, pause) {
-		return shard.Progress{}, "", &QueuedError{
-			Service: service,
-		}
-	}
-	var progress shard.Progress
-	var found string
-	tried := false
-	err := s.Breakers.Try(ctx, "reading of "+service, func(ctx context.Context) error {
-		tried = true
-		var err error
-		progress, found, err = s.readState(ctx, service, id)
-		return err
-	})
-	if !tried {
-		s.reads.giveBack(pause)
-	}
-	return progress, found, err
-}
-
-// readState reads the state of a job from the rows of its service, and then of
-// the other services, since a route may have moved. It returns the service that
-// holds the job, or an empty one where none does.
-func (s *Server) readState(ctx context.Context, service, id string) (shard.Progress, string, error) {
-	services := []string{service}
-	for _, other := range s.Catalog().Services {
-		if other.Name != service {
-			services = append(services, other.Name)
-		}
-	}
-	for _, candidate := range services {
-		progress, found, err := s.readRows(ctx, candidate, id)
-		if err != nil || found {
-			return progress, candidate, err
-		}
-	}
-	return shard.Progress{}, "", nil
-}
-
-// readRows reads the state of a job from the rows of one service: from its own part,
-// and where that has nothing, or can't be read, from its standby part.
-func (s *Server) readRows(ctx context.Context, service, id string) (shard.Progress, bool, error) {
-	progress, found, err := s.readPair(ctx, owner.IntakeKey(service, id), owner.ProgressKey(service, id))
-	if found && err == nil && progress.State.Final() {
-		return progress, true, nil
-	}
-	standby, inStandby, standbyErr := s.readPair(ctx, owner.StandbyIntakeKey(service, id), owner.StandbyProgressKey(service, id))
-	if inStandby && standbyErr == nil && (standby.State.Final() || !found) {
-		return standby, true, nil
-	}
-	if err == nil && !found {
-		err = standbyErr
-	}
-	return progress, found, err
-}
-
-// readPair reads the progress of a job from its record and its progress row.
-func (s *Server) readPair(ctx context.Context, intake, progress outside.Key) (shard.Progress, bool, error) {
-	// The record goes in the transaction that writes the final state, so it is
-	// read first: what is missing there is in the progress that is read later.
-	record, err := s.Table.Row(ctx, intake)
-	if err != nil {
-		return shard.Progress{}, false, err
-	}
-	row, err := s.Table.Row(ctx, progress)
-	if err != nil {
-		return shard.Progress{}, false, err
-	}
-	if row == nil {
-		return shard.Progress{
-			State: job.Queued,
-		}, record != nil, nil
-	}
-	decoded, err := shard.DecodeProgress(row.Value)
-	return decoded, true, err
-}
-
 // cancel withdraws a job.
 func (s *Server) cancel(r *request) {
 	for {
@@ -194,10 +113,10 @@
 // it has not heard of the job, the entry writes the wish itself, and the owner finds
 // it. It returns the status of the answer.
 func (s *Server) tryCancelling(r *request) (int, error) {
-	if s.cancelAtOwner(r.ctx, r.route.Service, r.id) {
+	if s.cancelAtOwner(r, r.route.Service) {
 		return http.StatusOK, nil
 	}
-	progress, service, err := s.tryReading(r.ctx, r.route.Service, r.id)
+	progress, service, err := s.tryReading(r, r.route.Service)
 	if err != nil {
 		return 0, err
 	}
@@ -205,7 +124,7 @@
 		return http.StatusGone, nil
 	}
 	// The job stays with the service that its route had when it was accepted.
-	if service != r.route.Service && s.cancelAtOwner(r.ctx, service, r.id) {
+	if service != r.route.Service && s.cancelAtOwner(r, service) {
 		return http.StatusOK, nil
 	}
 	if err := s.writeCancel(r.ctx, service, r.id); err != nil {
@@ -218,11 +137,11 @@
 // cancelAtOwner asks the owner. It reports true where the owner has the job and its
 // cancellation is written; one that answers and does not know the job has cancelled
 // nothing.
-func (s *Server) cancelAtOwner(ctx context.Context, service, id string) bool {
+func (s *Server) cancelAtOwner(r *request, service string) bool {
 	if duty, mine := s.Owners.Duty(service); mine {
-		bounded, stop := context.WithTimeout(ctx, cancelPatience)
+		bounded, stop := context.WithTimeout(r.ctx, cancelPatience)
 		defer stop()
-		known, err := duty.Cancel(bounded, id)
+		known, err := duty.Cancel(bounded, r.caller(), r.id)
 		return known && err == nil
 	}
 	address, found := s.Owners.Owner(service)
@@ -230,9 +149,9 @@
 		return false
 	}
 	known := false
-	err := s.tryOwner(ctx, asking, service, address, func(ctx context.Context) error {
+	err := s.tryOwner(r.ctx, asking, service, address, func(ctx context.Context) error {
 		var err error
-		known, err = s.Owners.Peers.Cancel(ctx, address, service, id)
+		known, err = s.Owners.Peers.Cancel(ctx, address, service, r.caller(), r.id)
 		return err
 	})
 	return known && err == nil
--- a/intake/handin.go
+++ b/intake/handin.go
@@ -18,8 +18,13 @@
 	if !moved {
 		return false, nil
 	}
-	_, stands, err := s.readRows(r.ctx, from, record.ID)
-	return stands, err
+	found, err := s.readRows(r.ctx, from, record.ID, r.caller())
+	if err == nil && found.foreign {
+		err = &owner.ForeignError{
+			Job: record.ID,
+		}
+	}
+	return found.known, err
 }
 
 // handIn hands a job to the owner of its service, whose transactions hold many
@@ -65,19 +70,28 @@
 	}
 }
 
+// isAnswer reports whether an error is an owner's answer to a job that was handed in: it is turned
+// away, or has the ID of another organisation's job.
+func isAnswer(err error) bool {
+	var away *owner.RefusedError
+	var foreign *owner.ForeignError
+	return errors.As(err, &away) || errors.As(err, &foreign)
+}
+
 // submitAt hands a job in at another entry. That a job was turned away is an answer: it
 // counts against nobody.
 func (s *Server) submitAt(ctx context.Context, address netip.AddrPort, service string, record shard.Record) error {
-	var away *owner.RefusedError
+	var answer error
 	err := s.tryOwner(ctx, handingIn, service, address, func(ctx context.Context) error {
 		err := s.Owners.Peers.Submit(ctx, address, service, record)
-		if errors.As(err, &away) {
+		if isAnswer(err) {
+			answer = err
 			return nil
 		}
 		return err
 	})
-	if err == nil && away != nil {
-		return away
+	if err == nil {
+		return answer
 	}
 	return err
 }
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -125,6 +125,9 @@
 	// milliseconds.
 	DeadlineHeader string
 
+	// Admits reports whether a caller may see and cancel a job. If it is nil, the catalog decides.
+	Admits func(caller catalog.Caller, of catalog.JobOwner) bool
+
 	reads readPace
 }
 
--- a/internal/prove/prove.go
+++ b/internal/prove/prove.go
@@ -40,6 +40,7 @@
 	Leaving       = "leaving"
 	NotRun        = "not-run"
 	OnePool       = "one-pool"
+	Ownership     = "ownership"
 	PlannedStop   = "planned-stop"
 	Quota         = "quota"
 	WholeAnswer   = "whole-answer"
--- a/owner/answers.go
+++ b/owner/answers.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"lemonstream.dev/lemonstream/catalog"
 	"lemonstream.dev/lemonstream/job"
 	"lemonstream.dev/lemonstream/shard"
 )
@@ -21,17 +22,26 @@
 }
 
 // State returns the job state that callers may see. It reports false for an unfinished job
-// until the standby partition is read, as that may hold the job's final state.
-func (d *Duty) State(id string) (job.State, bool) {
-	state, found := d.published.Load(id)
-	if !found {
+// until the standby partition is read, as that may hold the job's final state. A job that the
+// caller may not see is answered as an unknown one.
+func (d *Duty) State(caller catalog.Caller, id string) (job.State, bool) {
+	found, known := d.published.Load(id)
+	if !known {
 		return "", false
 	}
-	published, ok := state.(job.State)
-	if !published.Final() && !d.standbyRead.Load() {
+	published, ok := found.(publishedJob)
+	if !d.admits(caller, published.owner) || (!published.state.Final() && !d.standbyRead.Load()) {
 		return "", false
 	}
-	return published, ok
+	return published.state, ok
+}
+
+// admits reports whether a caller may see and cancel a job.
+func (d *Duty) admits(caller catalog.Caller, of catalog.JobOwner) bool {
+	if d.deps.Admits != nil {
+		return d.deps.Admits(caller, of)
+	}
+	return d.deps.Catalog().Admits(caller, of)
 }
 
 // Pending returns how many jobs of a route have not started. It reports false while the duty is
@@ -66,11 +76,12 @@
 }
 
 // Cancel cancels a job and waits until the cancellation is stored. It reports false if the duty
-// does not know the job.
-func (d *Duty) Cancel(ctx context.Context, id string) (bool, error) {
+// does not know the job, and likewise if the caller may not cancel it.
+func (d *Duty) Cancel(ctx context.Context, caller catalog.Caller, id string) (bool, error) {
 	written := make(chan bool, 1)
 	err := d.push(func(d *Duty, now time.Time) {
-		if !d.core.Cancel(id, now, func() { written <- true }) {
+		of, known := d.core.JobOwner(id)
+		if !known || !d.admits(caller, of) || !d.core.Cancel(id, now, func() { written <- true }) {
 			written <- false
 		}
 	})
--- a/owner/cancellation_test.go
+++ b/owner/cancellation_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"lemonstream.dev/lemonstream/catalog"
 	"lemonstream.dev/lemonstream/internal/standin"
 	"lemonstream.dev/lemonstream/job"
 	"lemonstream.dev/lemonstream/outside"
@@ -57,7 +58,7 @@
 		if !owns {
 			return false
 		}
-		state, found := duty.State(id)
+		state, found := duty.State(catalog.Caller{}, id)
 		return found && state == job.Cancelled && !isInStandby(t, rows, owner.CancelKey("s", id)) &&
 			!isInStandby(t, rows, owner.IntakeKey("s", id)) && !isInStandby(t, rows, owner.StandbyIntakeKey("s", id))
 	})
--- a/owner/duty.go
+++ b/owner/duty.go
@@ -55,6 +55,9 @@
 	Registry *Registry
 	Options  shard.Options
 
+	// Admits reports whether a caller may see and cancel a job. If it is nil, the catalog decides.
+	Admits func(caller catalog.Caller, of catalog.JobOwner) bool
+
 	// ListMembers reads the current list of entries. It may or may not include this one.
 	ListMembers func(ctx context.Context) ([]Member, error)
 
@@ -104,7 +107,7 @@
 	core   *shard.Shard
 	events *ring.Ring[event]
 
-	// published maps a job ID to the job state that callers may see.
+	// published maps a job ID to the publishedJob that callers may see.
 	published sync.Map
 	pending   atomic.Pointer[map[string]int]
 
@@ -150,6 +153,12 @@
 	cancel context.CancelFunc
 }
 
+// publishedJob is the state of a job that callers may see, and whose job it is.
+type publishedJob struct {
+	state job.State
+	owner catalog.JobOwner
+}
+
 // event is a function that the loop runs, so that it may access the shard.
 type event func(d *Duty, now time.Time)
 
@@ -178,7 +187,18 @@
 			d.published.Delete(id)
 			return
 		}
-		d.published.Store(id, state)
+		of, _ := d.core.JobOwner(id)
+		d.published.Store(id, publishedJob{
+			state: state,
+			owner: of,
+		})
+	}
+	options.Foreign = func(submitted shard.Record, known catalog.JobOwner) bool {
+		route, _ := deps.Catalog().Route(submitted.Route)
+		return !d.admits(catalog.Caller{
+			Organisation: submitted.Organisation,
+			Public:       route.Public,
+		}, known)
 	}
 	options.Policy = func(route string) (catalog.Policy, bool) {
 		found, ok := deps.Catalog().Route(route)
--- a/owner/handover_test.go
+++ b/owner/handover_test.go
@@ -12,6 +12,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 
+	"lemonstream.dev/lemonstream/catalog"
 	"lemonstream.dev/lemonstream/internal/standin"
 	"lemonstream.dev/lemonstream/job"
 	"lemonstream.dev/lemonstream/outside"
@@ -205,7 +206,7 @@
 	duty, _ := second.keeper.Duty("s")
 	for _, id := range ids {
 		until(t, id+" has ended", func() bool {
-			state, _ := duty.State(id)
+			state, _ := duty.State(catalog.Caller{}, id)
 			return state == job.Completed
 		})
 		is.Equal(h.startsOf(id), 1)
--- a/owner/intake_test.go
+++ b/owner/intake_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"lemonstream.dev/lemonstream/catalog"
 	"lemonstream.dev/lemonstream/internal/standin"
 	"lemonstream.dev/lemonstream/job"
 	"lemonstream.dev/lemonstream/outside"
@@ -82,7 +83,7 @@
 		if !owns {
 			return false
 		}
-		state, found := duty.State(id)
+		state, found := duty.State(catalog.Caller{}, id)
 		return found && state == job.Running
 	})
 }
--- a/owner/standby_test.go
+++ b/owner/standby_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"lemonstream.dev/lemonstream/catalog"
 	"lemonstream.dev/lemonstream/internal/standin"
 	"lemonstream.dev/lemonstream/job"
 	"lemonstream.dev/lemonstream/outside"
@@ -55,14 +56,14 @@
 	down.Store(true)
 	is.NoErr(duty.Submit(ctx, record("meanwhile")))
 	is.True(isInStandby(t, rows, owner.StandbyIntakeKey("s", "meanwhile")))
-	known, err := duty.Cancel(ctx, "before")
+	known, err := duty.Cancel(ctx, catalog.Caller{}, "before")
 	is.NoErr(err)
 	is.True(known)
 	is.True(isInStandby(t, rows, owner.StandbyProgressKey("s", "before")))
-	state, _ := duty.State("before")
+	state, _ := duty.State(catalog.Caller{}, "before")
 	is.Equal(state, job.Cancelled)
 	down.Store(false)
-	_, err = duty.Cancel(ctx, "meanwhile")
+	_, err = duty.Cancel(ctx, catalog.Caller{}, "meanwhile")
 	is.NoErr(err)
 	until(t, "the service's own partition holds the progress of both jobs, and the standby partition is empty", func() bool {
 		return isInStandby(t, rows, owner.ProgressKey("s", "before")) &&
@@ -95,7 +96,7 @@
 	until(t, "the second entry owns the service", second.owns)
 	successor, _ := second.keeper.Duty("s")
 	until(t, "the second entry has read the standby partition", func() bool {
-		state, found := successor.State("known")
+		state, found := successor.State(catalog.Caller{}, "known")
 		return found && state == job.Queued
 	})
 	err := duty.Submit(ctx, record("late"))
@@ -124,9 +125,9 @@
 	until(t, "the second entry owns the service", second.owns)
 	successor, _ := second.keeper.Duty("s")
 	until(t, "the job is known", func() bool {
-		state, found := successor.State("whole")
+		state, found := successor.State(catalog.Caller{}, "whole")
 		return found && state == job.Queued
 	})
-	_, found := successor.State("broken")
+	_, found := successor.State(catalog.Caller{}, "broken")
 	is.True(!found)
 }
--- a/owner/submit.go
+++ b/owner/submit.go
@@ -43,6 +43,12 @@
 	RetryAfter time.Duration
 }
 
+// ForeignError reports that a job was not accepted because its ID is that of another organisation's
+// job.
+type ForeignError struct {
+	Job string
+}
+
 // submission is a group of jobs that are submitted together.
 type submission struct {
 	records []shard.Record
@@ -70,6 +76,11 @@
 	return "the owner of service " + e.Service + " does not take the job: " + e.Reason
 }
 
+// Error implements error.
+func (e *ForeignError) Error() string {
+	return "job " + e.Job + " belongs to another organisation"
+}
+
 // Error implements error.
 func (e *RefusedError) Error() string {
 	return "service " + e.Service + " has too much to do for the job; retry after " + e.RetryAfter.String()
@@ -82,7 +93,7 @@
 
 // SubmitAll submits jobs to this owner, which may still be loading its rows, and returns one
 // result per job: nil once its record is stored, and a *outside.NotDoneError, a
-// *NotServingError or a *RefusedError if it certainly was not accepted. After any other error
+// *NotServingError, a *RefusedError or a *ForeignError if it certainly was not accepted. After any other error
 // the job may or may not have been accepted.
 func (d *Duty) SubmitAll(ctx context.Context, records []shard.Record) []error {
 	sub := &submission{
@@ -149,6 +160,10 @@
 				}
 				switch {
 				case answer.Accepted:
+				case answer.Foreign:
+					o.err = &ForeignError{
+						Job: record.ID,
+					}
 				case answer.Refused:
 					o.err = &RefusedError{
 						Service:    d.service,
--- a/peer/client.go
+++ b/peer/client.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"time"
 
+	"lemonstream.dev/lemonstream/catalog"
 	"lemonstream.dev/lemonstream/conns"
 	"lemonstream.dev/lemonstream/job"
 	"lemonstream.dev/lemonstream/outside"
@@ -117,12 +118,9 @@
 }
 
 // Cancel requests the cancellation of a job from the owner. It returns false if the owner does
-// not know the job.
-func (c *Client) Cancel(ctx context.Context, to netip.AddrPort, service, id string) (bool, error) {
-	status, _, err := c.callOnce(ctx, cancelTimeout, to, pathCancel, url.Values{
-		queryService: {service},
-		"id":         {id},
-	}, nil)
+// not know the job or the caller may not cancel it.
+func (c *Client) Cancel(ctx context.Context, to netip.AddrPort, service string, caller catalog.Caller, id string) (bool, error) {
+	status, _, err := c.callOnce(ctx, cancelTimeout, to, pathCancel, jobQuery(service, caller, id), nil)
 	return status == http.StatusNoContent, err
 }
 
@@ -198,12 +196,9 @@
 }
 
 // State requests the state of a job from the owner. It returns false if the owner does not know
-// the job.
-func (c *Client) State(ctx context.Context, to netip.AddrPort, service, id string) (job.State, bool, error) {
-	status, body, err := c.callIdempotent(ctx, http.MethodGet, to, pathState, url.Values{
-		queryService: {service},
-		"id":         {id},
-	}, nil)
+// the job or the caller may not see it.
+func (c *Client) State(ctx context.Context, to netip.AddrPort, service string, caller catalog.Caller, id string) (job.State, bool, error) {
+	status, body, err := c.callIdempotent(ctx, http.MethodGet, to, pathState, jobQuery(service, caller, id), nil)
 	if err != nil || status == http.StatusNotFound {
 		return "", false, err
 	}
@@ -248,7 +243,7 @@
 		return 0, nil, outside.CallError(path, err)
 	}
 	switch answer.Status {
-	case http.StatusOK, http.StatusNoContent, http.StatusNotFound, http.StatusConflict, http.StatusGone, http.StatusTooManyRequests:
+	case http.StatusOK, http.StatusNoContent, http.StatusForbidden, http.StatusNotFound, http.StatusConflict, http.StatusGone, http.StatusTooManyRequests:
 		return answer.Status, answer.Body, nil
 	case http.StatusMisdirectedRequest:
 		return 0, nil, &NotOwnerError{
--- a/peer/server.go
+++ b/peer/server.go
@@ -71,7 +71,7 @@
 func (s *Server) cancel(c *gin.Context, duty *owner.Duty) {
 	ctx, stop := context.WithTimeout(c.Request.Context(), cancelTimeout)
 	defer stop()
-	known, err := duty.Cancel(ctx, c.Query("id"))
+	known, err := duty.Cancel(ctx, callerOf(c), c.Query("id"))
 	switch {
 	case err != nil:
 		c.Status(http.StatusServiceUnavailable)
@@ -143,7 +143,7 @@
 }
 
 func (s *Server) state(c *gin.Context, duty *owner.Duty) {
-	state, known := duty.State(c.Query("id"))
+	state, known := duty.State(callerOf(c), c.Query("id"))
 	if !known {
 		c.Status(http.StatusNotFound)
 		return
--- a/peer/silence_test.go
+++ b/peer/silence_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 	"golang.org/x/sync/errgroup"
 
+	"lemonstream.dev/lemonstream/catalog"
 	"lemonstream.dev/lemonstream/internal/standin"
 	"lemonstream.dev/lemonstream/owner"
 	"lemonstream.dev/lemonstream/peer"
@@ -58,7 +59,7 @@
 			return client.Offer(ctx, server.Address(), "s", shard.Record{}, 1, true)
 		},
 		"state": func(ctx context.Context, client *peer.Client, server *standin.SilencedServer) error {
-			_, _, err := client.State(ctx, server.Address(), "s", "1")
+			_, _, err := client.State(ctx, server.Address(), "s", catalog.Caller{}, "1")
 			return err
 		},
 		"count": func(ctx context.Context, client *peer.Client, server *standin.SilencedServer) error {
@@ -70,7 +71,7 @@
 			return err
 		},
 		"withdrawal": func(ctx context.Context, client *peer.Client, server *standin.SilencedServer) error {
-			_, err := client.Cancel(ctx, server.Address(), "s", "1")
+			_, err := client.Cancel(ctx, server.Address(), "s", catalog.Caller{}, "1")
 			return err
 		},
 	}
--- a/peer/submit.go
+++ b/peer/submit.go
@@ -18,6 +18,7 @@
 
 // Results of a submission.
 const (
+	resultForeign    result = "foreign"
 	resultNotServing result = "left"
 	resultUncertain  result = "open"
 	resultRefused    result = "refused"
@@ -34,8 +35,8 @@
 }
 
 // Submit submits a job to the owner of its service, and returns once the record of the job is
-// stored. A *outside.NotDoneError, a *NotOwnerError or a *owner.RefusedError means that the job
-// was not accepted.
+// stored. A *outside.NotDoneError, a *NotOwnerError, a *owner.RefusedError or a *owner.ForeignError
+// means that the job was not accepted.
 func (c *Client) Submit(ctx context.Context, to netip.AddrPort, service string, record shard.Record) error {
 	status, body, err := c.callOnce(ctx, submitTimeout, to, pathSubmit, url.Values{
 		queryService: {service},
@@ -45,6 +46,10 @@
 		return err
 	case status == http.StatusConflict:
 		return notAccepted()
+	case status == http.StatusForbidden:
+		return &owner.ForeignError{
+			Job: record.ID,
+		}
 	case status == http.StatusTooManyRequests:
 		return refusedError(service, body)
 	default:
@@ -72,7 +77,10 @@
 func resultOf(err error) result {
 	var notServing *owner.NotServingError
 	var refused *owner.RefusedError
+	var foreign *owner.ForeignError
 	switch {
+	case errors.As(err, &foreign):
+		return resultForeign
 	case errors.As(err, &refused):
 		return resultRefused
 	case err == nil:
@@ -107,7 +115,7 @@
 	}
 }
 
-// submit handles the submission of a job. Status 409, 421 or 429 means that the job was not
+// submit handles the submission of a job. Status 403, 409, 421 or 429 means that the job was not
 // accepted.
 func (s *Server) submit(c *gin.Context, duty *owner.Duty) {
 	record, ok := s.record(c)
@@ -127,6 +135,8 @@
 	switch resultOf(err) {
 	case resultAccepted:
 		c.Status(http.StatusNoContent)
+	case resultForeign:
+		c.String(http.StatusForbidden, err.Error())
 	case resultNotServing:
 		c.String(http.StatusMisdirectedRequest, err.Error())
 	case resultRefused:
--- a/shard/batch.go
+++ b/shard/batch.go
@@ -81,11 +81,15 @@
 	// time. RetryAfter is how long the caller waits before it submits the job again.
 	Refused    bool
 	RetryAfter time.Duration
+
+	// Foreign says that the ID is that of another organisation's job.
+	Foreign bool
 }
 
 // Submit submits a job to this owner. It calls done once the job's record is stored, or once the
 // job is certainly not accepted. No task of the job starts before the record is stored.
 func (s *Shard) Submit(record Record, now time.Time, done func(SubmitResult)) {
+	done = s.unlessForeign(record, done)
 	j, known := s.jobs[record.ID]
 	if !known {
 		if s.answerIfRefused(record, now, done) {
@@ -302,21 +306,34 @@
 // adoptExisting replaces a submitted job by the one whose record another entry has stored. A
 // previous owner may know of that job.
 func (s *Shard) adoptExisting(j *jobState, e Existing, now time.Time) {
-	if j.state.Final() {
+	foreign := s.isForeign(j.record, e.Record.Owner())
+	if j.state.Final() && !foreign {
 		// The job was cancelled meanwhile; the write of its final state removes the record.
 		j.unwritten = false
 		j.answerSubmitters(true)
 		return
 	}
-	waiting := j.submitWaiters
-	s.addPending(j, -1)
+	if j.state.Final() {
+		// Its final state must not be written under the ID of the other organisation's job.
+		delete(s.dirty, j.record.ID)
+	} else {
+		s.addPending(j, -1)
+	}
 	delete(s.jobs, j.record.ID)
 	s.Accept(e.Record, e.Version, false, now)
-	s.jobs[j.record.ID].cancelWaiters = append(s.jobs[j.record.ID].cancelWaiters, j.cancelWaiters...)
-	for _, done := range waiting {
-		done(SubmitResult{
-			Accepted: true,
-		})
+	s.replaceSubmitted(j, s.jobs[j.record.ID], foreign)
+}
+
+// replaceSubmitted answers those who wait for a submitted job in whose place a stored one was taken
+// up. A cancellation of the submitted job applies to the stored one unless that is foreign.
+func (s *Shard) replaceSubmitted(submitted, stored *jobState, foreign bool) {
+	submitted.answerSubmitters(true)
+	if !foreign {
+		stored.cancelWaiters = append(stored.cancelWaiters, submitted.cancelWaiters...)
+		return
+	}
+	for _, done := range submitted.cancelWaiters {
+		done()
 	}
 }
 
--- a/shard/jobs.go
+++ b/shard/jobs.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"lemonstream.dev/lemonstream/catalog"
 	"lemonstream.dev/lemonstream/job"
 )
 
@@ -59,8 +60,9 @@
 	}
 	s.jobs[id] = &jobState{
 		record: Record{
-			ID:    id,
-			Route: progress.Route,
+			ID:           id,
+			Route:        progress.Route,
+			Organisation: progress.Organisation,
 		},
 		state:       progress.State,
 		started:     true,
@@ -203,6 +205,35 @@
 	return j.state, true
 }
 
+// JobOwner returns the organisation and the route of a job; false if the job is unknown.
+func (s *Shard) JobOwner(id string) (catalog.JobOwner, bool) {
+	j, known := s.jobs[id]
+	if !known {
+		return catalog.JobOwner{}, false
+	}
+	return j.record.Owner(), true
+}
+
+// isForeign reports whether a job that was submitted under the ID of a known one belongs to another
+// organisation, so that it is not the same job.
+func (s *Shard) isForeign(submitted Record, known catalog.JobOwner) bool {
+	return s.opts.Foreign != nil && s.opts.Foreign(submitted, known)
+}
+
+// unlessForeign returns done with the answer that a job was accepted replaced if the job that is
+// known by then belongs to another organisation.
+func (s *Shard) unlessForeign(submitted Record, done func(SubmitResult)) func(SubmitResult) {
+	return func(result SubmitResult) {
+		known, found := s.JobOwner(submitted.ID)
+		if result.Accepted && found && s.isForeign(submitted, known) {
+			result = SubmitResult{
+				Foreign: true,
+			}
+		}
+		done(result)
+	}
+}
+
 // forgetEndedJobs drops jobs that ended long ago and has their rows deleted.
 func (s *Shard) forgetEndedJobs(now time.Time) {
 	if now.Before(s.nextPurgeAt) {
--- a/shard/record.go
+++ b/shard/record.go
@@ -56,6 +56,10 @@
 	// EndedMillis is when a final state was reached, in Unix milliseconds.
 	EndedMillis int64 `cbor:"5,keyasint,omitempty"`
 
+	// Organisation is that of the job's record. It tells who may see the job after its record is
+	// removed. Rows written by earlier versions have none.
+	Organisation string `cbor:"10,keyasint,omitempty"`
+
 	// Failure is why the job failed; nil for any other state. Rows written by earlier versions have
 	// none.
 	Failure *Failure `cbor:"8,keyasint,omitempty"`
@@ -98,6 +102,38 @@
 	return r, r.Spec.Check()
 }
 
+// DecodeJobOwner returns the organisation and the route in a row written by Record.Encode. Unlike
+// DecodeRecord it does not check the job.
+func DecodeJobOwner(value []byte) (catalog.JobOwner, error) {
+	var r struct {
+		Route        string `cbor:"2,keyasint"`
+		Organisation string `cbor:"6,keyasint,omitempty"`
+	}
+	if err := cbor.Unmarshal(value, &r); err != nil {
+		return catalog.JobOwner{}, fmt.Errorf("organisation of a job: %w", err)
+	}
+	return catalog.JobOwner{
+		Organisation: r.Organisation,
+		Route:        r.Route,
+	}, nil
+}
+
+// Owner returns the organisation and the route of the job.
+func (r Record) Owner() catalog.JobOwner {
+	return catalog.JobOwner{
+		Organisation: r.Organisation,
+		Route:        r.Route,
+	}
+}
+
+// Owner returns the organisation and the route of the job.
+func (p Progress) Owner() catalog.JobOwner {
+	return catalog.JobOwner{
+		Organisation: p.Organisation,
+		Route:        p.Route,
+	}
+}
+
 // LogFields returns the evidence as fields of a log line; none for nil.
 func (f *Failure) LogFields() []any {
 	if f == nil {
@@ -139,8 +175,9 @@
 // progress returns the row of progress for the job's current state in memory.
 func (j *jobState) progress() Progress {
 	p := Progress{
-		State: j.state,
-		Route: j.record.Route,
+		State:        j.state,
+		Route:        j.record.Route,
+		Organisation: j.record.Organisation,
 	}
 	if j.state.Final() {
 		p.EndedMillis = j.endedAt.UnixMilli()
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -74,6 +74,10 @@
 	// limit. If it is nil, there are no limits.
 	Quota func(organisation string) (Quota, bool)
 
+	// Foreign reports whether a job that is submitted under the ID of a known job belongs to another
+	// organisation. If it is nil, none does.
+	Foreign func(submitted Record, known catalog.JobOwner) bool
+
 	// Evacuated reports whether nothing may start in an availability zone. If it is nil, no zone is
 	// evacuated.
 	Evacuated func(zone string) bool
--- a/shard/standby.go
+++ b/shard/standby.go
@@ -71,11 +71,15 @@
 	s.addPending(submitted, -1)
 	delete(s.jobs, record.ID)
 	delete(s.waiting, record.ID)
+	foreign := s.isForeign(submitted.record, record.Owner())
+	if foreign && !s.deferredCancels[record.ID] {
+		// The cancellation was one of the submitted job.
+		delete(s.deferredCancels, record.ID)
+	}
 	if err := s.Restore(record, progress, now); err != nil {
 		return err
 	}
-	s.jobs[record.ID].cancelWaiters = append(s.jobs[record.ID].cancelWaiters, submitted.cancelWaiters...)
-	submitted.answerSubmitters(true)
+	s.replaceSubmitted(submitted, s.jobs[record.ID], foreign)
 	return nil
 }
 
