Long-running tasks move out of evacuated zones

They stayed in an evacuated zone, and nobody could see whether a zone was empty. Owners now stop them there once other workers have room and their step may miss them, at most eight on their way at one time, beside drains and waves. A gang moves as a whole or stays. Owners log why tasks stay (every 2 s) and 'zone emptied' once nothing runs there, and entries show lemonstream_evacuated_runs by zone and service. Pools already count what runs in an evacuated zone as demand and its instances as none.

TestNothingStartsInAnEvacuatedZone asserted that long-running tasks stay, which was the missing feature; it now asserts the same of short tasks, and TestLongRunningTasksLeaveEvacuatedZones that long-running ones leave.

Tested: shard -run 'Evacuat|LongRunning|GangThatMay|Stop|Drain' with -race, -run 'Availability|Drain|Gang|Evict|Stop|Quota' without; red when one of the guards of may_miss, room or whole gangs is taken out; figures, pool.

--- a/figures/figures.go
+++ b/figures/figures.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"sort"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -33,6 +34,9 @@
 // Set is the figures of one entry.
 type Set struct {
 	registry metrics.Registry
+
+	// labelled maps a name to its labelledGauge: the registry of the library takes its own types only.
+	labelled sync.Map
 }
 
 // quantiles are the points of a latency that are written.
@@ -79,6 +83,7 @@
 			lines = append(lines, fmt.Sprintf("lemonstream_%s_count %d", base, snapshot.Count()))
 		}
 	})
+	lines = append(lines, s.labelledLines()...)
 	sort.Strings(lines)
 	return strings.Join(lines, "\n") + "\n"
 }
--- a/owner/duty.go
+++ b/owner/duty.go
@@ -111,6 +111,9 @@
 	published sync.Map
 	pending   atomic.Pointer[map[string]int]
 
+	// zones holds what runs in evacuated zones, as of the last round of the loop.
+	zones atomic.Pointer[[]shard.ZoneRuns]
+
 	standby standby
 
 	// standbyRead is set once this owner knows everything in the standby partition.
@@ -298,7 +301,7 @@
 		if d.retryAt.After(now) && d.retryAt.Before(next) {
 			next = d.retryAt
 		}
-		d.publishPending()
+		d.publishState()
 		took := d.deps.Clock.Now().Sub(now)
 		pause = min(maxLoopPause, max(minLoopPause, loopPauseFactor*took))
 		timer.Reset(max(time.Millisecond, next.Sub(now)))
@@ -337,9 +340,11 @@
 	}
 }
 
-func (d *Duty) publishPending() {
+func (d *Duty) publishState() {
 	counts := d.core.Pending()
 	d.pending.Store(&counts)
+	zones := d.core.EvacuatedZones()
+	d.zones.Store(&zones)
 }
 
 // sendOrders sends each order in a goroutine of its own; the answer comes back as an event.
--- a/owner/queries.go
+++ b/owner/queries.go
@@ -4,6 +4,8 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"lemonstream.dev/lemonstream/shard"
 )
 
 // Duty returns the duty of a service that this entry owns and whose rows it has loaded.
@@ -14,6 +16,35 @@
 	return h.duty, found && h.duty != nil && h.duty.ready.Load()
 }
 
+// ServiceZone is what runs of a service in an evacuated zone.
+type ServiceZone struct {
+	Service string
+	shard.ZoneRuns
+}
+
+// EvacuatedZones returns what runs in evacuated zones of the services that this entry owns.
+func (k *Keeper) EvacuatedZones() []ServiceZone {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var list []ServiceZone
+	for service, h := range k.held {
+		if h.duty == nil {
+			continue
+		}
+		zones := h.duty.zones.Load()
+		if zones == nil {
+			continue
+		}
+		for _, runs := range *zones {
+			list = append(list, ServiceZone{
+				Service:  service,
+				ZoneRuns: runs,
+			})
+		}
+	}
+	return list
+}
+
 // Owner returns the peer address of the owner of a service; false if none is known.
 func (k *Keeper) Owner(service string) (netip.AddrPort, bool) {
 	k.mu.Lock()
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -259,6 +259,11 @@
 	maxInstances int
 	survey       survey
 
+	// evacuated holds the evacuated zones in which the service has workers, as of the last search.
+	// nextEvacuationAt is when the next search is due.
+	evacuated        map[string]*evacuatedZone
+	nextEvacuationAt time.Time
+
 	// waitLoggedAt is when the reason why a task waits was last logged.
 	waitLoggedAt time.Time
 
@@ -372,6 +377,7 @@
 	s.updateUsable(now)
 	s.addDueOccurrences(now)
 	s.moveOffDraining(now)
+	s.moveOutOfZones(now)
 	s.logUnobserved(now)
 	s.place(now)
 	s.speculate(now)
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -321,7 +321,7 @@
 }
 
 // isEvacuated reports whether nothing may start on a worker because the operator has evacuated its
-// availability zone. Existing runs go on.
+// availability zone. Existing runs go on; moveOutOfZones moves long-running ones.
 func (s *Shard) isEvacuated(w *workerState) bool {
 	return s.opts.Evacuated != nil && s.opts.Evacuated(w.reg.Zone)
 }
