Long-running tasks, gangs and last attempts prefer warm workers

The time for which a worker is slow from its start was read and not used, so all work returned at once to a zone whose evacuation was taken back. A cold worker now has a weight: a strong one for long-running tasks, gangs and last attempts, and one that a warm worker with room always outweighs for any other task. It refuses nothing. Tasks that failed under an earlier owner are weighed apart from others of their step, since they may be on their last attempt.

Tested: TestColdWorkersAreTakenLast (red without the weight), TestColdWorkerIsBetterThanNone, TestWarmedUpWorkerIsChosenAsAnyOther; shard -run 'Cold|Warm|Gang|Attempt|Failure' with -race, platform, outside.

--- a/outside/worker.go
+++ b/outside/worker.go
@@ -90,14 +90,20 @@
 
 	// Remaining is the minimum time for which a draining worker continues to run.
 	Remaining time.Duration
+
+	// ColdLeft is for how long after the registration was written the worker is slow from its
+	// start; 0 if it is not.
+	ColdLeft time.Duration
 }
 
-// Equal reports whether two registrations are equal. Nil and empty labels are equal.
+// Equal reports whether two registrations are equal. Nil and empty labels are equal. ColdLeft is
+// not compared: it falls with each write of the same incarnation.
 func (r Registration) Equal(o Registration) bool {
 	if !slices.Equal(r.Labels, o.Labels) {
 		return false
 	}
 	o.Labels = r.Labels
+	o.ColdLeft = r.ColdLeft
 	return reflect.DeepEqual(r, o)
 }
 
--- a/shard/jobstate.go
+++ b/shard/jobstate.go
@@ -93,8 +93,10 @@
 type taskState struct {
 	done bool
 
-	// failedRuns lists the numbers of the failed runs, each once.
+	// failedRuns lists the numbers of the failed runs, each once. attempts is how many of them fail
+	// the job.
 	failedRuns []int64
+	attempts   int
 
 	// crashes holds the workers that crashed while they ran the task, and possibleCrashes those
 	// that may have, because it is unknown how the run there ended. besideCrashes are those of
@@ -185,7 +187,9 @@
 			remaining: count,
 		}
 		for i := 0; i < count; i++ {
-			step.tasks = append(step.tasks, &taskState{})
+			step.tasks = append(step.tasks, &taskState{
+				attempts: j.policy.Attempts,
+			})
 			step.idle = append(step.idle, count-1-i)
 		}
 		o.steps = append(o.steps, step)
--- a/shard/picker.go
+++ b/shard/picker.go
@@ -93,7 +93,8 @@
 }
 
 // sharesWeights reports whether each worker has the same weight for the task as for the other
-// such tasks of its step: it has no workers to avoid, and is not suspected of crashing workers.
+// such tasks of its step: it has no workers to avoid, has not failed under an earlier owner, and is
+// not suspected of crashing workers.
 func (t *taskState) sharesWeights() bool {
-	return len(t.failedWorkers) == 0 && !t.isSuspect()
+	return len(t.failedWorkers) == 0 && len(t.failedRuns) == 0 && !t.isSuspect()
 }
--- a/shard/place.go
+++ b/shard/place.go
@@ -275,6 +275,7 @@
 		weight += weightRemoteData
 	}
 	weight += suspectWeight(w, t)
+	weight += w.coldWeight(spec, t)
 	if spec.Filler || spec.TailTarget > 0 {
 		weight += weightInterference * float64(s.countInterfering(w, spec.Filler))
 	}
--- a/shard/registration.go
+++ b/shard/registration.go
@@ -44,6 +44,7 @@
 		w.reg = reg
 		w.listed = true
 		w.updateDrainEnd(now)
+		w.updateCold(now)
 	}
 	for id, w := range s.workers {
 		if !seen[id] && w.listed {
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -138,6 +138,12 @@
 	// drainEndsAt is the earliest end of a draining worker; zero for any other worker.
 	drainEndsAt time.Time
 
+	// coldUntil is until when the incarnation that began at coldBorn is slow from its start; cold
+	// says whether it was at the beginning of Next.
+	coldUntil time.Time
+	coldBorn  time.Time
+	cold      bool
+
 	// listed says that the newest list contains the worker. unlistedAt is since when no list has
 	// contained it.
 	listed     bool
@@ -330,6 +336,7 @@
 func (s *Shard) updateUsable(now time.Time) {
 	s.usable = s.usable[:0]
 	for _, w := range s.workers {
+		w.cold = now.Before(w.coldUntil)
 		if s.isUsable(w, now) {
 			s.usable = append(s.usable, w)
 		}
