Quotas held, used and asked for are metrics

Nothing but the log told whether a quota keeps tasks waiting. Each entry shows lemonstream_quota_held, _used and _asked by service and organisation as parts of the organisation's limit, for the services that it owns, updated once a second and at most 50 organisations a service.

Tested: TestServicesShareAnOrganisationsQuota reads them; owner -run Quota.

--- a/owner/duty.go
+++ b/owner/duty.go
@@ -111,6 +111,9 @@
 	published sync.Map
 	pending   atomic.Pointer[map[string]int]
 
+	// quotaStates holds what the service has of the organisations' limits.
+	quotaStates atomic.Pointer[[]QuotaState]
+
 	// zones holds what runs in evacuated zones, as of the last round of the loop.
 	zones atomic.Pointer[[]shard.ZoneRuns]
 
--- a/owner/quotas.go
+++ b/owner/quotas.go
@@ -55,6 +55,9 @@
 
 	readAt  time.Time
 	writeAt time.Time
+
+	// publishedAt is when the states for the metrics were last updated.
+	publishedAt time.Time
 }
 
 // quotaRow is the ledger of one organisation and the version of its row, 0 if there is none.
@@ -212,6 +215,7 @@
 		return
 	}
 	usages := d.core.Usages()
+	d.publishQuotas(usages, current, now)
 	q := d.quotas
 	if !q.reading && (!q.loaded || (anyWaiting(usages) && now.Sub(q.readAt) >= quotaReadInterval)) {
 		d.readQuotas(ctx, now)
--- a/owner/quotas_test.go
+++ b/owner/quotas_test.go
@@ -116,7 +116,7 @@
 			"other": other,
 		})
 		writeJobs(rows, 2*limitTasks)
-		newEntryWith(t, "a", rows.Table(), alive("a"), func(deps owner.Deps, name string) owner.Deps {
+		e := newEntryWith(t, "a", rows.Table(), alive("a"), func(deps owner.Deps, name string) owner.Deps {
 			deps = h.deps(deps, name)
 			deps.Catalog = limitedCatalog
 			return deps
@@ -131,5 +131,13 @@
 		until(t, "the share that the other service returns is used", func() bool { return h.running() == 9 })
 		time.Sleep(2 * time.Second)
 		is.Equal(h.running(), 9)
+		// The metrics tell that the quota, and not a lack of room, keeps tasks waiting.
+		is.Equal(e.keeper.QuotaStates(), []owner.QuotaState{{
+			Service:      "s",
+			Organisation: organisation,
+			Held:         quota.Whole * 9 / 10,
+			Used:         quota.Whole * 9 / 10,
+			Asked:        2 * quota.Whole,
+		}})
 	})
 }
--- a/scheduler/operator.go
+++ b/scheduler/operator.go
@@ -4,7 +4,6 @@
 	"context"
 	"strings"
 
-	"lemonstream.dev/lemonstream/figures"
 	"lemonstream.dev/lemonstream/outside"
 	"lemonstream.dev/lemonstream/platform"
 )
@@ -48,18 +47,6 @@
 	d.catalog.Offer(next)
 }
 
-// evacuatedRuns returns how many runs of the services that this entry owns are in evacuated zones.
-func (d *Daemon) evacuatedRuns() []figures.Sample {
-	var samples []figures.Sample
-	for _, zone := range d.keeper.EvacuatedZones() {
-		samples = append(samples, figures.Sample{
-			Labels: [2]string{zone.Zone, zone.Service},
-			Value:  float64(zone.Runs),
-		})
-	}
-	return samples
-}
-
 // takeEvacuation takes in one row. One that can't be read evacuates nothing.
 func (d *Daemon) takeEvacuation(row outside.Row) {
 	zone := strings.TrimPrefix(row.Key.Name, platform.PrefixEvacuations)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -182,7 +182,7 @@
 	registry := owner.NewRegistry(d.followed, d.clock, platform.TableWorkers, platform.DecodeRegistration, log)
 	registry.Count = d.figures.Count
 	d.keeper = owner.NewKeeper(d.deps(registry, peers), self, d.roster.Members, peers.Ping)
-	d.figures.LabelledGauge("evacuated_runs", [2]string{"zone", "service"}, d.evacuatedRuns)
+	d.showOwned()
 	d.group.Go("registrations", registry.Run)
 	d.servePeers(listener, self)
 	d.serveReadiness()
