Organisations may share room by their weights

The weight of an organisation had no effect: room went to the most urgent work. With -organisation-weights (off by default) organisations with waiting work of the same priority and remaining value take turns by deficit round robin: a round raises what each may start by 200 ms of a worker times its weight, and a start lowers it by the work of the task.

--- a/owner/duty.go
+++ b/owner/duty.go
@@ -55,6 +55,9 @@
 	Registry *Registry
 	Options  shard.Options
 
+	// OrganisationWeights says that organisations share room by their weights.
+	OrganisationWeights bool
+
 	// Admits reports whether a caller may see and cancel a job. If it is nil, the catalog decides.
 	Admits func(caller catalog.Caller, of catalog.JobOwner) bool
 
@@ -210,6 +213,12 @@
 		found, ok := deps.Catalog().Route(route)
 		return found.Policy, ok
 	}
+	if deps.OrganisationWeights {
+		options.Weight = func(organisation string) float64 {
+			found, _ := deps.Catalog().Organisation(organisation)
+			return found.Weight
+		}
+	}
 	options.Quota = func(organisation string) (shard.Quota, bool) {
 		return d.quotas.quotaFor(organisation, deps.Catalog())
 	}
--- a/scheduler/options.go
+++ b/scheduler/options.go
@@ -13,6 +13,9 @@
 type Options struct {
 	// MoveCost is what a move of an instance costs; see pool.Options.
 	MoveCost time.Duration
+
+	// OrganisationWeights says that organisations with waiting work share room by their weights.
+	OrganisationWeights bool
 }
 
 // OptionError reports an option that can't be used.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -215,8 +215,11 @@
 		},
 		ListMembers: d.roster.Read,
 		MoveCost:    d.options.MoveCost,
-		Advice:      platform.NewAdvice(d.settings.Advice, d.figures.Link),
-		Instances:   platform.NewInstances(d.settings.Instances, d.figures.Link),
+
+		OrganisationWeights: d.options.OrganisationWeights,
+
+		Advice:    platform.NewAdvice(d.settings.Advice, d.figures.Link),
+		Instances: platform.NewInstances(d.settings.Instances, d.figures.Link),
 		Waves: owner.WaveSource{
 			Waves:     d.listWaves,
 			StatusKey: platform.WaveStatusKey,
--- a/shard/gang.go
+++ b/shard/gang.go
@@ -59,6 +59,7 @@
 			step.tasks[index].checkpoint = checkpoint
 			s.startRun(g.job, step.tasks[index], spec, g.task(index), w, number, now)
 		}
+		s.chargeStart(g, len(chosen))
 		return
 	}
 	s.reserveForGang(g, step, spec, now)
--- a/shard/place.go
+++ b/shard/place.go
@@ -157,6 +157,7 @@
 			return full
 		}
 		s.start(g.job, step.tasks[index], spec, id, w, now)
+		s.chargeStart(g, 1)
 		choices.started = append(choices.started, w)
 	}
 	return full
@@ -211,6 +212,7 @@
 	sort.Slice(list, func(a, b int) bool {
 		return list[a].less(list[b])
 	})
+	s.share(list)
 	return list
 }
 
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -74,6 +74,10 @@
 	// limit. If it is nil, there are no limits.
 	Quota func(organisation string) (Quota, bool)
 
+	// Weight returns the weight of an organisation, by which organisations with waiting work share
+	// room. If it is nil, room goes to the most urgent work, whoever it belongs to.
+	Weight func(organisation string) float64
+
 	// Foreign reports whether a job that is submitted under the ID of a known job belongs to another
 	// organisation. If it is nil, none does.
 	Foreign func(submitted Record, known catalog.JobOwner) bool
@@ -259,6 +263,9 @@
 	maxInstances int
 	survey       survey
 
+	// fairness divides room between organisations.
+	fairness fairness
+
 	// evacuated holds the evacuated zones in which the service has workers, as of the last search.
 	// nextEvacuationAt is when the next search is due.
 	evacuated        map[string]*evacuatedZone
--- a/shard/world_owner_test.go
+++ b/shard/world_owner_test.go
@@ -139,6 +139,7 @@
 		Starts:        w.starts,
 		Evacuated:     w.isEvacuated,
 		Quota:         w.quotaOf(w.epoch),
+		Weight:        w.weight,
 		Policy:        func(string) (catalog.Policy, bool) { return catalog.Policy{}, false },
 		LogEvent: func(event string, fields ...any) {
 			if w.logEvent != nil {
--- a/shard/world_test.go
+++ b/shard/world_test.go
@@ -113,6 +113,9 @@
 	// to; nil if jobs belong to no organisation.
 	quota *worldQuota
 
+	// weight returns the weights of organisations; nil for none.
+	weight func(organisation string) float64
+
 	// used holds the rows of workers that may have runs. handover is the handover that the
 	// owner's last transaction wrote.
 	used     map[string]bool
