--- a/shard/evacuation_move_test.go
+++ b/shard/evacuation_move_test.go
@@ -85,6 +85,18 @@
 			w.run(2 * time.Second)
 			w.storeDown = false
 		}},
+		"store down when set": {[]string{"r2"}, func(w *evacuationWorld) {
+			// The owner learns of the evacuation once it can read the store again.
+			w.storeDown = true
+			w.evacuations.hidden = true
+			w.run(2 * time.Second)
+			w.storeDown = false
+			w.evacuations.hidden = false
+		}},
+		"store down when taken back": {[]string{"r2"}, func(w *evacuationWorld) {
+			w.after(19*time.Second, func() { w.storeDown = true })
+			w.after(21*time.Second, func() { w.storeDown = false })
+		}},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
