A cancellation never ends another organisation's job

The final state of a job that was cancelled before its record was written removed any record under its ID, also that of another organisation's job that an entry had written and the owner had not read yet. It is written on condition that there is no record now; if there is one, the owner takes up that job. A foreign final state in the standby partition ends no job. A submission under a foreign ID no longer counts as a failure of the store with the entry's circuit breaker.

--- a/intake/accept.go
+++ b/intake/accept.go
@@ -68,11 +68,18 @@
 	if s.Slow() && !isNotOwner(atOwner) {
 		return "", fmt.Errorf("the store is slow, and at the owner: %w", atOwner)
 	}
+	var answer error
 	err = s.Breakers.Try(r.ctx, "writing to "+r.route.Service, func(ctx context.Context) error {
-		return s.write(ctx, r.route.Service, record, *uncertain)
+		err := s.write(ctx, r.route.Service, record, *uncertain)
+		if isAnswer(err) {
+			// The store works: other writes must not wait.
+			answer = err
+			return nil
+		}
+		return err
 	})
 	if err == nil {
-		return writerEntry, nil
+		return writerEntry, answer
 	}
 	*uncertain = *uncertain || outside.IsUncertain(err)
 	return "", fmt.Errorf("at the owner: %w; at this entry: %w", atOwner, err)
--- a/owner/commit.go
+++ b/owner/commit.go
@@ -161,6 +161,9 @@
 // addProgressRow adds the progress row of a job and removes the rows that it makes redundant.
 func (d *Duty) addProgressRow(rows *rowChanges, write shard.Write) {
 	key := ProgressKey(d.service, write.ID)
+	if write.RequireNoRecord {
+		rows.creates = append(rows.creates, IntakeKey(d.service, write.ID))
+	}
 	if write.RemoveProgress {
 		rows.removes = append(rows.removes, key)
 		return
--- a/shard/batch.go
+++ b/shard/batch.go
@@ -9,8 +9,8 @@
 
 const (
 	// entriesPerProgress is the maximum number of transaction entries for one progress row:
-	// the row itself, the removal of the job's record, and the removal of the request for
-	// its cancellation.
+	// the row itself, the removal of the job's record or the condition that there is none, and
+	// the removal of the request for its cancellation.
 	entriesPerProgress = 3
 
 	// entriesPerRecord is the number of transaction entries for one record: the record
@@ -67,6 +67,11 @@
 	RemoveRecord        bool
 	RemoveCancelRequest bool
 
+	// RequireNoRecord says that the write requires that the job has no record. Without it the
+	// final state of a job that was cancelled before it was written would end another
+	// organisation's job that an entry has written under the same ID.
+	RequireNoRecord bool
+
 	// RemoveProgress says that the progress row is removed instead of written.
 	RemoveProgress bool
 }
@@ -197,13 +202,20 @@
 		b.Writes = append(b.Writes, Write{
 			ID:                  id,
 			Progress:            j.progress(),
-			RemoveRecord:        j.state.Final(),
+			RemoveRecord:        j.state.Final() && !j.needsNoRecord(),
+			RequireNoRecord:     j.needsNoRecord(),
 			RemoveCancelRequest: j.state.Final() && j.cancelRow,
 		})
 	}
 	return len(ids)
 }
 
+// needsNoRecord reports whether the job has ended before its record was written, so that a record
+// under its ID may be that of another organisation's job.
+func (j *jobState) needsNoRecord() bool {
+	return j.state.Final() && j.unwritten && j.record.Organisation != ""
+}
+
 // addRemoved moves the removal of progress rows of forgotten jobs into a batch.
 func (s *Shard) addRemoved(b *Batch, most int) {
 	for n := 0; n < most && len(s.removedJobs) > 0; n++ {
@@ -295,6 +307,10 @@
 		s.submitted = append(s.submitted, j)
 	}
 	for _, w := range b.Writes {
+		j := s.jobs[w.ID]
+		if e, found := stand[w.ID]; found && w.RequireNoRecord && j != nil && j.unwritten {
+			s.adoptExisting(j, e, now)
+		}
 		if j := s.jobs[w.ID]; j != nil && !w.RemoveProgress {
 			s.dirty[w.ID] = j
 		} else if w.RemoveProgress {
--- a/shard/standby.go
+++ b/shard/standby.go
@@ -94,6 +94,15 @@
 		s.dirty[id] = s.jobs[id]
 		return
 	}
+	ended := Record{
+		ID:           id,
+		Route:        progress.Route,
+		Organisation: progress.Organisation,
+	}
+	if s.isForeign(ended, j.record.Owner()) {
+		// The job that ended was cancelled before it was written.
+		return
+	}
 	j.offeredStandby = true
 	if j.state.Final() {
 		return
--- a/shard/world_owner_test.go
+++ b/shard/world_owner_test.go
@@ -140,7 +140,10 @@
 		Evacuated:     w.isEvacuated,
 		Quota:         w.quotaOf(w.epoch),
 		Weight:        w.weight,
-		Policy:        func(string) (catalog.Policy, bool) { return catalog.Policy{}, false },
+		Foreign: func(submitted shard.Record, known catalog.JobOwner) bool {
+			return w.comparesOrganisations && submitted.Organisation != known.Organisation
+		},
+		Policy: func(string) (catalog.Policy, bool) { return catalog.Policy{}, false },
 		LogEvent: func(event string, fields ...any) {
 			if w.logEvent != nil {
 				w.logEvent(event, fields...)
--- a/shard/world_rows_test.go
+++ b/shard/world_rows_test.go
@@ -116,6 +116,11 @@
 	for _, one := range b.Refused {
 		absent = append(absent, one.ID)
 	}
+	for _, one := range b.Writes {
+		if one.RequireNoRecord {
+			absent = append(absent, one.ID)
+		}
+	}
 	for _, id := range absent {
 		if stored, found := w.records[id]; found {
 			existing = append(existing, shard.Existing{
--- a/shard/world_test.go
+++ b/shard/world_test.go
@@ -113,6 +113,9 @@
 	// to; nil if jobs belong to no organisation.
 	quota *worldQuota
 
+	// comparesOrganisations says that owners compare the organisations of jobs.
+	comparesOrganisations bool
+
 	// weight returns the weights of organisations; nil for none.
 	weight func(organisation string) float64
 
