--- a/owner/answers.go
+++ b/owner/answers.go
@@ -9,6 +9,12 @@
 	"lemonstream.dev/lemonstream/shard"
 )
 
+// publishedJob is the state of a job that callers may see, and whose job it is.
+type publishedJob struct {
+	state job.State
+	owner catalog.JobOwner
+}
+
 // Offer queues an accepted job for the loop of the duty.
 func (d *Duty) Offer(record shard.Record, version int64, first bool) error {
 	return d.push(func(d *Duty, now time.Time) {
--- a/owner/duty.go
+++ b/owner/duty.go
@@ -162,12 +162,6 @@
 	cancel context.CancelFunc
 }
 
-// publishedJob is the state of a job that callers may see, and whose job it is.
-type publishedJob struct {
-	state job.State
-	owner catalog.JobOwner
-}
-
 // event is a function that the loop runs, so that it may access the shard.
 type event func(d *Duty, now time.Time)
 
