--- a/cmd/lemonsched/runcmd.go
+++ b/cmd/lemonsched/runcmd.go
@@ -29,6 +29,8 @@
 		"the share of a service's workers, 0 to 0.5, that may be out of use at one time because they fail what they start; 0 switches it off")
 	probeAfter := flags.Duration("probe-after", outlier.DefaultProbeAfter,
 		"how long after that a worker gets a first task to prove itself")
+	weights := flags.Bool("organisation-weights", false,
+		"divide room between organisations with waiting work by their weights, among work of the same priority")
 	return &ffcli.Command{
 		Name:       "lemonsched",
 		ShortUsage: "lemonsched [flags]",
@@ -42,6 +44,8 @@
 				OutageTimeout: *outageTimeout,
 				EjectShare:    *ejectShare,
 				ProbeAfter:    *probeAfter,
+
+				OrganisationWeights: *weights,
 			})
 		},
 	}
--- a/intake/accept.go
+++ b/intake/accept.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"lemonstream.dev/lemonstream/backlog"
+	"lemonstream.dev/lemonstream/catalog"
 	"lemonstream.dev/lemonstream/clock"
 	"lemonstream.dev/lemonstream/outside"
 	"lemonstream.dev/lemonstream/owner"
@@ -47,6 +48,12 @@
 			return
 		}
 		o.queue.end(attempt, resultOf(r, writer, err))
+		var foreign *owner.ForeignError
+		if errors.As(err, &foreign) {
+			s.countOffer(o, offerRefused)
+			s.deny(r, record)
+			return
+		}
 		if err == nil {
 			s.countOffer(o, offerAccepted)
 			s.accepted(r, record, writer, catalogVersion)
@@ -79,9 +86,8 @@
 	if atOwner == nil {
 		return writerOwner, nil
 	}
-	var away *owner.RefusedError
-	if errors.As(atOwner, &away) {
-		return "", away
+	if isAnswer(atOwner) {
+		return "", atOwner
 	}
 	o.uncertain = o.uncertain || mayBeTaken(atOwner)
 	if s.Slow() && !isNotOwner(atOwner) {
@@ -90,11 +96,18 @@
 	if !s.Clock.Now().Before(o.writeUntil) {
 		return "", fmt.Errorf("too late for a write, and at the owner: %w", atOwner)
 	}
+	var answer error
 	err = s.Breakers.Try(r.ctx, "writing to "+r.route.Service, func(ctx context.Context) error {
-		return s.write(ctx, r.route.Service, record, o.uncertain)
+		err := s.write(ctx, r.route.Service, record, o.uncertain)
+		if isAnswer(err) {
+			// The store works: other writes must not wait.
+			answer = err
+			return nil
+		}
+		return err
 	})
 	if err == nil {
-		return writerEntry, nil
+		return writerEntry, answer
 	}
 	o.uncertain = o.uncertain || outside.IsUncertain(err)
 	return "", fmt.Errorf("at the owner: %w; at this entry: %w", atOwner, err)
@@ -115,6 +128,14 @@
 	r.String(http.StatusTooManyRequests, "too much to do; the job was not taken\n")
 }
 
+// deny tells a caller that its job was not taken, because its ID is that of another organisation's
+// job.
+func (s *Server) deny(r *request, record shard.Record) {
+	s.Log.Info("job refused", "job", record.ID, "route", record.Route, "reason", "the ID is that of another organisation's job", "organisation", record.Organisation)
+	s.Figures.Count("job_access_denied", r.Request.Method)
+	r.String(http.StatusConflict, "the id is in use; the job was not taken\n")
+}
+
 // write writes the record of a job itself, which needs no owner, and tells the
 // owner. A record that stands already is a success; known says that it may be an
 // earlier try of this very request that wrote it.
@@ -136,6 +157,10 @@
 	}
 	var conflict *outside.ConflictError
 	switch {
+	case s.isForeign(record, err):
+		return &owner.ForeignError{
+			Job: record.ID,
+		}
 	case err == nil:
 		s.tell(service, record, receipt.Version)
 	case errors.As(err, &conflict) && !recordIn(conflict):
@@ -169,6 +194,43 @@
 	return outside.Row{}, false
 }
 
+// isForeign reports whether the rows that stood in the way of a record are those of another
+// organisation's job.
+func (s *Server) isForeign(record shard.Record, err error) bool {
+	var conflict *outside.ConflictError
+	if !errors.As(err, &conflict) {
+		return false
+	}
+	route, _ := s.Catalog().Route(record.Route)
+	caller := catalog.Caller{
+		Organisation: record.Organisation,
+		Public:       route.Public,
+	}
+	for _, row := range conflict.Rows {
+		if of, known := jobOwnerIn(row); known && !s.admits(caller, of) {
+			return true
+		}
+	}
+	return false
+}
+
+// jobOwnerIn returns whose job a row belongs to; false where the row does not tell.
+func jobOwnerIn(row outside.Row) (catalog.JobOwner, bool) {
+	if row.Version == 0 {
+		return catalog.JobOwner{}, false
+	}
+	switch row.Key.Table {
+	case owner.ProgressKey("", "").Table:
+		progress, err := shard.DecodeProgress(row.Value)
+		return progress.Owner(), err == nil
+	case owner.RefusedKey("", "").Table:
+		return catalog.JobOwner{}, false
+	default:
+		of, err := shard.DecodeJobOwner(row.Value)
+		return of, err == nil
+	}
+}
+
 // recordIn reports whether a job was known already: its record or its progress stands.
 func recordIn(conflict *outside.ConflictError) bool {
 	refused := owner.RefusedKey("", "").Table
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -119,6 +119,9 @@
 	// the caller's deadline.
 	OfferTime time.Duration
 
+	// Admits reports whether a caller may see and cancel a job. If it is nil, the catalog decides.
+	Admits func(caller catalog.Caller, of catalog.JobOwner) bool
+
 	looks  ownerLooks
 	offers offers
 	reads  readPace
--- a/owner/duty.go
+++ b/owner/duty.go
@@ -57,6 +57,12 @@
 	Registry *Registry
 	Options  shard.Options
 
+	// OrganisationWeights says that organisations share room by their weights.
+	OrganisationWeights bool
+
+	// Admits reports whether a caller may see and cancel a job. If it is nil, the catalog decides.
+	Admits func(caller catalog.Caller, of catalog.JobOwner) bool
+
 	// ListMembers reads the current list of entries. It may or may not include this one.
 	ListMembers func(ctx context.Context) ([]Member, error)
 
@@ -117,10 +123,16 @@
 	core   *shard.Shard
 	events *ring.Ring[event]
 
-	// published maps a job ID to the job state that callers may see.
+	// published maps a job ID to the publishedJob that callers may see.
 	published sync.Map
 	pending   atomic.Pointer[map[string]int]
 
+	// quotaStates holds what the service has of the organisations' limits.
+	quotaStates atomic.Pointer[[]QuotaState]
+
+	// zones holds what runs in evacuated zones, as of the last round of the loop.
+	zones atomic.Pointer[[]shard.ZoneRuns]
+
 	standby standby
 
 	// standbyRead is set once this owner knows everything in the standby partition.
@@ -191,12 +203,29 @@
 			d.published.Delete(id)
 			return
 		}
-		d.published.Store(id, state)
+		of, _ := d.core.JobOwner(id)
+		d.published.Store(id, publishedJob{
+			state: state,
+			owner: of,
+		})
+	}
+	options.Foreign = func(submitted shard.Record, known catalog.JobOwner) bool {
+		route, _ := deps.Catalog().Route(submitted.Route)
+		return !d.admits(catalog.Caller{
+			Organisation: submitted.Organisation,
+			Public:       route.Public,
+		}, known)
 	}
 	options.Policy = func(route string) (catalog.Policy, bool) {
 		found, ok := deps.Catalog().Route(route)
 		return found.Policy, ok
 	}
+	if deps.OrganisationWeights {
+		options.Weight = func(organisation string) float64 {
+			found, _ := deps.Catalog().Organisation(organisation)
+			return found.Weight
+		}
+	}
 	options.Quota = func(organisation string) (shard.Quota, bool) {
 		return d.quotas.quotaFor(organisation, deps.Catalog())
 	}
@@ -291,7 +320,7 @@
 		if d.retryAt.After(now) && d.retryAt.Before(next) {
 			next = d.retryAt
 		}
-		d.publishPending()
+		d.publishState()
 		took := d.deps.Clock.Now().Sub(now)
 		pause = min(maxLoopPause, max(minLoopPause, loopPauseFactor*took))
 		timer.Reset(max(time.Millisecond, next.Sub(now)))
@@ -327,10 +356,12 @@
 	}
 }
 
-func (d *Duty) publishPending() {
+func (d *Duty) publishState() {
 	counts := d.core.Pending()
 	d.pending.Store(&counts)
 	d.setFigure(figureEjected, float64(d.core.Ejected()))
+	zones := d.core.EvacuatedZones()
+	d.zones.Store(&zones)
 }
 
 // sendOrders sends each order in a goroutine of its own; the answer comes back as an event.
--- /dev/null
+++ b/scheduler/gauges.go
@@ -0,0 +1,58 @@
+package scheduler
+
+import (
+	"lemonstream.dev/lemonstream/figures"
+	"lemonstream.dev/lemonstream/owner"
+	"lemonstream.dev/lemonstream/quota"
+)
+
+// showOwned adds the gauges of the services that this entry owns.
+func (d *Daemon) showOwned() {
+	d.figures.LabelledGauge("write_age_ms", []string{"part"}, d.writeAges)
+	d.figures.LabelledGauge("evacuated_runs", []string{"zone", "service"}, d.evacuatedRuns)
+	for name, of := range map[string]func(owner.QuotaState) quota.Share{
+		"quota_held":  func(state owner.QuotaState) quota.Share { return state.Held },
+		"quota_used":  func(state owner.QuotaState) quota.Share { return state.Used },
+		"quota_asked": func(state owner.QuotaState) quota.Share { return state.Asked },
+	} {
+		d.figures.LabelledGauge(name, []string{"service", "organisation"}, func() []figures.Sample {
+			return d.quotaShares(of)
+		})
+	}
+}
+
+// evacuatedRuns returns how many runs of the services that this entry owns are in evacuated zones.
+func (d *Daemon) evacuatedRuns() []figures.Sample {
+	var samples []figures.Sample
+	for _, zone := range d.keeper.EvacuatedZones() {
+		samples = append(samples, figures.Sample{
+			Labels: []string{zone.Zone, zone.Service},
+			Value:  float64(zone.Runs),
+		})
+	}
+	return samples
+}
+
+// writeAges returns the time since the last write of each part that this entry owns, in milliseconds.
+func (d *Daemon) writeAges() []figures.Sample {
+	var samples []figures.Sample
+	for part, age := range d.keeper.WriteAges() {
+		samples = append(samples, figures.Sample{
+			Labels: []string{part},
+			Value:  age,
+		})
+	}
+	return samples
+}
+
+// quotaShares returns one figure of the quota states as a part of the organisation's limit.
+func (d *Daemon) quotaShares(of func(owner.QuotaState) quota.Share) []figures.Sample {
+	var samples []figures.Sample
+	for _, state := range d.keeper.QuotaStates() {
+		samples = append(samples, figures.Sample{
+			Labels: []string{state.Service, state.Organisation},
+			Value:  float64(of(state)) / float64(quota.Whole),
+		})
+	}
+	return samples
+}
--- a/scheduler/options.go
+++ b/scheduler/options.go
@@ -37,6 +37,9 @@
 
 	// ProbeAfter is the time from the ejection of a worker to its first probe.
 	ProbeAfter time.Duration
+
+	// OrganisationWeights says that organisations with waiting work share room by their weights.
+	OrganisationWeights bool
 }
 
 // OptionError reports an option that can't be used.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -183,7 +183,7 @@
 	registry := owner.NewRegistry(d.followed, d.clock, platform.TableWorkers, platform.DecodeRegistration, log)
 	registry.Count = d.figures.Count
 	d.keeper = owner.NewKeeper(d.deps(registry, peers), self, d.roster.Members, peers.Ping)
-	d.figures.GaugeBy("write_age_ms", "part", d.keeper.WriteAges)
+	d.showOwned()
 	d.group.Go("registrations", registry.Run)
 	d.servePeers(listener, self)
 	d.serveReadiness()
@@ -218,8 +218,11 @@
 		},
 		ListMembers: d.roster.Read,
 		MoveCost:    d.options.MoveCost,
-		Advice:      platform.NewAdvice(d.settings.Advice, d.figures.Link),
-		Instances:   platform.NewInstances(d.settings.Instances, d.figures.Link),
+
+		OrganisationWeights: d.options.OrganisationWeights,
+
+		Advice:    platform.NewAdvice(d.settings.Advice, d.figures.Link),
+		Instances: platform.NewInstances(d.settings.Instances, d.figures.Link),
 		Waves: owner.WaveSource{
 			Waves:     d.listWaves,
 			StatusKey: platform.WaveStatusKey,
--- a/shard/batch.go
+++ b/shard/batch.go
@@ -9,8 +9,8 @@
 
 const (
 	// entriesPerProgress is the maximum number of transaction entries for one progress row:
-	// the row itself, the removal of the job's record, and the removal of the request for
-	// its cancellation.
+	// the row itself, the removal of the job's record or the condition that there is none, and
+	// the removal of the request for its cancellation.
 	entriesPerProgress = 3
 
 	// entriesPerRecord is the number of transaction entries for one record: the record
@@ -67,6 +67,11 @@
 	RemoveRecord        bool
 	RemoveCancelRequest bool
 
+	// RequireNoRecord says that the write requires that the job has no record. Without it the
+	// final state of a job that was cancelled before it was written would end another
+	// organisation's job that an entry has written under the same ID.
+	RequireNoRecord bool
+
 	// RemoveProgress says that the progress row is removed instead of written.
 	RemoveProgress bool
 }
@@ -81,11 +86,15 @@
 	// time. RetryAfter is how long the caller waits before it submits the job again.
 	Refused    bool
 	RetryAfter time.Duration
+
+	// Foreign says that the ID is that of another organisation's job.
+	Foreign bool
 }
 
 // Submit submits a job to this owner. It calls done once the job's record is stored, or once the
 // job is certainly not accepted. No task of the job starts before the record is stored.
 func (s *Shard) Submit(record Record, now time.Time, done func(SubmitResult)) {
+	done = s.unlessForeign(record, done)
 	j, known := s.jobs[record.ID]
 	if !known {
 		if s.answerIfRefused(record, now, done) {
@@ -193,13 +202,20 @@
 		b.Writes = append(b.Writes, Write{
 			ID:                  id,
 			Progress:            j.progress(),
-			RemoveRecord:        j.state.Final(),
+			RemoveRecord:        j.state.Final() && !j.needsNoRecord(),
+			RequireNoRecord:     j.needsNoRecord(),
 			RemoveCancelRequest: j.state.Final() && j.cancelRow,
 		})
 	}
 	return len(ids)
 }
 
+// needsNoRecord reports whether the job has ended before its record was written, so that a record
+// under its ID may be that of another organisation's job.
+func (j *jobState) needsNoRecord() bool {
+	return j.state.Final() && j.unwritten && j.record.Organisation != ""
+}
+
 // addRemoved moves the removal of progress rows of forgotten jobs into a batch.
 func (s *Shard) addRemoved(b *Batch, most int) {
 	for n := 0; n < most && len(s.removedJobs) > 0; n++ {
@@ -291,6 +307,10 @@
 		s.submitted = append(s.submitted, j)
 	}
 	for _, w := range b.Writes {
+		j := s.jobs[w.ID]
+		if e, found := stand[w.ID]; found && w.RequireNoRecord && j != nil && j.unwritten {
+			s.adoptExisting(j, e, now)
+		}
 		if j := s.jobs[w.ID]; j != nil && !w.RemoveProgress {
 			s.dirty[w.ID] = j
 		} else if w.RemoveProgress {
@@ -302,21 +322,34 @@
 // adoptExisting replaces a submitted job by the one whose record another entry has stored. A
 // previous owner may know of that job.
 func (s *Shard) adoptExisting(j *jobState, e Existing, now time.Time) {
-	if j.state.Final() {
+	foreign := s.isForeign(j.record, e.Record.Owner())
+	if j.state.Final() && !foreign {
 		// The job was cancelled meanwhile; the write of its final state removes the record.
 		j.unwritten = false
 		j.answerSubmitters(true)
 		return
 	}
-	waiting := j.submitWaiters
-	s.addPending(j, -1)
+	if j.state.Final() {
+		// Its final state must not be written under the ID of the other organisation's job.
+		delete(s.dirty, j.record.ID)
+	} else {
+		s.addPending(j, -1)
+	}
 	delete(s.jobs, j.record.ID)
 	s.Accept(e.Record, e.Version, false, now)
-	s.jobs[j.record.ID].cancelWaiters = append(s.jobs[j.record.ID].cancelWaiters, j.cancelWaiters...)
-	for _, done := range waiting {
-		done(SubmitResult{
-			Accepted: true,
-		})
+	s.replaceSubmitted(j, s.jobs[j.record.ID], foreign)
+}
+
+// replaceSubmitted answers those who wait for a submitted job in whose place a stored one was taken
+// up. A cancellation of the submitted job applies to the stored one unless that is foreign.
+func (s *Shard) replaceSubmitted(submitted, stored *jobState, foreign bool) {
+	submitted.answerSubmitters(true)
+	if !foreign {
+		stored.cancelWaiters = append(stored.cancelWaiters, submitted.cancelWaiters...)
+		return
+	}
+	for _, done := range submitted.cancelWaiters {
+		done()
 	}
 }
 
--- a/shard/place.go
+++ b/shard/place.go
@@ -166,6 +166,7 @@
 			return full
 		}
 		s.start(g.job, step.tasks[index], spec, id, w, now)
+		s.chargeStart(g, 1)
 		choices.started = append(choices.started, w)
 	}
 	return full
@@ -220,6 +221,7 @@
 	sort.Slice(list, func(a, b int) bool {
 		return list[a].less(list[b])
 	})
+	s.share(list)
 	return list
 }
 
@@ -282,6 +284,7 @@
 		weight += weightRemoteData
 	}
 	weight += suspectWeight(w, t)
+	weight += w.coldWeight(spec, t)
 	if spec.Filler || spec.TailTarget > 0 {
 		weight += weightInterference * float64(s.countInterfering(w, spec.Filler))
 	}
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -75,6 +75,14 @@
 	// limit. If it is nil, there are no limits.
 	Quota func(organisation string) (Quota, bool)
 
+	// Weight returns the weight of an organisation, by which organisations with waiting work share
+	// room. If it is nil, room goes to the most urgent work, whoever it belongs to.
+	Weight func(organisation string) float64
+
+	// Foreign reports whether a job that is submitted under the ID of a known job belongs to another
+	// organisation. If it is nil, none does.
+	Foreign func(submitted Record, known catalog.JobOwner) bool
+
 	// Evacuated reports whether nothing may start in an availability zone. If it is nil, no zone is
 	// evacuated.
 	Evacuated func(zone string) bool
@@ -272,6 +280,14 @@
 	maxInstances int
 	survey       survey
 
+	// fairness divides room between organisations.
+	fairness fairness
+
+	// evacuated holds the evacuated zones in which the service has workers, as of the last search.
+	// nextEvacuationAt is when the next search is due.
+	evacuated        map[string]*evacuatedZone
+	nextEvacuationAt time.Time
+
 	// waitLoggedAt is when the reason why a task waits was last logged.
 	waitLoggedAt time.Time
 
@@ -393,6 +409,7 @@
 	s.updateUsable(now)
 	s.addDueOccurrences(now)
 	s.moveOffDraining(now)
+	s.moveOutOfZones(now)
 	s.logUnobserved(now)
 	s.place(now)
 	s.speculate(now)
--- a/shard/standby.go
+++ b/shard/standby.go
@@ -71,11 +71,15 @@
 	s.addPending(submitted, -1)
 	delete(s.jobs, record.ID)
 	delete(s.waiting, record.ID)
+	foreign := s.isForeign(submitted.record, record.Owner())
+	if foreign && !s.deferredCancels[record.ID] {
+		// The cancellation was one of the submitted job.
+		delete(s.deferredCancels, record.ID)
+	}
 	if err := s.Restore(record, progress, now); err != nil {
 		return err
 	}
-	s.jobs[record.ID].cancelWaiters = append(s.jobs[record.ID].cancelWaiters, submitted.cancelWaiters...)
-	submitted.answerSubmitters(true)
+	s.replaceSubmitted(submitted, s.jobs[record.ID], foreign)
 	return nil
 }
 
@@ -90,6 +94,15 @@
 		s.dirty[id] = s.jobs[id]
 		return
 	}
+	ended := Record{
+		ID:           id,
+		Route:        progress.Route,
+		Organisation: progress.Organisation,
+	}
+	if s.isForeign(ended, j.record.Owner()) {
+		// The job that ended was cancelled before it was written.
+		return
+	}
 	j.offeredStandby = true
 	if j.state.Final() {
 		return
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -142,6 +142,12 @@
 	// drainEndsAt is the earliest end of a draining worker; zero for any other worker.
 	drainEndsAt time.Time
 
+	// coldUntil is until when the incarnation that began at coldBorn is slow from its start; cold
+	// says whether it was at the beginning of Next.
+	coldUntil time.Time
+	coldBorn  time.Time
+	cold      bool
+
 	// listed says that the newest list contains the worker. unlistedAt is since when no list has
 	// contained it.
 	listed     bool
@@ -327,7 +333,7 @@
 }
 
 // isEvacuated reports whether nothing may start on a worker because the operator has evacuated its
-// availability zone. Existing runs go on.
+// availability zone. Existing runs go on; moveOutOfZones moves long-running ones.
 func (s *Shard) isEvacuated(w *workerState) bool {
 	return s.opts.Evacuated != nil && s.opts.Evacuated(w.reg.Zone)
 }
@@ -338,6 +344,7 @@
 	s.anyProven = false
 	for _, w := range s.workers {
 		w.proven = w.health.IsProven(now)
+		w.cold = now.Before(w.coldUntil)
 		if s.isUsable(w, now) {
 			s.usable = append(s.usable, w)
 			s.anyProven = s.anyProven || w.proven
--- a/shard/world_owner_test.go
+++ b/shard/world_owner_test.go
@@ -144,7 +144,11 @@
 
 		EstimateFaults: w.estimateFaults,
 		Quota:          w.quotaOf(w.epoch),
-		Policy:         func(string) (catalog.Policy, bool) { return catalog.Policy{}, false },
+		Weight:         w.weight,
+		Foreign: func(submitted shard.Record, known catalog.JobOwner) bool {
+			return w.comparesOrganisations && submitted.Organisation != known.Organisation
+		},
+		Policy: func(string) (catalog.Policy, bool) { return catalog.Policy{}, false },
 		LogEvent: func(event string, fields ...any) {
 			if w.logEvent != nil {
 				w.logEvent(event, fields...)
