Demand of refused jobs counts in the load of a service

While an owner can't write it refuses jobs and recorded nothing of them, so no capacity was ordered for the work that comes back with the store.

--- a/owner/commit.go
+++ b/owner/commit.go
@@ -26,11 +26,11 @@
 // not passed. An idle owner only writes its heartbeat.
 func (d *Duty) commit(ctx context.Context, now time.Time) {
 	if d.tenure.failing() {
-		d.core.DropPendingRefusals()
+		d.core.DropPendingRefusals(now)
 	}
 	if d.committing || now.Before(d.retryAt) {
 		if d.tenure.failing() && !d.standby.usable() {
-			d.core.RefuseSubmitted()
+			d.core.RefuseSubmitted(now)
 		}
 		return
 	}
@@ -86,7 +86,7 @@
 		d.core.UndoBatch(batch, nil, now)
 		d.retryAt = now.Add(commitRetryInterval)
 		if !d.standby.usable() {
-			d.core.RefuseSubmitted()
+			d.core.RefuseSubmitted(now)
 		}
 		return true
 	}
--- a/owner/duty.go
+++ b/owner/duty.go
@@ -108,6 +108,9 @@
 	published sync.Map
 	pending   atomic.Pointer[map[string]int]
 
+	// refusedJobs is the number of jobs whose refused demand counts in the load.
+	refusedJobs atomic.Int64
+
 	standby standby
 
 	// standbyRead is set once this owner knows everything in the standby partition.
@@ -279,6 +282,7 @@
 			next = d.retryAt
 		}
 		d.publishPending()
+		d.refusedJobs.Store(int64(d.core.RefusedJobs(now)))
 		took := d.deps.Clock.Now().Sub(now)
 		pause = min(maxLoopPause, max(minLoopPause, loopPauseFactor*took))
 		timer.Reset(max(time.Millisecond, next.Sub(now)))
--- a/owner/queries.go
+++ b/owner/queries.go
@@ -42,6 +42,20 @@
 	return list, len(k.held) > 0
 }
 
+// RefusedJobs returns the number of jobs that the services of this entry refused because they could
+// not write, and whose demand still counts.
+func (k *Keeper) RefusedJobs() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	sum := 0
+	for _, h := range k.held {
+		if h.duty != nil {
+			sum += int(h.duty.refusedJobs.Load())
+		}
+	}
+	return sum
+}
+
 // InstancesOwner returns the peer address of the owner of the instances; false if this entry is
 // the owner or none is known.
 func (k *Keeper) InstancesOwner() (netip.AddrPort, bool) {
--- a/owner/standby.go
+++ b/owner/standby.go
@@ -224,7 +224,7 @@
 	d.transactStandby(ctx, rows, func(done bool, at time.Time) {
 		if !done {
 			d.core.UndoStandby(batch)
-			d.core.RefuseSubmitted()
+			d.core.RefuseSubmitted(at)
 			return
 		}
 		d.core.StandbyWritten(batch, at)
--- a/owner/submit.go
+++ b/owner/submit.go
@@ -138,6 +138,7 @@
 				err:   d.notServing("it hands the service over"),
 			}
 		case d.tenure.failing() && !d.standby.usable():
+			d.core.NoteRefused(record, now)
 			sub.outcomes <- outcome{
 				index: i,
 				err:   refused,
@@ -193,7 +194,7 @@
 // transaction were certainly not accepted.
 func (d *Duty) end() {
 	d.ended = true
-	d.core.RefuseSubmitted()
+	d.core.RefuseSubmitted(d.deps.Clock.Now())
 	close(d.done)
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -182,6 +182,7 @@
 	registry := owner.NewRegistry(d.followed, d.clock, platform.TableWorkers, platform.DecodeRegistration, log)
 	registry.Count = d.figures.Count
 	d.keeper = owner.NewKeeper(d.deps(registry, peers), self, d.roster.Members, peers.Ping)
+	d.figures.Gauge("refused_demand_jobs", func() float64 { return float64(d.keeper.RefusedJobs()) })
 	d.group.Go("registrations", registry.Run)
 	d.servePeers(listener, self)
 	d.serveReadiness()
--- a/shard/batch.go
+++ b/shard/batch.go
@@ -99,6 +99,7 @@
 	}
 	switch {
 	case !known && len(s.submitted) >= MaxSubmitted:
+		s.NoteRefused(record, now)
 		done(SubmitResult{})
 	case !known:
 		j = s.addJob(record)
@@ -116,8 +117,9 @@
 }
 
 // RefuseSubmitted rejects the submitted jobs whose record is in no batch, because the store
-// accepts no writes at the moment. It keeps jobs that were offered to the standby partition.
-func (s *Shard) RefuseSubmitted() {
+// accepts no writes at the moment, and notes their demand. It keeps jobs that were offered to the
+// standby partition.
+func (s *Shard) RefuseSubmitted(now time.Time) {
 	var offered []*jobState
 	for _, j := range s.submitted {
 		if j.offeredStandby {
@@ -126,10 +128,11 @@
 		}
 		s.addPending(j, -1)
 		delete(s.jobs, j.record.ID)
+		s.NoteRefused(j.record, now)
 		j.answerSubmitters(false)
 	}
 	s.submitted = offered
-	s.DropPendingRefusals()
+	s.DropPendingRefusals(now)
 }
 
 // NextBatch returns the next batch to write, with at most the given number of entries; false means
--- a/shard/batch_test.go
+++ b/shard/batch_test.go
@@ -51,7 +51,7 @@
 	w.submitToOwner("a", step(1))
 	w.run(50 * time.Millisecond) // The write of the record has no answer yet.
 	w.submitToOwner("b", step(1))
-	w.core.RefuseSubmitted()
+	w.core.RefuseSubmitted(w.now)
 	taken, answered := w.taken["b"]
 	is.True(answered && !taken)
 	_, answered = w.taken["a"]
--- a/shard/jobs.go
+++ b/shard/jobs.go
@@ -57,6 +57,7 @@
 	if _, known := s.jobs[id]; known {
 		return
 	}
+	s.refusedDemand.Forget(id)
 	s.jobs[id] = &jobState{
 		record: Record{
 			ID:    id,
@@ -85,6 +86,7 @@
 
 // schedule makes the due occurrences of a job ready to start, or finishes the job if none remains.
 func (s *Shard) schedule(j *jobState, now time.Time) {
+	s.refusedDemand.Forget(j.record.ID)
 	if j.record.Spec.Repeats > 0 {
 		s.repeating[j.record.ID] = j
 		s.addDueOccurrences(now)
--- a/shard/load.go
+++ b/shard/load.go
@@ -224,6 +224,7 @@
 			s.addWaiting(j, &load, now)
 		}
 	}
+	s.refusedDemand.addTo(&load, now)
 	return load
 }
 
--- a/shard/refuse.go
+++ b/shard/refuse.go
@@ -68,6 +68,7 @@
 // refusing is a job whose refusal is decided but whose row is not stored yet.
 type refusing struct {
 	id          string
+	record      Record
 	firstMillis int64
 	retryAfter  time.Duration
 	done        []func(SubmitResult)
@@ -107,6 +108,7 @@
 		"survey_age_ms", now.Sub(s.survey.computedAt).Milliseconds(), "come_back_ms", verdict.RetryAfter.Milliseconds())
 	r := &refusing{
 		id:          record.ID,
+		record:      record,
 		firstMillis: s.firstReadMillis(record),
 		retryAfter:  verdict.RetryAfter,
 		done:        []func(SubmitResult){done},
@@ -185,6 +187,7 @@
 func (s *Shard) confirmRefusals(b Batch, now time.Time) {
 	for _, r := range b.Refused {
 		s.RestoreRefusal(r.ID, r.Refusal)
+		s.refusedDemand.Forget(r.ID)
 		s.answerPending(r.pending, SubmitResult{
 			Refused:    r.isAnswerable(now),
 			RetryAfter: r.pending.retryAfter,
@@ -212,9 +215,11 @@
 }
 
 // DropPendingRefusals answers the pending refusals that no batch holds, because the store takes no
-// writes. The jobs were not accepted, but the answer is no refusal, as no row is stored.
-func (s *Shard) DropPendingRefusals() {
+// writes. The jobs were not accepted, but the answer is no refusal, as no row is stored. Their
+// demand is noted.
+func (s *Shard) DropPendingRefusals(now time.Time) {
 	for _, r := range s.refusing {
+		s.NoteRefused(r.record, now)
 		s.answerPending(r, SubmitResult{})
 	}
 	s.refusing = nil
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -250,6 +250,9 @@
 	storedRefusals    map[string]Refusal
 	refusalOrder      []string
 
+	// refusedDemand holds the demand of jobs that this owner refused because it could not write.
+	refusedDemand RefusedDemand
+
 	// maxInstances is how many instances the service could have; survey estimates the work that
 	// waits.
 	maxInstances int
