Rounds of the instance controller go on while the store is away

A heartbeat that could not be written blocked the list, the loads and the plan. The controller now has one transaction under way at a time and sends what it announces once it is applied. While it can't be, sleeping instances are ordered after every witness has promised on a request that names them.

--- a/owner/duty.go
+++ b/owner/duty.go
@@ -64,6 +64,11 @@
 	// MoveCost is the cost of moving an instance; see pool.Options.
 	MoveCost time.Duration
 
+	// OrderInOutage lets the instance controller order sleeping instances while its heartbeat
+	// can't be written. Promises replaces the promises that it needs for that, in tests.
+	OrderInOutage bool
+	Promises      Promises
+
 	// Instances and Waves are used by the instance controller only.
 	Instances outside.Instances
 	Waves     WaveSource
--- a/owner/fleet.go
+++ b/owner/fleet.go
@@ -95,10 +95,14 @@
 
 	completed bool
 
-	// written reports whether the stored row is up to date. shown reports whether the
-	// operator's table shows that the wave is in progress.
+	// written reports whether the stored row, or the one being written, is up to date. shown
+	// reports whether the operator's table shows the stored state.
 	written bool
 	shown   bool
+
+	// stored says that a row is stored, and storedCompleted that it shows the wave as completed.
+	stored          bool
+	storedCompleted bool
 }
 
 // instanceController moves instances between pools and takes them down for maintenance.
@@ -122,10 +126,27 @@
 	loadsRequestedAt time.Time
 
 	// fences holds the fencing token of each service owner that reported its load.
-	// releasedWorkers holds the workers whose instances are about to be ordered on the basis
-	// of those loads.
-	fences          map[string]int64
-	releasedWorkers []ReleasedRow
+	fences map[string]int64
+
+	// writing is the transaction whose result is not known yet; nil if there is none. publishing
+	// receives the results of writing the states of waves; nil if none is written.
+	writing    *fleetWrite
+	publishing chan []publishedWave
+
+	// announced maps the instances that the last applied row announces, and that were not ordered
+	// since, to their workers.
+	announced map[string]string
+
+	// unnamed holds the instances that were ordered without a write and that no applied row names
+	// yet. All of them are in lastOrders.
+	unnamed map[string]bool
+
+	// sleepingPools holds the pools whose instances are off.
+	sleepingPools map[string]bool
+
+	// mayAct and informWitnesses are those of the tenure, except in tests.
+	mayAct          func(base time.Duration) bool
+	informWitnesses func(ctx context.Context, instances []string) error
 
 	// maxInstances is how many instances each service could have, by the last plan.
 	maxInstances map[string]int
@@ -176,11 +197,20 @@
 		ended:         make(map[string]map[string]time.Time),
 		loggedTargets: make(map[string]int),
 		lastOrders:    make(map[string]time.Time),
+		unnamed:       make(map[string]bool),
 		stop:          make(chan struct{}),
 		released:      make(chan struct{}),
 
 		orderedAt: now,
 	}
+	f.mayAct = f.tenure.mayAct
+	f.informWitnesses = f.tenure.informWitnesses
+	if deps.Promises.MayAct != nil {
+		f.mayAct = deps.Promises.MayAct
+	}
+	if deps.Promises.Inform != nil {
+		f.informWitnesses = deps.Promises.Inform
+	}
 	f.restoreTaken(won.before.Taken, now)
 	f.noOrdersUntil = now.Add(staleOrderMargin)
 	if inherited := time.Duration(won.before.UnobservedMillis) * time.Millisecond; inherited > 0 {
@@ -207,6 +237,8 @@
 
 // run runs the controller until ctx ends, or until ownership is released or lost.
 func (f *instanceController) run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	if err := f.loadWaves(ctx); err != nil {
 		return err
 	}
@@ -220,7 +252,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-f.stop:
-			err := f.write(ctx, true)
+			err := f.writeRelease(ctx)
 			close(f.released)
 			return err
 		case <-f.deps.Clock.After(controlInterval):
@@ -241,8 +273,15 @@
 	}
 }
 
-// reconcile observes the fleet, computes a plan and sends its orders once.
+// reconcile observes the fleet, computes a plan and sends its orders once. It goes on while the
+// heartbeat can't be written: then only sleeping instances are ordered, see informed.
 func (f *instanceController) reconcile(ctx context.Context) error {
+	if err := f.pollWrite(); err != nil {
+		return err
+	}
+	if err := f.checkLost(); err != nil {
+		return err
+	}
 	f.updateWaves()
 	now := f.deps.Clock.Now()
 	// The last orders of the previous controller are visible only in a list that is read
@@ -261,23 +300,30 @@
 	view := pool.View{
 		Services:  f.collectLoads(ctx),
 		Instances: f.instances,
-		Waves:     f.openWaves(),
 		Now:       f.deps.Clock.Now(),
 		Evacuated: f.deps.Options.Evacuated,
 	}
+	away := f.isStoreAway()
+	view.SleepingFirst = away && f.deps.OrderInOutage
+	if f.tenure.age() <= maxOrderWriteAge {
+		// Maintenance waits for the store, so no worker is closed for it meanwhile.
+		view.Waves = f.openWaves()
+	}
 	if view.Now.Sub(f.listed) < maxListAgeIntervals*f.listInterval() {
 		plan := f.sizer.Plan(view)
 		f.closed = plan.Closed
 		f.maxInstances = plan.MaxInstances
 		f.logTargets(view, plan)
 		if view.Now.After(f.noOrdersUntil) && f.listed.After(f.noOrdersUntil) {
-			if err := f.sendOrders(ctx, plan); err != nil {
+			if err := f.sendOrders(ctx, plan, away); err != nil {
 				return err
 			}
 		}
 	}
 	f.completeWaves()
-	return f.write(ctx, false)
+	f.writeIfDue(ctx)
+	f.publishWaves(ctx)
+	return nil
 }
 
 // listInterval returns the time between two reads of the instance list.
@@ -309,8 +355,10 @@
 func (f *instanceController) collectLoads(ctx context.Context) []pool.Service {
 	configured := f.deps.Catalog().Services
 	list := make([]pool.Service, len(configured))
+	f.sleepingPools = make(map[string]bool)
 	var all sync.WaitGroup
 	for i, service := range configured {
+		f.sleepingPools[service.Name] = service.Asleep
 		list[i] = pool.Service{
 			Name:   service.Name,
 			Asleep: service.Asleep,
--- a/owner/orders.go
+++ b/owner/orders.go
@@ -5,7 +5,6 @@
 	"errors"
 	"maps"
 	"slices"
-	"sort"
 	"sync"
 	"time"
 
@@ -13,87 +12,128 @@
 	"lemonstream.dev/lemonstream/pool"
 )
 
-// announce writes which instances are about to be ordered, so that a successor leaves only these
-// alone for a while.
-func (f *instanceController) announce(ctx context.Context, instances []string) error {
-	now := f.deps.Clock.Now()
-	for _, instance := range instances {
-		f.lastOrders[instance] = now
-	}
-	return f.confirmOwnership(ctx, nil, false)
-}
-
-// recentOrders returns the instances that were recently ordered, for the successor.
-func (f *instanceController) recentOrders() []string {
-	list := make([]string, 0, len(f.lastOrders))
-	for instance := range f.lastOrders {
-		list = append(list, instance)
-	}
-	sort.Strings(list)
-	return list
-}
-
 // instanceOrder is one order of a plan and its result.
 type instanceOrder struct {
 	instance, from, to string
 	worker             outside.Incarnation
 	wave               int64
 	err                error
+
+	// unwritten says that the order is sent although no row names it.
+	unwritten bool
 }
 
-// sendOrders sends the orders of a plan concurrently and handles their results.
-func (f *instanceController) sendOrders(ctx context.Context, plan pool.Plan) error {
+// sendOrders sends the orders of a plan that may be sent now. Each has to be named by a row first;
+// without one, see informed. While the store is away, orders that can't be sent must not take the
+// place of those that can.
+func (f *instanceController) sendOrders(ctx context.Context, plan pool.Plan, away bool) error {
 	orders := ordersOf(plan)
-	orders = orders[:min(len(orders), f.maxOrders())]
+	if away {
+		orders = slices.DeleteFunc(orders, func(o instanceOrder) bool { return !f.isAnnounced(o) && !f.isAsleep(o) })
+	}
+	orders = f.limitOrders(orders)
 	if len(orders) == 0 {
 		return nil
 	}
-	f.orderedAt = f.deps.Clock.Now()
-	announced := make([]string, 0, len(orders))
-	f.releasedWorkers = nil
+	if err := f.announce(ctx, orders); err != nil {
+		return err
+	}
+	var written, rest []instanceOrder
 	for _, o := range orders {
-		announced = append(announced, o.instance)
-		if o.worker.Worker != "" {
-			f.releasedWorkers = append(f.releasedWorkers, ReleasedRow{
-				Service: o.from,
-				Worker:  o.worker.Worker,
-			})
+		if f.isAnnounced(o) {
+			written = append(written, o)
+		} else {
+			rest = append(rest, o)
 		}
 	}
-	if err := f.announce(ctx, announced); err != nil {
+	unwritten := f.informed(ctx, rest)
+	// The transaction may have shown meanwhile that there is another owner.
+	if err := f.pollWrite(); err != nil {
 		return err
 	}
-	orders = f.dropOutdated(ctx, orders)
+	f.dispatch(ctx, append(f.dropOutdated(ctx, written), unwritten...))
+	return nil
+}
+
+// announce writes which instances are about to be ordered, so that a successor leaves only these
+// alone for a while. It waits for the result at most for announceWait, and not at all for a
+// transaction that has taken longer already.
+func (f *instanceController) announce(ctx context.Context, orders []instanceOrder) error {
+	if !slices.ContainsFunc(orders, func(o instanceOrder) bool { return !f.isAnnounced(o) }) {
+		return nil
+	}
+	began := f.deps.Clock.Now()
+	if f.writing != nil {
+		if err := f.awaitWrite(ctx, f.writing.builtAt.Add(announceWait).Sub(began)); err != nil {
+			return err
+		}
+	}
+	if f.writing != nil {
+		return nil
+	}
+	f.startWrite(ctx, orders, false)
+	return f.awaitWrite(ctx, began.Add(announceWait).Sub(f.deps.Clock.Now()))
+}
+
+// isAnnounced reports whether the last applied row names the order.
+func (f *instanceController) isAnnounced(o instanceOrder) bool {
+	worker, found := f.announced[o.instance]
+	return found && worker == o.worker.Worker
+}
+
+// dispatch sends orders concurrently and handles their results.
+func (f *instanceController) dispatch(ctx context.Context, orders []instanceOrder) {
+	if len(orders) == 0 {
+		return
+	}
+	f.orderedAt = f.deps.Clock.Now()
 	var all sync.WaitGroup
 	for i := range orders {
 		o := &orders[i]
+		f.lastOrders[o.instance] = f.orderedAt
+		delete(f.announced, o.instance)
 		all.Add(1)
 		f.deps.Group.Go("instance order", func(context.Context) error {
 			defer all.Done()
-			o.err = f.sendOrder(ctx, o.instance, o.to, o.wave)
+			o.err = f.sendOrder(ctx, *o)
 			return nil
 		})
 	}
 	all.Wait()
-	f.releasedWorkers = nil
 	for _, o := range orders {
 		f.handleResult(o)
 	}
-	return nil
 }
 
-// maxOrders returns how many orders may be sent now: as many as the platform accepts in the time
-// since the last orders (one second at most), and no more than the heartbeat row can list. That
-// time is measured because a round takes longer in a larger fleet.
-func (f *instanceController) maxOrders() int {
+// limitOrders returns the first orders of a list, as many as may be sent now: as many as the
+// platform accepts in the time since the last orders (one second at most), and no more than the
+// heartbeat row can list. That time is measured because a round takes longer in a larger fleet.
+func (f *instanceController) limitOrders(orders []instanceOrder) []instanceOrder {
 	now := f.deps.Clock.Now()
-	maps.DeleteFunc(f.lastOrders, func(_ string, at time.Time) bool { return now.Sub(at) > f.deps.Site.HolderPause+maxOrderWriteAge })
+	maps.DeleteFunc(f.lastOrders, func(instance string, at time.Time) bool {
+		return !f.unnamed[instance] && now.Sub(at) > f.deps.Site.HolderPause+maxOrderWriteAge
+	})
 	since := min(orderRateWindow, max(controlInterval, now.Sub(f.orderedAt)))
 	most := max(1, int(f.deps.Site.InstanceCalls*since.Seconds()))
-	if f.deps.Site.RowBytes <= 0 {
-		return most
+	room := most
+	if f.deps.Site.RowBytes > 0 {
+		room = int(maxOrderedShare*float64(f.deps.Site.RowBytes))/orderedEntryBytes - len(f.lastOrders)
 	}
-	return max(0, min(most, int(maxOrderedShare*float64(f.deps.Site.RowBytes))/orderedEntryBytes-len(f.lastOrders)))
+	var list []instanceOrder
+	for _, o := range orders {
+		_, listed := f.lastOrders[o.instance]
+		switch {
+		case len(list) >= most:
+			return list
+		case listed:
+		case room <= 0:
+			continue
+		default:
+			room--
+		}
+		list = append(list, o)
+	}
+	return list
 }
 
 // ordersOf returns the orders of a plan.
@@ -157,18 +197,24 @@
 	return o.Epoch == fence
 }
 
-// sendOrder sends one order. It fails if the last write is older than maxOrderWriteAge.
-func (f *instanceController) sendOrder(ctx context.Context, instance, to string, wave int64) error {
-	if age := f.tenure.age(); age > maxOrderWriteAge {
+// sendOrder sends one order. It fails if the last write is older than maxOrderWriteAge, unless the
+// instance sleeps and the witnesses have promised not to claim the instances. An order for an
+// instance with a worker depends on rows, which witnesses do not replace.
+func (f *instanceController) sendOrder(ctx context.Context, o instanceOrder) error {
+	allowed := f.tenure.age() <= maxOrderWriteAge
+	if o.wave == 0 && o.worker.Worker == "" {
+		allowed = f.mayAct(maxOrderWriteAge)
+	}
+	if !allowed {
 		return &LostError{
 			Part:   partInstances,
-			Reason: "the last write is " + age.String() + " old",
+			Reason: "the last write is " + f.tenure.age().String() + " old",
 		}
 	}
-	if wave > 0 {
-		return f.deps.Instances.Maintain(ctx, instance, wave, f.deps.Holder, f.tenure.epoch)
+	if o.wave > 0 {
+		return f.deps.Instances.Maintain(ctx, o.instance, o.wave, f.deps.Holder, f.tenure.epoch)
 	}
-	return f.deps.Instances.Move(ctx, instance, to, f.deps.Holder, f.tenure.epoch)
+	return f.deps.Instances.Move(ctx, o.instance, o.to, f.deps.Holder, f.tenure.epoch)
 }
 
 // handleResult handles the result of an order.
@@ -177,6 +223,10 @@
 	var refused *outside.InstanceRefusedError
 	var notDone *outside.NotDoneError
 	var lost *LostError
+	if o.unwritten && !errors.As(o.err, &lost) {
+		f.unnamed[o.instance] = true
+		f.deps.Count(countOrders, outcomeUnwritten)
+	}
 	switch {
 	case o.err == nil:
 		f.deps.Log.Info("instance ordered", "instance", o.instance, "worker", o.worker.String(), "from", o.from, "to", o.to, "wave", o.wave,
--- a/owner/waves.go
+++ b/owner/waves.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"strconv"
 
 	"github.com/fxamacker/cbor/v2"
@@ -31,6 +30,9 @@
 		state := &waveState{
 			completed: stored.Completed,
 			written:   true,
+
+			stored:          true,
+			storedCompleted: stored.Completed,
 		}
 		state.Seen = clock.FromMillis(stored.SeenMillis)
 		state.Done = make(map[string]bool)
@@ -91,70 +93,75 @@
 	}
 }
 
-// write writes the waves that have changed, or only the heartbeat when that is due. It then
-// publishes the waves to the operator in separate transactions, because those rows belong to
-// another part.
-func (f *instanceController) write(ctx context.Context, release bool) error {
-	now := f.deps.Clock.Now()
-	var puts []outside.Put
-	var unpublished []*waveState
-	for number, state := range f.waves {
-		if state.Number == 0 || (state.written && state.shown) {
-			continue
-		}
-		unpublished = append(unpublished, state)
-		if !state.written {
-			puts = append(puts, state.put(number))
-			state.written = true
+// setStored records that the row of a wave was written, with the given state.
+func (w *waveState) setStored(completed bool) {
+	w.shown = w.shown && w.stored && w.storedCompleted == completed
+	w.stored = true
+	w.storedCompleted = completed
+}
+
+// publishedWave is the state of a wave as it was written to the operator's table; err is nil if it
+// was.
+type publishedWave struct {
+	state     *waveState
+	completed bool
+	err       error
+}
+
+// publishWaves writes the state of stored waves to the operator's table, in separate transactions
+// because those rows belong to another part. They run beside the rounds, one group at a time: the
+// store may be away.
+func (f *instanceController) publishWaves(ctx context.Context) {
+	if f.publishing != nil {
+		select {
+		case list := <-f.publishing:
+			f.publishing = nil
+			f.handlePublished(list)
+		default:
+			return
 		}
 	}
-	if len(puts) > 0 || release || now.Sub(f.tenure.lastWrite) >= beatInterval {
-		if err := f.confirmOwnership(ctx, puts, release); err != nil {
-			return err
+	var list []publishedWave
+	for _, state := range f.waves {
+		if state.Number > 0 && state.stored && !state.shown {
+			list = append(list, publishedWave{
+				state:     state,
+				completed: state.storedCompleted,
+			})
 		}
 	}
-	f.publishWaves(ctx, unpublished)
-	return nil
-}
-
-// confirmOwnership writes rows together with the heartbeat. If it succeeds, this entry still
-// owned the instances when the transaction was applied.
-func (f *instanceController) confirmOwnership(ctx context.Context, puts []outside.Put, release bool) error {
-	now := f.deps.Clock.Now()
-	beat := Beat{
-		Ordered:          f.recentOrders(),
-		Taken:            f.takenRows(now),
-		ReleasedWorkers:  f.releasedWorkers,
-		UnobservedMillis: max(0, ceilMillis(f.blockedUntil.Sub(now))),
+	if len(list) == 0 {
+		return
 	}
-	bounded, cancel := context.WithTimeout(ctx, ownerTimeout)
-	defer cancel()
-	version, err := f.tenure.write(bounded, f.tenure.transaction(beat, rowChanges{
-		puts: puts,
-	}, release))
-	if err != nil {
-		return fmt.Errorf("writing the heartbeat of the instance controller: %w", err)
+	puts := make([]outside.Put, len(list))
+	for i, w := range list {
+		puts[i] = outside.Put{
+			Key:   f.deps.Waves.StatusKey(w.state.Number),
+			Value: f.deps.Waves.Status(w.completed),
+		}
 	}
-	f.tenure.beatVersion = version
-	f.tenure.recordWrite(now)
-	return nil
+	result := make(chan []publishedWave, 1)
+	f.publishing = result
+	f.deps.Group.Go("states of waves", func(context.Context) error {
+		for i := range list {
+			_, list[i].err = f.deps.Table.Transact(ctx, outside.Transaction{
+				Puts: puts[i : i+1],
+			})
+		}
+		result <- list
+		return nil
+	})
 }
 
-// publishWaves writes the state of waves to the operator's table.
-func (f *instanceController) publishWaves(ctx context.Context, list []*waveState) {
-	for _, state := range list {
-		_, err := f.deps.Table.Transact(ctx, outside.Transaction{
-			Puts: []outside.Put{{
-				Key:   f.deps.Waves.StatusKey(state.Number),
-				Value: f.deps.Waves.Status(state.completed),
-			}},
-		})
-		if err != nil {
-			f.deps.Log.Warn("failed to publish the state of a wave", "wave", state.Number, "error", err.Error())
-			state.shown = false
+// handlePublished handles the results of writing the states of waves. A state that has changed
+// meanwhile is written again.
+func (f *instanceController) handlePublished(list []publishedWave) {
+	for _, w := range list {
+		if w.err != nil {
+			f.deps.Log.Warn("failed to publish the state of a wave", "wave", w.state.Number, "error", w.err.Error())
 			continue
 		}
-		state.shown = true
+		w.state.shown = w.state.storedCompleted == w.completed
 	}
 }
 
--- a/pool/offer.go
+++ b/pool/offer.go
@@ -42,6 +42,11 @@
 
 // next returns the candidate whose move costs the least, or nil if none is left.
 func (c *candidates) next() *instanceState {
+	if c.round.view.SleepingFirst {
+		if sp := c.firstUsable(&c.sleeping, func(*instanceState) bool { return true }); sp != nil {
+			return sp
+		}
+	}
 	if sp := c.firstUsable(&c.leaving, func(sp *instanceState) bool { return c.canSpare(sp) && c.hasTooMany(sp) }); sp != nil {
 		return sp
 	}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -96,6 +96,10 @@
 	Instances []outside.Instance
 	Waves     []*Wave
 
+	// SleepingFirst says that only sleeping instances can be ordered at the moment. They are taken
+	// before empty instances of other services, which would stay where they are.
+	SleepingFirst bool
+
 	// Evacuated reports whether an availability zone is evacuated, so that nothing may start
 	// there. If nil, no availability zone is evacuated.
 	Evacuated func(zone string) bool
