--- a/cmd/lemonsched/runcmd.go
+++ b/cmd/lemonsched/runcmd.go
@@ -18,6 +18,8 @@
 	flags := flag.NewFlagSet("lemonsched", flag.ContinueOnError)
 	moveCost := flags.Duration("move-cost", pool.DefaultMoveCost,
 		"what a move of an instance costs: the time for which an idle one may be held awake for the same")
+	outageOrders := flags.Bool("outage-orders", true,
+		"whether sleeping instances are ordered, and refused jobs counted as demand, while the store is away")
 	return &ffcli.Command{
 		Name:       "lemonsched",
 		ShortUsage: "lemonsched [flags]",
@@ -26,7 +28,8 @@
 		Options:    []ff.Option{ff.WithEnvVarPrefix(optionsPrefix)},
 		Exec: func(ctx context.Context, _ []string) error {
 			return scheduler.Run(ctx, scheduler.Options{
-				MoveCost: *moveCost,
+				MoveCost:     *moveCost,
+				OutageOrders: *outageOrders,
 			})
 		},
 	}
--- a/pool/transfer_test.go
+++ b/pool/transfer_test.go
@@ -53,3 +53,28 @@
 	}
 	is.True(woken >= 6)
 }
+
+// TestOnlySleepingInstancesCoverShortage covers a store outage, in which no instance with a worker
+// can be ordered. Planned moves of empty instances then counted as capacity, and none was woken.
+func TestOnlySleepingInstancesCoverShortage(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(map[string]int{
+		"a":    20,
+		"b":    3,
+		asleep: 40,
+	})
+	f.view.SleepingFirst = true
+	f.plan()
+	f.plan() // Instances that a does not need are closed by now.
+	f.service("b").Load.Used = cpu(48)
+	f.service("b").Load.Waiting = cpu(80)
+	plan := f.plan()
+	woken := 0
+	for _, move := range plan.Moves {
+		if move.To == "b" {
+			is.Equal(move.From, asleep)
+			woken++
+		}
+	}
+	is.Equal(woken, plan.Targets["b"]-3)
+}
--- a/scheduler/options.go
+++ b/scheduler/options.go
@@ -13,6 +13,10 @@
 type Options struct {
 	// MoveCost is what a move of an instance costs; see pool.Options.
 	MoveCost time.Duration
+
+	// OutageOrders lets sleeping instances be ordered while the store is away, and counts the
+	// demand of jobs that are refused meanwhile.
+	OutageOrders bool
 }
 
 // OptionError reports an option that can't be used.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -212,11 +212,16 @@
 			RemoteFactor: d.settings.RemoteFactor,
 			Starts:       link.StartBudget(d.settings.LinkBits),
 			Evacuated:    d.evacuations.Has,
+
+			IgnoreRefused: !d.options.OutageOrders,
 		},
 		ListMembers: d.roster.Read,
 		MoveCost:    d.options.MoveCost,
-		Advice:      platform.NewAdvice(d.settings.Advice, d.figures.Link),
-		Instances:   platform.NewInstances(d.settings.Instances, d.figures.Link),
+
+		OrderInOutage: d.options.OutageOrders,
+
+		Advice:    platform.NewAdvice(d.settings.Advice, d.figures.Link),
+		Instances: platform.NewInstances(d.settings.Instances, d.figures.Link),
 		Waves: owner.WaveSource{
 			Waves:     d.listWaves,
 			StatusKey: platform.WaveStatusKey,
--- a/shard/refuseddemand.go
+++ b/shard/refuseddemand.go
@@ -141,7 +141,7 @@
 // in Load until the job is accepted or no longer offered. A job that exceeds its organisation's
 // quota can't run whatever capacity there is, and a repeating job that is not due needs none yet.
 func (s *Shard) NoteRefused(record Record, now time.Time) {
-	if _, known := s.jobs[record.ID]; known || s.exceedsQuota(record) {
+	if _, known := s.jobs[record.ID]; known || s.opts.IgnoreRefused || s.exceedsQuota(record) {
 		return
 	}
 	if record.Spec.Repeats > 0 && now.Before(record.Spec.Due(0)) {
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -81,6 +81,10 @@
 	// Starts bounds the bytes of orders to start tasks; nil means no bound.
 	Starts *link.Budget
 
+	// IgnoreRefused says that the demand of jobs that were refused because this owner can't write
+	// does not count in Load.
+	IgnoreRefused bool
+
 	// RejectsOverload says that workers refuse tasks that do not fit.
 	RejectsOverload bool
 
