Guards of orders in an outage are tried on and off

The drawn outages run with the witnesses told and not told, and a scenario with and without the limit of the promises. Both are held with the guard and violated without it (-race).

--- a/internal/prove/prove.go
+++ b/internal/prove/prove.go
@@ -37,12 +37,16 @@
 	Configuration = "configuration"
 	CrashLimit    = "crash-limit"
 	Evacuation    = "evacuation"
-	Leaving       = "leaving"
-	NotRun        = "not-run"
-	OnePool       = "one-pool"
-	PlannedStop   = "planned-stop"
-	Quota         = "quota"
-	WholeAnswer   = "whole-answer"
+
+	// InstanceOrders is that of the platform's rule ONE.
+	InstanceOrders = "instance-orders"
+
+	Leaving     = "leaving"
+	NotRun      = "not-run"
+	OnePool     = "one-pool"
+	PlannedStop = "planned-stop"
+	Quota       = "quota"
+	WholeAnswer = "whole-answer"
 )
 
 // recorder notes whether a property failed instead of failing a test.
--- a/owner/outageorders_test.go
+++ b/owner/outageorders_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -17,6 +18,7 @@
 	"pgregory.net/rapid"
 
 	"lemonstream.dev/lemonstream/catalog"
+	"lemonstream.dev/lemonstream/internal/prove"
 	"lemonstream.dev/lemonstream/internal/standin"
 	"lemonstream.dev/lemonstream/job"
 	"lemonstream.dev/lemonstream/outside"
@@ -54,6 +56,10 @@
 	uncertain atomic.Bool
 	rounds    atomic.Int64
 
+	// act and tell are the promises as the controller gets them. A test may replace either.
+	act  func(base time.Duration) bool
+	tell func(ctx context.Context, instances []string) error
+
 	mu         sync.Mutex
 	instances  map[string]*outside.Instance
 	demand     int
@@ -73,6 +79,7 @@
 		informed:  make(map[string]bool),
 		closed:    make(map[string]bool),
 	}
+	f.act, f.tell = f.mayAct, f.inform
 	for i := range 30 {
 		m := &outside.Instance{
 			ID:    fmt.Sprintf("m%02d", i),
@@ -244,8 +251,8 @@
 	deps.Holder = name
 	deps.OrderInOutage = true
 	deps.Promises = owner.Promises{
-		MayAct: f.mayAct,
-		Inform: f.inform,
+		MayAct: f.act,
+		Inform: f.tell,
 	}
 	deps.Count = func(_, outcome string) {
 		if outcome == "noted_late" {
@@ -341,33 +348,61 @@
 // orders without an answer. No order may be sent that neither the row nor every witness knows, nor
 // one for an instance whose worker is not released.
 func TestOrdersKeepTheirRulesInOutages(t *testing.T) {
-	rapid.Check(t, func(rt *rapid.T) {
-		steps := rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) [4]int {
-			return [4]int{
-				rapid.IntRange(0, 3).Draw(rt, "store"),
-				rapid.IntRange(0, 25).Draw(rt, "demand"),
-				rapid.IntRange(1, 30).Draw(rt, "tenths"),
-				rapid.IntRange(0, 3).Draw(rt, "answers"),
+	prove.Guard(t, prove.InstanceOrders, "witnesses-know-the-order", func(on bool) func(*rapid.T) {
+		return func(rt *rapid.T) {
+			steps := rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) [4]int {
+				return [4]int{
+					rapid.IntRange(0, 3).Draw(rt, "store"),
+					rapid.IntRange(0, 25).Draw(rt, "demand"),
+					rapid.IntRange(1, 30).Draw(rt, "tenths"),
+					rapid.IntRange(0, 3).Draw(rt, "answers"),
+				}
+			}), 4, 12).Draw(rt, "steps")
+			violations := play(t, steps, func(f *turnFleet) {
+				if !on {
+					f.tell = func(context.Context, []string) error { return nil }
+				}
+			})
+			if violations != nil {
+				rt.Fatalf("%v", violations)
 			}
-		}), 4, 12).Draw(rt, "steps")
-		var violations []string
-		synctest.Test(t, func(t *testing.T) {
-			f := newTurnFleet()
-			newEntryWith(t, "a", f.table(), alive("a"), f.deps)
-			time.Sleep(2 * time.Second)
-			for _, step := range steps {
-				f.store.Store(int32(step[0]))
-				f.set(step[1])
-				f.uncertain.Store(step[3]&1 != 0)
-				f.promises.Store(step[3]&2 != 0)
-				time.Sleep(time.Duration(step[2]) * 100 * time.Millisecond)
+		}
+	})
+}
+
+// TestNoOrderAfterPromisesEnd raises the demand once the promises can't hold any more. Another entry
+// may own the instances by then.
+func TestNoOrderAfterPromisesEnd(t *testing.T) {
+	prove.Scenario(t, prove.InstanceOrders, "order-within-promise", func(on bool) string {
+		steps := [][4]int{{int(storeSilent), 0, 85, 2}, {int(storeSilent), 25, 30, 2}}
+		return strings.Join(play(t, steps, func(f *turnFleet) {
+			if !on {
+				f.act = func(time.Duration) bool { return true }
 			}
-			f.mu.Lock()
-			defer f.mu.Unlock()
-			violations = f.violations
-		})
-		if violations != nil {
-			rt.Fatal(violations)
+		}), ", ")
+	})
+}
+
+// play runs a controller through steps and returns the violations: the state of the store, the
+// demand, the duration in tenths of a second, and whether orders are answered and promises given.
+func play(t *testing.T, steps [][4]int, change func(f *turnFleet)) []string {
+	t.Helper()
+	var violations []string
+	synctest.Test(t, func(t *testing.T) {
+		f := newTurnFleet()
+		change(f)
+		newEntryWith(t, "a", f.table(), alive("a"), f.deps)
+		time.Sleep(2 * time.Second)
+		for _, step := range steps {
+			f.store.Store(int32(step[0]))
+			f.set(step[1])
+			f.uncertain.Store(step[3]&1 != 0)
+			f.promises.Store(step[3]&2 != 0)
+			time.Sleep(time.Duration(step[2]) * 100 * time.Millisecond)
 		}
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		violations = f.violations
 	})
+	return violations
 }
--- a/pool/transfer_test.go
+++ b/pool/transfer_test.go
@@ -61,7 +61,7 @@
 	f := newFleet(map[string]int{
 		"a":    20,
 		"b":    3,
-		asleep: 40,
+		asleep: 100, // More than any target.
 	})
 	f.view.SleepingFirst = true
 	f.plan()
--- a/shard/refuseddemand_test.go
+++ b/shard/refuseddemand_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"lemonstream.dev/lemonstream/internal/prove"
 	"lemonstream.dev/lemonstream/job"
 	"lemonstream.dev/lemonstream/shard"
 )
@@ -76,7 +77,7 @@
 // TestRefusedDemandIsBounded compares the noted jobs with a plain list. Too many jobs, or jobs that
 // never expire, would fill the memory of an entry in an outage.
 func TestRefusedDemandIsBounded(t *testing.T) {
-	rapid.Check(t, func(rt *rapid.T) {
+	prove.Property(t, func(rt *rapid.T) {
 		is := is.New(t)
 		var demand shard.RefusedDemand
 		now := time.UnixMilli(1_776_052_010_123)
