--- a/cmd/lemonsched/runcmd.go
+++ b/cmd/lemonsched/runcmd.go
@@ -31,6 +31,8 @@
 		"how long after that a worker gets a first task to prove itself")
 	weights := flags.Bool("organisation-weights", false,
 		"divide room between organisations with waiting work by their weights, among work of the same priority")
+	outageOrders := flags.Bool("outage-orders", true,
+		"whether sleeping instances are ordered, and refused jobs counted as demand, while the store is away")
 	return &ffcli.Command{
 		Name:       "lemonsched",
 		ShortUsage: "lemonsched [flags]",
@@ -45,6 +47,8 @@
 				EjectShare:    *ejectShare,
 				ProbeAfter:    *probeAfter,
 
+				OutageOrders: *outageOrders,
+
 				OrganisationWeights: *weights,
 			})
 		},
--- a/owner/duty.go
+++ b/owner/duty.go
@@ -72,6 +72,11 @@
 	// MoveCost is the cost of moving an instance; see pool.Options.
 	MoveCost time.Duration
 
+	// OrderInOutage lets the instance controller order sleeping instances while its heartbeat
+	// can't be written. Promises replaces the promises that it needs for that, in tests.
+	OrderInOutage bool
+	Promises      Promises
+
 	// Instances and Waves are used by the instance controller only.
 	Instances outside.Instances
 	Waves     WaveSource
@@ -133,6 +138,9 @@
 	// zones holds what runs in evacuated zones, as of the last round of the loop.
 	zones atomic.Pointer[[]shard.ZoneRuns]
 
+	// refusedJobs is the number of jobs whose refused demand counts in the load.
+	refusedJobs atomic.Int64
+
 	standby standby
 
 	// standbyRead is set once this owner knows everything in the standby partition.
@@ -321,6 +329,7 @@
 			next = d.retryAt
 		}
 		d.publishState()
+		d.refusedJobs.Store(int64(d.core.RefusedJobs(now)))
 		took := d.deps.Clock.Now().Sub(now)
 		pause = min(maxLoopPause, max(minLoopPause, loopPauseFactor*took))
 		timer.Reset(max(time.Millisecond, next.Sub(now)))
--- a/owner/tenure.go
+++ b/owner/tenure.go
@@ -242,23 +242,6 @@
 	}
 }
 
-// writeWhileHeld is like write, but returns a *LostError once this entry may no longer act as the
-// owner.
-func (t *tenure) writeWhileHeld(ctx context.Context, tx outside.Transaction) (int64, error) {
-	for {
-		version, err := t.writeOnce(ctx, tx)
-		if err == nil || !needsRetry(err) {
-			return version, err
-		}
-		if !t.mayAct(ownerTimeout) {
-			return 0, t.silentError()
-		}
-		if !clock.Sleep(ctx, commitRetryInterval) {
-			return 0, ctx.Err()
-		}
-	}
-}
-
 // silentError returns the error of a tenure that has written nothing for too long.
 func (t *tenure) silentError() *LostError {
 	return &LostError{
--- a/scheduler/options.go
+++ b/scheduler/options.go
@@ -40,6 +40,10 @@
 
 	// OrganisationWeights says that organisations with waiting work share room by their weights.
 	OrganisationWeights bool
+
+	// OutageOrders lets sleeping instances be ordered while the store is away, and counts the
+	// demand of jobs that are refused meanwhile.
+	OutageOrders bool
 }
 
 // OptionError reports an option that can't be used.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -184,6 +184,7 @@
 	registry.Count = d.figures.Count
 	d.keeper = owner.NewKeeper(d.deps(registry, peers), self, d.roster.Members, peers.Ping)
 	d.showOwned()
+	d.figures.Gauge("refused_demand_jobs", func() float64 { return float64(d.keeper.RefusedJobs()) })
 	d.group.Go("registrations", registry.Run)
 	d.servePeers(listener, self)
 	d.serveReadiness()
@@ -215,11 +216,14 @@
 			Evacuated:    d.evacuations.Has,
 			EjectShare:   d.options.EjectShare,
 			ProbeAfter:   d.options.ProbeAfter,
+
+			IgnoreRefused: !d.options.OutageOrders,
 		},
 		ListMembers: d.roster.Read,
 		MoveCost:    d.options.MoveCost,
 
 		OrganisationWeights: d.options.OrganisationWeights,
+		OrderInOutage:       d.options.OutageOrders,
 
 		Advice:    platform.NewAdvice(d.settings.Advice, d.figures.Link),
 		Instances: platform.NewInstances(d.settings.Instances, d.figures.Link),
--- a/shard/load.go
+++ b/shard/load.go
@@ -231,6 +231,7 @@
 			s.addWaiting(j, &load, now)
 		}
 	}
+	s.refusedDemand.addTo(&load, now)
 	return load
 }
 
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -99,6 +99,10 @@
 	// EstimateFaults estimates what the end of a run shows; see outlier.Options.Update.
 	EstimateFaults func(outlier.Observation) (worker, work float64)
 
+	// IgnoreRefused says that the demand of jobs that were refused because this owner can't write
+	// does not count in Load.
+	IgnoreRefused bool
+
 	// RejectsOverload says that workers refuse tasks that do not fit.
 	RejectsOverload bool
 
@@ -275,6 +279,9 @@
 	storedRefusals    map[string]Refusal
 	refusalOrder      []string
 
+	// refusedDemand holds the demand of jobs that this owner refused because it could not write.
+	refusedDemand RefusedDemand
+
 	// maxInstances is how many instances the service could have; survey estimates the work that
 	// waits.
 	maxInstances int
