pool: sizes pools by the forecast of demand in turns

A pool followed a turn with the lag of a move, and the rise at its begin led to targets of several times the turn. With Options.Forecast, targets are raised to the demand expected by the time an instance ordered now is ready, rises are limited to the expected demand, and peaks are not kept where another service's rise needs the instances. The targets change by a quarter of the available instances at most; needs are never raised.

The history holds the demand without its backlog: the shape of a turn that came unforeseen would otherwise be forecast as several times of it.

--- a/forecast/score.go
+++ b/forecast/score.go
@@ -14,7 +14,7 @@
 
 	// shorterMargin is by how much a longer period must be better than a shorter one. A
 	// multiple of the period fits as well as the period.
-	shorterMargin = 0.9
+	shorterMargin = 0.75
 )
 
 // lagScore compares the demand with the demand one lag earlier. All sums decay.
--- a/forecast/trust.go
+++ b/forecast/trust.go
@@ -8,13 +8,13 @@
 	maxRatio  = 0.4
 	dropRatio = 0.6
 
-	// recentSteps is the time over which a forecast must not be contradicted, 600 ms. A
+	// recentSteps is the time over which a forecast must not be contradicted, 800 ms. A
 	// deviation of one step, from a round that came late, must not count.
-	recentSteps = 3
+	recentSteps = 4
 
 	// contradictionShare is the mean deviation over recentSteps, as a share of the demand of
 	// all services, that contradicts a forecast.
-	contradictionShare = 0.5
+	contradictionShare = 0.6
 
 	// contradictionRatio is the deviation as a share of that of following that contradicts a
 	// forecast. It is below 1 because both are wrong when a turn comes early.
--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -27,8 +27,10 @@
 	// tick is the resolution of the arrivals.
 	tick = 10 * time.Millisecond
 
-	// meanRun is the mean run time of a job. meanCores is the mean of the sizes in jobCores.
-	meanRun   = 700 * time.Millisecond
+	// MeanRun is the mean run time of a job.
+	MeanRun = 700 * time.Millisecond
+
+	// meanCores is the mean of the sizes in jobCores.
 	meanCores = 3.75
 )
 
@@ -131,13 +133,13 @@
 	for at := time.Duration(0); at < length; at += tick {
 		for service := range Services {
 			cores := mean * InstanceCores * scenario.Level(service, at)
-			rate := cores / (meanCores * meanRun.Seconds())
+			rate := cores / (meanCores * MeanRun.Seconds())
 			for range poisson(random, rate*tick.Seconds()) {
 				jobs = append(jobs, Job{
 					Service: service,
 					At:      at,
 					Cores:   jobCores[random.IntN(len(jobCores))],
-					Run:     time.Duration(random.ExpFloat64() * float64(meanRun)),
+					Run:     time.Duration(random.ExpFloat64() * float64(MeanRun)),
 				})
 			}
 		}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -107,6 +107,9 @@
 	Worker   outside.Incarnation
 	From     string
 	To       string
+
+	// Reason is one of ReasonDemand, ReasonForecast and ReasonSurplus; empty for a retry.
+	Reason string
 }
 
 // Maintenance is an order to take an instance down for the maintenance of a wave.
@@ -144,6 +147,9 @@
 	// MoveCost is the cost of moving an instance, expressed as the time for which an idle
 	// instance can be kept awake at the same cost.
 	MoveCost time.Duration
+
+	// Forecast says that demand that comes in turns is predicted.
+	Forecast bool
 }
 
 // Sizer makes plans. Between plans it keeps the recent demand of each service and the recent
@@ -153,6 +159,9 @@
 
 	demand map[string][]sample
 
+	// forecast predicts the demand; nil if that is switched off.
+	forecast *demandForecast
+
 	// ordered holds the order under way for each instance. An entry is kept until the instance
 	// is listed as up with another worker, or until the order is too old.
 	ordered map[string]order
@@ -197,6 +206,7 @@
 	return &Sizer{
 		opts:      opts,
 		demand:    make(map[string][]sample),
+		forecast:  newDemandForecast(opts),
 		ordered:   make(map[string]order),
 		refused:   make(map[string]map[string]bool),
 		blocked:   make(map[string]time.Time),
--- a/pool/round.go
+++ b/pool/round.go
@@ -60,6 +60,10 @@
 	// needs holds how many instances each service can't spare now.
 	needs map[string]int
 
+	// following holds the target by the current demand of each service whose target the
+	// forecast changed.
+	following map[string]int
+
 	// count is the number of instances that each pool has or is about to have. available is
 	// the number of all instances outside evacuated availability zones.
 	count     map[string]int
@@ -142,6 +146,7 @@
 		r.plan.Targets[service.Name] = wanted
 		r.needs[service.Name] = needed
 	}
+	r.applyForecast()
 	r.limitNeeds()
 }
 
@@ -319,6 +324,7 @@
 			Worker:   sp.incarnation(),
 			From:     from,
 			To:       to,
+			Reason:   r.moveReason(from, to),
 		})
 	}
 	if from != r.sleepingPool {
