Flag forecast, and the demand history in the controller's heartbeat

The history (field 11 of the heartbeat, 2 KB at the most) is decoded apart from the heartbeat, so that a bad one blocks no claim; it is logged once and counts as none. The successor finds the phase anew, because the age of the history is not known exactly. Adds gauges of the forecast, a counter of moves by reason and a log line at each change between forecast and following.

--- a/cmd/lemonsched/runcmd.go
+++ b/cmd/lemonsched/runcmd.go
@@ -18,6 +18,8 @@
 	flags := flag.NewFlagSet("lemonsched", flag.ContinueOnError)
 	moveCost := flags.Duration("move-cost", pool.DefaultMoveCost,
 		"what a move of an instance costs: the time for which an idle one may be held awake for the same")
+	forecast := flags.Bool("forecast", true,
+		"predict demand that comes in turns, and move instances before a turn begins")
 	return &ffcli.Command{
 		Name:       "lemonsched",
 		ShortUsage: "lemonsched [flags]",
@@ -27,6 +29,7 @@
 		Exec: func(ctx context.Context, _ []string) error {
 			return scheduler.Run(ctx, scheduler.Options{
 				MoveCost: *moveCost,
+				Forecast: *forecast,
 			})
 		},
 	}
--- a/owner/claim.go
+++ b/owner/claim.go
@@ -253,6 +253,7 @@
 		Leased:           before.Leased,
 		Taken:            before.Taken,
 		ReleasedWorkers:  before.ReleasedWorkers,
+		History:          before.History,
 		UnobservedMillis: max(before.UnobservedMillis, ceilMillis(unobservedFor)),
 	}
 	if beat.UnobservedMillis > 0 {
--- a/owner/duty.go
+++ b/owner/duty.go
@@ -64,6 +64,11 @@
 	// MoveCost is the cost of moving an instance; see pool.Options.
 	MoveCost time.Duration
 
+	// ForecastDemand says that the instance controller predicts demand that comes in turns.
+	// Forecast takes what it reports of that; it may be nil.
+	ForecastDemand bool
+	Forecast       *ForecastFigures
+
 	// Instances and Waves are used by the instance controller only.
 	Instances outside.Instances
 	Waves     WaveSource
--- a/owner/fleet.go
+++ b/owner/fleet.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"lemonstream.dev/lemonstream/outside"
 	"lemonstream.dev/lemonstream/pool"
 )
@@ -148,6 +150,12 @@
 	// previous controller that may still be running. It is zero if there is none.
 	blockedUntil time.Time
 
+	// forecastActive is whether the demand was forecast in the last round. history is the
+	// demand history that the heartbeat carries, and historyAt when it was encoded.
+	forecastActive bool
+	history        cbor.RawMessage
+	historyAt      time.Time
+
 	stop     chan struct{}
 	stopOnce sync.Once
 	released chan struct{}
@@ -159,6 +167,7 @@
 		MoveTime:     d.Site.MoveTime,
 		MaintainTime: d.Site.MaintainTime,
 		MoveCost:     d.MoveCost,
+		Forecast:     d.ForecastDemand,
 	}
 }
 
@@ -182,6 +191,7 @@
 		orderedAt: now,
 	}
 	f.restoreTaken(won.before.Taken, now)
+	f.restoreHistory(won.before.History, won.read)
 	f.noOrdersUntil = now.Add(staleOrderMargin)
 	if inherited := time.Duration(won.before.UnobservedMillis) * time.Millisecond; inherited > 0 {
 		f.blockedUntil = won.read.Add(inherited)
@@ -210,6 +220,7 @@
 	if err := f.loadWaves(ctx); err != nil {
 		return err
 	}
+	defer f.endForecast()
 	// Watching keeps the registry of this entry up to date: service owners read the
 	// registrations through it.
 	defer f.deps.Registry.Watch(partInstances, Watcher{
@@ -270,6 +281,7 @@
 		f.closed = plan.Closed
 		f.maxInstances = plan.MaxInstances
 		f.logTargets(view, plan)
+		f.reportForecast()
 		if view.Now.After(f.noOrdersUntil) && f.listed.After(f.noOrdersUntil) {
 			if err := f.sendOrders(ctx, plan); err != nil {
 				return err
--- a/owner/orders.go
+++ b/owner/orders.go
@@ -38,6 +38,7 @@
 	instance, from, to string
 	worker             outside.Incarnation
 	wave               int64
+	reason             string
 	err                error
 }
 
@@ -105,6 +106,7 @@
 			worker:   m.Worker,
 			from:     m.From,
 			to:       m.To,
+			reason:   m.Reason,
 		})
 	}
 	for _, m := range plan.Maintenances {
@@ -181,6 +183,9 @@
 	case o.err == nil:
 		f.deps.Log.Info("instance ordered", "instance", o.instance, "worker", o.worker.String(), "from", o.from, "to", o.to, "wave", o.wave,
 			"epoch", f.tenure.epoch, "load_age_ms", now.Sub(f.loadsRequestedAt).Milliseconds())
+		if o.reason != "" {
+			f.deps.Count("instance_move", o.reason)
+		}
 		f.sizer.Ordered(o.instance, o.to, o.worker, o.wave, now)
 		if f.ended[o.from] == nil {
 			f.ended[o.from] = make(map[string]time.Time)
--- a/owner/rows.go
+++ b/owner/rows.go
@@ -73,6 +73,10 @@
 	// runs that it started may still exist on any worker that is neither in IdleWorkers nor
 	// in Leased. For the instance controller, the instances in Ordered stay blocked.
 	UnobservedMillis int64 `cbor:"7,keyasint,omitempty"`
+
+	// History is the demand history of the instance controller, an encoded HistoryRow. It is
+	// decoded apart from the heartbeat: one that can't be decoded must not block a claim.
+	History cbor.RawMessage `cbor:"11,keyasint,omitempty"`
 }
 
 // ReleasedRow is a worker of a service whose instance is about to be ordered.
--- a/owner/waves.go
+++ b/owner/waves.go
@@ -125,6 +125,7 @@
 		Ordered:          f.recentOrders(),
 		Taken:            f.takenRows(now),
 		ReleasedWorkers:  f.releasedWorkers,
+		History:          f.historyRow(now),
 		UnobservedMillis: max(0, ceilMillis(f.blockedUntil.Sub(now))),
 	}
 	bounded, cancel := context.WithTimeout(ctx, ownerTimeout)
--- a/pool/forecast.go
+++ b/pool/forecast.go
@@ -285,3 +285,18 @@
 		return ReasonDemand
 	}
 }
+
+// History returns the recent demand for a successor, in at most limit bytes once it is encoded. It
+// has no series if the forecast is switched off.
+func (s *Sizer) History(limit int) forecast.History {
+	if s.forecast == nil {
+		return forecast.History{}
+	}
+	return s.forecast.forecaster.History(limit)
+}
+
+// RestoreHistory takes over the demand that a predecessor observed until about a time. It reports
+// whether that could be used.
+func (s *Sizer) RestoreHistory(history forecast.History, at time.Time) bool {
+	return s.forecast == nil || s.forecast.forecaster.Restore(history, at)
+}
--- a/scheduler/options.go
+++ b/scheduler/options.go
@@ -13,6 +13,9 @@
 type Options struct {
 	// MoveCost is what a move of an instance costs; see pool.Options.
 	MoveCost time.Duration
+
+	// Forecast says that demand that comes in turns is predicted; see pool.Options.
+	Forecast bool
 }
 
 // OptionError reports an option that can't be used.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -77,6 +77,7 @@
 	workers  outside.Workers
 	figures  *figures.Set
 	health   *storeHealth
+	forecast *owner.ForecastFigures
 	catalog  *catalog.Holder
 
 	// feeds reads changes of the store's tables through other entries, followed is the table
@@ -158,6 +159,12 @@
 		now: d.clock.Now,
 	}
 	d.figures.Gauge("evacuated_zones", func() float64 { return float64(len(d.evacuations.Zones())) })
+	d.forecast = &owner.ForecastFigures{}
+	d.figures.Gauge("forecast_active", d.forecast.Active)
+	d.figures.Gauge("forecast_expected_instances", d.forecast.Expected)
+	d.figures.Gauge("forecast_observed_instances", d.forecast.Observed)
+	d.figures.Gauge("forecast_error", d.forecast.Error)
+	d.figures.Gauge("forecast_following_error", d.forecast.FollowingError)
 	d.patience = outside.NewAdaptiveTimeout(d.clock)
 	d.table = d.patience.Wrap(figures.ObserveTable(d.figures, d.health.observe(platform.NewTable(settings.Store, d.figures.Link))))
 	d.workers = figures.ObserveWorkers(d.figures, platform.NewWorkers(d.figures.Link))
@@ -214,8 +221,12 @@
 		},
 		ListMembers: d.roster.Read,
 		MoveCost:    d.options.MoveCost,
-		Advice:      platform.NewAdvice(d.settings.Advice, d.figures.Link),
-		Instances:   platform.NewInstances(d.settings.Instances, d.figures.Link),
+
+		ForecastDemand: d.options.Forecast,
+		Forecast:       d.forecast,
+
+		Advice:    platform.NewAdvice(d.settings.Advice, d.figures.Link),
+		Instances: platform.NewInstances(d.settings.Instances, d.figures.Link),
 		Waves: owner.WaveSource{
 			Waves:     d.listWaves,
 			StatusKey: platform.WaveStatusKey,
