--- a/owner/keeper_test.go
+++ b/owner/keeper_test.go
@@ -47,7 +47,7 @@
 func (l *lines) Write(line []byte) (int, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, event := range []string{"service taken", "service not taken", "service lost", "row left out"} {
+	for _, event := range []string{"service taken", "service not taken", "service lost", "row left out", "demand history left out"} {
 		if strings.Contains(string(line), `"msg":"`+event+`"`) {
 			l.count[event]++
 		}
