--- a/pool/forecast.go
+++ b/pool/forecast.go
@@ -102,6 +102,9 @@
 	if !f.state.Active {
 		return
 	}
+	if r.isShort() {
+		return
+	}
 	ahead := r.sizer.opts.MoveTime + readyTime
 	for name, value := range observed {
 		r.limitRise(name, value, ahead)
@@ -118,6 +121,19 @@
 	}
 }
 
+// isShort reports whether the current demand of the services exceeds the available instances. The
+// forecast then has no effect: which service gets how many is decided by what can still end in
+// time.
+func (r *round) isShort() bool {
+	sum := 0.0
+	for name := range r.needs {
+		if list := r.sizer.demand[name]; len(list) > 0 {
+			sum += list[len(list)-1].timely
+		}
+	}
+	return sum > float64(r.available)
+}
+
 // limitRise limits the target and the need of a service to the demand that the forecast expects
 // until an instance that is ordered now is ready, in place of the demand to which its rise leads
 // if it goes on. At the begin of a turn the demand rises by the whole turn within some rounds,
