--- a/pool/forecast_test.go
+++ b/pool/forecast_test.go
@@ -11,6 +11,7 @@
 
 	"lemonstream.dev/lemonstream/internal/demand"
 	"lemonstream.dev/lemonstream/job"
+	"lemonstream.dev/lemonstream/outside"
 	"lemonstream.dev/lemonstream/pool"
 )
 
@@ -173,3 +174,35 @@
 	_, on := newFleet(nil).sizer.Forecast()
 	is.True(!on)
 }
+
+// TestForecastMovesNothingOutOfEvacuatedZone guards against a forecast that wakes instances on which
+// nothing may start.
+func TestForecastMovesNothingOutOfEvacuatedZone(t *testing.T) {
+	is := is.New(t)
+	f := turnsFleet(120, 20)
+	f.view.Evacuated = func(string) bool { return true }
+	is.Equal(len(f.plan().Moves), 0)
+}
+
+// TestForecastHoldsUpNoWave guards against a forecast that wakes the instances that a wave is about
+// to maintain, so that the wave has to wait for them.
+func TestForecastHoldsUpNoWave(t *testing.T) {
+	is := is.New(t)
+	f := turnsFleet(120, 20)
+	wave := &pool.Wave{
+		Wave: outside.Wave{
+			Number: 1,
+			AtOnce: 10,
+			Within: time.Minute,
+		},
+		Seen: f.view.Now,
+		Done: make(map[string]bool),
+	}
+	for i := range 10 {
+		wave.Instances = append(wave.Instances, fmt.Sprintf("%s%02d", asleep, i))
+	}
+	f.view.Waves = []*pool.Wave{wave}
+	plan := f.plan()
+	is.Equal(len(plan.Maintenances), 10)
+	is.Equal(plan.Targets["a"], 22)
+}
