--- a/cmd/lemonsched/runcmd.go
+++ b/cmd/lemonsched/runcmd.go
@@ -33,6 +33,8 @@
 		"divide room between organisations with waiting work by their weights, among work of the same priority")
 	outageOrders := flags.Bool("outage-orders", true,
 		"whether sleeping instances are ordered, and refused jobs counted as demand, while the store is away")
+	forecast := flags.Bool("forecast", true,
+		"predict demand that comes in turns, and move instances before a turn begins")
 	return &ffcli.Command{
 		Name:       "lemonsched",
 		ShortUsage: "lemonsched [flags]",
@@ -48,6 +50,7 @@
 				ProbeAfter:    *probeAfter,
 
 				OutageOrders: *outageOrders,
+				Forecast:     *forecast,
 
 				OrganisationWeights: *weights,
 			})
--- a/owner/claim.go
+++ b/owner/claim.go
@@ -327,6 +327,7 @@
 		Taken:            before.Taken,
 		ReleasedWorkers:  before.ReleasedWorkers,
 		Evidence:         before.Evidence,
+		History:          before.History,
 		UnobservedMillis: max(before.UnobservedMillis, ceilMillis(unobservedFor)),
 	}
 	if beat.UnobservedMillis > 0 {
--- a/owner/duty.go
+++ b/owner/duty.go
@@ -77,6 +77,11 @@
 	OrderInOutage bool
 	Promises      Promises
 
+	// ForecastDemand says that the instance controller predicts demand that comes in turns.
+	// Forecast takes what it reports of that; it may be nil.
+	ForecastDemand bool
+	Forecast       *ForecastFigures
+
 	// Instances and Waves are used by the instance controller only.
 	Instances outside.Instances
 	Waves     WaveSource
--- a/owner/fleetwrite.go
+++ b/owner/fleetwrite.go
@@ -56,6 +56,7 @@
 	beat := Beat{
 		Ordered:          w.named,
 		Taken:            f.takenRows(w.builtAt),
+		History:          f.historyRow(w.builtAt),
 		UnobservedMillis: max(0, ceilMillis(f.blockedUntil.Sub(w.builtAt))),
 	}
 	for _, o := range orders {
--- a/scheduler/options.go
+++ b/scheduler/options.go
@@ -44,6 +44,9 @@
 	// OutageOrders lets sleeping instances be ordered while the store is away, and counts the
 	// demand of jobs that are refused meanwhile.
 	OutageOrders bool
+
+	// Forecast says that demand that comes in turns is predicted; see pool.Options.
+	Forecast bool
 }
 
 // OptionError reports an option that can't be used.
