--- a/scheduler/gauges.go
+++ b/scheduler/gauges.go
@@ -6,8 +6,15 @@
 	"lemonstream.dev/lemonstream/quota"
 )
 
-// showOwned adds the gauges of the services that this entry owns.
-func (d *Daemon) showOwned() {
+// registerGauges registers the gauges of evacuations and of the parts that this entry owns.
+func (d *Daemon) registerGauges() {
+	d.figures.Gauge("evacuated_zones", func() float64 { return float64(len(d.evacuations.Zones())) })
+	d.figures.Gauge("forecast_active", d.forecast.Active)
+	d.figures.Gauge("forecast_expected_instances", d.forecast.Expected)
+	d.figures.Gauge("forecast_observed_instances", d.forecast.Observed)
+	d.figures.Gauge("forecast_error", d.forecast.Error)
+	d.figures.Gauge("forecast_following_error", d.forecast.FollowingError)
+	d.figures.Gauge("refused_demand_jobs", func() float64 { return float64(d.keeper.RefusedJobs()) })
 	d.figures.LabelledGauge("write_age_ms", []string{"part"}, d.writeAges)
 	d.figures.LabelledGauge("evacuated_runs", []string{"zone", "service"}, d.evacuatedRuns)
 	for name, of := range map[string]func(owner.QuotaState) quota.Share{
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -158,13 +158,7 @@
 	d.health = &storeHealth{
 		now: d.clock.Now,
 	}
-	d.figures.Gauge("evacuated_zones", func() float64 { return float64(len(d.evacuations.Zones())) })
 	d.forecast = &owner.ForecastFigures{}
-	d.figures.Gauge("forecast_active", d.forecast.Active)
-	d.figures.Gauge("forecast_expected_instances", d.forecast.Expected)
-	d.figures.Gauge("forecast_observed_instances", d.forecast.Observed)
-	d.figures.Gauge("forecast_error", d.forecast.Error)
-	d.figures.Gauge("forecast_following_error", d.forecast.FollowingError)
 	d.patience = outside.NewAdaptiveTimeout(d.clock)
 	d.table = d.patience.Wrap(figures.ObserveTable(d.figures, d.health.observe(platform.NewTable(settings.Store, d.figures.Link))))
 	d.workers = figures.ObserveWorkers(d.figures, platform.NewWorkers(d.figures.Link))
@@ -190,8 +184,7 @@
 	registry := owner.NewRegistry(d.followed, d.clock, platform.TableWorkers, platform.DecodeRegistration, log)
 	registry.Count = d.figures.Count
 	d.keeper = owner.NewKeeper(d.deps(registry, peers), self, d.roster.Members, peers.Ping)
-	d.showOwned()
-	d.figures.Gauge("refused_demand_jobs", func() float64 { return float64(d.keeper.RefusedJobs()) })
+	d.registerGauges()
 	d.group.Go("registrations", registry.Run)
 	d.servePeers(listener, self)
 	d.serveReadiness()
