Fake fleet: a repeated order of a move that is done ends nothing

TestOrdersKeepTheirRulesInOutages failed in one run of three (m00 ordered with worker w-m00-s, pool s to s): the fake took the repetition of an unanswered order, which the platform answers with 200 and without effect, for an order to a worker that was not released.

--- a/owner/outagefleet_test.go
+++ b/owner/outagefleet_test.go
@@ -187,6 +187,9 @@
 		f.violations = append(f.violations, instance+" ordered too late")
 	case !named && !f.informed[instance]:
 		f.violations = append(f.violations, instance+" ordered and nobody knows")
+	case m.Pool == to || m.State == outside.InstanceMoving:
+		// A repeated order: the platform answers that it is done and ends nothing.
+		return nil
 	case m.Worker != "" && (!released || !f.closed[m.Worker]):
 		f.violations = append(f.violations, instance+" ordered with a worker that is not released")
 	}
