Findings of a review of outages: waits, own claims, orders and answers

A claimer that is no witness counted its wait from the begin of the claim, but took off the time until the heartbeat was read: with a read of 2 s it ordered 2 s too early (TestOutsiderOrdersNoInstancesEarly, with slow reads). An entry that claims the instances again carries on which instances it had ordered.

--- a/intake/accept.go
+++ b/intake/accept.go
@@ -19,9 +19,9 @@
 	"lemonstream.dev/lemonstream/shard"
 )
 
-// accept makes the record of a job stand and answers. A job that is not accepted is tried again
-// until its offer time is up; its caller comes back with the same id, also at another entry. A try
-// that has begun is awaited.
+// accept stores the record of a job and answers. A job that is not accepted is tried again until its
+// offer time is up; its caller comes back with the same id, also at another entry. An attempt that has
+// begun is awaited.
 func (s *Server) accept(r *request, record shard.Record, catalogVersion int64) {
 	began := s.Clock.Now()
 	o := &offer{
@@ -41,7 +41,7 @@
 		writer, err := s.take(r, record, o)
 		var away *owner.RefusedError
 		if errors.As(err, &away) {
-			// The refusal is a row that was written.
+			// The refusal is a row of the store.
 			o.queue.end(attempt, retry.StoredByOwner)
 			s.countOffer(o, offerRefused)
 			s.turnAway(r, record, away.RetryAfter)
@@ -75,8 +75,8 @@
 	s.notTaken(r.Context, reasonOf(result))
 }
 
-// take tries once to make the record of a job stand, and returns who wrote it.
-// o.uncertain is set where a try without success may yet have an effect.
+// take makes one attempt to store the record of a job, and returns who wrote it. o.uncertain is set
+// if an attempt without success may yet have an effect.
 func (s *Server) take(r *request, record shard.Record, o *offer) (string, error) {
 	stands, err := s.standsElsewhere(r, record)
 	if err != nil || stands {
@@ -119,8 +119,8 @@
 	r.Status(http.StatusOK)
 }
 
-// turnAway tells a caller that its job does not run, and when to hand it in again. The
-// owner's word holds for all tries that were made before, at any entry.
+// turnAway tells a caller that its job does not run, and when to submit it again. A refusal by the
+// owner is valid for all earlier attempts, at any entry.
 func (s *Server) turnAway(r *request, record shard.Record, comeBack time.Duration) {
 	s.Log.Info("job refused", "job", record.ID, "route", record.Route, "reason", "too much to do", "come_back_ms", comeBack.Milliseconds())
 	s.Figures.Count("job_turned_away", record.Route)
--- a/owner/claim.go
+++ b/owner/claim.go
@@ -236,8 +236,9 @@
 // to be unchanged, claim returns a *RecoveredError; if this entry has promised that owner not to
 // claim the part, a *PromisedError. The claim writes for how long runs or orders of earlier owners
 // may still be unobserved: the longer of unobservedFor and of what the previous heartbeat says. If
-// the transaction gets no answer, claim reads the row to find out whether it was applied.
-func (k *Keeper) claim(ctx context.Context, service string, o ownerRow, from previousOwner) (claim, error) {
+// the transaction gets no answer, claim reads the row to find out whether it was applied. now is when
+// the claim began: the caller counts unobservedFor from it.
+func (k *Keeper) claim(ctx context.Context, service string, o ownerRow, from previousOwner, now time.Time) (claim, error) {
 	before, version, err := k.beat(ctx, service)
 	if err != nil {
 		return claim{}, err
@@ -254,11 +255,16 @@
 		read:     read,
 		outsider: !from.ended && k.isOutsider(before),
 	}
-	won.unobservedFor = k.unobservedFor(service, o, from, won.outsider)
+	won.unobservedFor = k.unobservedFor(service, o, from, won.outsider, now)
 	ordered, err := k.beginClaim(service, o, before, version, from.ended)
 	if err != nil {
 		return claim{}, err
 	}
+	if service == partInstances && o.Owner == k.self.Incarnation {
+		// The previous tenure of this entry may have ended before a row named its last orders.
+		ordered = mergeOrdered(ordered, k.recentOrders())
+		won.unobservedFor = k.deps.Site.HolderPause
+	}
 	before.Ordered = mergeOrdered(before.Ordered, ordered)
 	won.before = before
 	won.version, err = k.sendClaim(ctx, service, o, version, claimBeat(before, won.unobservedFor))
@@ -301,6 +307,14 @@
 	return version, nil
 }
 
+// recentOrders returns the instances that the last tenure of this entry as their controller had
+// ordered recently when it ended.
+func (k *Keeper) recentOrders() []string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.lastOrdered
+}
+
 // isOutsider reports whether a heartbeat names witnesses and this entry is none of them.
 func (k *Keeper) isOutsider(beat Beat) bool {
 	return len(beat.Witnesses) > 0 && !slices.Contains(beat.Witnesses, k.self.Incarnation)
--- a/owner/keeper.go
+++ b/owner/keeper.go
@@ -135,6 +135,10 @@
 	contacts       map[string]time.Time
 	earlierVersion string
 
+	// lastOrdered holds the instances that this entry had ordered recently when its last tenure as
+	// the instance controller ended.
+	lastOrdered []string
+
 	// ownersRead says that the rows of all owners have been read once. Before that no part is
 	// known to be free.
 	ownersRead bool
@@ -157,6 +161,10 @@
 	// base is how long the owner may act after its last write without promises.
 	base time.Duration
 
+	// recentOrders returns the instances that were ordered recently; nil for a service. It is
+	// called once run has returned.
+	recentOrders func() []string
+
 	run     func(ctx context.Context) error
 	release func(ctx context.Context, wait time.Duration)
 }
@@ -313,7 +321,7 @@
 func (k *Keeper) claimAndRun(ctx context.Context, service string, o ownerRow, from previousOwner) {
 	defer k.clearActive(service)
 	now := k.deps.Clock.Now()
-	won, err := k.claim(ctx, service, o, from)
+	won, err := k.claim(ctx, service, o, from, now)
 	var recovered *RecoveredError
 	k.mu.Lock()
 	w := k.watches[service]
@@ -342,6 +350,9 @@
 	cancel()
 	k.mu.Lock()
 	delete(k.held, service)
+	if h.recentOrders != nil {
+		k.lastOrdered = h.recentOrders()
+	}
 	k.mu.Unlock()
 	if err != nil {
 		k.deps.Log.Warn("service lost", "service", service, "epoch", won.epoch, "error", err.Error())
@@ -364,6 +375,8 @@
 			base:    maxOrderWriteAge,
 			run:     f.run,
 			release: f.release,
+
+			recentOrders: f.recentOrders,
 		}
 	}
 	d := newDuty(k.deps, part, won, now, won.unobservedFor)
--- a/owner/orders.go
+++ b/owner/orders.go
@@ -20,17 +20,21 @@
 	reason             string
 	err                error
 
-	// unwritten says that the order is sent although no row names it.
-	unwritten bool
+	// unwritten says that the order is sent although no row names it. informedAt is when the
+	// witnesses were asked to take note of it.
+	unwritten  bool
+	informedAt time.Time
 }
 
 // sendOrders sends the orders of a plan that may be sent now. Each has to be named by a row first;
 // without one, see informed. While the store is away, orders that can't be sent must not take the
-// place of those that can.
+// place of those that can. Unwritten orders go first: the reads for the others may take until the
+// promises have ended.
 func (f *instanceController) sendOrders(ctx context.Context, plan pool.Plan, away bool) error {
 	orders := ordersOf(plan)
 	if away {
-		orders = slices.DeleteFunc(orders, func(o instanceOrder) bool { return !f.isAnnounced(o) && !f.isAsleep(o) })
+		fresh := f.tenure.age() <= maxOrderWriteAge
+		orders = slices.DeleteFunc(orders, func(o instanceOrder) bool { return !f.isAsleep(o) && !(fresh && f.isAnnounced(o)) })
 	}
 	orders = f.limitOrders(orders)
 	if len(orders) == 0 {
@@ -52,7 +56,8 @@
 	if err := f.pollWrite(); err != nil {
 		return err
 	}
-	f.dispatch(ctx, append(f.dropOutdated(ctx, written), unwritten...))
+	f.dispatch(ctx, unwritten)
+	f.dispatch(ctx, f.dropOutdated(ctx, written))
 	return nil
 }
 
@@ -210,6 +215,10 @@
 	if o.wave == 0 && o.worker.Worker == "" {
 		allowed = f.mayAct(maxOrderWriteAge)
 	}
+	if o.unwritten && f.deps.Clock.Now().Sub(o.informedAt) > maxOrderWriteAge {
+		// The witnesses remember an instance for a limited time.
+		allowed = false
+	}
 	if !allowed {
 		return &LostError{
 			Part:   partInstances,
--- a/owner/outage_fleet_test.go
+++ b/owner/outage_fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -40,9 +41,14 @@
 // order none until the first controller can't act any more and the platform's pause has passed; nor
 // must its own successor.
 func TestOutsiderOrdersNoInstancesEarly(t *testing.T) {
-	for name, dies := range map[string]bool{
-		"claimer":       false,
-		"its successor": true,
+	for name, c := range map[string]struct {
+		dies    bool
+		reading time.Duration
+	}{
+		"claimer":       {},
+		"its successor": {dies: true},
+		// The wait was too short by the time that the claim's read of the heartbeat took.
+		"claimer with slow reads": {reading: 2 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -61,7 +67,7 @@
 				newEntryWith(t, "a", naming(t, rejecting(rows, &away)), alive("a"), change)
 				until(t, "the first controller sends orders", func() bool { return f.count("a") >= 2 })
 				first := controllerEpoch(t, rows)
-				second := newEntryWith(t, "b", rows.Table(), func(context.Context, netip.AddrPort, string) (owner.Pong, error) {
+				second := newEntryWith(t, "b", slowClaim(rows.Table(), &away, c.reading), func(context.Context, netip.AddrPort, string) (owner.Pong, error) {
 					return owner.Pong{}, &outside.UncertainError{
 						Call: "ping",
 					}
@@ -70,7 +76,7 @@
 				lost := time.Now()
 				until(t, "the second controller has claimed", func() bool { return controllerEpoch(t, rows) > first })
 				next := "b"
-				if dies {
+				if c.dies {
 					second.group.Stop()
 					next = "c"
 					newEntryWith(t, "c", rows.Table(), func(context.Context, netip.AddrPort, string) (owner.Pong, error) {
@@ -86,3 +92,21 @@
 		})
 	}
 }
+
+// slowClaim returns the table with reads of single rows that take the given time from 1.2 s after the
+// first read in the outage: the heartbeat has been seen unchanged by then, and only the claim reads it.
+func slowClaim(table outside.Table, away *atomic.Bool, takes time.Duration) outside.Table {
+	row := table.Row
+	var first sync.Once
+	var began atomic.Int64
+	table.Row = func(ctx context.Context, key outside.Key) (*outside.Row, error) {
+		if away.Load() {
+			first.Do(func() { began.Store(time.Now().UnixMilli()) })
+		}
+		if at := began.Load(); at != 0 && time.Since(time.UnixMilli(at)) > 1200*time.Millisecond {
+			time.Sleep(takes)
+		}
+		return row(ctx, key)
+	}
+	return table
+}
--- a/owner/outageorders.go
+++ b/owner/outageorders.go
@@ -58,6 +58,7 @@
 	names := make([]string, 0, len(orders))
 	for i := range orders {
 		orders[i].unwritten = true
+		orders[i].informedAt = f.deps.Clock.Now()
 		names = append(names, orders[i].instance)
 	}
 	bounded, cancel := context.WithTimeout(ctx, informTimeout)
@@ -86,6 +87,11 @@
 	}
 }
 
+// recentOrders returns the instances that were ordered recently, sorted.
+func (f *instanceController) recentOrders() []string {
+	return slices.Sorted(maps.Keys(f.lastOrders))
+}
+
 // namesWith returns the instances that the next row names: those ordered recently and those of the
 // given orders, sorted.
 func (f *instanceController) namesWith(orders []instanceOrder) []string {
--- a/owner/unobserved.go
+++ b/owner/unobserved.go
@@ -20,16 +20,16 @@
 
 // unobservedFor returns how long after a claim the previous owner may still have an effect. For a
 // service, see UnobservedFor. A previous instance controller that may be alive gets the time to
-// send its last orders, followed by the platform's HolderPause.
+// send its last orders, followed by the platform's HolderPause. now is when the claim began.
 //
 // If outsider is set, the previous owner may act by promises of witnesses that this entry knows
 // nothing of. It then has the longest time for which any owner acts, less the time for which its
 // heartbeat was seen unchanged. A controller may also have ordered instances that only its witnesses
 // know: a second HolderPause lets this entry and its successors order nothing at all for the first
 // one.
-func (k *Keeper) unobservedFor(part string, before ownerRow, from previousOwner, outsider bool) time.Duration {
+func (k *Keeper) unobservedFor(part string, before ownerRow, from previousOwner, outsider bool, now time.Time) time.Duration {
 	lease := k.deps.Options.Lease
-	acting := witness.Standard().OutsiderWait(from.unchanged.duration(k.deps.Clock.Now()))
+	acting := witness.Standard().OutsiderWait(from.unchanged.duration(now))
 	switch {
 	case before.Epoch == 0:
 		return 0
--- a/owner/witness.go
+++ b/owner/witness.go
@@ -87,6 +87,10 @@
 	defer cancel()
 	// A failure is the expected result during an outage; the owner counts the promise.
 	beat, version, err := k.beat(bounded, part)
+	if ctx.Err() != nil {
+		// The request has ended, which shows nothing about the store.
+		return false
+	}
 	w.readAt = k.deps.Clock.Now()
 	w.readable = err == nil
 	if w.readable {
@@ -186,7 +190,11 @@
 	}
 	if earlier != k.earlierVersion {
 		k.earlierVersion = earlier
-		k.deps.Log.Info("entry without peer address listed, no witnesses named", "entry", earlier, "present", earlier != "")
+		if earlier == "" {
+			k.deps.Log.Info("all entries list a peer address, witnesses are named")
+		} else {
+			k.deps.Log.Info("entry without peer address listed, no witnesses named", "entry", earlier)
+		}
 	}
 	if earlier != "" {
 		return nil
