--- a/owner/orders.go
+++ b/owner/orders.go
@@ -34,7 +34,7 @@
 	orders := ordersOf(plan)
 	if away {
 		fresh := f.tenure.age() <= maxOrderWriteAge
-		orders = slices.DeleteFunc(orders, func(o instanceOrder) bool { return !f.isAsleep(o) && !(fresh && f.isAnnounced(o)) })
+		orders = slices.DeleteFunc(orders, func(o instanceOrder) bool { return !f.isAsleep(o) && (!fresh || !f.isAnnounced(o)) })
 	}
 	orders = f.limitOrders(orders)
 	if len(orders) == 0 {
