Evacuations don't wait for long-running tasks that never ran

Eight tasks with a label that no worker has were counted as on their way for good, so that nothing left an evacuated zone. Count tasks of ready steps that have needed a worker for less than stuckAfter, from the acceptance of the job or the takeover for those that have not run.

--- a/shard/evacuation.go
+++ b/shard/evacuation.go
@@ -151,17 +151,23 @@
 }
 
 // countLongRunningSeeking returns how many long-running tasks need a worker. Those that have been
-// without one for stuckAfter fit nowhere and are not counted.
+// without one for stuckAfter fit nowhere and are not counted. Tasks that have never run are
+// included: if they were counted for good, a few of them would stop every evacuation.
 func (s *Shard) countLongRunningSeeking(now time.Time) int {
 	count := 0
 	for _, j := range s.jobs {
 		if j.state.Final() || !j.hasLongRunningStep() {
 			continue
 		}
-		for _, o := range j.occurrences {
+		// This owner does not know since when tasks of earlier owners have been idle.
+		idleFrom := j.record.acceptedAt()
+		if idleFrom.Before(s.takenAt) {
+			idleFrom = s.takenAt
+		}
+		for k, o := range j.occurrences {
 			for st, step := range o.steps {
-				if j.record.Spec.Steps[st].Lasting {
-					count += step.countSeeking() - step.stuck(now)
+				if j.record.Spec.Steps[st].Lasting && j.isReady(k, st) {
+					count += step.countSeeking() - step.countIdleFor(stuckAfter, idleFrom, now)
 				}
 			}
 		}
--- a/shard/evacuation_move_test.go
+++ b/shard/evacuation_move_test.go
@@ -161,6 +161,26 @@
 	}
 }
 
+// TestTasksThatNeverRanStopNoEvacuation guards against evacuations that wait for long-running tasks
+// that no worker can take: eight with a label that no worker has stopped every evacuation.
+func TestTasksThatNeverRanStopNoEvacuation(t *testing.T) {
+	is := is.New(t)
+	w := newEvacuationWorld(t, false)
+	impossible := lasting(8, 1)
+	impossible.Label = "missing"
+	w.submit("impossible", impossible)
+	dependent := lasting(8, 1)
+	dependent.After = []int{0}
+	w.submit("dependent", impossible, dependent)
+	w.run(3 * time.Second)
+	w.evacuate("r0")
+	w.run(20 * time.Second)
+	is.Equal(len(w.runsIn("r0", "one"))+len(w.runsIn("r0", "gang")), 0)
+	is.Equal(w.availableRuns("one"), 3)
+	is.Equal(w.availableRuns("gang"), 2)
+	w.check(t)
+}
+
 // TestGangThatMayNotMissAllMembersStays covers a gang whose members would have to stop together,
 // which is more than its step may miss.
 func TestGangThatMayNotMissAllMembersStays(t *testing.T) {
--- a/shard/eviction.go
+++ b/shard/eviction.go
@@ -138,6 +138,22 @@
 	return count
 }
 
+// countIdleFor returns how many idle tasks of the step have been idle for at least the given time.
+// Tasks that have not run before are idle from the time from.
+func (s *stepState) countIdleFor(least time.Duration, from, now time.Time) int {
+	count := 0
+	for _, index := range s.idle {
+		since := s.tasks[index].idleSince
+		if since.IsZero() {
+			since = from
+		}
+		if now.Sub(since) >= least {
+			count++
+		}
+	}
+	return count
+}
+
 // isStuck reports whether a task that has run before has had no worker for at least stuckAfter.
 func (t *taskState) isStuck(now time.Time) bool {
 	return len(t.runs) == 0 && !t.idleSince.IsZero() && now.Sub(t.idleSince) >= stuckAfter
