--- a/forecast/history.go
+++ b/forecast/history.go
@@ -21,6 +21,11 @@
 	// maxLevel is the value that stands for the peak of a series, and gapLevel for a gap.
 	maxLevel = 254
 	gapLevel = 255
+
+	// maxPeak is the largest peak that is restored, in instances, far above any installation.
+	// Demand is stored as float32, in which larger values such as 1e300 become infinite: the
+	// forecast would stay off for as long as the history holds them.
+	maxPeak = 1e6
 )
 
 // History is the recent demand in a compact form, for a successor.
@@ -172,7 +177,7 @@
 	}
 	for _, series := range h.Series {
 		tooLong := time.Duration(len(series.Values))*h.Step > historySteps*Step
-		if tooLong || math.IsNaN(series.Peak) || math.IsInf(series.Peak, 0) || series.Peak < 0 {
+		if tooLong || math.IsNaN(series.Peak) || series.Peak < 0 || series.Peak > maxPeak {
 			return false
 		}
 	}
--- a/forecast/history_test.go
+++ b/forecast/history_test.go
@@ -89,6 +89,9 @@
 		{Step: forecast.Step, Series: series(math.NaN(), 10)},
 		{Step: forecast.Step, Series: series(math.Inf(1), 10)},
 		{Step: forecast.Step, Series: series(-1, 10)},
+		// Infinite once stored as float32, which switched the forecast off for good.
+		{Step: forecast.Step, Series: series(1e300, 10)},
+		{Step: forecast.Step, Series: series(2e6, 10)},
 	} {
 		is.True(!newForecaster().Restore(history, begin))
 	}
