Pool: bound how many ejected instances leave a pool above its target

Ejected instances were the cheapest to close and lowered no count, so a pool above its target closed all of them at once, before they were to be given back. Every move of an ejected instance now needs GiveBack and is within the tenth of the pool.

--- a/pool/ejected.go
+++ b/pool/ejected.go
@@ -11,18 +11,19 @@
 	if r.sleepingPool == "" {
 		return
 	}
-	given := make(map[string]int)
 	for _, sp := range r.instances {
-		if !sp.ejected || !sp.load.GiveBack || !r.movable(sp, r.sleepingPool) {
-			continue
-		}
-		if name := sp.pool; float64(given[name]) < max(1, maxGiveBackShare*float64(r.count[name])) {
-			given[name]++
+		if sp.ejected && r.movable(sp, r.sleepingPool) {
 			r.reassign(sp, r.sleepingPool)
 		}
 	}
 }
 
+// mayGiveBack reports whether an ejected instance may leave its pool. The bound holds for every
+// kind of move: an ejected instance lowers no count, so that the target does not limit how many go.
+func (r *round) mayGiveBack(sp *instanceState) bool {
+	return sp.load.GiveBack && float64(r.givenBack[sp.pool]) < max(1, maxGiveBackShare*float64(r.count[sp.pool]))
+}
+
 // addsCapacity reports whether the instance counts in its pool.
 func (sp *instanceState) addsCapacity() bool {
 	return !sp.evacuated && !sp.ejected
--- a/pool/ejected_test.go
+++ b/pool/ejected_test.go
@@ -61,3 +61,39 @@
 		is.True(!ejected[move.Instance]) // It is closed first.
 	}
 }
+
+// TestEjectedInstancesStayAboveTarget guards against a pool above its target that closes all its
+// ejected instances at once: they lower no count, so that the target is not reached by it.
+func TestEjectedInstancesStayAboveTarget(t *testing.T) {
+	for name, c := range map[string]struct {
+		giveBack bool
+		most     int
+	}{
+		"before they are given back": {false, 0},
+		"given back":                 {true, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(map[string]int{
+				"a":    25,
+				"b":    3,
+				asleep: 2,
+			})
+			f.service("a").Load.Used = cpu(20)
+			ejected := f.eject("a", 6, c.giveBack)
+			sound := 0
+			for range 50 {
+				closed := 0
+				for _, worker := range f.plan().Closed["a"] {
+					if ejected[worker[len("w-"):]] {
+						closed++
+					} else {
+						sound++
+					}
+				}
+				is.True(closed <= c.most)
+			}
+			is.True(sound > 0) // The pool is above its target.
+		})
+	}
+}
--- a/pool/offer.go
+++ b/pool/offer.go
@@ -87,3 +87,17 @@
 	}
 	sort.SliceStable(list, func(i, j int) bool { return costs[list[i]] < costs[list[j]] })
 }
+
+// cost returns the cost of emptying an awake instance. An empty worker costs the least, one with
+// long-running tasks the most. Workers that are closed already come before open ones: choosing
+// others would undo the work of closing them.
+func (sp *instanceState) cost() int {
+	if sp.ejected && sp.load.GiveBack && sp.load.Lasting == 0 {
+		return 0
+	}
+	cost := sp.load.Runs + int(sp.load.Busy/costUnit) + longRunningCost*sp.load.Lasting
+	if !sp.load.Closed {
+		cost += openPenalty
+	}
+	return cost
+}
--- a/pool/round.go
+++ b/pool/round.go
@@ -73,6 +73,9 @@
 	count     map[string]int
 	available int
 
+	// givenBack is the number of ejected instances of each pool that this plan closes.
+	givenBack map[string]int
+
 	// labelCounts caches the results of countLabelled until the next change.
 	labelCounts map[poolLabel]int
 }
@@ -88,6 +91,8 @@
 		services: make(map[string]*Service, len(v.Services)),
 		count:    make(map[string]int),
 		needs:    make(map[string]int),
+
+		givenBack: make(map[string]int),
 	}
 	for i := range v.Services {
 		service := &v.Services[i]
@@ -273,6 +278,9 @@
 	if sp.pool == r.sleepingPool {
 		return true
 	}
+	if sp.ejected && !r.mayGiveBack(sp) {
+		return false
+	}
 	return sp.known && !sp.load.Draining && sp.load.Reached && !r.isNeededForLabel(sp)
 }
 
@@ -318,7 +326,9 @@
 // closed in either case.
 func (r *round) reassign(sp *instanceState, to string) {
 	from := sp.pool
-	if !sp.ejected {
+	if sp.ejected {
+		r.givenBack[from]++
+	} else {
 		r.count[from]--
 	}
 	r.count[to]++
@@ -366,20 +376,6 @@
 	return sp.load.Known && sp.load.Closed && sp.load.Runs == 0
 }
 
-// cost returns the cost of emptying an awake instance. An empty worker costs the least, one with
-// long-running tasks the most. Workers that are closed already come before open ones: choosing
-// others would undo the work of closing them.
-func (sp *instanceState) cost() int {
-	if sp.ejected && sp.load.Lasting == 0 {
-		return 0
-	}
-	cost := sp.load.Runs + int(sp.load.Busy/costUnit) + longRunningCost*sp.load.Lasting
-	if !sp.load.Closed {
-		cost += openPenalty
-	}
-	return cost
-}
-
 // finish fills in the remaining fields of the plan and returns it.
 func (r *round) finish() Plan {
 	for _, workers := range r.plan.Closed {
