Evacuations look for room once per step that stays

Each long-running task that stayed cost a walk over all workers in every search. A step for which there is no room is now skipped until the next search.

--- a/shard/evacuation.go
+++ b/shard/evacuation.go
@@ -73,6 +73,17 @@
 	stayLoggedAt time.Time
 }
 
+// evacuationSearch is the state of one search for long-running tasks to move.
+type evacuationSearch struct {
+	// seeking counts the long-running tasks that need a worker.
+	seeking int
+
+	// full holds the steps, by their first task, for whose tasks there is no room elsewhere. It
+	// saves a walk over all workers for each further task of the step. Moves only lessen the
+	// room, so it holds until the end of the search.
+	full map[job.TaskID]bool
+}
+
 // EvacuatedZones returns what runs in evacuated zones, as of the last search.
 func (s *Shard) EvacuatedZones() []ZoneRuns {
 	list := make([]ZoneRuns, 0, len(s.evacuated))
@@ -93,7 +104,10 @@
 	if len(s.evacuated) == 0 {
 		return
 	}
-	seeking := s.countLongRunningSeeking(now)
+	search := evacuationSearch{
+		seeking: s.countLongRunningSeeking(now),
+		full:    make(map[job.TaskID]bool),
+	}
 	for _, w := range s.workers {
 		zone := s.evacuated[w.reg.Zone]
 		if zone == nil {
@@ -104,12 +118,12 @@
 			if !found || !spec.Lasting {
 				continue
 			}
-			reason := s.whyStay(r, spec, seeking, now)
+			reason := s.whyStay(r, spec, search, now)
 			if reason != moves {
 				zone.staying[reason]++
 				continue
 			}
-			seeking += s.moveOut(r, spec)
+			search.seeking += s.moveOut(r, spec)
 		}
 	}
 	for _, zone := range s.evacuated {
@@ -175,13 +189,10 @@
 	return count
 }
 
-// whyStay returns why a long-running task stays in an evacuated zone. seeking is how many others
-// need a worker.
-func (s *Shard) whyStay(r *run, spec *job.Step, seeking int, now time.Time) stayReason {
-	count := 1
-	if spec.Gang {
-		count = spec.Count
-	}
+// whyStay returns why a long-running task stays in an evacuated zone.
+func (s *Shard) whyStay(r *run, spec *job.Step, search evacuationSearch, now time.Time) stayReason {
+	step := r.id
+	step.Index = 0
 	switch {
 	case r.phase != phaseRunning:
 		return stayUnsettled
@@ -189,15 +200,28 @@
 		return stayGang
 	case !s.canDisrupt(r.id, spec):
 		return stayMayMiss
-	case seeking >= maxEvacuating:
+	case search.seeking >= maxEvacuating:
 		return stayOthersMove
-	case s.countPlacements(r.id, spec, now) < seeking+count:
+	case search.full[step]:
+		return stayRoom
+	case !s.hasRoomElsewhere(r.id, spec, search.seeking, now):
+		search.full[step] = true
 		return stayRoom
 	default:
 		return moves
 	}
 }
 
+// hasRoomElsewhere reports whether other workers have room for a long-running task, or for all of
+// its gang, beside the given number of tasks that need a worker.
+func (s *Shard) hasRoomElsewhere(id job.TaskID, spec *job.Step, seeking int, now time.Time) bool {
+	count := 1
+	if spec.Gang {
+		count = spec.Count
+	}
+	return s.countPlacements(id, spec, now) >= seeking+count
+}
+
 // moveOut stops a long-running task, and with it all members of its gang, which start together only.
 // It returns the number of tasks that it stops.
 func (s *Shard) moveOut(r *run, spec *job.Step) int {
--- a/shard/evacuation_move_test.go
+++ b/shard/evacuation_move_test.go
@@ -181,6 +181,25 @@
 	w.check(t)
 }
 
+// TestStayingTasksCostOneWalkByStep guards against searches that walk over all workers once for
+// each long-running task that stays.
+func TestStayingTasksCostOneWalkByStep(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(6)
+	w.run(200 * time.Millisecond)
+	w.submit("a", lasting(24, 1))
+	w.run(3 * time.Second)
+	is.Equal(w.availableRuns("a"), 24)
+	w.evacuate("r0")
+	w.run(evacuationLag + time.Second)
+	w.evacuations.checks = 0
+	w.core.Next(w.now.Add(200 * time.Millisecond))
+	// Next asks 22 times, the walk for the one step included. With a walk for each of the eight
+	// tasks in the zone it asks 92 times.
+	is.True(w.evacuations.checks > 0)
+	is.True(w.evacuations.checks <= 5*len(w.workers))
+}
+
 // TestGangThatMayNotMissAllMembersStays covers a gang whose members would have to stop together,
 // which is more than its step may miss.
 func TestGangThatMayNotMissAllMembersStays(t *testing.T) {
--- a/shard/evacuation_test.go
+++ b/shard/evacuation_test.go
@@ -28,6 +28,9 @@
 
 	// hidden says that owners are told of no evacuation.
 	hidden bool
+
+	// checks counts how often owners asked whether a zone is evacuated.
+	checks int
 }
 
 // zoneOf returns the zone of a rack.
@@ -53,6 +56,7 @@
 
 // isEvacuated reports whether owners know that a zone is evacuated.
 func (w *world) isEvacuated(zone string) bool {
+	w.evacuations.checks++
 	at, found := w.evacuations.acknowledged[zone]
 	return found && !w.evacuations.hidden && w.now.Sub(at) >= evacuationLag
 }
