Stops in evacuated zones log the evacuation as their reason

evict logged that the worker is being emptied, also for evacuations. The comment of maxEvacuating states what the comparison of room covers now.

--- a/shard/evacuation.go
+++ b/shard/evacuation.go
@@ -12,8 +12,9 @@
 	evacuationInterval = 100 * time.Millisecond
 
 	// maxEvacuating is how many long-running tasks of a service may be without a worker at one
-	// time for more to be moved out of a zone. The room of the other zones is compared with each
-	// step alone, so that many steps moved at once would all count on the same room.
+	// time for more to be moved out of a zone. The room that one step finds elsewhere is compared
+	// with the tasks of all steps that need a worker, but steps differ in what they need: the
+	// larger tasks of other steps may use up more of it than is counted.
 	maxEvacuating = 8
 
 	// stayLogInterval is the minimum time between two lines of a zone that say why long-running
@@ -21,6 +22,9 @@
 	stayLogInterval = 2 * time.Second
 )
 
+// reasonEvacuated is the logged reason of stops in evacuated zones.
+const reasonEvacuated = "zone is evacuated"
+
 // Reasons why a long-running task stays in an evacuated zone.
 const (
 	// stayGang means that the step may not miss all members of its gang at one time.
@@ -226,13 +230,13 @@
 // It returns the number of tasks that it stops.
 func (s *Shard) moveOut(r *run, spec *job.Step) int {
 	if !spec.Gang {
-		s.evict(r)
+		s.evict(r, reasonEvacuated)
 		return 1
 	}
 	step := s.jobs[r.id.Job].occurrences[r.id.Occurrence].steps[r.id.Step]
 	for _, member := range step.tasks {
 		for _, other := range member.runs {
-			s.stop(other, "zone is evacuated")
+			s.stop(other, reasonEvacuated)
 		}
 	}
 	return len(step.tasks)
--- a/shard/evacuation_move_test.go
+++ b/shard/evacuation_move_test.go
@@ -181,6 +181,26 @@
 	w.check(t)
 }
 
+// TestEvacuationIsLoggedAsReasonOfStops guards against stops in an evacuated zone that look like
+// those of closed workers in the log.
+func TestEvacuationIsLoggedAsReasonOfStops(t *testing.T) {
+	is := is.New(t)
+	w := newEvacuationWorld(t, false)
+	stops := make(map[string]int)
+	w.logEvent = func(event string, fields ...any) {
+		if at := slices.Index(fields, any("reason")); event == "stop ordered" && at >= 0 {
+			stops[fields[at+1].(string)]++
+		}
+	}
+	for _, zone := range w.zonesOf("one") {
+		w.evacuate(zone)
+		w.run(10 * time.Second)
+		w.endEvacuation(zone)
+	}
+	is.True(stops["zone is evacuated"] > 0)
+	is.Equal(len(stops), 1)
+}
+
 // TestStayingTasksCostOneWalkByStep guards against searches that walk over all workers once for
 // each long-running task that stays.
 func TestStayingTasksCostOneWalkByStep(t *testing.T) {
--- a/shard/eviction.go
+++ b/shard/eviction.go
@@ -29,7 +29,7 @@
 			case soon && (spec.Lasting || spec.Checkpoints):
 				s.stop(r, "worker drains")
 			case r.phase == phaseRunning && spec.Lasting && s.mayEvict(id, spec, now):
-				s.evict(r)
+				s.evict(r, "worker is being emptied")
 			}
 		}
 	}
@@ -49,10 +49,10 @@
 	return s.canDisrupt(id, spec) && s.countPlacements(id, spec, now) > step.countSeeking()
 }
 
-// evict stops a run of a long-running task so that its worker empties. The stop is not repeated
+// evict stops a run of a long-running task, for a reason that is logged. The stop is not repeated
 // while the step may have no more tasks unavailable, see holdsBackStop.
-func (s *Shard) evict(r *run) {
-	s.stop(r, "worker is being emptied")
+func (s *Shard) evict(r *run, reason string) {
+	s.stop(r, reason)
 	r.stopWithinBudget = true
 }
 
