--- a/shard/standby.go
+++ b/shard/standby.go
@@ -72,8 +72,8 @@
 	delete(s.jobs, record.ID)
 	delete(s.waiting, record.ID)
 	foreign := s.isForeign(submitted.record, record.Owner())
-	if foreign && !s.deferredCancels[record.ID] {
-		// The cancellation was one of the submitted job.
+	if cancelledByRow := s.deferredCancels[record.ID]; foreign && !cancelledByRow {
+		// The cancellation, if any, was one of the submitted job.
 		delete(s.deferredCancels, record.ID)
 	}
 	if err := s.Restore(record, progress, now); err != nil {
