--- a/shard/evacuation.go
+++ b/shard/evacuation.go
@@ -12,8 +12,9 @@
 	evacuationInterval = 100 * time.Millisecond
 
 	// maxEvacuating is how many long-running tasks of a service may be without a worker at one
-	// time for more to be moved out of a zone. The room of the other zones is compared with each
-	// step alone, so that many steps moved at once would all count on the same room.
+	// time for more to be moved out of a zone. The room that one step finds elsewhere is compared
+	// with the tasks of all steps that need a worker, but steps differ in what they need: the
+	// larger tasks of other steps may use up more of it than is counted.
 	maxEvacuating = 8
 
 	// stayLogInterval is the minimum time between two lines of a zone that say why long-running
@@ -21,6 +22,9 @@
 	stayLogInterval = 2 * time.Second
 )
 
+// reasonEvacuated is the logged reason of stops in evacuated zones.
+const reasonEvacuated = "zone is evacuated"
+
 // Reasons why a long-running task stays in an evacuated zone.
 const (
 	// stayGang means that the step may not miss all members of its gang at one time.
@@ -73,6 +77,17 @@
 	stayLoggedAt time.Time
 }
 
+// evacuationSearch is the state of one search for long-running tasks to move.
+type evacuationSearch struct {
+	// seeking counts the long-running tasks that need a worker.
+	seeking int
+
+	// full holds the steps, by their first task, for whose tasks there is no room elsewhere. It
+	// saves a walk over all workers for each further task of the step. Moves only lessen the
+	// room, so it holds until the end of the search.
+	full map[job.TaskID]bool
+}
+
 // EvacuatedZones returns what runs in evacuated zones, as of the last search.
 func (s *Shard) EvacuatedZones() []ZoneRuns {
 	list := make([]ZoneRuns, 0, len(s.evacuated))
@@ -93,7 +108,10 @@
 	if len(s.evacuated) == 0 {
 		return
 	}
-	seeking := s.countLongRunningSeeking(now)
+	search := evacuationSearch{
+		seeking: s.countLongRunningSeeking(now),
+		full:    make(map[job.TaskID]bool),
+	}
 	for _, w := range s.workers {
 		zone := s.evacuated[w.reg.Zone]
 		if zone == nil {
@@ -104,12 +122,12 @@
 			if !found || !spec.Lasting {
 				continue
 			}
-			reason := s.whyStay(r, spec, seeking, now)
+			reason := s.whyStay(r, spec, search, now)
 			if reason != moves {
 				zone.staying[reason]++
 				continue
 			}
-			seeking += s.moveOut(r, spec)
+			search.seeking += s.moveOut(r, spec)
 		}
 	}
 	for _, zone := range s.evacuated {
@@ -151,17 +169,23 @@
 }
 
 // countLongRunningSeeking returns how many long-running tasks need a worker. Those that have been
-// without one for stuckAfter fit nowhere and are not counted.
+// without one for stuckAfter fit nowhere and are not counted. Tasks that have never run are
+// included: if they were counted for good, a few of them would stop every evacuation.
 func (s *Shard) countLongRunningSeeking(now time.Time) int {
 	count := 0
 	for _, j := range s.jobs {
 		if j.state.Final() || !j.hasLongRunningStep() {
 			continue
 		}
-		for _, o := range j.occurrences {
+		// This owner does not know since when tasks of earlier owners have been idle.
+		idleFrom := j.record.acceptedAt()
+		if idleFrom.Before(s.takenAt) {
+			idleFrom = s.takenAt
+		}
+		for k, o := range j.occurrences {
 			for st, step := range o.steps {
-				if j.record.Spec.Steps[st].Lasting {
-					count += step.countSeeking() - step.stuck(now)
+				if j.record.Spec.Steps[st].Lasting && j.isReady(k, st) {
+					count += step.countSeeking() - step.countIdleFor(stuckAfter, idleFrom, now)
 				}
 			}
 		}
@@ -169,13 +193,10 @@
 	return count
 }
 
-// whyStay returns why a long-running task stays in an evacuated zone. seeking is how many others
-// need a worker.
-func (s *Shard) whyStay(r *run, spec *job.Step, seeking int, now time.Time) stayReason {
-	count := 1
-	if spec.Gang {
-		count = spec.Count
-	}
+// whyStay returns why a long-running task stays in an evacuated zone.
+func (s *Shard) whyStay(r *run, spec *job.Step, search evacuationSearch, now time.Time) stayReason {
+	step := r.id
+	step.Index = 0
 	switch {
 	case r.phase != phaseRunning:
 		return stayUnsettled
@@ -183,26 +204,39 @@
 		return stayGang
 	case !s.canDisrupt(r.id, spec):
 		return stayMayMiss
-	case seeking >= maxEvacuating:
+	case search.seeking >= maxEvacuating:
 		return stayOthersMove
-	case s.countPlacements(r.id, spec, now) < seeking+count:
+	case search.full[step]:
+		return stayRoom
+	case !s.hasRoomElsewhere(r.id, spec, search.seeking, now):
+		search.full[step] = true
 		return stayRoom
 	default:
 		return moves
 	}
 }
 
+// hasRoomElsewhere reports whether other workers have room for a long-running task, or for all of
+// its gang, beside the given number of tasks that need a worker.
+func (s *Shard) hasRoomElsewhere(id job.TaskID, spec *job.Step, seeking int, now time.Time) bool {
+	count := 1
+	if spec.Gang {
+		count = spec.Count
+	}
+	return s.countPlacements(id, spec, now) >= seeking+count
+}
+
 // moveOut stops a long-running task, and with it all members of its gang, which start together only.
 // It returns the number of tasks that it stops.
 func (s *Shard) moveOut(r *run, spec *job.Step) int {
 	if !spec.Gang {
-		s.evict(r)
+		s.evict(r, reasonEvacuated)
 		return 1
 	}
 	step := s.jobs[r.id.Job].occurrences[r.id.Occurrence].steps[r.id.Step]
 	for _, member := range step.tasks {
 		for _, other := range member.runs {
-			s.stop(other, "zone is evacuated")
+			s.stop(other, reasonEvacuated)
 		}
 	}
 	return len(step.tasks)
--- a/shard/evacuation_move_test.go
+++ b/shard/evacuation_move_test.go
@@ -161,6 +161,65 @@
 	}
 }
 
+// TestTasksThatNeverRanStopNoEvacuation guards against evacuations that wait for long-running tasks
+// that no worker can take: eight with a label that no worker has stopped every evacuation.
+func TestTasksThatNeverRanStopNoEvacuation(t *testing.T) {
+	is := is.New(t)
+	w := newEvacuationWorld(t, false)
+	impossible := lasting(8, 1)
+	impossible.Label = "missing"
+	w.submit("impossible", impossible)
+	dependent := lasting(8, 1)
+	dependent.After = []int{0}
+	w.submit("dependent", impossible, dependent)
+	w.run(3 * time.Second)
+	w.evacuate("r0")
+	w.run(20 * time.Second)
+	is.Equal(len(w.runsIn("r0", "one"))+len(w.runsIn("r0", "gang")), 0)
+	is.Equal(w.availableRuns("one"), 3)
+	is.Equal(w.availableRuns("gang"), 2)
+	w.check(t)
+}
+
+// TestEvacuationIsLoggedAsReasonOfStops guards against stops in an evacuated zone that look like
+// those of closed workers in the log.
+func TestEvacuationIsLoggedAsReasonOfStops(t *testing.T) {
+	is := is.New(t)
+	w := newEvacuationWorld(t, false)
+	stops := make(map[string]int)
+	w.logEvent = func(event string, fields ...any) {
+		if at := slices.Index(fields, any("reason")); event == "stop ordered" && at >= 0 {
+			stops[fields[at+1].(string)]++
+		}
+	}
+	for _, zone := range w.zonesOf("one") {
+		w.evacuate(zone)
+		w.run(10 * time.Second)
+		w.endEvacuation(zone)
+	}
+	is.True(stops["zone is evacuated"] > 0)
+	is.Equal(len(stops), 1)
+}
+
+// TestStayingTasksCostOneWalkByStep guards against searches that walk over all workers once for
+// each long-running task that stays.
+func TestStayingTasksCostOneWalkByStep(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(6)
+	w.run(200 * time.Millisecond)
+	w.submit("a", lasting(24, 1))
+	w.run(3 * time.Second)
+	is.Equal(w.availableRuns("a"), 24)
+	w.evacuate("r0")
+	w.run(evacuationLag + time.Second)
+	w.evacuations.checks = 0
+	w.core.Next(w.now.Add(200 * time.Millisecond))
+	// Next asks 22 times, the walk for the one step included. With a walk for each of the eight
+	// tasks in the zone it asks 92 times.
+	is.True(w.evacuations.checks > 0)
+	is.True(w.evacuations.checks <= 5*len(w.workers))
+}
+
 // TestGangThatMayNotMissAllMembersStays covers a gang whose members would have to stop together,
 // which is more than its step may miss.
 func TestGangThatMayNotMissAllMembersStays(t *testing.T) {
--- a/shard/eviction.go
+++ b/shard/eviction.go
@@ -29,7 +29,7 @@
 			case soon && (spec.Lasting || spec.Checkpoints):
 				s.stop(r, "worker drains")
 			case r.phase == phaseRunning && spec.Lasting && s.mayEvict(id, spec, now):
-				s.evict(r)
+				s.evict(r, "worker is being emptied")
 			}
 		}
 	}
@@ -49,10 +49,10 @@
 	return s.canDisrupt(id, spec) && s.countPlacements(id, spec, now) > step.countSeeking()
 }
 
-// evict stops a run of a long-running task so that its worker empties. The stop is not repeated
+// evict stops a run of a long-running task, for a reason that is logged. The stop is not repeated
 // while the step may have no more tasks unavailable, see holdsBackStop.
-func (s *Shard) evict(r *run) {
-	s.stop(r, "worker is being emptied")
+func (s *Shard) evict(r *run, reason string) {
+	s.stop(r, reason)
 	r.stopWithinBudget = true
 }
 
@@ -138,6 +138,22 @@
 	return count
 }
 
+// countIdleFor returns how many idle tasks of the step have been idle for at least the given time.
+// Tasks that have not run before are idle from the time from.
+func (s *stepState) countIdleFor(least time.Duration, from, now time.Time) int {
+	count := 0
+	for _, index := range s.idle {
+		since := s.tasks[index].idleSince
+		if since.IsZero() {
+			since = from
+		}
+		if now.Sub(since) >= least {
+			count++
+		}
+	}
+	return count
+}
+
 // isStuck reports whether a task that has run before has had no worker for at least stuckAfter.
 func (t *taskState) isStuck(now time.Time) bool {
 	return len(t.runs) == 0 && !t.idleSince.IsZero() && now.Sub(t.idleSince) >= stuckAfter
