--- a/outlier/outlier.go
+++ b/outlier/outlier.go
@@ -54,7 +54,8 @@
 
 // Options are the settings and callbacks of a Fleet.
 type Options struct {
-	// Share is the maximum share of the workers that are ejected at one time; at least one may be.
+	// Share is the maximum share of the workers that are ejected at one time; at least one may be,
+	// unless it is the only one.
 	// 0 switches ejection and all bounds off.
 	Share float64
 
@@ -148,8 +149,12 @@
 	f.end(w, work, kind, true, began, now)
 }
 
-// Refused records a start that the worker refused because it accepts no tasks.
+// Refused records a start that the worker refused because it accepts no tasks. At an ejected worker it
+// is a failed probe, so that starts are not repeated until the next probe is due.
 func (f *Fleet) Refused(w *Worker, now time.Time) {
+	if w.state == ejected && !now.Before(w.probeAt) {
+		f.probeFailed(w, now)
+	}
 	if now.Sub(w.refusedAt) < refusalInterval {
 		return
 	}
@@ -202,10 +207,7 @@
 		}
 	case w.state != ejected || began.Before(w.ejectedAt):
 	case failed:
-		w.good = 0
-		w.probeInterval = min(MaxProbeAfter, 2*w.probeInterval)
-		w.probeAt = now.Add(w.probeInterval)
-		f.report(EventProbed, w, "good", false, "next_ms", w.probeInterval.Milliseconds())
+		f.probeFailed(w, now)
 	default:
 		w.good++
 		f.report(EventProbed, w, "good", true, "next_ms", 0)
@@ -219,6 +221,14 @@
 	}
 }
 
+// probeFailed postpones the next probe of an ejected worker.
+func (f *Fleet) probeFailed(w *Worker, now time.Time) {
+	w.good = 0
+	w.probeInterval = min(MaxProbeAfter, 2*w.probeInterval)
+	w.probeAt = now.Add(w.probeInterval)
+	f.report(EventProbed, w, "good", false, "next_ms", w.probeInterval.Milliseconds())
+}
+
 // change applies a change to a worker and then decides anew who is ejected.
 func (f *Fleet) change(w *Worker, now time.Time, apply func()) {
 	before := w.isOver()
@@ -243,7 +253,8 @@
 	}
 	over := len(f.over)
 	elsewhere := over >= minElsewhere && float64(over) >= elsewhereShare*float64(f.heard)
-	most := max(1, int(f.opts.Share*float64(len(f.workers))))
+	// The last worker stays in use: without it nothing would run.
+	most := min(max(1, int(f.opts.Share*float64(len(f.workers)))), len(f.workers)-1)
 	if elsewhere {
 		most = 0
 	}
--- a/outlier/outlier_test.go
+++ b/outlier/outlier_test.go
@@ -198,3 +198,30 @@
 		is.True(e.Check() != nil)
 	}
 }
+
+// TestLastWorkerStaysInUse guards against a service whose only worker is ejected.
+func TestLastWorkerStaysInUse(t *testing.T) {
+	is := is.New(t)
+	s := newService(1, outlier.DefaultShare)
+	s.end(0, 10, true)
+	is.Equal(s.Ejected(), 0)
+}
+
+// TestRefusedProbePostponesTheNext guards against a start at every opportunity on an ejected worker that
+// refuses all of them.
+func TestRefusedProbePostponesTheNext(t *testing.T) {
+	is := is.New(t)
+	s := newService(4, outlier.DefaultShare)
+	s.end(1, 3, false)
+	s.end(0, 3, true)
+	bad := s.workers[0]
+	is.True(bad.IsEjected())
+	s.now = s.now.Add(time.Second)
+	for _, wait := range []time.Duration{2 * time.Second, 4 * time.Second, 8 * time.Second} {
+		is.Equal(s.Allowance(bad, s.now), outlier.AllowProbe)
+		s.Refused(bad, s.now)
+		s.now = s.now.Add(wait - time.Millisecond)
+		is.Equal(s.Allowance(bad, s.now), outlier.AllowNone)
+		s.now = s.now.Add(time.Millisecond)
+	}
+}
