--- a/shard/outlier.go
+++ b/shard/outlier.go
@@ -39,6 +39,12 @@
 	if r != nil && !r.found {
 		began = r.startedAt
 	}
+	t := j.task(end.Task)
+	if t == nil || (t.done && r == nil) || slices.Contains(t.failedRuns, end.Run) {
+		// The end was counted already, maybe by an earlier owner, whose evidence is inherited. The
+		// first end of a gang marks all its tasks as done; ends of known runs still count.
+		return
+	}
 	kind := runTimeKey(j, &j.record.Spec.Steps[end.Task.Step])
 	switch end.Kind {
 	case outside.EndDone:
--- a/shard/outlier_test.go
+++ b/shard/outlier_test.go
@@ -255,3 +255,31 @@
 	w.run(5 * time.Second)
 	is.Equal(w.shown["a"], job.Completed)
 }
+
+// TestFailedRunCountsOnceAcrossOwners guards against a failed run that counts again at a successor, which
+// gets its end from the worker and from the evidence of the previous owner.
+func TestFailedRunCountsOnceAcrossOwners(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(2)
+	w.workers["w1"].fails = always
+	w.policy.Attempts = 10
+	w.run(200 * time.Millisecond)
+	one := step(1)
+	one.Label = "r1-1"
+	one.Estimate = 2 * time.Second
+	w.submit("a", one)
+	failed := func() int {
+		count := 0
+		for _, e := range w.core.BuildHandover(w.now, false, testHandoverBytes).Evidence {
+			count += e.Failed
+		}
+		return count
+	}
+	for failed() == 0 {
+		w.run(tick)
+	}
+	is.True(len(w.workers["w1"].ends) > 0) // Not acknowledged yet.
+	w.takeOverWith(w.writeAndHandOver())
+	w.run(time.Second)
+	is.Equal(failed(), 1)
+}
