--- a/shard/outlier.go
+++ b/shard/outlier.go
@@ -198,7 +198,7 @@
 func (s *Shard) inheritEvidence(list []outlier.Evidence) {
 	for _, e := range list {
 		if err := e.Check(); err != nil {
-			s.opts.LogEvent("evidence left out", "error", err.Error())
+			s.opts.LogEvent("invalid evidence left out", "error", err.Error())
 			continue
 		}
 		s.inheritedEvidence[e.Worker] = e
@@ -232,6 +232,6 @@
 	if len(s.inheritedEvidence) == 0 || now.Sub(s.takenAt) < evidenceTimeout {
 		return
 	}
-	s.opts.LogEvent("evidence left out", "unknown_workers", len(s.inheritedEvidence))
+	s.opts.LogEvent("evidence of unknown workers left out", "workers", len(s.inheritedEvidence))
 	clear(s.inheritedEvidence)
 }
