Shard: last attempts and constrained steps use an ejected worker only in need

A last attempt never ran while all workers but an ejected one were full, and an ejected worker without other work never returned. Steps with constraints used up their attempts there while other workers were merely full, and the tasks of one step waited for it one after the other.

--- a/shard/eligibility.go
+++ b/shard/eligibility.go
@@ -112,7 +112,7 @@
 		return ineligibleIsolation
 	case s.outliers.Allowance(w.health, now) != outlier.AllowAll && !s.isAllowed(w, c, now):
 		return ineligibleEjected
-	case !w.proven && !c.allowUnproven && s.holdsLastAttempt(c.task, now):
+	case !w.proven && !w.health.IsEjected() && !c.allowUnproven && s.holdsLastAttempt(c.task, now):
 		return ineligibleUnproven
 	case c.assumeEmpty:
 		return eligible
--- a/shard/gang.go
+++ b/shard/gang.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -14,6 +15,9 @@
 	step  *stepState
 	spec  *job.Step
 
+	// allowUnproven says that a last attempt may use workers that are not proven.
+	allowUnproven bool
+
 	// rack is the rack in which all tasks must run; empty for any.
 	rack string
 
@@ -40,7 +44,7 @@
 		racks = append(s.racks(), "")
 	}
 	for _, rack := range racks {
-		chosen := s.assignGang(g, step, spec, rack, now)
+		chosen := s.assignGang(g, step, spec, rack, false, now)
 		if chosen == nil {
 			continue
 		}
@@ -62,10 +66,23 @@
 		s.chargeStart(g, len(chosen))
 		return
 	}
+	s.recordWait(g, step, spec, now)
+	s.holdGang(g, step, spec, now)
+	s.reserveForGang(g, step, spec, now)
+}
+
+// holdGang records when the wait of a gang with one attempt left for proven workers began, if other
+// workers would have taken it.
+func (s *Shard) holdGang(g group, step *stepState, spec *job.Step, now time.Time) {
+	waits := func(index int) bool {
+		return step.tasks[index].heldSince.IsZero() && s.holdsLastAttempt(step.tasks[index], now)
+	}
+	if !slices.ContainsFunc(step.idle, waits) || s.assignGang(g, step, spec, "", true, now) == nil {
+		return
+	}
 	for _, index := range step.idle {
 		step.tasks[index].hold(now)
 	}
-	s.reserveForGang(g, step, spec, now)
 }
 
 // reserveForGang reserves a worker for the first isolated task of a gang. The wait of all isolated
@@ -86,17 +103,18 @@
 }
 
 // assignGang returns a worker for each idle task of a step, or nil if one task finds none.
-func (s *Shard) assignGang(g group, step *stepState, spec *job.Step, rack string, now time.Time) map[int]*workerState {
+func (s *Shard) assignGang(g group, step *stepState, spec *job.Step, rack string, allowUnproven bool, now time.Time) map[int]*workerState {
 	a := &gangAssignment{
-		shard:        s,
-		group:        g,
-		step:         step,
-		spec:         spec,
-		rack:         rack,
-		chosen:       make(map[int]*workerState),
-		memberCount:  make(map[*workerState]int),
-		suspectCount: make(map[*workerState]int),
-		dedicated:    make(map[*workerState]bool),
+		shard:         s,
+		group:         g,
+		step:          step,
+		spec:          spec,
+		rack:          rack,
+		allowUnproven: allowUnproven,
+		chosen:        make(map[int]*workerState),
+		memberCount:   make(map[*workerState]int),
+		suspectCount:  make(map[*workerState]int),
+		dedicated:     make(map[*workerState]bool),
 	}
 	for _, index := range step.idle {
 		if !a.assign(index, now) {
@@ -140,6 +158,7 @@
 func (a *gangAssignment) eligible(w *workerState, index int, now time.Time) bool {
 	t := a.step.tasks[index]
 	c := newCandidate(a.group.task(index), a.spec, t)
+	c.allowUnproven = a.allowUnproven
 	if a.shard.checkEligibility(w, c, now) != eligible {
 		return false
 	}
--- a/shard/isolation.go
+++ b/shard/isolation.go
@@ -23,7 +23,12 @@
 
 // task returns the task's state.
 func (a isolatedTask) task() *taskState {
-	return a.group.job.occurrences[a.group.occurrence].steps[a.group.step].tasks[a.index]
+	return a.step().tasks[a.index]
+}
+
+// step returns the state of the task's step.
+func (a isolatedTask) step() *stepState {
+	return a.group.job.occurrences[a.group.occurrence].steps[a.group.step]
 }
 
 // placeIsolated starts isolated tasks, those that have waited longest first. It runs after all
@@ -44,7 +49,8 @@
 		}
 		w := s.choose(id, spec, t, now)
 		if w == nil {
-			t.hold(now)
+			s.recordWait(a.group, a.step(), spec, now)
+			s.isHeldBack(id, spec, t, now)
 			s.reserveWorker(id, spec, t, now)
 			s.logWait(a.group.job, newCandidate(id, spec, t), now)
 			continue
--- a/shard/jobstate.go
+++ b/shard/jobstate.go
@@ -115,11 +115,18 @@
 	loggedWait        bool
 
 	// lastAttempt says that one more failed run fails the job, triedBefore that an attempt was used
-	// already. heldSince is since when the task has waited for a worker; zero if it does not.
+	// already. heldSince is since when a proven worker is waited for, although another one would
+	// have taken the task; zero if it is not.
 	lastAttempt bool
 	triedBefore bool
 	heldSince   time.Time
 
+	// waitingSince is since when the task has waited for a worker, also for room, while one was
+	// ejected. onlyEjectedSince is since when none but ejected workers could take it even when
+	// empty. Both are zero if that is not so.
+	waitingSince     time.Time
+	onlyEjectedSince time.Time
+
 	// lastRun is the highest run number that this owner has assigned or found on a worker.
 	lastRun int64
 
--- a/shard/outlier.go
+++ b/shard/outlier.go
@@ -14,6 +14,10 @@
 	// worker ends a run in a fraction of a second.
 	lastAttemptWait = 2 * time.Second
 
+	// ejectedWait is how long a task waits for room until it may use an ejected worker. Without it,
+	// a last attempt never ran while all other workers were full.
+	ejectedWait = 3 * lastAttemptWait
+
 	// hangingFactor is the multiple of its usual run time after which a run is evidence against
 	// its worker. Interference and remote data make sound runs up to three times as long.
 	hangingFactor = 6
@@ -75,7 +79,7 @@
 func (s *Shard) isAllowed(w *workerState, c candidate, now time.Time) bool {
 	switch allowance := s.outliers.Allowance(w.health, now); allowance {
 	case outlier.AllowProbe, outlier.AllowNone:
-		if s.mayUseEjected(c, now) {
+		if s.mayUseEjected(w, c, now) {
 			return true
 		}
 		runs, _ := s.shortRuns(w)
@@ -94,11 +98,51 @@
 	}
 }
 
-// mayUseEjected reports whether a task may start on an ejected worker although it is no probe. Its
-// step accepts only some of the workers, and none of the others has taken it for lastAttemptWait:
-// it might never run.
-func (s *Shard) mayUseEjected(c candidate, now time.Time) bool {
-	return acceptsSome(c.spec) && !c.task.heldSince.IsZero() && now.Sub(c.task.heldSince) >= lastAttemptWait
+// mayUseEjected reports whether a task may start on an ejected worker although it is no probe: no
+// other worker can take it even when empty, or it has waited long and nothing runs on the worker.
+func (s *Shard) mayUseEjected(w *workerState, c candidate, now time.Time) bool {
+	since := c.task.onlyEjectedSince
+	if !since.IsZero() && now.Sub(since) >= lastAttemptWait {
+		return true
+	}
+	return len(w.runs) == 0 && c.task.isOverdue(now)
+}
+
+// isOverdue reports whether a task has waited for room for ejectedWait.
+func (t *taskState) isOverdue(now time.Time) bool {
+	return !t.waitingSince.IsZero() && now.Sub(t.waitingSince) >= ejectedWait
+}
+
+// recordWait records that the idle tasks of a step wait for a worker while one is ejected. spec is
+// nil if it is not to be checked whether only ejected workers can take them.
+func (s *Shard) recordWait(g group, step *stepState, spec *job.Step, now time.Time) {
+	if s.outliers.Ejected() == 0 || len(step.idle) == 0 {
+		return
+	}
+	checked := spec != nil && acceptsSome(spec)
+	index := step.idle[len(step.idle)-1]
+	only := checked && s.onlyEjectedAccept(newCandidate(g.task(index), spec, step.tasks[index]), now)
+	for _, index := range step.idle {
+		t := step.tasks[index]
+		if t.waitingSince.IsZero() {
+			t.waitingSince = now
+		}
+		switch {
+		case checked && !only:
+			t.onlyEjectedSince = time.Time{}
+		case only && t.onlyEjectedSince.IsZero():
+			t.onlyEjectedSince = now
+		}
+	}
+}
+
+// onlyEjectedAccept reports whether no worker that is not ejected could take a task when empty.
+func (s *Shard) onlyEjectedAccept(c candidate, now time.Time) bool {
+	c.assumeEmpty = true
+	c.allowUnproven = true
+	return !slices.ContainsFunc(s.usable, func(w *workerState) bool {
+		return !w.health.IsEjected() && s.checkEligibility(w, c, now) == eligible
+	})
 }
 
 // acceptsSome reports whether the tasks of a step may run only on some of the workers, or must not
@@ -136,6 +180,13 @@
 	}
 }
 
+// endWait records that a task waits for no worker.
+func (t *taskState) endWait() {
+	t.heldSince = time.Time{}
+	t.waitingSince = time.Time{}
+	t.onlyEjectedSince = time.Time{}
+}
+
 // noteLastAttempt records that a run of a task has failed. A failed run of a gang's member counts
 // for all members.
 func (j *jobState) noteLastAttempt(id job.TaskID, t *taskState) {
@@ -163,12 +214,8 @@
 }
 
 // isHeldBack reports whether a task that no worker has taken waits for a proven worker only, and
-// records when its wait began. The wait of a task of a step that accepts only some workers begins in
-// any case, see mayUseEjected.
+// records when its wait began.
 func (s *Shard) isHeldBack(id job.TaskID, spec *job.Step, t *taskState, now time.Time) bool {
-	if acceptsSome(spec) {
-		t.hold(now)
-	}
 	if !s.holdsLastAttempt(t, now) {
 		return false
 	}
@@ -185,7 +232,11 @@
 // first: it would never return where others have room.
 func (s *Shard) doubtWeight(w *workerState, spec *job.Step, t *taskState) float64 {
 	weight := weightDoubt * w.health.Doubt()
-	if w.health.IsEjected() && !acceptsSome(spec) {
+	switch {
+	case !w.health.IsEjected():
+	case acceptsSome(spec) || t.lastAttempt:
+		weight += weightEjected
+	default:
 		weight = -weightProbe
 	}
 	if t.lastAttempt && t.triedBefore && !w.proven {
--- a/shard/picker.go
+++ b/shard/picker.go
@@ -32,7 +32,7 @@
 
 // choose returns the best worker for a task of the step, or nil if none can take it now.
 func (p *picker) choose(id job.TaskID, spec *job.Step, t *taskState) *workerState {
-	if !t.sharesWeights() {
+	if !t.sharesWeights() || t.isOverdue(p.now) {
 		return p.shard.choose(id, spec, t, p.now)
 	}
 	c := newCandidate(id, spec, t)
--- a/shard/place.go
+++ b/shard/place.go
@@ -53,6 +53,7 @@
 // Weights for the choice of a worker; the worker with the lowest sum is chosen. Only the order of
 // their sizes matters: a stronger reason outweighs all weaker ones.
 const (
+	weightEjected      = 10_000.0
 	weightFailedHere   = 1000.0
 	weightUnproven     = 500.0
 	weightDoubt        = 300.0
@@ -103,14 +104,18 @@
 // placeGroups starts the tasks of the groups, except isolated ones. It stops as soon as the
 // budget for start orders is used up.
 func (s *Shard) placeGroups(groups []group, unobserved unobservedTasks, now time.Time) {
-	var full []job.Room
+	failed := &unplaced{}
 	for _, g := range groups {
 		if !s.nextStartAt.IsZero() {
 			return
 		}
 		step := g.job.occurrences[g.occurrence].steps[g.step]
 		spec := &g.job.record.Spec.Steps[g.step]
-		if fitsNowhere(full, spec.Charge()) || !s.ensureTickets(g, now) {
+		if s.failsStep(failed, step, spec, now) {
+			s.recordWait(g, step, nil, now)
+			continue
+		}
+		if !s.ensureTickets(g, now) {
 			continue
 		}
 		if spec.Gang {
@@ -119,19 +124,21 @@
 			}
 			continue
 		}
-		full = s.placeStep(g, step, spec, full, unobserved, now)
+		s.placeStep(g, step, spec, failed, unobserved, now)
 	}
 }
 
 // placeStep starts the idle tasks of a step until none fits, except those that may have an
-// unobserved run. It returns full, with the charge of the step added if lack of room alone can be
-// the reason that no worker took a task.
-func (s *Shard) placeStep(g group, step *stepState, spec *job.Step, full []job.Room, unobserved unobservedTasks, now time.Time) []job.Room {
+// unobserved run. It records in failed what found no worker, if lack of room alone can be the reason.
+func (s *Shard) placeStep(g group, step *stepState, spec *job.Step, failed *unplaced, unobserved unobservedTasks, now time.Time) {
+	if acceptsSome(spec) || g.job.policy.Advised {
+		// What such a step finds says nothing about others.
+		failed = &unplaced{}
+	}
 	choices := &picker{
 		shard: s,
 		now:   now,
 	}
-	holding := false
 	// The list is walked from its end: a task that starts is removed from it, and the tasks
 	// behind it were skipped before.
 	for i := len(step.idle) - 1; i >= 0; i-- {
@@ -140,36 +147,27 @@
 		if unobserved.contains(id) || s.isBlocked(step.tasks[index], now) || step.tasks[index].needsIsolation() {
 			continue
 		}
-		if holding && s.holdsLastAttempt(step.tasks[index], now) {
-			step.tasks[index].hold(now)
+		if s.skips(failed, id, spec, step.tasks[index], now) {
 			continue
 		}
 		if !s.withinQuota(g.job, spec, 1) {
 			s.waitForQuota(g.job, spec, i+1)
-			return full
+			return
 		}
 		w := choices.choose(id, spec, step.tasks[index])
 		if w != nil && !s.takeStartBudget(spec, g.job, 1, now) {
-			return full
+			return
 		}
-		if w == nil && s.isHeldBack(id, spec, step.tasks[index], now) {
-			// Other tasks go on, but not another last attempt of the step: each search looks at all
-			// workers.
-			holding = true
+		if w == nil && s.noteUnplaced(failed, g, step, index, now) {
 			continue
 		}
 		if w == nil {
-			s.logWait(g.job, newCandidate(id, spec, step.tasks[index]), now)
-			if spec.Label == "" && spec.PerWorker == 0 && !g.job.policy.Advised {
-				full = append(full, spec.Charge())
-			}
-			return full
+			return
 		}
 		s.start(g.job, step.tasks[index], spec, id, w, now)
 		s.chargeStart(g, 1)
 		choices.started = append(choices.started, w)
 	}
-	return full
 }
 
 // takeStartBudget charges orders to start tasks of a step to the link budget, and reports whether
@@ -342,7 +340,7 @@
 		order:     order,
 	}
 	s.endIsolationWait(id, t, w, now)
-	t.heldSince = time.Time{}
+	t.endWait()
 	s.attachRun(r, j, t)
 	if r.suspect {
 		s.addPossibleCrash(id, w.incarnation().String())
