--- a/owner/turnfleet_test.go
+++ b/owner/turnfleet_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"runtime"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -305,10 +306,22 @@
 	return f.orders, f.unwritten, f.noted
 }
 
+// limitProcessors runs a test with the race detector on one processor until the returned function is
+// called: the detector's runtime ends with a segmentation fault in timers of a synctest bubble on
+// several ones, see docs/incidents/feed-race-detector.md.
+func limitProcessors() func() {
+	if !raceDetector {
+		return func() {}
+	}
+	before := runtime.GOMAXPROCS(1)
+	return func() { runtime.GOMAXPROCS(before) }
+}
+
 // play runs a controller through steps and returns the violations: the state of the store, the
 // demand, the duration in tenths of a second, and whether orders are answered and promises given.
 func play(t *testing.T, steps [][4]int, change func(f *turnFleet)) []string {
 	t.Helper()
+	defer limitProcessors()()
 	var violations []string
 	synctest.Test(t, func(t *testing.T) {
 		f := newTurnFleet()
