--- a/feed/days_test.go
+++ b/feed/days_test.go
@@ -4,13 +4,15 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"runtime"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+
 	"golang.org/x/sync/errgroup"
+
+	"lemonstream.dev/lemonstream/internal/prove"
 )
 
 // settled is longer than any call that nobody waits for any more goes on.
@@ -33,16 +35,6 @@
 	}
 }
 
-// onOneProcessor keeps a test with the race detector on one processor: its runtime ends the process
-// now and then where time.AfterFunc runs in virtual time on several ones (docs/incidents).
-func onOneProcessor(t *testing.T) {
-	if !raceDetector {
-		return
-	}
-	before := runtime.GOMAXPROCS(1)
-	t.Cleanup(func() { runtime.GOMAXPROCS(before) })
-}
-
 // day lets a world run for a while beside faults of its entries, and returns what it broke: an
 // entry in touch that has not heard of a change in time, or one that went back.
 func day(seed uint64, guarded bool) []string {
@@ -118,7 +110,7 @@
 // believes a source that has lost the store.
 func TestChangesReachAllBesideFaultsOfTheirSources(t *testing.T) {
 	const days = 60
-	onOneProcessor(t)
+	t.Cleanup(prove.OneProcessor())
 	for _, guarded := range []bool{true, false} {
 		t.Run(fmt.Sprintf("guarded=%v", guarded), func(t *testing.T) {
 			broken := 0
@@ -145,7 +137,7 @@
 // reads a second would have been full of them alone at 8,000 entries.
 func TestOneReadServesMany(t *testing.T) {
 	const entries, sources, span = 600, 6, 20
-	onOneProcessor(t)
+	t.Cleanup(prove.OneProcessor())
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		w := newWorld(entries, sources, rand.New(rand.NewPCG(1, 7)), true)
--- a/feed/norace_test.go
+++ b/internal/prove/norace.go
@@ -1,6 +1,6 @@
 //go:build !race
 
-package feed_test
+package prove
 
 // raceDetector says that the tests run with the race detector.
 const raceDetector = false
--- a/owner/race_test.go
+++ /dev/null
@@ -1,6 +0,0 @@
-//go:build race
-
-package owner_test
-
-// raceDetector says that the tests run with the race detector.
-const raceDetector = true
--- a/owner/turnfleet_test.go
+++ b/owner/turnfleet_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net/netip"
-	"runtime"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -16,6 +15,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"lemonstream.dev/lemonstream/catalog"
+	"lemonstream.dev/lemonstream/internal/prove"
 	"lemonstream.dev/lemonstream/internal/standin"
 	"lemonstream.dev/lemonstream/job"
 	"lemonstream.dev/lemonstream/outside"
@@ -306,22 +306,11 @@
 	return f.orders, f.unwritten, f.noted
 }
 
-// limitProcessors runs a test with the race detector on one processor until the returned function is
-// called: the detector's runtime ends with a segmentation fault in timers of a synctest bubble on
-// several ones, see docs/incidents/feed-race-detector.md.
-func limitProcessors() func() {
-	if !raceDetector {
-		return func() {}
-	}
-	before := runtime.GOMAXPROCS(1)
-	return func() { runtime.GOMAXPROCS(before) }
-}
-
 // play runs a controller through steps and returns the violations: the state of the store, the
 // demand, the duration in tenths of a second, and whether orders are answered and promises given.
 func play(t *testing.T, steps [][4]int, change func(f *turnFleet)) []string {
 	t.Helper()
-	defer limitProcessors()()
+	defer prove.OneProcessor()()
 	var violations []string
 	synctest.Test(t, func(t *testing.T) {
 		f := newTurnFleet()
