One check decides whether the demand of an unstored job counts

NoteRefused and addUnwritten had the same three conditions. Two comments are wrapped. Tests of refusals, loads, submissions, batches and quotas of shard pass with the race detector.

--- a/outlier/outlier.go
+++ b/outlier/outlier.go
@@ -55,8 +55,7 @@
 // Options are the settings and callbacks of a Fleet.
 type Options struct {
 	// Share is the maximum share of the workers that are ejected at one time; at least one may be,
-	// unless it is the only one.
-	// 0 switches ejection and all bounds off.
+	// unless it is the only one. 0 switches ejection and all bounds off.
 	Share float64
 
 	// ProbeAfter is the time from an ejection to the first probe. It doubles with each probe that
--- a/shard/refuseddemand.go
+++ b/shard/refuseddemand.go
@@ -141,10 +141,7 @@
 // in Load until the job is accepted or no longer offered. A job that exceeds its organisation's
 // quota can't run whatever capacity there is, and a repeating job that is not due needs none yet.
 func (s *Shard) NoteRefused(record Record, now time.Time) {
-	if _, known := s.jobs[record.ID]; known || s.opts.IgnoreRefused || s.exceedsQuota(record) {
-		return
-	}
-	if record.Spec.Repeats > 0 && now.Before(record.Spec.Due(0)) {
+	if _, known := s.jobs[record.ID]; known || !s.needsCapacity(record, now) {
 		return
 	}
 	s.refusedDemand.Note(record.ID, s.demandOf(record), now)
@@ -158,7 +155,7 @@
 // addUnwritten adds the demand of a submitted job whose record is not stored yet. While the store is
 // slow or silent that takes seconds, in which capacity can be prepared.
 func (s *Shard) addUnwritten(j *jobState, load *Load, now time.Time) {
-	if s.opts.IgnoreRefused || s.exceedsQuota(j.record) || (j.record.Spec.Repeats > 0 && now.Before(j.record.Spec.Due(0))) {
+	if !s.needsCapacity(j.record, now) {
 		return
 	}
 	for _, step := range s.demandOf(j.record) {
@@ -166,6 +163,12 @@
 	}
 }
 
+// needsCapacity reports whether the demand of a job counts that has no stored record.
+func (s *Shard) needsCapacity(record Record, now time.Time) bool {
+	due := record.Spec.Repeats == 0 || !now.Before(record.Spec.Due(0))
+	return due && !s.opts.IgnoreRefused && !s.exceedsQuota(record)
+}
+
 // demandOf returns what the steps of a job need that has not started.
 func (s *Shard) demandOf(record Record) []RefusedStep {
 	policy := record.Policy
