Decisions of a shard do not depend on the order of a map

What differs is the order in which maps are walked, in shard (runs that are lost together become idle in that order; members of a gang start, copies start, rows of workers are written in it) and in the world of its tests. So no failure could be played again.

Change: where several runs, tasks or workers are acted on, shard goes by their names. Only what is due is sorted, not all workers. The world of the tests takes a seed for its own walks (newOrderedWorld); without one they are as before, also for the test of the entry.

--- a/job/job.go
+++ b/job/job.go
@@ -4,6 +4,7 @@
 package job
 
 import (
+	"cmp"
 	"fmt"
 	"strconv"
 	"strings"
@@ -246,6 +247,16 @@
 	}, nil
 }
 
+// Compare orders tasks by job, occurrence, step and index.
+func (t TaskID) Compare(other TaskID) int {
+	return cmp.Or(
+		strings.Compare(t.Job, other.Job),
+		cmp.Compare(t.Occurrence, other.Occurrence),
+		cmp.Compare(t.Step, other.Step),
+		cmp.Compare(t.Index, other.Index),
+	)
+}
+
 // String returns the task's name.
 func (t TaskID) String() string {
 	return t.StepName() + "." + strconv.Itoa(t.Index)
--- a/shard/crash.go
+++ b/shard/crash.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -117,8 +118,8 @@
 // owner no longer knows the worker: it may have left in an orderly way, or run on behind a
 // partition.
 func (s *Shard) giveUpLostTasks(now time.Time) {
-	for name, tasks := range s.possibleCrashes {
-		for id := range tasks {
+	for _, name := range slices.Sorted(maps.Keys(s.possibleCrashes)) {
+		for _, id := range sortedTasks(s.possibleCrashes[name]) {
 			j, t := s.openTask(id)
 			switch {
 			case t == nil:
--- a/shard/crash_measure_test.go
+++ b/shard/crash_measure_test.go
@@ -66,9 +66,14 @@
 
 // simulateCrashes does one simulation run.
 func simulateCrashes(t *testing.T, seed uint64) crashStats {
+	t.Helper()
+	return simulateCrashesIn(t, newWorld(25), seed)
+}
+
+// simulateCrashesIn does one simulation run in a world.
+func simulateCrashesIn(t *testing.T, w *world, seed uint64) crashStats {
 	t.Helper()
 	draw := rand.New(rand.NewPCG(seed, 1))
-	w := newWorld(25)
 	w.allowExtraStarts = true
 	w.restartDelay = 3 * time.Second
 	w.run(200 * time.Millisecond)
@@ -150,3 +155,30 @@
 	}
 	return float64(sum) / float64(len(list))
 }
+
+// TestSimulationRunsRepeat does simulation runs twice with the same order of events. A failure of a
+// run can only be traced if the run repeats: the decisions of the shard must not depend on the order
+// of a map.
+func TestSimulationRunsRepeat(t *testing.T) {
+	for seed := range uint64(2) {
+		first, second := crashLog(t, seed, 1), crashLog(t, seed, 1)
+		for i := range first {
+			if i >= len(second) || first[i] != second[i] {
+				t.Fatalf("seed %d, line %d of %d and %d:\n%s\n%s", seed, i, len(first), len(second), first[i], second[min(i, len(second)-1)])
+			}
+		}
+	}
+}
+
+// crashLog does one simulation run in an order of events that is drawn from a seed as well, and
+// returns the lines that owners logged.
+func crashLog(t *testing.T, seed, order uint64) []string {
+	t.Helper()
+	var lines []string
+	w := newOrderedWorld(25, order)
+	w.logEvent = func(event string, fields ...any) {
+		lines = append(lines, fmt.Sprint(w.now.Sub(w.start), " ", event, " ", fields))
+	}
+	simulateCrashesIn(t, w, seed)
+	return lines
+}
--- a/shard/events.go
+++ b/shard/events.go
@@ -108,8 +108,8 @@
 		present[running.Task] = running.Run
 		s.reconcileRun(w, sent, now, running)
 	}
-	for id, r := range w.runs {
-		if number, found := present[id]; found && number == r.number {
+	for _, r := range w.sortedRuns() {
+		if number, found := present[r.id]; found && number == r.number {
 			continue
 		}
 		switch {
@@ -120,7 +120,7 @@
 			r.notStarted = true
 		case r.phase == phaseRunning && sent.After(r.answeredAt),
 			r.phase == phaseStopped && sent.After(r.answeredAt.Add(s.opts.StopTimeout)):
-			s.logRun("run missing from poll", id, r.number, w, "acknowledged", w.acked)
+			s.logRun("run missing from poll", r.id, r.number, w, "acknowledged", w.acked)
 			s.dropRun(r, now)
 		}
 	}
--- a/shard/fakeworker_test.go
+++ b/shard/fakeworker_test.go
@@ -114,7 +114,8 @@
 		Clock: f.clock(w.now),
 		Ends:  append([]outside.End(nil), f.ends...),
 	}
-	for id, r := range f.runs {
+	for _, id := range walk(w, f.runs) {
+		r := f.runs[id]
 		if w.hideLateRuns && r.late {
 			continue
 		}
--- a/shard/gang.go
+++ b/shard/gang.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"maps"
 	"slices"
 	"sort"
 	"time"
@@ -59,9 +60,9 @@
 				checkpoint = t.checkpoint
 			}
 		}
-		for index, w := range chosen {
+		for _, index := range slices.Sorted(maps.Keys(chosen)) {
 			step.tasks[index].checkpoint = checkpoint
-			s.startRun(g.job, step.tasks[index], spec, g.task(index), w, number, now)
+			s.startRun(g.job, step.tasks[index], spec, g.task(index), chosen[index], number, now)
 		}
 		s.chargeStart(g, len(chosen))
 		return
@@ -137,7 +138,7 @@
 		if t.isSuspect() {
 			weight += weightPerSuspect * float64(a.suspectCount[w])
 		}
-		if best == nil || weight < minWeight {
+		if best == nil || weight < minWeight || (weight == minWeight && w.reg.ID < best.reg.ID) {
 			best = w
 			minWeight = weight
 		}
--- a/shard/lease.go
+++ b/shard/lease.go
@@ -1,6 +1,8 @@
 package shard
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"lemonstream.dev/lemonstream/outside"
@@ -27,20 +29,16 @@
 // WorkerRows returns the rows of workers that are due, at most maxRows of each kind.
 func (s *Shard) WorkerRows(maxRows int) WorkerRows {
 	var rows WorkerRows
-	for id, w := range s.workers {
+	due := s.sortedWorkers(func(w *workerState) bool {
 		// The row of a worker that was considered ended is deleted before it is written again.
-		if _, deleting := s.workerRowsToDelete[id]; deleting {
-			continue
-		}
-		if w.listed && !w.recorded && len(rows.Used) < maxRows {
-			rows.Used = append(rows.Used, w.ref())
-		}
-	}
-	for id := range s.workerRowsToDelete {
-		if len(rows.Ended) < maxRows {
-			rows.Ended = append(rows.Ended, id)
-		}
-	}
+		_, deleting := s.workerRowsToDelete[w.reg.ID]
+		return w.listed && !w.recorded && !deleting
+	})
+	for _, w := range due[:min(maxRows, len(due))] {
+		rows.Used = append(rows.Used, w.ref())
+	}
+	ended := slices.Sorted(maps.Keys(s.workerRowsToDelete))
+	rows.Ended = ended[:min(maxRows, len(ended))]
 	return rows
 }
 
@@ -56,9 +54,9 @@
 // owner itself is late, it drops no runs. Unlisted workers that stay silent are removed.
 func (s *Shard) expireLeases(now time.Time) {
 	late := s.answerLatency.late(now)
-	for id, w := range s.workers {
-		if w.failures > 0 && len(w.runs) > 0 && now.After(w.leaseEnd) && w.silentPollAt.After(w.leaseEnd) && !late {
-			s.opts.LogEvent("lease lapsed", "worker", id, "runs", len(w.runs), "silent_ms", now.Sub(w.clockReadAt).Milliseconds())
+	for _, w := range s.sortedWorkers(func(w *workerState) bool { return w.failures > 0 && now.After(w.leaseEnd) }) {
+		if len(w.runs) > 0 && w.silentPollAt.After(w.leaseEnd) && !late {
+			s.opts.LogEvent("lease lapsed", "worker", w.reg.ID, "runs", len(w.runs), "silent_ms", now.Sub(w.clockReadAt).Milliseconds())
 			lost := s.lostTasks(w, now)
 			s.dropRuns(w, now, "lease lapsed")
 			w.lapsed = lost
@@ -66,12 +64,11 @@
 				s.addPossibleCrash(task, w.incarnation().String())
 			}
 		}
-		unreachable := w.failures > 0 && now.After(w.leaseEnd) && now.After(w.unobservedUntil)
-		if !w.listed && unreachable && now.Sub(w.unlistedAt) > unlistedGrace {
+		if !w.listed && now.After(w.unobservedUntil) && now.Sub(w.unlistedAt) > unlistedGrace {
 			s.workerLost(w, now, evidenceSilent)
 			// The incarnation may still run behind a network partition. It is polled once it
 			// is listed again.
-			delete(s.endedIncarnations, id)
+			delete(s.endedIncarnations, w.reg.ID)
 		}
 	}
 	s.giveUpLostTasks(now)
@@ -101,7 +98,7 @@
 
 // dropRuns drops all runs of a worker that has reported no end for them.
 func (s *Shard) dropRuns(w *workerState, now time.Time, reason string) {
-	for _, r := range w.runs {
+	for _, r := range w.sortedRuns() {
 		s.dropRun(r, now)
 		s.logRun("run lost", r.id, r.number, w, "reason", reason)
 	}
--- a/shard/loss.go
+++ b/shard/loss.go
@@ -1,7 +1,9 @@
 package shard
 
 import (
+	"maps"
 	"net/netip"
+	"slices"
 	"time"
 
 	"lemonstream.dev/lemonstream/job"
@@ -56,10 +58,10 @@
 // recordLoss records what the loss of a worker means for the tasks that may have run there.
 func (s *Shard) recordLoss(w *workerState, lost lostTasks, verdict suspect.Verdict, evidence string, now time.Time) {
 	name := w.incarnation().String()
-	for id, beside := range lost {
+	for _, id := range sortedTasks(lost) {
 		switch verdict {
 		case suspect.Crash:
-			s.recordCrash(id, name, evidence, beside, now)
+			s.recordCrash(id, name, evidence, lost[id], now)
 		case suspect.PossibleCrash:
 			s.addPossibleCrash(id, name)
 		case suspect.NoCrash:
@@ -148,7 +150,8 @@
 // recordReplaced records the possible crashes of silent workers as crashes if another worker is
 // registered at their address, so that they have ended.
 func (s *Shard) recordReplaced(reg outside.Registration, now time.Time) {
-	for name, lost := range s.silentLosses {
+	for _, name := range slices.Sorted(maps.Keys(s.silentLosses)) {
+		lost := s.silentLosses[name]
 		if lost.address != reg.Address || outside.ParseIncarnation(name).Same(reg.Incarnation()) {
 			continue
 		}
@@ -157,7 +160,7 @@
 		if lost.loss.Verdict(s.announcementLead()) != suspect.Crash {
 			continue
 		}
-		for id := range s.possibleCrashes[name] {
+		for _, id := range sortedTasks(s.possibleCrashes[name]) {
 			s.recordCrash(id, name, evidenceAddress, lost.lost[id], now)
 		}
 	}
--- a/shard/orders.go
+++ b/shard/orders.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"maps"
+	"slices"
 	"time"
 
 	"lemonstream.dev/lemonstream/outside"
@@ -141,7 +143,7 @@
 
 // orderDueRuns orders the stops that are due and repeats starts that got no answer.
 func (s *Shard) orderDueRuns(now time.Time) {
-	for r := range s.dueRuns {
+	for _, r := range slices.SortedFunc(maps.Keys(s.dueRuns), compareRuns) {
 		w := r.worker
 		if w.runs[r.id] != r {
 			delete(s.dueRuns, r)
--- a/shard/possiblecrash.go
+++ b/shard/possiblecrash.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -59,6 +60,11 @@
 	}
 }
 
+// sortedTasks returns the tasks of a set in order.
+func sortedTasks[V any](set map[job.TaskID]V) []job.TaskID {
+	return slices.SortedFunc(maps.Keys(set), job.TaskID.Compare)
+}
+
 // possibleCrashKeys returns the keys of Shard.possibleCrashes for a worker's incarnation. There may
 // be two: while the start time of an incarnation is unknown, its key is the worker's id alone.
 func (s *Shard) possibleCrashKeys(incarnation outside.Incarnation) []string {
@@ -68,6 +74,7 @@
 			names = append(names, name)
 		}
 	}
+	slices.Sort(names)
 	return names
 }
 
@@ -107,12 +114,12 @@
 // recordEarlierCrashes records the possible crashes that an earlier owner stored for a worker's
 // previous incarnations as crashes, once this owner gets its first answer from a later one.
 func (s *Shard) recordEarlierCrashes(w *workerState, now time.Time) {
-	for name, tasks := range s.possibleCrashes {
+	for _, name := range slices.Sorted(maps.Keys(s.possibleCrashes)) {
 		incarnation := outside.ParseIncarnation(name)
 		if incarnation.Worker != w.reg.ID || incarnation.Same(w.incarnation()) {
 			continue
 		}
-		for id := range tasks {
+		for _, id := range sortedTasks(s.possibleCrashes[name]) {
 			s.recordCrash(id, name, evidenceRestarted, false, now)
 		}
 	}
--- a/shard/priority.go
+++ b/shard/priority.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"slices"
 	"time"
 
 	"lemonstream.dev/lemonstream/job"
@@ -143,6 +144,23 @@
 		return
 	}
 	s.nextSpeculationAt = now.Add(speculateInterval)
+	for _, r := range s.stragglers(now) {
+		j := s.jobs[r.id.Job]
+		spec := &j.record.Spec.Steps[r.id.Step]
+		t := j.task(r.id)
+		// A copy of a task that crashes its workers would crash a second worker.
+		if t == nil || len(t.runs) != 1 || t.lossesElsewhere(r.worker) > 0 || !s.withinQuota(j, spec, 1) {
+			continue
+		}
+		if other := s.choose(r.id, spec, t, now); other != nil {
+			s.start(j, t, spec, r.id, other, now)
+		}
+	}
+}
+
+// stragglers returns the runs of which a copy may be started, in the order of their tasks.
+func (s *Shard) stragglers(now time.Time) []*run {
+	var list []*run
 	for _, w := range s.workers {
 		for id, r := range w.runs {
 			j := s.jobs[id.Job]
@@ -151,19 +169,13 @@
 			}
 			spec := &j.record.Spec.Steps[id.Step]
 			s.recordHanging(j, spec, r, now)
-			if !spec.Speculative || !s.isStraggler(j, spec, r, now) {
-				continue
-			}
-			t := j.task(id)
-			// A copy of a task that crashes its workers would crash a second worker.
-			if t == nil || len(t.runs) != 1 || t.lossesElsewhere(r.worker) > 0 || !s.withinQuota(j, spec, 1) {
-				continue
-			}
-			if other := s.choose(id, spec, t, now); other != nil {
-				s.start(j, t, spec, id, other, now)
+			if spec.Speculative && s.isStraggler(j, spec, r, now) {
+				list = append(list, r)
 			}
 		}
 	}
+	slices.SortFunc(list, compareRuns)
+	return list
 }
 
 // isStraggler reports whether a run takes much longer than both its estimate and the measured
--- a/shard/restart.go
+++ b/shard/restart.go
@@ -108,14 +108,14 @@
 		numbers[running.Task] = running.Run
 	}
 	transferred := make(map[job.TaskID]struct{})
-	for id, r := range before.runs {
-		number, found := numbers[id]
+	for _, r := range before.sortedRuns() {
+		number, found := numbers[r.id]
 		found = (found && number == r.number) || r.isAnsweredAfter(sent)
 		if !found && r.call == 0 && !r.unanswered {
 			continue
 		}
 		if found {
-			transferred[id] = struct{}{}
+			transferred[r.id] = struct{}{}
 		}
 		s.dropRun(r, now)
 		s.transferRun(r, w, found)
@@ -192,7 +192,8 @@
 // stopUnansweredStarts stops, at an incarnation that answers for the first time, the runs that
 // orders to earlier incarnations may still start there while their tasks run elsewhere.
 func (s *Shard) stopUnansweredStarts(w *workerState) {
-	for id, start := range s.unanswered[w.reg.ID] {
+	for _, id := range sortedTasks(s.unanswered[w.reg.ID]) {
+		start := s.unanswered[w.reg.ID][id]
 		if _, taken := w.runs[id]; !taken {
 			s.transferRun(&start.run, w, false)
 		}
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -1,6 +1,10 @@
 package shard
 
 import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"lemonstream.dev/lemonstream/job"
@@ -270,6 +274,29 @@
 	}
 }
 
+// sortedRuns returns the runs on the worker in the order of their tasks. What happens to several
+// runs must not depend on the order of a map: a simulation run that failed could not be repeated.
+func (w *workerState) sortedRuns() []*run {
+	return slices.SortedFunc(maps.Values(w.runs), compareRuns)
+}
+
+// compareRuns orders runs by task, worker and number.
+func compareRuns(a, b *run) int {
+	return cmp.Or(a.id.Compare(b.id), strings.Compare(a.worker.reg.ID, b.worker.reg.ID), cmp.Compare(a.number, b.number))
+}
+
+// sortedWorkers returns the workers that match a condition, in the order of their IDs.
+func (s *Shard) sortedWorkers(matches func(w *workerState) bool) []*workerState {
+	var list []*workerState
+	for _, w := range s.workers {
+		if matches(w) {
+			list = append(list, w)
+		}
+	}
+	slices.SortFunc(list, func(a, b *workerState) int { return strings.Compare(a.reg.ID, b.reg.ID) })
+	return list
+}
+
 func (w *workerState) ref() outside.WorkerRef {
 	return outside.WorkerRef{
 		ID:      w.reg.ID,
--- a/shard/world_calls_test.go
+++ b/shard/world_calls_test.go
@@ -37,6 +37,8 @@
 		w.workers[p.Worker.ID].shares[p.Task] = p.Percent
 		answer(tick, func() { core.Paced(p, nil) })
 	}
+	sortCalls(w, orders.Polls, func(p shard.Poll) string { return p.Worker.ID })
+	sortCalls(w, orders.Stops, func(s shard.Stop) string { return s.Worker.ID + " " + s.Task.String() })
 	for _, h := range orders.Polls {
 		w.executePoll(core, h, answer)
 	}
--- a/shard/world_owner_test.go
+++ b/shard/world_owner_test.go
@@ -181,7 +181,7 @@
 
 // restore makes a new owner read the stored rows.
 func (w *world) restore() {
-	for id := range w.used {
+	for _, id := range walk(w, w.used) {
 		w.core.RestoreWorker(outside.WorkerRef{
 			ID:      id,
 			Address: w.workers[id].reg.Address,
@@ -189,15 +189,17 @@
 	}
 	w.core.RestoreReleased(w.released, !w.releasedUnread, w.now)
 	w.core.RemoveTaken(w.takenBeforeListing, w.now)
-	for id, p := range w.progress {
+	for _, id := range walk(w, w.progress) {
+		p := w.progress[id]
 		if p.State.Final() {
 			w.core.RestoreEnded(id, p)
 		}
 	}
-	for id, r := range w.refused {
-		w.core.RestoreRefusal(id, r)
+	for _, id := range walk(w, w.refused) {
+		w.core.RestoreRefusal(id, w.refused[id])
 	}
-	for id, r := range w.records {
+	for _, id := range walk(w, w.records) {
+		r := w.records[id]
 		var known *shard.Progress
 		if p, found := w.progress[id]; found {
 			if w.hideCrashes {
@@ -212,7 +214,7 @@
 			w.addViolation("restore %s: %v", id, err)
 		}
 	}
-	for id := range w.cancelRows {
+	for _, id := range walk(w, w.cancelRows) {
 		w.readCancelRow(id)
 	}
 	w.list()
--- a/shard/world_rows_test.go
+++ b/shard/world_rows_test.go
@@ -13,8 +13,8 @@
 	if !w.standbyRead {
 		w.standbyRead = true
 		records := make([]shard.Record, 0, len(w.standbyRecords))
-		for _, record := range w.standbyRecords {
-			records = append(records, record)
+		for _, id := range walk(w, w.standbyRecords) {
+			records = append(records, w.standbyRecords[id])
 		}
 		if err := w.core.RestoreStandby(records, w.standbyEnded, w.progress, w.now); err != nil {
 			w.addViolation("restore standby partition: %v", err)
--- a/shard/world_test.go
+++ b/shard/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"time"
 
@@ -272,6 +273,9 @@
 	estimateFaults func(outlier.Observation) (worker, work float64)
 	dropEvidence   bool
 
+	// order, unless nil, makes the simulation run repeatable; see walk.
+	order *rand.Rand
+
 	// allowExtraStarts allows maxExtraStarts starts of a task after maxCrashesPerTask
 	// crashes. extraStarts counts these starts.
 	allowExtraStarts bool
@@ -394,7 +398,8 @@
 		return
 	}
 	var list []outside.Registration
-	for _, f := range w.workers {
+	for _, id := range walk(w, w.workers) {
+		f := w.workers[id]
 		if !f.unlisted && (!f.down || f.crashed) {
 			list = append(list, w.registration(f))
 		}
@@ -509,14 +514,16 @@
 
 // advanceWorkers advances the runs of every worker by one tick.
 func (w *world) advanceWorkers() {
-	for _, f := range w.workers {
+	for _, workerID := range walk(w, w.workers) {
+		f := w.workers[workerID]
 		if f.down {
 			continue
 		}
 		if w.now.After(f.leaseUntil) {
 			f.leaseLapsedAt = w.now
 		}
-		for id, r := range f.runs {
+		for _, id := range walk(w, f.runs) {
+			r := f.runs[id]
 			if f.down {
 				break
 			}
