A crash that another task explains, or may explain, gives no task up

Cause: a crash counted in full under every task that ran on the worker, for good. A bystander that was beside two culprits needed one crash of another cause to be given up, also when the culprits had long been given up themselves for these very crashes.

Change: a crash counts towards the limit of three only as long as no other task comes into question. It is shared while another open task is marked with it, and explained once one of those was given up. Both count towards the limit of five, which stays. It follows from rows that are stored already, so that a successor concludes the same. When the others have succeeded, the crash is the task's own, and a task that waits is given up without another start. Long-running tasks are judged as before.

--- a/shard/crash.go
+++ b/shard/crash.go
@@ -1,7 +1,6 @@
 package shard
 
 import (
-	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -22,28 +21,38 @@
 	weightBesideSuspect = 150.0
 )
 
-// recentCrash is the crash of a worker incarnation that was recorded or read lately, with the tasks
-// for which it was.
-type recentCrash struct {
-	tasks []job.TaskID
-	at    time.Time
+// recordCrashes records that an incarnation of a worker crashed under tasks, and gives up those for
+// which it is one too many. Each incarnation of a worker counts: when crashes were counted by worker
+// id, one task crashed the only worker of a pool, which was back a second after each crash, 30 times
+// in 40 s. evidence says how the end of the incarnation is known, for the log. tasks says for each task
+// whether another one was started there later, which is more likely to be the cause.
+func (s *Shard) recordCrashes(tasks lostTasks, worker, evidence string, now time.Time) {
+	var marked []job.TaskID
+	for _, id := range sortedTasks(tasks) {
+		if s.recordCrash(id, worker, evidence, tasks[id], now) {
+			marked = append(marked, id)
+		}
+	}
+	// What a crash says of a task depends on the other tasks that it was recorded for.
+	for _, id := range marked {
+		if j, t := s.openTask(id); t != nil && s.crashEvidence(id, t, s.settledCrashes(t, now)).GivenUp() {
+			s.giveUp(j, id, t, now)
+		}
+	}
 }
 
-// recordCrash records that an incarnation of a worker crashed under a task, and gives the task up if
-// it is one too many. Each incarnation of a worker counts: when crashes were counted by worker id, one
-// task crashed the only worker of a pool, which was back a second after each crash, 30 times in 40 s.
-// evidence says how the end of the incarnation is known, for the log. beside says that another task
-// was started there later, which is more likely to be the cause.
-func (s *Shard) recordCrash(id job.TaskID, worker, evidence string, beside bool, now time.Time) {
+// recordCrash records that an incarnation of a worker crashed under a task, and reports whether this is
+// new.
+func (s *Shard) recordCrash(id job.TaskID, worker, evidence string, beside bool, now time.Time) bool {
 	j, t := s.openTask(id)
 	if t == nil {
-		return
+		return false
 	}
 	s.removePossibleCrashes(id, outside.ParseIncarnation(worker))
 	marks, fresh := t.crashes.Add(worker)
 	t.crashes = marks
 	if !fresh {
-		return
+		return false
 	}
 	if beside {
 		t.besideCrashes, _ = t.besideCrashes.Add(worker)
@@ -53,17 +62,17 @@
 	s.opts.LogEvent("crash marked", "task", id.String(), "worker", worker, "crashes", len(marks), "beside", len(t.besideCrashes),
 		"possible", len(t.possibleCrashes), "evidence", evidence)
 	s.indexCrash(id, worker, now)
-	if t.isGivenUpAfter(s.settledCrashes(t, now)) {
-		s.giveUp(j, id, t, now)
-	}
+	return true
 }
 
 // giveUp stops starting a task under which too many workers were lost, and fails its job. The job of
 // a long-running task does not fail: the other tasks of the step go on, since stopping them all would
 // exceed the step's limit of unavailable tasks.
 func (s *Shard) giveUp(j *jobState, id job.TaskID, t *taskState, now time.Time) {
+	e := s.crashEvidence(id, t, t.possibleCrashes)
 	s.opts.LogEvent("task given up", "job", id.Job, "task", id.String(), "crashed", strings.Join(t.crashes, " "),
-		"possibly_crashed", strings.Join(t.possibleCrashes, " "))
+		"possibly_crashed", strings.Join(t.possibleCrashes, " "), "own", e.Own, "uncertain", e.Uncertain, "shared", e.Shared,
+		"explained", e.Explained)
 	if !j.record.Spec.Steps[id.Step].Lasting {
 		s.failJob(j, id, t, now)
 	}
@@ -90,14 +99,10 @@
 			s.removePossibleCrash(id, name)
 		}
 	}
-	for name, crash := range s.recentCrashes {
-		if !outside.ParseIncarnation(name).Same(taken) {
-			continue
+	for _, crash := range s.crashedWorkers.remove(taken) {
+		for _, id := range sortedTasks(crash.tasks) {
+			s.withdrawCrash(id, crash.incarnation.String())
 		}
-		for _, id := range crash.tasks {
-			s.withdrawCrash(id, name)
-		}
-		delete(s.recentCrashes, name)
 	}
 }
 
@@ -116,20 +121,49 @@
 // giveUpLostTasks gives up the tasks under which too many workers have crashed or possibly crashed,
 // counting only possible crashes of which no more can be learnt. A possible crash stays one if this
 // owner no longer knows the worker: it may have left in an orderly way, or run on behind a
-// partition.
+// partition. What a crash says of a task changes as well once it is known what became of the tasks
+// beside it.
 func (s *Shard) giveUpLostTasks(now time.Time) {
-	for _, name := range slices.Sorted(maps.Keys(s.possibleCrashes)) {
-		for _, id := range sortedTasks(s.possibleCrashes[name]) {
-			j, t := s.openTask(id)
-			switch {
-			case t == nil:
+	lost := make(map[job.TaskID]struct{})
+	for name, tasks := range s.possibleCrashes {
+		for id := range tasks {
+			if _, t := s.openTask(id); t == nil {
 				s.unindexPossibleCrash(id, name)
-			case len(t.runs) == 0 && t.isGivenUp() && !j.record.Spec.Steps[id.Step].Lasting &&
-				t.isGivenUpAfter(s.settledCrashes(t, now)):
-				s.giveUp(j, id, t, now)
+			} else if s.isLost(id, now) {
+				lost[id] = struct{}{}
+			}
+		}
+	}
+	if s.reviewCrashes {
+		s.reviewCrashes = false
+		for _, crash := range s.crashedWorkers.all() {
+			for id := range crash.tasks {
+				if s.isLost(id, now) {
+					lost[id] = struct{}{}
+				}
 			}
 		}
 	}
+	for _, id := range sortedTasks(lost) {
+		// A task that was given up may explain the crashes of the next one.
+		if s.isLost(id, now) {
+			j, t := s.openTask(id)
+			s.giveUp(j, id, t, now)
+		}
+	}
+}
+
+// isLost reports whether a task that does not run has to be given up. A long-running task is only not
+// started again.
+func (s *Shard) isLost(id job.TaskID, now time.Time) bool {
+	j, t := s.openTask(id)
+	if t == nil || len(t.runs) > 0 || j.record.Spec.Steps[id.Step].Lasting {
+		return false
+	}
+	if len(t.crashes)+len(t.possibleCrashes) < suspect.CrashLimit {
+		return false
+	}
+	return s.crashEvidence(id, t, s.settledCrashes(t, now)).GivenUp()
 }
 
 // clear removes the recorded crashes of a long-running task once its run is proven.
@@ -143,6 +177,7 @@
 	for _, name := range slices.Clone(t.possibleCrashes) {
 		s.removePossibleCrash(r.id, name)
 	}
+	s.reviewCrashes = true
 	s.removeSuspect(r)
 	s.opts.LogEvent("crashes cleared", "task", r.id.String(), "worker", r.worker.reg.ID, "ran_ms", now.Sub(r.startedAt).Milliseconds())
 }
@@ -187,32 +222,32 @@
 }
 
 // isGivenUp reports whether the task must not be started again.
-func (t *taskState) isGivenUp() bool {
-	return t.isGivenUpAfter(len(t.possibleCrashes))
-}
-
-// isGivenUpAfter is isGivenUp if so many of the possible crashes count.
-func (t *taskState) isGivenUpAfter(possible int) bool {
-	return suspect.GivenUp(len(t.crashes)-len(t.besideCrashes), len(t.besideCrashes)+possible)
+func (s *Shard) isGivenUp(id job.TaskID, t *taskState) bool {
+	return s.crashEvidence(id, t, t.possibleCrashes).GivenUp()
 }
 
 // isBlocked reports whether an idle task must not be started now. A task is blocked if it is given
 // up, or may be once it is known whether its pending crashes are crashes, or if its newest crash is
 // not stored yet. If tasks with unstored crashes started while the store is unavailable, each new
 // owner would start them again.
-func (s *Shard) isBlocked(t *taskState, now time.Time) bool {
-	if t.isGivenUp() {
+func (s *Shard) isBlocked(id job.TaskID, t *taskState, now time.Time) bool {
+	if s.isGivenUp(id, t) {
 		return true
 	}
-	if len(t.crashes)+len(t.possibleCrashes) >= suspect.CrashLimit && s.pendingCrashes(t, now) > 0 {
+	if len(t.crashes)+len(t.possibleCrashes) >= suspect.CrashLimit && s.hasPendingCrashes(t, now) {
 		return true
 	}
 	return s.writtenBatch < t.crashBatch && !s.allWritten()
 }
 
 // isAnyBlocked reports whether a task of a gang is blocked.
-func (s *Shard) isAnyBlocked(step *stepState, now time.Time) bool {
-	return slices.ContainsFunc(step.tasks, func(t *taskState) bool { return s.isBlocked(t, now) })
+func (s *Shard) isAnyBlocked(g group, step *stepState, now time.Time) bool {
+	for index, t := range step.tasks {
+		if s.isBlocked(g.task(index), t, now) {
+			return true
+		}
+	}
+	return false
 }
 
 // suspectWeight returns the weight that keeps suspects apart from other tasks, and most of all from
@@ -251,10 +286,8 @@
 	}
 }
 
-// indexCrash adds a task's crash to the recent crashes.
+// indexCrash adds a task to those under which an incarnation of a worker crashed.
 func (s *Shard) indexCrash(id job.TaskID, worker string, now time.Time) {
-	s.recentCrashes[worker] = recentCrash{
-		tasks: append(s.recentCrashes[worker].tasks, id),
-		at:    now,
-	}
+	s.crashedWorkers.add(id, outside.ParseIncarnation(worker), now)
+	s.reviewCrashes = true
 }
--- a/shard/events.go
+++ b/shard/events.go
@@ -275,6 +275,7 @@
 		}
 	}
 	s.removePossibleCrashes(r.id, r.worker.incarnation())
+	s.reviewCrashes = s.reviewCrashes || t.isSuspect()
 	if len(t.runs) == 0 && !t.done && !j.state.Final() {
 		step := j.occurrences[r.id.Occurrence].steps[r.id.Step]
 		step.removeIdle(r.id.Index)
--- a/shard/gang.go
+++ b/shard/gang.go
@@ -33,7 +33,7 @@
 
 // placeGang starts either all tasks of a step or none.
 func (s *Shard) placeGang(g group, step *stepState, spec *job.Step, now time.Time) {
-	if len(step.idle) < step.remaining || s.isAnyBlocked(step, now) {
+	if len(step.idle) < step.remaining || s.isAnyBlocked(g, step, now) {
 		return
 	}
 	if !s.withinQuota(g.job, spec, len(step.idle)) {
--- a/shard/isolation.go
+++ b/shard/isolation.go
@@ -73,7 +73,7 @@
 		}
 		for _, index := range step.idle {
 			t := step.tasks[index]
-			if t.needsIsolation() && !s.isBlocked(t, now) && !unobserved.contains(g.task(index)) {
+			if t.needsIsolation() && !s.isBlocked(g.task(index), t, now) && !unobserved.contains(g.task(index)) {
 				list = append(list, isolatedTask{
 					group:        g,
 					index:        index,
--- a/shard/jobs.go
+++ b/shard/jobs.go
@@ -71,6 +71,7 @@
 		endedAt:     time.UnixMilli(progress.EndedMillis),
 		failure:     progress.Failure,
 	}
+	s.indexGivenUp(progress.Failure, s.takenAt)
 	s.opts.PublishState(id, progress.State)
 }
 
@@ -250,6 +251,7 @@
 			continue
 		}
 		delete(s.jobs, id)
+		s.reviewCrashes = true
 		s.removedJobs = append(s.removedJobs, id)
 		s.opts.PublishState(id, "")
 	}
--- a/shard/load.go
+++ b/shard/load.go
@@ -63,19 +63,25 @@
 	left           int
 }
 
-// need returns the capacity of one worker for each idle isolated task of a step, limited to the
-// number of workers that may be reserved for such tasks. Without it, the pool seems to have free
-// capacity while such tasks wait, and shrinks: a task waited for 33 s beside 20 workers, none of
-// which became empty.
-func (n *isolatedDemand) need(step *stepState) job.Room {
-	var sum job.Room
+// need returns the capacity of one worker for each of the isolated tasks, limited to the number of
+// workers that may be reserved for such tasks. Without it, the pool seems to have free capacity
+// while such tasks wait, and shrinks: a task waited for 33 s beside 20 workers, none of which became
+// empty.
+func (n *isolatedDemand) need(tasks int) job.Room {
+	tasks = min(tasks, n.left)
+	n.left -= tasks
+	return scale(n.workerCapacity, tasks)
+}
+
+// countIsolated returns how many idle tasks of a step wait for a worker of their own.
+func (s *Shard) countIsolated(g group, step *stepState) int {
+	count := 0
 	for _, index := range step.idle {
-		if t := step.tasks[index]; t.needsIsolation() && !t.isGivenUp() && n.left > 0 {
-			n.left--
-			sum = sum.Add(n.workerCapacity)
+		if t := step.tasks[index]; t.needsIsolation() && !s.isGivenUp(g.task(index), t) {
+			count++
 		}
 	}
-	return sum
+	return count
 }
 
 // WorkerLoad is the load and the status of one worker.
@@ -254,12 +260,13 @@
 			if len(step.idle) == 0 {
 				continue
 			}
-			need := scale(spec.Charge(), len(step.idle)).Add(load.isolated.need(step))
-			late := s.remainingValue(group{
+			g := group{
 				job:        j,
 				occurrence: k,
 				step:       st,
-			}, now) != valueFull
+			}
+			need := scale(spec.Charge(), len(step.idle)).Add(load.isolated.need(s.countIsolated(g, step)))
+			late := s.remainingValue(g, now) != valueFull
 			switch {
 			case spec.Label != "":
 				load.Labelled[spec.Label] = load.Labelled[spec.Label].Add(need)
--- a/shard/loss.go
+++ b/shard/loss.go
@@ -58,14 +58,14 @@
 // recordLoss records what the loss of a worker means for the tasks that may have run there.
 func (s *Shard) recordLoss(w *workerState, lost lostTasks, verdict suspect.Verdict, evidence string, now time.Time) {
 	name := w.incarnation().String()
-	for _, id := range sortedTasks(lost) {
-		switch verdict {
-		case suspect.Crash:
-			s.recordCrash(id, name, evidence, lost[id], now)
-		case suspect.PossibleCrash:
+	switch verdict {
+	case suspect.Crash:
+		s.recordCrashes(lost, name, evidence, now)
+	case suspect.PossibleCrash:
+		for _, id := range sortedTasks(lost) {
 			s.addPossibleCrash(id, name)
-		case suspect.NoCrash:
 		}
+	case suspect.NoCrash:
 	}
 }
 
@@ -160,9 +160,11 @@
 		if lost.loss.Verdict(s.announcementLead()) != suspect.Crash {
 			continue
 		}
-		for _, id := range sortedTasks(s.possibleCrashes[name]) {
-			s.recordCrash(id, name, evidenceAddress, lost.lost[id], now)
+		tasks := make(lostTasks)
+		for id := range s.possibleCrashes[name] {
+			tasks[id] = lost.lost[id]
 		}
+		s.recordCrashes(tasks, name, evidenceAddress, now)
 	}
 }
 
@@ -173,9 +175,5 @@
 			delete(s.silentLosses, name)
 		}
 	}
-	for name, crash := range s.recentCrashes {
-		if now.Sub(crash.at) > endedRetention {
-			delete(s.recentCrashes, name)
-		}
-	}
+	s.purgeCrashes(now)
 }
--- a/shard/outcome.go
+++ b/shard/outcome.go
@@ -93,9 +93,11 @@
 	delete(s.waiting, j.record.ID)
 	delete(s.repeating, j.record.ID)
 	s.forgetJobTickets(j)
+	s.indexGivenUp(j.failure, now)
 	for _, o := range j.occurrences {
 		for _, step := range o.steps {
 			for _, t := range step.tasks {
+				s.reviewCrashes = s.reviewCrashes || t.isSuspect()
 				for _, r := range t.runs {
 					s.stop(r, "job "+string(state))
 				}
--- a/shard/place.go
+++ b/shard/place.go
@@ -144,7 +144,7 @@
 	for i := len(step.idle) - 1; i >= 0; i-- {
 		index := step.idle[i]
 		id := g.task(index)
-		if unobserved.contains(id) || s.isBlocked(step.tasks[index], now) || step.tasks[index].needsIsolation() {
+		if unobserved.contains(id) || s.isBlocked(id, step.tasks[index], now) || step.tasks[index].needsIsolation() {
 			continue
 		}
 		if s.skips(failed, id, spec, step.tasks[index], now) {
--- a/shard/possiblecrash.go
+++ b/shard/possiblecrash.go
@@ -7,6 +7,7 @@
 
 	"lemonstream.dev/lemonstream/job"
 	"lemonstream.dev/lemonstream/outside"
+	"lemonstream.dev/lemonstream/suspect"
 )
 
 // replacementWait is how long after a silent worker was given up another one is expected at its
@@ -119,32 +120,39 @@
 		if incarnation.Worker != w.reg.ID || incarnation.Same(w.incarnation()) {
 			continue
 		}
-		for _, id := range sortedTasks(s.possibleCrashes[name]) {
-			s.recordCrash(id, name, evidenceRestarted, false, now)
+		tasks := make(lostTasks)
+		for id := range s.possibleCrashes[name] {
+			tasks[id] = false
 		}
+		s.recordCrashes(tasks, name, evidenceRestarted, now)
 	}
 }
 
-// settledCrashes returns how many possible crashes of a task will stay possible.
-func (s *Shard) settledCrashes(t *taskState, now time.Time) int {
-	return len(t.possibleCrashes) - s.pendingCrashes(t, now)
-}
-
-// pendingCrashes returns how many possible crashes of a task are at workers of which this owner may
-// still learn whether they crashed. An unknown worker may still be read from a registration until
-// everything that earlier owners started has lapsed. One that was given up may soon be replaced.
-func (s *Shard) pendingCrashes(t *taskState, now time.Time) int {
-	pending := 0
+// settledCrashes returns the possible crashes of a task that will stay possible.
+func (s *Shard) settledCrashes(t *taskState, now time.Time) suspect.Crashes {
+	var settled suspect.Crashes
 	for _, name := range t.possibleCrashes {
-		incarnation := outside.ParseIncarnation(name)
-		w, found := s.workers[incarnation.Worker]
-		lost, silent := s.silentLosses[name]
-		switch {
-		case found && w.incarnation().Same(incarnation),
-			!found && now.Before(s.unobservedUntil),
-			silent && now.Sub(lost.at) < replacementWait:
-			pending++
+		if !s.isPending(name, now) {
+			settled = append(settled, name)
 		}
 	}
-	return pending
+	return settled
+}
+
+// hasPendingCrashes reports whether a possible crash of a task is at a worker of which this owner may
+// still learn whether it crashed.
+func (s *Shard) hasPendingCrashes(t *taskState, now time.Time) bool {
+	return slices.ContainsFunc(t.possibleCrashes, func(name string) bool { return s.isPending(name, now) })
+}
+
+// isPending reports whether this owner may still learn whether a worker crashed that may have. An
+// unknown worker may still be read from a registration until everything that earlier owners started
+// has lapsed. One that was given up may soon be replaced.
+func (s *Shard) isPending(name string, now time.Time) bool {
+	incarnation := outside.ParseIncarnation(name)
+	w, found := s.workers[incarnation.Worker]
+	lost, silent := s.silentLosses[name]
+	return (found && w.incarnation().Same(incarnation)) ||
+		(!found && now.Before(s.unobservedUntil)) ||
+		(silent && now.Sub(lost.at) < replacementWait)
 }
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -155,9 +155,10 @@
 	// possibleCrashes holds, by worker incarnation, the tasks whose run there may have crashed it.
 	possibleCrashes map[string]map[job.TaskID]struct{}
 
-	// recentCrashes holds, by worker incarnation, the crashes that this owner recorded or read
-	// lately.
-	recentCrashes map[string]recentCrash
+	// crashedWorkers holds the crashes that this owner recorded or read. reviewCrashes says that
+	// what a crash says of a task may have changed since the last review.
+	crashedWorkers crashedWorkers
+	reviewCrashes  bool
 
 	// silentLosses holds, by worker incarnation, the workers that were given up lately because they
 	// did not answer.
@@ -351,7 +352,7 @@
 		endedIncarnations:  make(map[string][]endedIncarnation),
 		unanswered:         make(map[string]map[job.TaskID]unansweredStart),
 		silentLosses:       make(map[string]silentLoss),
-		recentCrashes:      make(map[string]recentCrash),
+		crashedWorkers:     make(crashedWorkers),
 		possibleCrashes:    make(map[string]map[job.TaskID]struct{}),
 	}
 }
--- a/suspect/suspect.go
+++ b/suspect/suspect.go
@@ -170,11 +170,31 @@
 	return losses >= MinIsolationCrashes
 }
 
-// GivenUp reports whether a task must not be started again: certain is the number of workers that
-// certainly crashed under it, uncertain how many more may have.
-func GivenUp(certain, uncertain int) bool {
-	lost := certain + uncertain
-	return (certain >= MinCrashes && lost >= CrashLimit) || lost >= LossLimit
+// Evidence is what the losses of workers under a task say of the task. Each loss counts once.
+type Evidence struct {
+	// Own is the number of workers that certainly crashed under the task and whose crash comes
+	// from no other task as far as is known.
+	Own int
+
+	// Uncertain is the number of workers that may have crashed, or crashed under a task that was
+	// started there later.
+	Uncertain int
+
+	// Shared is the number of workers that crashed under other tasks as well, at least one of
+	// which is still suspected.
+	Shared int
+
+	// Explained is the number of workers that crashed or may have crashed under a task that was
+	// given up: that task is the cause, as far as is known.
+	Explained int
+}
+
+// GivenUp reports whether the task must not be started again. A crash that another task explains, or
+// may yet explain, does not count towards CrashLimit: a bystander of two culprits would be given up
+// after one crash of another cause. It counts towards LossLimit.
+func (e Evidence) GivenUp() bool {
+	lost := e.Own + e.Uncertain
+	return (e.Own >= MinCrashes && lost >= CrashLimit) || lost+e.Shared+e.Explained >= LossLimit
 }
 
 // MaxReserved returns how many of the workers may be reserved for isolated tasks.
