A suspect is not blamed alone where its row names no neighbour

Cause: a suspect's possible crash is stored when it starts, those of the tasks beside it once two polls of the worker have failed. If the owner dies in between, the next one reads of the suspect alone and blames it in full; the culprit beside it keeps a clean record.

Change: the row says where a suspect runs beside others (SharedCrashes, names that stand in Crashed or PossibleCrashes already). Such a crash counts as shared. The record goes once the loss is stored for all that ran there, which may take several batches.

--- a/shard/crash.go
+++ b/shard/crash.go
@@ -24,8 +24,7 @@
 // recordCrashes records that an incarnation of a worker crashed under tasks, and gives up those for
 // which it is one too many. Each incarnation of a worker counts: when crashes were counted by worker
 // id, one task crashed the only worker of a pool, which was back a second after each crash, 30 times
-// in 40 s. evidence says how the end of the incarnation is known, for the log. tasks says for each task
-// whether another one was started there later, which is more likely to be the cause.
+// in 40 s. evidence says how the end of the incarnation is known, for the log.
 func (s *Shard) recordCrashes(tasks lostTasks, worker, evidence string, now time.Time) {
 	var marked []job.TaskID
 	for _, id := range sortedTasks(tasks) {
@@ -43,7 +42,7 @@
 
 // recordCrash records that an incarnation of a worker crashed under a task, and reports whether this is
 // new.
-func (s *Shard) recordCrash(id job.TaskID, worker, evidence string, beside bool, now time.Time) bool {
+func (s *Shard) recordCrash(id job.TaskID, worker, evidence string, lost lostTask, now time.Time) bool {
 	j, t := s.openTask(id)
 	if t == nil {
 		return false
@@ -54,13 +53,16 @@
 	if !fresh {
 		return false
 	}
-	if beside {
+	if lost.shared {
+		t.sharedCrashes, _ = t.sharedCrashes.Add(worker)
+	}
+	if lost.beside {
 		t.besideCrashes, _ = t.besideCrashes.Add(worker)
 	}
 	t.crashBatch = s.lastBatch + 1
 	s.dirty[id.Job] = j
 	s.opts.LogEvent("crash marked", "task", id.String(), "worker", worker, "crashes", len(marks), "beside", len(t.besideCrashes),
-		"possible", len(t.possibleCrashes), "evidence", evidence)
+		"shared", len(t.sharedCrashes), "possible", len(t.possibleCrashes), "evidence", evidence)
 	s.indexCrash(id, worker, now)
 	return true
 }
@@ -114,6 +116,7 @@
 	}
 	t.crashes = t.crashes.Without(worker)
 	t.besideCrashes = t.besideCrashes.Without(worker)
+	t.sharedCrashes = t.sharedCrashes.Without(worker)
 	s.dirty[id.Job] = j
 	s.opts.LogEvent("crash withdrawn", "task", id.String(), "worker", worker, "crashes", len(t.crashes), "reason", reasonInstanceTaken)
 }
@@ -124,6 +127,7 @@
 // partition. What a crash says of a task changes as well once it is known what became of the tasks
 // beside it.
 func (s *Shard) giveUpLostTasks(now time.Time) {
+	s.clearShared()
 	lost := make(map[job.TaskID]struct{})
 	for name, tasks := range s.possibleCrashes {
 		for id := range tasks {
@@ -173,6 +177,7 @@
 	}
 	t.crashes = nil
 	t.besideCrashes = nil
+	t.sharedCrashes = nil
 	s.dirty[j.record.ID] = j
 	for _, name := range slices.Clone(t.possibleCrashes) {
 		s.removePossibleCrash(r.id, name)
--- a/shard/crash_evidence_test.go
+++ b/shard/crash_evidence_test.go
@@ -1,6 +1,7 @@
 package shard_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -125,3 +126,37 @@
 	w.checkOutcome(t, "a", "culprit")
 	is.Equal(w.crashes[taskOf("culprit")], maxCrashesPerTask)
 }
+
+// TestSuspectIsNotBlamedForUnrecordedNeighbours covers a task that loses a worker alone for another
+// cause, then one beside a culprit under which none has crashed yet, and then one alone again. The
+// owner dies soon after the second crash. The task's possible crash there was stored at its start,
+// and nothing of the culprit, so that the next owner blamed the task alone.
+func TestSuspectIsNotBlamedForUnrecordedNeighbours(t *testing.T) {
+	for after := range 30 {
+		t.Run(fmt.Sprintf("owner dies after %v", time.Duration(after)*tick), func(t *testing.T) {
+			w := newWorld(1)
+			w.allowExtraStarts = true
+			w.restartDelay = time.Second
+			w.run(200 * time.Millisecond)
+			slow := step(1)
+			slow.Estimate = 2 * time.Second
+			w.submit("a", slow)
+			w.crashAlone(t, "a")
+			w.runUntil(t, func() bool { return len(reachableWorkersOf(w, "a")) > 0 })
+			w.run(60 * time.Millisecond)
+			w.culprits[taskOf("culprit")] = 300 * time.Millisecond
+			w.submit("b", slow)
+			w.submit("c", slow)
+			w.submit("culprit", slow)
+			w.runUntilCrashes(t, "a", 2)
+			// The rows of the tasks don't fit in one batch.
+			for i := range testBatchEntries {
+				w.submitToOwner(fmt.Sprint("aa", i), slow)
+			}
+			w.run(time.Duration(after) * tick)
+			w.takeOver()
+			w.crashAlone(t, "a")
+			w.checkOutcome(t, "a", "culprit")
+		})
+	}
+}
--- a/shard/crashevidence.go
+++ b/shard/crashevidence.go
@@ -107,7 +107,7 @@
 	}
 	e = suspect.Evidence{}
 	for _, worker := range t.crashes {
-		attributed := s.attribute(id, worker)
+		attributed := s.attribute(id, t, worker)
 		switch {
 		case attributed == crashExplained:
 			e.Explained++
@@ -120,7 +120,7 @@
 		}
 	}
 	for _, worker := range possible {
-		if s.attribute(id, worker) == crashExplained {
+		if s.attribute(id, t, worker) == crashExplained {
 			e.Explained++
 		} else {
 			e.Uncertain++
@@ -130,13 +130,16 @@
 }
 
 // attribute returns what the crash of an incarnation says of one of the tasks that ran there.
-func (s *Shard) attribute(id job.TaskID, worker string) attribution {
+func (s *Shard) attribute(id job.TaskID, t *taskState, worker string) attribution {
+	found := crashOwn
+	if t.sharedCrashes.Contains(worker) {
+		found = crashShared
+	}
 	incarnation := outside.ParseIncarnation(worker)
 	crash := s.crashedWorkers.find(incarnation)
 	if crash == nil {
-		return crashOwn
+		return found
 	}
-	found := crashOwn
 	for other := range crash.tasks {
 		if other == id {
 			continue
--- a/shard/events.go
+++ b/shard/events.go
@@ -94,9 +94,7 @@
 	}
 	w.failures++
 	if w.failures == possibleCrashAfter && !s.answerLatency.late(now) {
-		for id := range s.lostTasks(w, now) {
-			s.addPossibleCrash(id, w.incarnation().String())
-		}
+		s.addPossibleCrashes(w, s.lostTasks(w, now))
 	}
 	w.nextPollAt = now.Add(min(maxRetryBackoff, minRetryBackoff*time.Duration(w.failures)))
 }
--- a/shard/jobstate.go
+++ b/shard/jobstate.go
@@ -102,11 +102,13 @@
 
 	// crashes holds the workers that crashed while they ran the task, and possibleCrashes those
 	// that may have, because it is unknown how the run there ended. besideCrashes are those of
-	// crashes on which another task was started later. crashBatch is the batch that stores the
-	// newest of crashes.
+	// crashes on which another task was started later. sharedCrashes are those of crashes and
+	// possibleCrashes on which other tasks ran that this owner may not know. crashBatch is the batch
+	// that stores the newest of crashes.
 	crashes         suspect.Crashes
 	besideCrashes   suspect.Crashes
 	possibleCrashes suspect.Crashes
+	sharedCrashes   suspect.Crashes
 	crashBatch      int64
 
 	// isolatedWaitSince is when the task began to wait for a dedicated worker, zero if it does
--- a/shard/lease.go
+++ b/shard/lease.go
@@ -60,9 +60,7 @@
 			lost := s.lostTasks(w, now)
 			s.dropRuns(w, now, "lease lapsed")
 			w.lapsed = lost
-			for task := range lost {
-				s.addPossibleCrash(task, w.incarnation().String())
-			}
+			s.addPossibleCrashes(w, lost)
 		}
 		if !w.listed && now.After(w.unobservedUntil) && now.Sub(w.unlistedAt) > unlistedGrace {
 			s.workerLost(w, now, evidenceSilent)
--- a/shard/loss.go
+++ b/shard/loss.go
@@ -31,9 +31,17 @@
 	at      time.Time
 }
 
-// lostTasks holds the tasks that may have run on a worker, and whether another task was started there
-// later.
-type lostTasks map[job.TaskID]bool
+// lostTasks holds the tasks that may have run on a worker.
+type lostTasks map[job.TaskID]lostTask
+
+// lostTask is a task that may have run on a worker.
+type lostTask struct {
+	// beside means that another task was started on the worker later.
+	beside bool
+
+	// shared means that other tasks ran on the worker of which no row may tell.
+	shared bool
+}
 
 // workerLost drops a worker that ended, or is assumed to have ended, without an order of this owner.
 // A crash is recorded for every task that may have run there. A task whose crashes are not counted
@@ -57,14 +65,12 @@
 
 // recordLoss records what the loss of a worker means for the tasks that may have run there.
 func (s *Shard) recordLoss(w *workerState, lost lostTasks, verdict suspect.Verdict, evidence string, now time.Time) {
-	name := w.incarnation().String()
 	switch verdict {
 	case suspect.Crash:
-		s.recordCrashes(lost, name, evidence, now)
+		s.recordCrashes(lost, w.incarnation().String(), evidence, now)
+		s.clearSharedOnceStored(w, lost)
 	case suspect.PossibleCrash:
-		for _, id := range sortedTasks(lost) {
-			s.addPossibleCrash(id, name)
-		}
+		s.addPossibleCrashes(w, lost)
 	case suspect.NoCrash:
 	}
 }
@@ -104,13 +110,19 @@
 	newest := w.newestStart()
 	for _, name := range s.possibleCrashKeys(w.incarnation()) {
 		for id := range s.possibleCrashes[name] {
-			beside, lapsed := w.lapsed[id]
-			lost[id] = beside || (!lapsed && !newest.IsZero())
+			before, lapsed := w.lapsed[id]
+			lost[id] = lostTask{
+				beside: before.beside || (!lapsed && !newest.IsZero()),
+				shared: s.isShared(id, name),
+			}
 		}
 	}
 	for id, r := range w.runs {
 		if step, found := s.stepOf(id); found && (!step.Lasting || !r.isProven(now)) {
-			lost[id] = newest.Sub(r.startedAt) > suspect.AttributionSlack
+			lost[id] = lostTask{
+				beside: newest.Sub(r.startedAt) > suspect.AttributionSlack,
+				shared: s.isShared(id, w.incarnation().String()),
+			}
 		}
 	}
 	if w.contacted {
@@ -119,12 +131,27 @@
 	for id := range w.unobservedTasks {
 		// How long a long-running task of the previous owner has run is unknown.
 		if step, found := s.stepOf(id); found && !step.Lasting {
-			lost[id] = !newest.IsZero()
+			lost[id] = lostTask{
+				beside: !newest.IsZero(),
+				shared: s.isShared(id, w.incarnation().String()),
+			}
 		}
 	}
 	return lost
 }
 
+// knowsRuns reports whether this owner knows everything that may run on the worker.
+func (w *workerState) knowsRuns() bool {
+	return w.contacted || w.unobservedTasks != nil
+}
+
+// isShared reports whether a row says that a task ran on a worker beside others that may have no record
+// of it.
+func (s *Shard) isShared(id job.TaskID, worker string) bool {
+	_, t := s.openTask(id)
+	return t != nil && t.sharedCrashes.Contains(worker)
+}
+
 // newestStart returns when the newest run that this owner ordered on the worker was started; zero if
 // there is none.
 func (w *workerState) newestStart() time.Time {
@@ -162,7 +189,10 @@
 		}
 		tasks := make(lostTasks)
 		for id := range s.possibleCrashes[name] {
-			tasks[id] = lost.lost[id]
+			tasks[id] = lostTask{
+				beside: lost.lost[id].beside,
+				shared: s.isShared(id, name),
+			}
 		}
 		s.recordCrashes(tasks, name, evidenceAddress, now)
 	}
--- a/shard/place.go
+++ b/shard/place.go
@@ -345,6 +345,7 @@
 	if r.suspect {
 		s.addPossibleCrash(id, w.incarnation().String())
 	}
+	s.recordCompany(w)
 	s.logRun("start ordered", id, number, w, "rack", w.reg.Rack, "closed", now.Before(w.closedUntil),
 		"free_cpu", w.free().MilliCPU, "look_age_ms", now.Sub(w.clockReadAt).Milliseconds())
 	s.orders.Starts = append(s.orders.Starts, Start{
--- a/shard/possiblecrash.go
+++ b/shard/possiblecrash.go
@@ -45,6 +45,89 @@
 	}
 }
 
+// addPossibleCrashes records that a worker may have crashed under the tasks that may have run there.
+func (s *Shard) addPossibleCrashes(w *workerState, lost lostTasks) {
+	name := w.incarnation().String()
+	for _, id := range sortedTasks(lost) {
+		s.addPossibleCrash(id, name)
+		s.setShared(id, name, lost[id].shared)
+	}
+	s.clearSharedOnceStored(w, lost)
+}
+
+// setShared records whether a task ran on a worker beside others that may have no record of it.
+func (s *Shard) setShared(id job.TaskID, worker string, shared bool) {
+	j, t := s.openTask(id)
+	if t == nil || t.sharedCrashes.Contains(worker) == shared {
+		return
+	}
+	if shared {
+		t.sharedCrashes, _ = t.sharedCrashes.Add(worker)
+	} else {
+		t.sharedCrashes = t.sharedCrashes.Without(worker)
+	}
+	s.dirty[id.Job] = j
+	s.reviewCrashes = true
+}
+
+// sharedLoss is the loss of a worker that this owner has recorded for all tasks that ran there.
+type sharedLoss struct {
+	worker string
+	tasks  []job.TaskID
+
+	// batch is the batch that stores the loss for all of the tasks.
+	batch int64
+}
+
+// clearSharedOnceStored makes the loss of a worker count in full once it is stored for all tasks that
+// ran there. An owner that does not know what ran there leaves it as it is. Rows are written in several
+// batches: if this owner dies between two of them, the next one may read of the suspects alone.
+func (s *Shard) clearSharedOnceStored(w *workerState, lost lostTasks) {
+	if !w.knowsRuns() {
+		return
+	}
+	loss := sharedLoss{
+		worker: w.incarnation().String(),
+		batch:  s.lastBatch + 1,
+	}
+	for _, id := range sortedTasks(lost) {
+		if s.isShared(id, loss.worker) {
+			loss.tasks = append(loss.tasks, id)
+		}
+	}
+	if len(loss.tasks) > 0 {
+		s.sharedLosses = append(s.sharedLosses, loss)
+	}
+}
+
+// clearShared makes the losses of workers count in full that are stored for all tasks.
+func (s *Shard) clearShared() {
+	s.sharedLosses = slices.DeleteFunc(s.sharedLosses, func(loss sharedLoss) bool {
+		if s.writtenBatch < loss.batch && !s.allWritten() {
+			return false
+		}
+		for _, id := range loss.tasks {
+			s.setShared(id, loss.worker, false)
+		}
+		return true
+	})
+}
+
+// recordCompany records that suspects on a worker run beside other tasks. If the owner dies right
+// after the worker has crashed, the rows tell the next owner of the suspects alone, whose possible
+// crashes are stored since their starts. Without this record that crash would be blamed on them.
+func (s *Shard) recordCompany(w *workerState) {
+	if w.suspects == 0 || len(w.runs) < 2 {
+		return
+	}
+	name := w.incarnation().String()
+	for id, r := range w.runs {
+		if _, t := s.openTask(id); r.suspect && t != nil && t.possibleCrashes.Contains(name) {
+			s.setShared(id, name, true)
+		}
+	}
+}
+
 // indexPossibleCrash adds a task's possible crash to the index by worker.
 func (s *Shard) indexPossibleCrash(id job.TaskID, worker string) {
 	if s.possibleCrashes[worker] == nil {
@@ -96,6 +179,7 @@
 	s.unindexPossibleCrash(id, worker)
 	if j, t := s.openTask(id); t != nil {
 		t.possibleCrashes = t.possibleCrashes.Without(worker)
+		t.sharedCrashes = t.sharedCrashes.Without(worker)
 		s.dirty[id.Job] = j
 	}
 }
@@ -122,7 +206,9 @@
 		}
 		tasks := make(lostTasks)
 		for id := range s.possibleCrashes[name] {
-			tasks[id] = false
+			tasks[id] = lostTask{
+				shared: s.isShared(id, name),
+			}
 		}
 		s.recordCrashes(tasks, name, evidenceRestarted, now)
 	}
--- a/shard/record.go
+++ b/shard/record.go
@@ -53,6 +53,10 @@
 	// was started later. Rows written by earlier versions have none.
 	BesideCrashes map[string][]string `cbor:"9,keyasint,omitempty"`
 
+	// SharedCrashes maps OCCURRENCE.STEP.INDEX to those workers of Crashed and PossibleCrashes on
+	// which other tasks ran, of which no row may tell. Rows written by earlier versions have none.
+	SharedCrashes map[string][]string `cbor:"11,keyasint,omitempty"`
+
 	// EndedMillis is when a final state was reached, in Unix milliseconds.
 	EndedMillis int64 `cbor:"5,keyasint,omitempty"`
 
@@ -208,6 +212,7 @@
 	p.Crashed = withMarks(p.Crashed, key, t.crashes)
 	p.BesideCrashes = withMarks(p.BesideCrashes, key, t.besideCrashes)
 	p.PossibleCrashes = withMarks(p.PossibleCrashes, key, t.possibleCrashes)
+	p.SharedCrashes = withMarks(p.SharedCrashes, key, t.sharedCrashes)
 	if len(t.failedRuns) == 0 || lasting {
 		return
 	}
@@ -255,26 +260,39 @@
 		t.failedRuns = runs
 		j.restoreLastAttempt(key, t)
 	}
-	for key, workers := range p.Crashed {
-		t, err := j.taskByKey(key)
-		if err != nil {
-			return err
-		}
-		t.crashes = workers
-	}
-	for key, workers := range p.BesideCrashes {
-		t, err := j.taskByKey(key)
-		if err != nil {
-			return err
-		}
-		t.besideCrashes = workers
-	}
-	for key, workers := range p.PossibleCrashes {
-		t, err := j.taskByKey(key)
-		if err != nil {
-			return err
+	return j.restoreCrashes(p)
+}
+
+// restoreCrashes applies the crashes in a row of progress to a newly built job.
+func (j *jobState) restoreCrashes(p Progress) error {
+	for _, list := range []struct {
+		rows  map[string][]string
+		apply func(t *taskState, workers []string)
+	}{
+		{
+			rows:  p.Crashed,
+			apply: func(t *taskState, workers []string) { t.crashes = workers },
+		},
+		{
+			rows:  p.BesideCrashes,
+			apply: func(t *taskState, workers []string) { t.besideCrashes = workers },
+		},
+		{
+			rows:  p.PossibleCrashes,
+			apply: func(t *taskState, workers []string) { t.possibleCrashes = workers },
+		},
+		{
+			rows:  p.SharedCrashes,
+			apply: func(t *taskState, workers []string) { t.sharedCrashes = workers },
+		},
+	} {
+		for key, workers := range list.rows {
+			t, err := j.taskByKey(key)
+			if err != nil {
+				return err
+			}
+			list.apply(t, workers)
 		}
-		t.possibleCrashes = workers
 	}
 	return nil
 }
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -160,6 +160,10 @@
 	crashedWorkers crashedWorkers
 	reviewCrashes  bool
 
+	// sharedLosses holds the losses of workers under suspects that ran beside other tasks, until
+	// they are stored for all of them.
+	sharedLosses []sharedLoss
+
 	// silentLosses holds, by worker incarnation, the workers that were given up lately because they
 	// did not answer.
 	silentLosses map[string]silentLoss
