A task that ends without a verdict clears nobody of its crashes

Cause: a task that was cancelled, whose job failed for another, or whose gang ended without it, counted as cleared of the crashes that it shared. They were blamed on what had run beside it and was still open.

Change: only a run of its own that succeeds clears a task. Otherwise its crashes stay shared for those beside it that are open, in their rows. An owner that has not polled a worker itself does not take the record back.

--- a/shard/crash_evidence_test.go
+++ b/shard/crash_evidence_test.go
@@ -160,3 +160,27 @@
 		})
 	}
 }
+
+// TestCrashesBesideCancelledTaskDoNotGiveUp covers a task that lost two workers beside a culprit and one
+// alone for another cause, after the culprit's job was cancelled: that it is no longer suspected proves
+// nothing against the task beside it.
+func TestCrashesBesideCancelledTaskDoNotGiveUp(t *testing.T) {
+	for name, takesOver := range map[string]bool{
+		"same owner":                    false,
+		"successor knows no second job": true,
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := besideCulprit(t, "a", "culprit", 2*time.Second)
+			w.core.Cancel("culprit", w.now, func() {})
+			w.run(100 * time.Millisecond)
+			if takesOver {
+				w.takeOver()
+			}
+			w.crashAlone(t, "a")
+			w.run(60 * time.Second)
+			w.check(t)
+			is.Equal(w.shown["a"], job.Completed)
+		})
+	}
+}
--- a/shard/crashevidence.go
+++ b/shard/crashevidence.go
@@ -150,7 +150,8 @@
 }
 
 // attributeOther returns what one of the other tasks that ran on a crashed worker says of the crash. A
-// task that has succeeded, or of which nothing more will be known, is not suspected.
+// task that has succeeded is not suspected. For one that has ended without a verdict, see
+// leaveUnresolved.
 func (s *Shard) attributeOther(other job.TaskID, incarnation outside.Incarnation) attribution {
 	j := s.jobs[other.Job]
 	if j == nil {
@@ -176,6 +177,64 @@
 	}
 }
 
+// resolveCrashes records what the end of a job says of the crashes of its workers.
+func (s *Shard) resolveCrashes(j *jobState, now time.Time) {
+	s.indexGivenUp(j.failure, now)
+	for k, o := range j.occurrences {
+		for st, step := range o.steps {
+			for i, t := range step.tasks {
+				id := job.TaskID{
+					Job:        j.record.ID,
+					Occurrence: k,
+					Step:       st,
+					Index:      i,
+				}
+				s.reviewCrashes = s.reviewCrashes || t.isSuspect()
+				if !t.done && t.isSuspect() && (j.failure == nil || !j.failure.isFor(id)) {
+					s.leaveUnresolved(id, t)
+				}
+			}
+		}
+	}
+}
+
+// leaveUnresolved records that it will not be known whether a task crashed its workers, because it ends
+// without a verdict: it was neither given up, nor has a run of its own succeeded. Otherwise its crashes
+// would be blamed on the tasks beside it that are still open.
+func (s *Shard) leaveUnresolved(id job.TaskID, t *taskState) {
+	for _, worker := range t.crashes {
+		crash := s.crashedWorkers.find(outside.ParseIncarnation(worker))
+		if crash == nil || t.besideCrashes.Contains(worker) {
+			continue
+		}
+		for other := range crash.tasks {
+			if other != id {
+				s.keepShared(other, worker)
+			}
+		}
+	}
+	for _, worker := range t.possibleCrashes {
+		for other := range s.possibleCrashes[worker] {
+			if other != id {
+				s.keepShared(other, worker)
+			}
+		}
+	}
+}
+
+// keepShared makes the loss of a worker count for an open task as one of other tasks as well, for good.
+func (s *Shard) keepShared(id job.TaskID, worker string) {
+	if _, t := s.openTask(id); t == nil || (!t.crashes.Contains(worker) && !t.possibleCrashes.Contains(worker)) {
+		return
+	}
+	s.setShared(id, worker, true)
+	for i, loss := range s.sharedLosses {
+		if loss.worker == worker {
+			s.sharedLosses[i].tasks = slices.DeleteFunc(loss.tasks, func(other job.TaskID) bool { return other == id })
+		}
+	}
+}
+
 // isFor reports whether the job failed because too many workers were lost under a task.
 func (f *Failure) isFor(id job.TaskID) bool {
 	return f.Task == id.String() && len(f.Crashed)+len(f.PossiblyCrashed) >= suspect.CrashLimit
--- a/shard/loss.go
+++ b/shard/loss.go
@@ -140,11 +140,6 @@
 	return lost
 }
 
-// knowsRuns reports whether this owner knows everything that may run on the worker.
-func (w *workerState) knowsRuns() bool {
-	return w.contacted || w.unobservedTasks != nil
-}
-
 // isShared reports whether a row says that a task ran on a worker beside others that may have no record
 // of it.
 func (s *Shard) isShared(id job.TaskID, worker string) bool {
--- a/shard/outcome.go
+++ b/shard/outcome.go
@@ -21,6 +21,15 @@
 	}
 	changed := false
 	for index := first; index <= last; index++ {
+		// A member without a run lost it with its worker.
+		if t := step.tasks[index]; index != id.Index && !t.done && len(t.runs) == 0 && t.isSuspect() {
+			s.leaveUnresolved(job.TaskID{
+				Job:        id.Job,
+				Occurrence: id.Occurrence,
+				Step:       id.Step,
+				Index:      index,
+			}, t)
+		}
 		changed = step.finish(index) || changed
 	}
 	if !changed {
@@ -93,11 +102,10 @@
 	delete(s.waiting, j.record.ID)
 	delete(s.repeating, j.record.ID)
 	s.forgetJobTickets(j)
-	s.indexGivenUp(j.failure, now)
+	s.resolveCrashes(j, now)
 	for _, o := range j.occurrences {
 		for _, step := range o.steps {
 			for _, t := range step.tasks {
-				s.reviewCrashes = s.reviewCrashes || t.isSuspect()
 				for _, r := range t.runs {
 					s.stop(r, "job "+string(state))
 				}
--- a/shard/possiblecrash.go
+++ b/shard/possiblecrash.go
@@ -80,10 +80,10 @@
 }
 
 // clearSharedOnceStored makes the loss of a worker count in full once it is stored for all tasks that
-// ran there. An owner that does not know what ran there leaves it as it is. Rows are written in several
+// ran there. An owner that has not seen what ran there leaves it as it is. Rows are written in several
 // batches: if this owner dies between two of them, the next one may read of the suspects alone.
 func (s *Shard) clearSharedOnceStored(w *workerState, lost lostTasks) {
-	if !w.knowsRuns() {
+	if !w.contacted {
 		return
 	}
 	loss := sharedLoss{
