--- a/shard/crash.go
+++ b/shard/crash.go
@@ -271,24 +271,14 @@
 
 // indexCrashes indexes the crashes and possible crashes of a job that was read from its rows.
 func (s *Shard) indexCrashes(j *jobState, now time.Time) {
-	for k, o := range j.occurrences {
-		for st, step := range o.steps {
-			for i, t := range step.tasks {
-				id := job.TaskID{
-					Job:        j.record.ID,
-					Occurrence: k,
-					Step:       st,
-					Index:      i,
-				}
-				for _, worker := range t.possibleCrashes {
-					s.indexPossibleCrash(id, worker)
-				}
-				for _, worker := range t.crashes {
-					s.indexCrash(id, worker, now)
-				}
-			}
+	j.forEachTask(func(id job.TaskID, t *taskState) {
+		for _, worker := range t.possibleCrashes {
+			s.indexPossibleCrash(id, worker)
 		}
-	}
+		for _, worker := range t.crashes {
+			s.indexCrash(id, worker, now)
+		}
+	})
 }
 
 // indexCrash adds a task to those under which an incarnation of a worker crashed.
--- a/shard/crashevidence.go
+++ b/shard/crashevidence.go
@@ -180,22 +180,12 @@
 // resolveCrashes records what the end of a job says of the crashes of its workers.
 func (s *Shard) resolveCrashes(j *jobState, now time.Time) {
 	s.indexGivenUp(j.failure, now)
-	for k, o := range j.occurrences {
-		for st, step := range o.steps {
-			for i, t := range step.tasks {
-				id := job.TaskID{
-					Job:        j.record.ID,
-					Occurrence: k,
-					Step:       st,
-					Index:      i,
-				}
-				s.reviewCrashes = s.reviewCrashes || t.isSuspect()
-				if !t.done && t.isSuspect() && (j.failure == nil || !j.failure.isFor(id)) {
-					s.leaveUnresolved(id, t)
-				}
-			}
+	j.forEachTask(func(id job.TaskID, t *taskState) {
+		s.reviewCrashes = s.reviewCrashes || t.isSuspect()
+		if !t.done && t.isSuspect() && (j.failure == nil || !j.failure.isFor(id)) {
+			s.leaveUnresolved(id, t)
 		}
-	}
+	})
 }
 
 // leaveUnresolved records that it will not be known whether a task crashed its workers, because it ends
--- a/shard/jobstate.go
+++ b/shard/jobstate.go
@@ -237,6 +237,22 @@
 	return step.tasks[id.Index]
 }
 
+// forEachTask calls do for each task that is due, in order.
+func (j *jobState) forEachTask(do func(id job.TaskID, t *taskState)) {
+	for k, o := range j.occurrences {
+		for s, step := range o.steps {
+			for i, t := range step.tasks {
+				do(job.TaskID{
+					Job:        j.record.ID,
+					Occurrence: k,
+					Step:       s,
+					Index:      i,
+				}, t)
+			}
+		}
+	}
+}
+
 // attempts returns how many runs of a task have failed. A failed run of any member of a gang
 // counts for all members.
 func (j *jobState) attempts(id job.TaskID, t *taskState) int {
--- a/shard/possiblecrash.go
+++ b/shard/possiblecrash.go
@@ -20,6 +20,15 @@
 // some 100 ms. If the owner dies before that, the next owner does not learn of the crash.
 const possibleCrashAfter = 2
 
+// sharedLoss is the loss of a worker that this owner has recorded for all tasks that ran there.
+type sharedLoss struct {
+	worker string
+	tasks  []job.TaskID
+
+	// batch is the batch that stores the loss for all of the tasks.
+	batch int64
+}
+
 // addPossibleCrash records that an incarnation of a worker may have crashed under a task. While it
 // is unknown how the task's run there ended, a later owner counts the worker's crash against the
 // task as well. The row is written in parallel to the start and does not delay it, since a write
@@ -70,15 +79,6 @@
 	s.reviewCrashes = true
 }
 
-// sharedLoss is the loss of a worker that this owner has recorded for all tasks that ran there.
-type sharedLoss struct {
-	worker string
-	tasks  []job.TaskID
-
-	// batch is the batch that stores the loss for all of the tasks.
-	batch int64
-}
-
 // clearSharedOnceStored makes the loss of a worker count in full once it is stored for all tasks that
 // ran there. An owner that has not seen what ran there leaves it as it is. Rows are written in several
 // batches: if this owner dies between two of them, the next one may read of the suspects alone.
