A task with two crashes of its own is given up after the fourth

Cause: its first crash was seen by no owner, the next two it shared with another culprit, whose gang ended without a verdict, so that they counted towards the limit of five only; three crashes alone came on top.

Change: with two crashes of its own a task is given up after the fourth crash, whatever other tasks may explain (SharedCrashLimit). That leaves one start for a crash that no owner saw.

--- a/shard/crash_evidence_test.go
+++ b/shard/crash_evidence_test.go
@@ -116,6 +116,30 @@
 	}
 }
 
+// TestCulpritBesideUnresolvedTaskIsGivenUp covers a culprit whose first crash no owner has seen, and whose
+// next two are shared with a task that ends without a verdict. It took six workers: the two counted
+// only towards the limit for losses of every kind.
+func TestCulpritBesideUnresolvedTaskIsGivenUp(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1)
+	w.allowExtraStarts = true
+	w.restartDelay = time.Second
+	w.run(200 * time.Millisecond)
+	slow := step(1)
+	slow.Estimate = 2 * time.Second
+	w.culprits[taskOf("culprit")] = 100 * time.Millisecond
+	w.submit("culprit", slow)
+	w.runUntilCrashes(t, "culprit", 1)
+	w.takeOver()
+	w.submit("a", slow)
+	w.runUntil(t, func() bool { return len(w.progress["a"].Crashed["0.0.0"]) == 2 })
+	w.core.Cancel("a", w.now, func() {})
+	w.run(60 * time.Second)
+	w.check(t)
+	is.Equal(w.shown["culprit"], job.Failed)
+	is.True(w.crashes[taskOf("culprit")] <= maxCrashesPerTask+maxExtraStarts)
+}
+
 // TestSharedCrashCountsOnceTheOthersHaveSucceeded covers a culprit whose first two crashes hit another
 // task as well. Once that one has succeeded, all crashes are the culprit's, which is given up after
 // the third.
--- a/suspect/suspect.go
+++ b/suspect/suspect.go
@@ -26,6 +26,12 @@
 	// attributed to both: orders that are sent together are carried out in any order.
 	AttributionSlack = 100 * time.Millisecond
 
+	// SharedCrashLimit is the number of crashed workers after which a task is given up if
+	// MinCrashes of them are its own and other tasks are suspected of the rest as well. It leaves
+	// one of the starts that the platform permits after three crashes for a crash that no owner
+	// saw.
+	SharedCrashLimit = 4
+
 	// LossLimit is the number of workers, crashed or possibly crashed, after which a task is
 	// given up although fewer than MinCrashes are certain. A task that takes its worker's
 	// host down leaves no proof of a crash, and must not be started without end. The limit is
@@ -191,10 +197,14 @@
 
 // GivenUp reports whether the task must not be started again. A crash that another task explains, or
 // may yet explain, does not count towards CrashLimit: a bystander of two culprits would be given up
-// after one crash of another cause. It counts towards LossLimit.
+// after one crash of another cause.
 func (e Evidence) GivenUp() bool {
 	lost := e.Own + e.Uncertain
-	return (e.Own >= MinCrashes && lost >= CrashLimit) || lost+e.Shared+e.Explained >= LossLimit
+	all := lost + e.Shared + e.Explained
+	if e.Own >= MinCrashes {
+		return lost >= CrashLimit || all >= SharedCrashLimit
+	}
+	return all >= LossLimit
 }
 
 // MaxReserved returns how many of the workers may be reserved for isolated tasks.
