Evictions, stops and rows of workers keep the order of maps

Why a fixed order delays the last machines is not traced.

Change: these three go in the order of maps again.

--- a/shard/eviction.go
+++ b/shard/eviction.go
@@ -11,16 +11,16 @@
 // draining worker ends, it stops all of its long-running tasks, which would end with it, and the
 // tasks that save checkpoints.
 func (s *Shard) moveOffDraining(now time.Time) {
-	leaving := s.sortedWorkers(func(w *workerState) bool {
+	for _, w := range s.workers {
 		// A worker that is reserved for an isolated task must empty as well: a long-running
 		// task on it would keep the isolated task waiting for all of suspect.IsolationWait.
 		closed := now.Before(w.closedUntil) || now.Before(w.reservedUntil)
-		return len(w.runs) > 0 && (closed || w.isDraining())
-	})
-	for _, w := range leaving {
-		soon := w.isDraining() && w.drainEndsAt.Sub(now) < s.opts.StopTimeout+drainMargin
-		for _, r := range w.sortedRuns() {
-			id := r.id
+		draining := w.isDraining()
+		if len(w.runs) == 0 || (!draining && !closed) {
+			continue
+		}
+		soon := draining && w.drainEndsAt.Sub(now) < s.opts.StopTimeout+drainMargin
+		for id, r := range w.runs {
 			spec, found := s.stepOf(id)
 			if !found || (r.phase != phaseRunning && !r.stopWithinBudget) {
 				continue
--- a/shard/lease.go
+++ b/shard/lease.go
@@ -1,8 +1,6 @@
 package shard
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"lemonstream.dev/lemonstream/outside"
@@ -29,16 +27,20 @@
 // WorkerRows returns the rows of workers that are due, at most maxRows of each kind.
 func (s *Shard) WorkerRows(maxRows int) WorkerRows {
 	var rows WorkerRows
-	due := s.sortedWorkers(func(w *workerState) bool {
+	for id, w := range s.workers {
 		// The row of a worker that was considered ended is deleted before it is written again.
-		_, deleting := s.workerRowsToDelete[w.reg.ID]
-		return w.listed && !w.recorded && !deleting
-	})
-	for _, w := range due[:min(maxRows, len(due))] {
-		rows.Used = append(rows.Used, w.ref())
-	}
-	ended := slices.Sorted(maps.Keys(s.workerRowsToDelete))
-	rows.Ended = ended[:min(maxRows, len(ended))]
+		if _, deleting := s.workerRowsToDelete[id]; deleting {
+			continue
+		}
+		if w.listed && !w.recorded && len(rows.Used) < maxRows {
+			rows.Used = append(rows.Used, w.ref())
+		}
+	}
+	for id := range s.workerRowsToDelete {
+		if len(rows.Ended) < maxRows {
+			rows.Ended = append(rows.Ended, id)
+		}
+	}
 	return rows
 }
 
--- a/shard/orders.go
+++ b/shard/orders.go
@@ -2,8 +2,6 @@
 
 import (
 	"errors"
-	"maps"
-	"slices"
 	"time"
 
 	"lemonstream.dev/lemonstream/outside"
@@ -143,7 +141,7 @@
 
 // orderDueRuns orders the stops that are due and repeats starts that got no answer.
 func (s *Shard) orderDueRuns(now time.Time) {
-	for _, r := range slices.SortedFunc(maps.Keys(s.dueRuns), compareRuns) {
+	for r := range s.dueRuns {
 		w := r.worker
 		if w.runs[r.id] != r {
 			delete(s.dueRuns, r)
