Log starts beside unobserved workers, and tasks that two owners start

Callers saw a task run twice, and nothing in the log said which workers the owner had not reached when it ordered its start, nor that a run it found or an end it read was that of another owner for a task it had started itself.

While workers are unobserved, 'start ordered' has their number and whether the job is fresh. 'task started by two owners' names both runs, whether an earlier owner's row named the worker, since when this owner has reached it, and whether this owner had waited for the leases there. Runs are told apart by their number, of which each owner has a range.

--- a/shard/events.go
+++ b/shard/events.go
@@ -168,6 +168,7 @@
 		share:      shareUnknown,
 		unsized:    t == nil,
 	}
+	r.doubleStart = s.logDoubleStart(w, t, running.Task, running.Run, howRunning, now)
 	wanted := t != nil && needsRun(j, t)
 	if t != nil {
 		r.charge = j.record.Spec.Steps[running.Task.Step].Charge()
@@ -297,6 +298,9 @@
 		r = nil
 	}
 	s.logRun("run ended", end.Task, end.Run, w, "how", string(end.Kind), "number", end.Number, "known", r != nil)
+	if r == nil || r.doubleStart {
+		s.logDoubleStart(w, t, end.Task, end.Run, string(end.Kind), now)
+	}
 	if t == nil || j.state.Final() {
 		return
 	}
--- a/shard/handover.go
+++ b/shard/handover.go
@@ -183,6 +183,7 @@
 	}
 	w.unlistedAt = now
 	w.recorded = true
+	w.inherited = true
 	if s.idleWorkers[ref.ID] {
 		return
 	}
@@ -230,7 +231,7 @@
 		tasks: make(map[job.TaskID]struct{}),
 	}
 	for _, w := range s.workers {
-		if w.contacted || !now.Before(w.unobservedUntil) {
+		if !w.isUnobserved(now) {
 			continue
 		}
 		if w.unobservedTasks == nil {
--- a/shard/jobstate.go
+++ b/shard/jobstate.go
@@ -132,6 +132,9 @@
 	// lastRun is the highest run number that this owner has assigned or found on a worker.
 	lastRun int64
 
+	// ownStart is the last start that this owner ordered while the task had no run; nil for none.
+	ownStart *ownStart
+
 	// checkpoint is the newest checkpoint that was reported; empty for none.
 	checkpoint string
 
--- a/shard/place.go
+++ b/shard/place.go
@@ -339,6 +339,13 @@
 		call:      s.nextCall(),
 		order:     order,
 	}
+	if len(t.runs) == 0 {
+		t.ownStart = &ownStart{
+			run:    number,
+			worker: w.incarnation(),
+			at:     now,
+		}
+	}
 	s.endIsolationWait(id, t, w, now)
 	t.endWait()
 	s.attachRun(r, j, t)
@@ -346,8 +353,7 @@
 		s.addPossibleCrash(id, w.incarnation().String())
 	}
 	s.recordCompany(w)
-	s.logRun("start ordered", id, number, w, "rack", w.reg.Rack, "closed", now.Before(w.closedUntil),
-		"free_cpu", w.free().MilliCPU, "look_age_ms", now.Sub(w.clockReadAt).Milliseconds())
+	s.logStart(j, r, now)
 	s.orders.Starts = append(s.orders.Starts, Start{
 		Call:   r.call,
 		Worker: w.ref(),
@@ -355,6 +361,18 @@
 	})
 }
 
+// logStart logs the order to start a run. While workers may run tasks of earlier owners that this
+// owner has not observed, it also logs how many workers, and whether the job can have no such task.
+func (s *Shard) logStart(j *jobState, r *run, now time.Time) {
+	w := r.worker
+	fields := []any{"rack", w.reg.Rack, "closed", now.Before(w.closedUntil), "free_cpu", w.free().MilliCPU,
+		"look_age_ms", now.Sub(w.clockReadAt).Milliseconds()}
+	if s.unobservedWorkers > 0 {
+		fields = append(fields, "unobserved", s.unobservedWorkers, "fresh", j.fresh)
+	}
+	s.logRun("start ordered", r.id, r.number, w, fields...)
+}
+
 func hasLabel(labels []string, label string) bool {
 	for _, other := range labels {
 		if other == label {
--- a/shard/restart.go
+++ b/shard/restart.go
@@ -62,6 +62,7 @@
 	w.listed = before.listed
 	w.unlistedAt = before.unlistedAt
 	w.recorded = before.recorded
+	w.inherited = before.inherited
 	w.regainedAt = before.regainedAt
 	w.inHandover = before.inHandover
 	w.closedUntil = before.closedUntil
@@ -85,6 +86,7 @@
 // lists runs that may have been started by orders to the previous incarnation.
 func (s *Shard) handleFirstAnswer(w *workerState, mayHaveOldRuns bool, now time.Time) {
 	w.contacted = true
+	w.contactedAt = now
 	s.restoreEvidence(w, now)
 	s.stopUnansweredStarts(w)
 	lease := s.opts.Lease // An earlier owner may have renewed it until just now.
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -251,6 +251,10 @@
 	// workers that the handover does not name.
 	unobservedUntil time.Time
 
+	// unobservedWorkers counts the workers that may run tasks of earlier owners that this owner has
+	// not observed, as of the beginning of Next.
+	unobservedWorkers int
+
 	// mostRunsSeen says that only known tasks may still run unobserved, allRunsSeen that none may.
 	mostRunsSeen bool
 	allRunsSeen  bool
--- a/shard/unknown.go
+++ b/shard/unknown.go
@@ -97,7 +97,7 @@
 	for _, w := range s.workers {
 		for _, r := range w.runs {
 			if r.id.Job == id && r.unsized {
-				s.adoptRun(r)
+				s.adoptRun(r, now)
 			}
 		}
 	}
@@ -120,7 +120,7 @@
 
 // adoptRun assigns a run that was found at a worker to its task, or stops the run if the task does
 // not need it.
-func (s *Shard) adoptRun(r *run) {
+func (s *Shard) adoptRun(r *run, now time.Time) {
 	j := s.knownJob(r.id.Job)
 	var t *taskState
 	if j != nil {
@@ -130,6 +130,7 @@
 		s.stop(r, reasonUnwanted)
 		return
 	}
+	r.doubleStart = s.logDoubleStart(r.worker, t, r.id, r.number, howRunning, now)
 	wanted := needsRun(j, t)
 	r.worker.used = r.worker.used.Sub(r.charge)
 	r.worker.unsized--
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -90,6 +90,9 @@
 	found    bool
 	listedAt time.Time
 
+	// doubleStart says that the run was logged as that of a task that two owners started.
+	doubleStart bool
+
 	// tries counts orders of the current kind without an answer. unanswered says that an order to
 	// start the run got no answer, so that the run may begin until a stop is answered.
 	tries      int
@@ -176,6 +179,12 @@
 	// earlier owner can still take effect there.
 	contacted bool
 
+	// contactedAt is when that first answer arrived.
+	contactedAt time.Time
+
+	// inherited says that a row of an earlier owner names the worker.
+	inherited bool
+
 	// born is when the incarnation began, as its first answer reported. It is zero before that, and
 	// for workers that don't report it.
 	born time.Time
@@ -365,11 +374,15 @@
 	return s.opts.Evacuated != nil && s.opts.Evacuated(w.reg.Zone)
 }
 
-// updateUsable collects the workers that can run tasks.
+// updateUsable collects the workers that can run tasks, and counts the unobserved ones.
 func (s *Shard) updateUsable(now time.Time) {
 	s.usable = s.usable[:0]
 	s.anyProven = false
+	s.unobservedWorkers = 0
 	for _, w := range s.workers {
+		if w.isUnobserved(now) {
+			s.unobservedWorkers++
+		}
 		w.proven = w.health.IsProven(now)
 		w.cold = now.Before(w.coldUntil)
 		if s.isUsable(w, now) {
