Log the claim's version, records passed over, and what a job without a record lets go

'job taken' did not say whether the record was written before or after the owner's claim, a record that was read while its owner was about to write the job left no line, and 'job has no record' did not say what was stopped and acknowledged. It has 'runs' and 'ends' now, 'job taken' has 'claim_version', and 'record passed over' names how far the owner's own record was. Records read again of jobs that are stored stay silent.

--- a/shard/batch.go
+++ b/shard/batch.go
@@ -258,8 +258,8 @@
 	j.unwritten = false
 	j.fresh = !s.standbyUnread
 	j.answerSubmitters(true)
-	s.opts.LogEvent("job taken", "job", j.record.ID, "route", j.record.Route, "organisation", j.record.Organisation, "fresh", j.fresh,
-		"age_ms", now.Sub(j.record.acceptedAt()).Milliseconds())
+	s.opts.LogEvent("job taken", "job", j.record.ID, "route", j.record.Route, "organisation", j.record.Organisation,
+		"claim_version", s.claimVersion, "fresh", j.fresh, "age_ms", now.Sub(j.record.acceptedAt()).Milliseconds())
 	if j.state.Final() {
 		return
 	}
--- a/shard/jobs.go
+++ b/shard/jobs.go
@@ -15,18 +15,41 @@
 // Accept adds a job whose record is stored in the table at the given version. direct says that the
 // entry that wrote the record notified this owner itself and had notified no other owner before.
 func (s *Shard) Accept(record Record, version int64, direct bool, now time.Time) {
-	if _, known := s.jobs[record.ID]; known {
+	if known := s.jobs[record.ID]; known != nil {
+		s.logPassedOver(known, version)
 		return
 	}
 	j := s.addJob(record)
 	j.fresh = direct && version > s.claimVersion && !s.standbyUnread
 	s.opts.PublishState(record.ID, job.Queued)
-	s.opts.LogEvent("job taken", "job", record.ID, "route", record.Route, "organisation", record.Organisation, "version", version, "fresh", j.fresh,
-		"age_ms", now.Sub(record.acceptedAt()).Milliseconds())
+	s.opts.LogEvent("job taken", "job", record.ID, "route", record.Route, "organisation", record.Organisation, "version", version,
+		"claim_version", s.claimVersion, "fresh", j.fresh, "age_ms", now.Sub(record.acceptedAt()).Milliseconds())
 	s.schedule(j, now)
 	s.applyDeferredCancel(record.ID, now)
 }
 
+// logPassedOver logs that a stored record is not accepted because a job is known under its ID whose
+// own record is not known to be stored. Records that are read once more are no news.
+func (s *Shard) logPassedOver(known *jobState, version int64) {
+	if !known.unwritten {
+		return
+	}
+	s.opts.LogEvent("record passed over", "job", known.record.ID, "version", version, "state", known.writeState())
+}
+
+// writeState returns how far the record of an unwritten job has come, or the final state of one that
+// has ended.
+func (j *jobState) writeState() string {
+	switch {
+	case j.state.Final():
+		return string(j.state)
+	case j.submitted:
+		return "submitted"
+	default:
+		return "in a batch"
+	}
+}
+
 // Restore adds a job with the progress that an earlier owner wrote, nil if none was written.
 func (s *Shard) Restore(record Record, progress *Progress, now time.Time) error {
 	if _, known := s.jobs[record.ID]; known {
--- a/shard/unknown.go
+++ b/shard/unknown.go
@@ -199,11 +199,29 @@
 		if err != nil || s.jobs[id] != nil {
 			continue
 		}
-		s.opts.LogEvent("job has no record", "job", id)
+		runs, ends := s.countUnknown(id)
+		s.opts.LogEvent("job has no record", "job", id, "runs", runs, "ends", ends)
 		s.resolveJob(id, now)
 	}
 }
 
+// countUnknown returns how many runs and deferred ends workers list of a job that is not known.
+func (s *Shard) countUnknown(id string) (runs, ends int) {
+	for _, w := range s.workers {
+		for task := range w.runs {
+			if task.Job == id {
+				runs++
+			}
+		}
+		for _, end := range w.deferred {
+			if end.Task.Job == id {
+				ends++
+			}
+		}
+	}
+	return runs, ends
+}
+
 // appendDeferredTasks appends the tasks of deferred ends.
 func (w *workerState) appendDeferredTasks(tasks []job.TaskID) []job.TaskID {
 	for _, end := range w.deferred {
