Log what is known of a worker that ends, and how long a takeover waits

'worker ended' did not say whether this owner had ever reached the worker or whether a row named it; the lines of a takeover did not say at which version the service was claimed, nor how long unreachable workers are waited for. 'run lost' has its reason in every place already.

Evidence: go test ./shard ./owner passes.

--- a/owner/duty.go
+++ b/owner/duty.go
@@ -243,9 +243,7 @@
 		return d.quotas.quotaFor(organisation, deps.Catalog())
 	}
 	d.core = shard.New(service, won.epoch, won.version, now, options)
-	handover := handoverOf(won.before, log)
-	d.core.ApplyHandover(handover, won.read)
-	log.Info("workers inherited from previous owner", "idle", len(handover.Idle), "leased", len(handover.Leased))
+	d.applyHandover(won, now, log)
 	if won.epoch > 1 {
 		d.core.MarkStandbyUnread()
 	} else {
@@ -254,6 +252,15 @@
 	return d
 }
 
+// applyHandover applies the handover of the previous owner, and logs how long this owner may have to
+// wait for workers that it does not reach.
+func (d *Duty) applyHandover(won claim, now time.Time, log *slog.Logger) {
+	handover := handoverOf(won.before, log)
+	d.core.ApplyHandover(handover, won.read)
+	log.Info("workers inherited from previous owner", "idle", len(handover.Idle), "leased", len(handover.Leased),
+		"claim_version", won.version, "wait_ms", d.core.UnobservedWait(now).Milliseconds())
+}
+
 func (d *Duty) push(e event) error {
 	return d.events.Push(e)
 }
--- a/shard/handover.go
+++ b/shard/handover.go
@@ -172,6 +172,16 @@
 	s.claimHasHandover = len(h.Idle)+len(h.Leased) > 0
 }
 
+// UnobservedWait returns the longest time for which a worker that this owner does not reach may run
+// what earlier owners started.
+func (s *Shard) UnobservedWait(now time.Time) time.Duration {
+	until := s.unobservedUntil
+	for _, l := range s.inheritedLeases {
+		until = latestOf(until, s.handoverReadAt.Add(withClockDrift(l.Remaining)))
+	}
+	return max(0, until.Sub(now))
+}
+
 // RestoreWorker adds a worker to which the previous owner may have assigned tasks. It is polled
 // whether or not it is registered.
 func (s *Shard) RestoreWorker(ref outside.WorkerRef, now time.Time) {
@@ -216,6 +226,9 @@
 	// that may.
 	all   bool
 	tasks map[job.TaskID]struct{}
+
+	// until is when the last of them have certainly ended. It is not set with all.
+	until time.Time
 }
 
 // unobserved returns the tasks that workers may still run because an earlier owner started them,
@@ -238,6 +251,7 @@
 			b.all = true
 			return b
 		}
+		b.until = latestOf(b.until, w.unobservedUntil)
 		for task := range w.unobservedTasks {
 			b.tasks[task] = struct{}{}
 		}
@@ -273,7 +287,8 @@
 	}
 	s.allRunsSeen = len(b.tasks) == 0
 	if s.allRunsSeen || !s.mostRunsSeen {
-		s.opts.LogEvent("runs of earlier owners seen", "after_ms", now.Sub(s.takenAt).Milliseconds(), "unseen", len(b.tasks))
+		s.opts.LogEvent("runs of earlier owners seen", "after_ms", now.Sub(s.takenAt).Milliseconds(), "unseen", len(b.tasks),
+			"claim_version", s.claimVersion, "wait_ms", max(0, b.until.Sub(now)).Milliseconds())
 	}
 	s.mostRunsSeen = true
 }
--- a/shard/lease.go
+++ b/shard/lease.go
@@ -79,7 +79,8 @@
 
 // removeWorker removes a worker whose incarnation has ended.
 func (s *Shard) removeWorker(w *workerState, now time.Time, reason string) {
-	s.opts.LogEvent("worker ended", "worker", w.incarnation().String(), "reason", reason, "runs", len(w.runs))
+	s.opts.LogEvent("worker ended", "worker", w.incarnation().String(), "reason", reason, "runs", len(w.runs),
+		"contacted", w.contacted, "recorded", w.recorded)
 	if reason == reasonInstanceTaken {
 		for _, r := range w.runs {
 			s.logBudgetExceeded("instance order", r.id, r.number, w)
