Show how many ends workers list

A worker lists at most 500 ends, and a run whose end is beyond them is in no list. Neither a figure nor a line showed that a list came near that. The figure unread_ends has the most ends that a worker of a service listed in its last answer, 'many unread ends' names the worker from 400 on, at most once a second.

--- a/owner/duty.go
+++ b/owner/duty.go
@@ -381,6 +381,7 @@
 	counts := d.core.Pending()
 	d.pending.Store(&counts)
 	d.setFigure(figureEjected, float64(d.core.Ejected()))
+	d.setFigure(figureUnreadEnds, float64(d.core.MostListedEnds()))
 	zones := d.core.EvacuatedZones()
 	d.zones.Store(&zones)
 }
--- a/owner/evidence.go
+++ b/owner/evidence.go
@@ -20,6 +20,9 @@
 	// figureEjected is the figure of the ejected workers of a service.
 	figureEjected = "ejected_workers"
 
+	// figureUnreadEnds is the figure of the most ends that a worker of a service listed at once.
+	figureUnreadEnds = "unread_ends"
+
 	// oddsScale is by how much the odds in a row are multiplied: they are stored as whole numbers.
 	oddsScale = 100
 )
--- a/owner/submit.go
+++ b/owner/submit.go
@@ -211,6 +211,7 @@
 	d.ended = true
 	d.core.RefuseSubmitted(d.deps.Clock.Now())
 	d.setFigure(figureEjected, 0)
+	d.setFigure(figureUnreadEnds, 0)
 	close(d.done)
 }
 
--- a/shard/lease.go
+++ b/shard/lease.go
@@ -180,6 +180,7 @@
 			w.nextPollAt = now.Add(maxAckWait)
 		}
 	}
+	s.logUnreadEnds(w, len(listed), now)
 	if s.allWritten() {
 		// These ends changed nothing that must be written.
 		w.ackBatch = s.writtenBatch
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -255,6 +255,10 @@
 	// not observed, as of the beginning of Next.
 	unobservedWorkers int
 
+	// mostListedEnds is the largest number of ends that a worker listed in its last answer, as of the
+	// beginning of Next.
+	mostListedEnds int
+
 	// mostRunsSeen says that only known tasks may still run unobserved, allRunsSeen that none may.
 	mostRunsSeen bool
 	allRunsSeen  bool
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -220,6 +220,11 @@
 	acked     int64
 	forgotten int64
 
+	// listedEnds is how many ends the last answer listed. manyEndsLoggedAt is when it was last logged
+	// that they were many.
+	listedEnds       int
+	manyEndsLoggedAt time.Time
+
 	// deferred holds, by rising number, the ends of jobs that are not known. None of them, and no
 	// end after the first of them, is acknowledged.
 	deferred []outside.End
@@ -374,15 +379,18 @@
 	return s.opts.Evacuated != nil && s.opts.Evacuated(w.reg.Zone)
 }
 
-// updateUsable collects the workers that can run tasks, and counts the unobserved ones.
+// updateUsable collects the workers that can run tasks, and counts the unobserved ones and the
+// ends that are listed.
 func (s *Shard) updateUsable(now time.Time) {
 	s.usable = s.usable[:0]
 	s.anyProven = false
 	s.unobservedWorkers = 0
+	s.mostListedEnds = 0
 	for _, w := range s.workers {
 		if w.isUnobserved(now) {
 			s.unobservedWorkers++
 		}
+		s.mostListedEnds = max(s.mostListedEnds, w.listedEnds)
 		w.proven = w.health.IsProven(now)
 		w.cold = now.Before(w.coldUntil)
 		if s.isUsable(w, now) {
