An owner starts what it reads only once it has confirmed its ownership

Callers' tasks ran twice. An owner whose transactions get no answer, or that wakes up, reads the rows of new jobs on after its service was claimed, for up to 4 s, and started them. The next owner takes a job whose record is younger than its claim for one that no earlier owner can have seen, and starts it beside workers that it has not reached.

A read shows a row, not who owns the service. A transaction does: it checks the owner's row. So a job whose record may be younger than a next claim is started only once a transaction that was sent after the read stands; one is sent at once for it. What the next owner believes of young records is true then, whichever way an earlier owner learned of them: by its reads, by an entry, at its load. A record in the standby part that is younger than this owner's claim of it is that of a newer owner, since only owners write there.

Tests in which a deposed owner starts what an entry tells it of stand for owners of earlier versions now (startUnconfirmed): what the next owner finds is the same as before, and so are their checks. Without that they would pass because nothing starts.

What was ruled out: a check of the owner's row in the writes of entries. It does nothing about records that the next owner writes itself.

--- a/owner/intake_test.go
+++ b/owner/intake_test.go
@@ -87,3 +87,29 @@
 		return found && state == job.Running
 	})
 }
+
+// TestReplacedOwnerStartsNothingItReads covers an owner whose transactions get no answer while its
+// reads work. Another entry claims the service, and the owner reads a job that is written later.
+func TestReplacedOwnerStartsNothingItReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		rows := standin.NewRows()
+		var down atomic.Bool
+		workers := newFakeWorkers(rows, "w")
+		first := newEntryWith(t, "a", withPartitionDown(rows, "s", &down), alive("a"), workers.deps)
+		until(t, "the first entry owns the service", first.owns)
+		duty, _ := first.keeper.Duty("s")
+		rows.Write(owner.IntakeKey("s", "early"), record("early").Encode())
+		until(t, "the first entry starts the job", func() bool { return workers.startsOf("early") == 1 })
+		down.Store(true)
+		second := newEntry(t, "b", rows, refusePing)
+		until(t, "the second entry owns the service", second.owns)
+		rows.Write(owner.IntakeKey("s", "late"), record("late").Encode())
+		until(t, "the first entry has read the job", func() bool {
+			_, known := duty.State(catalog.Caller{}, "late")
+			return known
+		})
+		until(t, "the first entry has given up the service", func() bool { return first.lines.of("service lost") == 1 })
+		is.Equal(workers.startsOf("late"), 0)
+	})
+}
--- a/owner/restore.go
+++ b/owner/restore.go
@@ -54,7 +54,7 @@
 		delete(d.orphanProgress, row.Key.Name)
 		record, err := shard.DecodeRecord(row.Value)
 		if err == nil {
-			err = d.core.Restore(record, progress[row.Key.Name], now)
+			err = d.core.Restore(record, row.Version, progress[row.Key.Name], now)
 		}
 		if err != nil {
 			d.deps.Log.Error("row left out", "table", row.Key.Table, "key", row.Key.Name, "error", err)
--- a/owner/standby.go
+++ b/owner/standby.go
@@ -88,7 +88,7 @@
 	if err != nil {
 		return err
 	}
-	records, ended, err := d.readStandby(ctx)
+	records, ended, err := d.readStandby(ctx, owned.ownerVersion)
 	if err != nil {
 		return err
 	}
@@ -151,8 +151,9 @@
 }
 
 // readStandby reads the records and final states that earlier owners wrote to the standby
-// partition. Rows that cannot be decoded are logged and skipped.
-func (d *Duty) readStandby(ctx context.Context) ([]shard.Record, map[string]shard.Progress, error) {
+// partition, which this owner claimed at the given version. Rows that cannot be decoded are logged
+// and skipped. A younger row is that of a newer owner, and reported as a *LostError.
+func (d *Duty) readStandby(ctx context.Context, claimed int64) ([]shard.Record, map[string]shard.Progress, error) {
 	part := prefixStandby + d.service
 	rows, _, err := d.deps.Table.ReadAll(ctx, tableProgress, part)
 	if err != nil {
@@ -173,6 +174,12 @@
 	}
 	records := make([]shard.Record, 0, len(rows))
 	for _, row := range rows {
+		if row.Version > claimed {
+			return nil, nil, &LostError{
+				Part:   part,
+				Reason: "a newer owner has written to it",
+			}
+		}
 		record, err := shard.DecodeRecord(row.Value)
 		if err != nil {
 			d.deps.Log.Error("row left out", "table", row.Key.Table, "part", part, "key", row.Key.Name, "error", err)
--- a/shard/deposed_test.go
+++ b/shard/deposed_test.go
@@ -28,7 +28,7 @@
 			w.run(100 * time.Millisecond)
 			record := w.record("a", step(4))
 			w.store(record)
-			w.zombies[0].core.Accept(record, w.version, true, w.now)
+			startUnconfirmed(w, w.zombies[0].core, record)
 			w.run(delays.poll)
 			w.standbyDown = false
 			w.run(delays.row)
--- a/shard/jobs.go
+++ b/shard/jobs.go
@@ -20,6 +20,7 @@
 		return
 	}
 	j := s.addJob(record)
+	s.setRead(j, version, now)
 	j.fresh = direct && version > s.claimVersion && !s.standbyUnread
 	s.opts.PublishState(record.ID, job.Queued)
 	s.opts.LogEvent("job taken", "job", record.ID, "route", record.Route, "organisation", record.Organisation, "version", version,
@@ -50,12 +51,14 @@
 	}
 }
 
-// Restore adds a job with the progress that an earlier owner wrote, nil if none was written.
-func (s *Shard) Restore(record Record, progress *Progress, now time.Time) error {
+// Restore adds a job whose record is stored at the given version, with the progress that an earlier
+// owner wrote, nil if none was written.
+func (s *Shard) Restore(record Record, version int64, progress *Progress, now time.Time) error {
 	if _, known := s.jobs[record.ID]; known {
 		return nil
 	}
 	j := s.addJob(record)
+	s.setRead(j, version, now)
 	j.restored = true
 	if progress == nil {
 		s.opts.PublishState(record.ID, job.Queued)
@@ -76,6 +79,24 @@
 	return nil
 }
 
+// setRead notes that this owner learned of a record at the given version, 0 if the version is not
+// known. A record that is older than this owner's claim needs no confirmation.
+func (s *Shard) setRead(j *jobState, version int64, now time.Time) {
+	if version > 0 && version <= s.claimVersion {
+		return
+	}
+	j.readAt = now
+	s.newestReadAt = now
+}
+
+// isConfirmed reports whether tasks of a job may start. A read of rows does not show whether this
+// owner still owns the service: a record that is younger than the claim of the next owner is read
+// as well, and that owner starts its tasks without waiting for this one. A transaction of this owner
+// that was sent later than the read shows that the record is older than any such claim.
+func (s *Shard) isConfirmed(j *jobState) bool {
+	return j.readAt.IsZero() || !s.confirmedAt.Before(j.readAt)
+}
+
 // RestoreEnded adds a job of which only the final state is stored.
 func (s *Shard) RestoreEnded(id string, progress Progress) {
 	if _, known := s.jobs[id]; known {
--- a/shard/jobstate.go
+++ b/shard/jobstate.go
@@ -22,6 +22,10 @@
 	// fresh means that no earlier owner can have started a task of the job.
 	fresh bool
 
+	// readAt is when this owner learned of a record that may have been written after another owner
+	// claimed the service; zero if it was certainly written before. See isConfirmed.
+	readAt time.Time
+
 	// restored means that the job was read from rows, with the progress stored by earlier owners.
 	restored bool
 
--- a/shard/place.go
+++ b/shard/place.go
@@ -195,7 +195,7 @@
 					continue
 				}
 				idle = true
-				if !j.isReady(k, st) || (unobserved && !j.fresh) {
+				if !j.isReady(k, st) || (unobserved && !j.fresh) || !s.isConfirmed(j) {
 					continue
 				}
 				list = append(list, group{
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -233,6 +233,9 @@
 	// the shard.
 	confirmedAt time.Time
 
+	// newestReadAt is the latest readAt of all jobs.
+	newestReadAt time.Time
+
 	// storeRegainedAt is when the store last became available again.
 	storeRegainedAt time.Time
 
@@ -408,8 +411,12 @@
 	}
 }
 
-// NeedsConfirmation reports whether a worker can only be used after another transaction.
+// NeedsConfirmation reports whether a worker can only be used, or a job only be started, after
+// another transaction.
 func (s *Shard) NeedsConfirmation() bool {
+	if s.newestReadAt.After(s.confirmedAt) {
+		return true
+	}
 	for _, w := range s.workers {
 		if (w.listed || len(w.runs) > 0) && s.isInHandover(w) {
 			return true
--- a/shard/standby.go
+++ b/shard/standby.go
@@ -65,7 +65,7 @@
 func (s *Shard) restoreStandbyRecord(record Record, progress *Progress, now time.Time) error {
 	submitted, known := s.jobs[record.ID]
 	if !known || submitted.restored || submitted.state.Final() {
-		return s.Restore(record, progress, now)
+		return s.Restore(record, s.claimVersion, progress, now)
 	}
 	s.unsubmit(submitted)
 	s.addPending(submitted, -1)
@@ -76,7 +76,7 @@
 		// The cancellation, if any, was one of the submitted job.
 		delete(s.deferredCancels, record.ID)
 	}
-	if err := s.Restore(record, progress, now); err != nil {
+	if err := s.Restore(record, s.claimVersion, progress, now); err != nil {
 		return err
 	}
 	s.replaceSubmitted(submitted, s.jobs[record.ID], foreign)
--- a/shard/unknown_test.go
+++ b/shard/unknown_test.go
@@ -10,14 +10,22 @@
 
 	"lemonstream.dev/lemonstream/internal/prove"
 	"lemonstream.dev/lemonstream/job"
+	"lemonstream.dev/lemonstream/shard"
 )
 
-// acceptAtDeposedOwner stores the record of a job and passes it to the previous owner, which is
-// still running.
+// acceptAtDeposedOwner stores the record of a job and makes the previous owner, which is still
+// running, start the job.
 func acceptAtDeposedOwner(w *world, id string, steps ...job.Step) {
 	record := w.record(id, steps...)
 	w.store(record)
-	w.zombies[len(w.zombies)-1].core.Accept(record, w.version, true, w.now)
+	startUnconfirmed(w, w.zombies[len(w.zombies)-1].core, record)
+}
+
+// startUnconfirmed makes an owner start a job although it can't confirm that it still owns the
+// service, as owners of earlier versions do.
+func startUnconfirmed(w *world, core *shard.Shard, record shard.Record) {
+	core.Accept(record, w.version, true, w.now)
+	core.Confirm(shard.WorkerRows{}, w.now)
 }
 
 // newWorldWithDeposedOwner returns a world in which a deposed owner runs on for 2 s and the next
--- a/shard/world_owner_test.go
+++ b/shard/world_owner_test.go
@@ -210,7 +210,7 @@
 			}
 			known = &p
 		}
-		if err := w.core.Restore(r, known, w.now); err != nil {
+		if err := w.core.Restore(r, w.version, known, w.now); err != nil {
 			w.addViolation("restore %s: %v", id, err)
 		}
 	}
