--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -314,7 +314,6 @@
 		i.cuts++
 		worker := i.worker
 		time.AfterFunc(registeredFor, func() { f.register(i, worker, true) })
-		f.advanceCut(i, worker)
 		return func() {
 			f.mu.Lock()
 			i.cuts--
@@ -325,21 +324,6 @@
 	return nil
 }
 
-// advanceCut lets the time go by for a worker that is cut off, which no call does.
-func (f *Fleet) advanceCut(i *fleetInstance, worker *Worker) {
-	time.AfterFunc(workerPoll, func() {
-		worker.mu.Lock()
-		worker.advance()
-		worker.mu.Unlock()
-		f.mu.Lock()
-		cut := i.cuts > 0 && i.worker == worker
-		f.mu.Unlock()
-		if cut {
-			f.advanceCut(i, worker)
-		}
-	})
-}
-
 // register removes the registration of a worker that is cut off, or writes that of one that is not,
 // unless the worker has ended.
 func (f *Fleet) register(i *fleetInstance, worker *Worker, lapsed bool) {
@@ -399,20 +383,3 @@
 		}
 	})
 }
-
-// die ends everything that runs on a worker.
-func (w *Worker) die() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for task := range w.runs {
-		w.oracle.end(task, w.life(), "the worker ended")
-		delete(w.runs, task)
-	}
-	w.dead = true
-}
-
-func (j *Oracle) fault(format string, args ...any) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	j.faults = append(j.faults, fmt.Sprintf(format, args...))
-}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"net/http"
 	"net/netip"
-	"strings"
+	"slices"
 	"sync"
 	"time"
 
@@ -40,25 +40,19 @@
 
 	// workerPoll is how often a worker looks at its tasks while a look waits.
 	workerPoll = 5 * time.Millisecond
+
+	// maxLease is the longest lease that a worker grants, listedEnds the most ends that it
+	// lists at once.
+	maxLease   = 10 * time.Second
+	listedEnds = 500
 )
 
-// Oracle watches every worker of a stand-in from outside and notes broken
-// promises.
-type Oracle struct {
-	mu      sync.Mutex
-	running map[string]string
-	done    map[string]bool
-	starts  int
-	faults  []string
-
-	// history holds what became of each task, for its faults.
-	history map[string][]string
-
-	// crashes counts the workers that crashed under a task, over its starts after the
-	// limit.
-	crashes map[string]int
-	over    map[string]int
-}
+// How a run ends.
+const (
+	endDone    = "done"
+	endLapsed  = "lapsed"
+	endStopped = "stopped"
+)
 
 // Worker is a stand-in for one worker of the users' platform. It serves the
 // published protocol over HTTP and runs tasks by the clock.
@@ -75,9 +69,15 @@
 	until  time.Duration
 	runs   map[string]*workerRun
 	top    map[string]int64
-	ends   [][]any
+	ends   []workerEnd
 	number int64
 
+	// unleased is when the worker had no lease last.
+	unleased time.Time
+
+	// timer fires when the next run ends.
+	timer *time.Timer
+
 	// dead says that the worker's life has ended; crash ends it, as a task does whose text
 	// is CrashText.
 	dead  bool
@@ -88,36 +88,33 @@
 	run    int64
 	ends   time.Time
 	stopAt time.Time
+	seen   *seenRun
 }
 
-// NewOracle returns a judge that has seen nothing.
-func NewOracle() *Oracle {
-	return &Oracle{
-		running: make(map[string]string),
-		crashes: make(map[string]int),
-		over:    make(map[string]int),
-		done:    make(map[string]bool),
-		history: make(map[string][]string),
-	}
+// workerEnd is an end that is not acknowledged.
+type workerEnd struct {
+	number int64
+	task   string
+	run    *workerRun
+	how    string
+	at     time.Time
 }
 
 // NewWorker returns a worker that runs nothing.
 func NewWorker(id, service string, oracle *Oracle) *Worker {
-	return &Worker{
-		ID:      id,
-		Service: service,
-		oracle:  oracle,
-		started: time.Now(),
-		runs:    make(map[string]*workerRun),
-		top:     make(map[string]int64),
+	now := time.Now()
+	w := &Worker{
+		ID:       id,
+		Service:  service,
+		oracle:   oracle,
+		started:  now,
+		unleased: now,
+		runs:     make(map[string]*workerRun),
+		top:      make(map[string]int64),
 	}
-}
-
-// Faults returns what was broken, and the number of starts.
-func (j *Oracle) Faults() ([]string, int) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	return append([]string(nil), j.faults...), j.starts
+	w.timer = time.AfterFunc(maxLease, w.tick)
+	oracle.watch(w)
+	return w
 }
 
 // Registration returns the row that the worker records about itself.
@@ -195,7 +192,7 @@
 		w.refuse(c, "late")
 		return
 	}
-	w.until = max(w.until, deadline)
+	w.lease(deadline)
 	if r, found := w.runs[order.Task]; found && r.run == order.RunID {
 		c.JSON(http.StatusOK, gin.H{
 			"clockMs": w.clock().Milliseconds(),
@@ -207,22 +204,17 @@
 		return
 	}
 	w.top[order.Task] = order.RunID
-	r := &workerRun{
+	now := time.Now()
+	w.runs[order.Task] = &workerRun{
 		run:  order.RunID,
-		ends: time.Now().Add(taskTime),
+		ends: now.Add(lengthOf(order.Spec)),
+		seen: w.oracle.start(order.Task, order.RunID, w.life(), now),
 	}
-	switch order.Spec {
-	case LastingText:
-		r.ends = time.Now().Add(lastingTime)
-	case LongText:
-		r.ends = time.Now().Add(longTime)
-	}
-	w.runs[order.Task] = r
-	w.oracle.start(order.Task, order.RunID, w.life())
 	if order.Spec == CrashText {
-		w.oracle.crash(order.Task, w.life())
+		w.oracle.crash(order.Task)
 		time.AfterFunc(crashAfter, w.crash)
 	}
+	w.arm()
 	c.JSON(http.StatusOK, gin.H{
 		"clockMs": w.clock().Milliseconds(),
 	})
@@ -237,9 +229,10 @@
 		return
 	}
 	w.top[order.Task] = max(w.top[order.Task], order.RunID)
-	if r, found := w.runs[order.Task]; found && r.run <= order.RunID {
+	if r, found := w.runs[order.Task]; found && r.run <= order.RunID && r.stopAt.IsZero() {
 		r.stopAt = time.Now().Add(stopTime)
 	}
+	w.arm()
 	c.JSON(http.StatusOK, gin.H{
 		"clockMs": w.clock().Milliseconds(),
 	})
@@ -249,22 +242,30 @@
 	var order workerOrder
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.advance()
 	if !w.admit(c, &order) {
 		return
 	}
-	w.until = max(w.until, time.Duration(order.DeadlineMs)*time.Millisecond)
+	w.lease(time.Duration(order.DeadlineMs) * time.Millisecond)
 	w.acknowledge(order.LastSeen)
 	deadline := time.Now().Add(time.Duration(order.WaitMs) * time.Millisecond)
-	for w.advance(); len(w.ends) == 0 && time.Now().Before(deadline); w.advance() {
+	for ; len(w.ends) == 0 && time.Now().Before(deadline); w.advance() {
 		w.mu.Unlock()
 		time.Sleep(workerPoll)
 		w.mu.Lock()
 	}
+	if w.dead {
+		panic(http.ErrAbortHandler)
+	}
 	running := make([][]any, 0, len(w.runs))
 	for task, r := range w.runs {
 		running = append(running, []any{task, r.run, "", 100, 0})
 	}
-	ends := append([][]any{}, w.ends...)
+	listed := w.ends[:min(listedEnds, len(w.ends))]
+	ends := make([][]any, 0, len(listed))
+	for _, end := range listed {
+		ends = append(ends, []any{end.number, end.task, end.run.run, end.how, ""})
+	}
 	c.JSON(http.StatusOK, gin.H{
 		"born":         w.started.UnixMilli(),
 		"clockMs":      w.clock().Milliseconds(),
@@ -273,91 +274,105 @@
 	})
 }
 
+// lease lets everything run until a time on the worker's clock, or longer.
+func (w *Worker) lease(until time.Duration) {
+	w.until = max(w.until, min(until, w.clock()+maxLease))
+}
+
 // acknowledge forgets ends through the given number.
 func (w *Worker) acknowledge(last int64) {
-	for len(w.ends) > 0 {
-		number, ok := w.ends[0][0].(int64)
-		if !ok || number > last {
-			return
-		}
-		if w.ends[0][3] == "done" {
-			w.oracle.note(fmt.Sprint(w.ends[0][1]), w.life())
-		}
+	now := time.Now()
+	for len(w.ends) > 0 && w.ends[0].number <= last {
+		w.oracle.acknowledge(w.ends[0].run.seen, now, w.unleased)
 		w.ends = w.ends[1:]
 	}
 }
 
-// advance ends what has run its time, was stopped, or lost its lease.
+// advance ends what has run its time, was stopped, or lost its lease, each at its own time and the
+// oldest first.
 func (w *Worker) advance() {
 	now := time.Now()
+	if now.Sub(w.started) > w.until {
+		w.unleased = now
+	}
+	var due []workerEnd
 	for task, r := range w.runs {
-		var how string
-		switch {
-		case w.clock() > w.until:
-			how = "lapsed"
-		case !r.stopAt.IsZero() && now.After(r.stopAt):
-			how = "stopped"
-		case now.After(r.ends):
-			how = "done"
-		default:
+		how, at := w.endOf(r)
+		if at.After(now) {
 			continue
 		}
-		w.number++
-		w.ends = append(w.ends, []any{w.number, task, r.run, how, ""})
 		delete(w.runs, task)
-		w.oracle.end(task, w.life(), how)
+		due = append(due, workerEnd{
+			task: task,
+			run:  r,
+			how:  how,
+			at:   at,
+		})
+	}
+	slices.SortFunc(due, func(a, b workerEnd) int { return a.at.Compare(b.at) })
+	for _, end := range due {
+		w.number++
+		end.number = w.number
+		w.ends = append(w.ends, end)
+		w.oracle.end(end.run.seen, end.how, end.at)
 	}
 }
 
-func (j *Oracle) start(task string, run int64, worker string) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	j.starts++
-	j.record(task, "run %d starts on %s", run, worker)
-	if other, found := j.running[task]; found {
-		j.blame(task, "%s starts on %s while it runs on %s", task, worker, other)
+// arm sets the timer to the next end.
+func (w *Worker) arm() {
+	next := time.Now().Add(maxLease)
+	for _, r := range w.runs {
+		if _, at := w.endOf(r); at.Before(next) {
+			next = at
+		}
 	}
-	if j.done[task] {
-		j.blame(task, "%s starts on %s after its end was acknowledged", task, worker)
+	if len(w.runs) > 0 {
+		w.timer.Reset(time.Until(next))
 	}
-	j.running[task] = worker
 }
 
-// record adds a line to the history of a task.
-func (j *Oracle) record(task, format string, args ...any) {
-	j.history[task] = append(j.history[task], time.Now().UTC().Format("15:04:05.000 ")+fmt.Sprintf(format, args...))
-}
-
-// blame notes a broken promise together with what became of the task until then.
-func (j *Oracle) blame(task, format string, args ...any) {
-	j.faults = append(j.faults, fmt.Sprintf(format, args...)+"\n\t"+strings.Join(j.history[task], "\n\t"))
+// tick lets the time go by where no call does.
+func (w *Worker) tick() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+	w.arm()
 }
 
-// crash notes that a worker crashes under a task.
-func (j *Oracle) crash(task, worker string) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	if j.crashes[task] >= crashLimit {
-		j.over[task]++
+// endOf returns how and when a run ends if no other call comes.
+func (w *Worker) endOf(r *workerRun) (string, time.Time) {
+	how, at := endDone, r.ends
+	if !r.stopAt.IsZero() && r.stopAt.Before(at) {
+		how, at = endStopped, r.stopAt
 	}
-	if j.over[task] > startsOver {
-		j.blame(task, "%s starts on %s after %d workers have crashed under it", task, worker, j.crashes[task])
+	if lapse := w.started.Add(w.until); lapse.Before(at) {
+		how, at = endLapsed, lapse
 	}
-	j.crashes[task]++
+	return how, at
 }
 
-func (j *Oracle) end(task, worker, how string) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	j.record(task, "ends on %s: %s", worker, how)
-	if j.running[task] == worker {
-		delete(j.running, task)
+// die ends everything that runs on a worker.
+func (w *Worker) die() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+	for task, r := range w.runs {
+		w.oracle.end(r.seen, "with the worker", time.Now())
+		delete(w.runs, task)
 	}
+	w.dead = true
 }
 
-func (j *Oracle) note(task, worker string) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	j.record(task, "its end on %s is acknowledged", worker)
-	j.done[task] = true
+// lengthOf returns how long a task runs, by the text of its job.
+func lengthOf(text string) time.Duration {
+	switch text {
+	case LastingText:
+		return lastingTime
+	case LongText:
+		return longTime
+	}
+	if length, err := time.ParseDuration(text); err == nil {
+		return length
+	}
+	return taskTime
 }
