Soak: owners of several services are replaced under faults that overlap

The soak had one service with work, three entries, tasks of 120 ms and one fault at a time. TestNextOwnerStartsNoTaskAgain has three services with work, five entries and tasks of 50 ms to 3 s. For 20 s, restarts (SIGTERM, SIGKILL), frozen entries, outages of the store, failing transactions of one entry whose reads work, broken links, cut-off workers and new configurations, which add and drop a route, overlap, while a caller at each entry hands in jobs all of whose tasks start at once. Every accepted job has to be completed, and the judge has to find no fault. Each entry has a store listener of its own, which may refuse its transactions, leave them unanswered before or after they are done, or do them once the caller has left.

--- /dev/null
+++ b/soak/owners_test.go
@@ -0,0 +1,258 @@
+package soak_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const (
+	// brokenFor is how long faults overlap, breakPause the longest time between two of one kind.
+	brokenFor  = 20 * time.Second
+	breakPause = time.Second
+
+	// ownedEntries is how many entries there are unless SOAK_ENTRIES says otherwise.
+	ownedEntries   = 5
+	ownedInstances = 9
+
+	// shortestTask and longestTask bound how long tasks run.
+	shortestTask = 50 * time.Millisecond
+	longestTask  = 3 * time.Second
+
+	// longestFault bounds faults of one entry, longestOutage those of the whole store and of
+	// links. graceTime is how long a process has to stop in order.
+	longestFault  = 4500 * time.Millisecond
+	longestOutage = 2500 * time.Millisecond
+	graceTime     = 6 * time.Second
+
+	// changingRoute exists in odd versions of the configuration only.
+	changingRoute = "c"
+)
+
+// servicesWithWork are those whose owners are replaced; each has a route of its name.
+var servicesWithWork = []string{"s0", "s1", "s2"}
+
+// routesOf returns a configuration of servicesWithWork.
+func routesOf(version int) string {
+	const route = `{"name":%q,"host":"h.example","pathPrefix":"/%s/","timeoutMs":3000,"targetLatencyMs":600,"priority":0,"service":%q,"maxAttempts":3,"stretch":1.6}`
+	var routes, services []string
+	for _, service := range servicesWithWork {
+		routes = append(routes, fmt.Sprintf(route, service, service, service))
+		services = append(services, fmt.Sprintf(`{"name":%q,"rejectsOverload":true}`, service))
+	}
+	if version%2 == 1 {
+		routes = append(routes, fmt.Sprintf(route, changingRoute, changingRoute, servicesWithWork[0]))
+	}
+	return fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[%s,{"name":"z","rejectsOverload":true,"headroom":true}],`+
+		`"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`,
+		version, strings.Join(routes, ","), strings.Join(services, ","))
+}
+
+// TestNextOwnerStartsNoTaskAgain replaces the owners of several services while jobs are handed in at
+// every entry. Restarts, frozen entries, outages of the store, transactions that fail for one entry
+// alone, broken links, cut-off workers and new configurations overlap. From outside: no task runs
+// twice, and every accepted job is completed. See TestJobsSurviveFaultsOfEntries for more seeds.
+func TestNextOwnerStartsNoTaskAgain(t *testing.T) {
+	forSeeds(t, func(t *testing.T, seed int64) {
+		s := &series{
+			answers: make(map[int]int),
+			deployment: deployPlan(t, plan{
+				entries:       ownedEntries,
+				instances:     ownedInstances,
+				services:      servicesWithWork,
+				configuration: routesOf,
+			}),
+		}
+		s.stopping = make([]sync.Mutex, len(s.entries))
+		for _, e := range s.entries {
+			s.awaitReady(e, http.StatusOK)
+		}
+		var callers, breakers sync.WaitGroup
+		for i := range s.entries {
+			callers.Add(1)
+			s.group.Go("caller", func(context.Context) error {
+				defer callers.Done()
+				s.handIn(i, rand.New(rand.NewSource(seed<<8|int64(i))), seed)
+				return nil
+			})
+		}
+		end := time.Now().Add(brokenFor)
+		for i, inject := range []func(*rand.Rand){s.restart, s.restart, s.freeze, s.breakWrites, s.breakWrites, s.breakStore, s.breakLink, s.cutOff, s.change} {
+			breakers.Add(1)
+			random := rand.New(rand.NewSource(seed<<8 | int64(0x80+i)))
+			s.group.Go("breaker", func(context.Context) error {
+				defer breakers.Done()
+				for time.Now().Before(end) {
+					upTo(random, breakPause)
+					inject(random)
+				}
+				return nil
+			})
+		}
+		breakers.Wait()
+		s.over.Store(true)
+		callers.Wait()
+		s.version |= 1
+		s.configure()
+		// The judge is asked also where a job is not completed.
+		defer func() {
+			faults, starts := s.oracle.Faults()
+			for _, fault := range append(s.faults, faults...) {
+				t.Error(fault)
+			}
+			t.Logf("seed %d: %d entries, answers %v, %d jobs accepted, %d starts, %d faults", seed, len(s.entries), s.answers, len(s.accepted), starts, len(faults))
+		}()
+		for _, path := range s.accepted {
+			s.any(http.MethodGet, path, "", completed)
+		}
+	})
+}
+
+// upTo waits for a part of the given time.
+func upTo(random *rand.Rand, longest time.Duration) {
+	time.Sleep(time.Duration(random.Int63n(int64(longest))))
+}
+
+// pick returns an entry.
+func (s *series) pick(random *rand.Rand) *entry {
+	return s.entries[random.Intn(len(s.entries))]
+}
+
+// restart stops an entry in order or kills it, at once or within its grace time, and starts it again.
+func (s *series) restart(random *rand.Rand) {
+	index, killed, grace := random.Intn(len(s.entries)), random.Intn(2) == 0, graceTime
+	if random.Intn(2) == 0 {
+		grace = time.Duration(random.Int63n(int64(graceTime)))
+	}
+	if !s.stopping[index].TryLock() {
+		return
+	}
+	defer s.stopping[index].Unlock()
+	e := s.entries[index]
+	process := e.command.Process
+	if killed {
+		s.signal(e, syscall.SIGKILL)
+	} else {
+		s.signal(e, syscall.SIGTERM)
+		kill := time.AfterFunc(grace, func() { _ = process.Kill() })
+		defer kill.Stop()
+	}
+	_, _ = process.Wait()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.start(e)
+}
+
+// freeze stops an entry for a while.
+func (s *series) freeze(random *rand.Rand) {
+	e := s.pick(random)
+	s.signal(e, syscall.SIGSTOP)
+	upTo(random, longestFault)
+	s.signal(e, syscall.SIGCONT)
+}
+
+// breakWrites breaks the transactions of one entry, whose reads work.
+func (s *series) breakWrites(random *rand.Rand) {
+	e := s.pick(random)
+	e.writes.set(writeFault(1 + random.Intn(int(writeFaults)-1)))
+	upTo(random, longestFault)
+	e.writes.set(writesWork)
+}
+
+func (s *series) breakStore(random *rand.Rand) {
+	upTo(random, longestFault)
+	s.faulty.set(storeFault(1 + random.Intn(int(storeFaultCount)-1)))
+	upTo(random, longestOutage)
+	s.faulty.set(storeWorks)
+}
+
+// breakLink breaks the link to a worker, to the instances' interface, or from an entry to the store.
+func (s *series) breakLink(random *rand.Rand) {
+	links := append([]*link(nil), s.links[:ownedInstances+1]...)
+	for _, e := range s.entries {
+		links = append(links, e.link)
+	}
+	l := links[random.Intn(len(links))]
+	l.set(linkFault(1 + random.Intn(int(linkFaults)-1)))
+	upTo(random, longestOutage)
+	l.set(linkPasses)
+}
+
+// cutOff cuts off the worker that runs a task of the newest job, if there is one.
+func (s *series) cutOff(random *rand.Rand) {
+	s.mu.Lock()
+	job := ""
+	if len(s.accepted) > 0 {
+		path := s.accepted[len(s.accepted)-1]
+		job = path[strings.LastIndex(path, "/")+1:]
+	}
+	s.mu.Unlock()
+	if restore := s.fleet.CutOff(job); restore != nil {
+		upTo(random, longestFault)
+		restore()
+	}
+}
+
+// change puts another configuration in force, or lets the store forget its history.
+func (s *series) change(random *rand.Rand) {
+	if random.Intn(3) == 0 {
+		s.rows.Forget()
+		s.signal(s.pick(random), syscall.SIGHUP)
+		return
+	}
+	s.reconfigure()
+}
+
+// handIn hands in job after job at one entry, over a connection that it uses until that is closed. All
+// tasks of a job start at once.
+func (s *series) handIn(index int, random *rand.Rand, seed int64) {
+	var conn *openConn
+	for job := 1; !s.over.Load(); job++ {
+		route := changingRoute
+		if random.Intn(8) > 0 {
+			route = servicesWithWork[random.Intn(len(servicesWithWork))]
+		}
+		share := random.Float64()
+		length := shortestTask + time.Duration(share*share*share*float64(longestTask-shortestTask))
+		id := fmt.Sprintf("%016x", seed<<32|int64(index)<<16|int64(job))
+		body := fmt.Sprintf(`{"spec":"%s","steps":[{"count":%d,"cpu":250,"memMb":50,"estimateMs":%d}]}`, length, 2+random.Intn(4), length.Milliseconds())
+		s.submit(&conn, s.entries[index], random, "/"+route+"/"+id, body)
+		// As much work for any number of entries.
+		upTo(random, callerPause*time.Duration(len(s.entries))/ownedEntries)
+	}
+}
+
+// submit sends a job until an answer says whether it is taken: first over the connection that is kept
+// to one entry, then to any.
+func (s *series) submit(conn **openConn, e *entry, random *rand.Rand, path, body string) {
+	var got answered
+	if *conn == nil {
+		*conn, got.err = dial(s.t, e.front)
+	}
+	if got.err == nil {
+		got = (*conn).request(path, http.MethodPost, path, body)
+	}
+	if got.err != nil || got.last {
+		*conn = nil
+	}
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		s.mu.Lock()
+		s.answers[got.status]++
+		if got.status == http.StatusOK {
+			s.accepted = append(s.accepted, path)
+		}
+		s.mu.Unlock()
+		switch got.status {
+		case http.StatusOK, http.StatusNotFound, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+			return
+		}
+		got.status, _ = call(http.MethodPost, s.pick(random).front, path, body)
+	}
+	s.fault("%s: no answer says whether it is taken", path)
+}
--- a/soak/series_test.go
+++ b/soak/series_test.go
@@ -48,6 +48,9 @@
 	faults   []string
 	requests int
 	reopened int
+
+	// answers counts the answers to callers by their status, 0 for none.
+	answers map[int]int
 }
 
 // TestPlannedStopsCutNoRequest is the short seeded run; see TestJobsSurviveFaultsOfEntries. Entries
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -48,20 +48,32 @@
 // ports are those at which entries listen.
 var ports = standin.NewPorts(30_000, 2_700, os.Getpid())
 
+// plan is what a deployment consists of. Instances run workers of the services in turn.
+type plan struct {
+	entries   int
+	instances int
+	services  []string
+
+	// configuration is that of a version.
+	configuration func(version int) string
+}
+
 // deployment is a stand-in platform with entry processes on it.
 type deployment struct {
+	plan
+
 	t       *testing.T
 	rows    *standin.Rows
 	oracle  *standin.Oracle
-	store   *httptest.Server
+	store   http.Handler
 	faulty  *faultyStore
 	fleet   *standin.Fleet
 	group   *kernel.Group
 	binary  string
 	entries []*entry
 
-	// instances is where the instances' interface answers.
-	instances string
+	// platform is where the instances' interface answers.
+	platform string
 
 	// links lead to the entries, to the workers, and from each entry to the store.
 	links []*link
@@ -85,12 +97,28 @@
 	ready    string
 	output   *os.File
 	command  *exec.Cmd
+
+	// link leads to the store, which may break the entry's transactions.
+	link   *link
+	writes *entryStore
 }
 
+// deploy starts the plan of most tests: one service has work.
 func deploy(t *testing.T) *deployment {
+	t.Helper()
+	return deployPlan(t, plan{
+		entries:       entries,
+		instances:     instances,
+		services:      []string{"s"},
+		configuration: func(version int) string { return fmt.Sprintf(configuration, version) },
+	})
+}
+
+func deployPlan(t *testing.T, p plan) *deployment {
 	t.Helper()
 	gin.SetMode(gin.ReleaseMode)
 	d := &deployment{
+		plan:    p,
 		t:       t,
 		rows:    standin.NewRows(),
 		oracle:  standin.NewOracle(),
@@ -105,29 +133,28 @@
 	}
 	router := gin.New()
 	standin.StoreRoutes(router, d.rows)
-	d.store = httptest.NewServer(router)
-	t.Cleanup(d.store.Close)
+	d.store = router
 	d.configure()
 	d.fleet = standin.NewFleet(d.rows, d.oracle, "z")
-	for i := 0; i < instances; i++ {
-		d.addInstance(fmt.Sprintf("m-%d", i))
+	for i := range p.instances {
+		d.addInstance(fmt.Sprintf("m-%d", i), p.services[i%len(p.services)])
 	}
 	router = gin.New()
 	d.fleet.Routes(router)
 	server := httptest.NewServer(router)
 	t.Cleanup(server.Close)
-	d.instances = d.link(server.Listener.Addr().String())
-	for i := 0; i < number("SOAK_ENTRIES", entries); i++ {
+	d.platform = d.link(server.Listener.Addr().String()).address()
+	for i := range number("SOAK_ENTRIES", p.entries) {
 		d.addEntry(i)
 	}
 	return d
 }
 
-func (d *deployment) addInstance(id string) {
-	handler, up := d.fleet.Add(id, "s")
+func (d *deployment) addInstance(id, service string) {
+	handler, up := d.fleet.Add(id, service)
 	server := httptest.NewServer(handler)
 	d.t.Cleanup(server.Close)
-	up(netip.MustParseAddrPort(d.link(server.Listener.Addr().String())))
+	up(netip.MustParseAddrPort(d.link(server.Listener.Addr().String()).address()))
 }
 
 // maintain asks for a wave over all instances.
@@ -164,11 +191,11 @@
 	d.t.Errorf("wave %d is not shown as completed; left: %v", number, d.fleet.Left(number))
 }
 
-// link starts a proxy in front of a server and returns its address.
-func (d *deployment) link(target string) string {
+// link starts a proxy in front of a server.
+func (d *deployment) link(target string) *link {
 	l := newLink(d.t, d.group, target)
 	d.links = append(d.links, l)
-	return l.address()
+	return l
 }
 
 // freePorts returns ports that nobody listens at.
@@ -187,7 +214,13 @@
 
 func (d *deployment) addEntry(index int) {
 	ports := freePorts(d.t)
-	settings := standin.EntrySettings(index, ports, d.link(d.store.Listener.Addr().String()), d.instances)
+	writes := &entryStore{
+		next: d.store,
+	}
+	store := httptest.NewServer(writes)
+	d.t.Cleanup(store.Close)
+	link := d.link(store.Listener.Addr().String())
+	settings := standin.EntrySettings(index, ports, link.address(), d.platform)
 	path := filepath.Join(d.t.TempDir(), "settings.conf")
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		d.t.Fatal(err)
@@ -198,9 +231,11 @@
 	}
 	e := &entry{
 		settings: path,
-		front:    d.link("127.0.0.1:" + strconv.Itoa(ports[0])),
+		front:    d.link("127.0.0.1:" + strconv.Itoa(ports[0])).address(),
 		ready:    "127.0.0.1:" + strconv.Itoa(ports[1]),
 		output:   output,
+		link:     link,
+		writes:   writes,
 	}
 	d.entries = append(d.entries, e)
 	d.start(e)
@@ -349,7 +384,7 @@
 	d.rows.Write(outside.Key{
 		Table: "op",
 		Name:  "config",
-	}, []byte(fmt.Sprintf(configuration, d.version)))
+	}, []byte(d.configuration(d.version)))
 }
 
 // TestJobsSurviveFaultsOfEntries is the short seeded run; SOAK_SEEDS asks for
--- a/soak/store_test.go
+++ b/soak/store_test.go
@@ -1,9 +1,14 @@
 package soak_test
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"math/rand"
+	"net/http"
+	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -37,6 +42,73 @@
 
 type storeFault int
 
+// Faults of the store for the transactions of one entry, whose reads work.
+const (
+	writesWork writeFault = iota
+	writesAreRefused
+	writesAreSilent
+
+	// writesAreUnanswered carries out transactions without an answer, writesAreLate does so
+	// writeDelay after their caller has left.
+	writesAreUnanswered
+	writesAreLate
+
+	writeFaults
+)
+
+const (
+	// writeDelay is how much later a late transaction is done.
+	writeDelay = 1500 * time.Millisecond
+
+	// writeTimeout bounds what is done without a caller.
+	writeTimeout = 5 * time.Second
+)
+
+type writeFault int32
+
+// entryStore is the store as one entry reaches it.
+type entryStore struct {
+	next  http.Handler
+	fault atomic.Int32
+}
+
+func (s *entryStore) set(fault writeFault) {
+	s.fault.Store(int32(fault))
+}
+
+func (s *entryStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	fault := writeFault(s.fault.Load())
+	if fault == writesWork || r.URL.Path != "/rows-tx" {
+		s.next.ServeHTTP(w, r)
+		return
+	}
+	// The server notices that the caller has left only once the body is read.
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	left := r.Context().Done()
+	late, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), writeTimeout)
+	defer cancel()
+	r = r.WithContext(late)
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	switch fault {
+	case writesAreRefused:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case writesAreUnanswered:
+		s.next.ServeHTTP(httptest.NewRecorder(), r)
+		<-left
+	case writesAreLate:
+		<-left
+		time.Sleep(writeDelay)
+		s.next.ServeHTTP(httptest.NewRecorder(), r)
+	default:
+		<-left
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // faultyStore breaks the calls of a stand-in store.
 type faultyStore struct {
 	mu     sync.Mutex
