A refused connection is no proof that an owner has ended

A successor took a refused ping for the end of the owner's process. It waited one lease for workers that it did not reach, though an owner that lives, and whose connections to other entries are refused by the network, goes on for 4 s without the store (8 s with promises) and renews leases where it reaches a worker. The successor started the tasks there again meanwhile: twice.

Only another incarnation at the owner's address proves the end now. A refused owner is still claimed from at once, under the condition that its heartbeat has not changed since it was read, and like one that is silent: a witness keeps its promise, an outsider waits, and workers that can't be reached are waited for as long as the owner may act. The successor goes on pinging; as soon as another incarnation answers, the wait falls to one lease from then on, and that for owners before it remains.

Found beside it: a claim that is made before the heartbeat was seen unchanged for 0.75 s (an owner that says that it is turned away) subtracted those 0.75 s all the same. What lacks of them is added.

TestClaimRecordsUnobservedTime let its third owner prove the end of the second by a refused ping; another incarnation answers there now, and the bound is the same.

--- a/owner/claim.go
+++ b/owner/claim.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"lemonstream.dev/lemonstream/clock"
 	"lemonstream.dev/lemonstream/outside"
 	"lemonstream.dev/lemonstream/witness"
 )
@@ -145,6 +146,7 @@
 	}
 	defer func() { w.pinging = false }()
 	away := err == nil && pong.TurnedAway >= rejectionTimeout
+	refused := outside.IsNotDone(err)
 	suspect, silent := k.evaluatePong(w, o, pong, err)
 	if w.dead {
 		k.deps.Log.Info("owner has ended", "service", service, "owner", o.Owner, "epoch", o.Epoch)
@@ -158,22 +160,47 @@
 	k.mu.Lock()
 	still := w.still.observe(version, err, k.deps.Clock.Now())
 	w.outsider = k.isOutsider(beat)
-	// The store serves this entry, but by the owner's own report rejects the owner's writes.
-	if served := err == nil; (away && served) || (silent && still >= k.scaleTimeout(silenceTimeout)) {
+	// The store serves this entry, and the owner is unlikely to write: by its own report the store
+	// rejects its writes, or its process seems to have ended.
+	if served := err == nil; ((away || refused) && served) || (silent && still >= k.scaleTimeout(silenceTimeout)) {
 		w.lost = true
 		k.deps.Log.Info("owner writes nothing", "service", service, "owner", o.Owner, "epoch", o.Epoch,
-			"still_ms", still.Milliseconds(), "write_age_ms", pong.WriteAge.Milliseconds(), "failed_pings", w.failures,
+			"still_ms", still.Milliseconds(), "refused", refused, "write_age_ms", pong.WriteAge.Milliseconds(), "failed_pings", w.failures,
 			"turned_away_ms", pong.TurnedAway.Milliseconds())
 	}
 }
 
+// awaitEnd pings the previous owner of a service until its process is known to have ended, for as long
+// as the duty waits for it at most.
+func (k *Keeper) awaitEnd(ctx context.Context, duty *Duty, o ownerRow, wait time.Duration) error {
+	address, err := netip.ParseAddrPort(o.Peer)
+	if err != nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for clock.Sleep(ctx, pingInterval) {
+		bounded, cancel := context.WithTimeout(ctx, pingTimeout)
+		pong, err := k.ping(bounded, address, duty.service)
+		cancel()
+		if err == nil && pong.Incarnation != o.Owner {
+			duty.pushLogged(func(d *Duty, now time.Time) { d.core.PreviousOwnerEnded(now) })
+			return nil
+		}
+	}
+	return nil
+}
+
 // evaluatePong handles the result of a ping. suspect means that the owner's heartbeat has to be
 // watched, silent that the owner is lost if its heartbeat does not change.
 func (k *Keeper) evaluatePong(w *ownerWatch, o ownerRow, pong Pong, err error) (suspect, silent bool) {
 	switch {
-	case err == nil && pong.Incarnation != o.Owner, outside.IsNotDone(err):
+	case err == nil && pong.Incarnation != o.Owner:
 		w.dead = true
 		return false, false
+	case outside.IsNotDone(err):
+		// A network that refuses connections to a living owner shows the same as one that has ended.
+		return true, false
 	case err != nil:
 		w.failures++
 		return true, w.failures >= minFailedPings
--- a/owner/claim_test.go
+++ b/owner/claim_test.go
@@ -73,11 +73,7 @@
 	})
 	is.NoErr(err)
 	left := beatIn(t, row.Value).UnobservedMillis
-	third := newEntryOn(t, "c", passedOn.table(t, rows), func(context.Context, netip.AddrPort, string) (owner.Pong, error) {
-		return owner.Pong{}, &outside.NotDoneError{
-			Call: "ping",
-		}
-	})
+	third := newEntryOn(t, "c", passedOn.table(t, rows), alive("another incarnation"))
 	until(t, "the third entry owns the service", third.owns)
 	is.Equal(passedOn.first().UnobservedMillis, max(left, owner.UnobservedFor(lease, true).Milliseconds()))
 }
--- a/owner/keeper.go
+++ b/owner/keeper.go
@@ -346,6 +346,11 @@
 	k.deps.Group.Go("promises of "+service, func(context.Context) error {
 		return h.tenure.keepPromises(held, h.base)
 	})
+	if h.duty != nil && !from.ended && o.Epoch > 0 {
+		k.deps.Group.Go("previous owner of "+service, func(context.Context) error {
+			return k.awaitEnd(held, h.duty, o, won.unobservedFor)
+		})
+	}
 	err = h.run(ctx)
 	cancel()
 	k.mu.Lock()
--- a/owner/unobserved.go
+++ b/owner/unobserved.go
@@ -27,21 +27,27 @@
 // heartbeat was seen unchanged. A controller may also have ordered instances that only its witnesses
 // know: a second HolderPause lets this entry and its successors order nothing at all for the first
 // one.
+//
+// An owner that rejects its pings, or says that it is turned away, is claimed from before its
+// heartbeat was seen unchanged for silenceTimeout. What lacks of that is added.
 func (k *Keeper) unobservedFor(part string, before ownerRow, from previousOwner, outsider bool, now time.Time) time.Duration {
 	lease := k.deps.Options.Lease
 	acting := witness.Standard().OutsiderWait(from.unchanged.duration(now))
+	unseen := max(0, silenceTimeout-from.unchanged.duration(now))
 	switch {
 	case before.Epoch == 0:
 		return 0
 	case part != partInstances && outsider:
-		return max(UnobservedFor(lease, false), UnobservedFor(lease, true)+acting)
+		return max(UnobservedFor(lease, false)+unseen, UnobservedFor(lease, true)+acting)
+	case part != partInstances && from.ended:
+		return UnobservedFor(lease, true)
 	case part != partInstances:
-		return UnobservedFor(lease, from.ended)
+		return UnobservedFor(lease, false) + unseen
 	case from.ended:
 		return 0
 	case outsider:
-		return max(staleOrderWindow, acting) + 2*k.deps.Site.HolderPause
+		return max(staleOrderWindow+unseen, acting) + 2*k.deps.Site.HolderPause
 	default:
-		return staleOrderWindow + k.deps.Site.HolderPause
+		return staleOrderWindow + unseen + k.deps.Site.HolderPause
 	}
 }
--- a/shard/handover.go
+++ b/shard/handover.go
@@ -166,9 +166,8 @@
 	s.handoverReadAt = read
 	s.inheritEvidence(h.Evidence)
 	// The limit set at the takeover covers the immediately preceding owner only.
-	if until := read.Add(withClockDrift(h.UnobservedFor)); until.After(s.unobservedUntil) {
-		s.unobservedUntil = until
-	}
+	s.earlierUntil = read.Add(withClockDrift(h.UnobservedFor))
+	s.unobservedUntil = latestOf(s.unobservedUntil, s.earlierUntil)
 	s.claimHasHandover = len(h.Idle)+len(h.Leased) > 0
 }
 
@@ -182,6 +181,23 @@
 	return max(0, until.Sub(now))
 }
 
+// PreviousOwnerEnded shortens the wait for workers that can't be reached, because the process of the
+// owner just before has ended by now: it renews no lease any more. The wait for the owners before that
+// one remains.
+func (s *Shard) PreviousOwnerEnded(now time.Time) {
+	until := latestOf(s.earlierUntil, now.Add(s.opts.Lease+s.opts.Lease/20))
+	if !until.Before(s.unobservedUntil) {
+		return
+	}
+	s.opts.LogEvent("previous owner has ended", "wait_ms", until.Sub(now).Milliseconds(), "before_ms", s.unobservedUntil.Sub(now).Milliseconds())
+	for _, w := range s.workers {
+		if w.unobservedUntil.Equal(s.unobservedUntil) {
+			w.unobservedUntil = until
+		}
+	}
+	s.unobservedUntil = until
+}
+
 // RestoreWorker adds a worker to which the previous owner may have assigned tasks. It is polled
 // whether or not it is registered.
 func (s *Shard) RestoreWorker(ref outside.WorkerRef, now time.Time) {
--- a/shard/replaced_owner_test.go
+++ b/shard/replaced_owner_test.go
@@ -96,3 +96,33 @@
 func drawWorker(t *rapid.T, w *world) *fakeWorker {
 	return w.workers[fmt.Sprintf("w%d", rapid.IntRange(0, len(w.workers)-1).Draw(t, "worker"))]
 }
+
+// TestWaitEndsWithThePreviousOwner lets a successor learn that the process of the owner before has
+// ended. What that owner started on a worker that nobody reaches is waited for a lease longer, and the
+// wait for the owner before it remains.
+func TestWaitEndsWithThePreviousOwner(t *testing.T) {
+	for name, earlier := range map[string]time.Duration{
+		"after one lease":                  0,
+		"not before the owner before that": 6 * time.Second,
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(3)
+			w.run(200 * time.Millisecond)
+			w.submit("a", lasting(1, 1))
+			w.run(time.Second)
+			f := reachableWorkersOf(w, "a")[0]
+			f.partitioned = true
+			w.handover.UnobservedFor = earlier
+			w.takeOverFromActive(3 * time.Second)
+			w.zombies = nil
+			w.run(tick)
+			w.core.PreviousOwnerEnded(w.now)
+			w.run(max(earlier, testLease))
+			is.Equal(len(reachableWorkersOf(w, "a")), 0)
+			w.run(testLease/10 + earlier/10)
+			is.Equal(len(reachableWorkersOf(w, "a")), 1)
+			w.check(t)
+		})
+	}
+}
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -254,6 +254,9 @@
 	// workers that the handover does not name.
 	unobservedUntil time.Time
 
+	// earlierUntil is the same for the owners before the previous one.
+	earlierUntil time.Time
+
 	// unobservedWorkers counts the workers that may run tasks of earlier owners that this owner has
 	// not observed, as of the beginning of Next.
 	unobservedWorkers int
