Tests in red: ends beyond a worker's list make their tasks start again

Callers saw tasks start again although their first run had ended done. A worker lists at most 500 ends at once; the owner takes a run that is in neither list for lost.

--- a/shard/fakeworker_test.go
+++ b/shard/fakeworker_test.go
@@ -112,7 +112,7 @@
 	g := outside.WorkerStatus{
 		Born:  w.registration(f).Born,
 		Clock: f.clock(w.now),
-		Ends:  append([]outside.End(nil), f.ends...),
+		Ends:  append([]outside.End(nil), f.ends[:min(len(f.ends), w.maxListedEnds)]...),
 	}
 	for _, id := range walk(w, f.runs) {
 		r := f.runs[id]
--- a/shard/world_test.go
+++ b/shard/world_test.go
@@ -51,6 +51,9 @@
 	// changed.
 	registrationsInterval = time.Second
 
+	// platformListedEnds is how many ends a worker of the platform lists at once.
+	platformListedEnds = 500
+
 	// feedDelay is how long it takes until the owner reads a row that an entry wrote.
 	feedDelay = time.Second
 )
@@ -267,6 +270,11 @@
 	// logEvent receives the lines that owners log; nil drops them.
 	logEvent func(event string, fields ...any)
 
+	// maxListedEnds is how many ends a worker lists at once, from the first that is not
+	// acknowledged. hideMoreEnds omits that there may be more.
+	maxListedEnds int
+	hideMoreEnds  bool
+
 	// ejectShare is the share of the workers that may be ejected, estimateFaults the estimator.
 	// dropEvidence omits the evidence against workers from handovers.
 	ejectShare     float64
@@ -298,6 +306,7 @@
 			Stretch:  2,
 			Target:   time.Second,
 		},
+		maxListedEnds:       platformListedEnds,
 		ejectShare:          outlier.DefaultShare,
 		acked:               make(map[job.TaskID]time.Time),
 		standbyRecords:      make(map[string]shard.Record),
