A full list of ends proves nothing by what it leaves out

What callers saw: tasks that had ended done started again, on the same owner and on the next ones.

Cause: a worker lists 500 ends at once and the code took each list for whole. A run beyond it was in neither list and was dropped ("run missing from poll"), a next owner counted everything of earlier owners there as seen after one answer, and a final handover named the worker as one that runs nothing.

While it does, no run is given up because it is missing. A worker counts as observed once an answer was whole or its leases have lapsed. Until then the tasks of earlier owners there stay blocked, also past the time at which the leases of an unreachable worker would have lapsed; handovers name them, or any task; the quota counts the worker; and the controller of the instances isn't told that it is empty. A worker that has started again keeps what its next incarnation may have ended. Long-running tasks start again at once as before: the list of runs is whole, and they are never done.

TestHandoverNamesUnlistedEnds polls under each owner now and has a third case, an owner that dies before one that releases; without that case nothing noticed a handover that names no task of a full list.

--- a/outside/worker.go
+++ b/outside/worker.go
@@ -65,8 +65,14 @@
 
 	// Clock is the time of the worker's monotonic clock.
 	Clock time.Duration
-	Runs  []RunningTask
-	Ends  []End
+
+	// Runs lists every run.
+	Runs []RunningTask
+
+	// Ends lists ends by rising number, from the first that the worker has not discarded. Unless
+	// MoreEnds says that there may be more behind them, it lists every such end.
+	Ends     []End
+	MoreEnds bool
 }
 
 // Refusal is why a worker refused an order.
--- a/shard/doublestart.go
+++ b/shard/doublestart.go
@@ -55,9 +55,3 @@
 	}
 	return !w.unobservedUntil.IsZero() && !at.Before(w.unobservedUntil) && at.Before(w.contactedAt)
 }
-
-// isUnobserved reports whether the worker may run tasks that an earlier owner started and that this
-// owner has not observed.
-func (w *workerState) isUnobserved(now time.Time) bool {
-	return !w.contacted && now.Before(w.unobservedUntil)
-}
--- a/shard/events.go
+++ b/shard/events.go
@@ -62,6 +62,7 @@
 	if !w.contacted {
 		s.handleFirstAnswer(w, again && len(glance.Runs) > 0, now)
 	}
+	s.noteMoreEnds(w, glance)
 	if sent.After(w.uncertainAt) {
 		w.uncertainAt = time.Time{}
 	}
@@ -71,6 +72,16 @@
 	s.paceFillers(w)
 }
 
+// noteMoreEnds records whether an answer lists every end of its worker.
+func (s *Shard) noteMoreEnds(w *workerState, glance outside.WorkerStatus) {
+	if glance.MoreEnds && !w.moreEnds {
+		s.opts.LogEvent("ends left out of poll", "worker", w.incarnation().String(), "ends", len(glance.Ends),
+			"taken_in", w.processed, "acknowledged", w.acked, "observed", w.observed)
+	}
+	w.moreEnds = glance.MoreEnds
+	w.observed = w.observed || !glance.MoreEnds
+}
+
 // pollFailed handles a poll that failed.
 func (s *Shard) pollFailed(w *workerState, poll Poll, now time.Time, err error) {
 	var gone *outside.GoneError
@@ -110,6 +121,10 @@
 		if number, found := present[r.id]; found && number == r.number {
 			continue
 		}
+		if w.moreEnds && !s.isLongRunning(r.id) {
+			// The run may have an end that is not listed. That of a long-running task is never done.
+			continue
+		}
 		switch {
 		case r.phase == phaseUncertain && r.call == 0 && r.tries >= maxStartAttempts && !sent.Before(r.uncertainAt):
 			// The stop waits until a poll has shown that the run is missing: without that,
--- a/shard/fakeworker_test.go
+++ b/shard/fakeworker_test.go
@@ -114,6 +114,7 @@
 		Clock: f.clock(w.now),
 		Ends:  append([]outside.End(nil), f.ends[:min(len(f.ends), w.maxListedEnds)]...),
 	}
+	g.MoreEnds = len(g.Ends) == w.maxListedEnds && !w.hideMoreEnds
 	for _, id := range walk(w, f.runs) {
 		r := f.runs[id]
 		if w.hideLateRuns && r.late {
--- a/shard/handover.go
+++ b/shard/handover.go
@@ -26,7 +26,7 @@
 	// earlier one will start anything. Every end there that matters is stored in a row.
 	Idle []string
 
-	// Leased lists workers on which something may run.
+	// Leased lists workers on which something may run or have an end that no owner has read.
 	Leased []Leased
 
 	// Evidence is what speaks against workers, the worst first.
@@ -47,7 +47,7 @@
 	Remaining time.Duration
 
 	// AnyTask means that the worker may run any task known to an earlier owner. Otherwise Tasks
-	// lists all tasks that it may run.
+	// lists all tasks that it may run or whose end there may be unread.
 	AnyTask bool
 	Tasks   []job.TaskID
 }
@@ -84,21 +84,21 @@
 	return h
 }
 
-// leased returns what may run on the worker.
+// leased returns what may run on the worker or have an unread end there.
 func (w *workerState) leased(id string, now time.Time) Leased {
 	l := Leased{
-		Worker: id,
+		Worker:    id,
+		Remaining: max(0, w.leaseEnd.Sub(now)),
 	}
-	if !w.contacted {
-		// This owner has not started or renewed anything there.
-		l.Remaining = max(0, w.unobservedUntil.Sub(now))
+	if !w.observed {
+		l.Remaining = max(l.Remaining, w.unobservedUntil.Sub(now))
 		l.AnyTask = w.unobservedTasks == nil
 		for task := range w.unobservedTasks {
-			l.Tasks = append(l.Tasks, task)
+			if _, found := w.runs[task]; !found {
+				l.Tasks = append(l.Tasks, task)
+			}
 		}
-		return l
 	}
-	l.Remaining = max(0, w.leaseEnd.Sub(now))
 	for task := range w.runs {
 		l.Tasks = append(l.Tasks, task)
 	}
@@ -236,6 +236,13 @@
 	return time.Duration(float64(span) * (1 + maxClockDrift))
 }
 
+// isUnobserved reports whether the worker may have a run of an earlier owner, or an end of one,
+// that this owner has not observed. A worker that has answered keeps the ends that it has not listed,
+// since polls renew its lease.
+func (w *workerState) isUnobserved(now time.Time) bool {
+	return !w.observed && (w.contacted || now.Before(w.unobservedUntil))
+}
+
 // unobservedTasks are the tasks that may run somewhere without this owner having observed them.
 type unobservedTasks struct {
 	// all means that any task known to an earlier owner may run. Otherwise tasks lists those
@@ -247,9 +254,9 @@
 	until time.Time
 }
 
-// unobserved returns the tasks that workers may still run because an earlier owner started them,
-// and that this owner has not observed. Until the standby partition is read, it may hold jobs that
-// only an earlier owner knew, so that any task may run.
+// unobserved returns the tasks that workers may still run, or whose ends they may not have listed,
+// because an earlier owner started them, and that this owner has not observed. Until the standby
+// partition is read, it may hold jobs that only an earlier owner knew, so that any task may run.
 func (s *Shard) unobserved(now time.Time) unobservedTasks {
 	if s.standbyUnread {
 		return unobservedTasks{
--- a/shard/lease.go
+++ b/shard/lease.go
@@ -57,7 +57,11 @@
 func (s *Shard) expireLeases(now time.Time) {
 	late := s.answerLatency.late(now)
 	for _, w := range s.sortedWorkers(func(w *workerState) bool { return w.failures > 0 && now.After(w.leaseEnd) }) {
-		if len(w.runs) > 0 && w.silentPollAt.After(w.leaseEnd) && !late {
+		lapsed := w.silentPollAt.After(w.leaseEnd) && !late
+		if lapsed && w.contacted {
+			w.observed = true
+		}
+		if lapsed && len(w.runs) > 0 {
 			s.opts.LogEvent("lease lapsed", "worker", w.reg.ID, "runs", len(w.runs), "silent_ms", now.Sub(w.clockReadAt).Milliseconds())
 			lost := s.lostTasks(w, now)
 			s.dropRuns(w, now, "lease lapsed")
@@ -162,6 +166,10 @@
 // processEnds processes the ends that a worker lists and sets when it is polled next.
 func (s *Shard) processEnds(w *workerState, listed []outside.End, now time.Time) {
 	w.nextPollAt = now
+	if w.moreEnds && s.writtenBatch < w.ackBatch {
+		// The worker lists nothing else before these ends are acknowledged.
+		w.nextPollAt = now.Add(maxAckWait)
+	}
 	w.updateForgotten(listed)
 	for _, end := range listed {
 		if end.Number <= w.forgotten {
@@ -193,7 +201,7 @@
 
 // pollWait returns how long a poll may wait at the worker for an end.
 func (s *Shard) pollWait(w *workerState) time.Duration {
-	if w.failures > 0 || !w.contacted || !w.uncertainAt.IsZero() || w.acked < w.lastAcknowledgeable() {
+	if w.failures > 0 || !w.contacted || w.moreEnds || !w.uncertainAt.IsZero() || w.acked < w.lastAcknowledgeable() {
 		return 0
 	}
 	wait := s.opts.IdlePollWait
--- a/shard/load.go
+++ b/shard/load.go
@@ -102,8 +102,8 @@
 	// Draining means that the worker has announced its end.
 	Draining bool
 
-	// Known means that the worker has answered this owner. Before that, it may run what an
-	// earlier owner started there.
+	// Known means that the worker has answered this owner and listed every end. Before that, it
+	// may run what an earlier owner started there, or have an unread end of that.
 	Known bool
 
 	// Reached means that the worker answered the last poll.
@@ -204,7 +204,7 @@
 			Used:     w.used,
 			Closed:   now.Before(w.closedUntil),
 			Draining: w.reg.Draining,
-			Known:    w.contacted,
+			Known:    w.observed,
 			Reached:  w.contacted && w.failures == 0,
 			Ejected:  w.health.IsEjected(),
 			GiveBack: w.health.GiveBack(now),
--- a/shard/quota.go
+++ b/shard/quota.go
@@ -115,7 +115,7 @@
 func (s *Shard) refreshUnseen(now time.Time) {
 	s.unseen = unseen{}
 	for _, w := range s.workers {
-		if w.unsized == 0 && (w.contacted || !now.Before(w.unobservedUntil) || (w.unobservedTasks != nil && len(w.unobservedTasks) == 0)) {
+		if w.unsized == 0 && (!w.isUnobserved(now) || (w.unobservedTasks != nil && len(w.unobservedTasks) == 0)) {
 			continue
 		}
 		s.unseen.any = true
--- a/shard/restart.go
+++ b/shard/restart.go
@@ -73,7 +73,7 @@
 	s.opts.LogEvent("worker started again", "worker", w.incarnation().String(), "before", before.incarnation().String(),
 		"runs", len(before.runs), "taken_in", before.processed, "ends", len(status.Ends))
 	s.forgetWorkerTickets(w.reg.ID)
-	for id := range s.transferRuns(before, w, status.Runs, sent, now) {
+	for id := range s.transferRuns(before, w, status, sent, now) {
 		delete(lost, id)
 	}
 	s.dropRuns(before, now, evidenceRestarted)
@@ -102,17 +102,17 @@
 
 // transferRuns moves the runs that may exist at the next incarnation of a worker: runs that the
 // incarnation lists, runs that began there after the poll was sent and that only the next poll can
-// show, and runs that an outstanding order may still start there. Runs of the last kind are
-// stopped. It returns the tasks of the other two kinds.
-func (s *Shard) transferRuns(before, w *workerState, listed []outside.RunningTask, sent, now time.Time) map[job.TaskID]struct{} {
-	numbers := make(map[job.TaskID]int64, len(listed))
-	for _, running := range listed {
+// show, runs that may have ended there without their end being listed, and runs that an outstanding
+// order may still start there. Runs of the last kind are stopped. It returns the tasks of the others.
+func (s *Shard) transferRuns(before, w *workerState, status outside.WorkerStatus, sent, now time.Time) map[job.TaskID]struct{} {
+	numbers := make(map[job.TaskID]int64, len(status.Runs))
+	for _, running := range status.Runs {
 		numbers[running.Task] = running.Run
 	}
 	transferred := make(map[job.TaskID]struct{})
 	for _, r := range before.sortedRuns() {
 		number, found := numbers[r.id]
-		found = (found && number == r.number) || r.isAnsweredAfter(sent)
+		found = (found && number == r.number) || r.isAnsweredAfter(sent) || (status.MoreEnds && r.isUnlisted() && !s.isLongRunning(r.id))
 		if !found && r.call == 0 && !r.unanswered {
 			continue
 		}
@@ -131,6 +131,12 @@
 	return r.phase == phaseRunning && r.call == 0 && !r.unanswered && r.answeredAt.After(sent)
 }
 
+// isUnlisted reports whether the order for a run was answered and no answer to a poll has listed the
+// run, so that any incarnation of its worker may have begun it.
+func (r *run) isUnlisted() bool {
+	return r.call == 0 && !r.unanswered && !r.found && r.listedAt.IsZero()
+}
+
 // transferRun moves one run to the next incarnation of its worker. The run is stopped there if it
 // was already being stopped or if the incarnation does not have it.
 func (s *Shard) transferRun(r *run, w *workerState, listed bool) {
--- a/shard/unlisted_ends_test.go
+++ b/shard/unlisted_ends_test.go
@@ -10,6 +10,8 @@
 
 	"lemonstream.dev/lemonstream/internal/prove"
 	"lemonstream.dev/lemonstream/job"
+	"lemonstream.dev/lemonstream/outside"
+	"lemonstream.dev/lemonstream/shard"
 )
 
 const (
@@ -100,22 +102,27 @@
 	}
 }
 
-// TestHandoverNamesUnlistedEnds releases the service while ends are unread, once or twice. The next
-// owner does not reach the worker for a while and may not start its tasks elsewhere.
+// TestHandoverNamesUnlistedEnds replaces owners that have seen some of the ends of a worker. The last
+// of them releases the service. The next owner does not reach the worker for a while and may not
+// start its tasks elsewhere.
 func TestHandoverNamesUnlistedEnds(t *testing.T) {
-	for name, releases := range map[string]int{"released": 1, "released twice": 2} {
+	release := func(w *world) { w.release(0) }
+	for name, changes := range map[string][]func(w *world){
+		"released":            {release},
+		"released twice":      {release, release},
+		"died, then released": {(*world).takeOver, release},
+	} {
 		t.Run(name, func(t *testing.T) {
 			w := newWorldWithShortLists()
 			w.submit("a", small(unlistedTasks))
 			f := w.runUntilEnds(unlistedTasks)
-			w.run(2 * tick) // A poll has listed the first ends.
-			for range releases {
-				w.release(0)
+			for _, change := range changes {
 				f.partitioned = false
-				w.run(3 * tick)
+				w.run(2 * tick) // A poll has listed the first ends.
 				f.partitioned = true
-				w.run(500 * time.Millisecond)
+				change(w)
 			}
+			w.run(500 * time.Millisecond)
 			f.partitioned = false
 			checkStartedOnce(t, w, "a", unlistedTasks)
 		})
@@ -174,6 +181,115 @@
 	checkStartedOnce(t, w, "a", unlistedTasks)
 }
 
+// TestLongRunningTaskWithUnlistedEndStartsAgainAtOnce covers long-running tasks that fail while their
+// ends are not listed. They are never done, so that nothing speaks against starting them again.
+func TestLongRunningTaskWithUnlistedEndStartsAgainAtOnce(t *testing.T) {
+	is := is.New(t)
+	w := newWorldWithShortLists()
+	w.submit("b", lasting(2, 1))
+	w.submit("a", small(unlistedTasks))
+	w.run(100 * time.Millisecond)
+	w.storeDown = true
+	f := w.runUntilEnds(unlistedTasks)
+	w.run(200 * time.Millisecond)
+	is.Equal(len(f.runs), 2)
+	for id := range f.runs {
+		f.endRun(id, outside.EndFailed, w.now)
+	}
+	w.run(500 * time.Millisecond)
+	is.Equal(len(reachableWorkersOf(w, "b")), 2)
+	w.check(t)
+}
+
+// TestFullListIsReadOnWithoutPauses covers the polls of a worker with more ends than it lists. They
+// don't wait there once ends can be acknowledged, and don't follow each other at once before that.
+func TestFullListIsReadOnWithoutPauses(t *testing.T) {
+	is := is.New(t)
+	w := newWorldWithShortLists()
+	w.submit("a", small(unlistedTasks))
+	w.run(100 * time.Millisecond)
+	w.storeDown = true
+	f := w.runUntilEnds(unlistedTasks)
+	w.run(time.Second)
+	polls := 0
+	w.polled = func(p shard.Poll) {
+		if p.Worker.ID != f.reg.ID {
+			return
+		}
+		polls++
+		is.True(len(f.ends) < testListedEnds || p.Renewal.Wait == 0)
+	}
+	w.run(3 * time.Second)
+	is.True(polls <= 12) // Several a second; one that is answered at once takes 10 ms.
+	w.storeDown = false
+	w.run(200 * time.Millisecond)
+	is.Equal(len(f.ends), 0)
+	w.check(t)
+}
+
+// TestInstanceOfWorkerWithUnlistedEndsIsNotTaken covers an owner that has seen some of the ends of a
+// worker. It may not tell the instance controller that earlier owners have left nothing there.
+func TestInstanceOfWorkerWithUnlistedEndsIsNotTaken(t *testing.T) {
+	is := is.New(t)
+	w := newWorldWithShortLists()
+	w.submit("a", small(unlistedTasks))
+	w.run(100 * time.Millisecond)
+	w.storeDown = true
+	f := w.runUntilEnds(unlistedTasks)
+	w.takeOver()
+	w.run(500 * time.Millisecond)
+	load := w.core.Load(w.now).Workers[f.reg.ID]
+	is.True(load.Reached)
+	is.True(!load.Known)
+	w.storeDown = false
+	w.run(500 * time.Millisecond)
+	is.True(w.core.Load(w.now).Workers[f.reg.ID].Known)
+	w.check(t)
+}
+
+// TestTasksOfSilentWorkerWithUnlistedEndsStartElsewhere covers a worker that falls silent for good
+// after a new owner has seen some of its ends.
+func TestTasksOfSilentWorkerWithUnlistedEndsStartElsewhere(t *testing.T) {
+	is := is.New(t)
+	w := newWorldWithShortLists()
+	w.submit("a", small(unlistedTasks))
+	w.run(100 * time.Millisecond)
+	w.storeDown = true
+	f := w.runUntilEnds(unlistedTasks)
+	w.takeOver()
+	w.run(500 * time.Millisecond)
+	f.partitioned = true
+	w.storeDown = false
+	w.run(2 * time.Second)
+	is.Equal(totalStarts(w), unlistedTasks)
+	w.run(2 * testLease)
+	w.check(t)
+	is.Equal(w.shown["a"], job.Completed)
+}
+
+// TestQuotaCountsWorkerWithUnlistedEnds covers an owner that has seen some of the ends of a worker.
+// What earlier owners may have there still counts against the limit of their organisation.
+func TestQuotaCountsWorkerWithUnlistedEnds(t *testing.T) {
+	is := is.New(t)
+	w := newWorldWithShortLists()
+	w.quota = newQuota()
+	w.takeOver()
+	w.submit("a", small(unlistedTasks))
+	w.run(100 * time.Millisecond)
+	w.storeDown = true
+	w.runUntilEnds(unlistedTasks)
+	w.takeOver()
+	w.run(500 * time.Millisecond)
+	more := lasting(1, 1)
+	w.submit("b", more)
+	w.run(100 * time.Millisecond)
+	is.True(w.core.Usages()[0].Used.MilliCPU > more.Need.MilliCPU)
+	w.storeDown = false
+	w.run(time.Second)
+	is.Equal(w.core.Usages()[0].Used, more.Need)
+	w.check(t)
+}
+
 // TestUnlistedEndsUnderFaults lets workers list few ends at once, amid outages of the store and of
 // lookups, takeovers, releases, restarts and network partitions. If workers don't tell that more ends
 // may be unread, tasks run twice.
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -185,13 +185,22 @@
 	// inherited says that a row of an earlier owner names the worker.
 	inherited bool
 
+	// observed says that what earlier owners started on the worker is known: an answer has listed
+	// every end, or all leases there have lapsed. From then on, unread ends are those of runs in
+	// runs.
+	observed bool
+
+	// moreEnds says that the last answer may have left out ends.
+	moreEnds bool
+
 	// born is when the incarnation began, as its first answer reported. It is zero before that, and
 	// for workers that don't report it.
 	born time.Time
 
 	// unobservedUntil is when the leases have lapsed of everything that earlier owners started on
 	// the worker, even if the worker can't be reached. unobservedTasks holds the tasks that may run
-	// there until then; nil means any task that an earlier owner knew of.
+	// there until then; nil means any task that an earlier owner knew of. Once the worker has
+	// answered, they may have unread ends there until it is observed.
 	unobservedUntil time.Time
 	unobservedTasks map[job.TaskID]struct{}
 
--- a/shard/world_calls_test.go
+++ b/shard/world_calls_test.go
@@ -55,6 +55,9 @@
 	f := w.workers[h.Worker.ID]
 	w.lastPoll[h.Worker.ID] = h.Call
 	sent := w.now
+	if w.polled != nil {
+		w.polled(h)
+	}
 	if h.Renewal.Acknowledged > 0 {
 		w.ackingPolls++
 	}
--- a/shard/world_test.go
+++ b/shard/world_test.go
@@ -160,9 +160,11 @@
 	started map[job.TaskID]time.Time
 
 	// While pollDelay is positive, polls get no answer and take effect after that time.
-	// ackingPolls counts the polls that acknowledged ends.
+	// ackingPolls counts the polls that acknowledged ends. polled receives every poll; nil drops
+	// them.
 	pollDelay   time.Duration
 	ackingPolls int
+	polled      func(shard.Poll)
 
 	// startAnswerDelay is how long the answer to a start takes to arrive.
 	startAnswerDelay time.Duration
