--- a/owner/registry_test.go
+++ b/owner/registry_test.go
@@ -31,6 +31,10 @@
 	logged *bytes.Buffer
 	counts map[string]int
 
+	// nextPage is called before each page of a read but the first; nil does nothing.
+	registry *owner.Registry
+	nextPage func()
+
 	mu            sync.Mutex
 	list          []outside.Registration
 	notifications int
@@ -46,6 +50,13 @@
 		counts: make(map[string]int),
 	}
 	f.table = f.rows.Table()
+	get := f.table.Get
+	f.table.Get = func(ctx context.Context, table, part, from string, limit int) (outside.Page, error) {
+		if from != "" && f.nextPage != nil {
+			f.nextPage()
+		}
+		return get(ctx, table, part, from, limit)
+	}
 	decode := func(id string, value []byte) (outside.Registration, error) {
 		cpu, err := strconv.Atoi(string(value))
 		return outside.Registration{
@@ -67,6 +78,7 @@
 			f.notifications++
 		},
 	})
+	f.registry = registry
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	running.Go(func() { _ = registry.Run(ctx) })
