Test of unlisted ends: the heartbeat is written while batches fail

The job that the test starts is told by an entry, and an owner starts such a job only once a transaction has confirmed its ownership. The test lets one be applied; what it checks is unchanged.

--- a/shard/unlisted_ends_test.go
+++ b/shard/unlisted_ends_test.go
@@ -282,6 +282,7 @@
 	w.run(500 * time.Millisecond)
 	more := lasting(1, 1)
 	w.submit("b", more)
+	w.core.Confirm(shard.WorkerRows{}, w.now) // Only batches fail.
 	w.run(100 * time.Millisecond)
 	is.True(w.core.Usages()[0].Used.MilliCPU > more.Need.MilliCPU)
 	w.storeDown = false
