Judge: an order under way at the acknowledgement of a lapsed end is no fault

The judge blamed every start after an acknowledged end. The platform's rule counts an end as taken note of only if its worker's lease did not lapse in between, and a start after that only when it comes more than a second later. An end that is acknowledged after a lapse no longer makes a start within a second of the acknowledgement a fault; later ones, and those after any other end, are blamed as before.

--- a/internal/standin/oracle.go
+++ b/internal/standin/oracle.go
@@ -8,6 +8,10 @@
 	"time"
 )
 
+// startSlack is how long after an end is taken note of the platform's rule counts no start; orders may be
+// under way.
+const startSlack = time.Second
+
 // Oracle watches every worker of a stand-in from outside and judges what it saw by the rules of
 // the users' platform: a task does not run twice at a time on workers that are up, and it does not
 // start again after a run ended as done whose end is acknowledged, then or later.
@@ -83,7 +87,7 @@
 			switch {
 			case first.ended.IsZero() || next.began.Before(first.ended):
 				faults = append(faults, fmt.Sprintf("%s: run %d starts on %s while run %d is on %s", task, next.number, next.worker, first.number, first.worker))
-			case done && next.began.After(first.acked):
+			case done && next.began.After(first.countsFrom()):
 				faults = append(faults, fmt.Sprintf("%s: run %d starts on %s after the end of run %d was acknowledged", task, next.number, next.worker, first.number))
 			case done && !first.lapsed:
 				faults = append(faults, fmt.Sprintf("%s: the end of run %d on %s is acknowledged after run %d was started", task, first.number, first.worker, next.number))
@@ -93,6 +97,14 @@
 	return faults
 }
 
+// countsFrom returns when a start begins to count as one after an acknowledged end.
+func (r *seenRun) countsFrom() time.Time {
+	if r.lapsed {
+		return r.acked.Add(startSlack)
+	}
+	return r.acked
+}
+
 // lines returns the history of a task, a line for each run.
 func (t *taskHistory) lines() []string {
 	lines := make([]string, 0, len(t.runs))
--- a/internal/standin/oracle_test.go
+++ b/internal/standin/oracle_test.go
@@ -137,6 +137,23 @@
 				s.look("a", 1, 2*lease)
 			},
 		},
+		"lease lapsed between, start under way at the acknowledgement": {
+			script: func(s *script) {
+				time.Sleep(lease + time.Second)
+				s.look("a", 1, 2*lease)
+				time.Sleep(time.Second / 2)
+				s.start("b", "t", 2, 2*lease)
+			},
+		},
+		"lease lapsed between, start long after the acknowledgement": {
+			script: func(s *script) {
+				time.Sleep(lease + time.Second)
+				s.look("a", 1, 2*lease)
+				time.Sleep(time.Second)
+				s.start("b", "t", 2, 2*lease)
+			},
+			blamed: "after the end of run 1 was acknowledged",
+		},
 		"lease lapsed after the acknowledgement": {
 			script: func(s *script) {
 				time.Sleep(2 * time.Second)
