Soak: the next owner does not reach some workers that the one before reaches

While an entry is frozen or its transactions fail, a third of the workers are hidden from whoever opens a connection to them; those that are open go on. So the owner before still orders where the next one cannot look.

--- a/soak/link_test.go
+++ b/soak/link_test.go
@@ -43,6 +43,11 @@
 	linkSilencesOpen
 
 	linkFaults
+
+	// linkSilencesNew drops both directions of the connections that are opened while it is in
+	// force, for good, while older ones work: whoever comes to own a service does not reach the
+	// worker, and the owner before it does.
+	linkSilencesNew
 )
 
 type linkFault int
@@ -142,6 +147,7 @@
 			continue
 		}
 		silent := new(atomic.Bool)
+		silent.Store(l.current() == linkSilencesNew)
 		l.mu.Lock()
 		l.conns[caller] = silent
 		l.conns[server] = silent
--- a/soak/owners_test.go
+++ b/soak/owners_test.go
@@ -56,7 +56,7 @@
 
 // TestNextOwnerStartsNoTaskAgain replaces the owners of several services while jobs are handed in at
 // every entry. Restarts, frozen entries, outages of the store, transactions that fail for one entry
-// alone, broken links, cut-off workers and new configurations overlap. From outside: no task runs
+// alone, broken links, workers that the next owner does not reach and new configurations overlap. From outside: no task runs
 // twice, and every accepted job is completed. See TestJobsSurviveFaultsOfEntries for more seeds.
 func TestNextOwnerStartsNoTaskAgain(t *testing.T) {
 	forSeeds(t, func(t *testing.T, seed int64) {
@@ -151,6 +151,7 @@
 
 // freeze stops an entry for a while.
 func (s *series) freeze(random *rand.Rand) {
+	defer s.hideWorkers(random)()
 	e := s.pick(random)
 	s.signal(e, syscall.SIGSTOP)
 	upTo(random, longestFault)
@@ -159,12 +160,29 @@
 
 // breakWrites breaks the transactions of one entry, whose reads work.
 func (s *series) breakWrites(random *rand.Rand) {
+	defer s.hideWorkers(random)()
 	e := s.pick(random)
 	e.writes.set(writeFault(1 + random.Intn(int(writeFaults)-1)))
 	upTo(random, longestFault)
 	e.writes.set(writesWork)
 }
 
+// hideWorkers hides some workers from the next owners and returns what ends that.
+func (s *series) hideWorkers(random *rand.Rand) func() {
+	var hidden []*link
+	for _, l := range s.links[:ownedInstances] {
+		if random.Intn(3) == 0 {
+			l.set(linkSilencesNew)
+			hidden = append(hidden, l)
+		}
+	}
+	return func() {
+		for _, l := range hidden {
+			l.set(linkPasses)
+		}
+	}
+}
+
 func (s *series) breakStore(random *rand.Rand) {
 	upTo(random, longestFault)
 	s.faulty.set(storeFault(1 + random.Intn(int(storeFaultCount)-1)))
