Red test: a replaced owner starts jobs that the next owner has accepted

TestReplacedOwnerStartsNoJobOfTheNext refuses the transactions of the owner of a service; its reads work. The next owner claims the service, and the store tells the one before so at once ("owner row changed"). It goes on all the same until it has written nothing for 4 s or a worker refuses its fence, reads the rows of new jobs each second, takes jobs that the next owner has accepted, and starts them. For the next owner they are fresh, so it starts them as soon as it reaches one worker, without waiting for those that it has not reached.

--- a/soak/owners_test.go
+++ b/soak/owners_test.go
@@ -10,6 +10,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"lemonstream.dev/lemonstream/outside"
 )
 
 const (
@@ -274,3 +276,70 @@
 	}
 	s.fault("%s: no answer says whether it is taken", path)
 }
+
+// TestReplacedOwnerStartsNoJobOfTheNext refuses the transactions of an owner whose reads work, until
+// it is replaced. The next owner reaches no worker at first, then those that run nothing; the one
+// before reaches them all.
+func TestReplacedOwnerStartsNoJobOfTheNext(t *testing.T) {
+	const jobs, workers, pause = 12, 2, 100 * time.Millisecond
+	d := deployPlan(t, plan{
+		entries:   entries,
+		instances: workers,
+		services:  []string{"s"},
+		configuration: func(version int) string {
+			return strings.Replace(fmt.Sprintf(configuration, version), `,{"name":"z","rejectsOverload":true,"headroom":true}`, "", 1)
+		},
+	})
+	for _, e := range d.entries {
+		d.awaitReady(e, http.StatusOK)
+	}
+	d.any(http.MethodPost, "/q/00000000000000d0", body, succeeded)
+	d.any(http.MethodGet, "/q/00000000000000d0", "", completed)
+	before := d.ownerOf("s")
+	before.writes.set(writesAreRefused)
+	for _, l := range d.links[:workers] {
+		l.set(linkSilencesNew)
+	}
+	for end := time.Now().Add(patience); d.ownerOf("s") == before && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	var ids []string
+	for i := range jobs {
+		ids = append(ids, fmt.Sprintf("%016x", 0xd1+i))
+		d.any(http.MethodPost, "/q/"+ids[i], `{"spec":"3s","steps":[{"count":2,"cpu":100,"memMb":10,"estimateMs":3000}]}`, succeeded)
+		time.Sleep(pause)
+	}
+	for _, id := range ids {
+		if restore := d.fleet.CutOff(id); restore != nil {
+			d.mendAt(time.Now().Add(longestTask), restore)
+			break
+		}
+	}
+	before.writes.set(writesWork)
+	for _, l := range d.links[:workers] {
+		l.set(linkPasses)
+	}
+	for _, id := range ids {
+		d.any(http.MethodGet, "/q/"+id, "", completed)
+	}
+	faults, starts := d.oracle.Faults()
+	for _, fault := range faults {
+		t.Error(fault)
+	}
+	t.Logf("%d jobs, %d starts, %d faults", len(ids), starts, len(faults))
+}
+
+// ownerOf returns the entry that the store names as the owner of a service, or nil.
+func (d *deployment) ownerOf(service string) *entry {
+	row, err := d.rows.Table().Row(context.Background(), outside.Key{
+		Table: "owner",
+		Part:  service,
+		Name:  "owner",
+	})
+	for i, e := range d.entries {
+		if err == nil && row != nil && strings.Contains(string(row.Value), fmt.Sprintf("entry-%d/", i)) {
+			return e
+		}
+	}
+	return nil
+}
