An answered order for maintenance does not show which worker it ended

A task ran twice although nothing was wrong with its worker: the owner of its service was told that the worker's instance had been taken, dropped the worker for a minute with all its runs, and started their tasks elsewhere.

An order that is carried out and gets no answer is forgotten once another worker is listed on its instance, which may as well have crashed; the wave still lacks the instance, and the order is given again, with the name of the next worker. The platform answers that as done already. The controller, or the next one, took the answer for the end of the worker that it named.

The list of instances shows what ended: a worker counts as ended by maintenance once its instance is listed as down or with another worker. A plan reports that (Plan.Ended). Moves stay as they are: an instance that is listed in the pool that it is moved from has not been moved.

--- a/owner/fleet.go
+++ b/owner/fleet.go
@@ -323,6 +323,9 @@
 	if view.Now.Sub(f.listed) < maxListAgeIntervals*f.listInterval() {
 		plan := f.sizer.Plan(view)
 		f.closed = plan.Closed
+		for _, ended := range plan.Ended {
+			f.noteEnded(ended.Pool, ended.Worker, view.Now)
+		}
 		f.maxInstances = plan.MaxInstances
 		f.logTargets(view, plan)
 		f.reportForecast()
--- a/owner/orders.go
+++ b/owner/orders.go
@@ -231,6 +231,14 @@
 	return f.deps.Instances.Move(ctx, o.instance, o.to, f.deps.Holder, f.tenure.epoch)
 }
 
+// noteEnded records a worker that ended with its instance, so that the owner of its service is told.
+func (f *instanceController) noteEnded(service string, worker outside.Incarnation, now time.Time) {
+	if f.ended[service] == nil {
+		f.ended[service] = make(map[string]time.Time)
+	}
+	f.ended[service][worker.String()] = now
+}
+
 // handleResult handles the result of an order.
 func (f *instanceController) handleResult(o instanceOrder) {
 	now := f.deps.Clock.Now()
@@ -249,10 +257,9 @@
 			f.deps.Count("instance_move", o.reason)
 		}
 		f.sizer.Ordered(o.instance, o.to, o.worker, o.wave, now)
-		if f.ended[o.from] == nil {
-			f.ended[o.from] = make(map[string]time.Time)
+		if o.wave == 0 {
+			f.noteEnded(o.from, o.worker, now)
 		}
-		f.ended[o.from][o.worker.String()] = now
 		f.markDone(o.wave, o.instance)
 	case errors.As(o.err, &refused):
 		f.sizer.Refused(o.instance, o.to, false, now)
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -131,6 +131,9 @@
 	Moves        []Move
 	Maintenances []Maintenance
 
+	// Ended holds the workers that maintenance has ended, as the instance list shows.
+	Ended []EndedWorker
+
 	// Targets maps a service to the number of instances it should have, Counts to the number
 	// it has or is about to have.
 	Targets map[string]int
@@ -141,6 +144,12 @@
 	MaxInstances map[string]int
 }
 
+// EndedWorker is a worker that ended with the maintenance of its instance.
+type EndedWorker struct {
+	Pool   string
+	Worker outside.Incarnation
+}
+
 // Options holds the times and costs that a Sizer plans with.
 type Options struct {
 	// MoveTime and MaintainTime are how long a move and a maintenance take an instance out of
@@ -203,6 +212,9 @@
 	// lastTriedAt is the time of the last attempt.
 	uncertain   bool
 	lastTriedAt time.Time
+
+	// endReported says that a plan has reported the end of the worker.
+	endReported bool
 }
 
 // NewSizer returns a Sizer without recorded demand or orders.
@@ -220,8 +232,10 @@
 
 // Plan computes the plan for the given view and records the demand that it shows.
 func (s *Sizer) Plan(v View) Plan {
+	ended := s.endedWorkers(v)
 	s.dropSettled(v)
 	r := newRound(s, v)
+	r.plan.Ended = ended
 	r.keepClosed()
 	r.retryUncertain()
 	r.computeTargets()
@@ -285,6 +299,29 @@
 	}
 }
 
+// endedWorkers returns the workers that maintenance has ended since the last plan. The answer to the
+// order does not show that: maintenance of a wave that has begun already is answered with success as
+// well, and has ended an earlier worker of the instance, not the one that the order names.
+func (s *Sizer) endedWorkers(v View) []EndedWorker {
+	var list []EndedWorker
+	for _, m := range v.Instances {
+		o, found := s.ordered[m.ID]
+		if !found || o.wave == 0 || o.uncertain || o.endReported || o.worker.Worker == "" {
+			continue
+		}
+		if m.State == outside.InstanceUp && m.Worker == o.worker.Worker {
+			continue
+		}
+		o.endReported = true
+		s.ordered[m.ID] = o
+		list = append(list, EndedWorker{
+			Pool:   m.Pool,
+			Worker: o.worker,
+		})
+	}
+	return list
+}
+
 // dropSettled drops orders that the instance list shows as done, orders that are too old, and
 // orders for instances that are no longer listed.
 func (s *Sizer) dropSettled(v View) {
--- a/shard/instance_world_test.go
+++ b/shard/instance_world_test.go
@@ -68,11 +68,6 @@
 	orderDelay       time.Duration
 	orders           int
 
-	// repeatsSucceed says that an order for maintenance that has begun already is answered with
-	// success and has no effect, as the platform does it. Owners take the worker that it names for
-	// ended. With it, TestAvailabilityDuringEvacuations fails in some runs as well.
-	repeatsSucceed bool
-
 	// cutOff says that the controller does not reach the owner.
 	cutOff bool
 
@@ -195,6 +190,9 @@
 		}},
 	})
 	h.closed = plan.Closed[testPool]
+	for _, ended := range plan.Ended {
+		h.ended[ended.Worker.String()] = h.w.now
+	}
 	if len(plan.Moves)+len(plan.Maintenances) == 0 {
 		h.endRound()
 		return
@@ -258,7 +256,9 @@
 		case unanswered:
 		case done:
 			h.sizer.Ordered(instance, to, worker, wave, h.w.now)
-			h.ended[worker.String()] = h.w.now
+			if wave == 0 {
+				h.ended[worker.String()] = h.w.now
+			}
 			h.markDone(instance, wave)
 		default:
 			h.sizer.Refused(instance, to, false, h.w.now)
@@ -283,7 +283,7 @@
 // had taken effect before.
 func (h *instanceController) applyOrder(instance, to string, wave int64) bool {
 	m := h.instances[slices.IndexFunc(h.instances, func(m *fakeInstance) bool { return m.id == instance })]
-	if h.repeatsSucceed && m.maintained[wave] {
+	if m.maintained[wave] { // Done already, without an effect.
 		return true
 	}
 	if m.state != outside.InstanceUp {
--- a/shard/taken_test.go
+++ b/shard/taken_test.go
@@ -21,7 +21,6 @@
 	w := newOrderedWorld(3, 1)
 	h := newInstanceController(w, 0)
 	h.announceDelay = 2 * tick
-	h.repeatsSucceed = true
 	w.run(200 * time.Millisecond)
 	m := h.instances[0]
 	wave := &pool.Wave{
