A job that is stored in the standby partition may have been started before

A caller that gets no answer submits its job again. An entry had stored the job in the service's own partition and told the previous owner, which runs it; then that partition fails, and the next owner writes the job to the standby partition. It took the job for one that nobody can have started, and started it beside workers that it had not reached. Only a write that requires that no record stands in the own partition shows that; the one to the standby partition does not look there.

--- a/shard/batch.go
+++ b/shard/batch.go
@@ -239,7 +239,7 @@
 	s.confirmRefusals(b, now)
 	for _, record := range b.Records {
 		if j := s.jobs[record.ID]; j != nil && j.unwritten {
-			s.recordStored(j, now)
+			s.recordStored(j, true, now)
 		}
 	}
 	for _, w := range b.Writes {
@@ -252,11 +252,12 @@
 	}
 }
 
-// recordStored handles that the record of a job that was submitted here is stored. No earlier owner
-// can have seen the job, unless one wrote it to the standby partition.
-func (s *Shard) recordStored(j *jobState, now time.Time) {
+// recordStored handles that the record of a job that was submitted here is stored. fresh says that the
+// write required that there is no record of the job in the service's own partition: then no earlier
+// owner can have seen it, unless one wrote it to the standby partition.
+func (s *Shard) recordStored(j *jobState, fresh bool, now time.Time) {
 	j.unwritten = false
-	j.fresh = !s.standbyUnread
+	j.fresh = fresh && !s.standbyUnread
 	j.answerSubmitters(true)
 	s.opts.LogEvent("job taken", "job", j.record.ID, "route", j.record.Route, "organisation", j.record.Organisation,
 		"claim_version", s.claimVersion, "fresh", j.fresh, "age_ms", now.Sub(j.record.acceptedAt()).Milliseconds())
--- a/shard/standby.go
+++ b/shard/standby.go
@@ -149,7 +149,7 @@
 		j.offeredStandby = false
 		if j.unwritten {
 			s.unsubmit(j)
-			s.recordStored(j, now)
+			s.recordStored(j, false, now)
 		}
 	}
 	for _, w := range b.Ended {
