An owner that reads of a newer one gives no more orders

An owner whose transactions got no answer read in the owner's row that its service was claimed, logged it, and went on all the same: until it had written nothing for 4 s, or a worker refused its fence. What it starts meanwhile is waited for, stopped or done twice by the next owner. It gives the service up as soon as it reads of a newer owner now; the controller of the instances likewise.

This is no guard by itself: a read may come late. Tests of replaced owners that go on without knowing it cut them off from the rows of owners, also from reads that were under way: TestNextOwnerFencesStandbyPartition, TestReplacedOwnerStartsNothingItReads and TestRefusedPingIsNoProofOfTheOwnersEnd; the last two fail without the checks that they are for, as before. TestOwnerStopsOnceItReadsOfANewerOne failed before.

--- a/owner/duty.go
+++ b/owner/duty.go
@@ -366,7 +366,7 @@
 		}
 	}
 	if !d.tenure.mayAct(ownerTimeout) {
-		return d.tenure.silentError()
+		return d.tenure.lostError()
 	}
 	return nil
 }
--- a/owner/fleetwrite.go
+++ b/owner/fleetwrite.go
@@ -193,10 +193,7 @@
 	if f.mayAct(ownerTimeout) {
 		return nil
 	}
-	return &LostError{
-		Part:   partInstances,
-		Reason: "nothing could be written for " + f.tenure.age().String(),
-	}
+	return f.tenure.lostError()
 }
 
 // isStoreAway reports whether the heartbeat can't be written at the moment.
--- a/owner/intake_test.go
+++ b/owner/intake_test.go
@@ -89,14 +89,14 @@
 }
 
 // TestReplacedOwnerStartsNothingItReads covers an owner whose transactions get no answer while its
-// reads work. Another entry claims the service, and the owner reads a job that is written later.
+// reads of jobs work. Another entry claims the service, and the owner reads a job that is written later.
 func TestReplacedOwnerStartsNothingItReads(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		rows := standin.NewRows()
 		var down atomic.Bool
 		workers := newFakeWorkers(rows, "w")
-		first := newEntryWith(t, "a", withPartitionDown(rows, "s", &down), alive("a"), workers.deps)
+		first := newEntryWith(t, "a", withWritesDown(rows.Table(), &down), alive("a"), workers.deps)
 		until(t, "the first entry owns the service", first.owns)
 		duty, _ := first.keeper.Duty("s")
 		rows.Write(owner.IntakeKey("s", "early"), record("early").Encode())
@@ -113,3 +113,22 @@
 		is.Equal(workers.startsOf("late"), 0)
 	})
 }
+
+// TestOwnerStopsOnceItReadsOfANewerOne covers an owner whose transactions get no answer and that reads
+// the row of the next owner. It gives no more orders, although it has written until just before.
+func TestOwnerStopsOnceItReadsOfANewerOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		rows := standin.NewRows()
+		var down atomic.Bool
+		workers := newFakeWorkers(rows, "w")
+		first := newEntryWith(t, "a", withPartitionDown(rows, "s", &down), alive("a"), workers.deps)
+		until(t, "the first entry owns the service", first.owns)
+		down.Store(true)
+		second := newEntry(t, "b", rows, refusePing)
+		until(t, "the second entry owns the service", second.owns)
+		claimed := time.Now()
+		until(t, "the first entry has given up the service", func() bool { return first.lines.of("service lost") == 1 })
+		is.True(time.Since(claimed) < time.Second)
+	})
+}
--- a/owner/keeper.go
+++ b/owner/keeper.go
@@ -283,6 +283,9 @@
 			Ownership: o,
 			version:   row.Version,
 		}
+		if h, held := k.held[row.Key.Part]; held && h.tenure.epoch < o.Epoch {
+			h.tenure.replaced.Store(true)
+		}
 		k.deps.Log.Info("owner row changed", "service", row.Key.Part, "epoch", o.Epoch, "owner", o.Owner, "released", o.Released, "next", o.Next)
 		if o.Next == k.self.Incarnation {
 			k.wake()
@@ -339,6 +342,7 @@
 		return
 	}
 	h := k.newHeldPart(service, won, now)
+	h.tenure.replaced.Store(k.owners[service].Epoch > won.epoch)
 	k.held[service] = h
 	k.mu.Unlock()
 	k.deps.Log.Info("service taken", "service", service, "epoch", won.epoch, "from", o.Owner, "ended", from.ended, "outsider", won.outsider)
--- a/owner/orders.go
+++ b/owner/orders.go
@@ -219,7 +219,7 @@
 		// The witnesses remember an instance for a limited time.
 		allowed = false
 	}
-	if !allowed {
+	if !allowed || f.tenure.replaced.Load() {
 		return &LostError{
 			Part:   partInstances,
 			Reason: "the last write is " + f.tenure.age().String() + " old",
--- a/owner/refused_ping_test.go
+++ b/owner/refused_ping_test.go
@@ -21,7 +21,8 @@
 	near, far   *fakeWorkers
 	first, next *entry
 
-	// writesFail says that the transactions of the first owner get no answer.
+	// writesFail says that the transactions of the first owner get no answer, nor do its reads of the
+	// owners' rows.
 	writesFail atomic.Bool
 
 	// restarted says that another process answers at the address of the first owner.
@@ -48,7 +49,7 @@
 			return deps
 		}
 	}
-	s.first = newEntryWith(t, "a", withPartitionDown(s.rows, "s", &s.writesFail), alive("a"), shorten(s.near))
+	s.first = newEntryWith(t, "a", withWritesDown(s.rows.Table(), &s.writesFail), alive("a"), shorten(s.near))
 	until(t, "the first entry owns the service", s.first.owns)
 	writeLongRunningJob(s.rows, "j")
 	until(t, "the task runs", func() bool { return s.near.startsOf("j") == 1 })
--- a/owner/standby_test.go
+++ b/owner/standby_test.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -32,6 +33,44 @@
 	return table
 }
 
+// withOwnersUnread returns the table without answers to reads of owners' rows while down is set.
+func withOwnersUnread(table outside.Table, down *atomic.Bool) outside.Table {
+	feed, get := table.Feed, table.Get
+	table.Get = func(ctx context.Context, name, part, from string, limit int) (outside.Page, error) {
+		if down.Load() && name == owner.TableOwners {
+			return outside.Page{}, &outside.UncertainError{
+				Call: "get",
+			}
+		}
+		return get(ctx, name, part, from, limit)
+	}
+	table.Feed = func(ctx context.Context, name string, after int64, wait time.Duration) (outside.Change, error) {
+		change, err := feed(ctx, name, after, wait)
+		if down.Load() && name == owner.TableOwners {
+			return outside.Change{}, &outside.UncertainError{
+				Call: "feed",
+			}
+		}
+		return change, err
+	}
+	return table
+}
+
+// withWritesDown returns the table without answers to transactions, and to reads of changes of owners'
+// rows, while down is set.
+func withWritesDown(table outside.Table, down *atomic.Bool) outside.Table {
+	write := table.Transact
+	table.Transact = func(ctx context.Context, tx outside.Transaction) (outside.Receipt, error) {
+		if down.Load() {
+			return outside.Receipt{}, &outside.UncertainError{
+				Call: "transact",
+			}
+		}
+		return write(ctx, tx)
+	}
+	return withOwnersUnread(table, down)
+}
+
 func isInStandby(t *testing.T, rows *standin.Rows, key outside.Key) bool {
 	t.Helper()
 	row, err := rows.Table().Row(context.Background(), key)
@@ -80,7 +119,7 @@
 	is := is.New(t)
 	rows := standin.NewRows()
 	var down atomic.Bool
-	first := newEntryOn(t, "a", withPartitionDown(rows, "s", &down), alive("a"))
+	first := newEntryOn(t, "a", withOwnersUnread(withPartitionDown(rows, "s", &down), &down), alive("a"))
 	until(t, "the first entry owns the service", first.owns)
 	duty, _ := first.keeper.Duty("s")
 	ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
--- a/owner/tenure.go
+++ b/owner/tenure.go
@@ -92,6 +92,9 @@
 	// the last attempt had another outcome.
 	rejectedSince atomic.Int64
 
+	// replaced is set once this entry has read the row of a newer owner.
+	replaced atomic.Bool
+
 	// successor is the entry that the part is released for; nil until one is chosen.
 	successor atomic.Pointer[string]
 }
@@ -242,8 +245,14 @@
 	}
 }
 
-// silentError returns the error of a tenure that has written nothing for too long.
-func (t *tenure) silentError() *LostError {
+// lostError returns the error of a tenure that may not act any more.
+func (t *tenure) lostError() *LostError {
+	if t.replaced.Load() {
+		return &LostError{
+			Part:   t.part,
+			Reason: "the owner's row names a newer owner",
+		}
+	}
 	return &LostError{
 		Part:   t.part,
 		Reason: "nothing could be written for " + t.age().String(),
