A stored record is known as stored whatever its owner thought of the job

Callers were told that a job is accepted, and it never ran, or a submitter was told that it was not accepted while it ran. Cause: an owner passed a stored record over when it knew a job under the ID, also one that was not written, being refused, or only offered to the standby partition; then it dropped that job when the store rejected its writes, and read the record no more.

Each word of a stored record now turns the job into a stored one:

- In no batch, the stored job is taken in place of the submitted one, not fresh and to be confirmed; rows that a standby write leaves are removed at its end.
- In a batch, the record is kept beside the job.
Whatever the answer to the batch is, applied, met, or given up, the job stays.
- A pending refusal is dropped, also out of a batch, and answered "accepted".
A batch with it would meet the record each time.
- A final state of a job that was cancelled before it was written requires that no record stands, also without an organisation and after the standby partition has it.
Before, it ended another organisation's job.
- The deferred cancellation of a submitted job no longer applies to another organisation's job, and a job that waits for one is not dropped.
- A record that the standby partition holds too needs no confirmation: each later owner reads it there first.

'record found' replaces 'record passed over'.

--- a/owner/intake.go
+++ b/owner/intake.go
@@ -98,6 +98,8 @@
 		return d.push(func(d *Duty, now time.Time) { d.core.CancelByRow(id, now) })
 	}
 	if _, known := d.published.Load(row.Key.Name); known {
+		// The record of a published job is stored, or its final state is written on condition that
+		// there is none: nothing but its end drops the job.
 		return nil
 	}
 	record, err := shard.DecodeRecord(row.Value)
--- a/shard/accepted_job_forgotten_test.go
+++ b/shard/accepted_job_forgotten_test.go
@@ -13,8 +13,11 @@
 	"lemonstream.dev/lemonstream/shard"
 )
 
-// answers holds what the owner answered to the submissions of a job.
-type answers []shard.SubmitResult
+// submitter submits job a to the owner.
+type submitter struct {
+	organisation string
+	answers      []shard.SubmitResult
+}
 
 // storedCase is a state of the owner in which it reads the record of job a, which an entry stored.
 type storedCase struct {
@@ -22,13 +25,17 @@
 	world func() *world
 
 	// before brings the owner into the state.
-	before func(w *world, a *answers)
+	before func(w *world, a *submitter)
 
 	// then is what happens once the record was read; nil for nothing.
 	then func(w *world)
 
 	// state is the state in which the job ends; empty stands for completed.
 	state job.State
+
+	// answered says that the submitter has its answer before the record is read: its job is accepted,
+	// and cancelled.
+	answered bool
 }
 
 // ownedRecord returns the record of a job that belongs to an organisation.
@@ -38,13 +45,13 @@
 	return record
 }
 
-// submitOurs submits job a to the owner for our organisation.
-func (w *world) submitOurs(a *answers) {
-	w.core.Submit(w.ownedRecord("a", "ours", step(4)), w.now, func(answer shard.SubmitResult) { *a = append(*a, answer) })
+// submitOurs submits job a to the owner.
+func (w *world) submitOurs(a *submitter) {
+	w.core.Submit(w.ownedRecord("a", a.organisation, step(4)), w.now, func(answer shard.SubmitResult) { a.answers = append(a.answers, answer) })
 }
 
 // submitInNoBatch submits job a while the write of another job is under way and has no answer.
-func (w *world) submitInNoBatch(a *answers) {
+func (w *world) submitInNoBatch(a *submitter) {
 	w.storeDown = true
 	w.submitToOwner("x", step(1))
 	w.run(tick)
@@ -52,7 +59,7 @@
 }
 
 // submitInBatch submits job a and takes it into a batch that has no answer.
-func (w *world) submitInBatch(a *answers) {
+func (w *world) submitInBatch(a *submitter) {
 	w.storeDown = true
 	w.submitOurs(a)
 	w.run(tick)
@@ -109,25 +116,25 @@
 }
 
 func storedCases() map[string]storedCase {
-	cancelled := func(submit func(w *world, a *answers)) func(w *world, a *answers) {
-		return func(w *world, a *answers) {
+	cancelled := func(submit func(w *world, a *submitter)) func(w *world, a *submitter) {
+		return func(w *world, a *submitter) {
 			submit(w, a)
 			w.cancel("a")
 		}
 	}
-	offered := func(submit func(w *world, a *answers)) func(w *world, a *answers) {
-		return func(w *world, a *answers) {
+	offered := func(submit func(w *world, a *submitter)) func(w *world, a *submitter) {
+		return func(w *world, a *submitter) {
 			submit(w, a)
 			w.offerToStandby()
 		}
 	}
-	refused := func(w *world, a *answers) {
+	refused := func(w *world, a *submitter) {
 		w.storeDown = true
 		w.submitOurs(a)
 	}
 	return map[string]storedCase{
 		"unknown": {
-			before: func(*world, *answers) {},
+			before: func(*world, *submitter) {},
 		},
 		"in no batch": {
 			before: (*world).submitInNoBatch,
@@ -169,7 +176,7 @@
 		},
 		"being refused, in a batch given up": {
 			world: newOverloadedWorld,
-			before: func(w *world, a *answers) {
+			before: func(w *world, a *submitter) {
 				w.batch = nil
 				refused(w, a)
 				w.run(tick)
@@ -191,7 +198,7 @@
 			state:  job.Cancelled,
 		},
 		"cancelled, final state in a batch given up": {
-			before: func(w *world, a *answers) {
+			before: func(w *world, a *submitter) {
 				cancelled((*world).submitOurs)(w, a)
 				w.storeDown = true
 				w.run(tick)
@@ -200,22 +207,39 @@
 			state: job.Cancelled,
 		},
 		"cancelled, final state in the standby partition": {
-			before: func(w *world, a *answers) {
+			before: func(w *world, a *submitter) {
+				cancelled((*world).submitInNoBatch)(w, a)
+				w.standbyOn = true
+				w.run(100 * time.Millisecond)
+			},
+			state:    job.Cancelled,
+			answered: true,
+		},
+		"cancelled, final state on its way to the standby partition": {
+			before: func(w *world, a *submitter) {
 				cancelled((*world).submitInNoBatch)(w, a)
 				w.standbyOn = true
+				for w.standbyBatch == nil || len(w.standbyBatch.Ended) == 0 {
+					w.run(tick)
+				}
+				w.standbyDown = true
+			},
+			then: func(w *world) {
+				w.writeBatch()
+				w.standbyDown = false
 				w.run(100 * time.Millisecond)
 			},
 			state: job.Cancelled,
 		},
 		"cancellation deferred": {
-			before: func(w *world, a *answers) {
+			before: func(w *world, a *submitter) {
 				w.unreadStandby()
 				cancelled((*world).submitInNoBatch)(w, a)
 			},
 			state: job.Cancelled,
 		},
 		"cancellation deferred, refused before the record is read": {
-			before: func(w *world, a *answers) {
+			before: func(w *world, a *submitter) {
 				w.unreadStandby()
 				cancelled((*world).submitInNoBatch)(w, a)
 				w.core.RefuseSubmitted(w.now)
@@ -230,16 +254,34 @@
 // nothing reads the record again. The record is that of the same job, or of another organisation's
 // job with the same ID.
 func TestAcceptedJobIsForgotten(t *testing.T) {
-	for name, c := range storedCases() {
-		for of, want := range map[string]shard.SubmitResult{
-			"ours": {
+	organisations := map[string]struct {
+		ours, of string
+		want     shard.SubmitResult
+	}{
+		"the same job": {
+			ours: "ours",
+			of:   "ours",
+			want: shard.SubmitResult{
 				Accepted: true,
 			},
-			"theirs": {
+		},
+		"another organisation's job": {
+			ours: "ours",
+			of:   "theirs",
+			want: shard.SubmitResult{
+				Foreign: true,
+			},
+		},
+		"an organisation's job, ours has none": {
+			of: "theirs",
+			want: shard.SubmitResult{
 				Foreign: true,
 			},
-		} {
-			t.Run(name+", record of "+of, func(t *testing.T) {
+		},
+	}
+	for name, c := range storedCases() {
+		for whose, o := range organisations {
+			t.Run(name+", record of "+whose, func(t *testing.T) {
 				is := is.New(t)
 				newWorldOf := c.world
 				if newWorldOf == nil {
@@ -248,9 +290,11 @@
 				w := newWorldOf()
 				w.comparesOrganisations = true
 				w.run(200 * time.Millisecond)
-				var got answers
-				c.before(w, &got)
-				record := w.ownedRecord("a", of, step(4))
+				a := submitter{
+					organisation: o.ours,
+				}
+				c.before(w, &a)
+				record := w.ownedRecord("a", o.of, step(4))
 				w.store(record)
 				w.core.Accept(record, w.version, false, w.now)
 				if c.then != nil {
@@ -263,23 +307,28 @@
 				w.standbyDown = false
 				w.run(20 * time.Second)
 				state := c.state
-				if state == "" || of == "theirs" {
+				if state == "" || o.of != o.ours {
 					state = job.Completed
 				}
 				is.Equal(w.shown["a"], state)
-				for _, answer := range got {
-					is.Equal(answer, want)
+				if !c.answered {
+					is.Equal(w.reported["a"].state, state) // No other end was shown before.
 				}
-				is.Equal(len(got) > 0, name != "unknown")
+				for _, answer := range a.answers {
+					is.Equal(answer.Accepted, o.want.Accepted || c.answered)
+					is.Equal(answer.Foreign, o.want.Foreign && !c.answered)
+					is.True(!answer.Refused)
+				}
+				is.Equal(len(a.answers) > 0, name != "unknown")
 				_, confirmed := w.cancelled["a"]
 				is.Equal(confirmed, c.state == job.Cancelled)
-				is.Equal(w.progress["a"].Organisation, of)
+				is.Equal(w.progress["a"].Organisation, o.of)
 				is.Equal(len(w.records)+len(w.standbyRecords)+len(w.standbyEnded), 0)
 				is.Equal(w.core.Pending()["q"], 0)
 				w.takeOver()
 				w.run(6 * time.Second)
 				is.Equal(w.shown["a"], state)
-				if of == "ours" {
+				if o.of == o.ours {
 					w.check(t)
 				}
 			})
@@ -294,8 +343,8 @@
 	w := newWorld(2)
 	w.run(200 * time.Millisecond)
 	log := w.recordEvents()
-	var got answers
-	w.submitInBatch(&got)
+	var a submitter
+	w.submitInBatch(&a)
 	w.core.Accept(w.batch.Records[0], w.version+1, false, w.now)
 	w.core.RefuseSubmitted(w.now)
 	w.writeBatch()
@@ -303,13 +352,101 @@
 	is.Equal(log["job taken"][0]["fresh"], true)
 	w.storeDown = false
 	w.run(8 * time.Second)
-	is.Equal(got, answers{{
+	is.Equal(a.answers, []shard.SubmitResult{{
 		Accepted: true,
 	}})
 	is.Equal(w.shown["a"], job.Completed)
 	w.check(t)
 }
 
+// TestAcceptedJobStartsWhileOnlyStandbyPartitionIsUp covers an owner that reads the record of a job which
+// it is writing to the standby partition. Each later owner knows the job by the record there.
+func TestAcceptedJobStartsWhileOnlyStandbyPartitionIsUp(t *testing.T) {
+	for name, submit := range map[string]func(w *world, a *submitter){
+		"in no batch": (*world).submitInNoBatch,
+		"in a batch":  (*world).submitInBatch,
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(2)
+			w.run(200 * time.Millisecond)
+			log := w.recordEvents()
+			var a submitter
+			submit(w, &a)
+			w.offerToStandby()
+			record := w.record("a", step(4))
+			w.store(record)
+			w.core.Accept(record, w.version, false, w.now)
+			is.Equal(len(a.answers), 1)
+			is.Equal(w.running("a"), 0)
+			w.run(2 * time.Second)
+			is.Equal(w.shown["a"], job.Completed)
+			for _, line := range log["job taken"] {
+				is.Equal(line["fresh"], false) // A write to the standby partition does not show that no record stands.
+			}
+			w.storeDown = false
+			w.run(2 * time.Second)
+			is.Equal(len(w.records)+len(w.standbyRecords)+len(w.standbyEnded), 0)
+			w.check(t)
+		})
+	}
+}
+
+// TestDroppedRefusalIsNotWritten covers an owner that reads the record of a job while it refuses the
+// job. A batch with the refusal would meet the record each time, and nothing else could be written.
+func TestDroppedRefusalIsNotWritten(t *testing.T) {
+	for name, inBatch := range map[string]bool{
+		"in no batch": false,
+		"in a batch":  true,
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newOverloadedWorld()
+			w.run(200 * time.Millisecond)
+			var a submitter
+			w.submitOurs(&a)
+			var b shard.Batch
+			if inBatch {
+				b, _ = w.core.NextBatch(testBatchEntries, w.now)
+				is.Equal(len(b.Refused), 1)
+			}
+			record := w.record("a", step(4))
+			w.store(record)
+			w.core.Accept(record, w.version, false, w.now)
+			w.core.UndoBatch(b, nil, w.now)
+			b, _ = w.core.NextBatch(testBatchEntries, w.now)
+			is.Equal(len(b.Refused), 0)
+			w.core.UndoBatch(b, nil, w.now)
+			w.run(20 * time.Second)
+			is.Equal(w.shown["a"], job.Completed)
+			is.Equal(a.answers, []shard.SubmitResult{{
+				Accepted: true,
+			}})
+			w.check(t)
+		})
+	}
+}
+
+// TestCancelledJobSubmittedAgainIsAnswered covers a job that was cancelled before its record was stored,
+// and whose final state only the standby partition holds.
+func TestCancelledJobSubmittedAgainIsAnswered(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(2)
+	w.run(200 * time.Millisecond)
+	var a submitter
+	w.submitInNoBatch(&a)
+	w.standbyOn = true
+	w.cancel("a")
+	w.run(100 * time.Millisecond)
+	w.submitOurs(&a)
+	is.Equal(len(a.answers), 2)
+	is.True(a.answers[0].Accepted && a.answers[1].Accepted)
+	w.storeDown = false
+	w.run(2 * time.Second)
+	is.Equal(w.shown["a"], job.Cancelled)
+	w.check(t)
+}
+
 // TestRecordOfAKnownStoredJobChangesNothing reads the record of a job once more: of one that runs, of
 // one that a next owner has restored, and of one that has ended.
 func TestRecordOfAKnownStoredJobChangesNothing(t *testing.T) {
@@ -350,11 +487,13 @@
 			is := is.New(t)
 			w := newOverloadedWorld()
 			w.run(200 * time.Millisecond)
-			var got answers
-			w.submitOurs(&got)
+			a := submitter{
+				organisation: "ours",
+			}
+			w.submitOurs(&a)
 			if answered {
 				w.run(2 * time.Second)
-				is.True(got[0].Refused)
+				is.True(a.answers[0].Refused)
 			} else {
 				w.storeDown = true
 				w.run(2 * time.Second)
@@ -367,14 +506,14 @@
 			if !answered {
 				w.batch = nil
 				w.core.BatchWritten(*b, w.now) // The write took effect before that of the entry.
-				is.Equal(got, answers{{
+				is.Equal(a.answers, []shard.SubmitResult{{
 					Accepted: true,
 				}})
 			}
 			w.core.RefuseSubmitted(w.now)
 			w.storeDown = false
-			w.submitOurs(&got)
-			is.True(got[1].Accepted)
+			w.submitOurs(&a)
+			is.True(a.answers[1].Accepted)
 			w.run(20 * time.Second)
 			is.Equal(w.shown["a"], job.Completed)
 			w.check(t)
--- a/shard/batch.go
+++ b/shard/batch.go
@@ -116,7 +116,7 @@
 		j.submitted = true
 		j.submitWaiters = append(j.submitWaiters, done)
 		s.submitted = append(s.submitted, j)
-	case j.unwritten:
+	case !s.isAccepted(j):
 		j.submitWaiters = append(j.submitWaiters, done)
 	default:
 		done(SubmitResult{
@@ -125,14 +125,27 @@
 	}
 }
 
+// isAccepted reports whether a job is certainly accepted, so that whoever submits it again is told so.
+func (s *Shard) isAccepted(j *jobState) bool {
+	switch {
+	case !j.unwritten:
+		return true
+	case j.standing != nil:
+		return !s.isForeign(j.record, j.standing.Record.Owner())
+	default:
+		return j.state.Final() && j.inStandby
+	}
+}
+
 // RefuseSubmitted rejects the submitted jobs whose record is in no batch, because the store
-// accepts no writes at the moment, and notes their demand. It keeps jobs that were offered to the
-// standby partition.
+// accepts no writes at the moment, and notes their demand. No record of them is known to be stored.
+// It keeps jobs that were offered to the standby partition, and those whose cancellation is deferred:
+// the cancellation must not apply to another job that is stored under the ID.
 func (s *Shard) RefuseSubmitted(now time.Time) {
-	var offered []*jobState
+	var kept []*jobState
 	for _, j := range s.submitted {
-		if j.offeredStandby {
-			offered = append(offered, j)
+		if j.offeredStandby || len(j.cancelWaiters) > 0 {
+			kept = append(kept, j)
 			continue
 		}
 		s.addPending(j, -1)
@@ -140,7 +153,7 @@
 		s.NoteRefused(j.record, now)
 		j.answerSubmitters(false)
 	}
-	s.submitted = offered
+	s.submitted = kept
 	s.DropPendingRefusals(now)
 }
 
@@ -216,7 +229,7 @@
 // needsNoRecord reports whether the job has ended before its record was written, so that a record
 // under its ID may be that of another organisation's job.
 func (j *jobState) needsNoRecord() bool {
-	return j.state.Final() && j.unwritten && j.record.Organisation != ""
+	return j.state.Final() && j.unwritten
 }
 
 // addRemoved moves the removal of progress rows of forgotten jobs into a batch.
@@ -257,6 +270,7 @@
 // owner can have seen it, unless one wrote it to the standby partition.
 func (s *Shard) recordStored(j *jobState, fresh bool, now time.Time) {
 	j.unwritten = false
+	j.standing = nil
 	j.fresh = fresh && !s.standbyUnread
 	j.answerSubmitters(true)
 	s.opts.LogEvent("job taken", "job", j.record.ID, "route", j.record.Route, "organisation", j.record.Organisation,
@@ -283,11 +297,13 @@
 		return
 	}
 	j.finalStored = true
+	j.unwritten = false
+	j.standing = nil
 	s.publishEnd(j, w.Progress.State, now)
 }
 
 // UndoBatch takes back a batch that certainly was not written, because some of its records or
-// refusals conflicted with stored records.
+// refusals conflicted with stored records, or because the store rejected it.
 func (s *Shard) UndoBatch(b Batch, existing []Existing, now time.Time) {
 	stand := make(map[string]Existing, len(existing))
 	for _, e := range existing {
@@ -299,7 +315,11 @@
 		if j == nil || !j.unwritten {
 			continue
 		}
-		if e, found := stand[record.ID]; found {
+		e, found := stand[record.ID]
+		if !found && j.standing != nil {
+			e, found = *j.standing, true
+		}
+		if found {
 			s.adoptExisting(j, e, now)
 			continue
 		}
@@ -327,12 +347,14 @@
 // previous owner may know of that job.
 func (s *Shard) adoptExisting(j *jobState, e Existing, now time.Time) {
 	foreign := s.isForeign(j.record, e.Record.Owner())
+	j.standing = nil
 	if j.state.Final() && !foreign {
 		// The job was cancelled meanwhile; the write of its final state removes the record.
 		j.unwritten = false
 		j.answerSubmitters(true)
 		return
 	}
+	s.unsubmit(j)
 	if j.state.Final() {
 		// Its final state must not be written under the ID of the other organisation's job.
 		delete(s.dirty, j.record.ID)
@@ -340,8 +362,20 @@
 		s.addPending(j, -1)
 	}
 	delete(s.jobs, j.record.ID)
-	s.Accept(e.Record, e.Version, false, now)
-	s.replaceSubmitted(j, s.jobs[j.record.ID], foreign)
+	s.dropForeignCancel(j.record.ID, foreign)
+	s.addStored(e.Record, e.Version, false, now)
+	stored := s.jobs[j.record.ID]
+	// A write to the standby partition that is under way, or has no known outcome, leaves rows there.
+	stored.inStandby = j.inStandby || j.offeredStandby
+	s.replaceSubmitted(j, stored, foreign)
+}
+
+// dropForeignCancel drops the deferred cancellation of a submitted job if another organisation's job
+// is stored under its ID. Rows request the cancellation of stored jobs only.
+func (s *Shard) dropForeignCancel(id string, foreign bool) {
+	if byRow := s.deferredCancels[id]; foreign && !byRow {
+		delete(s.deferredCancels, id)
+	}
 }
 
 // replaceSubmitted answers those who wait for a submitted job in whose place a stored one was taken
--- a/shard/jobs.go
+++ b/shard/jobs.go
@@ -12,13 +12,24 @@
 // jobs that wait for their record. The row of a cancellation beyond it stays for the next owner.
 const maxDeferredCancels = MaxSubmitted
 
-// Accept adds a job whose record is stored in the table at the given version. direct says that the
-// entry that wrote the record notified this owner itself and had notified no other owner before.
+// Accept handles that the record of a job is known to be stored in the table at the given version, 0
+// if that is not known: it was read, looked up, met by a write of this owner, or an entry told of it.
+// From then on the job is dropped only when it has ended. direct says that the entry that wrote the
+// record notified this owner itself and had notified no other owner before.
 func (s *Shard) Accept(record Record, version int64, direct bool, now time.Time) {
 	if known := s.jobs[record.ID]; known != nil {
-		s.logPassedOver(known, version)
+		s.findRecord(known, Existing{
+			Record:  record,
+			Version: version,
+		}, now)
 		return
 	}
+	s.addStored(record, version, direct, now)
+	s.dropRefusal(record.ID)
+}
+
+// addStored adds a job whose record is stored.
+func (s *Shard) addStored(record Record, version int64, direct bool, now time.Time) {
 	j := s.addJob(record)
 	s.setRead(j, version, now)
 	j.fresh = direct && version > s.claimVersion && !s.standbyUnread
@@ -29,13 +40,24 @@
 	s.applyDeferredCancel(record.ID, now)
 }
 
-// logPassedOver logs that a stored record is not accepted because a job is known under its ID whose
-// own record is not known to be stored. Records that are read once more are no news.
-func (s *Shard) logPassedOver(known *jobState, version int64) {
-	if !known.unwritten {
+// findRecord handles that a record is stored under the ID of a job that is known. While the job is
+// unwritten, an entry has stored the record, or the record is that of this owner's own write, which
+// has no answer yet.
+func (s *Shard) findRecord(j *jobState, e Existing, now time.Time) {
+	if !j.unwritten {
 		return
 	}
-	s.opts.LogEvent("record passed over", "job", known.record.ID, "version", version, "state", known.writeState())
+	s.opts.LogEvent("record found", "job", j.record.ID, "version", e.Version, "state", j.writeState())
+	if j.submitted {
+		s.adoptExisting(j, e, now)
+		return
+	}
+	// The write of the record, or of the final state, is under way or due, and its answer decides: it
+	// meets the record, unless this is the record that it has written.
+	j.standing = &e
+	if s.isAccepted(j) {
+		j.answerSubmitters(true)
+	}
 }
 
 // writeState returns how far the record of an unwritten job has come, or the final state of one that
--- a/shard/jobstate.go
+++ b/shard/jobstate.go
@@ -63,6 +63,10 @@
 	submitted     bool
 	submitWaiters []func(SubmitResult)
 
+	// standing is a record that was found under the ID of the unwritten job while a write of the job
+	// was under way; nil for none.
+	standing *Existing
+
 	// offeredStandby means that a batch for the standby partition holds the job's record or final
 	// state, or that the final state is already stored there. inStandby means that the standby
 	// partition holds rows of the job. finalStored means that the final state is stored in the
--- a/shard/refuse.go
+++ b/shard/refuse.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -202,18 +203,29 @@
 		s.RestoreRefusal(id, Refusal{})
 	}
 	for _, r := range b.Refused {
-		e, found := existing[r.ID]
-		if !found {
+		if e, found := existing[r.ID]; found {
+			s.Accept(e.Record, e.Version, false, now)
+		}
+		if s.undecidedRefusals[r.ID] == r.pending {
 			s.refusing = append(s.refusing, r.pending)
-			continue
 		}
-		s.Accept(e.Record, e.Version, false, now)
-		s.answerPending(r.pending, SubmitResult{
-			Accepted: true,
-		})
 	}
 }
 
+// dropRefusal drops the pending refusal of a job whose record is stored, and reports that the job is
+// accepted. A batch that holds the refusal can't be written, unless it was written already and the
+// record has lifted the refusal.
+func (s *Shard) dropRefusal(id string) {
+	r, found := s.undecidedRefusals[id]
+	if !found {
+		return
+	}
+	s.refusing = slices.DeleteFunc(s.refusing, func(other *refusing) bool { return other == r })
+	s.answerPending(r, SubmitResult{
+		Accepted: true,
+	})
+}
+
 // DropPendingRefusals answers the pending refusals that no batch holds, because the store takes no
 // writes. The jobs were not accepted, but the answer is no refusal, as no row is stored. Their
 // demand is noted.
@@ -231,4 +243,5 @@
 	for _, done := range r.done {
 		done(a)
 	}
+	r.done = nil
 }
--- a/shard/standby.go
+++ b/shard/standby.go
@@ -72,10 +72,7 @@
 	delete(s.jobs, record.ID)
 	delete(s.waiting, record.ID)
 	foreign := s.isForeign(submitted.record, record.Owner())
-	if cancelledByRow := s.deferredCancels[record.ID]; foreign && !cancelledByRow {
-		// The cancellation, if any, was one of the submitted job.
-		delete(s.deferredCancels, record.ID)
-	}
+	s.dropForeignCancel(record.ID, foreign)
 	if err := s.Restore(record, s.claimVersion, progress, now); err != nil {
 		return err
 	}
@@ -147,10 +144,7 @@
 		}
 		j.inStandby = true
 		j.offeredStandby = false
-		if j.unwritten {
-			s.unsubmit(j)
-			s.recordStored(j, false, now)
-		}
+		s.standbyRecordStored(j, record, now)
 	}
 	for _, w := range b.Ended {
 		j := s.jobs[w.ID]
@@ -158,7 +152,26 @@
 			continue
 		}
 		j.inStandby = true
-		s.publishEnd(j, w.Progress.State, now)
+		if j.state == w.Progress.State && j.record.Organisation == w.Progress.Organisation {
+			s.publishEnd(j, w.Progress.State, now)
+		}
+	}
+}
+
+// standbyRecordStored handles that the record of a job is stored in the standby partition. Each later
+// owner reads it there before it starts a job beside workers that it has not reached, so that the
+// job needs no confirmation, also if another record of it is stored in the service's own partition.
+func (s *Shard) standbyRecordStored(j *jobState, record Record, now time.Time) {
+	switch {
+	case !j.unwritten:
+		if !s.isForeign(record, j.record.Owner()) {
+			j.readAt = time.Time{}
+		}
+	case j.standing != nil && !s.isAccepted(j):
+		s.adoptExisting(j, *j.standing, now)
+	default:
+		s.unsubmit(j)
+		s.recordStored(j, false, now)
 	}
 }
 
@@ -207,7 +220,6 @@
 		"job", j.record.ID, "state", string(state), "late_ms", now.Sub(j.deadline).Milliseconds(),
 	}
 	s.opts.LogEvent("job ended", append(fields, j.failure.LogFields()...)...)
-	j.unwritten = false
 	j.answerSubmitters(true)
 	for _, done := range j.cancelWaiters {
 		done()
