A read of several pages undoes no change that came meanwhile

An owner reads all registrations when it takes a service over. Pages are older than what the registry learns of changes while they are read: a worker whose registration was removed meanwhile was listed again for good. Changes that come during a read are kept and applied again after its pages.

--- a/owner/registry.go
+++ b/owner/registry.go
@@ -73,6 +73,11 @@
 	workers  map[string]registrationRow
 	watchers map[string]Watcher
 
+	// reading counts the reads under way. learned holds the changes that were applied meanwhile: the
+	// pages of a read are older, and would undo them.
+	reading int
+	learned []outside.Row
+
 	// readNotifiedAt is when the watchers were last told that the registrations were read.
 	readNotifiedAt time.Time
 
@@ -196,17 +201,28 @@
 	for _, row := range change.Rows {
 		r.apply(row, touched)
 	}
+	if r.reading > 0 {
+		r.learned = append(r.learned, change.Rows...)
+	}
 	r.notify(touched)
 	return change.Version, change.Relayed, nil
 }
 
 func (r *Registry) read(ctx context.Context) (int64, error) {
+	r.mu.Lock()
+	r.reading++
+	r.mu.Unlock()
 	rows, version, err := r.table.ReadAll(ctx, r.name, "")
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	learned := r.learned
+	r.reading--
+	if r.reading == 0 {
+		r.learned = nil
+	}
 	if err != nil {
 		return 0, err
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	touched := make(map[string]bool)
 	for _, reg := range r.workers {
 		touched[reg.Service] = true
@@ -217,6 +233,11 @@
 		standing[row.Key.Name] = true
 		r.apply(row, touched)
 	}
+	for _, row := range learned {
+		if row.Version >= r.workers[row.Key.Name].version {
+			r.apply(row, touched)
+		}
+	}
 	maps.DeleteFunc(r.foreign, func(key string, _ bool) bool { return !standing[key] })
 	for service := range r.watchers {
 		touched[service] = true
