No answer to an owner is dropped for a full queue

Where the queue of an owner's loop was full, the answer of a worker was dropped: the worker was never polled again and its runs lapsed. Starts, stops, tickets and transactions hang likewise. Answers wait for room now; the loop empties its queue in each round. What the registry tells does not pass through the queue any more: the registry must not wait, and only the newest listing counts.

--- a/owner/claim.go
+++ b/owner/claim.go
@@ -184,7 +184,7 @@
 		pong, err := k.ping(bounded, address, duty.service)
 		cancel()
 		if err == nil && pong.Incarnation != o.Owner {
-			duty.pushLogged(func(d *Duty, now time.Time) { d.core.PreviousOwnerEnded(now) })
+			duty.pushAwaited(func(d *Duty, now time.Time) { d.core.PreviousOwnerEnded(now) })
 			return nil
 		}
 	}
--- a/owner/commit.go
+++ b/owner/commit.go
@@ -59,7 +59,7 @@
 	tx := d.tenure.transaction(beatOf(handover), d.rows(batch, workers), releasing)
 	d.deps.Group.Go("commit of "+d.service, func(context.Context) error {
 		version, err := d.tenure.writeOrGiveUp(ctx, tx)
-		d.pushLogged(func(d *Duty, at time.Time) {
+		d.pushAwaited(func(d *Duty, at time.Time) {
 			d.committing = false
 			if d.handleCommitFailure(batch, err, at) {
 				return
--- a/owner/duty.go
+++ b/owner/duty.go
@@ -27,6 +27,10 @@
 	// entry died after it wrote the job and before it called the owner.
 	intakeInterval = time.Second
 
+	// fullQueuePause is the time between two attempts to queue an event while the queue is full. The
+	// loop empties the queue in each of its rounds.
+	fullQueuePause = 10 * time.Millisecond
+
 	// minLoopPause is the shortest pause between two rounds of the loop. A busy loop pauses
 	// loopPauseFactor times as long as its last round took, so that calls get their share of
 	// the processor, but at most maxLoopPause.
@@ -133,6 +137,12 @@
 	core   *shard.Shard
 	events *ring.Ring[event]
 
+	// listing is the newest listing of workers that the loop has not applied, nil for none.
+	// registrationsRead says that the registrations were read since, without a change. They don't pass
+	// through events: the registry must not wait for a full queue, and no listing may be lost.
+	listing           atomic.Pointer[Listing]
+	registrationsRead atomic.Bool
+
 	// published maps a job ID to the publishedJob that callers may see.
 	published sync.Map
 	pending   atomic.Pointer[map[string]int]
@@ -288,10 +298,12 @@
 	})
 	stop := d.deps.Registry.Watch(d.service, Watcher{
 		Changed: func(l Listing) {
-			d.pushLogged(func(d *Duty, now time.Time) { d.core.SetWorkers(l.Workers, l.Regained, now) })
+			d.listing.Store(&l)
+			d.wake()
 		},
 		Read: func() {
-			d.pushLogged(func(d *Duty, now time.Time) { d.core.RegistrationsRead(now) })
+			d.registrationsRead.Store(true)
+			d.wake()
 		},
 	})
 	defer stop()
@@ -321,6 +333,7 @@
 		for _, e := range d.events.Drain() {
 			e(d, now)
 		}
+		d.applyListing(now)
 		if d.isReleased() {
 			// The last transaction is applied. Another one would take up jobs that it can't write.
 			return nil
@@ -371,9 +384,36 @@
 	return nil
 }
 
-func (d *Duty) pushLogged(e event) {
-	if err := d.push(e); err != nil {
-		d.deps.Log.Error("event dropped", "service", d.service, "error", err)
+// wake makes the loop start its next round. A full queue does so as well.
+func (d *Duty) wake() {
+	_ = d.push(func(*Duty, time.Time) {})
+}
+
+// applyListing applies what the registry has told since the last round.
+func (d *Duty) applyListing(now time.Time) {
+	if l := d.listing.Swap(nil); l != nil {
+		d.core.SetWorkers(l.Workers, l.Regained, now)
+	}
+	if d.registrationsRead.Swap(false) {
+		d.core.RegistrationsRead(now)
+	}
+}
+
+// pushAwaited queues an event for the loop. While the queue is full, it waits until the loop has
+// handled some: an answer that is dropped is awaited for ever, and its worker, for one, never polled
+// again. It drops the event if the duty ends.
+func (d *Duty) pushAwaited(e event) {
+	err := d.push(e)
+	if err == nil {
+		return
+	}
+	d.deps.Log.Warn("event waits", "service", d.service, "error", err.Error())
+	for ; err != nil; err = d.push(e) {
+		select {
+		case <-d.done:
+			return
+		case <-d.deps.Clock.After(fullQueuePause):
+		}
 	}
 }
 
@@ -391,7 +431,7 @@
 	for _, poll := range orders.Polls {
 		d.deps.Group.Go("look", func(context.Context) error {
 			status, err := d.deps.Workers.Poll(ctx, poll.Worker, poll.Renewal)
-			d.pushLogged(func(d *Duty, at time.Time) { d.core.Polled(poll, now, at, status, err) })
+			d.pushAwaited(func(d *Duty, at time.Time) { d.core.Polled(poll, now, at, status, err) })
 			return nil
 		})
 	}
@@ -401,28 +441,28 @@
 	for _, start := range orders.Starts {
 		d.deps.Group.Go("start", func(context.Context) error {
 			heard, err := d.deps.Workers.Start(ctx, start.Worker, start.Order)
-			d.pushLogged(func(d *Duty, at time.Time) { d.core.Started(start, at, heard, err) })
+			d.pushAwaited(func(d *Duty, at time.Time) { d.core.Started(start, at, heard, err) })
 			return nil
 		})
 	}
 	for _, pace := range orders.Paces {
 		d.deps.Group.Go("pace", func(context.Context) error {
 			_, err := d.deps.Workers.Pace(ctx, pace.Worker, pace.Task, pace.Run, pace.Percent, pace.Fence)
-			d.pushLogged(func(d *Duty, _ time.Time) { d.core.Paced(pace, err) })
+			d.pushAwaited(func(d *Duty, _ time.Time) { d.core.Paced(pace, err) })
 			return nil
 		})
 	}
 	for _, request := range orders.TicketRequests {
 		d.deps.Group.Go("advice", func(context.Context) error {
 			tickets, err := d.deps.Advice.Ask(ctx, request.Step, request.Workers)
-			d.pushLogged(func(d *Duty, at time.Time) { d.core.TicketsReceived(request, tickets, err, at) })
+			d.pushAwaited(func(d *Duty, at time.Time) { d.core.TicketsReceived(request, tickets, err, at) })
 			return nil
 		})
 	}
 	for _, stop := range orders.Stops {
 		d.deps.Group.Go("stop", func(context.Context) error {
 			heard, err := d.deps.Workers.Stop(ctx, stop.Worker, stop.Task, stop.Run, stop.Fence)
-			d.pushLogged(func(d *Duty, at time.Time) { d.core.Stopped(stop, at, heard, err) })
+			d.pushAwaited(func(d *Duty, at time.Time) { d.core.Stopped(stop, at, heard, err) })
 			return nil
 		})
 	}
--- a/owner/intake.go
+++ b/owner/intake.go
@@ -37,7 +37,12 @@
 // finishLookup notifies the shard that a read that began after the lookup was ordered has been
 // applied, or why it failed.
 func (d *Duty) finishLookup(lookup shard.Lookup, err error) {
-	d.pushLogged(func(d *Duty, now time.Time) { d.core.LookedUp(lookup, err, now) })
+	// The loop itself may call this, so that it does not wait for the queue. The shard orders a lookup
+	// again that gets no answer.
+	pushErr := d.push(func(d *Duty, now time.Time) { d.core.LookedUp(lookup, err, now) })
+	if pushErr != nil {
+		d.deps.Log.Warn("event dropped", "service", d.service, "error", pushErr.Error())
+	}
 }
 
 // pollIntake reads jobs and cancellations that an entry wrote without calling the owner. It reads
--- a/owner/quotas.go
+++ b/owner/quotas.go
@@ -234,7 +234,7 @@
 	d.quotas.readAt = now
 	d.deps.Group.Go("quotas of "+d.service, func(context.Context) error {
 		rows, _, err := d.deps.Table.ReadAll(ctx, tableQuota, tableQuota)
-		d.pushLogged(func(d *Duty, at time.Time) {
+		d.pushAwaited(func(d *Duty, at time.Time) {
 			d.quotas.reading = false
 			if err == nil {
 				err = d.quotas.applyRows(rows)
@@ -255,7 +255,7 @@
 	d.quotas.writing = changes
 	d.deps.Group.Go("quotas of "+d.service, func(context.Context) error {
 		version, conflict, err := d.sendQuotas(ctx, tx)
-		d.pushLogged(func(d *Duty, at time.Time) {
+		d.pushAwaited(func(d *Duty, at time.Time) {
 			q := d.quotas
 			if err != nil {
 				// The write may still take effect, so this owner writes no more grants.
--- a/owner/standby.go
+++ b/owner/standby.go
@@ -73,7 +73,7 @@
 		case err == nil:
 			return nil
 		case errors.As(err, &lost):
-			d.pushLogged(func(d *Duty, _ time.Time) { d.core.Depose() })
+			d.pushAwaited(func(d *Duty, _ time.Time) { d.core.Depose() })
 			return nil
 		}
 		d.deps.Log.Info("standby part not opened", "service", d.service, "epoch", d.tenure.epoch, "error", err.Error())
@@ -266,7 +266,7 @@
 	d.standby.busy = true
 	d.deps.Group.Go("standby of "+d.service, func(context.Context) error {
 		version, err := owned.writeOrGiveUp(ctx, tx)
-		d.pushLogged(func(d *Duty, at time.Time) {
+		d.pushAwaited(func(d *Duty, at time.Time) {
 			d.standby.busy = false
 			var lost *LostError
 			switch {
