The longest inherited wait is handed on

An heir whose first handover is written before a look at a worker has failed left out an inherited lease that is longer than the wait for the owner before, and the owner after it started the task beside its run.

--- a/shard/handover.go
+++ b/shard/handover.go
@@ -80,7 +80,14 @@
 	}
 	h := truncateHandover(all, maxBytes)
 	h.Evidence = s.evidence(now)
-	h.UnobservedFor = max(0, s.unobservedUntil.Sub(now))
+	until := s.unobservedUntil
+	for _, w := range s.workers {
+		if !w.observed {
+			// An inherited lease may last longer.
+			until = latestOf(until, w.unobservedUntil)
+		}
+	}
+	h.UnobservedFor = max(0, until.Sub(now))
 	return h
 }
 
--- a/shard/handover_test.go
+++ b/shard/handover_test.go
@@ -217,3 +217,35 @@
 		is.Equal(w.shown[fmt.Sprintf("j%d", i)], job.Completed)
 	}
 }
+
+// TestInheritedLeaseOutlastsAnOwnerThatWritesFirst covers an inherited lease that is longer than the wait
+// for the owner before, and an heir that writes its first handover before a look at the worker has failed,
+// and ends.
+func TestInheritedLeaseOutlastsAnOwnerThatWritesFirst(t *testing.T) {
+	for _, works := range []time.Duration{0, tick, 3 * tick, 100 * time.Millisecond, 300 * time.Millisecond, time.Second} {
+		t.Run(works.String(), func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(3)
+			w.run(200 * time.Millisecond)
+			w.submit("a", lasting(1, 1))
+			w.run(time.Second)
+			f := reachableWorkersOf(w, "a")[0]
+			f.renewLease(w, w.epoch, w.now.Sub(w.start)+testMaxLease-500*time.Millisecond)
+			f.partitioned = true
+			h := w.writeAndHandOver()
+			h.Leased = []shard.Leased{{
+				Worker:    f.reg.ID,
+				Remaining: testMaxLease,
+				Tasks: []job.TaskID{{
+					Job: "a",
+				}},
+			}}
+			w.takeOverWith(h)
+			w.run(works)
+			w.takeOver()
+			w.run(12 * time.Second)
+			w.check(t)
+			is.Equal(len(reachableWorkersOf(w, "a")), 1)
+		})
+	}
+}
