A release ends with its answer, also if the next owner has claimed before

An owner that gives up once it reads of a newer one took the claim of the entry that it had released the service for as one: its duty ended before the answer to its last transaction, and the release waited its whole time.

A releasing owner gives no orders, so that a newer one is no reason to give up then. A release also ends with its duty. TestReleaseEndsWhoseAnswerIsLate failed before.

--- a/owner/commit.go
+++ b/owner/commit.go
@@ -192,6 +192,7 @@
 	}
 	select {
 	case <-d.released:
+	case <-d.done:
 	case <-ctx.Done():
 	case <-d.deps.Clock.After(wait):
 	}
--- a/owner/duty.go
+++ b/owner/duty.go
@@ -378,7 +378,9 @@
 			Reason: "a newer owner was seen",
 		}
 	}
-	if !d.tenure.mayAct(ownerTimeout) {
+	// The newer owner may be the one that the service was released for, whose claim is read before
+	// this one has the answer to its last transaction.
+	if (d.tenure.replaced.Load() && !d.releasing) || !d.tenure.mayAct(ownerTimeout) {
 		return d.tenure.lostError()
 	}
 	return nil
--- a/owner/fleetwrite.go
+++ b/owner/fleetwrite.go
@@ -190,7 +190,7 @@
 // checkLost returns a *LostError if the last write is so old that another entry may own the
 // instances.
 func (f *instanceController) checkLost() error {
-	if f.mayAct(ownerTimeout) {
+	if f.mayAct(ownerTimeout) && !f.tenure.replaced.Load() {
 		return nil
 	}
 	return f.tenure.lostError()
--- a/owner/promise.go
+++ b/owner/promise.go
@@ -98,11 +98,8 @@
 }
 
 // mayAct reports whether the owner may act now: base is how long it may after its last write
-// without promises. An owner that knows of a newer one may not.
+// without promises.
 func (t *tenure) mayAct(base time.Duration) bool {
-	if t.replaced.Load() {
-		return false
-	}
 	p := &t.promises
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/owner/release_test.go
+++ b/owner/release_test.go
@@ -7,6 +7,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -172,3 +173,34 @@
 	var o owner.Ownership
 	return cbor.Unmarshal([]byte(value), &o) == nil && o.Released
 }
+
+// TestReleaseEndsWhoseAnswerIsLate covers a release whose answer comes after the next owner has claimed
+// the service. The release ends with the answer, and the service does not count as lost.
+func TestReleaseEndsWhoseAnswerIsLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const late = 1500 * time.Millisecond
+		rows := standin.NewRows()
+		var slow atomic.Bool
+		table := rows.Table()
+		write := table.Transact
+		table.Transact = func(ctx context.Context, tx outside.Transaction) (outside.Receipt, error) {
+			receipt, err := write(ctx, tx)
+			if slow.Load() {
+				time.Sleep(late)
+			}
+			return receipt, err
+		}
+		e := newEntryOn(t, "a", table, alive("a"))
+		until(t, "the entry owns the service", e.owns)
+		time.Sleep(time.Second)
+		next := newEntryOn(t, "b", rows.Table(), alive("a"))
+		time.Sleep(300 * time.Millisecond)
+		slow.Store(true)
+		began := time.Now()
+		e.keeper.Release(context.Background(), 8*time.Second)
+		is.True(time.Since(began) < 4*time.Second)
+		is.Equal(e.lines.of("service lost"), 0)
+		until(t, "the next entry owns the service", next.owns)
+	})
+}
