review: a withdrawn job runs seconds after its 410

A script turns two entries of six away from the store, by silence, and does late what they asked it to write. A job that is handed in at one of them gets 504; its caller withdraws it at a third entry, which answers 410. The late write then puts the record, and the work unit runs.

--- a/review/common.sh
+++ b/review/common.sh
@@ -68,7 +68,7 @@
 
 start_platform() {
   start platform "$stand" platform "$work"
-  until_ok 10 "the platform does not answer" test -s "$work/platform"
+  until_ok 10 "the platform does not answer" test -s "$work/platform" -a -s "$work/door-7"
   platform=$(cat "$work/platform")
 }
 
@@ -136,7 +136,7 @@
 bounds.requireFencing=false
 bounds.leaseMs=3000
 orders=call
-platform.address=$platform
+platform.address=$(cat "$work/door-$1")
 platform.form=table
 platform.writes_per_s=800
 platform.reads_per_s=2000
--- a/review/standin/platform.go
+++ b/review/standin/platform.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -51,6 +52,9 @@
 	store  *rowStore
 	record *recorder
 
+	// doors are further addresses of the store.
+	doors []*door
+
 	mu       sync.Mutex
 	machines map[string]*machine
 	order    []string
@@ -70,6 +74,7 @@
 	mux.HandleFunc("POST /machine-move", p.carryOut)
 	mux.HandleFunc("POST /machine-upkeep", p.carryOut)
 	mux.HandleFunc("POST /stand/beat", p.takeBeat)
+	mux.HandleFunc("POST /stand/silence/{door}", p.silence)
 	mux.HandleFunc("POST /stand/op/{name}", p.operate)
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -83,6 +88,9 @@
 	if err := os.Rename(path+".new", path); err != nil {
 		fail(err.Error())
 	}
+	for n := range doors {
+		p.doors = append(p.doors, openDoor(p.store, filepath.Join(dir, fmt.Sprintf("door-%d", n))))
+	}
 	server := &http.Server{
 		Handler:           mux,
 		ReadHeaderTimeout: time.Minute,
@@ -90,6 +98,20 @@
 	fail(server.Serve(listener).Error())
 }
 
+// silence lets the store say nothing to the machines behind a door for some time, in milliseconds;
+// what they ask it to write meanwhile is done late.
+func (p *platform) silence(w http.ResponseWriter, r *http.Request) {
+	n, err := strconv.Atoi(r.PathValue("door"))
+	if err != nil || n < 0 || n >= len(p.doors) {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	ms, _ := strconv.Atoi(r.URL.Query().Get("ms"))
+	late, _ := strconv.Atoi(r.URL.Query().Get("late_ms"))
+	p.doors[n].close(time.Duration(ms)*time.Millisecond, time.Duration(late)*time.Millisecond)
+	p.record.note("platform the store is silent behind door %d for %d ms, writes are done %d ms late", n, ms, late)
+}
+
 // operate writes a row of the operator. The answer is the acknowledgement.
 func (p *platform) operate(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
