--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -5,6 +5,9 @@
 set -uo pipefail
 . "$(dirname "$0")/../common.sh"
 
+# TROUBLE=0 does the same without the disruption.
+trouble=${TROUBLE:-1}
+
 # configuration VERSION SERVICE [ROUTE] leads the queue to a service.
 configuration() {
   cat <<END
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -5,6 +5,9 @@
 set -uo pipefail
 . "$(dirname "$0")/../common.sh"
 
+# TROUBLE=0 does the same without the disruption.
+trouble=${TROUBLE:-1}
+
 job=5c0e7a21d94b36f8
 
 start_platform
@@ -21,7 +24,7 @@
 note "entry $owner owns the service"
 
 if [ "$trouble" != 0 ]; then
-  for n in "$owner" "$other"; do curl -sf -X POST "http://$platform/stand/silence/$n?ms=2500&late_ms=6000" || broken_setup "no silence"; done
+  for n in "$owner" "$other"; do curl -sf -X POST "http://$platform/stand/silence/$n?ms=2500&late_ms=5500" || broken_setup "no silence"; done
   sleep 0.4
 fi
 call "$other" POST "/q/$job" h.example '{"spec":"done/20000","steps":[{"count":1,"cpu":500,"memMb":256,"estimateMs":20000}]}'
--- a/review/common.sh
+++ b/review/common.sh
@@ -6,7 +6,6 @@
 stand=$root/target/reviewstand
 work=$(mktemp -d)
 record=$work/record.txt
-trouble=${TROUBLE:-1}
 declare -A pid_of
 
 cleanup() {
