Age of the configuration and times of reads in the log

What the logs could not tell apart in the incident of a stale configuration: when a read of changes was sent, how long the pause after it was, and how old the configuration was on which an answer rests. No answer changes.

outside.Change carries the instant that the store confirmed, as far as its reader knows it.

--- a/feed/reader.go
+++ b/feed/reader.go
@@ -251,6 +251,8 @@
 		Rows:    passed.Rows,
 		Version: max(after, passed.Version),
 		Relayed: true,
+
+		Confirmed: now.Add(-age),
 	}, nil
 }
 
@@ -270,7 +272,8 @@
 		return change, err
 	}
 	answered := r.Clock.Now()
-	r.LogOf(table).Add(after, change, ConfirmedAt(change, sent, answered, wait))
+	change.Confirmed = ConfirmedAt(change, sent, answered, wait)
+	r.LogOf(table).Add(after, change, change.Confirmed)
 	r.noteRead(table, len(change.Rows) > 0 && answered.Sub(sent) >= heldFrom)
 	return change, nil
 }
@@ -299,7 +302,9 @@
 // yet.
 func (r *Reader) audit(ctx context.Context, source netip.AddrPort, table string, after int64) (outside.Change, error) {
 	r.Count(countReads, outcomeAudit)
+	sent := r.Clock.Now()
 	change, err := r.Table.Feed(ctx, table, after, 0)
+	change.Confirmed = sent
 	if err == nil && len(change.Rows) > 0 {
 		r.Log.Info("changes not told yet", "table", table, "source", source.String(), "after", after, "rows", len(change.Rows))
 	}
--- a/intake/accept.go
+++ b/intake/accept.go
@@ -134,7 +134,7 @@
 
 func (s *Server) accepted(r *request, record shard.Record, writer string, catalogVersion int64) {
 	s.Log.Info("job accepted", "job", record.ID, "route", record.Route, "organisation", record.Organisation, "service", r.route.Service,
-		"writer", writer, "catalog", catalogVersion, "steps", describe(record.Spec))
+		"writer", writer, "catalog", catalogVersion, "confirmed_ms_ago", s.Operator.Age().Milliseconds(), "steps", describe(record.Spec))
 	r.Status(http.StatusOK)
 }
 
--- a/intake/authenticate.go
+++ b/intake/authenticate.go
@@ -24,7 +24,8 @@
 	if route.Public {
 		return "", true
 	}
-	s.Log.Info("request refused", "reason", reasonKey, "method", c.Request.Method, "route", route.Name, "version", current.Version)
+	s.Log.Info("request refused", "reason", reasonKey, "method", c.Request.Method, "route", route.Name, "version", current.Version,
+		"confirmed_ms_ago", s.Operator.Age().Milliseconds())
 	s.Figures.Count("caller_unauthenticated", route.Name)
 	c.Header("WWW-Authenticate", s.Codec.KeyScheme)
 	c.String(http.StatusUnauthorized, reasonKey+"\n")
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -20,6 +20,7 @@
 	"lemonstream.dev/lemonstream/catalog"
 	"lemonstream.dev/lemonstream/clock"
 	"lemonstream.dev/lemonstream/figures"
+	"lemonstream.dev/lemonstream/freshness"
 	"lemonstream.dev/lemonstream/job"
 	"lemonstream.dev/lemonstream/kernel"
 	"lemonstream.dev/lemonstream/outside"
@@ -87,6 +88,10 @@
 // Server serves callers.
 type Server struct {
 	Catalog func() *catalog.Catalog
+
+	// Operator is the state of this entry's copy of the table that holds the configuration.
+	Operator *freshness.Copy
+
 	Clock   clock.Clock
 	Codec   Codec
 	Figures *figures.Set
@@ -168,7 +173,8 @@
 	}
 	route, found := current.Match(c.Request.Host, c.Request.URL.Path)
 	if !found {
-		s.Log.Info("request refused", "reason", "no such route", "host", c.Request.Host, "path", c.Request.URL.Path, "version", current.Version)
+		s.Log.Info("request refused", "reason", "no such route", "host", c.Request.Host, "path", c.Request.URL.Path, "version", current.Version,
+			"confirmed_ms_ago", s.Operator.Age().Milliseconds())
 		c.Status(http.StatusNotFound)
 		return
 	}
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -17,6 +17,7 @@
 	"lemonstream.dev/lemonstream/catalog"
 	"lemonstream.dev/lemonstream/clock"
 	"lemonstream.dev/lemonstream/figures"
+	"lemonstream.dev/lemonstream/freshness"
 	"lemonstream.dev/lemonstream/intake"
 	"lemonstream.dev/lemonstream/internal/standin"
 	"lemonstream.dev/lemonstream/job"
@@ -62,6 +63,13 @@
 	return group
 }
 
+// confirmed returns the state of a copy that the store has just confirmed.
+func confirmed() *freshness.Copy {
+	operator := freshness.NewCopy(clock.System())
+	operator.Confirm(time.Now())
+	return operator
+}
+
 // serveWith is serveTable with a changed server.
 func serveWith(t testing.TB, table outside.Table, current *catalog.Catalog, change func(*intake.Server)) http.Handler {
 	t.Helper()
@@ -69,8 +77,9 @@
 	log := discard()
 	group := newGroup(t)
 	server := &intake.Server{
-		Catalog: func() *catalog.Catalog { return current },
-		Clock:   clock.System(),
+		Catalog:  func() *catalog.Catalog { return current },
+		Operator: confirmed(),
+		Clock:    clock.System(),
 		Codec: intake.Codec{
 			DecodeJob: func(body []byte) (job.Spec, error) {
 				if string(body) == "large" {
--- a/outside/table.go
+++ b/outside/table.go
@@ -25,6 +25,10 @@
 
 	// Relayed is set if the changes came from another entry instead of the store.
 	Relayed bool
+
+	// Confirmed is an instant at which the store certainly had no other changes. It is zero if
+	// whoever returns the page does not know.
+	Confirmed time.Time
 }
 
 // Check is a condition of a transaction.
--- a/owner/follow_test.go
+++ b/owner/follow_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"lemonstream.dev/lemonstream/clock"
 	"lemonstream.dev/lemonstream/internal/standin"
 	"lemonstream.dev/lemonstream/outside"
 	"lemonstream.dev/lemonstream/owner"
@@ -24,6 +25,7 @@
 	_ = owner.Follower{
 		Table: rows.Table(),
 		Name:  "t",
+		Clock: clock.System(),
 		Log:   slog.New(slog.NewTextHandler(io.Discard, nil)),
 		Wait:  owner.ShortFeedWait,
 		Read: func(context.Context) (int64, error) {
--- a/owner/keeper.go
+++ b/owner/keeper.go
@@ -239,6 +239,7 @@
 	return Follower{
 		Table: k.deps.Table,
 		Name:  TableOwners,
+		Clock: k.deps.Clock,
 		Log:   k.deps.Log,
 		Wait:  ShortFeedWait,
 		Read:  k.readOwners,
--- a/owner/rolling_test.go
+++ b/owner/rolling_test.go
@@ -157,7 +157,7 @@
 			Name: fmt.Sprintf("s%d", i),
 		})
 	}
-	p.roster = roster.New(table, log, name, p.Self)
+	p.roster = roster.New(table, clock.System(), log, name, p.Self)
 	p.keeper = owner.NewKeeper(owner.Deps{
 		Count:    func(string, string) {},
 		Clock:    clock.System(),
--- a/roster/leave_test.go
+++ b/roster/leave_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 	"golang.org/x/sync/errgroup"
 
+	"lemonstream.dev/lemonstream/clock"
 	"lemonstream.dev/lemonstream/internal/standin"
 	"lemonstream.dev/lemonstream/outside"
 	"lemonstream.dev/lemonstream/owner"
@@ -31,7 +32,7 @@
 		}
 		return table.Transact(ctx, tx)
 	}
-	r := roster.New(slow, slog.New(slog.DiscardHandler), "e", owner.Self{
+	r := roster.New(slow, clock.System(), slog.New(slog.DiscardHandler), "e", owner.Self{
 		Member: owner.Member{
 			Incarnation: "e/1",
 			Cores:       1,
@@ -55,7 +56,7 @@
 	is := is.New(t)
 	rows := standin.NewRows()
 	address := netip.MustParseAddrPort("127.0.0.1:1")
-	r := roster.New(rows.Table(), slog.New(slog.DiscardHandler), "e", owner.Self{
+	r := roster.New(rows.Table(), clock.System(), slog.New(slog.DiscardHandler), "e", owner.Self{
 		Member: owner.Member{
 			Incarnation: "e/1",
 			Cores:       1,
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -47,6 +47,7 @@
 // Roster is the list of entries as this one knows it.
 type Roster struct {
 	table outside.Table
+	clock clock.Clock
 	log   *slog.Logger
 	name  string
 	self  owner.Self
@@ -65,12 +66,13 @@
 }
 
 // New returns the roster of the entry of the given name.
-func New(table outside.Table, log *slog.Logger, name string, self owner.Self) *Roster {
+func New(table outside.Table, c clock.Clock, log *slog.Logger, name string, self owner.Self) *Roster {
 	if self.Peer.IsValid() {
 		self.Member.Peer = self.Peer.String()
 	}
 	return &Roster{
 		table: table,
+		clock: c,
 		log:   log,
 		name:  name,
 		self:  self,
@@ -164,6 +166,7 @@
 		Log:      r.log,
 		Wait:     changeWait,
 		Interval: changeRest,
+		Clock:    r.clock,
 		Read:     r.read,
 		Apply:    r.apply,
 	}.Run(ctx)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -19,6 +19,7 @@
 	"lemonstream.dev/lemonstream/conns"
 	"lemonstream.dev/lemonstream/feed"
 	"lemonstream.dev/lemonstream/figures"
+	"lemonstream.dev/lemonstream/freshness"
 	"lemonstream.dev/lemonstream/inflight"
 	"lemonstream.dev/lemonstream/kernel"
 	"lemonstream.dev/lemonstream/link"
@@ -85,6 +86,9 @@
 	feeds    *feed.Reader
 	followed outside.Table
 
+	// operator is the state of this entry's copy of the operator's table.
+	operator *freshness.Copy
+
 	// evacuations are known before the first configuration is.
 	evacuations *catalog.Evacuations
 
@@ -147,6 +151,7 @@
 		group:    kernel.NewGroup(context.WithoutCancel(ctx), log),
 		log:      log,
 		catalog:  catalog.NewHolder(log),
+		operator: freshness.NewCopy(now),
 
 		evacuations: catalog.NewEvacuations(log),
 
@@ -180,7 +185,7 @@
 	peers := peer.NewClient(d.figures.Link)
 	peers.From = self.Incarnation
 	d.shareFeeds(peers, self.Incarnation)
-	d.roster = roster.New(d.followed, log, settings.Name, self)
+	d.roster = roster.New(d.followed, d.clock, log, settings.Name, self)
 	registry := owner.NewRegistry(d.followed, d.clock, platform.TableWorkers, platform.DecodeRegistration, log)
 	registry.Count = d.figures.Count
 	d.keeper = owner.NewKeeper(d.deps(registry, peers), self, d.roster.Members, peers.Ping)
@@ -256,10 +261,13 @@
 		return owner.Follower{
 			Table: d.followed,
 			Name:  platform.TableOperator,
+			Clock: d.clock,
 			Log:   d.log,
 			Wait:  owner.ShortFeedWait,
 			Read:  d.readOperator,
 			Apply: d.takeOperator,
+
+			Confirmed: d.operator.Confirm,
 		}.Run(ctx)
 	})
 	d.group.Go("link", d.reportLink)
--- a/scheduler/serve.go
+++ b/scheduler/serve.go
@@ -76,8 +76,9 @@
 // intake returns what serves callers.
 func (d *Daemon) intake(peers *peer.Client) *intake.Server {
 	return &intake.Server{
-		Catalog: d.catalog.Current,
-		Clock:   d.clock,
+		Catalog:  d.catalog.Current,
+		Operator: d.operator,
+		Clock:    d.clock,
 		Codec: intake.Codec{
 			DecodeJob:     platform.DecodeJob,
 			EncodePending: platform.EncodePending,
