A read of changes that hangs past an outage no longer holds up the next

What callers saw: 404 for a route that was added 2.9 s before (CONFIG), at an entry that called itself ready. Cause: a follower sent one read at a time. One that was sent while the store was silent is never answered and was given up after 1.9 s; the pause after it had grown to 0.5 to 1.5 s meanwhile. So what was in force was known up to 3.4 s after the store was back, while the same entry heard the store on its other calls.

Ruled out: a held read that ends without the change, a wrong source (nine entries have none), a configuration that is refused.

Change: a read that is not answered in time is followed by another, without giving up the first; three such reads, four in all, at most. Answers are ordered by their versions. The state of the copy (freshness.Copy) knows when the store confirmed it last: one that is old is read at once when the store answers any other call of the process. The wait for an answer is part of the pause. Of a slow store, reads are held for less time; an answer with changes that may be old is followed by a read that is not held. Entries of a large site wait longer, so that the reads of all are a tenth of what the store takes.

--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -65,7 +65,9 @@
 
 // confirmed returns the state of a copy that the store has just confirmed.
 func confirmed() *freshness.Copy {
-	operator := freshness.NewCopy(clock.System())
+	operator := freshness.NewCopy(freshness.Options{
+		Clock: clock.System(),
+	})
 	operator.Confirm(time.Now())
 	return operator
 }
--- a/intake/stale_configuration_test.go
+++ b/intake/stale_configuration_test.go
@@ -42,7 +42,9 @@
 			BodyBytes: 1 << 20,
 		},
 	}, opened(t, rows, func(s *intake.Server) {
-		s.Operator = freshness.NewCopy(clock.System())
+		s.Operator = freshness.NewCopy(freshness.Options{
+			Clock: clock.System(),
+		})
 		s.Operator.Confirm(time.Now().Add(-3 * time.Second))
 	}))
 	for name, c := range map[string]struct {
--- a/owner/duty.go
+++ b/owner/duty.go
@@ -10,6 +10,7 @@
 
 	"lemonstream.dev/lemonstream/catalog"
 	"lemonstream.dev/lemonstream/clock"
+	"lemonstream.dev/lemonstream/freshness"
 	"lemonstream.dev/lemonstream/job"
 	"lemonstream.dev/lemonstream/kernel"
 	"lemonstream.dev/lemonstream/outside"
@@ -61,6 +62,12 @@
 	Registry *Registry
 	Options  shard.Options
 
+	// Owners is the state of the copy of the owner rows; nil if nobody wants to know.
+	Owners *freshness.Copy
+
+	// Overdue is that of the follower of the owner rows; see Follower.
+	Overdue func() time.Duration
+
 	// OrganisationWeights says that organisations share room by their weights.
 	OrganisationWeights bool
 
--- a/owner/follow_outage_test.go
+++ b/owner/follow_outage_test.go
@@ -4,11 +4,18 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"lemonstream.dev/lemonstream/clock"
+	"lemonstream.dev/lemonstream/freshness"
+	"lemonstream.dev/lemonstream/internal/prove"
 	"lemonstream.dev/lemonstream/internal/standin"
 	"lemonstream.dev/lemonstream/kernel"
 	"lemonstream.dev/lemonstream/outside"
@@ -31,72 +38,177 @@
 	answering storeState = iota
 	silent
 	refusing
+	overloaded
+	slow
+	losing
+	states
 )
 
 // troubledStore is a store with states in virtual time. Whoever asks a silent one, or waits for its
 // answer when it falls silent, never gets it.
 type troubledStore struct {
-	rows  *standin.Rows
+	rows *standin.Rows
+
+	// thin is how long an answer with rows takes on its way.
+	thin time.Duration
+
+	mu    sync.Mutex
+	draw  *rand.Rand
 	state storeState
+	since time.Time
 
 	// silenced is closed when the store falls silent.
 	silenced chan struct{}
 
-	// sent counts the reads of changes.
-	sent int
+	// written holds when each version was acknowledged, failed the reads by the second in which they
+	// were sent to a store that does not answer them.
+	written []time.Time
+	failed  map[int64]int
 }
 
-func newTroubledStore() *troubledStore {
+func newTroubledStore(seed uint64) *troubledStore {
 	return &troubledStore{
 		rows:     standin.NewRows(),
+		draw:     rand.New(rand.NewPCG(seed, 79)),
 		silenced: make(chan struct{}),
+		since:    time.Now(),
+		failed:   make(map[int64]int),
 	}
 }
 
 func (s *troubledStore) set(state storeState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.state != silent && state == silent {
 		close(s.silenced)
 	}
 	if s.state == silent && state != silent {
 		s.silenced = make(chan struct{})
 	}
+	if state != s.state {
+		s.since = time.Now()
+	}
 	s.state = state
 }
 
+// write writes the next version of the row, and returns it.
+func (s *troubledStore) write() int64 {
+	s.rows.Write(outside.Key{
+		Table: "op",
+		Name:  "config",
+	}, []byte("a configuration"))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.written = append(s.written, time.Now())
+	return int64(len(s.written))
+}
+
+// due returns the newest version that was acknowledged before an instant.
+func (s *troubledStore) due(before time.Time) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	newest := 0
+	for i, at := range s.written {
+		if at.Before(before) {
+			newest = i + 1
+		}
+	}
+	return int64(newest)
+}
+
+// calm reports whether the store has answered for some time.
+func (s *troubledStore) calm(for_ time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state == answering && time.Since(s.since) >= for_
+}
+
+// answers reports whether calls of other tables are answered.
+func (s *troubledStore) answers() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state == answering || s.state == slow || s.state == losing
+}
+
+// mostFailed returns the most reads of a second that were not answered.
+func (s *troubledStore) mostFailed() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	most := 0
+	for _, count := range s.failed {
+		most = max(most, count)
+	}
+	return most
+}
+
+// enter returns how long its answer takes and what closes if it gets none. Its error
+// is a refusal, or that of ctx if the call is never answered.
+func (s *troubledStore) enter(ctx context.Context) (time.Duration, <-chan struct{}, error) {
+	s.mu.Lock()
+	state, silenced := s.state, s.silenced
+	took := time.Duration(1+s.draw.IntN(8)) * time.Millisecond
+	lost := state == silent || state == losing && s.draw.IntN(2) == 0
+	if state == slow {
+		took = time.Duration(s.draw.IntN(500)) * time.Millisecond
+	}
+	refused := state == refusing || state == overloaded
+	if lost || refused {
+		s.failed[time.Now().Unix()]++
+	}
+	s.mu.Unlock()
+	switch {
+	case lost:
+		return 0, nil, unanswered(ctx)
+	case refused:
+		return 0, nil, &outside.NotDoneError{
+			Call:   "read",
+			Status: map[storeState]int{refusing: http.StatusServiceUnavailable, overloaded: http.StatusTooManyRequests}[state],
+		}
+	}
+	return took, silenced, nil
+}
+
 func (s *troubledStore) table() outside.Table {
 	table := s.rows.Table()
 	feed := table.Feed
 	table.Feed = func(ctx context.Context, name string, after int64, wait time.Duration) (outside.Change, error) {
-		s.sent++
 		ctx, cancel := context.WithTimeout(ctx, storeCallTimeout+wait)
 		defer cancel()
-		switch s.state {
-		case silent:
-			return outside.Change{}, unanswered(ctx)
-		case refusing:
-			return outside.Change{}, &outside.NotDoneError{
-				Call:   "feed",
-				Status: 503,
-			}
-		default:
+		took, silenced, err := s.enter(ctx)
+		if err != nil {
+			return outside.Change{}, err
 		}
-		silenced := s.silenced
+		clock.Sleep(ctx, took/2)
 		change, err := feed(ctx, name, after, wait)
-		select {
-		case <-silenced:
-			return outside.Change{}, unanswered(ctx)
-		default:
-			return change, err
+		if len(change.Rows) > 0 {
+			took += s.thin
 		}
+		return change, s.deliver(ctx, took/2, silenced, err)
 	}
 	return table
 }
 
+// deliver lets an answer take its time, and returns its error.
+func (s *troubledStore) deliver(ctx context.Context, took time.Duration, silenced <-chan struct{}, err error) error {
+	if err != nil {
+		return err
+	}
+	if !clock.Sleep(ctx, took) {
+		return unanswered(ctx)
+	}
+	select {
+	case <-silenced:
+		return unanswered(ctx)
+	default:
+		return nil
+	}
+}
+
 // unanswered waits until the caller gives up.
 func unanswered(ctx context.Context) error {
 	<-ctx.Done()
 	return &outside.UncertainError{
-		Call:  "feed",
+		Call:  "read",
 		Cause: ctx.Err(),
 	}
 }
@@ -104,32 +216,66 @@
 // followed is a copy of the operator's table that is kept by a follower.
 type followed struct {
 	store *troubledStore
+	copy  *freshness.Copy
+	group *kernel.Group
+
+	mu sync.Mutex
 
-	// version is that of the newest row that was applied; at is when.
+	// version is that of the newest row that was applied; at is when. back says that an older one
+	// was applied after it.
 	version int64
 	at      time.Time
+	back    bool
 }
 
-// run follows the store until stop is called.
-func (f *followed) run(t *testing.T) (stop func()) {
-	t.Helper()
-	group := kernel.NewGroup(context.Background(), slog.New(slog.DiscardHandler))
-	group.Go("follow", func(ctx context.Context) error {
+// follow starts a follower of the store; limit is the age up to which the copy is fresh.
+func follow(store *troubledStore, limit time.Duration) *followed {
+	f := &followed{
+		store: store,
+		copy: freshness.NewCopy(freshness.Options{
+			Clock:       clock.System(),
+			Limit:       limit,
+			OutageLimit: limit,
+		}),
+		group: kernel.NewGroup(context.Background(), slog.New(slog.DiscardHandler)),
+	}
+	f.group.Go("follow", func(ctx context.Context) error {
 		return owner.Follower{
-			Table: f.store.table(),
+			Table: store.table(),
 			Name:  "op",
 			Clock: clock.System(),
 			Log:   slog.New(slog.DiscardHandler),
 			Wait:  owner.ShortFeedWait,
-			Read:  func(context.Context) (int64, error) { return 0, nil },
+			Read:  f.readAll,
 			Apply: f.apply,
+
+			Confirmed: f.copy.Confirm,
+			Wanted:    f.copy.Wanted(),
 		}.Run(ctx)
 	})
-	return group.Stop
+	return f
+}
+
+func (f *followed) readAll(ctx context.Context) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+	defer cancel()
+	took, silenced, err := f.store.enter(ctx)
+	if err != nil {
+		return 0, err
+	}
+	page, err := f.store.rows.Table().Get(ctx, "op", "", "", 0)
+	if err := f.store.deliver(ctx, took, silenced, err); err != nil {
+		return 0, err
+	}
+	f.apply(page.Rows)
+	return page.Version, nil
 }
 
 func (f *followed) apply(rows []outside.Row) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for _, row := range rows {
+		f.back = f.back || row.Version < f.version
 		if row.Version > f.version {
 			f.version = row.Version
 			f.at = time.Now()
@@ -137,37 +283,140 @@
 	}
 }
 
-func (s *troubledStore) write() {
-	s.rows.Write(outside.Key{
-		Table: "op",
-		Name:  "config",
-	}, []byte("a configuration"))
+func (f *followed) applied() (version int64, at time.Time, back bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.version, f.at, f.back
 }
 
 // TestChangeAfterOutageIsInForceInTime covers reads that were sent before the store was back and are
 // never answered, and pauses that have grown during the outage.
 func TestChangeAfterOutageIsInForceInTime(t *testing.T) {
+	t.Cleanup(prove.OneProcessor())
 	for _, state := range []storeState{silent, refusing} {
 		for outage := 3 * time.Second; outage < 13*time.Second; outage += 110 * time.Millisecond {
 			t.Run(fmt.Sprintf("state=%d/%v", state, outage), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
-					f := &followed{
-						store: newTroubledStore(),
-					}
-					stop := f.run(t)
-					defer stop()
+					store := newTroubledStore(uint64(outage))
+					f := follow(store, applyBound)
+					defer f.group.Stop()
 					time.Sleep(5 * time.Second)
-					f.store.set(state)
+					store.set(state)
 					time.Sleep(outage)
-					f.store.set(answering)
-					f.store.write()
+					store.set(answering)
+					store.write()
 					written := time.Now()
 					time.Sleep(2 * applyBound)
-					if late := f.at.Sub(written); f.version == 0 || late > applyBound {
-						t.Errorf("in force %v after the acknowledgement", late)
+					if version, at, _ := f.applied(); version == 0 || at.Sub(written) > applyBound {
+						t.Errorf("in force %v after the acknowledgement", at.Sub(written))
 					}
 				})
 			})
 		}
 	}
 }
+
+// trouble is a state of the store for some time.
+type trouble struct {
+	state storeState
+	lasts time.Duration
+
+	// writes are the pauses between the changes meanwhile; forgets says that the history goes at
+	// the end, heard that other calls of the process are answered whenever the store answers.
+	writes  time.Duration
+	forgets bool
+	heard   bool
+}
+
+func drawTrouble(t *rapid.T) trouble {
+	return trouble{
+		state:   storeState(rapid.IntRange(0, int(states)-1).Draw(t, "state")),
+		lasts:   time.Duration(rapid.IntRange(50, 9000).Draw(t, "lasts")) * time.Millisecond,
+		writes:  time.Duration(rapid.IntRange(30, 3000).Draw(t, "writes")) * time.Millisecond,
+		forgets: rapid.IntRange(0, 5).Draw(t, "forgets") == 0,
+		heard:   rapid.Bool().Draw(t, "heard"),
+	}
+}
+
+// play lets the troubles pass, and returns the first thing that was wrong.
+func (f *followed) play(troubles []trouble) string {
+	const step = 10 * time.Millisecond
+	for _, next := range troubles {
+		f.store.set(next.state)
+		for passed := time.Duration(0); passed < next.lasts; passed += step {
+			if f.store.answers() && passed%next.writes < step {
+				f.store.write()
+			}
+			if next.heard && f.store.answers() && passed%(20*step) == 0 {
+				f.copy.Heard()
+			}
+			time.Sleep(step)
+			if wrong := f.judge(); wrong != "" {
+				return wrong
+			}
+		}
+		if next.forgets {
+			f.store.rows.Forget()
+		}
+	}
+	return ""
+}
+
+// judge returns what is wrong at this moment.
+func (f *followed) judge() string {
+	fresh := f.copy.Fresh()
+	version, _, back := f.applied()
+	due := f.store.due(time.Now().Add(-applyBound))
+	switch {
+	case back:
+		return fmt.Sprintf("an older version was applied after %d", version)
+	case fresh && version < due:
+		return fmt.Sprintf("version %d is said to be in force, and %d was acknowledged over %v ago", version, due, applyBound)
+	case f.store.calm(applyBound) && version < due:
+		return fmt.Sprintf("version %d is in force, the store has answered for %v, and %d was acknowledged before", version, applyBound, due)
+	case f.store.calm(applyBound) && !fresh:
+		return fmt.Sprintf("the store has answered for %v, and the copy is %v old", applyBound, f.copy.Age())
+	}
+	return ""
+}
+
+// mostFailedReads is the most reads of a second that one of a few entries may send to a store that does
+// not answer them. Hundreds of entries wait longer, see Follower.Overdue.
+const mostFailedReads = 12
+
+// TestStaleCopyIsNeverFresh draws troubles of the store. The guard is the bound on the age of the copy:
+// without it, a version is said to be in force that is not.
+func TestStaleCopyIsNeverFresh(t *testing.T) {
+	t.Cleanup(prove.OneProcessor())
+	prove.Guard(t, prove.Configuration, "stale-copy-decides-nothing", func(on bool) func(*rapid.T) {
+		return func(rt *rapid.T) {
+			seed := rapid.Uint64().Draw(rt, "seed")
+			thin := time.Duration(rapid.IntRange(0, 400).Draw(rt, "thin")) * time.Millisecond
+			troubles := make([]trouble, rapid.IntRange(1, 12).Draw(rt, "troubles"))
+			for i := range troubles {
+				troubles[i] = drawTrouble(rt)
+			}
+			var wrong string
+			var failed int
+			synctest.Test(t, func(*testing.T) {
+				store := newTroubledStore(seed)
+				store.thin = thin
+				limit := applyBound
+				if !on {
+					limit = time.Hour
+				}
+				f := follow(store, limit)
+				defer f.group.Stop()
+				time.Sleep(100 * time.Millisecond)
+				wrong = f.play(troubles)
+				failed = store.mostFailed()
+			})
+			if wrong != "" {
+				rt.Fatalf("%s", wrong)
+			}
+			if failed > mostFailedReads {
+				rt.Fatalf("%d reads in a second were not answered", failed)
+			}
+		}
+	})
+}
--- a/owner/keeper.go
+++ b/owner/keeper.go
@@ -236,15 +236,21 @@
 
 // WatchOwners follows the owner rows until ctx ends.
 func (k *Keeper) WatchOwners(ctx context.Context) error {
-	return Follower{
-		Table: k.deps.Table,
-		Name:  TableOwners,
-		Clock: k.deps.Clock,
-		Log:   k.deps.Log,
-		Wait:  ShortFeedWait,
-		Read:  k.readOwners,
-		Apply: k.applyOwners,
-	}.Run(ctx)
+	follower := Follower{
+		Table:   k.deps.Table,
+		Name:    TableOwners,
+		Clock:   k.deps.Clock,
+		Log:     k.deps.Log,
+		Wait:    ShortFeedWait,
+		Read:    k.readOwners,
+		Apply:   k.applyOwners,
+		Overdue: k.deps.Overdue,
+	}
+	if k.deps.Owners != nil {
+		follower.Confirmed = k.deps.Owners.Confirm
+		follower.Wanted = k.deps.Owners.Wanted()
+	}
+	return follower.Run(ctx)
 }
 
 // readOwners reads the owner row of each configured part. It returns the version of the first
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -46,6 +46,9 @@
 
 // Roster is the list of entries as this one knows it.
 type Roster struct {
+	// Overdue is that of the follower of the list; it is set before Run.
+	Overdue func() time.Duration
+
 	table outside.Table
 	clock clock.Clock
 	log   *slog.Logger
@@ -167,6 +170,7 @@
 		Wait:     changeWait,
 		Interval: changeRest,
 		Clock:    r.clock,
+		Overdue:  r.Overdue,
 		Read:     r.read,
 		Apply:    r.apply,
 	}.Run(ctx)
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"lemonstream.dev/lemonstream/freshness"
 	"lemonstream.dev/lemonstream/outside"
 )
 
@@ -13,6 +14,9 @@
 type storeHealth struct {
 	now func() time.Time
 
+	// copies are told of each answer.
+	copies []*freshness.Copy
+
 	// answered is in milliseconds since 1970.
 	answered atomic.Int64
 }
@@ -48,6 +52,9 @@
 	var gone *outside.HistoryGoneError
 	if err == nil || errors.As(err, &conflict) || errors.As(err, &gone) {
 		h.answered.Store(h.now().UnixMilli())
+		for _, c := range h.copies {
+			c.Heard()
+		}
 	}
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -86,8 +86,10 @@
 	feeds    *feed.Reader
 	followed outside.Table
 
-	// operator is the state of this entry's copy of the operator's table.
+	// operator and owners are the states of this entry's copies of the operator's table and of
+	// that of the owners.
 	operator *freshness.Copy
+	owners   *freshness.Copy
 
 	// evacuations are known before the first configuration is.
 	evacuations *catalog.Evacuations
@@ -137,6 +139,16 @@
 	return d.run(ctx)
 }
 
+// newCopy returns the state of a copy on which answers to callers rest until a change of it has to be in
+// force, and the work of owners for as long as an owner may continue in an outage.
+func newCopy(settings site.Settings, options Options, clock clock.Clock) *freshness.Copy {
+	return freshness.NewCopy(freshness.Options{
+		Clock:       clock,
+		Limit:       settings.ConfigApply,
+		OutageLimit: max(settings.ConfigApply, options.OutageTimeout),
+	})
+}
+
 func newDaemon(ctx context.Context, log *slog.Logger, settings site.Settings, options Options) (*Daemon, error) {
 	gin.SetMode(gin.ReleaseMode)
 	set := figures.New()
@@ -151,7 +163,8 @@
 		group:    kernel.NewGroup(context.WithoutCancel(ctx), log),
 		log:      log,
 		catalog:  catalog.NewHolder(log),
-		operator: freshness.NewCopy(now),
+		operator: newCopy(settings, options, now),
+		owners:   newCopy(settings, options, now),
 
 		evacuations: catalog.NewEvacuations(log),
 
@@ -161,7 +174,8 @@
 	}
 	d.requests = inflight.New(d.clock)
 	d.health = &storeHealth{
-		now: d.clock.Now,
+		now:    d.clock.Now,
+		copies: []*freshness.Copy{d.operator, d.owners},
 	}
 	d.forecast = &owner.ForecastFigures{}
 	d.patience = outside.NewAdaptiveTimeout(d.clock)
@@ -186,6 +200,7 @@
 	peers.From = self.Incarnation
 	d.shareFeeds(peers, self.Incarnation)
 	d.roster = roster.New(d.followed, d.clock, log, settings.Name, self)
+	d.roster.Overdue = d.overdue
 	registry := owner.NewRegistry(d.followed, d.clock, platform.TableWorkers, platform.DecodeRegistration, log)
 	registry.Count = d.figures.Count
 	d.keeper = owner.NewKeeper(d.deps(registry, peers), self, d.roster.Members, peers.Ping)
@@ -209,6 +224,8 @@
 		Workers:  d.workers,
 		Catalog:  d.catalog.Current,
 		Registry: registry,
+		Owners:   d.owners,
+		Overdue:  d.overdue,
 		Options: shard.Options{
 			Lease:        min(workerLease, d.settings.MaxLease),
 			LeaseLimit:   d.settings.MaxLease,
@@ -268,6 +285,8 @@
 			Apply: d.takeOperator,
 
 			Confirmed: d.operator.Confirm,
+			Wanted:    d.operator.Wanted(),
+			Overdue:   d.overdue,
 		}.Run(ctx)
 	})
 	d.group.Go("link", d.reportLink)
--- a/scheduler/serve.go
+++ b/scheduler/serve.go
@@ -23,7 +23,7 @@
 )
 
 const (
-	// probeShare is the part of the store's writing calls that all entries together
+	// probeShare is the part of the store's calls, writing or reading ones, that all entries together
 	// may spend on one thing that fails.
 	probeShare = 0.1
 
@@ -127,6 +127,16 @@
 	return min(probePauseMost, max(probePauseLeast, fair))
 }
 
+// overdue is the mean time after which this entry sends another read of changes where one is not answered,
+// so that those of all entries leave the store room when it is back.
+func (d *Daemon) overdue() time.Duration {
+	if d.settings.StoreReads <= 0 {
+		return probePauseMost
+	}
+	fair := time.Duration(float64(len(d.roster.Members())) / (probeShare * float64(d.settings.StoreReads)) * float64(time.Second))
+	return min(probePauseMost, fair)
+}
+
 // readPause is the mean time between two questions that this entry answers from rows,
 // so that those of all entries stay a share of what the store reads.
 func (d *Daemon) readPause() time.Duration {
