Answers and starts rest on a configuration of bounded age

What callers saw: 404 for a route that was added 2.9 s before. The other half of the cause: an answer rested on the configuration whatever its age. 404, 401 and 410 are statements about now, a hand-in goes to the service of a route that may lead elsewhere, and the entry called itself ready as long as the store answered any of its calls.

Change: up to 2 s (the time in which a change must be in force) after the store confirmed the configuration everything rests on it. Beyond that 404, 401 and 410 become 503 with Retry-After, at once; a job waits for a read of the configuration as long as it is offered to a store that does not accept it (600 ms), then 504 with Retry-After. What an owner says of a job on a known route is shown for up to the outage timeout (8 s), and its withdrawal taken. An owner starts nothing, and orders no instances, by a copy of the operator's table older than that. Readiness fails beyond 2 s.

--- a/intake/ask.go
+++ b/intake/ask.go
@@ -33,6 +33,14 @@
 	Service string
 }
 
+// StaleError reports that an answer would rest on a configuration that was confirmed too long ago.
+type StaleError struct{}
+
+// Error implements error.
+func (e *StaleError) Error() string {
+	return reasonStale
+}
+
 // Error implements error.
 func (e *QueuedError) Error() string {
 	return "too many questions wait for the rows of " + e.Service
@@ -47,6 +55,11 @@
 			return
 		}
 		progress, service, err := s.tryReading(r, r.route.Service)
+		if err == nil && service == "" && !s.Operator.Fresh() {
+			// The service that has the job may be missing from the list.
+			s.refuseStale(r.Context)
+			return
+		}
 		if err == nil && service == "" {
 			s.Log.Info("job unknown", "job", r.id, "route", r.route.Name)
 			r.Status(http.StatusGone)
@@ -98,6 +111,11 @@
 func (s *Server) cancel(r *request) {
 	for {
 		status, err := s.tryCancelling(r)
+		var stale *StaleError
+		if errors.As(err, &stale) {
+			s.refuseStale(r.Context)
+			return
+		}
 		if err == nil {
 			r.Status(status)
 			return
@@ -121,6 +139,9 @@
 	if err != nil {
 		return 0, err
 	}
+	if service == "" && !s.Operator.Fresh() {
+		return 0, &StaleError{}
+	}
 	if service == "" {
 		return http.StatusGone, s.withdraw(r)
 	}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -27,6 +27,7 @@
 	"lemonstream.dev/lemonstream/owner"
 	"lemonstream.dev/lemonstream/peer"
 	"lemonstream.dev/lemonstream/queue"
+	"lemonstream.dev/lemonstream/retry"
 	"lemonstream.dev/lemonstream/shard"
 )
 
@@ -56,6 +57,10 @@
 	handInLook  = 400 * time.Millisecond
 	handInStale = 1500 * time.Millisecond
 
+	// reasonStale is what a caller is told whose call would be answered by a configuration that
+	// may no longer be in force.
+	reasonStale = "the configuration can't be read; nothing was done"
+
 	// Who wrote the record of a job: its owner, this entry, or somebody before the
 	// job's route was moved.
 	writerEarlier = "earlier"
@@ -162,6 +167,8 @@
 }
 
 func (s *Server) serve(c *gin.Context) {
+	// The copy may be confirmed in between, so its age is looked at before its rows.
+	fresh := s.isFresh(c)
 	current := s.Catalog()
 	if current.Version == 0 && c.Request.Method == http.MethodPost {
 		s.notTaken(c, "no configuration yet")
@@ -172,6 +179,10 @@
 		return
 	}
 	route, found := current.Match(c.Request.Host, c.Request.URL.Path)
+	if !fresh && (!found || c.Request.Method == http.MethodPost || !s.Operator.Usable()) {
+		s.refuseStale(c)
+		return
+	}
 	if !found {
 		s.Log.Info("request refused", "reason", "no such route", "host", c.Request.Host, "path", c.Request.URL.Path, "version", current.Version,
 			"confirmed_ms_ago", s.Operator.Age().Milliseconds())
@@ -179,7 +190,12 @@
 		return
 	}
 	organisation, admitted := s.authenticate(c, current, route)
+	if !admitted && !fresh {
+		s.refuseStale(c)
+		return
+	}
 	if !admitted {
+		s.denyKey(c, current, route)
 		return
 	}
 	ctx, cancel := context.WithTimeout(c.Request.Context(), s.patience(c))
@@ -200,6 +216,9 @@
 	switch {
 	case r.id == "" && c.Request.Method == http.MethodGet:
 		s.pending(r)
+	case (r.id == "" || strings.Contains(r.id, "/")) && !fresh:
+		// There may be a route with a longer prefix.
+		s.refuseStale(c)
 	case r.id == "" || strings.Contains(r.id, "/"):
 		c.Status(http.StatusNotFound)
 	case c.Request.Method == http.MethodPost:
@@ -237,6 +256,32 @@
 	c.String(http.StatusGatewayTimeout, reason+"\n")
 }
 
+// isFresh reports whether any answer may rest on the configuration. A job waits for that as long as it
+// is offered to a store that does not accept it: what its caller is told leaves open whether an
+// earlier attempt stored it, so that coming back soon is all that the caller can do.
+func (s *Server) isFresh(c *gin.Context) bool {
+	if s.Operator.Fresh() {
+		return true
+	}
+	if c.Request.Method != http.MethodPost || s.Catalog().Version == 0 {
+		return false
+	}
+	return s.Operator.AwaitFresh(c.Request.Context(), retry.OfferUntil(s.Clock.Now(), s.OfferTime, s.deadline(c), false))
+}
+
+// refuseStale refuses a call because the configuration was confirmed too long ago for the answer to
+// rest on it. Nothing was done.
+func (s *Server) refuseStale(c *gin.Context) {
+	s.Figures.Count("caller_refused_stale", c.Request.Method)
+	s.Log.Info("configuration too old", "method", c.Request.Method, "path", c.Request.URL.Path,
+		"version", s.Catalog().Version, "confirmed_ms_ago", s.Operator.Age().Milliseconds())
+	if c.Request.Method == http.MethodPost {
+		s.notTaken(c, reasonStale)
+		return
+	}
+	s.refuse(c, reasonStale)
+}
+
 // refuse tells a caller that asks for something, and hands nothing in, that it has
 // no answer and when to come back.
 func (s *Server) refuse(c *gin.Context, reason string) {
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -63,12 +63,19 @@
 	return group
 }
 
-// confirmed returns the state of a copy that the store has just confirmed.
-func confirmed() *freshness.Copy {
+// confirmedBefore returns the state of a copy that the store confirmed some time ago, which does not
+// grow older.
+func confirmedBefore(age time.Duration) *freshness.Copy {
+	now := time.Now()
 	operator := freshness.NewCopy(freshness.Options{
-		Clock: clock.System(),
+		Clock: clock.Clock{
+			Now:   func() time.Time { return now },
+			After: time.After,
+		},
+		Limit:       2 * time.Second,
+		OutageLimit: 8 * time.Second,
 	})
-	operator.Confirm(time.Now())
+	operator.Confirm(now.Add(-age))
 	return operator
 }
 
@@ -80,7 +87,7 @@
 	group := newGroup(t)
 	server := &intake.Server{
 		Catalog:  func() *catalog.Catalog { return current },
-		Operator: confirmed(),
+		Operator: confirmedBefore(0),
 		Clock:    clock.System(),
 		Codec: intake.Codec{
 			DecodeJob: func(body []byte) (job.Spec, error) {
--- a/owner/duty.go
+++ b/owner/duty.go
@@ -68,6 +68,10 @@
 	// Overdue is that of the follower of the owner rows; see Follower.
 	Overdue func() time.Duration
 
+	// Usable reports whether the copy of the operator's table is young enough for orders to
+	// rest on it; nil if it always is.
+	Usable func() bool
+
 	// OrganisationWeights says that organisations share room by their weights.
 	OrganisationWeights bool
 
--- a/owner/fleet.go
+++ b/owner/fleet.go
@@ -320,7 +320,7 @@
 		// Maintenance waits for the store, so no worker is closed for it meanwhile.
 		view.Waves = f.openWaves()
 	}
-	if view.Now.Sub(f.listed) < maxListAgeIntervals*f.listInterval() {
+	if f.isOperatorKnown() && view.Now.Sub(f.listed) < maxListAgeIntervals*f.listInterval() {
 		plan := f.sizer.Plan(view)
 		f.closed = plan.Closed
 		for _, ended := range plan.Ended {
@@ -341,6 +341,12 @@
 	return nil
 }
 
+// isOperatorKnown reports whether instances may be ordered by what is known of the operator's table:
+// services, evacuated zones and maintenance.
+func (f *instanceController) isOperatorKnown() bool {
+	return f.deps.Usable == nil || f.deps.Usable()
+}
+
 // listInterval returns the time between two reads of the instance list.
 func (f *instanceController) listInterval() time.Duration {
 	if f.deps.Site.LinkBits <= 0 {
--- a/scheduler/gauges.go
+++ b/scheduler/gauges.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"time"
+
 	"lemonstream.dev/lemonstream/figures"
 	"lemonstream.dev/lemonstream/owner"
 	"lemonstream.dev/lemonstream/quota"
@@ -9,6 +11,7 @@
 // registerGauges registers the gauges of evacuations and of the parts that this entry owns.
 func (d *Daemon) registerGauges() {
 	d.figures.Gauge("evacuated_zones", func() float64 { return float64(len(d.evacuations.Zones())) })
+	d.figures.Gauge("configuration_age_ms", func() float64 { return float64(d.configurationAge().Milliseconds()) })
 	d.figures.Gauge("forecast_active", d.forecast.Active)
 	d.figures.Gauge("forecast_expected_instances", d.forecast.Expected)
 	d.figures.Gauge("forecast_observed_instances", d.forecast.Observed)
@@ -28,6 +31,14 @@
 	}
 }
 
+// configurationAge returns how long ago the store confirmed the configuration; 0 before there is one.
+func (d *Daemon) configurationAge() time.Duration {
+	if !closed(d.catalog.Loaded()) {
+		return 0
+	}
+	return d.operator.Age()
+}
+
 // evacuatedRuns returns how many runs of the services that this entry owns are in evacuated zones.
 func (d *Daemon) evacuatedRuns() []figures.Sample {
 	var samples []figures.Sample
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -226,6 +226,7 @@
 		Registry: registry,
 		Owners:   d.owners,
 		Overdue:  d.overdue,
+		Usable:   d.operator.Usable,
 		Options: shard.Options{
 			Lease:        min(workerLease, d.settings.MaxLease),
 			LeaseLimit:   d.settings.MaxLease,
@@ -240,6 +241,8 @@
 			EjectShare:   d.options.EjectShare,
 			ProbeAfter:   d.options.ProbeAfter,
 
+			Usable: d.operator.Usable,
+
 			IgnoreRefused: !d.options.OutageOrders,
 		},
 		ListMembers: d.roster.Read,
--- a/scheduler/serve.go
+++ b/scheduler/serve.go
@@ -191,11 +191,11 @@
 	d.serve(name, listener, handler)
 }
 
-// isReady reports whether the entry can serve callers: it has a configuration,
-// reaches the store and has not been told to stop.
+// isReady reports whether the entry can serve callers: it has a configuration that is known to be in
+// force, reaches the store and has not been told to stop.
 func (d *Daemon) isReady() bool {
 	// A select over both channels would choose by chance once both are closed.
-	if closed(d.stopping) || !closed(d.catalog.Loaded()) {
+	if closed(d.stopping) || !closed(d.catalog.Loaded()) || !d.operator.Fresh() {
 		return false
 	}
 	return d.health.silence() < storeSilence
--- a/shard/evacuation_test.go
+++ b/shard/evacuation_test.go
@@ -54,6 +54,40 @@
 	delete(w.evacuations.acknowledged, zone)
 }
 
+// TestUnknownOperatorStartsNothing covers an owner whose copy of the operator's table is too old: what
+// runs goes on, and nothing starts until the table is read again.
+func TestUnknownOperatorStartsNothing(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(3)
+	w.run(200 * time.Millisecond)
+	long := step(3)
+	long.Estimate = 10 * time.Second
+	w.submit("runs", long)
+	w.run(time.Second)
+	before := w.runsBegun()
+	is.Equal(before, 3)
+	w.operatorUnknown = true
+	w.submit("waits", step(4))
+	w.run(3 * time.Second)
+	is.Equal(w.runsBegun(), before)
+	w.operatorUnknown = false
+	w.run(3 * time.Second)
+	is.Equal(w.shown["waits"], job.Completed)
+	w.run(20 * time.Second)
+	is.Equal(w.shown["runs"], job.Completed)
+	is.Equal(w.runsBegun(), before+4) // No lease of those that ran has lapsed.
+	w.check(t)
+}
+
+// runsBegun returns how many runs have begun on all workers.
+func (w *world) runsBegun() int {
+	sum := 0
+	for _, f := range w.workers {
+		sum += f.began
+	}
+	return sum
+}
+
 // isEvacuated reports whether owners know that a zone is evacuated.
 func (w *world) isEvacuated(zone string) bool {
 	w.evacuations.checks++
--- a/shard/orders.go
+++ b/shard/orders.go
@@ -156,7 +156,7 @@
 				s.giveUpStart(r)
 				continue
 			}
-			if w.failures > 0 || r.tries >= maxStartAttempts {
+			if s.startsHeld || w.failures > 0 || r.tries >= maxStartAttempts {
 				continue
 			}
 			r.call = s.nextCall()
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -87,6 +87,10 @@
 	// evacuated.
 	Evacuated func(zone string) bool
 
+	// Usable reports whether what the operator asks for is known well enough to start tasks by
+	// it: policies, limits and evacuated zones. If it is nil, it always is.
+	Usable func() bool
+
 	// Starts bounds the bytes of orders to start tasks; nil means no bound.
 	Starts *link.Budget
 
@@ -218,6 +222,9 @@
 	// usable holds the workers that can run tasks, as of the beginning of Next.
 	usable []*workerState
 
+	// startsHeld says that nothing may start in this round, see Options.Usable.
+	startsHeld bool
+
 	// unanswered holds, by worker, the starts of dropped runs that may still take effect there.
 	unanswered map[string]map[job.TaskID]unansweredStart
 
@@ -436,6 +443,7 @@
 	s.resolveUnknownJobs(now)
 	s.expireLeases(now)
 	s.dropUnusedEvidence(now)
+	s.startsHeld = s.opts.Usable != nil && !s.opts.Usable()
 	s.updateUsable(now)
 	s.addDueOccurrences(now)
 	s.moveOffDraining(now)
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -373,7 +373,7 @@
 
 // isUsable reports whether a worker can run tasks, whether or not it is closed.
 func (s *Shard) isUsable(w *workerState, now time.Time) bool {
-	if !w.recorded || s.isInHandover(w) || w.unsized > 0 || s.isEvacuated(w) {
+	if s.startsHeld || !w.recorded || s.isInHandover(w) || w.unsized > 0 || s.isEvacuated(w) {
 		return false
 	}
 	if !w.contacted || w.reg.Draining || w.failures > 0 || !w.uncertainAt.IsZero() || now.Before(w.avoidUntil) {
--- a/shard/world_owner_test.go
+++ b/shard/world_owner_test.go
@@ -139,6 +139,7 @@
 		UnobservedFor: unobserved,
 		Starts:        w.starts,
 		Evacuated:     w.isEvacuated,
+		Usable:        func() bool { return !w.operatorUnknown },
 		EjectShare:    w.ejectShare,
 		ProbeAfter:    outlier.DefaultProbeAfter,
 
--- a/shard/world_test.go
+++ b/shard/world_test.go
@@ -266,8 +266,10 @@
 	released       []string
 	releasedUnread bool
 
-	// evacuations holds what the operator has evacuated.
-	evacuations evacuations
+	// evacuations holds what the operator has evacuated. operatorUnknown says that what he asks for
+	// is not known well enough to start anything.
+	evacuations     evacuations
+	operatorUnknown bool
 
 	// logEvent receives the lines that owners log; nil drops them.
 	logEvent func(event string, fields ...any)
