--- a/intake/intake.go
+++ b/intake/intake.go
@@ -213,22 +213,27 @@
 
 		organisation: organisation,
 	}
+	s.answer(r, current, fresh)
+}
+
+// answer answers a call on a known queue. fresh says that any answer may rest on the configuration.
+func (s *Server) answer(r *request, current *catalog.Catalog, fresh bool) {
 	switch {
-	case r.id == "" && c.Request.Method == http.MethodGet:
+	case r.id == "" && r.Request.Method == http.MethodGet:
 		s.pending(r)
 	case (r.id == "" || strings.Contains(r.id, "/")) && !fresh:
 		// There may be a route with a longer prefix.
-		s.refuseStale(c)
+		s.refuseStale(r.Context)
 	case r.id == "" || strings.Contains(r.id, "/"):
-		c.Status(http.StatusNotFound)
-	case c.Request.Method == http.MethodPost:
+		r.Status(http.StatusNotFound)
+	case r.Request.Method == http.MethodPost:
 		s.submit(r, current)
-	case c.Request.Method == http.MethodGet:
+	case r.Request.Method == http.MethodGet:
 		s.state(r)
-	case c.Request.Method == http.MethodDelete:
+	case r.Request.Method == http.MethodDelete:
 		s.cancel(r)
 	default:
-		c.Status(http.StatusMethodNotAllowed)
+		r.Status(http.StatusMethodNotAllowed)
 	}
 }
 
--- a/owner/follow_outage_test.go
+++ b/owner/follow_outage_test.go
@@ -117,10 +117,10 @@
 }
 
 // calm reports whether the store has answered for some time.
-func (s *troubledStore) calm(for_ time.Duration) bool {
+func (s *troubledStore) calm(span time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.state == answering && time.Since(s.since) >= for_
+	return s.state == answering && time.Since(s.since) >= span
 }
 
 // answers reports whether calls of other tables are answered.
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"lemonstream.dev/lemonstream/clock"
 	"lemonstream.dev/lemonstream/freshness"
 	"lemonstream.dev/lemonstream/outside"
 )
@@ -21,6 +22,14 @@
 	answered atomic.Int64
 }
 
+// newStoreHealth returns the health of a store that has not answered, and tells copies of each answer.
+func newStoreHealth(clock clock.Clock, copies ...*freshness.Copy) *storeHealth {
+	return &storeHealth{
+		now:    clock.Now,
+		copies: copies,
+	}
+}
+
 // observe returns the table with every answer noted.
 func (h *storeHealth) observe(inner outside.Table) outside.Table {
 	return outside.Table{
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -173,10 +173,7 @@
 		stopping: make(chan struct{}),
 	}
 	d.requests = inflight.New(d.clock)
-	d.health = &storeHealth{
-		now:    d.clock.Now,
-		copies: []*freshness.Copy{d.operator, d.owners},
-	}
+	d.health = newStoreHealth(d.clock, d.operator, d.owners)
 	d.forecast = &owner.ForecastFigures{}
 	d.patience = outside.NewAdaptiveTimeout(d.clock)
 	d.table = d.patience.Wrap(figures.ObserveTable(d.figures, d.health.observe(platform.NewTable(settings.Store, d.figures.Link))))
--- a/soak/configuration_test.go
+++ b/soak/configuration_test.go
@@ -82,9 +82,9 @@
 			s.change()
 			time.Sleep(time.Duration(random.Intn(700)) * time.Millisecond)
 		}
-		s.deployment.mend(false)
+		s.mend(false)
 	}
-	s.deployment.mend(true)
+	s.mend(true)
 	s.change()
 	for _, e := range s.entries {
 		s.awaitRoute(e)
