--- a/owner/duty.go
+++ b/owner/duty.go
@@ -39,12 +39,12 @@
 	loopPauseFactor = 2
 	maxLoopPause    = 30 * time.Millisecond
 
-	// ownerTimeout is how long an owner continues without a successful write and without
+	// OwnerTimeout is how long an owner continues without a successful write and without
 	// promises; see package witness. It spans the shorter outages of the store. It must not be
 	// longer: a successor that can't reach a worker waits this long plus a lease, and the
 	// platform expects a task that can run to do so about 7 s after the last disruption. See
 	// UnobservedFor.
-	ownerTimeout = 4 * time.Second
+	OwnerTimeout = 4 * time.Second
 )
 
 // Deps holds the dependencies of a keeper and of the duties that it runs.
@@ -116,7 +116,7 @@
 	RequestPromise func(ctx context.Context, to netip.AddrPort, request PromiseRequest) (PromiseAnswer, error)
 
 	// OutageTimeout is how long an owner continues without a successful write while its
-	// witnesses promise not to claim its part. A value that is not above ownerTimeout switches
+	// witnesses promise not to claim its part. A value that is not above OwnerTimeout switches
 	// this off.
 	OutageTimeout time.Duration
 
@@ -395,7 +395,7 @@
 	}
 	// The newer owner may be the one that the service was released for, whose claim is read before
 	// this one has the answer to its last transaction.
-	if (d.tenure.replaced.Load() && !d.releasing) || !d.tenure.mayAct(ownerTimeout) {
+	if (d.tenure.replaced.Load() && !d.releasing) || !d.tenure.mayAct(OwnerTimeout) {
 		return d.tenure.lostError()
 	}
 	return nil
--- a/owner/fleetwrite.go
+++ b/owner/fleetwrite.go
@@ -167,14 +167,14 @@
 
 // writeRelease writes the release, after the current transaction if there is one.
 func (f *instanceController) writeRelease(ctx context.Context) error {
-	bounded, cancel := context.WithTimeout(ctx, ownerTimeout)
+	bounded, cancel := context.WithTimeout(ctx, OwnerTimeout)
 	defer cancel()
-	if err := f.awaitWrite(bounded, ownerTimeout); err != nil {
+	if err := f.awaitWrite(bounded, OwnerTimeout); err != nil {
 		return err
 	}
 	if f.writing == nil {
 		f.startWrite(bounded, nil, true)
-		if err := f.awaitWrite(bounded, ownerTimeout); err != nil {
+		if err := f.awaitWrite(bounded, OwnerTimeout); err != nil {
 			return err
 		}
 	}
@@ -190,7 +190,7 @@
 // checkLost returns a *LostError if the last write is so old that another entry may own the
 // instances.
 func (f *instanceController) checkLost() error {
-	if f.mayAct(ownerTimeout) && !f.tenure.replaced.Load() {
+	if f.mayAct(OwnerTimeout) && !f.tenure.replaced.Load() {
 		return nil
 	}
 	return f.tenure.lostError()
--- a/owner/keeper.go
+++ b/owner/keeper.go
@@ -42,7 +42,7 @@
 	staleWriteAge = 1200 * time.Millisecond
 
 	// slowFactor multiplies suspectWriteAge, silenceTimeout and staleWriteAge while the store is
-	// slow. Twice staleWriteAge stays below ownerTimeout.
+	// slow. Twice staleWriteAge stays below OwnerTimeout.
 	slowFactor = 2
 
 	// rejectionTimeout is how long the store must have rejected every write of an owner for a
@@ -400,7 +400,7 @@
 	return heldPart{
 		duty:    d,
 		tenure:  d.tenure,
-		base:    ownerTimeout,
+		base:    OwnerTimeout,
 		run:     d.run,
 		release: d.release,
 	}
--- a/owner/unobserved.go
+++ b/owner/unobserved.go
@@ -8,12 +8,12 @@
 
 // UnobservedFor returns how long after a claim an unreachable worker may still run tasks that the
 // previous owner started there: one lease, with the drift of the worker's clock, after the last
-// renewal. A previous owner that has not ended may renew leases for ownerTimeout after its last
+// renewal. A previous owner that has not ended may renew leases for OwnerTimeout after its last
 // write; this entry has already seen it write nothing for silenceTimeout.
 func UnobservedFor(lease time.Duration, ended bool) time.Duration {
 	unobserved := lease + lease/20
 	if !ended {
-		unobserved += ownerTimeout - silenceTimeout
+		unobserved += OwnerTimeout - silenceTimeout
 	}
 	return unobserved
 }
--- a/owner/witness.go
+++ b/owner/witness.go
@@ -219,7 +219,7 @@
 // extend lets a tenure of this entry name witnesses. It does nothing if the extension is switched
 // off.
 func (k *Keeper) extend(t *tenure) {
-	if k.deps.RequestPromise == nil || k.deps.OutageTimeout <= ownerTimeout {
+	if k.deps.RequestPromise == nil || k.deps.OutageTimeout <= OwnerTimeout {
 		return
 	}
 	t.promises.holder = witness.NewHolder(witness.Standard(), k.deps.OutageTimeout)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -145,7 +145,7 @@
 	return freshness.NewCopy(freshness.Options{
 		Clock:       clock,
 		Limit:       settings.ConfigApply,
-		OutageLimit: max(settings.ConfigApply, options.OutageTimeout),
+		OutageLimit: max(settings.ConfigApply, owner.OwnerTimeout, options.OutageTimeout),
 	})
 }
 
