--- a/Makefile
+++ b/Makefile
@@ -50,7 +50,7 @@
 	./bin/lemonmeasure
 
 prove:
-	@go test -count=1 -v ./carry ./entry ./intake ./once ./shard ./witness | grep '^promise=' | sort
+	@go test -count=1 -v ./carry ./entry ./intake ./once ./owner ./shard ./witness | grep '^promise=' | sort
 
 fuzz:
 	PROVE_CHECKS=2000 go test -count=1 -timeout 60m ./admit ./carry ./once ./place
