review: a job whose times are all due ends every entry by its memory

Tried: a script that hands in one job of 10,000 times of 100 work units when all are due, beside 103 small jobs, and ends entries above the site's 284 MB as the platform does.

--- a/review/standin2/clients.go
+++ b/review/standin2/clients.go
@@ -37,6 +37,11 @@
 type jobBody struct {
 	Spec  string `json:"spec"`
 	Steps []step `json:"steps"`
+
+	// FirstRunMs, IntervalMs and RepeatCount are those of a job with times.
+	FirstRunMs  int64 `json:"firstRunMs,omitempty"`
+	IntervalMs  int64 `json:"intervalMs,omitempty"`
+	RepeatCount int   `json:"repeatCount,omitempty"`
 }
 
 // call is a line of the clients' record.
@@ -75,6 +80,11 @@
 	// fail says that each of its work units fails, by the job's own fault.
 	fail bool
 
+	// repeat is how many times the large job has, one each second. late says that it is handed in when all of
+	// them are due; otherwise the first is due then.
+	repeat int
+	late   bool
+
 	// A small job is handed in at each interval from from to until, counted from the start.
 	from     time.Duration
 	until    time.Duration
@@ -98,6 +108,8 @@
 	flags.IntVar(&p.parts, "parts", 1, "jobs that share these work units")
 	flags.IntVar(&p.work, "work", 12000, "milliseconds of one of its work units")
 	flags.BoolVar(&p.fail, "fail", false, "whether each of them fails")
+	flags.IntVar(&p.repeat, "repeat", 0, "times of the large job, one each second")
+	flags.BoolVar(&p.late, "late", false, "whether all of them are due when it is handed in")
 	flags.IntVar(&p.cpu, "cpu", 20, "thousandths of a core of one of its work units")
 	flags.DurationVar(&p.from, "from", 4*time.Second, "first small job")
 	flags.DurationVar(&p.until, "until", 50*time.Second, "end of the traffic")
@@ -129,25 +141,11 @@
 func (c *clients) play(p plan) {
 	began := time.Now()
 	var all sync.WaitGroup
-	text := fmt.Sprintf("work=%d cpu=%d mem=4", p.work, p.cpu)
-	if p.fail {
-		text += " fail=1"
-	}
 	for range p.parts {
 		if p.large == 0 {
 			break
 		}
-		all.Go(func() {
-			c.submit(jobBody{
-				Spec: text,
-				Steps: []step{{
-					Count:      p.large / p.parts,
-					CPU:        p.cpu,
-					MemMB:      4,
-					EstimateMs: p.work,
-				}},
-			})
-		})
+		all.Go(func() { c.submit(p.largeJob()) })
 	}
 	time.Sleep(p.from)
 	for time.Since(began) < p.until {
@@ -168,6 +166,32 @@
 	time.Sleep(time.Until(began.Add(p.until + p.finish)))
 }
 
+// largeJob returns one part of the large job.
+func (p plan) largeJob() jobBody {
+	body := jobBody{
+		Spec: fmt.Sprintf("work=%d cpu=%d mem=4", p.work, p.cpu),
+		Steps: []step{{
+			Count:      p.large / p.parts,
+			CPU:        p.cpu,
+			MemMB:      4,
+			EstimateMs: p.work,
+		}},
+	}
+	if p.fail {
+		body.Spec += " fail=1"
+	}
+	if p.repeat > 0 {
+		first := time.Now()
+		if p.late {
+			first = first.Add(-time.Duration(p.repeat) * time.Second)
+		}
+		body.FirstRunMs = first.UnixMilli()
+		body.IntervalMs = time.Second.Milliseconds()
+		body.RepeatCount = p.repeat
+	}
+	return body
+}
+
 // submit hands a job in until it is accepted, refused for good or was tried often enough.
 func (c *clients) submit(body jobBody) {
 	encoded, err := json.Marshal(body)
