review: a job is shown as failed after three crashes of its workers

Tried: a script that crashes the worker of a job's one work unit three times, one of eight workers each time. The judge of the other cases counts a job as idle only while it has a work unit that has not ended well.

--- a/review/standin2/clients.go
+++ b/review/standin2/clients.go
@@ -67,6 +67,9 @@
 	record   *os.File
 	accepted map[string]time.Time
 	refused  map[string]int
+
+	// units is how many work units a job has, over all its times.
+	units map[string]int
 }
 
 // plan is what the clients do.
@@ -132,6 +135,7 @@
 		record:   file,
 		accepted: make(map[string]time.Time),
 		refused:  make(map[string]int),
+		units:    make(map[string]int),
 	}
 	c.play(p)
 	return c.judge(*workers, *capacity)
@@ -192,6 +196,15 @@
 	return body
 }
 
+// units returns how many work units must end well for a job to be completed.
+func (b jobBody) units() int {
+	sum := 0
+	for _, one := range b.Steps {
+		sum += one.Count
+	}
+	return sum * max(1, b.RepeatCount)
+}
+
 // submit hands a job in until it is accepted, refused for good or was tried often enough.
 func (c *clients) submit(body jobBody) {
 	encoded, err := json.Marshal(body)
@@ -200,6 +213,9 @@
 		return
 	}
 	id := fmt.Sprintf("%016x", rand.Uint64())
+	c.mu.Lock()
+	c.units[id] = body.units()
+	c.mu.Unlock()
 	for range callTries {
 		status, _, pause := c.call(http.MethodPost, id, encoded)
 		switch {
