review: gangs that do not fit keep each owner of a service busy

Tried: a script that hands in 16 gangs of 20,000 work units that do not fit, and 124 small jobs, with entries that have 0.4 cores as an allowance.

--- a/review/standin2/clients.go
+++ b/review/standin2/clients.go
@@ -31,6 +31,9 @@
 	CPU        int `json:"cpu"`
 	MemMB      int `json:"memMb"`
 	EstimateMs int `json:"estimateMs"`
+
+	Gang     bool `json:"gang,omitempty"`
+	SameRack bool `json:"sameRack,omitempty"`
 }
 
 // jobBody is the body with which a job is handed in.
@@ -68,26 +71,25 @@
 	accepted map[string]time.Time
 	refused  map[string]int
 
-	// units is how many work units a job has, over all its times.
+	// units is how many work units a job has, over all its times; 0 for a gang.
 	units map[string]int
 }
 
 // plan is what the clients do.
 type plan struct {
-	// large is how many work units the one large job has; it is handed in as that many in parts jobs.
+	// large is how many work units the large job has.
 	large int
-	parts int
 	work  int
 	cpu   int
 
-	// fail says that each of its work units fails, by the job's own fault.
-	fail bool
-
 	// repeat is how many times the large job has, one each second. late says that it is handed in when all of
 	// them are due; otherwise the first is due then.
 	repeat int
 	late   bool
 
+	// gangs is how many jobs are handed in, in place of the large one, whose work units work only together.
+	gangs int
+
 	// A small job is handed in at each interval from from to until, counted from the start.
 	from     time.Duration
 	until    time.Duration
@@ -108,12 +110,11 @@
 	capacity := flags.Int("capacity", 0, "thousandths of a core of all workers")
 	var p plan
 	flags.IntVar(&p.large, "large", 0, "work units of the large job")
-	flags.IntVar(&p.parts, "parts", 1, "jobs that share these work units")
 	flags.IntVar(&p.work, "work", 12000, "milliseconds of one of its work units")
-	flags.BoolVar(&p.fail, "fail", false, "whether each of them fails")
 	flags.IntVar(&p.repeat, "repeat", 0, "times of the large job, one each second")
 	flags.BoolVar(&p.late, "late", false, "whether all of them are due when it is handed in")
 	flags.IntVar(&p.cpu, "cpu", 20, "thousandths of a core of one of its work units")
+	flags.IntVar(&p.gangs, "gangs", 0, "jobs with one gang, in place of the large job")
 	flags.DurationVar(&p.from, "from", 4*time.Second, "first small job")
 	flags.DurationVar(&p.until, "until", 50*time.Second, "end of the traffic")
 	flags.DurationVar(&p.interval, "interval", 400*time.Millisecond, "time between two small jobs")
@@ -145,12 +146,12 @@
 func (c *clients) play(p plan) {
 	began := time.Now()
 	var all sync.WaitGroup
-	for range p.parts {
-		if p.large == 0 {
-			break
-		}
+	if p.large > 0 && p.gangs == 0 {
 		all.Go(func() { c.submit(p.largeJob()) })
 	}
+	for range p.gangs {
+		all.Go(func() { c.submit(p.gangJob()) })
+	}
 	time.Sleep(p.from)
 	for time.Since(began) < p.until {
 		all.Go(func() {
@@ -170,20 +171,17 @@
 	time.Sleep(time.Until(began.Add(p.until + p.finish)))
 }
 
-// largeJob returns one part of the large job.
+// largeJob returns the large job.
 func (p plan) largeJob() jobBody {
 	body := jobBody{
 		Spec: fmt.Sprintf("work=%d cpu=%d mem=4", p.work, p.cpu),
 		Steps: []step{{
-			Count:      p.large / p.parts,
+			Count:      p.large,
 			CPU:        p.cpu,
 			MemMB:      4,
 			EstimateMs: p.work,
 		}},
 	}
-	if p.fail {
-		body.Spec += " fail=1"
-	}
 	if p.repeat > 0 {
 		first := time.Now()
 		if p.late {
@@ -196,10 +194,22 @@
 	return body
 }
 
-// units returns how many work units must end well for a job to be completed.
+// gangJob returns a job with one gang.
+func (p plan) gangJob() jobBody {
+	body := p.largeJob()
+	body.Steps[0].Gang = true
+	body.Steps[0].SameRack = true
+	return body
+}
+
+// units returns how many work units must end well for a job to be completed, 0 for a gang: the cases hand
+// in gangs that need not start.
 func (b jobBody) units() int {
 	sum := 0
 	for _, one := range b.Steps {
+		if one.Gang {
+			return 0
+		}
 		sum += one.Count
 	}
 	return sum * max(1, b.RepeatCount)
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -18,15 +18,16 @@
 
 // commands are the stand-ins by name; each returns the exit code of its process.
 var commands = map[string]func(args []string) (int, error){
-	"clients": runClients,
-	"ports":   runPorts,
-	"store":   runStore,
-	"worker":  runWorker,
+	"allowance": runAllowance,
+	"clients":   runClients,
+	"ports":     runPorts,
+	"store":     runStore,
+	"worker":    runWorker,
 }
 
 func main() {
 	if len(os.Args) < 2 || commands[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin2 clients|ports|store|worker [flags]")
+		fmt.Fprintln(os.Stderr, "usage: standin2 allowance|clients|ports|store|worker [flags]")
 		os.Exit(codeNotRun)
 	}
 	code, err := commands[os.Args[1]](os.Args[2:])
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -300,11 +300,7 @@
 		work:   time.Duration(work) * time.Millisecond,
 		need:   need,
 	}
-	how := "done"
-	if text["fail"] != 0 {
-		how = "failed"
-	}
-	one.timer = time.AfterFunc(one.work, func() { w.finish(o.Task, o.RunID, how) })
+	one.timer = time.AfterFunc(one.work, func() { w.finish(o.Task, o.RunID, "done") })
 	w.runs[o.Task] = one
 	w.note(event{
 		What: "start",
