--- a/job/check.go
+++ b/job/check.go
@@ -43,14 +43,12 @@
 	if s.Repeats > 1 && s.Interval <= 0 {
 		return refuse("interval", "must be positive where a job repeats")
 	}
-	tasks := 0
 	for i := range s.Steps {
 		if err := s.Steps[i].check(i); err != nil {
 			return err
 		}
-		tasks += s.Steps[i].Count
 	}
-	if tasks > MaxTasks {
+	if tasks := s.Tasks(); tasks > MaxTasks {
 		return refuse("steps", "hold %d tasks, at most %d may stand in one job", tasks, MaxTasks)
 	}
 	return nil
--- a/job/job.go
+++ b/job/job.go
@@ -203,6 +203,15 @@
 	return max(1, s.Repeats)
 }
 
+// Tasks returns the number of tasks of one occurrence.
+func (s Spec) Tasks() int {
+	tasks := 0
+	for i := range s.Steps {
+		tasks += s.Steps[i].Count
+	}
+	return tasks
+}
+
 // Due returns when the given occurrence may start; the zero time means at once.
 func (s Spec) Due(occurrence int) time.Time {
 	if s.Repeats == 0 {
--- a/owner/duty.go
+++ b/owner/duty.go
@@ -164,6 +164,9 @@
 	// zones holds what runs in evacuated zones, as of the last round of the loop.
 	zones atomic.Pointer[[]shard.ZoneRuns]
 
+	// loopFigures is accessed by the loop only.
+	loopFigures loopFigures
+
 	// refusedJobs is the number of jobs whose refused demand counts in the load.
 	refusedJobs atomic.Int64
 
@@ -371,6 +374,7 @@
 		d.publishState()
 		d.refusedJobs.Store(int64(d.core.RefusedJobs(now)))
 		took := d.deps.Clock.Now().Sub(now)
+		d.publishLoopFigures(took, now)
 		pause = min(maxLoopPause, max(minLoopPause, loopPauseFactor*took))
 		timer.Reset(max(time.Millisecond, next.Sub(now)))
 	}
--- a/owner/submit.go
+++ b/owner/submit.go
@@ -241,6 +241,7 @@
 	d.core.RefuseSubmitted(d.deps.Clock.Now())
 	d.setFigure(figureEjected, 0)
 	d.setFigure(figureUnreadEnds, 0)
+	d.clearLoopFigures()
 	close(d.done)
 }
 
--- a/shard/batch.go
+++ b/shard/batch.go
@@ -294,7 +294,8 @@
 	j.fresh = fresh && !s.standbyUnread
 	j.answerSubmitters(true)
 	s.opts.LogEvent("job taken", "job", j.record.ID, "route", j.record.Route, "organisation", j.record.Organisation,
-		"claim_version", s.claimVersion, "fresh", j.fresh, "age_ms", now.Sub(j.record.acceptedAt()).Milliseconds())
+		"claim_version", s.claimVersion, "fresh", j.fresh, "age_ms", now.Sub(j.record.acceptedAt()).Milliseconds(),
+		"occurrences", j.record.Spec.Occurrences(), "tasks", j.record.Spec.Tasks())
 	if j.state.Final() {
 		return
 	}
--- a/shard/jobs.go
+++ b/shard/jobs.go
@@ -35,7 +35,8 @@
 	j.fresh = direct && version > s.claimVersion && !s.standbyUnread
 	s.opts.PublishState(record.ID, job.Queued)
 	s.opts.LogEvent("job taken", "job", record.ID, "route", record.Route, "organisation", record.Organisation, "version", version,
-		"claim_version", s.claimVersion, "fresh", j.fresh, "age_ms", now.Sub(record.acceptedAt()).Milliseconds())
+		"claim_version", s.claimVersion, "fresh", j.fresh, "age_ms", now.Sub(record.acceptedAt()).Milliseconds(),
+		"occurrences", record.Spec.Occurrences(), "tasks", record.Spec.Tasks())
 	s.schedule(j, now)
 	s.applyDeferredCancel(record.ID, now)
 }
