--- a/shard/admit.go
+++ b/shard/admit.go
@@ -178,27 +178,21 @@
 	if j.state.Final() || j.hasLongRunningStep() || j.record.Spec.Repeats > 0 {
 		return
 	}
-	if j.dueOccurrences == 0 {
-		// The record is not stored yet, so no occurrence exists.
+	if len(j.occurrences) == 0 {
+		// The record is not stored yet, so no occurrence is open.
 		s.survey.add(j.record.Organisation, s.jobDemand(j.record))
 		return
 	}
-	for k, o := range j.occurrences {
-		for st, step := range o.steps {
-			g := group{
-				job:        j,
-				occurrence: k,
-				step:       st,
-			}
-			if len(step.idle) == 0 || s.remainingValue(g, now) != valueFull {
-				continue
-			}
-			spec := &j.record.Spec.Steps[st]
-			d := s.demand(j, spec, s.expectedRunTime(j, spec), len(step.idle))
-			d.starts = len(step.idle)
-			s.survey.add(j.record.Organisation, d)
+	j.openSteps(func(open openStepCount) {
+		g := newGroup(j, open.occurrence, open.step)
+		if open.idle == 0 || s.remainingValue(g, now) != valueFull {
+			return
 		}
-	}
+		spec := &j.record.Spec.Steps[open.step]
+		d := s.demand(j, spec, s.expectedRunTime(j, spec), open.idle)
+		d.starts = open.idle
+		s.survey.add(j.record.Organisation, d)
+	})
 }
 
 // meanCapacity returns the mean capacity in the registrations of the service's workers; zero if
--- a/shard/advice.go
+++ b/shard/advice.go
@@ -176,14 +176,18 @@
 
 // forgetJobTickets drops the tickets and denials for the steps of a job.
 func (s *Shard) forgetJobTickets(j *jobState) {
-	for k := range j.occurrences {
-		for step := range j.record.Spec.Steps {
-			id := job.TaskID{
+	for k, o := range j.occurrences {
+		for step := range o.steps {
+			s.forgetStepTickets(job.TaskID{
 				Job:        j.record.ID,
 				Occurrence: k,
 				Step:       step,
-			}
-			delete(s.tickets, id.StepName())
+			})
 		}
 	}
 }
+
+// forgetStepTickets drops the tickets and denials for the step of a task.
+func (s *Shard) forgetStepTickets(id job.TaskID) {
+	delete(s.tickets, id.StepName())
+}
--- a/shard/crash.go
+++ b/shard/crash.go
@@ -43,7 +43,7 @@
 // recordCrash records that an incarnation of a worker crashed under a task, and reports whether this is
 // new.
 func (s *Shard) recordCrash(id job.TaskID, worker, evidence string, lost lostTask, now time.Time) bool {
-	j, t := s.openTask(id)
+	j, t := s.ownOpenTask(id)
 	if t == nil {
 		return false
 	}
@@ -80,7 +80,7 @@
 	}
 }
 
-// openTask returns a task that has not ended, and its job; nil if there is none.
+// openTask returns a task that has not ended, to be read, and its job; nil if there is none.
 func (s *Shard) openTask(id job.TaskID) (*jobState, *taskState) {
 	j := s.jobs[id.Job]
 	if j == nil || j.state.Final() {
@@ -93,6 +93,15 @@
 	return j, t
 }
 
+// ownOpenTask returns a task that has not ended, to be changed, and its job; nil if there is none.
+func (s *Shard) ownOpenTask(id job.TaskID) (*jobState, *taskState) {
+	j, t := s.openTask(id)
+	if t == nil {
+		return nil, nil
+	}
+	return j, j.ownTask(id)
+}
+
 // withdrawCrashes removes the crashes and possible crashes of an incarnation, whose instance was
 // ordered away. The owner may hear of the order only after it has lost the worker.
 func (s *Shard) withdrawCrashes(taken outside.Incarnation) {
@@ -110,7 +119,7 @@
 
 // withdrawCrash removes a recorded crash of an open task.
 func (s *Shard) withdrawCrash(id job.TaskID, worker string) {
-	j, t := s.openTask(id)
+	j, t := s.ownOpenTask(id)
 	if t == nil || !t.crashes.Contains(worker) {
 		return
 	}
@@ -247,7 +256,7 @@
 
 // isAnyBlocked reports whether a task of a gang is blocked.
 func (s *Shard) isAnyBlocked(g group, step *stepState, now time.Time) bool {
-	for index, t := range step.tasks {
+	for index, t := range step.states {
 		if s.isBlocked(g.task(index), t, now) {
 			return true
 		}
@@ -271,7 +280,7 @@
 
 // indexCrashes indexes the crashes and possible crashes of a job that was read from its rows.
 func (s *Shard) indexCrashes(j *jobState, now time.Time) {
-	j.forEachTask(func(id job.TaskID, t *taskState) {
+	j.forEachState(func(id job.TaskID, t *taskState) {
 		for _, worker := range t.possibleCrashes {
 			s.indexPossibleCrash(id, worker)
 		}
--- a/shard/crashevidence.go
+++ b/shard/crashevidence.go
@@ -180,7 +180,7 @@
 // resolveCrashes records what the end of a job says of the crashes of its workers.
 func (s *Shard) resolveCrashes(j *jobState, now time.Time) {
 	s.indexGivenUp(j.failure, now)
-	j.forEachTask(func(id job.TaskID, t *taskState) {
+	j.forEachState(func(id job.TaskID, t *taskState) {
 		s.reviewCrashes = s.reviewCrashes || t.isSuspect()
 		if !t.done && t.isSuspect() && (j.failure == nil || !j.failure.isFor(id)) {
 			s.leaveUnresolved(id, t)
--- a/shard/evacuation.go
+++ b/shard/evacuation.go
@@ -233,13 +233,13 @@
 		s.evict(r, reasonEvacuated)
 		return 1
 	}
-	step := s.jobs[r.id.Job].occurrences[r.id.Occurrence].steps[r.id.Step]
-	for _, member := range step.tasks {
+	step := s.jobs[r.id.Job].step(r.id)
+	for _, member := range step.states {
 		for _, other := range member.runs {
 			s.stop(other, reasonEvacuated)
 		}
 	}
-	return len(step.tasks)
+	return step.count
 }
 
 // logZone logs that nothing runs in an evacuated zone any more, or why tasks stay there.
--- a/shard/events.go
+++ b/shard/events.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"lemonstream.dev/lemonstream/job"
@@ -148,7 +149,7 @@
 	j := s.knownJob(running.Task.Job)
 	var t *taskState
 	if j != nil {
-		t = s.findOrBuildTask(j, running.Task)
+		t = j.ownTask(running.Task)
 	}
 	if t != nil && running.Checkpoint != "" {
 		t.checkpoint = running.Checkpoint
@@ -198,16 +199,6 @@
 	s.logRun("run found", running.Task, running.Run, w, "job_known", j != nil, "wanted", wanted, "percent", running.Percent)
 }
 
-// findOrBuildTask returns a task of a job; nil if the job has none with that id. It builds the
-// task's occurrence if only an earlier owner had begun it.
-func (s *Shard) findOrBuildTask(j *jobState, id job.TaskID) *taskState {
-	step := j.step(id.Occurrence, id.Step)
-	if step == nil || id.Index >= len(step.tasks) {
-		return nil
-	}
-	return step.tasks[id.Index]
-}
-
 // attachRun adds a run to its worker, its task and the quota usage of its organisation. j and t are
 // nil if its job is unknown.
 func (s *Shard) attachRun(r *run, j *jobState, t *taskState) {
@@ -221,7 +212,7 @@
 		return
 	}
 	s.chargeQuota(r, j.record.Organisation, j.record.Spec.Steps[r.id.Step].Need)
-	t.runs = append(t.runs, r)
+	j.step(r.id).addRun(r.id.Index, r)
 	if t.isSuspect() {
 		r.suspect = true
 		r.worker.suspects++
@@ -232,7 +223,6 @@
 	}
 	j.activeRuns++
 	t.lastRun = max(t.lastRun, r.number)
-	j.occurrences[r.id.Occurrence].steps[r.id.Step].removeIdle(r.id.Index)
 	s.markStarted(j)
 }
 
@@ -281,22 +271,19 @@
 	if t == nil {
 		return
 	}
-	for i, other := range t.runs {
-		if other == r {
-			t.runs = append(t.runs[:i], t.runs[i+1:]...)
-			j.activeRuns--
-			break
-		}
+	dropped := false
+	if i := slices.Index(t.runs, r); i >= 0 {
+		t.runs = slices.Delete(t.runs, i, i+1)
+		j.activeRuns--
+		dropped = true
 	}
 	s.removePossibleCrashes(r.id, r.worker.incarnation())
 	s.reviewCrashes = s.reviewCrashes || t.isSuspect()
-	if len(t.runs) == 0 && !t.done && !j.state.Final() {
-		step := j.occurrences[r.id.Occurrence].steps[r.id.Step]
-		step.removeIdle(r.id.Index)
-		step.idle = append(step.idle, r.id.Index)
-		t.idleSince = now
+	if dropped && len(t.runs) == 0 && !t.done && !j.state.Final() {
+		j.step(r.id).becomeIdle(r.id.Index, now)
 		s.waiting[j.record.ID] = j
 	}
+	j.release(r.id)
 }
 
 // handleEnd handles the end of a run that a worker listed.
@@ -304,7 +291,8 @@
 	j := s.knownJob(end.Task.Job)
 	var t *taskState
 	if j != nil {
-		t = s.findOrBuildTask(j, end.Task)
+		t = j.ownTask(end.Task)
+		defer j.release(end.Task)
 	}
 	r, found := w.runs[end.Task]
 	if found && r.number == end.Run {
@@ -325,7 +313,7 @@
 	if end.Checkpoint != "" {
 		t.checkpoint = end.Checkpoint
 	}
-	s.recordEvidence(w, j, r, end, now)
+	s.recordEvidence(w, j, t, r, end, now)
 	switch end.Kind {
 	case outside.EndDone:
 		s.recordRunTime(j, end.Task, r, now)
--- a/shard/eviction.go
+++ b/shard/eviction.go
@@ -45,8 +45,8 @@
 // unavailable, and other workers have resources for it and for the tasks of the step that need
 // a worker already.
 func (s *Shard) mayEvict(id job.TaskID, spec *job.Step, now time.Time) bool {
-	step := s.jobs[id.Job].occurrences[id.Occurrence].steps[id.Step]
-	return s.canDisrupt(id, spec) && s.countPlacements(id, spec, now) > step.countSeeking()
+	step := s.jobs[id.Job].step(id)
+	return step != nil && s.canDisrupt(id, spec) && s.countPlacements(id, spec, now) > step.countSeeking()
 }
 
 // evict stops a run of a long-running task, for a reason that is logged. The stop is not repeated
@@ -95,10 +95,10 @@
 
 // unavailable returns how many tasks of a step are unavailable, without the one at index.
 func (s *Shard) unavailable(step *stepState, index int) int {
-	unavailable := 0
-	for i, t := range step.tasks {
-		if i != index && !s.isAvailable(t) {
-			unavailable++
+	unavailable := step.count - 1
+	for i, t := range step.states {
+		if i != index && s.isAvailable(t) {
+			unavailable--
 		}
 	}
 	return unavailable
@@ -130,8 +130,8 @@
 // to be enough instances, because not every instance that is counted accepts tasks.
 func (s *stepState) stuck(now time.Time) int {
 	count := 0
-	for _, index := range s.idle {
-		if s.tasks[index].isStuck(now) {
+	for _, index := range s.returned {
+		if s.states[index].isStuck(now) {
 			count++
 		}
 	}
@@ -142,8 +142,11 @@
 // Tasks that have not run before are idle from the time from.
 func (s *stepState) countIdleFor(least time.Duration, from, now time.Time) int {
 	count := 0
-	for _, index := range s.idle {
-		since := s.tasks[index].idleSince
+	if now.Sub(from) >= least {
+		count = s.untouchedIdle()
+	}
+	for _, index := range s.returned {
+		since := s.states[index].idleSince
 		if since.IsZero() {
 			since = from
 		}
@@ -162,8 +165,8 @@
 // countSeeking returns how many tasks of the step need a worker: those that have none and those
 // whose only run is being stopped.
 func (s *stepState) countSeeking() int {
-	count := len(s.idle)
-	for _, t := range s.tasks {
+	count := s.idle
+	for _, t := range s.states {
 		if len(t.runs) == 1 && (t.runs[0].phase == phaseStopping || t.runs[0].phase == phaseStopped) {
 			count++
 		}
--- a/shard/fairness.go
+++ b/shard/fairness.go
@@ -103,7 +103,7 @@
 		name := s.nextTurn(names, queues, deficits)
 		g := queues[name][0]
 		queues[name] = queues[name][1:]
-		deficits[name] -= s.workOf(g, len(g.job.occurrences[g.occurrence].steps[g.step].idle))
+		deficits[name] -= s.workOf(g, g.state().idle)
 		ordered = append(ordered, g)
 	}
 	return ordered
--- a/shard/gang.go
+++ b/shard/gang.go
@@ -33,11 +33,11 @@
 
 // placeGang starts either all tasks of a step or none.
 func (s *Shard) placeGang(g group, step *stepState, spec *job.Step, now time.Time) {
-	if len(step.idle) < step.remaining || s.isAnyBlocked(g, step, now) {
+	if step.idle < step.remaining || s.isAnyBlocked(g, step, now) {
 		return
 	}
-	if !s.withinQuota(g.job, spec, len(step.idle)) {
-		s.waitForQuota(g.job, spec, len(step.idle))
+	if !s.withinQuota(g.job, spec, step.idle) {
+		s.waitForQuota(g.job, spec, step.idle)
 		return
 	}
 	racks := []string{""}
@@ -49,22 +49,9 @@
 		if chosen == nil {
 			continue
 		}
-		if !s.takeStartBudget(spec, g.job, len(chosen), now) {
-			return
+		if s.takeStartBudget(spec, g.job, len(chosen), now) {
+			s.startGang(g, step, spec, chosen, now)
 		}
-		number := (s.epoch-1)*runsPerEpoch + 1
-		checkpoint := ""
-		for _, t := range step.tasks {
-			number = max(number, t.lastRun+1)
-			if t.checkpoint > checkpoint {
-				checkpoint = t.checkpoint
-			}
-		}
-		for _, index := range slices.Sorted(maps.Keys(chosen)) {
-			step.tasks[index].checkpoint = checkpoint
-			s.startRun(g.job, step.tasks[index], spec, g.task(index), chosen[index], number, now)
-		}
-		s.chargeStart(g, len(chosen))
 		return
 	}
 	s.recordWait(g, step, spec, now)
@@ -72,26 +59,42 @@
 	s.reserveForGang(g, step, spec, now)
 }
 
+// startGang orders the start of all tasks of a step on the chosen workers. They share a run number and
+// a checkpoint.
+func (s *Shard) startGang(g group, step *stepState, spec *job.Step, chosen map[int]*workerState, now time.Time) {
+	number := (s.epoch-1)*runsPerEpoch + 1
+	checkpoint := ""
+	for _, t := range step.states {
+		number = max(number, t.lastRun+1)
+		checkpoint = max(checkpoint, t.checkpoint)
+	}
+	for _, index := range slices.Sorted(maps.Keys(chosen)) {
+		t := step.own(index)
+		t.checkpoint = checkpoint
+		s.startRun(g.job, t, spec, g.task(index), chosen[index], number, now)
+	}
+	s.chargeStart(g, len(chosen))
+}
+
 // holdGang records when the wait of a gang with one attempt left for proven workers began, if other
 // workers would have taken it.
 func (s *Shard) holdGang(g group, step *stepState, spec *job.Step, now time.Time) {
-	waits := func(index int) bool {
-		return step.tasks[index].heldSince.IsZero() && s.holdsLastAttempt(step.tasks[index], now)
-	}
-	if !slices.ContainsFunc(step.idle, waits) || s.assignGang(g, step, spec, "", true, now) == nil {
+	waits := false
+	step.idleStates(func(t *taskState) {
+		waits = waits || (t.heldSince.IsZero() && s.holdsLastAttempt(t, now))
+	})
+	if !waits || s.assignGang(g, step, spec, "", true, now) == nil {
 		return
 	}
-	for _, index := range step.idle {
-		step.tasks[index].hold(now)
-	}
+	step.idleStates(func(t *taskState) { t.hold(now) })
 }
 
 // reserveForGang reserves a worker for the first isolated task of a gang. The wait of all isolated
 // tasks of the gang begins now.
 func (s *Shard) reserveForGang(g group, step *stepState, spec *job.Step, now time.Time) {
 	reserved := false
-	for _, index := range step.idle {
-		t := step.tasks[index]
+	for _, index := range step.returned {
+		t := step.states[index]
 		if !t.needsIsolation() {
 			continue
 		}
@@ -117,7 +120,7 @@
 		suspectCount:  make(map[*workerState]int),
 		dedicated:     make(map[*workerState]bool),
 	}
-	for _, index := range step.idle {
+	for index := range step.idleTasks() {
 		if !a.assign(index, now) {
 			return nil
 		}
@@ -127,7 +130,7 @@
 
 // assign gives one more task the best worker and reports whether there is one.
 func (a *gangAssignment) assign(index int, now time.Time) bool {
-	t := a.step.tasks[index]
+	t := a.step.task(index)
 	var best *workerState
 	minWeight := 0.0
 	for _, w := range a.shard.workers {
@@ -157,7 +160,7 @@
 
 // eligible reports whether a worker can run one more task of the gang.
 func (a *gangAssignment) eligible(w *workerState, index int, now time.Time) bool {
-	t := a.step.tasks[index]
+	t := a.step.task(index)
 	c := newCandidate(a.group.task(index), a.spec, t)
 	c.allowUnproven = a.allowUnproven
 	if a.shard.checkEligibility(w, c, now) != eligible {
--- a/shard/handover.go
+++ b/shard/handover.go
@@ -297,7 +297,15 @@
 
 // containsIdle reports whether tasks lists an idle task of the step.
 func (b unobservedTasks) containsIdle(g group, step *stepState) bool {
-	for _, index := range step.idle {
+	if len(b.tasks) < step.idle {
+		for id := range b.tasks {
+			if g.contains(id) && id.Index < step.count && step.isIdle(id.Index) {
+				return true
+			}
+		}
+		return false
+	}
+	for index := range step.idleTasks() {
 		if b.contains(g.task(index)) {
 			return true
 		}
--- a/shard/held.go
+++ b/shard/held.go
@@ -5,7 +5,7 @@
 	// Jobs counts all jobs, also those that have ended and are not forgotten yet.
 	Jobs int
 
-	// Occurrences counts the occurrences that have a state of their own, Tasks their tasks that do.
+	// Occurrences counts the open occurrences, Tasks the tasks with a state of their own.
 	Occurrences int
 	Tasks       int
 }
@@ -19,7 +19,7 @@
 		held.Occurrences += len(j.occurrences)
 		for _, o := range j.occurrences {
 			for _, step := range o.steps {
-				held.Tasks += len(step.tasks)
+				held.Tasks += len(step.states)
 			}
 		}
 	}
--- a/shard/isolation.go
+++ b/shard/isolation.go
@@ -23,12 +23,12 @@
 
 // task returns the task's state.
 func (a isolatedTask) task() *taskState {
-	return a.step().tasks[a.index]
+	return a.step().states[a.index]
 }
 
 // step returns the state of the task's step.
 func (a isolatedTask) step() *stepState {
-	return a.group.job.occurrences[a.group.occurrence].steps[a.group.step]
+	return a.group.state()
 }
 
 // placeIsolated starts isolated tasks, those that have waited longest first. It runs after all
@@ -67,12 +67,12 @@
 func (s *Shard) isolatedTasks(groups []group, unobserved unobservedTasks, now time.Time) []isolatedTask {
 	var list []isolatedTask
 	for _, g := range groups {
-		step := g.job.occurrences[g.occurrence].steps[g.step]
+		step := g.state()
 		if g.job.record.Spec.Steps[g.step].Gang {
 			continue
 		}
-		for _, index := range step.idle {
-			t := step.tasks[index]
+		for _, index := range step.returned {
+			t := step.states[index]
 			if t.needsIsolation() && !s.isBlocked(g.task(index), t, now) && !unobserved.contains(g.task(index)) {
 				list = append(list, isolatedTask{
 					group:        g,
--- a/shard/jobs.go
+++ b/shard/jobs.go
@@ -157,41 +157,17 @@
 // schedule makes the due occurrences of a job ready to start, or finishes the job if none remains.
 func (s *Shard) schedule(j *jobState, now time.Time) {
 	s.refusedDemand.Forget(j.record.ID)
-	if j.record.Spec.Repeats > 0 {
-		s.repeating[j.record.ID] = j
-		s.addDueOccurrences(now)
-	} else if j.dueOccurrences == 0 {
-		j.addOccurrence()
-	}
-	for k, o := range j.occurrences {
-		o.remaining = 0
-		for _, step := range o.steps {
-			if step.remaining > 0 {
-				o.remaining++
-			}
-		}
-		if o.remaining == 0 && k < j.dueOccurrences {
-			j.remaining--
-		}
-	}
 	if j.remaining == 0 {
 		s.finishJob(j, job.Completed, now)
 		return
 	}
-	s.waiting[j.record.ID] = j
-}
-
-// addDueOccurrences adds the occurrences of repeating jobs that have come due.
-func (s *Shard) addDueOccurrences(now time.Time) {
-	for id, j := range s.repeating {
-		for j.dueOccurrences < j.record.Spec.Occurrences() && !now.Before(j.record.Spec.Due(j.dueOccurrences)) {
-			j.addOccurrence()
-			s.waiting[id] = j
-		}
-		if j.dueOccurrences == j.record.Spec.Occurrences() {
-			delete(s.repeating, id)
-		}
+	if j.record.Spec.Repeats > 0 {
+		s.repeating[j.record.ID] = j
+		s.openDue(j, s.newReadyRoom(now), now)
+	} else {
+		j.openOccurrence(0)
 	}
+	s.waiting[j.record.ID] = j
 }
 
 // Cancel cancels a job. It reports false if the job is unknown, or if the cancellation has to be
--- a/shard/jobstate.go
+++ b/shard/jobstate.go
@@ -1,6 +1,8 @@
 package shard
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"lemonstream.dev/lemonstream/catalog"
@@ -39,13 +41,18 @@
 	// started means that a task of the job has started, or that the job has ended.
 	started bool
 
-	// occurrences holds the occurrences that have come due, dueOccurrences in number.
-	occurrences    []*occurrence
-	dueOccurrences int
+	// occurrences holds the open occurrences by number. All occurrences before nextOccurrence are
+	// open or ended; those after it may be, if an earlier owner had begun them.
+	occurrences    map[int]*occurrence
+	nextOccurrence int
 
-	// remaining counts the occurrences that have not ended, due or not.
+	// ended holds the occurrences that have ended, remaining counts the others, due or not.
+	ended     bitset
 	remaining int
 
+	// untouched is the state of a task to which nothing has happened yet. It is never changed.
+	untouched *taskState
+
 	// deadline is the time until which the completed job earns its full value.
 	deadline time.Time
 
@@ -87,25 +94,6 @@
 	cancelWaiters []func()
 }
 
-// occurrence is one execution of all steps of a job.
-type occurrence struct {
-	steps []*stepState
-
-	// remaining counts the steps with a task that has not succeeded.
-	remaining int
-}
-
-// stepState is one step of one occurrence.
-type stepState struct {
-	tasks []*taskState
-
-	// remaining counts the tasks that have not succeeded.
-	remaining int
-
-	// idle lists the indices of tasks that are neither done nor on a worker.
-	idle []int
-}
-
 // taskState is the state of one task.
 type taskState struct {
 	done bool
@@ -167,13 +155,16 @@
 	count int
 }
 
-// newJob returns a queued job without occurrences.
+// newJob returns a queued job without open occurrences.
 func newJob(record Record, policy catalog.Policy) *jobState {
 	j := &jobState{
 		record:    record,
 		policy:    policy,
 		state:     job.Queued,
 		remaining: record.Spec.Occurrences(),
+		untouched: &taskState{
+			lastAttempt: policy.Attempts <= 1,
+		},
 	}
 	j.deadline = record.acceptedAt().Add(policy.Target + time.Duration(policy.Stretch*float64(criticalPath(record.Spec))))
 	return j
@@ -209,61 +200,45 @@
 	return false
 }
 
-// addOccurrence adds the next occurrence, with all tasks idle.
-func (j *jobState) addOccurrence() {
-	o := &occurrence{
-		remaining: len(j.record.Spec.Steps),
+// task returns the state of a task to be read, or nil if the job has no such task.
+func (j *jobState) task(id job.TaskID) *taskState {
+	spec := &j.record.Spec
+	if id.Occurrence >= spec.Occurrences() || id.Step >= len(spec.Steps) || id.Index >= spec.Steps[id.Step].Count {
+		return nil
 	}
-	for s := range j.record.Spec.Steps {
-		count := j.record.Spec.Steps[s].Count
-		step := &stepState{
-			remaining: count,
-		}
-		for i := 0; i < count; i++ {
-			step.tasks = append(step.tasks, &taskState{
-				lastAttempt: j.policy.Attempts <= 1,
-			})
-			step.idle = append(step.idle, count-1-i)
-		}
-		o.steps = append(o.steps, step)
+	if step := j.step(id); step != nil {
+		return step.task(id.Index)
 	}
-	j.occurrences = append(j.occurrences, o)
-	j.dueOccurrences++
-}
-
-// isReady reports whether the steps that a step depends on have succeeded, so that it may start.
-func (j *jobState) isReady(occurrence, step int) bool {
-	for _, earlier := range j.record.Spec.Steps[step].After {
-		if j.occurrences[occurrence].steps[earlier].remaining > 0 {
-			return false
+	if o := j.occurrences[id.Occurrence]; j.isEnded(id.Occurrence) || (o != nil && o.ended.has(id.Step)) {
+		return &taskState{
+			done: true,
 		}
 	}
-	return true
+	return j.untouched
 }
 
-// task returns a task by its ID, or nil if the job has no such task or it is not due yet.
-func (j *jobState) task(id job.TaskID) *taskState {
-	if id.Occurrence >= j.dueOccurrences || id.Step >= len(j.record.Spec.Steps) {
+// ownTask returns the state of a task to be changed, or nil if the job has no such task. It opens the
+// task's occurrence and step if needed; see release.
+func (j *jobState) ownTask(id job.TaskID) *taskState {
+	step := j.openStep(id.Occurrence, id.Step)
+	if step == nil || id.Index < 0 || id.Index >= step.count {
 		return nil
 	}
-	step := j.occurrences[id.Occurrence].steps[id.Step]
-	if id.Index >= len(step.tasks) {
-		return nil
-	}
-	return step.tasks[id.Index]
+	return step.own(id.Index)
 }
 
-// forEachTask calls do for each task that is due, in order.
-func (j *jobState) forEachTask(do func(id job.TaskID, t *taskState)) {
-	for k, o := range j.occurrences {
-		for s, step := range o.steps {
-			for i, t := range step.tasks {
+// forEachState calls do for each task with a state of its own, in order.
+func (j *jobState) forEachState(do func(id job.TaskID, t *taskState)) {
+	for _, k := range j.sortedOccurrences() {
+		o := j.occurrences[k]
+		for _, s := range slices.Sorted(maps.Keys(o.steps)) {
+			for _, i := range o.steps[s].sortedStates() {
 				do(job.TaskID{
 					Job:        j.record.ID,
 					Occurrence: k,
 					Step:       s,
 					Index:      i,
-				}, t)
+				}, o.steps[s].states[i])
 			}
 		}
 	}
@@ -276,31 +251,14 @@
 		return len(t.failedRuns)
 	}
 	failedRuns := make(map[int64]bool)
-	for _, member := range j.occurrences[id.Occurrence].steps[id.Step].tasks {
+	step := j.step(id)
+	if step == nil {
+		return 0
+	}
+	for _, member := range step.states {
 		for _, number := range member.failedRuns {
 			failedRuns[number] = true
 		}
 	}
 	return len(failedRuns)
 }
-
-// finish marks a task as done and reports whether it was not done before.
-func (s *stepState) finish(index int) bool {
-	if s.tasks[index].done {
-		return false
-	}
-	s.tasks[index].done = true
-	s.remaining--
-	s.removeIdle(index)
-	return true
-}
-
-// removeIdle removes a task from the idle list.
-func (s *stepState) removeIdle(index int) {
-	for i, other := range s.idle {
-		if other == index {
-			s.idle = append(s.idle[:i], s.idle[i+1:]...)
-			return
-		}
-	}
-}
--- a/shard/load.go
+++ b/shard/load.go
@@ -76,8 +76,8 @@
 // countIsolated returns how many idle tasks of a step wait for a worker of their own.
 func (s *Shard) countIsolated(g group, step *stepState) int {
 	count := 0
-	for _, index := range step.idle {
-		if t := step.tasks[index]; t.needsIsolation() && !s.isGivenUp(g.task(index), t) {
+	for _, index := range step.returned {
+		if t := step.states[index]; t.needsIsolation() && !s.isGivenUp(g.task(index), t) {
 			count++
 		}
 	}
@@ -245,42 +245,53 @@
 	return load
 }
 
-// addWaiting adds the resources that the idle tasks of a job need to a load.
+// addWaiting adds the resources that the idle tasks of a job need to a load, also those of occurrences
+// that are due and not open.
 func (s *Shard) addWaiting(j *jobState, load *Load, now time.Time) {
-	for k, o := range j.occurrences {
-		for st, step := range o.steps {
-			spec := &j.record.Spec.Steps[st]
-			if step.remaining == 0 {
-				continue
-			}
-			if spec.PerWorker > 0 {
-				stuck := step.stuck(now)
-				load.Spread = max(load.Spread, stuck+(step.remaining+spec.PerWorker-1)/spec.PerWorker)
-			}
-			if len(step.idle) == 0 {
-				continue
-			}
-			g := group{
-				job:        j,
-				occurrence: k,
-				step:       st,
-			}
-			need := scale(spec.Charge(), len(step.idle)).Add(load.isolated.need(s.countIsolated(g, step)))
-			late := s.remainingValue(g, now) != valueFull
-			switch {
-			case spec.Label != "":
-				load.Labelled[spec.Label] = load.Labelled[spec.Label].Add(need)
-			case j.isReady(k, st):
-				load.Waiting = load.Waiting.Add(need)
-				if late {
-					load.Late = load.Late.Add(need)
-				}
-			default:
-				load.Coming = load.Coming.Add(need)
-				if late {
-					load.LateComing = load.LateComing.Add(need)
-				}
+	j.openSteps(func(open openStepCount) {
+		spec := &j.record.Spec.Steps[open.step]
+		if spec.PerWorker > 0 {
+			stuck := 0
+			if open.state != nil {
+				stuck = open.state.stuck(now)
 			}
+			load.Spread = max(load.Spread, stuck+(open.remaining+spec.PerWorker-1)/spec.PerWorker)
+		}
+		if open.idle == 0 {
+			return
+		}
+		g := newGroup(j, open.occurrence, open.step)
+		need := scale(spec.Charge(), open.idle)
+		if open.state != nil {
+			need = need.Add(load.isolated.need(s.countIsolated(g, open.state)))
+		}
+		load.addIdle(spec, need, j.isReady(open.occurrence, open.step), s.remainingValue(g, now) != valueFull)
+	})
+	unopened := j.dueUnopened(now)
+	if unopened == 0 {
+		return
+	}
+	for i := range j.record.Spec.Steps {
+		spec := &j.record.Spec.Steps[i]
+		load.addIdle(spec, scale(spec.Charge(), unopened*spec.Count), len(spec.After) == 0, false)
+	}
+}
+
+// addIdle adds the resources that idle tasks of a step need. ready says that the step may start, late
+// that its job can no longer meet its deadline.
+func (l *Load) addIdle(spec *job.Step, need job.Room, ready, late bool) {
+	switch {
+	case spec.Label != "":
+		l.Labelled[spec.Label] = l.Labelled[spec.Label].Add(need)
+	case ready:
+		l.Waiting = l.Waiting.Add(need)
+		if late {
+			l.Late = l.Late.Add(need)
+		}
+	default:
+		l.Coming = l.Coming.Add(need)
+		if late {
+			l.LateComing = l.LateComing.Add(need)
 		}
 	}
 }
--- /dev/null
+++ b/shard/occurrence.go
@@ -0,0 +1,342 @@
+package shard
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"lemonstream.dev/lemonstream/job"
+)
+
+const (
+	// maxReadyTasks bounds the tasks that a repeating job holds ready to start where workers have
+	// room for more, such as for tasks that need no resources. The next round opens more.
+	maxReadyTasks = 4096
+
+	// maxOpenRowBytes bounds what the occurrences that are open may take in the row of progress. It
+	// is half of the smallest row that the platform has.
+	maxOpenRowBytes = 32 << 10
+
+	// openRowOverhead is the maximum size in bytes of an open occurrence in the row of progress
+	// without a bit for each task: its key, and the lengths of key and bits.
+	openRowOverhead = 16
+)
+
+// occurrence is one execution of all steps of a job. It is open while it has not ended, or while runs
+// of its tasks exist.
+type occurrence struct {
+	// steps holds the steps that may start, and those with runs or a history. A step that waits for
+	// others, or has ended and has no runs, needs no state.
+	steps map[int]*stepState
+
+	// ended holds the steps all of whose tasks have succeeded, remaining counts the others.
+	ended     bitset
+	remaining int
+}
+
+// isEnded reports whether all tasks of an occurrence have succeeded.
+func (j *jobState) isEnded(number int) bool {
+	return j.ended.has(number)
+}
+
+// openOccurrence returns an open occurrence, and opens it if needed.
+func (j *jobState) openOccurrence(number int) *occurrence {
+	if o := j.occurrences[number]; o != nil {
+		return o
+	}
+	o := &occurrence{
+		steps: make(map[int]*stepState, 1),
+	}
+	if j.occurrences == nil {
+		j.occurrences = make(map[int]*occurrence)
+	}
+	j.occurrences[number] = o
+	if j.isEnded(number) {
+		return o
+	}
+	o.remaining = len(j.record.Spec.Steps)
+	j.openReadySteps(number)
+	return o
+}
+
+// openReadySteps gives a state to the steps of an occurrence that may start.
+func (j *jobState) openReadySteps(number int) {
+	o := j.occurrences[number]
+	for step := range j.record.Spec.Steps {
+		if o.steps[step] == nil && !o.ended.has(step) && j.isReady(number, step) {
+			o.steps[step] = newStep(j, j.record.Spec.Steps[step].Count)
+		}
+	}
+}
+
+// isReady reports whether the steps that a step depends on have succeeded, so that it may start.
+func (j *jobState) isReady(number, step int) bool {
+	o := j.occurrences[number]
+	for _, earlier := range j.record.Spec.Steps[step].After {
+		if !o.ended.has(earlier) {
+			return false
+		}
+	}
+	return true
+}
+
+// openStep returns a step of an occurrence, or nil if the job has no such step. It opens the
+// occurrence and the step if needed.
+func (j *jobState) openStep(number, step int) *stepState {
+	if number < 0 || number >= j.record.Spec.Occurrences() || step < 0 || step >= len(j.record.Spec.Steps) {
+		return nil
+	}
+	o := j.openOccurrence(number)
+	if o.steps[step] == nil {
+		count := j.record.Spec.Steps[step].Count
+		if j.isEnded(number) || o.ended.has(step) {
+			o.steps[step] = newEndedStep(j, count)
+		} else {
+			o.steps[step] = newStep(j, count)
+		}
+	}
+	return o.steps[step]
+}
+
+// step returns the state of a task's step; nil if it has none.
+func (j *jobState) step(id job.TaskID) *stepState {
+	if o := j.occurrences[id.Occurrence]; o != nil {
+		return o.steps[id.Step]
+	}
+	return nil
+}
+
+// endStep records that all tasks of a step have succeeded. It reports whether the occurrence has
+// ended with it, and opens the steps that may start now.
+func (j *jobState) endStep(number, step int) bool {
+	o := j.occurrences[number]
+	o.ended.add(step)
+	o.remaining--
+	if o.remaining > 0 {
+		j.openReadySteps(number)
+		return false
+	}
+	j.ended.add(number)
+	j.remaining--
+	return true
+}
+
+// release drops what a task needs no longer: its state if it is done and has no runs, its step and
+// its occurrence if they have ended and no runs of them exist, and all occurrences of an ended job
+// without runs.
+func (j *jobState) release(id job.TaskID) {
+	step := j.step(id)
+	if step == nil {
+		return
+	}
+	step.releaseTask(id.Index)
+	o := j.occurrences[id.Occurrence]
+	if step.remaining == 0 && len(step.states) == 0 {
+		delete(o.steps, id.Step)
+	}
+	if o.remaining == 0 && len(o.steps) == 0 {
+		delete(j.occurrences, id.Occurrence)
+	}
+	j.releaseEnded()
+}
+
+// releaseEnded drops all occurrences of an ended job without runs.
+func (j *jobState) releaseEnded() {
+	if j.state.Final() && j.activeRuns == 0 {
+		j.occurrences = nil
+	}
+}
+
+// sortedOccurrences returns the numbers of the open occurrences in order.
+func (j *jobState) sortedOccurrences() []int {
+	return slices.Sorted(maps.Keys(j.occurrences))
+}
+
+// openStepCount is a step of an open occurrence that has not ended. state is nil while the step waits
+// for others.
+type openStepCount struct {
+	occurrence int
+	step       int
+	remaining  int
+	idle       int
+	state      *stepState
+}
+
+// openSteps calls do for each step of an open occurrence that has not ended.
+func (j *jobState) openSteps(do func(openStepCount)) {
+	for k, o := range j.occurrences {
+		if o.remaining == 0 {
+			continue
+		}
+		for i := range j.record.Spec.Steps {
+			one := openStepCount{
+				occurrence: k,
+				step:       i,
+				remaining:  j.record.Spec.Steps[i].Count,
+				idle:       j.record.Spec.Steps[i].Count,
+				state:      o.steps[i],
+			}
+			if one.state != nil {
+				one.remaining, one.idle = one.state.remaining, one.state.idle
+			}
+			if !o.ended.has(i) {
+				do(one)
+			}
+		}
+	}
+}
+
+// dueUnopened returns how many occurrences are due and not open, because no task of them could start.
+func (j *jobState) dueUnopened(now time.Time) int {
+	spec := &j.record.Spec
+	if spec.Repeats == 0 || j.state.Final() || now.Before(spec.Due(j.nextOccurrence)) {
+		return 0
+	}
+	due := spec.Occurrences()
+	if spec.Interval > 0 {
+		due = min(due, int(now.Sub(spec.FirstRun)/spec.Interval)+1)
+	}
+	count := max(0, due-j.nextOccurrence) - j.ended.countFrom(j.nextOccurrence)
+	for number, o := range j.occurrences {
+		if number >= j.nextOccurrence && o.remaining > 0 {
+			count--
+		}
+	}
+	return max(0, count)
+}
+
+// readyRoom is for how many more tasks the workers have room, by what a task needs. It serves one
+// round.
+type readyRoom struct {
+	shard *Shard
+	tasks map[job.Room]int
+
+	// unobserved is the number of tasks that earlier owners may have running and that this owner has
+	// not observed.
+	unobserved int
+}
+
+func (s *Shard) newReadyRoom(now time.Time) *readyRoom {
+	r := &readyRoom{
+		shard: s,
+		tasks: make(map[job.Room]int),
+	}
+	if s.unobservedWorkers > 0 {
+		r.unobserved = len(s.unobserved(now).tasks)
+	}
+	return r
+}
+
+// of returns for how many tasks of a step the workers have room, at most maxReadyTasks.
+func (r *readyRoom) of(spec *job.Step) int {
+	charge := spec.Charge()
+	count, known := r.tasks[charge]
+	if known {
+		return count
+	}
+	for _, w := range r.shard.usable {
+		count += countFitting(w.free(), charge, maxReadyTasks-count)
+	}
+	r.tasks[charge] = count
+	return count
+}
+
+// startable returns how many untouched tasks of a step the limit of tasks for each worker lets start.
+func (r *readyRoom) startable(step *stepState, spec *job.Step) int {
+	count := step.untouchedIdle()
+	if spec.PerWorker > 0 {
+		running := step.remaining - step.idle
+		count = min(count, max(0, spec.PerWorker*max(1, len(r.shard.usable))-running))
+	}
+	return count
+}
+
+// countFitting returns how many tasks that need charge each fit into the room of a worker, at most the
+// given number.
+func countFitting(room, charge job.Room, most int) int {
+	if !room.Fits(charge) {
+		return 0
+	}
+	for _, one := range [][2]int{
+		{room.MilliCPU, charge.MilliCPU},
+		{room.MemoryMB, charge.MemoryMB},
+		{room.Accelerators, charge.Accelerators},
+	} {
+		if one[1] > 0 {
+			most = min(most, one[0]/one[1])
+		}
+	}
+	return most
+}
+
+// openDueOccurrences opens the occurrences of repeating jobs that are due, in order and as far as
+// workers have room for their tasks. At least one is open whose first tasks have not started.
+func (s *Shard) openDueOccurrences(now time.Time) {
+	room := s.newReadyRoom(now)
+	for id, j := range s.repeating {
+		s.openDue(j, room, now)
+		if j.nextOccurrence == j.record.Spec.Occurrences() {
+			delete(s.repeating, id)
+		}
+	}
+}
+
+// openDue opens the occurrences of one job; see openDueOccurrences.
+func (s *Shard) openDue(j *jobState, room *readyRoom, now time.Time) {
+	spec := &j.record.Spec
+	if now.Before(spec.Due(j.nextOccurrence)) {
+		return
+	}
+	ready := j.readyTasks(room)
+	for j.nextOccurrence < spec.Occurrences() && !now.Before(spec.Due(j.nextOccurrence)) {
+		number := j.nextOccurrence
+		if j.isEnded(number) || j.occurrences[number] != nil {
+			j.nextOccurrence++
+			continue
+		}
+		if !j.needsOccurrence(ready, room) {
+			return
+		}
+		o := j.openOccurrence(number)
+		j.nextOccurrence++
+		for step, state := range o.steps {
+			ready[step] += room.startable(state, &spec.Steps[step])
+		}
+		s.waiting[j.record.ID] = j
+	}
+}
+
+// readyTasks returns, by step, how many untouched tasks of open occurrences may start. It covers the
+// steps that wait for no other: only of these a further occurrence has more.
+func (j *jobState) readyTasks(room *readyRoom) map[int]int {
+	ready := make(map[int]int, 1)
+	for _, o := range j.occurrences {
+		for step, state := range o.steps {
+			if spec := &j.record.Spec.Steps[step]; len(spec.After) == 0 {
+				ready[step] += room.startable(state, spec)
+			}
+		}
+	}
+	return ready
+}
+
+// needsOccurrence reports whether tasks of one more occurrence could start beside the given ready ones,
+// by step. The occurrences that are open must fit into the row of progress, whatever part of them is
+// done.
+func (j *jobState) needsOccurrence(ready map[int]int, room *readyRoom) bool {
+	if tasks := j.record.Spec.Tasks(); tasks > 1 && len(j.occurrences) > 0 {
+		if len(j.occurrences)*(openRowOverhead+tasks/bitsPerByte) > maxOpenRowBytes {
+			return false
+		}
+	}
+	for step := range j.record.Spec.Steps {
+		spec := &j.record.Spec.Steps[step]
+		if len(spec.After) > 0 {
+			continue
+		}
+		if ready[step] == 0 || ready[step] < room.of(spec)+room.unobserved {
+			return true
+		}
+	}
+	return false
+}
--- a/shard/outcome.go
+++ b/shard/outcome.go
@@ -12,49 +12,48 @@
 	if j.record.Spec.Steps[id.Step].Lasting {
 		return
 	}
-	o := j.occurrences[id.Occurrence]
-	step := o.steps[id.Step]
-	first, last := id.Index, id.Index
-	if j.record.Spec.Steps[id.Step].Gang {
-		// The members of a gang end together, so that the end of one counts for all.
-		first, last = 0, len(step.tasks)-1
-	}
-	changed := false
-	for index := first; index <= last; index++ {
-		// A member without a run lost it with its worker.
-		if t := step.tasks[index]; index != id.Index && !t.done && len(t.runs) == 0 && t.isSuspect() {
-			s.leaveUnresolved(job.TaskID{
-				Job:        id.Job,
-				Occurrence: id.Occurrence,
-				Step:       id.Step,
-				Index:      index,
-			}, t)
-		}
-		changed = step.finish(index) || changed
-	}
-	if !changed {
+	step := j.step(id)
+	if step == nil || step.remaining == 0 || !s.finishTasks(j, step, id) {
 		return
 	}
 	s.dirty[j.record.ID] = j
-	if first == last {
-		for _, copied := range step.tasks[id.Index].runs {
-			s.stop(copied, "another copy ended")
-		}
-	}
 	if step.remaining > 0 {
 		return
 	}
 	s.waiting[j.record.ID] = j
-	o.remaining--
-	if o.remaining > 0 {
-		return
-	}
-	j.remaining--
-	if j.remaining == 0 {
+	s.forgetStepTickets(id)
+	if j.endStep(id.Occurrence, id.Step) && j.remaining == 0 {
 		s.finishJob(j, job.Completed, now)
 	}
 }
 
+// finishTasks marks a task as done, or all members of its gang, which end together, so that the end of
+// one counts for all. It reports whether one was not done before.
+func (s *Shard) finishTasks(j *jobState, step *stepState, id job.TaskID) bool {
+	if !j.record.Spec.Steps[id.Step].Gang || step.count == 1 {
+		if !step.finish(id.Index) {
+			return false
+		}
+		for _, copied := range step.task(id.Index).runs {
+			s.stop(copied, "another copy ended")
+		}
+		return true
+	}
+	for _, index := range step.sortedStates() {
+		// A member without a run lost it with its worker.
+		if t := step.states[index]; index != id.Index && !t.done && len(t.runs) == 0 && t.isSuspect() {
+			member := id
+			member.Index = index
+			s.leaveUnresolved(member, t)
+		}
+	}
+	changed := false
+	for index := range step.count {
+		changed = step.finish(index) || changed
+	}
+	return changed
+}
+
 // taskFailed counts a failed run once, and fails the job when the task has used its attempts. The
 // failures of long-running tasks don't count.
 func (s *Shard) taskFailed(j *jobState, t *taskState, w *workerState, end outside.End, now time.Time) {
@@ -103,13 +102,10 @@
 	delete(s.repeating, j.record.ID)
 	s.forgetJobTickets(j)
 	s.resolveCrashes(j, now)
-	for _, o := range j.occurrences {
-		for _, step := range o.steps {
-			for _, t := range step.tasks {
-				for _, r := range t.runs {
-					s.stop(r, "job "+string(state))
-				}
-			}
+	j.forEachState(func(_ job.TaskID, t *taskState) {
+		for _, r := range t.runs {
+			s.stop(r, "job "+string(state))
 		}
-	}
+	})
+	j.releaseEnded()
 }
--- a/shard/outlier.go
+++ b/shard/outlier.go
@@ -38,13 +38,12 @@
 
 // recordEvidence records what the end of a run says of its worker and its job. r is nil if the run
 // was not known.
-func (s *Shard) recordEvidence(w *workerState, j *jobState, r *run, end outside.End, now time.Time) {
+func (s *Shard) recordEvidence(w *workerState, j *jobState, t *taskState, r *run, end outside.End, now time.Time) {
 	var began time.Time
 	if r != nil && !r.found {
 		began = r.startedAt
 	}
-	t := j.task(end.Task)
-	if t == nil || (t.done && r == nil) || slices.Contains(t.failedRuns, end.Run) {
+	if (t.done && r == nil) || slices.Contains(t.failedRuns, end.Run) {
 		// The end was counted already, maybe by an earlier owner, whose evidence is inherited. The
 		// first end of a gang marks all its tasks as done; ends of known runs still count.
 		return
@@ -116,14 +115,16 @@
 // recordWait records that the idle tasks of a step wait for a worker while one is ejected. spec is
 // nil if it is not to be checked whether only ejected workers can take them.
 func (s *Shard) recordWait(g group, step *stepState, spec *job.Step, now time.Time) {
-	if s.outliers.Ejected() == 0 || len(step.idle) == 0 {
+	if s.outliers.Ejected() == 0 || step.idle == 0 {
 		return
 	}
 	checked := spec != nil && acceptsSome(spec)
-	index := step.idle[len(step.idle)-1]
-	only := checked && s.onlyEjectedAccept(newCandidate(g.task(index), spec, step.tasks[index]), now)
-	for _, index := range step.idle {
-		t := step.tasks[index]
+	only := false
+	for index := range step.idleTasks() {
+		only = checked && s.onlyEjectedAccept(newCandidate(g.task(index), spec, step.task(index)), now)
+		break
+	}
+	step.idleStates(func(t *taskState) {
 		if t.waitingSince.IsZero() {
 			t.waitingSince = now
 		}
@@ -133,7 +134,7 @@
 		case only && t.onlyEjectedSince.IsZero():
 			t.onlyEjectedSince = now
 		}
-	}
+	})
 }
 
 // onlyEjectedAccept reports whether no worker that is not ejected could take a task when empty.
@@ -190,27 +191,19 @@
 // noteLastAttempt records that a run of a task has failed. A failed run of a gang's member counts
 // for all members.
 func (j *jobState) noteLastAttempt(id job.TaskID, t *taskState) {
-	tasks := []*taskState{t}
-	if j.record.Spec.Steps[id.Step].Gang {
-		tasks = j.occurrences[id.Occurrence].steps[id.Step].tasks
-	}
-	for _, member := range tasks {
+	note := func(member *taskState) {
 		member.triedBefore = true
 		member.lastAttempt = j.attempts(id, member)+1 >= j.policy.Attempts
 	}
-}
-
-// restoreLastAttempt does the same for a task whose failed runs were read from a row under the given
-// key.
-func (j *jobState) restoreLastAttempt(key string, t *taskState) {
-	if occurrence, step, index, err := parseKey(key); err == nil {
-		j.noteLastAttempt(job.TaskID{
-			Job:        j.record.ID,
-			Occurrence: occurrence,
-			Step:       step,
-			Index:      index,
-		}, t)
+	step := j.step(id)
+	if step == nil || !j.record.Spec.Steps[id.Step].Gang {
+		note(t)
+		return
+	}
+	for _, member := range step.states {
+		note(member)
 	}
+	note(step.forUntouched())
 }
 
 // isHeldBack reports whether a task that no worker has taken waits for a proven worker only, and
--- a/shard/place.go
+++ b/shard/place.go
@@ -109,7 +109,7 @@
 		if !s.nextStartAt.IsZero() {
 			return
 		}
-		step := g.job.occurrences[g.occurrence].steps[g.step]
+		step := g.state()
 		spec := &g.job.record.Spec.Steps[g.step]
 		if s.failsStep(failed, step, spec, now) {
 			s.recordWait(g, step, nil, now)
@@ -139,32 +139,34 @@
 		shard: s,
 		now:   now,
 	}
-	// The list is walked from its end: a task that starts is removed from it, and the tasks
-	// behind it were skipped before.
-	for i := len(step.idle) - 1; i >= 0; i-- {
-		index := step.idle[i]
-		id := g.task(index)
-		if unobserved.contains(id) || s.isBlocked(id, step.tasks[index], now) || step.tasks[index].needsIsolation() {
+	left := step.idle
+	for index := range step.idleTasks() {
+		id, t := g.task(index), step.task(index)
+		left--
+		if unobserved.contains(id) || s.isBlocked(id, t, now) || t.needsIsolation() {
 			continue
 		}
-		if s.skips(failed, id, spec, step.tasks[index], now) {
+		if s.skips(failed, id, spec, t, now) {
+			if step.isUntouched(index) {
+				return
+			}
 			continue
 		}
 		if !s.withinQuota(g.job, spec, 1) {
-			s.waitForQuota(g.job, spec, i+1)
+			s.waitForQuota(g.job, spec, left+1)
 			return
 		}
-		w := choices.choose(id, spec, step.tasks[index])
+		w := choices.choose(id, spec, t)
 		if w != nil && !s.takeStartBudget(spec, g.job, 1, now) {
 			return
 		}
-		if w == nil && s.noteUnplaced(failed, g, step, index, now) {
+		if w == nil && s.noteUnplaced(failed, g, step, index, now) && !step.isUntouched(index) {
 			continue
 		}
 		if w == nil {
 			return
 		}
-		s.start(g.job, step.tasks[index], spec, id, w, now)
+		s.start(g.job, step.own(index), spec, id, w, now)
 		s.chargeStart(g, 1)
 		choices.started = append(choices.started, w)
 	}
@@ -191,18 +193,14 @@
 		idle := false
 		for k, o := range j.occurrences {
 			for st, step := range o.steps {
-				if len(step.idle) == 0 {
+				if step.idle == 0 {
 					continue
 				}
 				idle = true
 				if !j.isReady(k, st) || (unobserved && !j.fresh) || !s.isConfirmed(j) {
 					continue
 				}
-				list = append(list, group{
-					job:        j,
-					occurrence: k,
-					step:       st,
-				})
+				list = append(list, newGroup(j, k, st))
 			}
 		}
 		if !idle {
@@ -223,6 +221,25 @@
 	return list
 }
 
+// newGroup returns the group of a step of an open occurrence.
+func newGroup(j *jobState, occurrence, step int) group {
+	return group{
+		job:        j,
+		occurrence: occurrence,
+		step:       step,
+	}
+}
+
+// state returns the state of the group's step.
+func (g group) state() *stepState {
+	return g.job.occurrences[g.occurrence].steps[g.step]
+}
+
+// contains reports whether a task belongs to the group's step.
+func (g group) contains(id job.TaskID) bool {
+	return id.Job == g.job.record.ID && id.Occurrence == g.occurrence && id.Step == g.step
+}
+
 func (g group) task(index int) job.TaskID {
 	return job.TaskID{
 		Job:        g.job.record.ID,
--- a/shard/possiblecrash.go
+++ b/shard/possiblecrash.go
@@ -34,7 +34,7 @@
 // task as well. The row is written in parallel to the start and does not delay it, since a write
 // takes some 20 ms.
 func (s *Shard) addPossibleCrash(id job.TaskID, worker string) {
-	j, t := s.openTask(id)
+	j, t := s.ownOpenTask(id)
 	if t == nil {
 		return
 	}
@@ -70,6 +70,7 @@
 	if t == nil || t.sharedCrashes.Contains(worker) == shared {
 		return
 	}
+	t = j.ownTask(id)
 	if shared {
 		t.sharedCrashes, _ = t.sharedCrashes.Add(worker)
 	} else {
@@ -177,7 +178,7 @@
 		return
 	}
 	s.unindexPossibleCrash(id, worker)
-	if j, t := s.openTask(id); t != nil {
+	if j, t := s.ownOpenTask(id); t != nil {
 		t.possibleCrashes = t.possibleCrashes.Without(worker)
 		t.sharedCrashes = t.sharedCrashes.Without(worker)
 		s.dirty[id.Job] = j
--- a/shard/record.go
+++ b/shard/record.go
@@ -200,21 +200,12 @@
 		p.Failure = j.failure
 		return p
 	}
-	for k, o := range j.occurrences {
-		for s := range o.steps {
-			if bits := o.steps[s].doneBitmap(); bits != nil {
-				if p.Done == nil {
-					p.Done = make(map[string][]byte)
-				}
-				p.Done[stepKey(k, s)] = bits
-			}
-			for i, t := range o.steps[s].tasks {
-				if !t.done {
-					p.addTask(stepKey(k, s)+"."+strconv.Itoa(i), t, j.record.Spec.Steps[s].Lasting)
-				}
-			}
+	p.Done = j.doneMarks()
+	j.forEachState(func(id job.TaskID, t *taskState) {
+		if !t.done {
+			p.addTask(stepKey(id.Occurrence, id.Step)+"."+strconv.Itoa(id.Index), t, j.record.Spec.Steps[id.Step].Lasting)
 		}
-	}
+	})
 	return p
 }
 
@@ -249,30 +240,26 @@
 
 // restore applies a row of progress to a newly built job.
 func (j *jobState) restore(p Progress) error {
-	for key, bits := range p.Done {
-		k, s, _, err := parseKey(key)
-		if err != nil {
-			return err
-		}
-		step := j.step(k, s)
-		if step == nil {
-			return fmt.Errorf("progress refers to step %s, which job %s does not have", key, j.record.ID)
-		}
-		for i := range step.tasks {
-			if i/8 < len(bits) && bits[i/8]&(1<<(i%8)) != 0 {
-				step.finish(i)
-			}
-		}
+	if err := j.restoreDone(p.Done); err != nil {
+		return err
 	}
 	for key, runs := range p.Failed {
-		t, err := j.taskByKey(key)
+		id, err := j.taskByKey(key)
 		if err != nil {
 			return err
 		}
+		if j.isTaskDone(id) {
+			continue
+		}
+		t := j.ownTask(id)
 		t.failedRuns = runs
-		j.restoreLastAttempt(key, t)
+		j.noteLastAttempt(id, t)
 	}
-	return j.restoreCrashes(p)
+	if err := j.restoreCrashes(p); err != nil {
+		return err
+	}
+	j.sortReturned()
+	return nil
 }
 
 // restoreCrashes applies the crashes in a row of progress to a newly built job.
@@ -299,54 +286,34 @@
 		},
 	} {
 		for key, workers := range list.rows {
-			t, err := j.taskByKey(key)
+			id, err := j.taskByKey(key)
 			if err != nil {
 				return err
 			}
-			list.apply(t, workers)
+			if !j.isTaskDone(id) {
+				list.apply(j.ownTask(id), workers)
+			}
 		}
 	}
 	return nil
 }
 
-// taskByKey returns the task for a key of a row of progress. It builds missing occurrences up to
-// the one in the key.
-func (j *jobState) taskByKey(key string) (*taskState, error) {
+// taskByKey returns the task for a key of a row of progress.
+func (j *jobState) taskByKey(key string) (job.TaskID, error) {
 	k, s, i, err := parseKey(key)
 	if err != nil {
-		return nil, err
+		return job.TaskID{}, err
 	}
-	step := j.step(k, s)
-	if step == nil || i < 0 || i >= len(step.tasks) {
-		return nil, fmt.Errorf("progress refers to task %s, which job %s does not have", key, j.record.ID)
+	spec := &j.record.Spec
+	if k < 0 || k >= spec.Occurrences() || s < 0 || s >= len(spec.Steps) || i < 0 || i >= spec.Steps[s].Count {
+		return job.TaskID{}, fmt.Errorf("progress refers to task %s, which job %s does not have", key, j.record.ID)
 	}
-	return step.tasks[i], nil
-}
-
-// step returns a step of an occurrence, or nil if the job has no such step. It builds missing
-// occurrences up to the given one.
-func (j *jobState) step(occurrence, step int) *stepState {
-	if occurrence < 0 || occurrence >= j.record.Spec.Occurrences() || step < 0 || step >= len(j.record.Spec.Steps) {
-		return nil
-	}
-	for j.dueOccurrences <= occurrence {
-		j.addOccurrence()
-	}
-	return j.occurrences[occurrence].steps[step]
-}
-
-// doneBitmap returns the bitmap of the tasks that have succeeded, nil if there are none.
-func (s *stepState) doneBitmap() []byte {
-	if s.remaining == len(s.tasks) {
-		return nil
-	}
-	bits := make([]byte, (len(s.tasks)+7)/8)
-	for i, t := range s.tasks {
-		if t.done {
-			bits[i/8] |= 1 << (i % 8)
-		}
-	}
-	return bits
+	return job.TaskID{
+		Job:        j.record.ID,
+		Occurrence: k,
+		Step:       s,
+		Index:      i,
+	}, nil
 }
 
 // parseKey splits a key of the form OCCURRENCE.STEP or OCCURRENCE.STEP.INDEX. The index is -1 if
--- a/shard/report.go
+++ b/shard/report.go
@@ -40,5 +40,9 @@
 	if j == nil || j.task(id) == nil {
 		return 0, false
 	}
-	return s.unavailable(j.occurrences[id.Occurrence].steps[id.Step], id.Index), true
+	step := j.step(id)
+	if step == nil {
+		return j.record.Spec.Steps[id.Step].Count - 1, true
+	}
+	return s.unavailable(step, id.Index), true
 }
--- a/shard/restart.go
+++ b/shard/restart.go
@@ -154,7 +154,7 @@
 	j := s.knownJob(r.id.Job)
 	var t *taskState
 	if j != nil {
-		t = s.findOrBuildTask(j, r.id)
+		t = j.ownTask(r.id)
 	}
 	s.attachRun(&next, j, t)
 	if !listed || unwanted {
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -150,7 +150,7 @@
 	// waiting holds the jobs with tasks that may have to start.
 	waiting map[string]*jobState
 
-	// repeating holds the jobs whose next occurrence is not due yet.
+	// repeating holds the jobs with occurrences that were not opened yet.
 	repeating map[string]*jobState
 
 	// dueRuns holds the runs that need an order: to be stopped, or to be started once more.
@@ -445,7 +445,7 @@
 	s.dropUnusedEvidence(now)
 	s.startsHeld = s.opts.Usable != nil && !s.opts.Usable()
 	s.updateUsable(now)
-	s.addDueOccurrences(now)
+	s.openDueOccurrences(now)
 	s.moveOffDraining(now)
 	s.moveOutOfZones(now)
 	s.logUnobserved(now)
@@ -482,7 +482,7 @@
 	}
 	earlier(s.nextStartAt)
 	for _, j := range s.repeating {
-		earlier(j.record.Spec.Due(j.dueOccurrences))
+		earlier(j.record.Spec.Due(j.nextOccurrence))
 	}
 	return next
 }
--- a/shard/unknown.go
+++ b/shard/unknown.go
@@ -124,7 +124,7 @@
 	j := s.knownJob(r.id.Job)
 	var t *taskState
 	if j != nil {
-		t = s.findOrBuildTask(j, r.id)
+		t = j.ownTask(r.id)
 	}
 	if t == nil {
 		s.stop(r, reasonUnwanted)
--- a/shard/unplaced.go
+++ b/shard/unplaced.go
@@ -72,12 +72,9 @@
 	if acceptsSome(spec) {
 		return false
 	}
-	for _, index := range step.idle {
-		if step.tasks[index].isOverdue(now) {
-			return false
-		}
-	}
-	return true
+	overdue := false
+	step.idleStates(func(t *taskState) { overdue = overdue || t.isOverdue(now) })
+	return !overdue
 }
 
 // skips reports whether the search for a worker for a task can be left out. The wait of a held task
@@ -98,7 +95,7 @@
 // noteUnplaced records that no worker has taken a task. It reports whether other tasks of the step may
 // still find one.
 func (s *Shard) noteUnplaced(u *unplaced, g group, step *stepState, index int, now time.Time) bool {
-	id, t, spec := g.task(index), step.tasks[index], &g.job.record.Spec.Steps[g.step]
+	id, t, spec := g.task(index), step.task(index), &g.job.record.Spec.Steps[g.step]
 	class := s.classOf(t, now)
 	s.recordWait(g, step, spec, now)
 	if s.isHeldBack(id, spec, t, now) {
--- a/shard/world_rows_test.go
+++ b/shard/world_rows_test.go
@@ -4,6 +4,9 @@
 	"lemonstream.dev/lemonstream/shard"
 )
 
+// maxRowBytes is the most bytes of a row that the platform takes.
+const maxRowBytes = 65_536
+
 // writeStandby makes the owner read the standby partition once and write to it while the store
 // is down. Once the store is back, it removes redundant rows from the standby partition.
 func (w *world) writeStandby() {
@@ -96,6 +99,9 @@
 			continue
 		}
 		w.progress[one.ID] = one.Progress
+		if size := len(one.Progress.Encode()); size > maxRowBytes {
+			w.addViolation("the row of %s has %d bytes", one.ID, size)
+		}
 		if one.RemoveRecord {
 			delete(w.records, one.ID)
 		}
