Overdue occurrences of a repeating job rank by their own due time

Cause: a repeating job counted as one that can earn its full value and has started, for good, so each of its occurrences came before every new job. Change: an occurrence has a deadline of its own, its due time and the objective of the job, and counts as started once a task of it has started. Overdue ones come after jobs that can still end in time. The load that sizes the pool is as before.

--- a/shard/events.go
+++ b/shard/events.go
@@ -213,6 +213,7 @@
 	}
 	s.chargeQuota(r, j.record.Organisation, j.record.Spec.Steps[r.id.Step].Need)
 	j.step(r.id).addRun(r.id.Index, r)
+	j.occurrences[r.id.Occurrence].started = true
 	if t.isSuspect() {
 		r.suspect = true
 		r.worker.suspects++
--- a/shard/jobstate.go
+++ b/shard/jobstate.go
@@ -185,6 +185,12 @@
 	return longest
 }
 
+// objective returns the time from the hand-in of the job, or from the due time of an occurrence, within
+// which it earns its full value.
+func (j *jobState) objective() time.Duration {
+	return j.deadline.Sub(j.record.acceptedAt())
+}
+
 // isLate reports whether the job is past its deadline. Long-running and repeating jobs have none.
 func (j *jobState) isLate(now time.Time) bool {
 	return j.record.Spec.Repeats == 0 && !j.hasLongRunningStep() && now.After(j.deadline)
--- a/shard/large_job_test.go
+++ b/shard/large_job_test.go
@@ -312,6 +312,26 @@
 	w.check(t)
 }
 
+// TestSmallJobsBeginBesideOverdueOccurrences guards against a job with many overdue occurrences that takes
+// all room for as long as they last, so that no job that is handed in later begins.
+func TestSmallJobsBeginBesideOverdueOccurrences(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(4)
+	w.run(200 * time.Millisecond)
+	w.submitSpec("large", repeating(10_000, w.now.Add(-10_000*time.Second), time.Second, short(100)))
+	w.run(time.Second)
+	for i := range 10 {
+		w.submit(fmt.Sprintf("small%d", i), short(1))
+		w.run(200 * time.Millisecond)
+	}
+	w.run(500 * time.Millisecond)
+	for i := range 10 {
+		is.Equal(w.shown[fmt.Sprintf("small%d", i)], job.Completed)
+	}
+	is.Equal(w.shown["large"], job.Running)
+	w.check(t)
+}
+
 // BenchmarkOverdueJob measures what an owner holds and how long its rounds take by the number of overdue
 // occurrences of a job, each with 100 tasks.
 func BenchmarkOverdueJob(b *testing.B) {
--- a/shard/occurrence.go
+++ b/shard/occurrence.go
@@ -32,6 +32,9 @@
 	// ended holds the steps all of whose tasks have succeeded, remaining counts the others.
 	ended     bitset
 	remaining int
+
+	// started says that a task has started.
+	started bool
 }
 
 // isEnded reports whether all tasks of an occurrence have succeeded.
--- a/shard/place.go
+++ b/shard/place.go
@@ -70,6 +70,11 @@
 	step       int
 	valueClass valueClass
 
+	// started says that a task of the job, or of the occurrence of a repeating job, has started.
+	// deadline is that of the job or the occurrence.
+	started  bool
+	deadline time.Time
+
 	// newestFirst says that among jobs that have not started the newest is placed first.
 	newestFirst bool
 }
@@ -208,7 +213,7 @@
 		}
 	}
 	for i := range list {
-		list[i].valueClass = s.remainingValue(list[i], now)
+		list[i].valueClass = s.placementValue(list[i], now)
 	}
 	newestFirst := s.detectMisses(list, now)
 	for i := range list {
@@ -223,11 +228,18 @@
 
 // newGroup returns the group of a step of an open occurrence.
 func newGroup(j *jobState, occurrence, step int) group {
-	return group{
+	g := group{
 		job:        j,
 		occurrence: occurrence,
 		step:       step,
+		started:    j.started,
+		deadline:   j.deadline,
+	}
+	if j.record.Spec.Repeats > 0 {
+		g.started = j.occurrences[occurrence].started
+		g.deadline = j.record.Spec.Due(occurrence).Add(j.objective())
 	}
+	return g
 }
 
 // state returns the state of the group's step.
--- a/shard/priority.go
+++ b/shard/priority.go
@@ -27,14 +27,14 @@
 	if g.valueClass != o.valueClass {
 		return g.valueClass < o.valueClass
 	}
-	if g.job.started != o.job.started {
-		return g.job.started
+	if g.started != o.started {
+		return g.started
 	}
-	if !g.job.deadline.Equal(o.job.deadline) {
-		if g.newestFirst && !g.job.started && g.valueClass == valueFull {
-			return g.job.deadline.After(o.job.deadline)
+	if !g.deadline.Equal(o.deadline) {
+		if g.newestFirst && !g.started && g.valueClass == valueFull {
+			return g.deadline.After(o.deadline)
 		}
-		return g.job.deadline.Before(o.job.deadline)
+		return g.deadline.Before(o.deadline)
 	}
 	if g.job.record.ID != o.job.record.ID {
 		return g.job.record.ID < o.job.record.ID
@@ -62,16 +62,26 @@
 }
 
 // remainingValue returns what a step's job can still earn if the step starts now. Repeated and
-// long-running jobs have no deadline and always keep their full value.
+// long-running jobs as a whole have no deadline and always keep their full value.
 func (s *Shard) remainingValue(g group, now time.Time) valueClass {
-	if g.job.record.Spec.Repeats > 0 || g.job.hasLongRunningStep() {
+	if g.job.record.Spec.Repeats > 0 {
 		return valueFull
 	}
-	acceptedAt := g.job.record.acceptedAt()
-	if now.Sub(acceptedAt) > valueExpiryFactor*g.job.deadline.Sub(acceptedAt) {
+	return s.placementValue(g, now)
+}
+
+// placementValue returns what a step's job, or its occurrence if the job repeats, can still earn if the
+// step starts now. Without the deadline of each occurrence, a repeating job with many overdue ones took
+// all room for as long as they lasted, and no job that was handed in later began.
+func (s *Shard) placementValue(g group, now time.Time) valueClass {
+	if g.job.hasLongRunningStep() {
+		return valueFull
+	}
+	objective := g.job.objective()
+	if now.Sub(g.deadline.Add(-objective)) > valueExpiryFactor*objective {
 		return valueNone
 	}
-	if now.Add(s.remainingTime(g)).After(g.job.deadline) {
+	if now.Add(s.remainingTime(g)).After(g.deadline) {
 		return valuePartial
 	}
 	return valueFull
--- a/shard/progressmarks.go
+++ b/shard/progressmarks.go
@@ -159,6 +159,7 @@
 		}
 		if state == nil {
 			state = j.openStep(occurrence, step)
+			j.occurrences[occurrence].started = true
 		}
 		state.finish(index)
 	}
