Gangs that do not fit cost one look at the workers in a round

Change: the room of the workers is added up once a round for each size of task, and a gang is assigned only where it is enough. Tasks of a gang to which nothing has happened are alike, and fill the best workers one after the other in place of a search for each. Test, red on the code before: TestGangsThatDoNotFitCostOneLook.

--- a/shard/gang.go
+++ b/shard/gang.go
@@ -1,9 +1,10 @@
 package shard
 
 import (
+	"cmp"
+	"iter"
 	"maps"
 	"slices"
-	"sort"
 	"time"
 
 	"lemonstream.dev/lemonstream/job"
@@ -32,7 +33,7 @@
 }
 
 // placeGang starts either all tasks of a step or none.
-func (s *Shard) placeGang(g group, step *stepState, spec *job.Step, now time.Time) {
+func (s *Shard) placeGang(g group, step *stepState, spec *job.Step, room *gangRoom, now time.Time) {
 	if step.idle < step.remaining || s.isAnyBlocked(g, step, now) {
 		return
 	}
@@ -40,11 +41,7 @@
 		s.waitForQuota(g.job, spec, step.idle)
 		return
 	}
-	racks := []string{""}
-	if spec.SameRack {
-		racks = append(s.racks(), "")
-	}
-	for _, rack := range racks {
+	for _, rack := range room.racksFor(spec, step.idle) {
 		chosen := s.assignGang(g, step, spec, rack, false, now)
 		if chosen == nil {
 			continue
@@ -120,14 +117,88 @@
 		suspectCount:  make(map[*workerState]int),
 		dedicated:     make(map[*workerState]bool),
 	}
-	for index := range step.idleTasks() {
+	for _, index := range step.returned {
 		if !a.assign(index, now) {
 			return nil
 		}
 	}
+	if !a.assignUntouched(now) {
+		return nil
+	}
 	return a.chosen
 }
 
+// roomOn returns for how many more tasks of the gang a worker has room, at most for all that have none
+// yet.
+func (a *gangAssignment) roomOn(w *workerState) int {
+	if a.dedicated[w] || (a.rack != "" && w.reg.Rack != a.rack) {
+		return 0
+	}
+	most := a.step.idle - len(a.chosen)
+	if a.spec.PerWorker > 0 {
+		most = min(most, a.spec.PerWorker-a.memberCount[w]-w.countRuns(a.group.task(0)))
+	}
+	charge := a.spec.Charge()
+	return max(0, countFitting(w.free().Sub(scale(charge, a.memberCount[w])), charge, most))
+}
+
+// assignUntouched gives workers to all tasks without a state of their own, and reports whether there
+// are enough. The tasks are alike: the best worker for one is the best for all, until it is full.
+func (a *gangAssignment) assignUntouched(now time.Time) bool {
+	if a.step.untouchedIdle() == 0 {
+		return true
+	}
+	next, stop := iter.Pull(a.step.untouchedTasks())
+	defer stop()
+	index, found := next()
+	list := a.rankUntouched(index, now)
+	left := a.step.untouchedIdle()
+	for _, ranked := range list {
+		left -= a.roomOn(ranked.worker)
+	}
+	if left > 0 {
+		return false
+	}
+	for _, ranked := range list {
+		for range a.roomOn(ranked.worker) {
+			if !found {
+				return true
+			}
+			a.choose(index, ranked.worker)
+			index, found = next()
+		}
+	}
+	return !found
+}
+
+// rankUntouched returns the workers that can run an untouched task, the best first.
+func (a *gangAssignment) rankUntouched(index int, now time.Time) []rankedWorker {
+	var list []rankedWorker
+	for _, w := range a.shard.workers {
+		if a.eligible(w, index, now) {
+			list = append(list, rankedWorker{
+				worker: w,
+				weight: a.shard.weigh(w, a.spec, a.step.task(index)),
+			})
+		}
+	}
+	slices.SortFunc(list, func(one, other rankedWorker) int {
+		return cmp.Or(cmp.Compare(one.weight, other.weight), cmp.Compare(one.worker.reg.ID, other.worker.reg.ID))
+	})
+	return list
+}
+
+// choose gives a task a worker.
+func (a *gangAssignment) choose(index int, w *workerState) {
+	t := a.step.task(index)
+	a.chosen[index] = w
+	a.memberCount[w]++
+	if t.isSuspect() {
+		a.suspectCount[w]++
+	}
+	a.dedicated[w] = t.needsIsolation()
+}
+
 // assign gives one more task the best worker and reports whether there is one.
 func (a *gangAssignment) assign(index int, now time.Time) bool {
 	t := a.step.task(index)
@@ -149,12 +220,7 @@
 	if best == nil {
 		return false
 	}
-	a.chosen[index] = best
-	a.memberCount[best]++
-	if t.isSuspect() {
-		a.suspectCount[best]++
-	}
-	a.dedicated[best] = t.needsIsolation()
+	a.choose(index, best)
 	return true
 }
 
@@ -175,16 +241,58 @@
 	return w.free().Sub(scale(a.spec.Charge(), a.memberCount[w])).Fits(a.spec.Charge())
 }
 
-// racks returns the racks of all workers in sorted order.
-func (s *Shard) racks() []string {
-	seen := make(map[string]bool)
-	for _, w := range s.workers {
-		seen[w.reg.Rack] = true
+// gangRoom is for how many tasks the workers have room at most, by what one needs. It serves one
+// placement, in which room only becomes less. A gang that can't fit by it is not assigned task by task.
+type gangRoom struct {
+	shard *Shard
+	tasks map[job.Room]rackRoom
+}
+
+// rackRoom is for how many tasks there is room in all racks and in each.
+type rackRoom struct {
+	total  int
+	byRack map[string]int
+}
+
+func (s *Shard) newGangRoom() *gangRoom {
+	return &gangRoom{
+		shard: s,
+		tasks: make(map[job.Room]rackRoom),
+	}
+}
+
+// racksFor returns the racks in which a gang of count tasks may fit, in the order in which they are
+// tried; an empty name stands for all racks together.
+func (r *gangRoom) racksFor(spec *job.Step, count int) []string {
+	room := r.of(spec.Charge())
+	if room.total < count {
+		return nil
 	}
-	list := make([]string, 0, len(seen))
-	for rack := range seen {
-		list = append(list, rack)
+	if !spec.SameRack {
+		return []string{""}
 	}
-	sort.Strings(list)
-	return list
+	var racks []string
+	for rack, tasks := range room.byRack {
+		if tasks >= count {
+			racks = append(racks, rack)
+		}
+	}
+	slices.Sort(racks)
+	return append(racks, "")
+}
+
+// of returns the room for tasks that need charge each.
+func (r *gangRoom) of(charge job.Room) rackRoom {
+	room, known := r.tasks[charge]
+	if known {
+		return room
+	}
+	room.byRack = make(map[string]int)
+	for _, w := range r.shard.workers {
+		fitting := countFitting(w.free(), charge, job.MaxTasks)
+		room.total += fitting
+		room.byRack[w.reg.Rack] += fitting
+	}
+	r.tasks[charge] = room
+	return room
 }
--- a/shard/large_job_test.go
+++ b/shard/large_job_test.go
@@ -332,6 +332,31 @@
 	w.check(t)
 }
 
+// TestGangsThatDoNotFitCostOneLook guards against an owner that spends each round on gangs for which there is
+// no room, task by task, until another entry replaces it.
+func TestGangsThatDoNotFitCostOneLook(t *testing.T) {
+	is := is.New(t)
+	const workers, gangs = 8, 16
+	w := newWorld(workers)
+	w.run(200 * time.Millisecond)
+	gang := short(job.MaxTasks)
+	gang.Need.MilliCPU = 2
+	gang.Need.MemoryMB = 0
+	gang.Gang = true
+	gang.SameRack = true
+	for i := range gangs {
+		w.submit(fmt.Sprintf("gang%d", i), gang)
+	}
+	w.evacuations.checks = 0
+	w.core.Next(w.now)
+	t.Logf("%d looks at workers", w.evacuations.checks)
+	is.True(w.evacuations.checks <= 5*workers*gangs)
+	w.submit("small", short(1))
+	w.run(time.Second)
+	is.Equal(w.shown["small"], job.Completed)
+	w.check(t)
+}
+
 // BenchmarkOverdueJob measures what an owner holds and how long its rounds take by the number of overdue
 // occurrences of a job, each with 100 tasks.
 func BenchmarkOverdueJob(b *testing.B) {
--- a/shard/place.go
+++ b/shard/place.go
@@ -110,6 +110,7 @@
 // budget for start orders is used up.
 func (s *Shard) placeGroups(groups []group, unobserved unobservedTasks, now time.Time) {
 	failed := &unplaced{}
+	room := s.newGangRoom()
 	for _, g := range groups {
 		if !s.nextStartAt.IsZero() {
 			return
@@ -125,7 +126,7 @@
 		}
 		if spec.Gang {
 			if !unobserved.containsIdle(g, step) {
-				s.placeGang(g, step, spec, now)
+				s.placeGang(g, step, spec, room, now)
 			}
 			continue
 		}
