Small jobs that have become late begin beside large ones

Found by looking for the same cause on related paths: small jobs that were handed in on time begin beside a large one, but after an outage they are as late as it is, and waited for its end, since the earliest deadline comes first among jobs that earn nothing any more. Change: among these the number of tasks that are due comes first, in powers of two from 64 on. Jobs below that are placed in order as before. Ruled out: ranking by the runs of a job. In a round in which all runs of a large job have just ended, it has none, and takes all room again (tried, the test stayed red). Test, red on the commit before: TestLateSmallJobsBeginBesideLargeOnes (2 of 2 cases).

--- a/shard/large_job_test.go
+++ b/shard/large_job_test.go
@@ -332,6 +332,44 @@
 	w.check(t)
 }
 
+// TestLateSmallJobsBeginBesideLargeOnes guards against small jobs that have become late, as after an outage,
+// and wait for the end of large ones that are late as well.
+func TestLateSmallJobsBeginBesideLargeOnes(t *testing.T) {
+	for name, spec := range map[string]job.Spec{
+		"repeating": repeating(10_000, time.UnixMilli(1_000_000).Add(-10_000*time.Second), time.Second, short(100)),
+		"one step": {
+			Steps: []job.Step{short(job.MaxTasks)},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(4)
+			w.run(200 * time.Millisecond)
+			submitLate := func(id string, late time.Duration, spec job.Spec) {
+				record := w.record(id)
+				record.Spec = spec
+				record.AcceptedMillis = w.now.Add(-late).UnixMilli()
+				w.store(record)
+				w.core.Accept(record, w.version, true, w.now)
+			}
+			for i := range 10 {
+				submitLate(fmt.Sprintf("large%d", i), 2*time.Minute, spec)
+			}
+			w.run(time.Second)
+			for i := range 20 {
+				submitLate(fmt.Sprintf("small%d", i), time.Minute, job.Spec{
+					Steps: []job.Step{short(2), short(1, 0)},
+				})
+			}
+			w.run(2 * time.Second)
+			for i := range 20 {
+				is.Equal(w.shown[fmt.Sprintf("small%d", i)], job.Completed)
+			}
+			w.check(t)
+		})
+	}
+}
+
 // TestGangsThatDoNotFitCostOneLook guards against an owner that spends each round on gangs for which there is
 // no room, task by task, until another entry replaces it.
 func TestGangsThatDoNotFitCostOneLook(t *testing.T) {
--- a/shard/occurrence.go
+++ b/shard/occurrence.go
@@ -208,6 +208,13 @@
 	return max(0, count)
 }
 
+// dueTasks returns the number of tasks that have not ended of the occurrences that are due.
+func (j *jobState) dueTasks(now time.Time) int {
+	count := j.dueUnopened(now) * j.record.Spec.Tasks()
+	j.openSteps(func(open openStepCount) { count += open.remaining })
+	return count
+}
+
 // readyRoom is for how many more tasks the workers have room, by what a task needs. It serves one
 // round.
 type readyRoom struct {
--- a/shard/place.go
+++ b/shard/place.go
@@ -38,6 +38,10 @@
 	// expected run time.
 	minRunTimeSamples = 5
 
+	// smallJobTasks is the number of tasks below which jobs that earn nothing any more are placed in
+	// order, whatever their size.
+	smallJobTasks = 64
+
 	// stragglerFactor is the multiple of its usual run time after which a copy of a task is
 	// started.
 	stragglerFactor = 2.0
@@ -75,6 +79,9 @@
 	started  bool
 	deadline time.Time
 
+	// sizeRank is the rank of a job that earns nothing any more by its size; see rankBySize.
+	sizeRank int
+
 	// newestFirst says that among jobs that have not started the newest is placed first.
 	newestFirst bool
 }
@@ -216,6 +223,7 @@
 	for i := range list {
 		list[i].valueClass = s.placementValue(list[i], now)
 	}
+	rankBySize(list, now)
 	newestFirst := s.detectMisses(list, now)
 	for i := range list {
 		list[i].newestFirst = newestFirst
--- a/shard/priority.go
+++ b/shard/priority.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"math/bits"
 	"slices"
 	"time"
 
@@ -8,8 +9,8 @@
 )
 
 // less reports whether g is placed before o. It compares, in this order: the priority,
-// long-running steps before others, the remaining value, started jobs before others, and the
-// deadline.
+// long-running steps before others, the remaining value, the size of jobs that earn nothing any more,
+// started jobs before others, and the deadline.
 //
 // Load pattern: there is more work than capacity for longer than a job can wait. Placing the
 // earliest deadline first then spends the capacity on jobs that are about to be late. So once
@@ -27,6 +28,9 @@
 	if g.valueClass != o.valueClass {
 		return g.valueClass < o.valueClass
 	}
+	if g.sizeRank != o.sizeRank {
+		return g.sizeRank < o.sizeRank
+	}
 	if g.started != o.started {
 		return g.started
 	}
@@ -45,6 +49,24 @@
 	return g.step < o.step
 }
 
+// rankBySize ranks the jobs that earn nothing any more by the number of their tasks that are due, in
+// powers of two. Without it, small jobs that became late in an outage waited for the end of a large one
+// that was late before them. Small jobs share a rank, so that they end in order.
+func rankBySize(list []group, now time.Time) {
+	tasks := make(map[*jobState]int)
+	for i, g := range list {
+		if g.valueClass != valueNone {
+			continue
+		}
+		count, known := tasks[g.job]
+		if !known {
+			count = g.job.dueTasks(now)
+			tasks[g.job] = count
+		}
+		list[i].sizeRank = bits.Len(uint(count / smallJobTasks))
+	}
+}
+
 // detectMisses records the time when a job that has not started can no longer end in time, and
 // reports whether the latest such time is within newestFirstPeriod.
 func (s *Shard) detectMisses(list []group, now time.Time) bool {
