--- a/internal/standin/rows.go
+++ b/internal/standin/rows.go
@@ -214,6 +214,19 @@
 	}, nil
 }
 
+// LargestRow returns the size in bytes of the largest row of a table, 0 for none. No fault holds it up.
+func (r *Rows) LargestRow(table string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	largest := 0
+	for key, row := range r.rows {
+		if key.Table == table {
+			largest = max(largest, len(row.Value))
+		}
+	}
+	return largest
+}
+
 func (r *Rows) put(key outside.Key, value []byte) {
 	row := outside.Row{
 		Key:     key,
--- a/soak/owners_test.go
+++ b/soak/owners_test.go
@@ -70,64 +70,73 @@
 // services, callers send accepted jobs again, and withdraw some that got no answer. From outside: no task runs
 // twice, every accepted job is completed, and no withdrawn one stays open. See TestJobsSurviveFaultsOfEntries for more seeds.
 func TestNextOwnerStartsNoTaskAgain(t *testing.T) {
-	forSeeds(t, func(t *testing.T, seed int64) {
-		s := &series{
-			answers: make(map[int]int),
-			deployment: deployPlan(t, plan{
-				entries:       ownedEntries,
-				instances:     ownedInstances,
-				services:      servicesWithWork,
-				configuration: routesOf,
-			}),
-		}
-		s.stopping = make([]sync.Mutex, len(s.entries))
-		for _, e := range s.entries {
-			s.awaitReady(e, http.StatusOK)
-		}
-		var callers, breakers sync.WaitGroup
-		for i := range s.entries {
-			callers.Add(1)
-			s.group.Go("caller", func(context.Context) error {
-				defer callers.Done()
-				s.handIn(i, rand.New(rand.NewSource(seed<<8|int64(i))), seed)
-				return nil
-			})
-		}
-		end := time.Now().Add(brokenFor)
-		for i, inject := range []func(*rand.Rand){s.restart, s.restart, s.freeze, s.breakWrites, s.breakWrites, s.breakStore, s.breakLink, s.cutOff, s.change} {
-			breakers.Add(1)
-			random := rand.New(rand.NewSource(seed<<8 | int64(0x80+i)))
-			s.group.Go("breaker", func(context.Context) error {
-				defer breakers.Done()
-				for time.Now().Before(end) {
-					upTo(random, breakPause)
-					inject(random)
-				}
-				return nil
-			})
-		}
-		breakers.Wait()
-		s.over.Store(true)
-		callers.Wait()
-		s.version |= 1
-		s.configure()
-		// The judge is asked also where a job is not completed.
-		defer func() {
-			faults, starts := s.oracle.Faults()
-			for _, fault := range append(s.faults, faults...) {
-				t.Error(fault)
+	forSeeds(t, func(t *testing.T, seed int64) { replaceOwners(t, seed, nil) })
+}
+
+// replaceOwners is the run of one seed. beside, unless nil, is run beside the callers and returns what
+// is to be done once all of their jobs are completed.
+func replaceOwners(t *testing.T, seed int64, beside func(*series, *rand.Rand) func()) {
+	s := &series{
+		answers: make(map[int]int),
+		deployment: deployPlan(t, plan{
+			entries:       ownedEntries,
+			instances:     ownedInstances,
+			services:      servicesWithWork,
+			configuration: routesOf,
+		}),
+	}
+	s.stopping = make([]sync.Mutex, len(s.entries))
+	for _, e := range s.entries {
+		s.awaitReady(e, http.StatusOK)
+	}
+	var callers, breakers sync.WaitGroup
+	for i := range s.entries {
+		callers.Add(1)
+		s.group.Go("caller", func(context.Context) error {
+			defer callers.Done()
+			s.handIn(i, rand.New(rand.NewSource(seed<<8|int64(i))), seed)
+			return nil
+		})
+	}
+	end := time.Now().Add(brokenFor)
+	for i, inject := range []func(*rand.Rand){s.restart, s.restart, s.freeze, s.breakWrites, s.breakWrites, s.breakStore, s.breakLink, s.cutOff, s.change} {
+		breakers.Add(1)
+		random := rand.New(rand.NewSource(seed<<8 | int64(0x80+i)))
+		s.group.Go("breaker", func(context.Context) error {
+			defer breakers.Done()
+			for time.Now().Before(end) {
+				upTo(random, breakPause)
+				inject(random)
 			}
-			t.Logf("seed %d: %d entries, answers %v, %d jobs accepted, %d withdrawn, %d starts, %d faults", seed, len(s.entries), s.answers, len(s.accepted), len(s.withdrawn), starts, len(faults))
-		}()
-		for _, path := range s.accepted {
-			s.any(http.MethodGet, path, "", completed)
-		}
-		for _, path := range s.withdrawn {
-			s.any(http.MethodGet, path, "", func(status int, answer string) bool {
-				return status == http.StatusGone || completed(status, answer) || strings.Contains(answer, "cancelled")
-			})
+			return nil
+		})
+	}
+	finish := func() {}
+	if beside != nil {
+		finish = beside(s, rand.New(rand.NewSource(seed)))
+	}
+	breakers.Wait()
+	s.over.Store(true)
+	callers.Wait()
+	s.version |= 1
+	s.configure()
+	// The judge is asked also where a job is not completed.
+	defer func() {
+		faults, starts := s.oracle.Faults()
+		for _, fault := range append(s.faults, faults...) {
+			t.Error(fault)
 		}
-	})
+		t.Logf("seed %d: %d entries, answers %v, %d jobs accepted, %d withdrawn, %d starts, %d faults", seed, len(s.entries), s.answers, len(s.accepted), len(s.withdrawn), starts, len(faults))
+	}()
+	for _, path := range s.accepted {
+		s.any(http.MethodGet, path, "", completed)
+	}
+	for _, path := range s.withdrawn {
+		s.any(http.MethodGet, path, "", func(status int, answer string) bool {
+			return status == http.StatusGone || completed(status, answer) || strings.Contains(answer, "cancelled")
+		})
+	}
+	finish()
 }
 
 // upTo waits for a part of the given time.
--- a/soak/series_test.go
+++ b/soak/series_test.go
@@ -51,6 +51,9 @@
 	requests  int
 	reopened  int
 
+	// mostMB is the most memory that an entry had, in megabytes, where it is watched.
+	mostMB int
+
 	// answers counts the answers to callers by their status, 0 for none.
 	answers map[int]int
 }
