A large job has an equal share of the runs while other jobs wait

Cause: each occurrence of a chain of 256 steps is on time for over a minute and its next step counts as started, so a large job took each place that came free again, and small jobs that had become late in an outage came after it. Change: a job with a thousand due tasks or more that has its equal share of the runs is placed after all other jobs of its priority that wait. What a step of a job can still earn is reckoned once a round for all occurrences. Test, red on the commit before: TestLateSmallJobsBeginBesideLargeOnes/on_time_for_long.

--- a/shard/jobstate.go
+++ b/shard/jobstate.go
@@ -56,6 +56,10 @@
 	// deadline is the time until which the completed job earns its full value.
 	deadline time.Time
 
+	// remainingTimes holds the results of remainingTime by step, as of remainingAt.
+	remainingTimes map[int]time.Duration
+	remainingAt    time.Time
+
 	// endedAt is when the job reached a final state, failure why that state is Failed.
 	endedAt time.Time
 	failure *Failure
--- a/shard/large_job_test.go
+++ b/shard/large_job_test.go
@@ -340,6 +340,7 @@
 		"one step": {
 			Steps: []job.Step{short(job.MaxTasks)},
 		},
+		"on time for long": repeating(10_000, time.UnixMilli(1_000_000), time.Millisecond, chain(256)...),
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -355,7 +356,8 @@
 			for i := range 10 {
 				submitLate(fmt.Sprintf("large%d", i), 2*time.Minute, spec)
 			}
-			w.run(time.Second)
+			w.run(3 * time.Second)
+			is.True(w.runsOnWorkers() >= 4*40/2)
 			for i := range 20 {
 				submitLate(fmt.Sprintf("small%d", i), time.Minute, job.Spec{
 					Steps: []job.Step{short(2), short(1, 0)},
--- a/shard/occurrence.go
+++ b/shard/occurrence.go
@@ -194,9 +194,8 @@
 	return max(0, count)
 }
 
-// dueTasks returns the number of tasks that have not ended of the occurrences that are due.
+// dueTasks returns the number of tasks of the occurrences that are due and have not ended, including those
+// of their tasks that have. It does not look at each step, since it is asked for in each round.
 func (j *jobState) dueTasks(now time.Time) int {
-	count := j.dueUnopened(now) * j.record.Spec.Tasks()
-	j.openSteps(func(open openStepCount) { count += open.remaining })
-	return count
+	return (len(j.occurrences) + j.dueUnopened(now)) * j.record.Spec.Tasks()
 }
--- a/shard/place.go
+++ b/shard/place.go
@@ -83,34 +83,63 @@
 // placeGroups starts the tasks of the groups, except isolated ones. It stops as soon as the
 // budget for start orders is used up.
 func (s *Shard) placeGroups(groups []group, unobserved unobservedTasks, now time.Time) {
-	failed := &unplaced{}
-	room := s.newGangRoom()
-	for _, g := range groups {
-		if !s.nextStartAt.IsZero() {
-			return
-		}
-		step := g.state()
-		spec := &g.job.record.Spec.Steps[g.step]
-		if s.failsStep(failed, step, spec, now) {
-			s.recordWait(g, step, nil, now)
-			continue
+	p := &placement{
+		failed:     &unplaced{},
+		room:       s.newGangRoom(),
+		unobserved: unobserved,
+	}
+	share := s.newRunShare(groups, now)
+	var deferred []group
+	for i, g := range groups {
+		if i > 0 && g.job.policy.Priority != groups[i-1].job.policy.Priority {
+			s.placeDeferred(deferred, p, now)
+			deferred = nil
 		}
-		if !s.ensureTickets(g, now) {
-			continue
+		p.share = share
+		s.placeGroup(g, p, now)
+		if share.isExceeded(g) && g.state().idle > 0 {
+			deferred = append(deferred, g)
 		}
-		if spec.Gang {
-			if !unobserved.containsIdle(g, step) {
-				s.placeGang(g, step, spec, room, now)
-			}
-			continue
+	}
+	s.placeDeferred(deferred, p, now)
+}
+
+// placeDeferred starts tasks of groups whose jobs have more than their share of the runs, once all
+// others of the same priority were placed.
+func (s *Shard) placeDeferred(groups []group, p *placement, now time.Time) {
+	p.share = nil
+	for _, g := range groups {
+		s.placeGroup(g, p, now)
+	}
+}
+
+// placeGroup starts tasks of one group. It does nothing once the budget for start orders is used up.
+func (s *Shard) placeGroup(g group, p *placement, now time.Time) {
+	if !s.nextStartAt.IsZero() || p.share.isExceeded(g) {
+		return
+	}
+	step := g.state()
+	spec := &g.job.record.Spec.Steps[g.step]
+	if s.failsStep(p.failed, step, spec, now) {
+		s.recordWait(g, step, nil, now)
+		return
+	}
+	if !s.ensureTickets(g, now) {
+		return
+	}
+	if spec.Gang {
+		if !p.unobserved.containsIdle(g, step) {
+			s.placeGang(g, step, spec, p.room, now)
 		}
-		s.placeStep(g, step, spec, failed, unobserved, now)
+		return
 	}
+	s.placeStep(g, step, spec, p, now)
 }
 
 // placeStep starts the idle tasks of a step until none fits, except those that may have an
-// unobserved run. It records in failed what found no worker, if lack of room alone can be the reason.
-func (s *Shard) placeStep(g group, step *stepState, spec *job.Step, failed *unplaced, unobserved unobservedTasks, now time.Time) {
+// unobserved run. It records in p.failed what found no worker, if lack of room alone can be the reason.
+func (s *Shard) placeStep(g group, step *stepState, spec *job.Step, p *placement, now time.Time) {
+	failed := p.failed
 	if acceptsSome(spec) || g.job.policy.Advised {
 		// What such a step finds says nothing about others.
 		failed = &unplaced{}
@@ -123,7 +152,10 @@
 	for index := range step.idleTasks() {
 		id, t := g.task(index), step.task(index)
 		left--
-		if unobserved.contains(id) || s.isBlocked(id, t, now) || t.needsIsolation() {
+		if p.share.isExceeded(g) {
+			return
+		}
+		if p.unobserved.contains(id) || s.isBlocked(id, t, now) || t.needsIsolation() {
 			continue
 		}
 		if s.skips(failed, id, spec, t, now) {
--- a/shard/priority.go
+++ b/shard/priority.go
@@ -103,12 +103,27 @@
 	if now.Sub(g.deadline.Add(-objective)) > valueExpiryFactor*objective {
 		return valueNone
 	}
-	if now.Add(s.remainingTime(g)).After(g.deadline) {
+	if now.Add(s.remainingTimeAt(g, now)).After(g.deadline) {
 		return valuePartial
 	}
 	return valueFull
 }
 
+// remainingTimeAt returns remainingTime, which is the same for a step of all occurrences in one round.
+func (s *Shard) remainingTimeAt(g group, now time.Time) time.Duration {
+	j := g.job
+	if !j.remainingAt.Equal(now) || j.remainingTimes == nil {
+		j.remainingAt = now
+		j.remainingTimes = make(map[int]time.Duration)
+	}
+	span, known := j.remainingTimes[g.step]
+	if !known {
+		span = s.remainingTime(g)
+		j.remainingTimes[g.step] = span
+	}
+	return span
+}
+
 // remainingTime returns the expected time from the start of a step to the end of its job: that
 // of the longest chain of dependent steps.
 func (s *Shard) remainingTime(g group) time.Duration {
