shard: one constructor of steps, and no walk over the waiting jobs while none can be large

Read once more: whether a task is done was asked for twice in one function, an ended step had a constructor of its own, the type of a placement stood beside the share of runs in place of the placement, and each round built a set of all waiting jobs to find out that none is large. Whether a job can be large is now known from its hand-in. No behaviour changes.

--- a/shard/jobstate.go
+++ b/shard/jobstate.go
@@ -50,6 +50,9 @@
 	ended     bitset
 	remaining int
 
+	// mayBeLarge says that the job has enough tasks to be a large one while they are due.
+	mayBeLarge bool
+
 	// untouched is the state of a task to which nothing has happened yet. It is never changed.
 	untouched *taskState
 
@@ -162,10 +165,11 @@
 // newJob returns a queued job without open occurrences.
 func newJob(record Record, policy catalog.Policy) *jobState {
 	j := &jobState{
-		record:    record,
-		policy:    policy,
-		state:     job.Queued,
-		remaining: record.Spec.Occurrences(),
+		record:     record,
+		policy:     policy,
+		state:      job.Queued,
+		remaining:  record.Spec.Occurrences(),
+		mayBeLarge: record.Spec.Tasks()*record.Spec.Occurrences() >= largeJobTasks,
 		untouched: &taskState{
 			lastAttempt: policy.Attempts <= 1,
 		},
--- a/shard/occurrence.go
+++ b/shard/occurrence.go
@@ -53,7 +53,7 @@
 	o := j.occurrences[number]
 	for step := range j.record.Spec.Steps {
 		if o.steps[step] == nil && !o.ended.has(step) && j.isReady(number, step) {
-			o.steps[step] = newStep(j, j.record.Spec.Steps[step].Count)
+			o.steps[step] = newStep(j, j.record.Spec.Steps[step].Count, false)
 		}
 	}
 }
@@ -77,12 +77,7 @@
 	}
 	o := j.openOccurrence(number)
 	if o.steps[step] == nil {
-		count := j.record.Spec.Steps[step].Count
-		if j.isEnded(number) || o.ended.has(step) {
-			o.steps[step] = newEndedStep(j, count)
-		} else {
-			o.steps[step] = newStep(j, count)
-		}
+		o.steps[step] = newStep(j, j.record.Spec.Steps[step].Count, j.isEnded(number) || o.ended.has(step))
 	}
 	return o.steps[step]
 }
--- a/shard/place.go
+++ b/shard/place.go
@@ -67,6 +67,16 @@
 	weightLoad         = 1.0
 )
 
+// placement is what one placement knows of the groups before.
+type placement struct {
+	failed     *unplaced
+	room       *gangRoom
+	unobserved unobservedTasks
+
+	// share bounds the runs of large jobs; nil for no bound.
+	share *runShare
+}
+
 // place starts the tasks that may start and fit, the most urgent ones first.
 func (s *Shard) place(now time.Time) {
 	s.refreshUnseen(now)
--- a/shard/progressmarks.go
+++ b/shard/progressmarks.go
@@ -186,9 +186,6 @@
 
 // isTaskDone reports whether a task has succeeded.
 func (j *jobState) isTaskDone(id job.TaskID) bool {
-	if j.isEnded(id.Occurrence) {
-		return true
-	}
 	t := j.task(id)
 	return t != nil && t.done
 }
--- a/shard/runshare.go
+++ b/shard/runshare.go
@@ -1,6 +1,9 @@
 package shard
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// largeJobTasks is the number of tasks that are due from which on a job is large.
@@ -10,16 +13,6 @@
 	minRunShare = 8
 )
 
-// placement is what one placement knows of the groups before.
-type placement struct {
-	failed     *unplaced
-	room       *gangRoom
-	unobserved unobservedTasks
-
-	// share bounds the runs of large jobs; nil for no bound.
-	share *runShare
-}
-
 // runShare bounds the runs of large jobs while other jobs of the same priority wait. Without it, a large
 // job that was on time for minutes, such as one with a long chain of steps, took all room again and
 // again, and small jobs that had become late did not begin.
@@ -32,6 +25,9 @@
 
 // newRunShare returns the share of the large jobs among the groups; nil if there are none.
 func (s *Shard) newRunShare(groups []group, now time.Time) *runShare {
+	if !slices.ContainsFunc(groups, func(g group) bool { return g.job.mayBeLarge }) {
+		return nil
+	}
 	share := &runShare{
 		large: make(map[*jobState]bool),
 	}
@@ -64,8 +60,5 @@
 
 // isLarge reports whether many tasks of a job are due that have not ended.
 func (j *jobState) isLarge(now time.Time) bool {
-	if j.record.Spec.Tasks()*j.record.Spec.Occurrences() < largeJobTasks {
-		return false
-	}
-	return j.dueTasks(now) >= largeJobTasks
+	return j.mayBeLarge && j.dueTasks(now) >= largeJobTasks
 }
--- a/shard/step.go
+++ b/shard/step.go
@@ -37,23 +37,18 @@
 	firstUntouched int
 }
 
-func newStep(j *jobState, count int) *stepState {
-	return &stepState{
-		job:       j,
-		count:     count,
-		remaining: count,
-		states:    make(map[int]*taskState),
-		idle:      count,
-	}
-}
-
-// newEndedStep returns a step all of whose tasks have succeeded, for runs of them that still exist.
-func newEndedStep(j *jobState, count int) *stepState {
-	return &stepState{
+// newStep returns a step of count tasks. All of them are idle, unless the step has ended and is needed for
+// runs that still exist.
+func newStep(j *jobState, count int, ended bool) *stepState {
+	st := &stepState{
 		job:    j,
 		count:  count,
 		states: make(map[int]*taskState),
 	}
+	if !ended {
+		st.remaining, st.idle = count, count
+	}
+	return st
 }
 
 // isDone reports whether a task has succeeded.
