Log which deadline reached the next incarnation of a worker

The lines of a restart and of an assumed lapse named neither the deadline of the answered poll nor the clocks, so that a lease extended by an order for the former incarnation looked like a late renewal.

--- a/shard/events.go
+++ b/shard/events.go
@@ -44,7 +44,7 @@
 	}
 	again := w.isOtherIncarnation(glance.Born)
 	if again {
-		w = s.replaceIncarnation(w, glance, sent, now)
+		w = s.replaceIncarnation(w, poll, glance, sent, now)
 	}
 	if w.born.IsZero() {
 		w.born = glance.Born
--- a/shard/lease.go
+++ b/shard/lease.go
@@ -62,7 +62,8 @@
 			w.observed = true
 		}
 		if lapsed && len(w.runs) > 0 {
-			s.opts.LogEvent("lease lapsed", "worker", w.reg.ID, "runs", len(w.runs), "silent_ms", now.Sub(w.clockReadAt).Milliseconds())
+			s.opts.LogEvent("lease lapsed", "worker", w.reg.ID, "runs", len(w.runs), "silent_ms", now.Sub(w.clockReadAt).Milliseconds(),
+				"deadline_ms", w.deadline.Milliseconds(), "clock_ms", w.clockAt.Milliseconds(), "contacted_ms", now.Sub(w.contactedAt).Milliseconds())
 			lost := s.lostTasks(w, now)
 			s.dropRuns(w, now, "lease lapsed")
 			w.lapsed = lost
--- a/shard/restart.go
+++ b/shard/restart.go
@@ -52,7 +52,7 @@
 // one. The new incarnation numbers its ends from 1 and has its own clock, fence and leases. Ends
 // must not be compared with the numbers of the old incarnation: they would be acknowledged without
 // being applied, and each of their tasks would run again (one did five times in a row).
-func (s *Shard) replaceIncarnation(before *workerState, status outside.WorkerStatus, sent, now time.Time) *workerState {
+func (s *Shard) replaceIncarnation(before *workerState, poll Poll, status outside.WorkerStatus, sent, now time.Time) *workerState {
 	verdict := s.loss(before, now, true).Verdict(s.announcementLead())
 	lost := s.lostTasks(before, now)
 	s.outliers.Remove(before.health, now)
@@ -71,7 +71,9 @@
 		w.listedAt = before.listedAt
 	}
 	s.opts.LogEvent("worker started again", "worker", w.incarnation().String(), "before", before.incarnation().String(),
-		"runs", len(before.runs), "taken_in", before.processed, "ends", len(status.Ends))
+		"runs", len(before.runs), "taken_in", before.processed, "ends", len(status.Ends),
+		"deadline_ms", poll.Renewal.Until.Milliseconds(), "clock_ms", status.Clock.Milliseconds(), "acknowledged", poll.Renewal.Acknowledged,
+		"fence", poll.Renewal.Fence)
 	s.forgetWorkerTickets(w.reg.ID)
 	for id := range s.transferRuns(before, w, status, sent, now) {
 		delete(lost, id)
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -208,8 +208,10 @@
 	clockAt     time.Duration
 	clockReadAt time.Time
 
-	// leaseEnd is when the last lease sent to the worker has certainly lapsed.
+	// leaseEnd is when the last lease sent to the worker has certainly lapsed. deadline is the end of
+	// that lease on the worker's clock.
 	leaseEnd time.Time
+	deadline time.Duration
 
 	// runs holds the runs that may exist on the worker, by task.
 	runs map[job.TaskID]*run
@@ -339,6 +341,7 @@
 	if lapsed.After(w.leaseEnd) {
 		w.leaseEnd = lapsed
 	}
+	w.deadline = leaseEnd
 	return leaseEnd
 }
 
