Reproduce a run that outlives the lease of a restarted worker

The fake worker learns that its next incarnation takes calls that were meant for the former one: a poll whose connection broke is sent again and answered by it, clocks of incarnations differ, and a start that is refused as old sets the deadline all the same. Tasks of the earlier tests were shorter than a lease, so that no second run could meet the first.

--- a/shard/crash_world_test.go
+++ b/shard/crash_world_test.go
@@ -91,6 +91,10 @@
 			w.sendRegistrations()
 		}
 	})
+	if downtime == 0 {
+		w.startIncarnation(f)
+		return
+	}
 	w.after(downtime, func() { w.startIncarnation(f) })
 }
 
@@ -101,7 +105,7 @@
 	f.crashed = false
 	f.unlisted = false
 	f.reg.Born = w.now
-	f.clockZero = w.now
+	f.clockZero = w.now.Add(-w.clockAhead)
 	f.runs = make(map[job.TaskID]*fakeRun)
 	f.shares = make(map[job.TaskID]int)
 	f.highestRun = make(map[job.TaskID]int64)
--- a/shard/world_calls_test.go
+++ b/shard/world_calls_test.go
@@ -105,7 +105,26 @@
 	}
 	incarnation := f.restarts
 	answer(queued+tick, func() {
-		if !w.reaches(core, f) || f.restarts != incarnation {
+		switch {
+		case !w.reaches(core, f):
+			core.Polled(h, sent, w.now, outside.WorkerStatus{}, errNoAnswer)
+		case f.restarts != incarnation:
+			w.resendPoll(core, h, sent, answer)
+		default:
+			core.Polled(w.answeredPoll(h), sent, w.now, f.glance(w), nil)
+		}
+	})
+}
+
+// resendPoll sends a poll once more whose connection broke because the worker ended. The next incarnation
+// can't tell that the poll was meant for the former one. A poll that is sent again acknowledges nothing.
+func (w *world) resendPoll(core *shard.Shard, h shard.Poll, sent time.Time, answer answerFunc) {
+	f := w.workers[h.Worker.ID]
+	again := h.Renewal
+	again.Acknowledged = 0
+	w.pollAt(f, again)
+	answer(tick, func() {
+		if !w.reaches(core, f) || again.Fence < f.fence {
 			core.Polled(h, sent, w.now, outside.WorkerStatus{}, errNoAnswer)
 			return
 		}
@@ -286,13 +305,14 @@
 	if f.clock(w.now) > o.Until {
 		return refuse(outside.RefusedLate)
 	}
+	// A start that is refused as old sets the deadline as well.
+	f.renewLease(w, o.Fence, o.Until)
 	if r, found := f.runs[o.Task]; found && r.number == o.Run {
 		return nil
 	}
 	if o.Run <= f.highestRun[o.Task] {
 		return refuse(outside.RefusedOld)
 	}
-	f.renewLease(w, o.Fence, o.Until)
 	if w.turned[o.Task.Job] {
 		w.addViolation("%s starts, but the last answer for its job was a refusal", o.Task)
 	}
--- a/shard/world_test.go
+++ b/shard/world_test.go
@@ -233,6 +233,9 @@
 	// sameID says that a crashed worker restarts under the same id.
 	sameID bool
 
+	// clockAhead is what the clock of an incarnation that starts from now on shows at first.
+	clockAhead time.Duration
+
 	// takenBeforeListing names the workers that a new owner learns to have ended before it
 	// receives the registrations.
 	takenBeforeListing []string
