A restarted worker's lease is bounded by what its former orders may do

The worker had carried out a poll that was meant for its former incarnation. The deadline in it, a time on the former clock, was far ahead on the new one, so that the lease there was the longest of the platform, 10 s, while the owner counted the 4 s that it had ordered and started the task elsewhere.

Ruled out by the logs: renewals that arrive after the cut, and deadlines that are computed from the former clock later on.

- The owner raises the fence of a worker with each new incarnation, and uses it once a poll with that fence was answered: no order for a former incarnation can take effect there from then on, be it a start, a renewal, a stop, an acknowledgement or a pace.
Until then, and for the longest lease after it, a lease there counts as the longest one.
- The row of a used worker names its incarnation, and is stored again before a new one is used.
A new owner that meets another incarnation, or a worker whose registration shows one, counts the longest lease as well.
- The heartbeat tells for how long such a lease may last, so that the bound passes over takeovers and releases.
- A start without an answer is waited for at a silent worker whose registration shows a restart: the next incarnation may still begin its run.
- The next incarnation of a removed worker is treated alike.

TestLateAnswersUnderFaults: without the guard that it proves, tasks hardly start twice any more, because nothing is placed on an incarnation after its first answer alone. It now also reports an owner that takes an ended incarnation for the next one; its other checks stay.

--- a/outside/worker.go
+++ b/outside/worker.go
@@ -161,6 +161,10 @@
 type WorkerRef struct {
 	ID      string
 	Address netip.AddrPort
+
+	// Born is the start time of the incarnation that is meant; zero if not known. An incarnation
+	// takes calls that are meant for another one under its id.
+	Born time.Time
 }
 
 // Workers is the interface to the workers.
--- a/owner/commit.go
+++ b/owner/commit.go
@@ -181,7 +181,7 @@
 	for _, worker := range workers.Used {
 		rows.puts = append(rows.puts, outside.Put{
 			Key:   usedKey(d.service, worker.ID),
-			Value: []byte(worker.Address.String()),
+			Value: encodeUsed(worker),
 		})
 	}
 	for _, id := range workers.Ended {
--- a/owner/restore.go
+++ b/owner/restore.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/netip"
 	"strings"
 	"time"
 
@@ -114,15 +113,12 @@
 // marks those that have ended with their instances.
 func (d *Duty) restoreWorkers(ctx context.Context, rows []outside.Row, now time.Time) {
 	for _, row := range rows {
-		address, err := netip.ParseAddrPort(string(row.Value))
+		worker, err := decodeUsed(row.Key.Name, row.Value)
 		if err != nil {
 			d.deps.Log.Error("row left out", "table", row.Key.Table, "key", row.Key.Name, "error", err)
 			continue
 		}
-		d.core.RestoreWorker(outside.WorkerRef{
-			ID:      row.Key.Name,
-			Address: address,
-		}, now)
+		d.core.RestoreWorker(worker, now)
 	}
 	d.restoreTaken(ctx, now)
 }
--- a/shard/cancellation_test.go
+++ b/shard/cancellation_test.go
@@ -182,7 +182,7 @@
 	f.unlisted = true
 	w.list()
 	w.run(testLease + 4*time.Second)
-	is.True(!w.used["w0"]) // The owner assumes that the worker has ended.
+	is.True(!w.hasRow("w0")) // The owner assumes that the worker has ended.
 	f.partitioned = false
 	f.unlisted = false
 	w.list()
@@ -190,7 +190,7 @@
 	w.submit("a", step(1))
 	w.run(3 * time.Second)
 	is.Equal(w.shown["a"], job.Completed)
-	is.True(w.used["w0"])
+	is.True(w.hasRow("w0"))
 	w.check(t)
 }
 
--- a/shard/events.go
+++ b/shard/events.go
@@ -61,8 +61,9 @@
 		s.recordEarlierCrashes(w, now)
 	}
 	if !w.contacted {
-		s.handleFirstAnswer(w, again && len(glance.Runs) > 0, now)
+		s.handleFirstAnswer(w, now)
 	}
+	s.boundLease(w, poll, now)
 	s.noteMoreEnds(w, glance)
 	if sent.After(w.uncertainAt) {
 		w.uncertainAt = time.Time{}
@@ -71,6 +72,9 @@
 	s.reconcile(w, sent, now, glance.Runs)
 	s.clearStalePossibleCrashes(w)
 	s.paceFillers(w)
+	if !w.fenced {
+		w.nextPollAt = now
+	}
 }
 
 // noteMoreEnds records whether an answer lists every end of its worker.
--- /dev/null
+++ b/shard/formerlease.go
@@ -0,0 +1,89 @@
+package shard
+
+import (
+	"time"
+)
+
+// A worker that starts again under its ID takes calls that were meant for its former incarnation. Their
+// deadlines are times on a clock that ended with that incarnation. One that lies far ahead on the new clock
+// extends the lease of everything that runs there to LeaseLimit, however short a lease the owner meant.
+
+// longestLease is how long a lease lasts at most on this owner's clock that an order for a former
+// incarnation extends, from the time at which it is carried out.
+func (s *Shard) longestLease() time.Duration {
+	return withClockDrift(s.opts.LeaseLimit) + leaseSlack
+}
+
+// boundLease bounds the leases that an incarnation had before its answer to a poll, from its first answer
+// until no order for a former incarnation can still take effect there.
+func (s *Shard) boundLease(w *workerState, poll Poll, now time.Time) {
+	if w.fenced {
+		return
+	}
+	w.fenced = poll.Renewal.Fence > w.formerFence
+	if w.mayHaveFormerLease {
+		lease := s.longestLease()
+		if !w.fenced {
+			lease += maxOrderDelay
+		}
+		w.formerLeaseEnd = now.Add(lease)
+	}
+	// An earlier owner may have renewed the lease until just now, or have known of a restart.
+	lease := now.Add(withClockDrift(s.opts.Lease) + leaseSlack)
+	w.leaseEnd = latestOf(latestOf(lease, w.formerLeaseEnd), s.earlierUntil)
+}
+
+// raiseFenceAbove raises the fence of a worker above formerFence. An owner that has used up its fences at a
+// worker steps down, since it could not keep orders for a former incarnation from taking effect.
+func (s *Shard) raiseFenceAbove(w *workerState) {
+	if s.fenceRaises[w.reg.ID] >= fencesPerEpoch-1 {
+		s.stepDown(w)
+		return
+	}
+	s.fenceRaises[w.reg.ID]++
+}
+
+// rememberFormerLease remembers a removed worker, whose orders the next incarnation under its ID may carry out.
+func (s *Shard) rememberFormerLease(w *workerState, now time.Time) {
+	s.formerLeases[w.reg.ID] = now.Add(maxOrderDelay + s.longestLease())
+	s.raiseFenceAbove(w)
+}
+
+// isRecorded reports whether the row of the worker names the present incarnation.
+func (w *workerState) isRecorded() bool {
+	return w.recorded && w.recordedBorn.Equal(w.incarnation().Born)
+}
+
+// mayBeRecorded reports whether the row of the worker has to be written. The row of an incarnation tells the
+// next owner that this owner has kept the orders for former ones from taking effect there.
+func (w *workerState) mayBeRecorded() bool {
+	return !w.isRecorded() && (w.fenced || (!w.recorded && !w.mayHaveFormerLease))
+}
+
+// isUnrecordedRestart reports whether an incarnation is another one than the row of an earlier owner names.
+// It is true for rows that name none.
+func (w *workerState) isUnrecordedRestart(born time.Time) bool {
+	return w.inherited && !born.IsZero() && !born.Equal(w.recordedBorn)
+}
+
+// extendUnobserved extends the time for which a worker that this owner has not reached may run what earlier
+// owners started, if its registration shows a restart that no earlier owner has recorded.
+func (s *Shard) extendUnobserved(w *workerState) {
+	if w.contacted || s.idleWorkers[w.reg.ID] || w.recordedBorn.IsZero() || !w.isUnrecordedRestart(w.reg.Born) {
+		return
+	}
+	w.unobservedUntil = latestOf(w.unobservedUntil, s.unobservedUntil.Add(withClockDrift(s.opts.LeaseLimit-s.opts.Lease)))
+}
+
+// lateStartEnd returns when a run has certainly lapsed that an unanswered start may begin at the next
+// incarnation of its worker; zero if there is no sign of one, or if the start was answered.
+func (s *Shard) lateStartEnd(r *run, now time.Time) time.Time {
+	if !r.worker.isOtherIncarnation(r.worker.reg.Born) || (!r.unanswered && !r.isStartInFlight()) {
+		return time.Time{}
+	}
+	sent := latestOf(r.startedAt, r.uncertainAt)
+	if r.isStartInFlight() {
+		sent = now
+	}
+	return sent.Add(maxOrderDelay + s.longestLease())
+}
--- a/shard/handover.go
+++ b/shard/handover.go
@@ -33,8 +33,8 @@
 	Evidence []outlier.Evidence
 
 	// UnobservedFor is how long, counted from when the handover was made, a worker that is not
-	// listed may run what an owner earlier than this one started. Such runs may outlive this
-	// owner. The value only decreases from one handover to the next.
+	// listed may run what an owner earlier than this one started, or what runs under a lease that
+	// an order for a former incarnation of the worker extended. Such runs may outlive this owner.
 	UnobservedFor time.Duration
 }
 
@@ -86,6 +86,7 @@
 			// An inherited lease may last longer.
 			until = latestOf(until, w.unobservedUntil)
 		}
+		until = latestOf(until, w.formerLeaseEnd)
 	}
 	h.UnobservedFor = max(0, until.Sub(now))
 	return h
@@ -205,8 +206,8 @@
 	s.unobservedUntil = until
 }
 
-// RestoreWorker adds a worker to which the previous owner may have assigned tasks. It is polled
-// whether or not it is registered.
+// RestoreWorker adds a worker to which the previous owner may have assigned tasks, as the incarnation
+// that the row of that owner names. It is polled whether or not it is registered.
 func (s *Shard) RestoreWorker(ref outside.WorkerRef, now time.Time) {
 	w := s.addWorker(ref.ID, now)
 	w.reg = outside.Registration{
@@ -216,6 +217,7 @@
 	}
 	w.unlistedAt = now
 	w.recorded = true
+	w.recordedBorn = ref.Born
 	w.inherited = true
 	if s.idleWorkers[ref.ID] {
 		return
--- a/shard/lease.go
+++ b/shard/lease.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"maps"
 	"time"
 
 	"lemonstream.dev/lemonstream/outside"
@@ -32,7 +33,7 @@
 		if _, deleting := s.workerRowsToDelete[id]; deleting {
 			continue
 		}
-		if w.listed && !w.recorded && len(rows.Used) < maxRows {
+		if w.listed && w.mayBeRecorded() && len(rows.Used) < maxRows {
 			rows.Used = append(rows.Used, w.ref())
 		}
 	}
@@ -65,8 +66,8 @@
 			s.opts.LogEvent("lease lapsed", "worker", w.reg.ID, "runs", len(w.runs), "silent_ms", now.Sub(w.clockReadAt).Milliseconds(),
 				"deadline_ms", w.deadline.Milliseconds(), "clock_ms", w.clockAt.Milliseconds(), "contacted_ms", now.Sub(w.contactedAt).Milliseconds())
 			lost := s.lostTasks(w, now)
-			s.dropRuns(w, now, "lease lapsed")
-			w.lapsed = lost
+			s.dropLapsedRuns(w, now)
+			w.addLapsed(lost)
 			s.addPossibleCrashes(w, lost)
 		}
 		if !w.listed && now.After(w.unobservedUntil) && now.Sub(w.unlistedAt) > unlistedGrace {
@@ -80,6 +81,7 @@
 	s.purgeLosses(now)
 	s.purgeEnded(now)
 	s.purgeUnansweredStarts(now)
+	maps.DeleteFunc(s.formerLeases, func(_ string, until time.Time) bool { return now.After(until) })
 }
 
 // removeWorker removes a worker whose incarnation has ended.
@@ -95,6 +97,7 @@
 	s.clearStalePossibleCrashes(w)
 	s.forgetWorkerTickets(w.reg.ID)
 	delete(s.workers, w.reg.ID)
+	s.rememberFormerLease(w, now)
 	s.outliers.Remove(w.health, now)
 	s.recordEnded(w.incarnation(), now)
 	if w.recorded {
@@ -102,6 +105,27 @@
 	}
 }
 
+// dropLapsedRuns drops the runs on a worker whose leases have lapsed. It keeps those that an unanswered
+// start may still begin at the next incarnation, and extends leaseEnd until they have lapsed there as well.
+func (s *Shard) dropLapsedRuns(w *workerState, now time.Time) {
+	for _, r := range w.sortedRuns() {
+		if end := s.lateStartEnd(r, now); now.Before(end) {
+			w.leaseEnd = latestOf(w.leaseEnd, end)
+			continue
+		}
+		s.dropRun(r, now)
+		s.logRun("run lost", r.id, r.number, w, "reason", "lease lapsed")
+	}
+}
+
+// addLapsed adds tasks whose runs were dropped because their leases have lapsed.
+func (w *workerState) addLapsed(tasks lostTasks) {
+	if w.lapsed == nil {
+		w.lapsed = make(lostTasks, len(tasks))
+	}
+	maps.Copy(w.lapsed, tasks)
+}
+
 // dropRuns drops all runs of a worker that has reported no end for them.
 func (s *Shard) dropRuns(w *workerState, now time.Time, reason string) {
 	for _, r := range w.sortedRuns() {
@@ -202,7 +226,7 @@
 
 // pollWait returns how long a poll may wait at the worker for an end.
 func (s *Shard) pollWait(w *workerState) time.Duration {
-	if w.failures > 0 || !w.contacted || w.moreEnds || !w.uncertainAt.IsZero() || w.acked < w.lastAcknowledgeable() {
+	if w.failures > 0 || !w.contacted || !w.fenced || w.moreEnds || !w.uncertainAt.IsZero() || w.acked < w.lastAcknowledgeable() {
 		return 0
 	}
 	wait := s.opts.IdlePollWait
--- a/shard/registration.go
+++ b/shard/registration.go
@@ -21,6 +21,8 @@
 		w, found := s.workers[reg.ID]
 		if !found {
 			w = s.addWorker(reg.ID, now)
+			// An earlier owner may have polled the worker without having stored a row of it.
+			w.mayHaveFormerLease = w.mayHaveFormerLease || (s.epoch > 1 && !s.registrationsRead)
 			s.recordReplaced(reg, now)
 			s.opts.LogEvent("worker listed", "worker", reg.Incarnation().String(), "labels", reg.Labels, "draining", reg.Draining)
 		}
@@ -43,6 +45,7 @@
 		}
 		w.reg = reg
 		w.listed = true
+		s.extendUnobserved(w)
 		w.updateDrainEnd(now)
 		w.updateCold(now)
 	}
@@ -93,6 +96,8 @@
 		runs:       make(map[job.TaskID]*run),
 		nextPollAt: now,
 		health:     s.outliers.Add(id),
+
+		mayHaveFormerLease: now.Before(s.formerLeases[id]),
 	}
 	s.workers[id] = w
 	return w
--- a/shard/restart.go
+++ b/shard/restart.go
@@ -62,6 +62,9 @@
 	w.listed = before.listed
 	w.unlistedAt = before.unlistedAt
 	w.recorded = before.recorded
+	w.recordedBorn = before.recordedBorn
+	w.mayHaveFormerLease = true
+	w.formerFence = s.fenceAt(w.reg.ID)
 	w.inherited = before.inherited
 	w.regainedAt = before.regainedAt
 	w.inHandover = before.inHandover
@@ -74,6 +77,7 @@
 		"runs", len(before.runs), "taken_in", before.processed, "ends", len(status.Ends),
 		"deadline_ms", poll.Renewal.Until.Milliseconds(), "clock_ms", status.Clock.Milliseconds(), "acknowledged", poll.Renewal.Acknowledged,
 		"fence", poll.Renewal.Fence)
+	s.raiseFenceAbove(w)
 	s.forgetWorkerTickets(w.reg.ID)
 	for id := range s.transferRuns(before, w, status, sent, now) {
 		delete(lost, id)
@@ -84,22 +88,13 @@
 	return w
 }
 
-// handleFirstAnswer handles the first answer of an incarnation. mayHaveOldRuns says that the answer
-// lists runs that may have been started by orders to the previous incarnation.
-func (s *Shard) handleFirstAnswer(w *workerState, mayHaveOldRuns bool, now time.Time) {
+// handleFirstAnswer handles the first answer of an incarnation.
+func (s *Shard) handleFirstAnswer(w *workerState, now time.Time) {
 	w.contacted = true
 	w.contactedAt = now
+	w.mayHaveFormerLease = w.mayHaveFormerLease || w.isUnrecordedRestart(w.born)
 	s.restoreEvidence(w, now)
 	s.stopUnansweredStarts(w)
-	lease := s.opts.Lease // An earlier owner may have renewed it until just now.
-	if mayHaveOldRuns || len(w.runs) > 0 {
-		// A run that an order to the previous incarnation started here has a deadline computed from
-		// that incarnation's clock.
-		lease = s.opts.LeaseLimit
-	}
-	if leaseEnd := now.Add(withClockDrift(lease) + leaseSlack); leaseEnd.After(w.leaseEnd) {
-		w.leaseEnd = leaseEnd
-	}
 }
 
 // transferRuns moves the runs that may exist at the next incarnation of a worker: runs that the
--- a/shard/restart_test.go
+++ b/shard/restart_test.go
@@ -290,6 +290,7 @@
 func lateAnswers(t *rapid.T, named bool) {
 	w := newWorld(4)
 	w.mismatchPolls = !named
+	w.logEvent = w.checkRestartOrder
 	w.run(200 * time.Millisecond)
 	names := []string{"w0", "w1", "w2", "w3"}
 	count := rapid.IntRange(5, 25).Draw(t, "rounds")
@@ -321,6 +322,23 @@
 	w.endSimulation(t)
 }
 
+// checkRestartOrder reports a violation if an owner takes an ended incarnation for the next one of a worker.
+// Since nothing is placed on an incarnation after its first answer only, this alone hardly starts a task twice.
+func (w *world) checkRestartOrder(event string, fields ...any) {
+	if event != "worker started again" {
+		return
+	}
+	named := make(map[any]outside.Incarnation)
+	for i := 0; i+1 < len(fields); i += 2 {
+		if name, isText := fields[i+1].(string); isText {
+			named[fields[i]] = outside.ParseIncarnation(name)
+		}
+	}
+	if next, before := named["worker"], named["before"]; !next.Born.After(before.Born) {
+		w.addViolation("incarnation %s is taken for the next one after %s", next, before)
+	}
+}
+
 // TestRetriedStartOfEndedRunFreesItsResources covers a start that is retried and whose run ends
 // before the retry is answered. After the restart of the worker the owner waited for an answer
 // that it had already received, so that the run was never stopped and kept its resources.
--- a/shard/restarted_lease_test.go
+++ b/shard/restarted_lease_test.go
@@ -117,6 +117,7 @@
 				w.run(300 * time.Millisecond)
 				w.pollDelay = 0
 				w.restartWorker(w.workers["w0"], 100*time.Millisecond)
+				w.run(700 * time.Millisecond) // The poll in flight fails, and the next one is answered.
 			})
 			w.run(late)
 			w.workers["w0"].partitioned = true
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -257,6 +257,10 @@
 	handoverReadAt   time.Time
 	claimHasHandover bool
 
+	// formerLeases holds, by worker ID, until when a lease may last that an order to a removed
+	// incarnation extends at the next one.
+	formerLeases map[string]time.Time
+
 	// unobservedUntil is when the leases have lapsed of everything that earlier owners started on
 	// workers that the handover does not name.
 	unobservedUntil time.Time
@@ -354,6 +358,7 @@
 		name:               name,
 		epoch:              epoch,
 		fenceRaises:        make(map[string]int64),
+		formerLeases:       make(map[string]time.Time),
 		takenAt:            now,
 		unobservedUntil:    now.Add(opts.UnobservedFor),
 		claimVersion:       version,
@@ -412,6 +417,7 @@
 	for _, ref := range rows.Used {
 		if w, found := s.workers[ref.ID]; found {
 			w.recorded = true
+			w.recordedBorn = ref.Born
 		} else {
 			s.workerRowsToDelete[ref.ID] = struct{}{}
 		}
--- a/shard/shard_test.go
+++ b/shard/shard_test.go
@@ -349,7 +349,7 @@
 	w.core.RemoveTaken([]string{"w0"}, w.now)
 	w.submit("a", step(4), step(2, 0))
 	w.run(200 * time.Millisecond)
-	is.True(!w.used["w0"]) // The next transaction removes its row.
+	is.True(!w.hasRow("w0")) // The next transaction removes its row.
 	w.workers["w0"].partitioned = true
 	w.takeOver()
 	w.run(3 * time.Second)
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -167,8 +167,9 @@
 	announced bool
 
 	// recorded says that a row of this or an earlier owner names the worker as one that may have
-	// runs.
-	recorded bool
+	// runs. recordedBorn is when the incarnation in that row began; zero if the row does not say.
+	recorded     bool
+	recordedBorn time.Time
 
 	// regainedAt is when the worker last answered after a row of this owner may have named it as
 	// silent. Nothing is started or renewed there until a transaction that was sent later has been
@@ -182,6 +183,18 @@
 	// contactedAt is when that first answer arrived.
 	contactedAt time.Time
 
+	// fenced says that the incarnation answered a poll with a fence above formerFence, the highest
+	// fence of an order of this owner that was meant for a former incarnation, so that none of
+	// those orders can still take effect there.
+	fenced      bool
+	formerFence int64
+
+	// mayHaveFormerLease says that an order that was meant for a former incarnation may have extended
+	// the lease, to at most LeaseLimit. formerLeaseEnd is when that lease has certainly lapsed; zero
+	// before the first answer.
+	mayHaveFormerLease bool
+	formerLeaseEnd     time.Time
+
 	// inherited says that a row of an earlier owner names the worker.
 	inherited bool
 
@@ -326,6 +339,7 @@
 	return outside.WorkerRef{
 		ID:      w.reg.ID,
 		Address: w.reg.Address,
+		Born:    w.incarnation().Born,
 	}
 }
 
@@ -376,7 +390,7 @@
 
 // isUsable reports whether a worker can run tasks, whether or not it is closed.
 func (s *Shard) isUsable(w *workerState, now time.Time) bool {
-	if s.startsHeld || !w.recorded || s.isInHandover(w) || w.unsized > 0 || s.isEvacuated(w) {
+	if s.startsHeld || !w.fenced || !w.isRecorded() || s.isInHandover(w) || w.unsized > 0 || s.isEvacuated(w) {
 		return false
 	}
 	if !w.contacted || w.reg.Draining || w.failures > 0 || !w.uncertainAt.IsZero() || now.Before(w.avoidUntil) {
--- a/shard/world_owner_test.go
+++ b/shard/world_owner_test.go
@@ -7,7 +7,6 @@
 	"lemonstream.dev/lemonstream/catalog"
 	"lemonstream.dev/lemonstream/job"
 	"lemonstream.dev/lemonstream/outlier"
-	"lemonstream.dev/lemonstream/outside"
 	"lemonstream.dev/lemonstream/shard"
 )
 
@@ -183,10 +182,7 @@
 // restore makes a new owner read the stored rows.
 func (w *world) restore() {
 	for _, id := range walk(w, w.used) {
-		w.core.RestoreWorker(outside.WorkerRef{
-			ID:      id,
-			Address: w.workers[id].reg.Address,
-		}, w.now)
+		w.core.RestoreWorker(w.used[id], w.now)
 	}
 	w.core.RestoreReleased(w.released, !w.releasedUnread, w.now)
 	w.core.RemoveTaken(w.takenBeforeListing, w.now)
--- a/shard/world_rows_test.go
+++ b/shard/world_rows_test.go
@@ -7,6 +7,12 @@
 // maxRowBytes is the most bytes of a row that the platform takes.
 const maxRowBytes = 65_536
 
+// hasRow reports whether a row names a worker as one that may have runs.
+func (w *world) hasRow(id string) bool {
+	_, found := w.used[id]
+	return found
+}
+
 // writeStandby makes the owner read the standby partition once and write to it while the store
 // is down. Once the store is back, it removes redundant rows from the standby partition.
 func (w *world) writeStandby() {
@@ -61,7 +67,7 @@
 	if !w.storeDown && !w.frozen {
 		rows := w.core.WorkerRows(8)
 		for _, ref := range rows.Used {
-			w.used[ref.ID] = true
+			w.used[ref.ID] = ref
 		}
 		for _, id := range rows.Ended {
 			delete(w.used, id)
--- a/shard/world_test.go
+++ b/shard/world_test.go
@@ -126,7 +126,7 @@
 
 	// used holds the rows of workers that may have runs. handover is the handover that the
 	// owner's last transaction wrote.
-	used     map[string]bool
+	used     map[string]outside.WorkerRef
 	handover shard.Handover
 
 	// zombies are previous owners that are still active, oldest first.
@@ -304,7 +304,7 @@
 		records:  make(map[string]shard.Record),
 		progress: make(map[string]shard.Progress),
 		shown:    make(map[string]job.State),
-		used:     make(map[string]bool),
+		used:     make(map[string]outside.WorkerRef),
 		stored:   make(map[string]bool),
 		specs:    make(map[string]job.Spec),
 		taken:    make(map[string]bool),
