Tests of the other places where orders for a former incarnation act

Starts without an answer at a silent worker, a restart that only the registration shows to the next owner, a removed worker that is back under its ID, a worker of which no row was stored, and an incarnation that answers once and is cut off.

--- /dev/null
+++ b/shard/former_orders_test.go
@@ -0,0 +1,151 @@
+package shard_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lemonstream.dev/lemonstream/job"
+)
+
+// longRun returns a step of one task that outlasts every lease and belongs to the worker's rack.
+func longRun(f *fakeWorker) job.Step {
+	s := step(1)
+	s.Estimate = 30 * time.Second
+	s.DataRack = f.reg.Rack
+	return s
+}
+
+// TestUnansweredStartRunsAtSilentIncarnation covers a start without an answer that the next incarnation of a
+// worker carries out, while nobody reaches it. Its registration tells of the restart. The deadline in the start
+// is a time on the former clock, so that the run lasted longer than the owner waited for it.
+func TestUnansweredStartRunsAtSilentIncarnation(t *testing.T) {
+	for late := 200 * time.Millisecond; late <= 6*time.Second; late += 400 * time.Millisecond {
+		t.Run(fmt.Sprint(late), func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(2)
+			w.run(clockLead)
+			f := w.workers["w0"]
+			w.receivedLate = true
+			w.startDelay = late
+			w.submit("a", longRun(f))
+			w.run(2 * tick)
+			w.startDelay = 0
+			f.partitioned = true
+			w.restartWorker(f, 0)
+			w.run(late)
+			is.Equal(len(f.runs), 1)
+			w.run(3 * testMaxLease)
+			w.check(t)
+			is.Equal(f.began, 1)
+			is.Equal(len(reachableWorkersOf(w, "a")), 1) // It starts elsewhere once it has lapsed.
+		})
+	}
+}
+
+// TestRegistrationShowsRestartToNextOwner covers a worker that starts again and carries out a start of its former
+// incarnation just before its owner dies and it is cut off. Only its registration tells the next owner.
+func TestRegistrationShowsRestartToNextOwner(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(2)
+	w.run(clockLead)
+	f := w.workers["w0"]
+	w.receivedLate = true
+	w.startDelay = 5 * tick
+	w.submit("a", longRun(f))
+	w.run(2 * tick)
+	w.startDelay = 0
+	w.storeDown = true
+	w.restartWorker(f, 0)
+	f.partitioned = true
+	w.run(5 * tick)
+	is.Equal(len(f.runs), 1)
+	w.storeDown = false
+	w.takeOver()
+	w.run(2 * testMaxLease)
+	w.check(t)
+}
+
+// TestRemovedWorkerTakesFormerOrders covers a worker whose instance is taken down and that is back under its ID
+// when a poll is carried out that was meant for the removed incarnation.
+func TestRemovedWorkerTakesFormerOrders(t *testing.T) {
+	used := 0
+	for late := 2 * tick; late <= 30*tick; late += tick {
+		t.Run(fmt.Sprint(late), func(t *testing.T) {
+			w := newWorld(2)
+			w.run(clockLead)
+			f := w.workers["w0"]
+			w.pollDelay = late
+			w.run(2 * tick)
+			w.pollDelay = 0
+			w.core.RemoveTaken([]string{f.reg.Incarnation().String()}, w.now)
+			w.listStale = true
+			w.restartWorker(f, 10*tick)
+			w.run(40 * tick)
+			w.listStale = false
+			w.list()
+			w.run(300 * time.Millisecond)
+			w.submit("a", longRun(f))
+			w.run(300 * time.Millisecond)
+			used += len(f.runs)
+			f.partitioned = true
+			w.run(2 * testMaxLease)
+			w.check(t)
+		})
+	}
+	is.New(t).True(used > 0)
+}
+
+// TestWorkerWithoutRowTakesFormerOrders covers a worker that is listed and starts again while its owner can't
+// store a row of it, and that the next owner uses.
+func TestWorkerWithoutRowTakesFormerOrders(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1)
+	w.run(clockLead)
+	w.storeDown = true
+	f := w.addWorker("w1", "r1-1")
+	w.list()
+	w.run(testLease)
+	w.restartWorker(f, 0)
+	w.run(3 * tick)
+	w.storeDown = false
+	w.takeOver()
+	w.run(100 * time.Millisecond)
+	w.submit("a", longRun(f))
+	w.run(300 * time.Millisecond)
+	is.Equal(len(f.runs), 1)
+	f.partitioned = true
+	w.run(2 * testMaxLease)
+	w.check(t)
+}
+
+// TestLatePollExtendsLeaseOfUnfencedIncarnation covers an incarnation that runs a task by a start of its former
+// one, that answers once and is cut off. A poll that it had received before extends its lease after that.
+func TestLatePollExtendsLeaseOfUnfencedIncarnation(t *testing.T) {
+	cut := 0
+	for reached := tick; reached <= 12*tick; reached += tick {
+		t.Run(fmt.Sprint(reached), func(t *testing.T) {
+			w := newWorld(2)
+			w.run(clockLead)
+			f := w.workers["w0"]
+			w.receivedLate = true
+			w.pollDelay = 4 * time.Second
+			w.run(2 * tick)
+			w.pollDelay = 0
+			w.run(800 * time.Millisecond) // That poll fails, and the next one is answered.
+			w.startDelay = 2 * tick
+			w.submit("a", longRun(f))
+			w.run(2 * tick)
+			w.startDelay = 0
+			w.restartWorker(f, 0)
+			w.run(reached)
+			cut += len(f.runs)
+			f.partitioned = true
+			w.run(2 * testMaxLease)
+			w.check(t)
+		})
+	}
+	is.New(t).True(cut > 0)
+}
--- a/shard/world_calls_test.go
+++ b/shard/world_calls_test.go
@@ -63,7 +63,7 @@
 	}
 	if w.pollDelay > 0 && w.reaches(core, f) {
 		w.after(w.pollDelay, func() {
-			if !f.down && !f.partitioned {
+			if !f.down && (w.receivedLate || !f.partitioned) {
 				w.pollAt(f, h.Renewal)
 			}
 		})
@@ -144,7 +144,7 @@
 		w.after(w.startDelay, func() {
 			// A delayed start that reaches an incarnation before any owner does is left out: no
 			// owner can prevent it.
-			if !f.partitioned && f.fence > 0 {
+			if w.receivedLate || (!f.partitioned && f.fence > 0) {
 				_ = w.startAt(f, s.Order, sent)
 			}
 		})
--- a/shard/world_test.go
+++ b/shard/world_test.go
@@ -233,6 +233,10 @@
 	// sameID says that a crashed worker restarts under the same id.
 	sameID bool
 
+	// receivedLate says that polls and starts that take effect late have reached their worker before,
+	// so that they take effect although it is cut off, and before an owner has reached the incarnation.
+	receivedLate bool
+
 	// clockAhead is what the clock of an incarnation that starts from now on shows at first.
 	clockAhead time.Duration
 
