The wait for an unrecorded restart does not grow from owner to owner

The extension was added to a wait that already contained that of the owner before: in a chain of owners that never reach a worker, each one waited some seconds longer. It counts from the claim now; earlier owners' part is in the handover. TestWaitForRestartDoesNotGrowWithOwners fails on the commit before.

--- a/shard/former_orders_test.go
+++ b/shard/former_orders_test.go
@@ -149,3 +149,20 @@
 	}
 	is.New(t).True(cut > 0)
 }
+
+// TestWaitForRestartDoesNotGrowWithOwners covers a worker whose registration shows a restart and that no owner of
+// a long chain reaches. Each one waits for the same orders.
+func TestWaitForRestartDoesNotGrowWithOwners(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(2)
+	w.run(clockLead)
+	w.restartWorker(w.workers["w0"], 0)
+	w.workers["w0"].partitioned = true
+	w.takeOver()
+	first := w.core.UnobservedWait(w.now)
+	for range 20 {
+		w.run(500 * time.Millisecond)
+		w.takeOver()
+		is.True(w.core.UnobservedWait(w.now) <= first+testMaxLease)
+	}
+}
--- a/shard/formerlease.go
+++ b/shard/formerlease.go
@@ -66,13 +66,15 @@
 	return w.inherited && !born.IsZero() && !born.Equal(w.recordedBorn)
 }
 
-// extendUnobserved extends the time for which a worker that this owner has not reached may run what earlier
-// owners started, if its registration shows a restart that no earlier owner has recorded.
+// extendUnobserved extends the time for which a worker that this owner has not reached may run what the previous
+// owner started, if its registration shows a restart that no owner has recorded. What owners before that one
+// may have started is part of the handover.
 func (s *Shard) extendUnobserved(w *workerState) {
 	if w.contacted || s.idleWorkers[w.reg.ID] || w.recordedBorn.IsZero() || !w.isUnrecordedRestart(w.reg.Born) {
 		return
 	}
-	w.unobservedUntil = latestOf(w.unobservedUntil, s.unobservedUntil.Add(withClockDrift(s.opts.LeaseLimit-s.opts.Lease)))
+	until := s.takenAt.Add(s.opts.UnobservedFor + withClockDrift(s.opts.LeaseLimit-s.opts.Lease))
+	w.unobservedUntil = latestOf(w.unobservedUntil, until)
 }
 
 // lateStartEnd returns when a run has certainly lapsed that an unanswered start may begin at the next
