Settings: the machine's memory and descriptors

The settings file says how much memory a process may take and how many descriptors it may have open; nobody read that. Both are decoded now, and stand at 0 where the file has none.

--- a/site/settings.go
+++ b/site/settings.go
@@ -40,6 +40,11 @@
 	// where that is not known.
 	LinkBits float64
 
+	// Memory is what the process may take, in bytes, and Descriptors how many it may have open;
+	// 0 where that is not known.
+	Memory      int64
+	Descriptors int
+
 	// FirstPeerPort to LastPeerPort are free for the entries' own protocol.
 	FirstPeerPort uint16
 	LastPeerPort  uint16
