One bound on what the connections of a listener hold

Callers that send heads, bodies or nothing, and stay, could take any amount of memory: net/http lets a head have 1 MB, keeps each for as long as it arrives, and nothing counted what all connections hold together. Callers of lemonstreamd beyond max_callers waited for as long as idle ones stayed.

A bound in conns reckons what each connection holds as it arrives: the connection, the bytes and lines of the head, the bytes of the body. Once the sum or the number of connections is reached, the one that is idle or without its whole request for the longest is closed; a request that a handler works on is never cut. Heads and bodies over their limits get 431 and 413 at once. The time counts from the first byte of a request, so a byte now and then does not keep a connection. Both listeners of lemonstreamd have a bound; connection_memory, max_header and max_header_lines are its settings.

A read costs one lock that nobody else holds for long, no timer and no scan.

--- a/conns/limit.go
+++ b/conns/limit.go
@@ -22,12 +22,14 @@
 // surplusKey is the key in the context of requests over a surplusConn.
 type surplusKey struct{}
 
-// Limit bounds how many connections of a listener are open at one time; others wait to
-// be accepted. Once a Server that serves it stops, those are accepted as well for the
-// short time until the listener closes: see Surplus.
-func Limit(listener net.Listener, most int) net.Listener {
+// Limit bounds how many connections of a listener are served at one time; others wait until one
+// ends, or the bound can close one to make room. Once a Server that serves it stops, those that
+// wait are served as well for the short time until the listener closes: see Surplus. bound may
+// be nil.
+func Limit(listener net.Listener, most int, bound *Bound) net.Listener {
 	l := newListener(listener, 0)
 	l.places = make(chan struct{}, most)
+	l.setBound(bound)
 	return l
 }
 
@@ -59,6 +61,15 @@
 		return false
 	}
 	select {
+	case l.places <- struct{}{}:
+		return true
+	default:
+	}
+	if l.bound != nil {
+		l.bound.want(true)
+		defer l.bound.want(false)
+	}
+	select {
 	case l.places <- struct{}{}:
 		return true
 	case <-l.lifted:
@@ -67,6 +78,21 @@
 	return false
 }
 
+// hold has the listener's bound count a connection. It returns false where there is no room for
+// it; it is closed then.
+func (l *boundedListener) hold(accepted net.Conn) (net.Conn, bool) {
+	if l.bound == nil {
+		return accepted, true
+	}
+	c := &heldConn{
+		Conn:  accepted,
+		bound: l.bound,
+		place: noPlace,
+		idle:  true,
+	}
+	return c, l.bound.admit(c)
+}
+
 // wrap bounds a connection as the listener says.
 func (l *boundedListener) wrap(accepted net.Conn, placed bool) net.Conn {
 	if l.meter != nil {
--- a/conns/server.go
+++ b/conns/server.go
@@ -21,6 +21,10 @@
 	// Meter counts the bytes of connections under the name Purpose; nil counts nothing.
 	Meter   Meter
 	Purpose string
+
+	// Bound bounds what the connections hold together; nil bounds nothing. It has to be attached
+	// to the server as well.
+	Bound *Bound
 }
 
 // boundedBody is the body of a request of which some has to arrive in each span of
@@ -60,11 +64,12 @@
 	})
 }
 
-// Listen bounds the writing at the connections that a listener accepts.
+// Listen bounds the writing at the connections that a listener accepts, and what they hold.
 func Listen(listener net.Listener, limits ServerLimits) net.Listener {
 	l := newListener(listener, limits.Quiet)
 	l.meter = limits.Meter
 	l.purpose = limits.Purpose
+	l.setBound(limits.Bound)
 	return l
 }
 
--- a/conns/stop.go
+++ b/conns/stop.go
@@ -59,6 +59,9 @@
 	meter   Meter
 	purpose string
 
+	// bound is nil where nothing is bounded.
+	bound *Bound
+
 	// places holds an entry for each open connection; it is nil without a limit. lifted
 	// is closed once the limit holds no more.
 	places chan struct{}
@@ -97,6 +100,18 @@
 	return s
 }
 
+// setBound has a bound count the connections; nil bounds nothing.
+func (l *boundedListener) setBound(bound *Bound) {
+	l.bound = bound
+	if bound == nil || bound.options.ReceiveBuffer == 0 {
+		return
+	}
+	if err := setReceiveBuffer(l.Listener, bound.options.ReceiveBuffer); err != nil && bound.options.Log != nil {
+		// The bound holds all the same; what arrives unread is then bounded by the system.
+		bound.options.Log.Warn("receive buffer not set", "listener", bound.options.Name, "error", err)
+	}
+}
+
 // newListener returns a listener without a limit.
 func newListener(listener net.Listener, quiet time.Duration) *boundedListener {
 	return &boundedListener{
@@ -110,18 +125,18 @@
 
 // Accept implements net.Listener.
 func (l *boundedListener) Accept() (net.Conn, error) {
-	placed := l.takePlace()
-	accepted, err := l.Listener.Accept()
-	if err != nil && l.draining.Load() {
-		accepted, err = l.acceptLeft()
-	}
-	if err != nil {
-		if placed {
-			l.freePlace()
+	for {
+		accepted, err := l.Listener.Accept()
+		if err != nil && l.draining.Load() {
+			accepted, err = l.acceptLeft()
+		}
+		if err != nil {
+			return nil, err
+		}
+		if served, admitted := l.hold(l.wrap(accepted, l.takePlace())); admitted {
+			return served, nil
 		}
-		return nil, err
 	}
-	return l.wrap(accepted, placed), nil
 }
 
 // Close implements net.Listener.
--- a/entry/plugin.go
+++ b/entry/plugin.go
@@ -9,6 +9,7 @@
 	"go.uber.org/fx"
 
 	"lemonstream.dev/lemonstream/clock"
+	"lemonstream.dev/lemonstream/conns"
 	"lemonstream.dev/lemonstream/fleet"
 	"lemonstream.dev/lemonstream/forward"
 	"lemonstream.dev/lemonstream/kernel"
@@ -31,6 +32,22 @@
 	})
 }
 
+// copyBuffer is what is held of a body that is passed on, beside what is buffered, in bytes.
+const copyBuffer = 64 << 10
+
+// boundOptions returns what the connections of callers may hold.
+func boundOptions(d settings.Daemon, log *slog.Logger, counts *conns.Counts) conns.BoundOptions {
+	return conns.BoundOptions{
+		Name:        "callers",
+		Bytes:       d.ConnMemory,
+		HeaderBytes: func() int { return int(d.MaxHeader) },
+		HeaderLines: func() int { return d.MaxHeaderLines },
+		BodyHeld:    d.BufferBody + copyBuffer,
+		Count:       counts.Add,
+		Log:         log,
+	}
+}
+
 func newHandler(s *Services, o *once.Claims, r *Readiness, c clock.Clock, log *slog.Logger, d settings.Daemon) *Handler {
 	claims := Claims{
 		Claim:   o.Claim,
@@ -59,10 +76,11 @@
 }
 
 func serverOptions() fx.Option {
-	return fx.Invoke(func(lc fx.Lifecycle, g *kernel.Group, h *Handler, c clock.Clock, r *Readiness, log *slog.Logger, d settings.Daemon) {
+	return fx.Invoke(func(lc fx.Lifecycle, g *kernel.Group, h *Handler, c clock.Clock, r *Readiness, log *slog.Logger, d settings.Daemon, counts *conns.Counts) {
 		server := NewServer(h, c, ServerOptions{
 			Address:    d.Callers,
 			MaxCallers: d.MaxCallers,
+			Bound:      boundOptions(d, log, counts),
 		})
 		lc.Append(fx.Hook{
 			OnStart: func(context.Context) error {
@@ -85,6 +103,7 @@
 			newServices,
 			newHandler,
 			NewReadiness,
+			conns.NewCounts,
 		),
 		fx.Invoke(func(lc fx.Lifecycle, g *kernel.Group, s *Services, w *state.Watch, p *member.Peers, c clock.Clock, self fleet.Self, d settings.Daemon) {
 			shares := NewShares(s, w, p, c, self.ID, d.TellInterval)
@@ -116,4 +135,7 @@
 
 	// MaxCallers bounds the open connections.
 	MaxCallers int
+
+	// Bound is what the connections may hold together.
+	Bound conns.BoundOptions
 }
--- a/entry/server.go
+++ b/entry/server.go
@@ -37,9 +37,6 @@
 	// the first refusal.
 	leaveNotice = time.Second
 
-	// maxHeaderBytes bounds a request's header.
-	maxHeaderBytes = 32 << 10
-
 	// writeTimeout bounds the writing of an answer.
 	writeTimeout = longestDeadline + bodyTimeout
 )
@@ -48,6 +45,7 @@
 type Server struct {
 	http     *conns.Server
 	listener net.Listener
+	bound    *conns.Bound
 	options  ServerOptions
 	requests *inflight.Requests
 }
@@ -65,11 +63,12 @@
 			ReadTimeout:       bodyTimeout,
 			WriteTimeout:      writeTimeout,
 			IdleTimeout:       idleTimeout,
-			MaxHeaderBytes:    maxHeaderBytes,
 		}),
+		bound:   conns.NewBound(o.Bound),
 		options: o,
 	}
 	s.requests.Attach(s.http.Server)
+	s.bound.Attach(s.http.Server)
 	return s
 }
 
@@ -78,13 +77,13 @@
 	return s.listener.Addr()
 }
 
-// Listen opens the address. Connections above the limit wait to be accepted.
+// Listen opens the address. Connections above the limit wait to be served.
 func (s *Server) Listen() error {
 	listener, err := net.Listen("tcp", s.options.Address.String())
 	if err != nil {
 		return fmt.Errorf("listening for callers: %w", err)
 	}
-	s.listener = conns.Limit(listener, s.options.MaxCallers)
+	s.listener = conns.Limit(listener, s.options.MaxCallers, s.bound)
 	return nil
 }
 
--- a/operate/handler.go
+++ b/operate/handler.go
@@ -10,6 +10,7 @@
 
 	"lemonstream.dev/lemonstream/budget"
 	"lemonstream.dev/lemonstream/clock"
+	"lemonstream.dev/lemonstream/conns"
 	"lemonstream.dev/lemonstream/control"
 	"lemonstream.dev/lemonstream/entry"
 	"lemonstream.dev/lemonstream/intent"
@@ -33,6 +34,7 @@
 	platform  store.Platform
 	reporter  *Reporter
 	jobs      *work.Store
+	counts    *conns.Counts
 	clock     clock.Clock
 	log       *slog.Logger
 }
--- a/operate/metrics.go
+++ b/operate/metrics.go
@@ -49,5 +49,8 @@
 			gauge(fmt.Sprintf("requests{service=%q,outcome=%q}", service, outcomeNames[outcome]), count)
 		}
 	}
+	for key, count := range h.counts.All() {
+		gauge(fmt.Sprintf("%s{reason=%q}", key.Name, key.Reason), count)
+	}
 	return registry
 }
--- a/operate/plugin.go
+++ b/operate/plugin.go
@@ -13,6 +13,7 @@
 	"go.uber.org/fx"
 
 	"lemonstream.dev/lemonstream/clock"
+	"lemonstream.dev/lemonstream/conns"
 	"lemonstream.dev/lemonstream/control"
 	"lemonstream.dev/lemonstream/entry"
 	"lemonstream.dev/lemonstream/kernel"
@@ -27,6 +28,13 @@
 	// headerTimeout bounds the reading of a header.
 	headerTimeout = 5 * time.Second
 
+	// maxConnections, maxHeaderBytes, maxHeaderLines and maxHeld bound what operators and whoever
+	// else reaches their address may hold; maxHeld is in bytes. It has room for several bodies.
+	maxConnections = 256
+	maxHeaderBytes = 32 << 10
+	maxHeaderLines = 1000
+	maxHeld        = 64 << 20
+
 	// requestTimeout bounds the reading and the answer of a request.
 	requestTimeout = 30 * time.Second
 )
@@ -39,7 +47,7 @@
 	})
 }
 
-func newHandler(store *control.Store, w *state.Watch, p *member.Peers, r *entry.Readiness, outside store.Platform, reporter *Reporter, jobs *work.Store, c clock.Clock, log *slog.Logger) *Handler {
+func newHandler(store *control.Store, w *state.Watch, p *member.Peers, r *entry.Readiness, outside store.Platform, reporter *Reporter, jobs *work.Store, counts *conns.Counts, c clock.Clock, log *slog.Logger) *Handler {
 	return &Handler{
 		store:     store,
 		watch:     w,
@@ -48,6 +56,7 @@
 		platform:  outside,
 		reporter:  reporter,
 		jobs:      jobs,
+		counts:    counts,
 		clock:     c,
 		log:       log,
 	}
@@ -71,15 +80,20 @@
 			NewReporter,
 			newHandler,
 		),
-		fx.Invoke(func(lc fx.Lifecycle, g *kernel.Group, h *Handler, d settings.Daemon) {
+		fx.Invoke(func(lc fx.Lifecycle, g *kernel.Group, h *Handler, d settings.Daemon, counts *conns.Counts, log *slog.Logger) {
 			server := newServer(h)
+			bound := newBound(counts, log)
+			bound.Attach(server)
 			lc.Append(fx.Hook{
 				OnStart: func(context.Context) error {
 					listener, err := net.Listen("tcp", d.Operators.String())
 					if err != nil {
 						return fmt.Errorf("listening for operators: %w", err)
 					}
-					g.Go("operators", func(context.Context) error { return serve(server, listener) })
+					bounded := conns.Listen(listener, conns.ServerLimits{
+						Bound: bound,
+					})
+					g.Go("operators", func(context.Context) error { return serve(server, bounded) })
 					return nil
 				},
 				OnStop: server.Shutdown,
@@ -88,6 +102,20 @@
 	)
 }
 
+// newBound returns what bounds the connections of operators.
+func newBound(counts *conns.Counts, log *slog.Logger) *conns.Bound {
+	return conns.NewBound(conns.BoundOptions{
+		Name:        "operators",
+		Bytes:       maxHeld,
+		Connections: maxConnections,
+		HeaderBytes: func() int { return maxHeaderBytes },
+		HeaderLines: func() int { return maxHeaderLines },
+		BodyBytes:   func() int64 { return maxBodyBytes },
+		Count:       counts.Add,
+		Log:         log,
+	})
+}
+
 func serve(server *http.Server, listener net.Listener) error {
 	err := server.Serve(listener)
 	if errors.Is(err, http.ErrServerClosed) {
--- a/settings/daemon.go
+++ b/settings/daemon.go
@@ -35,9 +35,15 @@
 	// slots and connections; at least 1.
 	Entries int
 
-	MaxBody      int64
-	BufferBody   int64
-	MaxCallers   int
+	MaxBody        int64
+	MaxHeader      int64
+	MaxHeaderLines int
+	BufferBody     int64
+	MaxCallers     int
+
+	// ConnMemory is what connections of callers may hold together, in bytes.
+	ConnMemory int64
+
 	QueueLength  int
 	StopTimeout  time.Duration
 	HomeInterval time.Duration
@@ -83,6 +89,8 @@
 		MaxBody:      file.Bytes("limits", "max_body"),
 		BufferBody:   file.Bytes("limits", "buffer_body"),
 		MaxCallers:   file.Count("limits", "max_callers"),
+		MaxHeader:    file.Bytes("limits", "max_header"),
+		ConnMemory:   file.Bytes("limits", "connection_memory"),
 		QueueLength:  file.Count("limits", "queue_length"),
 		StopTimeout:  file.Duration("times", "stop_timeout"),
 		HomeInterval: file.Duration("times", "home_interval"),
@@ -91,6 +99,7 @@
 		TellInterval: file.Duration("times", "tell_interval"),
 		SilentAfter:  file.Duration("times", "silent_after"),
 
+		MaxHeaderLines:   file.Count("limits", "max_header_lines"),
 		SnapshotInterval: file.Duration("times", "snapshot_interval"),
 	}
 	return d, d.clashes(name)
--- a/settings/daemonschema.go
+++ b/settings/daemonschema.go
@@ -33,6 +33,44 @@
 	}
 }
 
+// connectionKeys are the bounds of what callers' connections hold.
+func connectionKeys() []Key {
+	return []Key{
+		{
+			Name:    "max_callers",
+			Kind:    KindCount,
+			Default: "6000",
+			Min:     1,
+			Max:     100000,
+			Doc:     "Most caller connections open at once.",
+		},
+		{
+			Name:    "max_header",
+			Kind:    KindBytes,
+			Default: "32KiB",
+			Min:     1 << 10,
+			Max:     1 << 20,
+			Doc:     "Largest head of a request, with its request line.",
+		},
+		{
+			Name:    "max_header_lines",
+			Kind:    KindCount,
+			Default: "12000",
+			Min:     16,
+			Max:     1000000,
+			Doc:     "Most lines of a request's head.",
+		},
+		{
+			Name:    "connection_memory",
+			Kind:    KindBytes,
+			Default: "192MiB",
+			Min:     8 << 20,
+			Max:     1 << 40,
+			Doc:     "Most memory that the connections of callers hold together; beyond it, the one that is idle or incomplete for the longest is closed.",
+		},
+	}
+}
+
 func entrySection() Section {
 	return Section{
 		Name:     "entry",
@@ -71,7 +109,7 @@
 	return Section{
 		Name: "limits",
 		Doc:  "Bounds of what one entry takes on.",
-		Keys: []Key{
+		Keys: append(connectionKeys(), []Key{
 			{
 				Name:    "entries",
 				Kind:    KindCount,
@@ -96,14 +134,6 @@
 				Max:     1 << 20,
 				Doc:     "Bodies up to this size are held whole; larger ones are streamed.",
 			},
-			{
-				Name:    "max_callers",
-				Kind:    KindCount,
-				Default: "6000",
-				Min:     1,
-				Max:     100000,
-				Doc:     "Most caller connections open at once.",
-			},
 			{
 				Name:    "queue_length",
 				Kind:    KindCount,
@@ -112,7 +142,7 @@
 				Max:     100000,
 				Doc:     "Most requests of a service that wait for a slot.",
 			},
-		},
+		}...),
 	}
 }
 
