lemonsched: bound what connections hold by the machine's memory

The listeners for callers, other entries and readiness accepted without a bound, and maxHeaderBytes of the configuration was asked by nobody. Each has a share of the machine's memory and descriptors now; heads and bodies of callers are bounded by the configuration. The collector keeps the heap below seven tenths of the memory that the settings give, and bodies above 16 KiB are decoded one at a time: a decoded job can take a hundred times its text.

Flags: connection-memory, max-callers, max-header-lines, receive-buffer.

--- a/cmd/lemonsched/runcmd.go
+++ b/cmd/lemonsched/runcmd.go
@@ -35,6 +35,14 @@
 		"whether sleeping instances are ordered, and refused jobs counted as demand, while the store is away")
 	forecast := flags.Bool("forecast", true,
 		"predict demand that comes in turns, and move instances before a turn begins")
+	maxCallers := flags.Int("max-callers", 0,
+		"how many connections of callers may be open at one time; 0 stands for half of the machine's descriptors")
+	connMemory := flags.Float64("connection-memory", scheduler.DefaultConnMemory,
+		"the share of the machine's memory, 0.05 to 0.5, that connections to this entry may hold")
+	headerLines := flags.Int("max-header-lines", scheduler.DefaultHeaderLines,
+		"how many lines the head of a request may have")
+	receiveBuffer := flags.Int("receive-buffer", scheduler.DefaultReceiveBuffer,
+		"how many bytes the system keeps of what has arrived on a caller's connection and was not read")
 	return &ffcli.Command{
 		Name:       "lemonsched",
 		ShortUsage: "lemonsched [flags]",
@@ -49,6 +57,11 @@
 				EjectShare:    *ejectShare,
 				ProbeAfter:    *probeAfter,
 
+				MaxCallers:    *maxCallers,
+				ConnMemory:    *connMemory,
+				HeaderLines:   *headerLines,
+				ReceiveBuffer: *receiveBuffer,
+
 				OutageOrders: *outageOrders,
 				Forecast:     *forecast,
 
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -7,12 +7,12 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"log/slog"
 	"net/http"
 	"net/netip"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/gin-gonic/gin"
@@ -133,6 +133,9 @@
 	// Admits reports whether a caller may see and cancel a job. If it is nil, the catalog decides.
 	Admits func(caller catalog.Caller, of catalog.JobOwner) bool
 
+	// large is held while a large body is decoded.
+	large sync.Mutex
+
 	looks  ownerLooks
 	offers offers
 	reads  readPace
@@ -296,17 +299,11 @@
 }
 
 func (s *Server) submit(r *request, current *catalog.Catalog) {
-	limit := current.Limits.BodyBytes
-	body, err := io.ReadAll(io.LimitReader(r.Request.Body, limit+1))
-	if err != nil {
-		r.String(http.StatusBadRequest, "the body ended early\n")
-		return
-	}
-	if int64(len(body)) > limit {
-		r.Status(http.StatusRequestEntityTooLarge)
+	body, ok := s.read(r, current.Limits.BodyBytes)
+	if !ok {
 		return
 	}
-	spec, err := s.Codec.DecodeJob(body)
+	spec, err := s.decode(body)
 	if err == nil && len(r.id) > maxIDBytes {
 		err = &job.FieldError{
 			Field:  "id",
--- a/peer/client.go
+++ b/peer/client.go
@@ -44,8 +44,8 @@
 	// outcome.
 	idleTimeout = 10 * time.Second
 
-	// maxBody is the maximum size of a body in bytes. The largest body is a job with its text.
-	maxBody = 4 << 20
+	// MaxBody is the maximum size of a body in bytes. The largest body is a job with its text.
+	MaxBody = 4 << 20
 )
 
 // Paths of the protocol.
@@ -139,7 +139,7 @@
 			Kept:       maxIdleConns,
 			Dial:       callTimeout,
 			Idle:       idleTimeout,
-			Answer:     maxBody,
+			Answer:     MaxBody,
 			Meter:      meter,
 		}),
 	}
--- a/peer/pack.go
+++ b/peer/pack.go
@@ -20,7 +20,7 @@
 
 	// maxUnpackedSize is the maximum size in bytes of a decompressed value. Rows of the store
 	// are smaller.
-	maxUnpackedSize = maxBody
+	maxUnpackedSize = MaxBody
 )
 
 // packed caches compressed values, since many entries request the same ones.
--- a/peer/server.go
+++ b/peer/server.go
@@ -210,7 +210,7 @@
 // record decodes the job record in the body of a request. On failure it writes the error status
 // and returns false.
 func (s *Server) record(c *gin.Context) (shard.Record, bool) {
-	body, err := io.ReadAll(io.LimitReader(c.Request.Body, maxBody))
+	body, err := io.ReadAll(io.LimitReader(c.Request.Body, MaxBody))
 	if err != nil {
 		c.Status(http.StatusBadRequest)
 		return shard.Record{}, false
--- a/scheduler/options.go
+++ b/scheduler/options.go
@@ -45,6 +45,20 @@
 	// demand of jobs that are refused meanwhile.
 	OutageOrders bool
 
+	// MaxCallers is how many connections of callers may be open at one time; 0 stands for a share
+	// of the descriptors.
+	MaxCallers int
+
+	// ConnMemory is the share of the machine's memory that connections to this entry may hold.
+	ConnMemory float64
+
+	// HeaderLines is how many lines the head of a request may have.
+	HeaderLines int
+
+	// ReceiveBuffer is how many bytes the system keeps of what has arrived on a connection of a
+	// caller and was not read.
+	ReceiveBuffer int
+
 	// Forecast says that demand that comes in turns is predicted; see pool.Options.
 	Forecast bool
 }
@@ -91,6 +105,9 @@
 			Reason: "is not between 0s and " + intake.MaxOfferTime.String(),
 		}
 	}
+	if err := o.checkConnections(); err != nil {
+		return err
+	}
 	if o.OutageTimeout < 0 || o.OutageTimeout > witness.Limit {
 		return &OptionError{
 			Name:   "outage-timeout",
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -126,6 +126,7 @@
 		return fmt.Errorf("settings %s: %w", path, err)
 	}
 	log = log.With("entry", settings.Name)
+	limitHeap(settings.Memory)
 	reload := newReload(path, body, log)
 	writer := kernel.NewGroup(context.WithoutCancel(ctx), log)
 	writer.Go("log", book.Run)
--- a/scheduler/serve.go
+++ b/scheduler/serve.go
@@ -54,16 +54,18 @@
 	return nil, fmt.Errorf("listening for other entries: %w", last)
 }
 
-func (d *Daemon) serve(name string, listener net.Listener, handler http.Handler) {
+func (d *Daemon) serve(name string, listener net.Listener, handler http.Handler, bound *conns.Bound) {
 	limits := conns.ServerLimits{
 		Header:  readHeaderTimeout,
 		Quiet:   quietConnTimeout,
 		Meter:   d.figures.Link,
 		Purpose: name,
+		Bound:   bound,
 	}
 	server := conns.NewServer(handler, limits)
 	server.Addr = listener.Addr().String()
 	d.requests.Attach(server.Server)
+	bound.Attach(server.Server)
 	d.servers = append(d.servers, server)
 	d.group.Go(name, func(context.Context) error {
 		if err := server.Serve(conns.Listen(listener, limits)); !errors.Is(err, http.ErrServerClosed) {
@@ -114,7 +116,7 @@
 func (d *Daemon) serveCallers(server *intake.Server) {
 	router := gin.New()
 	server.Routes(router)
-	d.listen("callers", d.settings.Callers, router)
+	d.listen("callers", d.settings.Callers, router, d.callerBound())
 }
 
 // probePause is how long this entry waits between two tries of something that fails,
@@ -164,7 +166,7 @@
 		PassBudget:  link.FeedBudget(d.settings.LinkBits),
 	}
 	server.Routes(router)
-	d.serve("peers", listener, router)
+	d.serve("peers", listener, router, d.peerBound())
 }
 
 func (d *Daemon) serveReadiness() {
@@ -179,10 +181,10 @@
 	router.GET("/metrics", func(c *gin.Context) {
 		c.String(http.StatusOK, d.figures.Text())
 	})
-	d.listen("readiness", d.settings.Readiness, router)
+	d.listen("readiness", d.settings.Readiness, router, d.readinessBound())
 }
 
-func (d *Daemon) listen(name string, address netip.AddrPort, handler http.Handler) {
+func (d *Daemon) listen(name string, address netip.AddrPort, handler http.Handler, bound *conns.Bound) {
 	listener, err := net.Listen("tcp4", address.String())
 	if err != nil {
 		d.group.Go(name, func(context.Context) error {
@@ -190,7 +192,7 @@
 		})
 		return
 	}
-	d.serve(name, listener, handler)
+	d.serve(name, listener, handler, bound)
 }
 
 // isReady reports whether the entry can serve callers: it has a configuration that is known to be in
