--- a/intake/body.go
+++ b/intake/body.go
@@ -8,8 +8,8 @@
 	"lemonstream.dev/lemonstream/job"
 )
 
-// largeBody is the size in bytes from which on bodies are decoded one at a time: a decoded job can
-// take a hundred times its text.
+// largeBody is the size in bytes from which on bodies are decoded one at a time: that
+// takes several times their text.
 const largeBody = 16 << 10
 
 // read returns the body of a request, of at most limit bytes. On failure it writes the answer and
