Stand-in: a worker that starts again takes calls of its former incarnation

Callers saw a task run twice at one time after workers had started again under their IDs and were cut off. The soak among real processes could hardly show it: the clock of every worker of the stand-in began at 0, so that deadlines of one incarnation lay a few seconds ahead of the next one's clock; a worker that was away answered 503 at once, so that the entry had given it up and sent no deadline to the next incarnation; and no call was carried out late.

Now the clock of each incarnation begins at a random value and runs up to 2% slow; calls that come while there is no worker get no answer, or wait for the next incarnation and are taken by it; a call under way when a worker ends hangs or its connection breaks. Fleet.Restart starts a worker again under its ID after a given time, Fleet.CutOffInstance cuts one off in both directions, with or without its registration, or loses its answers alone.

The scripts of the oracle's tests count leases from the clock in a worker's registration, since that is no longer 0.

--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -3,7 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
-	"io"
+	"math/rand"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -26,6 +26,31 @@
 // under the id that it had.
 const livesOfAnID = 2
 
+const (
+	// longestClock bounds the time on the clock of a worker that starts, slowestClock is the least rate
+	// of such a clock.
+	longestClock = 2 * time.Hour
+	slowestClock = 0.98
+)
+
+// Cuts of an instance from the entries.
+const (
+	// CutAll lets nothing through, and the registration of the worker lapses.
+	CutAll Cut = iota
+
+	// CutEntries lets nothing through, while the registration stays.
+	CutEntries
+
+	// CutAnswers lets calls through and loses their answers.
+	CutAnswers
+
+	// CutKinds is the number of kinds.
+	CutKinds
+)
+
+// Cut is a way in which an instance is cut off.
+type Cut int
+
 // Fleet is a stand-in for the instances of the users' platform: each runs one
 // worker at a time, a worker ends when its instance is ordered to do something, and
 // a new one comes with another id. It judges the orders from outside.
@@ -39,6 +64,7 @@
 	mu        sync.Mutex
 	instances []*fleetInstance
 	waves     map[int64]FleetWave
+	chance    chance
 }
 
 // FleetWave is a request for maintenance.
@@ -58,9 +84,14 @@
 	worker *Worker
 	router *gin.Engine
 
-	// cuts counts the partitions in force, during which nobody reaches the worker and its
-	// registration lapses.
-	cuts int
+	// reached says that a call on time has reached the worker.
+	reached bool
+
+	// entered is closed when the next worker enters.
+	entered chan struct{}
+
+	// cuts counts the partitions in force by their kind.
+	cuts [CutKinds]int
 
 	// state and wave are what the instance is doing, and for which wave; done holds
 	// the waves that it went through.
@@ -80,6 +111,9 @@
 		oracle: oracle,
 		asleep: asleep,
 		waves:  make(map[int64]FleetWave),
+		chance: chance{
+			random: rand.New(rand.NewSource(1)),
+		},
 	}
 }
 
@@ -87,27 +121,14 @@
 // there.
 func (f *Fleet) Add(id, pool string) (http.Handler, func(address netip.AddrPort)) {
 	i := &fleetInstance{
-		id:    id,
-		pool:  pool,
-		state: "up",
-		done:  make(map[int64]bool),
+		id:      id,
+		pool:    pool,
+		lives:   1,
+		state:   "up",
+		done:    make(map[int64]bool),
+		entered: make(chan struct{}),
 	}
-	serve := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		f.mu.Lock()
-		router, cut := i.router, i.cuts > 0
-		f.mu.Unlock()
-		if cut {
-			// The server notices that the caller has left only once the body is read.
-			_, _ = io.Copy(io.Discard, r.Body)
-			<-r.Context().Done()
-			return
-		}
-		if router == nil {
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
-		router.ServeHTTP(w, r)
-	})
+	serve := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { f.serve(i, w, r) })
 	return serve, func(address netip.AddrPort) {
 		f.mu.Lock()
 		defer f.mu.Unlock()
@@ -239,6 +260,7 @@
 		defer f.mu.Unlock()
 		i.state = "up"
 		i.wave = 0
+		i.lives++
 		f.wake(i)
 	})
 	return http.StatusOK, gin.H{}
@@ -276,13 +298,17 @@
 	if i.pool == f.asleep {
 		return
 	}
-	i.lives++
 	i.worker = NewWorker(fmt.Sprintf("%s-%d", i.id, (i.lives+1)/livesOfAnID), i.pool, f.oracle)
 	i.worker.Address = i.address
+	i.worker.setClock(f.chance.newClock())
 	worker := i.worker
-	worker.crash = func() { f.crash(i, worker) }
+	worker.crash = func() { f.crash(i, worker, crashedFor, false) }
+	worker.isFull = f.chance.isFull
 	i.router = gin.New()
 	i.worker.Routes(i.router)
+	i.reached = false
+	close(i.entered)
+	i.entered = make(chan struct{})
 	f.rows.Write(outside.Key{
 		Table: "servers",
 		Name:  i.worker.ID,
@@ -292,12 +318,21 @@
 // Crash ends the worker of an instance without a word, by the number of the instance, and
 // lets another life of it come. It does nothing where there is none.
 func (f *Fleet) Crash(number int) {
+	f.crashNumber(number, crashedFor, false)
+}
+
+// Restart is like Crash; the next life comes after the given time and has the same id.
+func (f *Fleet) Restart(number int, away time.Duration) {
+	f.crashNumber(number, away, true)
+}
+
+func (f *Fleet) crashNumber(number int, away time.Duration, sameID bool) {
 	f.mu.Lock()
 	i := f.instances[number%len(f.instances)]
 	worker := i.worker
 	f.mu.Unlock()
 	if worker != nil {
-		f.crash(i, worker)
+		f.crash(i, worker, away, sameID)
 	}
 }
 
@@ -308,20 +343,39 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, i := range f.instances {
-		if i.worker == nil || i.cuts > 0 || !i.worker.runsTaskOf(job) {
-			continue
+		if i.worker != nil && !i.isUnreached() && i.worker.runsTaskOf(job) {
+			return f.cut(i, CutAll)
 		}
-		i.cuts++
-		worker := i.worker
+	}
+	return nil
+}
+
+// CutOffInstance cuts off an instance by its number, and returns what ends that.
+func (f *Fleet) CutOffInstance(number int, kind Cut) func() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cut(f.instances[number%len(f.instances)], kind)
+}
+
+func (f *Fleet) cut(i *fleetInstance, kind Cut) func() {
+	i.cuts[kind]++
+	worker := i.worker
+	if kind == CutAll && worker != nil {
 		time.AfterFunc(registeredFor, func() { f.register(i, worker, true) })
-		return func() {
-			f.mu.Lock()
-			i.cuts--
-			f.mu.Unlock()
+	}
+	return func() {
+		f.mu.Lock()
+		i.cuts[kind]--
+		f.mu.Unlock()
+		if kind == CutAll && worker != nil {
 			time.AfterFunc(heartbeat, func() { f.register(i, worker, false) })
 		}
 	}
-	return nil
+}
+
+// isUnreached reports whether calls to an instance are lost.
+func (i *fleetInstance) isUnreached() bool {
+	return i.cuts[CutAll]+i.cuts[CutEntries] > 0
 }
 
 // register removes the registration of a worker that is cut off, or writes that of one that is not,
@@ -329,7 +383,7 @@
 func (f *Fleet) register(i *fleetInstance, worker *Worker, lapsed bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if i.worker != worker || lapsed != (i.cuts > 0) {
+	if i.worker != worker || lapsed != (i.cuts[CutAll] > 0) {
 		return
 	}
 	var row []byte
@@ -355,7 +409,7 @@
 }
 
 // crash ends the worker of an instance without a word, and lets another one come.
-func (f *Fleet) crash(i *fleetInstance, worker *Worker) {
+func (f *Fleet) crash(i *fleetInstance, worker *Worker, away time.Duration, sameID bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if i.worker != worker {
@@ -375,10 +429,13 @@
 			Name:  worker.ID,
 		}, nil)
 	})
-	time.AfterFunc(crashedFor, func() {
+	time.AfterFunc(away, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		if i.worker == nil && i.state == "up" {
+			if !sameID {
+				i.lives++
+			}
 			f.wake(i)
 		}
 	})
--- a/internal/standin/oracle_test.go
+++ b/internal/standin/oracle_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -16,6 +17,7 @@
 	"github.com/matryer/is"
 
 	"lemonstream.dev/lemonstream/internal/standin"
+	"lemonstream.dev/lemonstream/outside"
 )
 
 // script calls two workers, whose clocks are those of a synctest bubble.
@@ -25,10 +27,16 @@
 	fleet   *standin.Fleet
 	workers map[string]http.Handler
 	lists   map[string]listed
+
+	// clocks are the times on the clocks of the workers when the script began.
+	clocks map[string]time.Duration
 }
 
 // listed is a worker's answer to a look, with its last fields left out.
 type listed struct {
+	Born    int64   `json:"born"`
+	ClockMs int64   `json:"clockMs"`
+	Reason  string  `json:"reason"`
 	Running [][]any `json:"runningCount"`
 	Ends    [][]any `json:"endTime"`
 }
@@ -40,23 +48,42 @@
 		oracle:  standin.NewOracle(),
 		workers: make(map[string]http.Handler),
 		lists:   make(map[string]listed),
+		clocks:  make(map[string]time.Duration),
 	}
-	s.fleet = standin.NewFleet(standin.NewRows(), s.oracle, "z")
+	rows := standin.NewRows()
+	s.fleet = standin.NewFleet(rows, s.oracle, "z")
 	for _, id := range []string{"a", "b"} {
 		handler, up := s.fleet.Add(id, "s")
 		up(netip.AddrPort{})
 		s.workers[id] = handler
+		row, err := rows.Table().Row(t.Context(), outside.Key{
+			Table: "servers",
+			Name:  id + "-1",
+		})
+		var registered listed
+		if err != nil || json.Unmarshal(row.Value, &registered) != nil {
+			t.Fatal("no registration of", id)
+		}
+		s.clocks[id] = time.Duration(registered.ClockMs) * time.Millisecond
 	}
 	return s
 }
 
-// call sends an order with a lease until a time on the worker's clock.
-func (s *script) call(worker, path string, until time.Duration, fields string) int {
+// call sends an order with a lease until a time on the worker's clock, counted from the beginning of the
+// script. It returns 0 if it gets no answer within a second.
+func (s *script) call(worker, path string, until time.Duration, fields string) (status int) {
 	s.t.Helper()
-	body := fmt.Sprintf(`{"fencingToken":1,"deadlineMs":%d,%s}`, until.Milliseconds(), fields)
-	request := httptest.NewRequest(http.MethodPost, path, bytes.NewReader([]byte(body)))
+	body := fmt.Sprintf(`{"fencingToken":1,"deadlineMs":%d,%s}`, (s.clocks[worker] + until).Milliseconds(), fields)
+	ctx, cancel := context.WithTimeout(s.t.Context(), time.Second)
+	defer cancel()
+	request := httptest.NewRequestWithContext(ctx, http.MethodPost, path, bytes.NewReader([]byte(body)))
 	request.Header.Set("Expect-Instance", worker+"-1")
 	answer := httptest.NewRecorder()
+	defer func() {
+		if problem := recover(); problem != nil && problem != any(http.ErrAbortHandler) {
+			panic(problem)
+		}
+	}()
 	s.workers[worker].ServeHTTP(answer, request)
 	var list listed
 	if err := json.Unmarshal(answer.Body.Bytes(), &list); err != nil {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -64,7 +64,15 @@
 	oracle  *Oracle
 	started time.Time
 
-	mu     sync.Mutex
+	// isFull reports whether a start is refused for want of room.
+	isFull func() bool
+
+	mu sync.Mutex
+
+	// clockStart is the time on the worker's clock at its start, clockRate how fast that runs.
+	clockStart time.Duration
+	clockRate  float64
+
 	fence  int64
 	until  time.Duration
 	runs   map[string]*workerRun
@@ -104,13 +112,15 @@
 func NewWorker(id, service string, oracle *Oracle) *Worker {
 	now := time.Now()
 	w := &Worker{
-		ID:       id,
-		Service:  service,
-		oracle:   oracle,
-		started:  now,
-		unleased: now,
-		runs:     make(map[string]*workerRun),
-		top:      make(map[string]int64),
+		ID:        id,
+		Service:   service,
+		oracle:    oracle,
+		started:   now,
+		isFull:    func() bool { return false },
+		clockRate: 1,
+		unleased:  now,
+		runs:      make(map[string]*workerRun),
+		top:       make(map[string]int64),
 	}
 	w.timer = time.AfterFunc(maxLease, w.tick)
 	oracle.watch(w)
@@ -132,7 +142,7 @@
 	})
 	router.POST("/run-start", w.start)
 	router.POST("/run-stop", w.stop)
-	router.POST("/hold", w.hold)
+	router.POST(pathHold, w.hold)
 }
 
 type workerOrder struct {
@@ -151,7 +161,20 @@
 }
 
 func (w *Worker) clock() time.Duration {
-	return time.Since(w.started)
+	return w.clockStart + time.Duration(w.clockRate*float64(time.Since(w.started)))
+}
+
+// setClock sets the clock of a worker that runs nothing yet.
+func (w *Worker) setClock(start time.Duration, rate float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.clockStart = start
+	w.clockRate = rate
+}
+
+// lapse returns when the lease of the worker ends.
+func (w *Worker) lapse() time.Time {
+	return w.started.Add(time.Duration(float64(w.until-w.clockStart) / w.clockRate))
 }
 
 // admit checks an order's fence; it reports false after it has answered.
@@ -203,6 +226,10 @@
 		w.refuse(c, "old")
 		return
 	}
+	if w.isFull() {
+		w.refuse(c, "room")
+		return
+	}
 	w.top[order.Task] = order.RunID
 	now := time.Now()
 	w.runs[order.Task] = &workerRun{
@@ -292,7 +319,7 @@
 // oldest first.
 func (w *Worker) advance() {
 	now := time.Now()
-	if now.Sub(w.started) > w.until {
+	if now.After(w.lapse()) {
 		w.unleased = now
 	}
 	var due []workerEnd
@@ -345,7 +372,7 @@
 	if !r.stopAt.IsZero() && r.stopAt.Before(at) {
 		how, at = endStopped, r.stopAt
 	}
-	if lapse := w.started.Add(w.until); lapse.Before(at) {
+	if lapse := w.lapse(); lapse.Before(at) {
 		how, at = endLapsed, lapse
 	}
 	return how, at
