--- a/soak/large_test.go
+++ b/soak/large_test.go
@@ -40,7 +40,7 @@
 // progress more than the platform takes, and all small jobs are completed while the large ones go on.
 func TestLargeJobsBesideReplacedOwners(t *testing.T) {
 	forSeeds(t, func(t *testing.T, seed int64) {
-		replaceOwners(t, seed, func(s *series, random *rand.Rand) func() {
+		replaceOwners(t, seed, ordinaryRun, func(s *series, random *rand.Rand) func() {
 			watched := make(chan struct{})
 			over, cancel := context.WithCancel(context.Background())
 			s.group.Go("watch", func(context.Context) error {
--- a/soak/owners_test.go
+++ b/soak/owners_test.go
@@ -70,17 +70,39 @@
 // services, callers send accepted jobs again, and withdraw some that got no answer. From outside: no task runs
 // twice, every accepted job is completed, and no withdrawn one stays open. See TestJobsSurviveFaultsOfEntries for more seeds.
 func TestNextOwnerStartsNoTaskAgain(t *testing.T) {
-	forSeeds(t, func(t *testing.T, seed int64) { replaceOwners(t, seed, nil) })
+	forSeeds(t, func(t *testing.T, seed int64) { replaceOwners(t, seed, ordinaryRun, nil) })
+}
+
+// ownersRun is what overlaps while owners are replaced.
+type ownersRun struct {
+	instances int
+	breakers  []func(*series, *rand.Rand)
+
+	// handIn hands in jobs at the entry of a number.
+	handIn func(s *series, entry int, random *rand.Rand, seed int64)
+
+	// ended judges the state of an accepted job at the end.
+	ended func(status int, answer string) bool
+}
+
+var ordinaryRun = ownersRun{
+	instances: ownedInstances,
+	breakers: []func(*series, *rand.Rand){
+		(*series).restart, (*series).restart, (*series).freeze, (*series).breakWrites, (*series).breakWrites,
+		(*series).breakStore, (*series).breakLink, (*series).cutOff, (*series).change,
+	},
+	handIn: (*series).handIn,
+	ended:  completed,
 }
 
 // replaceOwners is the run of one seed. beside, unless nil, is run beside the callers and returns what
 // is to be done once all of their jobs are completed.
-func replaceOwners(t *testing.T, seed int64, beside func(*series, *rand.Rand) func()) {
+func replaceOwners(t *testing.T, seed int64, run ownersRun, beside func(*series, *rand.Rand) func()) {
 	s := &series{
 		answers: make(map[int]int),
 		deployment: deployPlan(t, plan{
 			entries:       ownedEntries,
-			instances:     ownedInstances,
+			instances:     run.instances,
 			services:      servicesWithWork,
 			configuration: routesOf,
 		}),
@@ -94,19 +116,19 @@
 		callers.Add(1)
 		s.group.Go("caller", func(context.Context) error {
 			defer callers.Done()
-			s.handIn(i, rand.New(rand.NewSource(seed<<8|int64(i))), seed)
+			run.handIn(s, i, rand.New(rand.NewSource(seed<<8|int64(i))), seed)
 			return nil
 		})
 	}
 	end := time.Now().Add(brokenFor)
-	for i, inject := range []func(*rand.Rand){s.restart, s.restart, s.freeze, s.breakWrites, s.breakWrites, s.breakStore, s.breakLink, s.cutOff, s.change} {
+	for i, inject := range run.breakers {
 		breakers.Add(1)
 		random := rand.New(rand.NewSource(seed<<8 | int64(0x80+i)))
 		s.group.Go("breaker", func(context.Context) error {
 			defer breakers.Done()
 			for time.Now().Before(end) {
 				upTo(random, breakPause)
-				inject(random)
+				inject(s, random)
 			}
 			return nil
 		})
@@ -129,7 +151,7 @@
 		t.Logf("seed %d: %d entries, answers %v, %d jobs accepted, %d withdrawn, %d starts, %d faults", seed, len(s.entries), s.answers, len(s.accepted), len(s.withdrawn), starts, len(faults))
 	}()
 	for _, path := range s.accepted {
-		s.any(http.MethodGet, path, "", completed)
+		s.any(http.MethodGet, path, "", run.ended)
 	}
 	for _, path := range s.withdrawn {
 		s.any(http.MethodGet, path, "", func(status int, answer string) bool {
