A release tells for how long an unanswered start may run

Its start had got no answer from a worker that had started again and was cut off; the owner still waited for it, but the handover counted the ordinary leases only, and once these were over it said that nothing ran there.

The handover counts the runs that a late start may begin as well.

--- a/shard/former_orders_test.go
+++ b/shard/former_orders_test.go
@@ -45,6 +45,31 @@
 	}
 }
 
+// TestReleaseTellsOfUnansweredStartAtSilentIncarnation covers a release while such a start may run, at the time
+// around which the ordinary leases at the worker lapse.
+func TestReleaseTellsOfUnansweredStartAtSilentIncarnation(t *testing.T) {
+	for after := time.Second; after <= 8*time.Second; after += 50 * time.Millisecond {
+		t.Run(fmt.Sprint(after), func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(2)
+			w.run(clockLead)
+			f := w.workers["w0"]
+			w.receivedLate = true
+			w.startDelay = 200 * time.Millisecond
+			w.submit("a", longRun(f))
+			w.run(2 * tick)
+			w.startDelay = 0
+			f.partitioned = true
+			w.restartWorker(f, 0)
+			w.run(after)
+			w.release(50 * time.Millisecond)
+			w.run(3 * testMaxLease)
+			w.check(t)
+			is.Equal(len(reachableWorkersOf(w, "a")), 1)
+		})
+	}
+}
+
 // TestRegistrationShowsRestartToNextOwner covers a worker that starts again and carries out a start of its former
 // incarnation just before its owner dies and it is cut off. Only its registration tells the next owner.
 func TestRegistrationShowsRestartToNextOwner(t *testing.T) {
@@ -166,3 +191,54 @@
 		is.True(w.core.UnobservedWait(w.now) <= first+testMaxLease)
 	}
 }
+
+// TestNextOwnerWaitsForUnansweredStart covers such a start and the next owner, which comes at any time of the wait.
+func TestNextOwnerWaitsForUnansweredStart(t *testing.T) {
+	for at := 500 * time.Millisecond; at <= 9*time.Second; at += 500 * time.Millisecond {
+		for name, next := range map[string]func(*world){"takeover": func(w *world) { w.takeOver() }, "release": func(w *world) { w.release(50 * time.Millisecond) }} {
+			t.Run(name+fmt.Sprint(at), func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(2)
+				w.run(clockLead)
+				f := w.workers["w0"]
+				w.receivedLate = true
+				w.startDelay = 400 * time.Millisecond
+				w.submit("a", longRun(f))
+				w.run(2 * tick)
+				w.startDelay = 0
+				f.partitioned = true
+				w.restartWorker(f, 0)
+				w.run(at)
+				is.Equal(len(f.runs), 1)
+				next(w)
+				w.run(3 * testMaxLease)
+				w.check(t)
+			})
+		}
+	}
+}
+
+// TestLateStartAfterRelease covers a start that the next incarnation carries out after its owner has released the
+// service.
+func TestLateStartAfterRelease(t *testing.T) {
+	for late := 500 * time.Millisecond; late <= 6*time.Second; late += 500 * time.Millisecond {
+		t.Run(fmt.Sprint(late), func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(2)
+			w.run(clockLead)
+			f := w.workers["w0"]
+			w.receivedLate = true
+			w.startDelay = late
+			w.submit("a", longRun(f))
+			w.run(2 * tick)
+			w.startDelay = 0
+			w.restartWorker(f, 0)
+			f.partitioned = true
+			w.release(50 * time.Millisecond)
+			w.run(late)
+			is.Equal(len(f.runs), 1)
+			w.run(3 * testMaxLease)
+			w.check(t)
+		})
+	}
+}
--- a/shard/handover.go
+++ b/shard/handover.go
@@ -62,7 +62,7 @@
 	for id, w := range s.workers {
 		switch {
 		case final && w.recorded:
-			all = append(all, w.leased(id, now))
+			all = append(all, s.leased(w, now))
 		case w.hasLapsed(now):
 			w.inHandover = true
 			all = append(all, Leased{
@@ -70,7 +70,7 @@
 			})
 		case !w.contacted && w.failures > 0 && w.recorded:
 			w.inHandover = true
-			all = append(all, w.leased(id, now))
+			all = append(all, s.leased(w, now))
 		}
 	}
 	for id := range s.workerRowsToDelete {
@@ -93,10 +93,14 @@
 }
 
 // leased returns what may run on the worker or have an unread end there.
-func (w *workerState) leased(id string, now time.Time) Leased {
+func (s *Shard) leased(w *workerState, now time.Time) Leased {
+	end := w.leaseEnd
+	for _, r := range w.runs {
+		end = latestOf(end, s.lateStartEnd(r, now))
+	}
 	l := Leased{
-		Worker:    id,
-		Remaining: max(0, w.leaseEnd.Sub(now)),
+		Worker:    w.reg.ID,
+		Remaining: max(0, end.Sub(now)),
 	}
 	if !w.observed {
 		l.Remaining = max(l.Remaining, w.unobservedUntil.Sub(now))
