A worker is not removed while a late start may run there

A worker whose registration had shown a restart and had disappeared since was removed at the end of its ordinary leases, together with runs that an unanswered start may still begin. It stays until they have lapsed.

A worker that is back under an ID of which an incarnation is known to have ended, as from the previous owner's notice, counts as one that started again.

--- a/shard/former_orders_test.go
+++ b/shard/former_orders_test.go
@@ -242,3 +242,28 @@
 		})
 	}
 }
+
+// TestUnlistedWorkerMayRunLateStart covers a worker whose registration shows a restart and then disappears, while a
+// start without an answer may run there.
+func TestUnlistedWorkerMayRunLateStart(t *testing.T) {
+	for gone := 500 * time.Millisecond; gone <= 5*time.Second; gone += 500 * time.Millisecond {
+		t.Run(fmt.Sprint(gone), func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(2)
+			w.run(clockLead)
+			f := w.workers["w0"]
+			w.receivedLate = true
+			w.startDelay = 400 * time.Millisecond
+			w.submit("a", longRun(f))
+			w.run(2 * tick)
+			w.startDelay = 0
+			f.partitioned = true
+			w.restartWorker(f, 0)
+			w.run(gone)
+			is.Equal(len(f.runs), 1)
+			w.changeRegistration(f, false)
+			w.run(3 * testMaxLease)
+			w.check(t)
+		})
+	}
+}
--- a/shard/lease.go
+++ b/shard/lease.go
@@ -70,7 +70,7 @@
 			w.addLapsed(lost)
 			s.addPossibleCrashes(w, lost)
 		}
-		if !w.listed && now.After(w.unobservedUntil) && now.Sub(w.unlistedAt) > unlistedGrace {
+		if len(w.runs) == 0 && !w.listed && now.After(w.unobservedUntil) && now.Sub(w.unlistedAt) > unlistedGrace {
 			s.workerLost(w, now, evidenceSilent)
 			// The incarnation may still run behind a network partition. It is polled once it
 			// is listed again.
--- a/shard/registration.go
+++ b/shard/registration.go
@@ -97,7 +97,7 @@
 		nextPollAt: now,
 		health:     s.outliers.Add(id),
 
-		mayHaveFormerLease: now.Before(s.formerLeases[id]),
+		mayHaveFormerLease: now.Before(s.formerLeases[id]) || len(s.endedIncarnations[id]) > 0,
 	}
 	s.workers[id] = w
 	return w
