A start that was answered may run at the next incarnation

A start that reaches the next incarnation before any poll does is answered by it, and sets a deadline of the former clock there. The owner took the run for one of the former incarnation and counted its lease. A run that no poll has listed is waited for now like one without an answer, if there is a sign of another incarnation: its registration, or an answer whose clock does not continue the known one, which is logged.

--- a/shard/former_orders_test.go
+++ b/shard/former_orders_test.go
@@ -267,3 +267,56 @@
 		})
 	}
 }
+
+// TestAnsweredStartRunsAtNextIncarnation covers a start that the next incarnation answers before any poll reaches it.
+// Only its registration, or the clock in that answer, tells of the restart.
+func TestAnsweredStartRunsAtNextIncarnation(t *testing.T) {
+	for _, listed := range []bool{true, false} {
+		for up := tick; up <= 40*tick; up += 3 * tick {
+			t.Run(fmt.Sprint(listed, up), func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(2)
+				w.run(clockLead)
+				f := w.workers["w0"]
+				w.pollDelay = time.Hour // The poll in flight is lost with the former incarnation.
+				w.run(2 * tick)
+				w.listStale = true
+				w.restartWorker(f, 0)
+				w.submit("a", longRun(f))
+				w.run(up)
+				is.Equal(len(f.runs), 1)
+				f.partitioned = true
+				w.pollDelay = 0
+				if listed {
+					w.listStale = false
+					w.list()
+				}
+				w.run(3 * testMaxLease)
+				w.check(t)
+			})
+		}
+	}
+}
+
+// TestAnsweredStartRunsAtNextIncarnationOfNextOwner is the same with an owner that dies afterwards.
+func TestAnsweredStartRunsAtNextIncarnationOfNextOwner(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(2)
+	w.run(clockLead)
+	f := w.workers["w0"]
+	w.pollDelay = time.Hour
+	w.run(2 * tick)
+	w.listStale = true
+	w.restartWorker(f, 0)
+	w.submit("a", longRun(f))
+	w.run(10 * tick)
+	is.Equal(len(f.runs), 1)
+	f.partitioned = true
+	w.pollDelay = 0
+	w.listStale = false
+	w.list()
+	w.run(6 * time.Second)
+	w.takeOver()
+	w.run(3 * testMaxLease)
+	w.check(t)
+}
--- a/shard/formerlease.go
+++ b/shard/formerlease.go
@@ -77,15 +77,33 @@
 	w.unobservedUntil = latestOf(w.unobservedUntil, until)
 }
 
-// lateStartEnd returns when a run has certainly lapsed that an unanswered start may begin at the next
-// incarnation of its worker; zero if there is no sign of one, or if the start was answered.
+// lateStartEnd returns when a run has certainly lapsed that its start may begin at the next incarnation of its
+// worker; zero if there is no sign of one, or if the incarnation that is known has listed the run.
 func (s *Shard) lateStartEnd(r *run, now time.Time) time.Time {
-	if !r.worker.isOtherIncarnation(r.worker.reg.Born) || (!r.unanswered && !r.isStartInFlight()) {
+	if !r.worker.isSuperseded() || (!r.unanswered && !r.isStartInFlight() && !r.isUnlisted()) {
 		return time.Time{}
 	}
-	sent := latestOf(r.startedAt, r.uncertainAt)
+	sent := latestOf(latestOf(r.startedAt, r.uncertainAt), r.answeredAt)
 	if r.isStartInFlight() {
 		sent = now
 	}
 	return sent.Add(maxOrderDelay + s.longestLease())
 }
+
+// isSuperseded reports whether there is a sign of another incarnation than the one whose answers are known: the
+// registration of the worker, or a clock that does not continue the known one.
+func (w *workerState) isSuperseded() bool {
+	return w.otherClock || w.isOtherIncarnation(w.reg.Born)
+}
+
+// noteClock updates the clock of a worker from the answer to an order, which does not name its incarnation.
+func (s *Shard) noteClock(w *workerState, clock time.Duration, now time.Time) {
+	if clock > 0 && !w.clockReadAt.IsZero() {
+		jump := clock - w.clockAt - now.Sub(w.clockReadAt)
+		if jump.Abs() > maxOrderDelay && !w.otherClock {
+			s.opts.LogEvent("answer with another clock", "worker", w.incarnation().String(), "jump_ms", jump.Milliseconds())
+			w.otherClock = true
+		}
+	}
+	w.updateClock(clock, now)
+}
--- a/shard/orders.go
+++ b/shard/orders.go
@@ -50,7 +50,7 @@
 		if r.tries == 0 {
 			s.answerLatency.observe(now.Sub(r.startedAt), now)
 		}
-		w.updateClock(clock, now)
+		s.noteClock(w, clock, now)
 		if r.phase == phaseStarting || r.phase == phaseUncertain {
 			r.phase = phaseRunning
 		}
@@ -69,7 +69,7 @@
 	case errors.As(err, &gone):
 		s.workerLost(w, now, evidenceReplaced)
 	case errors.As(err, &refused):
-		w.updateClock(refused.Clock, now)
+		s.noteClock(w, refused.Clock, now)
 		s.handleStartRefusal(w, r, now, refused.Reason)
 	case outside.IsNotDone(err) && !r.unanswered:
 		w.avoidUntil = now.Add(refusalBackoff)
@@ -197,7 +197,7 @@
 	}
 	w := r.worker
 	if err == nil {
-		w.updateClock(clock, now)
+		s.noteClock(w, clock, now)
 		r.phase = phaseStopped
 		r.answeredAt = now
 		return
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -221,6 +221,10 @@
 	clockAt     time.Duration
 	clockReadAt time.Time
 
+	// otherClock says that an order was answered with a clock that does not continue the one that polls
+	// have read, so that another incarnation has carried it out.
+	otherClock bool
+
 	// leaseEnd is when the last lease sent to the worker has certainly lapsed. deadline is the end of
 	// that lease on the worker's clock.
 	leaseEnd time.Time
