--- a/shard/former_orders_test.go
+++ b/shard/former_orders_test.go
@@ -320,3 +320,58 @@
 	w.run(3 * testMaxLease)
 	w.check(t)
 }
+
+// TestLateStartAfterTakeover covers a start of an owner that died, which the next incarnation of a worker carries
+// out seconds after the next owner has claimed the service.
+func TestLateStartAfterTakeover(t *testing.T) {
+	for late := 500 * time.Millisecond; late <= 6*time.Second; late += 500 * time.Millisecond {
+		t.Run(fmt.Sprint(late), func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(2)
+			w.run(clockLead)
+			f := w.workers["w0"]
+			w.receivedLate = true
+			w.startDelay = late
+			w.submit("a", longRun(f))
+			w.run(2 * tick)
+			w.startDelay = 0
+			w.restartWorker(f, 0)
+			f.partitioned = true
+			w.takeOver()
+			w.run(late)
+			is.Equal(len(f.runs), 1)
+			w.run(3 * testMaxLease)
+			w.check(t)
+		})
+	}
+}
+
+// TestRemovedWorkerReturnsToNextOwner covers a worker that one owner has removed and that is back under its ID at the
+// next owner, when a poll of the former owner is carried out.
+func TestRemovedWorkerReturnsToNextOwner(t *testing.T) {
+	used := 0
+	for late := 2 * tick; late <= 30*tick; late += tick {
+		t.Run(fmt.Sprint(late), func(t *testing.T) {
+			w := newWorld(2)
+			w.run(clockLead)
+			f := w.workers["w0"]
+			w.pollDelay = late
+			w.run(2 * tick)
+			w.pollDelay = 0
+			w.core.RemoveTaken([]string{f.reg.Incarnation().String()}, w.now)
+			w.changeRegistration(f, false)
+			w.run(5 * tick)
+			w.takeOver()
+			w.run(2 * tick)
+			w.restartWorker(f, 0)
+			w.run(300 * time.Millisecond)
+			w.submit("a", longRun(f))
+			w.run(300 * time.Millisecond)
+			used += len(f.runs)
+			f.partitioned = true
+			w.run(2 * testMaxLease)
+			w.check(t)
+		})
+	}
+	is.New(t).True(used > 0)
+}
