job: refuse a first run whose year no record can hold

A job with a firstRunMs beyond year 9999 passed the check, and encoding its record panicked: records hold times as in RFC 3339, which has the years 0 to 9999 only. A caller saw a broken connection in place of an answer, again at each retry. The row of another writer, which may hold the time as a number, passed the same check; an owner that encodes such a record again, as it does for the standby partition, ends by the panic, and so does the next one that reads the row.

The check now refuses years outside 1 to 9998; a year on each side is left for time zones. It holds for what callers hand in and for rows, which are left out.

--- a/job/check.go
+++ b/job/check.go
@@ -16,6 +16,11 @@
 
 	// MaxTextBytes bounds the text that is passed to workers.
 	MaxTextBytes = 4_000
+
+	// minYear and maxYear bound the year of the first run. Records hold times as in RFC 3339, whose
+	// years are 0 to 9999; in another time zone the year may be the next or the last one.
+	minYear = 1
+	maxYear = 9998
 )
 
 // FieldError reports a field of a job that can't be accepted.
@@ -40,6 +45,9 @@
 	if s.Repeats < 0 || s.Repeats > MaxOccurrences {
 		return refuse("repeats", "must lie between 0 and %d", MaxOccurrences)
 	}
+	if year := s.FirstRun.UTC().Year(); year < minYear || year > maxYear {
+		return refuse("firstRun", "must lie between the years %d and %d", minYear, maxYear)
+	}
 	if s.Repeats > 1 && s.Interval <= 0 {
 		return refuse("interval", "must be positive where a job repeats")
 	}
--- a/shard/record_test.go
+++ b/shard/record_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"encoding/hex"
+	"math"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 
 	"lemonstream.dev/lemonstream/job"
@@ -29,6 +31,38 @@
 	is.True(read.Spec.Due(2).Equal(time.UnixMilli(1_700_000_012_812)))
 }
 
+// Another writer's record held the time of its first run as a number. It was accepted, and encoding it
+// again ended the process of the owner.
+func TestRecordWithTimeThatCannotBeEncodedIsLeftOut(t *testing.T) {
+	for name, firstRun := range map[string]any{
+		"year 33658":       int64(1_000_000_000_000),
+		"2^62":             int64(1) << 62,
+		"before the years": -int64(1) << 40,
+		"a fraction":       1e15,
+		"not a number":     math.NaN(),
+		"infinite":         math.Inf(1),
+		"text":             "+33658-09-27T01:46:40Z",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			value, err := cbor.Marshal(map[int]any{
+				1: "a",
+				4: map[string]any{
+					"Steps":    []any{map[string]any{"Count": 1}},
+					"FirstRun": firstRun,
+					"Repeats":  1,
+				},
+			})
+			is.NoErr(err)
+			record, err := shard.DecodeRecord(value)
+			if err == nil {
+				is.True(len(record.Encode()) > 0)
+				is.Equal(record.Spec.FirstRun, time.Time{}) // What is no number counts as no time.
+			}
+		})
+	}
+}
+
 func TestProgressRoundTrip(t *testing.T) {
 	is := is.New(t)
 	progress := shard.Progress{
