platform: leave out waves whose number is not that of their key

Another writer's row under op/wave/ that holds a number of its own was carried out: a machine was taken for upkeep, and the state of the wave was written under a key that nobody reads.

Rows of the operator hold the number of their key and are read as before.

--- a/scheduler/operator.go
+++ b/scheduler/operator.go
@@ -88,7 +88,7 @@
 		delete(d.waves, row.Key.Name)
 		return
 	}
-	wave, err := platform.DecodeWave(row.Value)
+	wave, err := platform.DecodeWave(row.Key.Name, row.Value)
 	if err != nil {
 		d.log.Error("wave not taken", "key", row.Key.Name, "error", err)
 		return
