owner: claim a part whose rows another writer replaced

Another writer that put something else into the row of a service's owner, or into its heartbeat, left the service without an owner for ever: the owner's transactions met the row, and each claim required the version from before, or failed on reading the heartbeat. No job ran any more. An empty CBOR value was read as an owner without a name and with epoch 0, so that the next fencing token was one that workers refuse. A row of any other key in the partition was taken for that of the owner. The row of the standby partition's owner stopped the confirmation of all jobs the same way.

A row that no owner writes (not CBOR, an epoch or a duration out of range, an epoch below that of the owner) is an *UnreadableRowError now. An unreadable row of an owner counts with its version as that of an owner that can't be pinged: it is lost once its heartbeat stands still, and the next epoch follows the last one known from either row. After an unreadable heartbeat the runs of earlier owners count as unobserved for the longest time that any claim allows. While neither row tells an epoch, an entry that has not known one claims nothing. Rows of owners are read by their key.

What an unreadable heartbeat named as ordered by the instance controller is not known to the next one.

--- a/owner/claim.go
+++ b/owner/claim.go
@@ -157,9 +157,13 @@
 	}
 	k.mu.Unlock()
 	beat, version, err := k.beat(ctx, service)
+	var unreadable *UnreadableRowError
+	if errors.As(err, &unreadable) {
+		err = nil
+	}
 	k.mu.Lock()
 	still := w.still.observe(version, err, k.deps.Clock.Now())
-	w.outsider = k.isOutsider(beat)
+	w.outsider = unreadable != nil || k.isOutsider(beat)
 	// The store serves this entry, and the owner is unlikely to write: by its own report the store
 	// rejects its writes, or its process seems to have ended.
 	if served := err == nil; ((away || refused) && served) || (silent && still >= k.scaleTimeout(silenceTimeout)) {
@@ -246,7 +250,7 @@
 }
 
 // beat reads the last heartbeat of a part's owner and the version of its row. Both are zero if
-// there is no row.
+// there is no row. The error is an *UnreadableRowError if another writer replaced the row.
 func (k *Keeper) beat(ctx context.Context, part string) (Beat, int64, error) {
 	row, err := k.deps.Table.Row(ctx, beatKey(part))
 	if err != nil || row == nil {
@@ -267,10 +271,34 @@
 // the claim began: the caller counts unobservedFor from it.
 func (k *Keeper) claim(ctx context.Context, service string, o ownerRow, from previousOwner, now time.Time) (claim, error) {
 	before, version, err := k.beat(ctx, service)
-	if err != nil {
+	var unreadable *UnreadableRowError
+	if err != nil && !errors.As(err, &unreadable) {
 		return claim{}, err
 	}
 	read := k.deps.Clock.Now()
+	if o.unreadable {
+		o.Epoch = max(o.Epoch, before.Epoch)
+		if o.Epoch == 0 {
+			return claim{}, &UnreadableRowError{
+				Row:   "an owner",
+				Cause: errUnknownEpoch,
+			}
+		}
+	}
+	if unreadable == nil && version > 0 && before.Epoch < o.Epoch {
+		// An owner writes its epoch to both rows.
+		unreadable = &UnreadableRowError{
+			Row:   "a beat",
+			Cause: errOldEpoch,
+		}
+		before = Beat{}
+	}
+	if unreadable != nil {
+		k.deps.Count("row_left_out", tableBeat)
+		k.deps.Log.Error("row left out", "table", tableBeat, "key", service, "error", unreadable)
+		// Nothing is known of earlier owners, so that they matter for as long as any may.
+		before.UnobservedMillis = ceilMillis(k.unobservedFor(service, o, previousOwner{}, true, now))
+	}
 	if !from.ended && version != from.unchanged.version {
 		return claim{}, &RecoveredError{
 			Part:  service,
@@ -280,7 +308,7 @@
 	won := claim{
 		epoch:    o.Epoch + 1,
 		read:     read,
-		outsider: !from.ended && k.isOutsider(before),
+		outsider: !from.ended && (unreadable != nil || k.isOutsider(before)),
 	}
 	won.unobservedFor = k.unobservedFor(service, o, from, won.outsider, now)
 	ordered, err := k.beginClaim(service, o, before, version, from.ended)
@@ -318,11 +346,11 @@
 		k.applyOwners(slices.DeleteFunc(slices.Clone(conflict.Rows), func(row outside.Row) bool { return row.Key.Table != TableOwners }))
 		return 0, err
 	case outside.IsUncertain(err):
-		page, readErr := k.deps.Table.Get(ctx, TableOwners, service, "", 0)
-		if readErr != nil || len(page.Rows) == 0 || string(page.Rows[0].Value) != string(value) {
+		row, readErr := k.deps.Table.Row(ctx, ownerKey(service))
+		if readErr != nil || row == nil || string(row.Value) != string(value) {
 			return 0, err
 		}
-		version = page.Rows[0].Version
+		version = row.Version
 	default:
 		return 0, err
 	}
@@ -407,6 +435,14 @@
 	since time.Time
 }
 
+var (
+	// errOldEpoch is the cause if a heartbeat is not that of the owner or a later one.
+	errOldEpoch = errors.New("the epoch is older than that of the owner")
+
+	// errUnknownEpoch is the cause if neither the row of an owner nor its heartbeat can be read.
+	errUnknownEpoch = errors.New("no row tells the last epoch")
+)
+
 // RecoveredError reports that an owner that was considered lost has written again.
 type RecoveredError struct {
 	Part  string
--- a/owner/keeper.go
+++ b/owner/keeper.go
@@ -33,6 +33,9 @@
 	// successors to watch its heartbeat: it has missed one.
 	suspectWriteAge = beatInterval + 100*time.Millisecond
 
+	// unknownOwner stands for the owner in an unreadable row. No incarnation has this name.
+	unknownOwner = "?"
+
 	// silenceTimeout is how long a successor must see an unchanged heartbeat before it takes
 	// the owner for lost.
 	silenceTimeout = beatInterval + beatInterval/2
@@ -173,6 +176,10 @@
 type ownerRow struct {
 	Ownership
 	version int64
+
+	// unreadable says that another writer replaced the row: the version is that of the row, and
+	// the epoch the last one known, 0 for none. There may have been later owners.
+	unreadable bool
 }
 
 // ownerWatch is what a successor has observed of one owner.
@@ -258,7 +265,7 @@
 func (k *Keeper) readOwners(ctx context.Context) (int64, error) {
 	first := int64(-1)
 	for _, service := range k.services() {
-		page, err := k.deps.Table.Get(ctx, TableOwners, service, "", 0)
+		page, err := k.deps.Table.Get(ctx, TableOwners, service, keyOwner, 1)
 		if err != nil {
 			return 0, err
 		}
@@ -278,12 +285,12 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for _, row := range rows {
-		o, err := decodeOwnership(row.Value)
-		if err != nil {
-			k.deps.Log.Error("row left out", "table", row.Key.Table, "key", row.Key.Part, "error", err)
+		if row.Key.Name != keyOwner || row.Version <= k.owners[row.Key.Part].version {
 			continue
 		}
-		if row.Version <= k.owners[row.Key.Part].version {
+		o, err := decodeOwnership(row.Value)
+		if err != nil {
+			k.setUnreadable(row, err)
 			continue
 		}
 		k.owners[row.Key.Part] = ownerRow{
@@ -300,6 +307,25 @@
 	}
 }
 
+// setUnreadable records that another writer replaced the row of an owner. The row names nobody who
+// could be pinged: the owner counts as lost once its heartbeat stands still. The caller holds k.mu.
+func (k *Keeper) setUnreadable(row outside.Row, err error) {
+	known := k.owners[row.Key.Part]
+	k.deps.Count("row_left_out", TableOwners)
+	if !known.unreadable {
+		k.deps.Log.Error("row left out", "table", row.Key.Table, "key", row.Key.Part, "error", err)
+	}
+	k.owners[row.Key.Part] = ownerRow{
+		Ownership: Ownership{
+			Epoch: known.Epoch,
+			Owner: unknownOwner,
+		},
+		version:    row.Version,
+		unreadable: true,
+	}
+	delete(k.watches, row.Key.Part)
+}
+
 func (k *Keeper) services() []string {
 	var list []string
 	for _, service := range k.deps.Catalog().Services {
--- a/owner/rows.go
+++ b/owner/rows.go
@@ -44,6 +44,13 @@
 	keyBeat  = "beat"
 	keyOwner = "owner"
 
+	// maxEpoch bounds the epoch in a row; the next owners count on from it.
+	maxEpoch = 1 << 53
+
+	// maxRowMillis bounds the durations in a heartbeat row, in milliseconds: a day, many times any
+	// lease.
+	maxRowMillis = 86_400_000
+
 	// fenceValue is the value of a fence's row, of which only the version counts.
 	fenceValue = "raised"
 )
@@ -143,6 +150,23 @@
 	RemainingMillis int64 `cbor:"3,keyasint"`
 }
 
+// UnreadableRowError reports that a row is none that an entry writes: another writer replaced it.
+type UnreadableRowError struct {
+	// Row says what the row should hold.
+	Row   string
+	Cause error
+}
+
+// Error implements error.
+func (e *UnreadableRowError) Error() string {
+	return "row of " + e.Row + ": " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *UnreadableRowError) Unwrap() error {
+	return e.Cause
+}
+
 // CancelKey returns the key of a cancellation that an entry wrote itself.
 func CancelKey(service, id string) outside.Key {
 	return IntakeKey(service, prefixCancel+id)
@@ -244,22 +268,58 @@
 	}
 }
 
+// decodeBeat decodes a heartbeat row. Its error is an *UnreadableRowError.
 func decodeBeat(value []byte) (Beat, error) {
 	var b Beat
-	if err := cbor.Unmarshal(value, &b); err != nil {
-		return b, fmt.Errorf("row of a beat: %w", err)
+	err := cbor.Unmarshal(value, &b)
+	if err == nil {
+		err = b.check()
+	}
+	if err != nil {
+		return Beat{}, &UnreadableRowError{
+			Row:   "a beat",
+			Cause: err,
+		}
 	}
 	return b, nil
 }
 
+// decodeOwnership decodes the row of an owner. Its error is an *UnreadableRowError.
 func decodeOwnership(value []byte) (Ownership, error) {
 	var o Ownership
-	if err := cbor.Unmarshal(value, &o); err != nil {
-		return o, fmt.Errorf("row of an owner: %w", err)
+	err := cbor.Unmarshal(value, &o)
+	if err == nil && (o.Epoch < 1 || o.Epoch > maxEpoch) {
+		err = fmt.Errorf("epoch %d is out of range", o.Epoch)
+	}
+	if err != nil {
+		return Ownership{}, &UnreadableRowError{
+			Row:   "an owner",
+			Cause: err,
+		}
 	}
 	return o, nil
 }
 
+// check returns an error if no owner writes the heartbeat so.
+func (b Beat) check() error {
+	if b.Epoch < 0 || b.Epoch > maxEpoch {
+		return fmt.Errorf("epoch %d is out of range", b.Epoch)
+	}
+	durations := []int64{b.UnobservedMillis}
+	for _, leased := range b.Leased {
+		durations = append(durations, leased.RemainingMillis)
+	}
+	for _, taken := range b.Taken {
+		durations = append(durations, taken.RemainingMillis)
+	}
+	for _, ms := range durations {
+		if ms > maxRowMillis || ms < -maxRowMillis {
+			return fmt.Errorf("duration of %d ms is out of range", ms)
+		}
+	}
+	return nil
+}
+
 func encodeRow(value any) []byte {
 	body, err := cbor.Marshal(value)
 	if err != nil {
--- a/owner/standby.go
+++ b/owner/standby.go
@@ -120,7 +120,9 @@
 	if row != nil {
 		before, err := decodeOwnership(row.Value)
 		if err != nil {
-			return nil, err
+			// The claim replaces it. The service's own part tells whether there is a newer owner.
+			d.deps.Count("row_left_out", TableOwners)
+			d.deps.Log.Error("row left out", "table", row.Key.Table, "key", part, "error", err)
 		}
 		if before.Epoch > d.tenure.epoch {
 			return nil, &LostError{
