owner: claim a part whose owner row is unreadable and that never had a heartbeat

A claim writes both rows in one transaction. Where there is no heartbeat, there was no owner, and the epochs begin at 1; the claim was refused there as one whose last epoch is unknown. Seen with a real entry, where the row was replaced before the first claim.

--- a/owner/claim.go
+++ b/owner/claim.go
@@ -277,8 +277,9 @@
 	}
 	read := k.deps.Clock.Now()
 	if o.unreadable {
+		// Each owner writes its epoch to both rows. Without a heartbeat there was none.
 		o.Epoch = max(o.Epoch, before.Epoch)
-		if o.Epoch == 0 {
+		if o.Epoch == 0 && version > 0 {
 			return claim{}, &UnreadableRowError{
 				Row:   "an owner",
 				Cause: errUnknownEpoch,
