outside: end a paged read whose pages don't advance

A store that answers a read from a key with rows before that key, and says that there are more, was read for ever; a read of all rows kept each page, so that memory grew without a bound. The read now ends with a *PageOrderError, and the caller tries again as after any other error.

--- a/outside/pages.go
+++ b/outside/pages.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 )
 
@@ -31,6 +32,19 @@
 	failures int
 }
 
+// PageOrderError reports a page whose rows come before the key from which it was requested. The pages
+// after it would not end.
+type PageOrderError struct {
+	Table string
+	From  string
+	Last  string
+}
+
+// Error implements error.
+func (e *PageOrderError) Error() string {
+	return fmt.Sprintf("page of table %s from %q ends with the row %q", e.Table, e.From, e.Last)
+}
+
 // newPager returns a pager for a part that has not been read yet.
 func newPager() *pager {
 	return &pager{
@@ -95,6 +109,14 @@
 		if !page.More || len(page.Rows) == 0 {
 			return first, nil
 		}
-		from = page.Rows[len(page.Rows)-1].Key.Name + "\x00"
+		next := page.Rows[len(page.Rows)-1].Key.Name + "\x00"
+		if next <= from {
+			return 0, &PageOrderError{
+				Table: table,
+				From:  from,
+				Last:  page.Rows[len(page.Rows)-1].Key.Name,
+			}
+		}
+		from = next
 	}
 }
