platform: read a table again after a version that is none of the store's

One answer of the store with a version far too high had an entry ask for the changes after that version from then on: the answers with the true versions were taken for old ones, and neither a new configuration nor an owner was ever seen again. The log of changes that an entry passes on to others kept the version as well, and took in nothing any more.

The store's versions only rise. An entry that was told the version by another one notices at its next own read of the store.

--- a/feed/log.go
+++ b/feed/log.go
@@ -123,6 +123,18 @@
 	l.news = make(chan struct{})
 }
 
+// Reset forgets all changes, and when they were confirmed.
+func (l *Log) Reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.rows = nil
+	l.bytes = 0
+	clear(l.essences)
+	l.floor = 0
+	l.version = 0
+	l.confirmed = time.Time{}
+}
+
 // trim forgets the oldest changes where too much is kept.
 func (l *Log) trim() {
 	over := 0
--- a/feed/reader.go
+++ b/feed/reader.go
@@ -268,6 +268,11 @@
 	}
 	sent := r.Clock.Now()
 	change, err := r.Table.Feed(ctx, table, after, wait)
+	var gone *outside.HistoryGoneError
+	if errors.As(err, &gone) {
+		// The version of the log may be none of the store's.
+		r.LogOf(table).Reset()
+	}
 	if err != nil {
 		return change, err
 	}
