owner: one ledger that can't be read stops no other organisation

The ledgers of all organisations counted only if each could be read. One row that another writer left among them, or put in place of one, had every owner that started later wait for ever: no task of an organisation with a limit ran. The failure was logged five times a second.

A ledger that can't be read is left out, counted and logged once. Its organisation keeps what was known of it, and no grant of it is written until the row can be read again.

--- a/owner/quotas.go
+++ b/owner/quotas.go
@@ -44,6 +44,10 @@
 	rows   map[string]quotaRow
 	loaded bool
 
+	// unreadable holds the organisations whose rows another writer replaced. What was known of
+	// them before still counts, and no grant is written.
+	unreadable map[string]bool
+
 	// inherited maps an organisation to the largest grant of earlier owners that this owner
 	// has found.
 	inherited map[string]quota.Grant
@@ -68,9 +72,12 @@
 
 func newQuotas(service string, epoch int64) *quotas {
 	return &quotas{
-		service:   service,
-		epoch:     epoch,
-		rows:      make(map[string]quotaRow),
+		service: service,
+		epoch:   epoch,
+		rows:    make(map[string]quotaRow),
+
+		unreadable: make(map[string]bool),
+
 		inherited: make(map[string]quota.Grant),
 	}
 }
@@ -107,22 +114,29 @@
 	}, true
 }
 
-// applyRows applies rows that were read from the store, unless a newer version is known.
+// applyRows applies rows that were read from the store, unless a newer version is known. A row that
+// can't be read is left out; the error names those that could be read before.
 func (q *quotas) applyRows(rows []outside.Row) error {
+	var errs error
 	for _, row := range rows {
 		if row.Key.Table != tableQuota || row.Version <= q.rows[row.Key.Name].version {
 			continue
 		}
 		ledger := quota.Ledger{}
 		if err := cbor.Unmarshal(row.Value, &ledger); err != nil {
-			return fmt.Errorf("row of quota %s: %w", row.Key.Name, err)
+			if !q.unreadable[row.Key.Name] {
+				errs = errors.Join(errs, fmt.Errorf("row of quota %s: %w", row.Key.Name, err))
+			}
+			q.unreadable[row.Key.Name] = true
+			continue
 		}
+		delete(q.unreadable, row.Key.Name)
 		q.setRow(row.Key.Name, quotaRow{
 			ledger:  ledger,
 			version: row.Version,
 		})
 	}
-	return nil
+	return errs
 }
 
 // setRow sets the state of a row. A grant of a previous owner is recorded as inherited.
@@ -151,7 +165,7 @@
 	changes := make(map[string]quota.Grant)
 	for name, need := range needs {
 		policy, bounded := policyOf(name, current)
-		if !bounded || len(changes) >= maxQuotaRows {
+		if !bounded || q.unreadable[name] || len(changes) >= maxQuotaRows {
 			continue
 		}
 		next, differs := q.rows[name].ledger.Propose(q.service, q.epoch, policy, need)
@@ -236,13 +250,14 @@
 		rows, _, err := d.deps.Table.ReadAll(ctx, tableQuota, tableQuota)
 		d.pushAwaited(func(d *Duty, at time.Time) {
 			d.quotas.reading = false
-			if err == nil {
-				err = d.quotas.applyRows(rows)
-			}
 			if err != nil {
 				d.deps.Log.Warn("quotas not read", "service", d.service, "error", err.Error())
 				return
 			}
+			if err := d.quotas.applyRows(rows); err != nil {
+				d.deps.Count("row_left_out", tableQuota)
+				d.deps.Log.Error("row left out", "service", d.service, "error", err.Error())
+			}
 			d.quotas.loaded = true
 		})
 		return nil
--- a/owner/quotas_test.go
+++ b/owner/quotas_test.go
@@ -141,3 +141,51 @@
 		}})
 	})
 }
+
+// Another writer's row beside the ledgers, or in place of one, left all organisations without a quota:
+// no ledger counted unless all could be read.
+func TestOddLedgerStopsNoOtherOrganisation(t *testing.T) {
+	for name, value := range oddRows(t) {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				rows := standin.NewRows()
+				h := newFakeWorkers(rows, "w0", "w1", "w2")
+				odd := ledgerKey()
+				odd.Name = "east"
+				rows.Write(odd, value)
+				writeJobs(rows, 2*limitTasks)
+				e := newEntryWith(t, "a", rows.Table(), alive("a"), func(deps owner.Deps, name string) owner.Deps {
+					deps = h.deps(deps, name)
+					deps.Catalog = limitedCatalog
+					return deps
+				})
+				until(t, "the quota is used", func() bool { return h.running() == limitTasks })
+				time.Sleep(2 * time.Second)
+				is.Equal(h.running(), limitTasks)
+				is.True(e.lines.of("row left out") <= 1)
+			})
+		})
+	}
+}
+
+// The organisation whose ledger was replaced goes on once the row can be read again.
+func TestOrganisationGoesOnAfterItsOddLedger(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		rows := standin.NewRows()
+		h := newFakeWorkers(rows, "w0", "w1", "w2")
+		rows.Write(ledgerKey(), []byte("no row"))
+		writeJobs(rows, 2*limitTasks)
+		e := newEntryWith(t, "a", rows.Table(), alive("a"), func(deps owner.Deps, name string) owner.Deps {
+			deps = h.deps(deps, name)
+			deps.Catalog = limitedCatalog
+			return deps
+		})
+		time.Sleep(5 * time.Second)
+		is.Equal(h.running(), 0)
+		is.Equal(e.lines.of("row left out"), 1) // It is read several times a second.
+		writeLedger(rows, quota.Ledger{})
+		until(t, "the quota is used", func() bool { return h.running() == limitTasks })
+	})
+}
