--- a/scheduler/limits.go
+++ b/scheduler/limits.go
@@ -42,6 +42,10 @@
 	// defaultHeaderBytes bounds a head until the configuration says otherwise.
 	defaultHeaderBytes = 32 << 10
 
+	// requestLineBytes come on top of the configuration's limit, which may mean the header lines
+	// alone. net/http allows the same.
+	requestLineBytes = 4 << 10
+
 	// readinessBody bounds the bodies of requests that have none by rights, in bytes.
 	readinessBody = 4 << 10
 )
@@ -125,7 +129,7 @@
 // headerBytes returns the most bytes of a caller's head.
 func (d *Daemon) headerBytes() int {
 	if limit := d.catalog.Current().Limits.HeaderBytes; limit > 0 {
-		return limit
+		return limit + requestLineBytes
 	}
 	return defaultHeaderBytes
 }
--- a/shard/formerlease.go
+++ b/shard/formerlease.go
@@ -33,9 +33,9 @@
 	w.leaseEnd = latestOf(latestOf(lease, w.formerLeaseEnd), s.earlierUntil)
 }
 
-// raiseFenceAbove raises the fence of a worker above formerFence. An owner that has used up its fences at a
-// worker steps down, since it could not keep orders for a former incarnation from taking effect.
-func (s *Shard) raiseFenceAbove(w *workerState) {
+// fenceOffFormerOrders raises the fence of a worker above that of every order to its former incarnations. An owner
+// that has used up its fences at a worker steps down, since it could not keep such orders from taking effect.
+func (s *Shard) fenceOffFormerOrders(w *workerState) {
 	if s.fenceRaises[w.reg.ID] >= fencesPerEpoch-1 {
 		s.stepDown(w)
 		return
@@ -46,7 +46,7 @@
 // rememberFormerLease remembers a removed worker, whose orders the next incarnation under its ID may carry out.
 func (s *Shard) rememberFormerLease(w *workerState, now time.Time) {
 	s.formerLeases[w.reg.ID] = now.Add(maxOrderDelay + s.longestLease())
-	s.raiseFenceAbove(w)
+	s.fenceOffFormerOrders(w)
 }
 
 // isRecorded reports whether the row of the worker names the present incarnation.
@@ -54,9 +54,9 @@
 	return w.recorded && w.recordedBorn.Equal(w.incarnation().Born)
 }
 
-// mayBeRecorded reports whether the row of the worker has to be written. The row of an incarnation tells the
+// needsRow reports whether the row of the worker is due. The row of an incarnation tells the
 // next owner that this owner has kept the orders for former ones from taking effect there.
-func (w *workerState) mayBeRecorded() bool {
+func (w *workerState) needsRow() bool {
 	return !w.isRecorded() && (w.fenced || (!w.recorded && !w.mayHaveFormerLease))
 }
 
@@ -67,8 +67,8 @@
 }
 
 // extendUnobserved extends the time for which a worker that this owner has not reached may run what the previous
-// owner started, if its registration shows a restart that no owner has recorded. What owners before that one
-// may have started is part of the handover.
+// owner started, if its registration shows a restart that no owner has recorded. A row that names no incarnation,
+// of an earlier version, shows none. What owners before that one may have started is part of the handover.
 func (s *Shard) extendUnobserved(w *workerState) {
 	if w.contacted || s.idleWorkers[w.reg.ID] || w.recordedBorn.IsZero() || !w.isUnrecordedRestart(w.reg.Born) {
 		return
--- a/shard/lease.go
+++ b/shard/lease.go
@@ -33,7 +33,7 @@
 		if _, deleting := s.workerRowsToDelete[id]; deleting {
 			continue
 		}
-		if w.listed && w.mayBeRecorded() && len(rows.Used) < maxRows {
+		if w.listed && w.needsRow() && len(rows.Used) < maxRows {
 			rows.Used = append(rows.Used, w.ref())
 		}
 	}
--- a/shard/restart.go
+++ b/shard/restart.go
@@ -77,7 +77,7 @@
 		"runs", len(before.runs), "taken_in", before.processed, "ends", len(status.Ends),
 		"deadline_ms", poll.Renewal.Until.Milliseconds(), "clock_ms", status.Clock.Milliseconds(), "acknowledged", poll.Renewal.Acknowledged,
 		"fence", poll.Renewal.Fence)
-	s.raiseFenceAbove(w)
+	s.fenceOffFormerOrders(w)
 	s.forgetWorkerTickets(w.reg.ID)
 	for id := range s.transferRuns(before, w, status, sent, now) {
 		delete(lost, id)
