--- a/shard/former_orders_test.go
+++ b/shard/former_orders_test.go
@@ -18,6 +18,20 @@
 	return s
 }
 
+// newWorldWithUnansweredStart returns a world in which a start of a long task at the returned worker gets no answer
+// and is carried out after the given time, also by the next incarnation and behind a cut.
+func newWorldWithUnansweredStart(late time.Duration) (*world, *fakeWorker) {
+	w := newWorld(2)
+	w.run(clockLead)
+	f := w.workers["w0"]
+	w.receivedLate = true
+	w.startDelay = late
+	w.submit("a", longRun(f))
+	w.run(2 * tick)
+	w.startDelay = 0
+	return w, f
+}
+
 // TestUnansweredStartRunsAtSilentIncarnation covers a start without an answer that the next incarnation of a
 // worker carries out, while nobody reaches it. Its registration tells of the restart. The deadline in the start
 // is a time on the former clock, so that the run lasted longer than the owner waited for it.
@@ -25,14 +39,7 @@
 	for late := 200 * time.Millisecond; late <= 6*time.Second; late += 400 * time.Millisecond {
 		t.Run(fmt.Sprint(late), func(t *testing.T) {
 			is := is.New(t)
-			w := newWorld(2)
-			w.run(clockLead)
-			f := w.workers["w0"]
-			w.receivedLate = true
-			w.startDelay = late
-			w.submit("a", longRun(f))
-			w.run(2 * tick)
-			w.startDelay = 0
+			w, f := newWorldWithUnansweredStart(late)
 			f.partitioned = true
 			w.restartWorker(f, 0)
 			w.run(late)
@@ -51,14 +58,7 @@
 	for after := time.Second; after <= 8*time.Second; after += 50 * time.Millisecond {
 		t.Run(fmt.Sprint(after), func(t *testing.T) {
 			is := is.New(t)
-			w := newWorld(2)
-			w.run(clockLead)
-			f := w.workers["w0"]
-			w.receivedLate = true
-			w.startDelay = 200 * time.Millisecond
-			w.submit("a", longRun(f))
-			w.run(2 * tick)
-			w.startDelay = 0
+			w, f := newWorldWithUnansweredStart(200 * time.Millisecond)
 			f.partitioned = true
 			w.restartWorker(f, 0)
 			w.run(after)
@@ -74,14 +74,7 @@
 // incarnation just before its owner dies and it is cut off. Only its registration tells the next owner.
 func TestRegistrationShowsRestartToNextOwner(t *testing.T) {
 	is := is.New(t)
-	w := newWorld(2)
-	w.run(clockLead)
-	f := w.workers["w0"]
-	w.receivedLate = true
-	w.startDelay = 5 * tick
-	w.submit("a", longRun(f))
-	w.run(2 * tick)
-	w.startDelay = 0
+	w, f := newWorldWithUnansweredStart(5 * tick)
 	w.storeDown = true
 	w.restartWorker(f, 0)
 	f.partitioned = true
@@ -198,14 +191,7 @@
 		for name, next := range map[string]func(*world){"takeover": func(w *world) { w.takeOver() }, "release": func(w *world) { w.release(50 * time.Millisecond) }} {
 			t.Run(name+fmt.Sprint(at), func(t *testing.T) {
 				is := is.New(t)
-				w := newWorld(2)
-				w.run(clockLead)
-				f := w.workers["w0"]
-				w.receivedLate = true
-				w.startDelay = 400 * time.Millisecond
-				w.submit("a", longRun(f))
-				w.run(2 * tick)
-				w.startDelay = 0
+				w, f := newWorldWithUnansweredStart(400 * time.Millisecond)
 				f.partitioned = true
 				w.restartWorker(f, 0)
 				w.run(at)
@@ -224,14 +210,7 @@
 	for late := 500 * time.Millisecond; late <= 6*time.Second; late += 500 * time.Millisecond {
 		t.Run(fmt.Sprint(late), func(t *testing.T) {
 			is := is.New(t)
-			w := newWorld(2)
-			w.run(clockLead)
-			f := w.workers["w0"]
-			w.receivedLate = true
-			w.startDelay = late
-			w.submit("a", longRun(f))
-			w.run(2 * tick)
-			w.startDelay = 0
+			w, f := newWorldWithUnansweredStart(late)
 			w.restartWorker(f, 0)
 			f.partitioned = true
 			w.release(50 * time.Millisecond)
@@ -249,14 +228,7 @@
 	for gone := 500 * time.Millisecond; gone <= 5*time.Second; gone += 500 * time.Millisecond {
 		t.Run(fmt.Sprint(gone), func(t *testing.T) {
 			is := is.New(t)
-			w := newWorld(2)
-			w.run(clockLead)
-			f := w.workers["w0"]
-			w.receivedLate = true
-			w.startDelay = 400 * time.Millisecond
-			w.submit("a", longRun(f))
-			w.run(2 * tick)
-			w.startDelay = 0
+			w, f := newWorldWithUnansweredStart(400 * time.Millisecond)
 			f.partitioned = true
 			w.restartWorker(f, 0)
 			w.run(gone)
@@ -327,14 +299,7 @@
 	for late := 500 * time.Millisecond; late <= 6*time.Second; late += 500 * time.Millisecond {
 		t.Run(fmt.Sprint(late), func(t *testing.T) {
 			is := is.New(t)
-			w := newWorld(2)
-			w.run(clockLead)
-			f := w.workers["w0"]
-			w.receivedLate = true
-			w.startDelay = late
-			w.submit("a", longRun(f))
-			w.run(2 * tick)
-			w.startDelay = 0
+			w, f := newWorldWithUnansweredStart(late)
 			w.restartWorker(f, 0)
 			f.partitioned = true
 			w.takeOver()
