Review: two racks that crash one after the other stop a service

Tried: a job of 200 long tasks and two crashes, 11 s apart. Seen: eight tasks keep all other work off eight workers; later jobs are answered 200 and never begin.

--- a/review/standin3/burst.go
+++ b/review/standin3/burst.go
@@ -43,7 +43,7 @@
 // each comes when the one before has ended.
 func largeJobsAtOnce(l *lab) (bool, error) {
 	l.store.write("op", "config", []byte(queueConfiguration))
-	if err := l.addPool(pool, poolSize, room{CPU: 16_000, MemMB: 32_768}); err != nil {
+	if err := l.addPool(poolSize, room{CPU: 16_000, MemMB: 32_768}); err != nil {
 		return false, err
 	}
 	if err := l.open(3); err != nil {
--- a/review/standin3/lab.go
+++ b/review/standin3/lab.go
@@ -81,29 +81,38 @@
 	}
 }
 
-// addPool adds machines to a pool, four to a rack.
-func (l *lab) addPool(pool string, count int, size room) error {
+// addPool adds machines to the pool, four to a rack.
+func (l *lab) addPool(count int, size room) error {
 	for range count {
-		number := len(l.machines)
-		m := &machine{
-			name:  fmt.Sprintf("m-%05x", 0x141e8+number),
-			rack:  fmt.Sprintf("r1-%d", number/4),
-			size:  size,
-			lab:   l,
-			pool:  pool,
-			waves: make(map[int64]bool),
-		}
-		if err := m.listen(); err != nil {
+		if err := l.addKind("a", size); err != nil {
 			return err
 		}
-		l.machines = append(l.machines, m)
-		m.mu.Lock()
-		m.enter()
-		m.mu.Unlock()
 	}
 	return nil
 }
 
+// addKind adds one machine of a kind to the pool.
+func (l *lab) addKind(kind string, size room) error {
+	number := len(l.machines)
+	m := &machine{
+		name:  fmt.Sprintf("m-%05x", 0x141e8+number),
+		rack:  fmt.Sprintf("r1-%d", number/4),
+		kind:  kind,
+		size:  size,
+		lab:   l,
+		pool:  pool,
+		waves: make(map[int64]bool),
+	}
+	if err := m.listen(); err != nil {
+		return err
+	}
+	l.machines = append(l.machines, m)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.enter()
+	return nil
+}
+
 func (l *lab) asleep(pool string) bool {
 	return pool == l.sleeping
 }
@@ -309,8 +318,8 @@
 	return response.StatusCode, strings.TrimSpace(string(text))
 }
 
-// used returns what runs in a pool, and what its workers have.
-func (l *lab) used(pool string) (used, size room) {
+// used returns what runs in the pool, and what its workers have.
+func (l *lab) used() (used, size room) {
 	for _, m := range l.machines {
 		m.mu.Lock()
 		w, mine := m.worker, m.pool == pool
--- a/review/standin3/largejob.go
+++ b/review/standin3/largejob.go
@@ -45,7 +45,7 @@
 // same queue that are accepted afterwards. Without trouble the tasks of the large job succeed.
 func largeJobNeverDone(l *lab) (bool, error) {
 	l.store.write("op", "config", []byte(queueConfiguration))
-	if err := l.addPool(pool, poolSize, room{CPU: 16_000, MemMB: 32_768}); err != nil {
+	if err := l.addPool(poolSize, room{CPU: 16_000, MemMB: 32_768}); err != nil {
 		return false, err
 	}
 	l.behave = func(_ string, j *job, _ *worker) (time.Duration, string) {
@@ -89,7 +89,7 @@
 // report notes what became of a job so far.
 func (l *lab) report(id string) {
 	status, text := l.call(http.MethodGet, 0, queuePrefix+id, "")
-	used, size := l.used(pool)
+	used, size := l.used()
 	l.mu.Lock()
 	j := l.jobs[id]
 	l.record.note("GET %s: %d %s; %d tasks done, %d running, %d starts; the pool uses %d of %d thousandths of a core, %d of %d MB",
@@ -119,12 +119,12 @@
 // idleJob reports whether an accepted job other than the large one has had nothing running for 3 s although the pool had twice the
 // room for it and was used by less than a half. idle holds since when each job waits so.
 func (l *lab) idleJob(idle map[string]time.Time) bool {
-	used, size := l.used(pool)
+	used, size := l.used()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	broken := false
 	for id, j := range l.jobs {
-		if id == largeID {
+		if id == largeID || id == rackID {
 			continue
 		}
 		free := size.CPU-used.CPU >= 2*j.need.CPU && size.MemMB-used.MemMB >= 2*j.need.MemMB
--- a/review/standin3/machine.go
+++ b/review/standin3/machine.go
@@ -13,6 +13,12 @@
 const (
 	heartbeat = 1500 * time.Millisecond
 
+	// lapse is when the entry of a silent worker goes: after three heartbeats.
+	lapse = 3 * heartbeat
+
+	// darkHold is how long a call to a dark machine is held before its connection ends.
+	darkHold = 2 * time.Second
+
 	moveTime   = 1500 * time.Millisecond
 	upkeepTime = 2 * time.Second
 )
@@ -28,11 +34,15 @@
 type machine struct {
 	name string
 	rack string
+	kind string
 	size room
 	lab  *lab
 	addr string
 
-	mu     sync.Mutex
+	mu sync.Mutex
+
+	// dark says that nothing answers and nothing is refused either.
+	dark   bool
 	pool   string
 	state  string
 	lives  int
@@ -54,8 +64,12 @@
 
 func (m *machine) serve(w http.ResponseWriter, r *http.Request) {
 	m.mu.Lock()
-	current := m.worker
+	current, dark := m.worker, m.dark
 	m.mu.Unlock()
+	if dark {
+		// The call is lost; its sender learns of that by its own limit only.
+		time.Sleep(darkHold)
+	}
 	if current == nil {
 		panic(http.ErrAbortHandler)
 	}
@@ -99,7 +113,7 @@
 		"state":      "ready",
 		"coldLeftMs": 0,
 		"capacity":   m.size,
-		"labels":     []string{"a", m.rack},
+		"labels":     []string{m.kind, m.rack},
 		"clockMs":    w.clock(),
 		"callSeq":    seq,
 	})
@@ -109,6 +123,47 @@
 	return body
 }
 
+// crash ends the worker without a word; another one enters after the given time. In the meantime the
+// machine is dark.
+func (m *machine) crash(away time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.worker == nil {
+		return
+	}
+	gone := m.worker
+	m.lab.record.note("%s: worker %s crashes, dark for %v", m.name, gone.id, away)
+	gone.die()
+	m.worker = nil
+	m.state = "down"
+	m.dark = true
+	time.AfterFunc(lapse, func() { m.lab.store.write("servers", gone.id, nil) })
+	time.AfterFunc(away, func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.dark = false
+		m.enter()
+		if m.worker != nil {
+			m.lab.record.note("%s: worker %s enters", m.name, m.worker.id)
+		}
+	})
+}
+
+// loseForGood ends the worker without a word. The machine does not come back.
+func (m *machine) loseForGood() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.worker == nil {
+		return
+	}
+	gone := m.worker
+	m.lab.record.note("%s: worker %s of kind %s crashes and is lost for good", m.name, gone.id, m.kind)
+	gone.die()
+	m.worker = nil
+	m.state = "down"
+	time.AfterFunc(lapse, func() { m.lab.store.write("servers", gone.id, nil) })
+}
+
 // leave ends the worker for an order; the machine is back after the given time. The caller holds mu.
 func (m *machine) leave(state string, after time.Duration) {
 	if m.worker != nil {
@@ -140,7 +195,7 @@
 			"pool":     m.pool,
 			"state":    m.state,
 			"zone":     "montreal",
-			"labels":   []string{"a", m.rack},
+			"labels":   []string{m.kind, m.rack},
 			"capacity": m.size,
 		}
 		if m.worker != nil {
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -22,6 +22,8 @@
 var cases = map[string]func(*lab) (bool, error){
 	"large-job-never-done": largeJobNeverDone,
 	"large-jobs-at-once":   largeJobsAtOnce,
+	"two-rack-crashes":     twoRackCrashes,
+	"timed-job-lost-kind":  timedJobWithoutKind,
 }
 
 func main() {
