--- a/review/standin3/burst.go
+++ b/review/standin3/burst.go
@@ -46,7 +46,7 @@
 	if err := l.addPool(poolSize, room{CPU: 16_000, MemMB: 32_768}); err != nil {
 		return false, err
 	}
-	if err := l.open(3); err != nil {
+	if err := l.open(); err != nil {
 		return false, err
 	}
 	time.Sleep(time.Second)
--- a/review/standin3/lab.go
+++ b/review/standin3/lab.go
@@ -21,6 +21,9 @@
 	settleTime = 20 * time.Second
 
 	host = "pule25.example"
+
+	// entryCount is how many entries there are.
+	entryCount = 3
 )
 
 // jobSpec is what a caller hands in, with what its tasks do.
@@ -118,7 +121,7 @@
 }
 
 // open starts the platform, writes the settings of the entries and waits until they are ready.
-func (l *lab) open(entries int) error {
+func (l *lab) open() error {
 	mux := http.NewServeMux()
 	l.store.routes(mux)
 	l.cloudRoutes(mux)
@@ -127,8 +130,8 @@
 		return fmt.Errorf("listening: %w", err)
 	}
 	l.serve(listener, mux)
-	l.entries = entries
-	for i := range entries {
+	l.entries = entryCount
+	for i := range l.entries {
 		path := filepath.Join(l.dir, fmt.Sprintf("entry-%d.conf", i))
 		if err := os.WriteFile(path+".new", []byte(l.settings(i, listener.Addr().String())), 0o600); err != nil {
 			return err
@@ -137,12 +140,12 @@
 			return err
 		}
 	}
-	for i := range entries {
+	for i := range l.entries {
 		if err := l.awaitReady(i); err != nil {
 			return err
 		}
 	}
-	l.record.note("%d entries are ready", entries)
+	l.record.note("%d entries are ready", l.entries)
 	return nil
 }
 
--- a/review/standin3/largejob.go
+++ b/review/standin3/largejob.go
@@ -54,7 +54,7 @@
 		}
 		return j.length, "done"
 	}
-	if err := l.open(3); err != nil {
+	if err := l.open(); err != nil {
 		return false, err
 	}
 	time.Sleep(time.Second)
--- a/review/standin3/racks.go
+++ b/review/standin3/racks.go
@@ -44,7 +44,7 @@
 	if err := l.addPool(2*rackSize, room{CPU: 16_000, MemMB: 32_768}); err != nil {
 		return false, err
 	}
-	if err := l.open(3); err != nil {
+	if err := l.open(); err != nil {
 		return false, err
 	}
 	time.Sleep(time.Second)
--- a/review/standin3/timed.go
+++ b/review/standin3/timed.go
@@ -50,7 +50,7 @@
 	if err := l.addKind(rareKind, room{CPU: 16_000, MemMB: 32_768}); err != nil {
 		return false, err
 	}
-	if err := l.open(3); err != nil {
+	if err := l.open(); err != nil {
 		return false, err
 	}
 	time.Sleep(time.Second)
