--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -4,4 +4,4 @@
 here=$(cd "$(dirname "$0")" && pwd)
 # shellcheck source=../common-3.sh
 . "$here/../common-3.sh"
-play large-jobs-at-once 3
+play large-jobs-at-once 3 "${TROUBLE:-1}"
--- a/review/common-3.sh
+++ b/review/common-3.sh
@@ -34,14 +34,15 @@
   done
 }
 
-# play CASE ENTRIES plays a case of the stand-in and ends with its exit code.
+# play CASE ENTRIES TROUBLE plays a case of the stand-in and ends with its exit code. With TROUBLE 0 it is
+# played without its disruption.
 play() {
-  local name=$1 entries=$2 flags=() code=0
+  local name=$1 entries=$2 trouble=$3 flags=() code=0
   if [ ! -x "$entry" ] || [ ! -x "$standin" ]; then
     echo "build the program by the deploy file, and then run review/build-3.sh" >&2
     exit 2
   fi
-  if [ "${TROUBLE:-1}" = 0 ]; then flags+=(-trouble=false); fi
+  if [ "$trouble" = 0 ]; then flags+=(-trouble=false); fi
   trap stop_all EXIT
   trap 'exit 2' INT TERM
   timeout -k 2 115 "$standin" -case "$name" -dir "$work" -record "$here/record.txt" -port "$port" "${flags[@]}" &
