conns: stops and renewals get a connection before starts

Callers of a cancelled job waited for its runs to end, and leases came late, while a burst of starts was under way: calls to one worker waited in one line for its four connections, stops and renewals behind every start of the burst.

Calls can be urgent now.

--- a/conns/client.go
+++ b/conns/client.go
@@ -53,6 +53,9 @@
 	// Purpose names the call for the meter.
 	Purpose string
 
+	// Urgent calls get a connection before all others, see Limits.Reserved.
+	Urgent bool
+
 	// Second is what is sent where the call is made a second time. It is nil for a
 	// call that may not be made twice: nothing of that is ever sent again once any of
 	// it may have left this process.
@@ -83,6 +86,9 @@
 	PerAddress int
 	Kept       int
 
+	// Reserved is how many of the connections to one address only urgent calls may use.
+	Reserved int
+
 	// Dial bounds the opening of a connection.
 	Dial time.Duration
 
@@ -146,7 +152,7 @@
 // send makes one try of a call. It tells got of the connection that it uses.
 func (c *Client) send(ctx context.Context, call Call, got func(use)) (Answer, error) {
 	began := time.Now()
-	n, err := c.pool.get(ctx, call.To)
+	n, err := c.pool.get(ctx, call.To, call.Urgent)
 	if err != nil {
 		return Answer{}, fmt.Errorf("calling %s at %s: %w", call.Target, call.To, err)
 	}
--- a/conns/conn.go
+++ b/conns/conn.go
@@ -27,8 +27,10 @@
 	// proved says that something was heard since it was opened.
 	proved bool
 
-	// unusedSince is when the last call gave it back.
+	// unusedSince is when the last call gave it back. urgent says that the call that has it is urgent;
+	// the pool's lock guards it.
 	unusedSince time.Time
+	urgent      bool
 }
 
 func newConn(opened net.Conn, to netip.AddrPort) (*conn, error) {
--- a/conns/pool.go
+++ b/conns/pool.go
@@ -18,11 +18,14 @@
 	// idle are the unused ones, that which was used last at the end.
 	idle []*conn
 
-	// count is how many are open or being opened, at most Limits.PerAddress.
-	count int
+	// count is how many are open or being opened, at most Limits.PerAddress. ordinary is how many of
+	// them calls have that are not urgent, at most Limits.PerAddress without Limits.Reserved.
+	count    int
+	ordinary int
 
-	// waiters are calls that wait for a connection, in order. Each gets one, or nil where it
-	// may open one.
+	// urgent and waiters are the calls that wait for a connection, in order, those that are urgent and
+	// all others. Each gets one, or nil where it may open one.
+	urgent  []chan *conn
 	waiters []chan *conn
 }
 
@@ -50,9 +53,9 @@
 }
 
 // get returns a connection for one call. It waits while as many are in use as may be.
-func (p *pool) get(ctx context.Context, to netip.AddrPort) (*conn, error) {
+func (p *pool) get(ctx context.Context, to netip.AddrPort, urgent bool) (*conn, error) {
 	for {
-		n, wait := p.reserve(to)
+		n, wait := p.reserve(to, urgent)
 		switch {
 		case wait != nil:
 			select {
@@ -65,7 +68,7 @@
 				continue
 			}
 		case n == nil:
-			return p.open(ctx, to)
+			return p.open(ctx, to, urgent)
 		}
 		if n.isOpen() {
 			return n, nil
@@ -76,7 +79,7 @@
 
 // reserve returns an unused connection, or a channel to wait at for one. Where it returns
 // neither, the caller has to open one.
-func (p *pool) reserve(to netip.AddrPort) (*conn, chan *conn) {
+func (p *pool) reserve(to netip.AddrPort, urgent bool) (*conn, chan *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h := p.hosts[to]
@@ -84,33 +87,66 @@
 		h = &host{}
 		p.hosts[to] = h
 	}
-	if last := len(h.idle) - 1; last >= 0 {
-		n := h.idle[last]
-		h.idle = h.idle[:last]
-		return n, nil
-	}
-	if h.count < p.limits.PerAddress {
-		h.count++
-		return nil, nil
+	if urgent || p.allowsOrdinary(h) {
+		if last := len(h.idle) - 1; last >= 0 {
+			n := h.idle[last]
+			h.idle = h.idle[:last]
+			h.give(n, urgent)
+			return n, nil
+		}
+		if h.count < p.limits.PerAddress {
+			h.count++
+			h.ordinary += ordinary(urgent)
+			return nil, nil
+		}
 	}
 	wait := make(chan *conn, 1)
-	h.waiters = append(h.waiters, wait)
+	if urgent {
+		h.urgent = append(h.urgent, wait)
+	} else {
+		h.waiters = append(h.waiters, wait)
+	}
 	return nil, wait
 }
 
+// allowsOrdinary reports whether one more call that is not urgent may have a connection.
+func (p *pool) allowsOrdinary(h *host) bool {
+	return h.ordinary < max(1, p.limits.PerAddress-p.limits.Reserved)
+}
+
+// ordinary returns what a call adds to host.ordinary.
+func ordinary(urgent bool) int {
+	if urgent {
+		return 0
+	}
+	return 1
+}
+
+// give hands a connection to a call, takeBack takes it from the call that has it.
+func (h *host) give(n *conn, urgent bool) {
+	n.urgent = urgent
+	h.ordinary += ordinary(urgent)
+}
+
+func (h *host) takeBack(n *conn) {
+	h.ordinary -= ordinary(n.urgent)
+	n.urgent = true
+}
+
 // open opens a connection that was reserved.
-func (p *pool) open(ctx context.Context, to netip.AddrPort) (*conn, error) {
+func (p *pool) open(ctx context.Context, to netip.AddrPort, urgent bool) (*conn, error) {
 	opened, err := p.dialer.DialContext(ctx, "tcp", to.String())
 	if err != nil {
-		p.free(to)
+		p.free(to, urgent)
 		return nil, err
 	}
 	n, err := newConn(opened, to)
 	if err != nil {
 		_ = opened.Close()
-		p.free(to)
+		p.free(to, urgent)
 		return nil, err
 	}
+	n.urgent = urgent
 	return n, nil
 }
 
@@ -119,7 +155,9 @@
 	p.mu.Lock()
 	// Whoever was told to open a connection is no waiter any more, and the host may be gone.
 	if h := p.hosts[to]; h != nil {
-		h.waiters = slices.DeleteFunc(h.waiters, func(other chan *conn) bool { return other == wait })
+		isWait := func(other chan *conn) bool { return other == wait }
+		h.urgent = slices.DeleteFunc(h.urgent, isWait)
+		h.waiters = slices.DeleteFunc(h.waiters, isWait)
 	}
 	p.mu.Unlock()
 	select {
@@ -138,14 +176,14 @@
 	p.mu.Lock()
 	h := p.hosts[n.to]
 	n.unusedSince = time.Now()
-	keeps := len(h.idle) < p.limits.Kept
-	switch {
-	case len(h.waiters) > 0:
-		h.next() <- n
-	case keeps:
+	h.takeBack(n)
+	handed := true
+	if wait, urgent := p.next(h); wait != nil {
+		h.give(n, urgent)
+		wait <- n
+	} else if handed = len(h.idle) < p.limits.Kept; handed {
 		h.idle = append(h.idle, n)
 	}
-	handed := keeps || len(h.waiters) > 0
 	stale := p.sweep(n.unusedSince)
 	p.mu.Unlock()
 	if !handed {
@@ -156,26 +194,38 @@
 	}
 }
 
-// next returns the first waiter, which waits no more.
-func (h *host) next() chan *conn {
-	first := h.waiters[0]
-	h.waiters = h.waiters[1:]
-	return first
+// next returns the first call that may have a connection, which waits no more, and whether it is urgent;
+// nil for none.
+func (p *pool) next(h *host) (chan *conn, bool) {
+	switch {
+	case len(h.urgent) > 0:
+		first := h.urgent[0]
+		h.urgent = h.urgent[1:]
+		return first, true
+	case len(h.waiters) > 0 && p.allowsOrdinary(h):
+		first := h.waiters[0]
+		h.waiters = h.waiters[1:]
+		return first, false
+	default:
+		return nil, false
+	}
 }
 
 // discard closes a connection that is in no list.
 func (p *pool) discard(n *conn) {
 	// It is given up: what closing it says changes nothing.
 	_ = n.Close()
-	p.free(n.to)
+	p.free(n.to, n.urgent)
 }
 
-// free lets another connection be opened in the place of one that is closed.
-func (p *pool) free(to netip.AddrPort) {
+// free lets another connection be opened in the place of one that is closed. urgent says that no call
+// that is not urgent had it.
+func (p *pool) free(to netip.AddrPort, urgent bool) {
 	p.mu.Lock()
 	h := p.hosts[to]
 	h.count--
-	if h.count == 0 && len(h.waiters) == 0 {
+	h.ordinary -= ordinary(urgent)
+	if h.count == 0 && len(h.waiters) == 0 && len(h.urgent) == 0 {
 		delete(p.hosts, to)
 	}
 	p.mu.Unlock()
@@ -186,8 +236,12 @@
 func (p *pool) wake(to netip.AddrPort) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if h := p.hosts[to]; h != nil && len(h.waiters) > 0 && h.count < p.limits.PerAddress {
-		h.next() <- nil
+	h := p.hosts[to]
+	if h == nil || h.count >= p.limits.PerAddress {
+		return
+	}
+	if wait, _ := p.next(h); wait != nil {
+		wait <- nil
 	}
 }
 
