owner: what an entry has under way for tasks and calls is bounded

Each start of a round was a goroutine with its order, although a few connections lead to a worker: 11,715 to 19,798 goroutines with 98 to 158 MB of stacks at the owners that were ended, beside 20 MB of calls and 20 to 40 MB of runs (heap profiles of a trial build). The link's budget is wide at 1,000 Mbit/s, and nothing else bounded starts, stops, polls, changes of pace or runs.

Package underway has one bound for each kind, for all services of an entry, by the machine's memory and processor. A service may take more while it holds less than what is free. Tasks that wait stay idle and keep their order, a gang is decided on together and its starts are sent in order, stops and polls have bounds of their own; with more workers than polls, polls wait less. Figures under_way, under_way_limit, under_way_peak, under_way_waits_total, heap_bytes and goroutines.

Tests of shard and underway; TestOrdersWithoutBounds shows the starts without the bounds.

--- a/owner/duty.go
+++ b/owner/duty.go
@@ -17,6 +17,7 @@
 	"lemonstream.dev/lemonstream/ring"
 	"lemonstream.dev/lemonstream/shard"
 	"lemonstream.dev/lemonstream/site"
+	"lemonstream.dev/lemonstream/underway"
 )
 
 const (
@@ -62,6 +63,9 @@
 	Registry *Registry
 	Options  shard.Options
 
+	// UnderWay bounds what all services of this entry have under way; nil bounds nothing.
+	UnderWay *underway.Limits
+
 	// Owners is the state of the copy of the owner rows; nil if nobody wants to know.
 	Owners *freshness.Copy
 
@@ -148,6 +152,9 @@
 	core   *shard.Shard
 	events *ring.Ring[event]
 
+	// underWay is what the service has of the bounds of this entry.
+	underWay underway.Shares
+
 	// listing is the newest listing of workers that the loop has not applied, nil for none.
 	// registrationsRead says that the registrations were read since, without a change. They don't pass
 	// through events: the registry must not wait for a full queue, and no listing may be lost.
@@ -224,12 +231,14 @@
 		service:       service,
 		tenure:        newTenure(deps, service, won, now),
 		events:        ring.New[event](maxEvents),
+		underWay:      deps.UnderWay.Shares(),
 		inheritedBeat: claimBeat(won.before, unobservedFor),
 		quotas:        newQuotas(service, won.epoch),
 		lookups:       make(chan shard.Lookup, 1),
 		released:      make(chan struct{}),
 		done:          make(chan struct{}),
 	}
+	options.UnderWay = d.underWay
 	options.LogEvent = func(event string, fields ...any) {
 		deps.Count("decision", event)
 		log.Info(event, fields...)
--- a/owner/submit.go
+++ b/owner/submit.go
@@ -242,6 +242,7 @@
 	d.setFigure(figureEjected, 0)
 	d.setFigure(figureUnreadEnds, 0)
 	d.clearLoopFigures()
+	d.underWay.Close()
 	close(d.done)
 }
 
--- a/scheduler/gauges.go
+++ b/scheduler/gauges.go
@@ -1,11 +1,14 @@
 package scheduler
 
 import (
+	"runtime"
+	"runtime/metrics"
 	"time"
 
 	"lemonstream.dev/lemonstream/figures"
 	"lemonstream.dev/lemonstream/owner"
 	"lemonstream.dev/lemonstream/quota"
+	"lemonstream.dev/lemonstream/underway"
 )
 
 // registerGauges registers the gauges of evacuations and of the parts that this entry owns.
@@ -20,6 +23,16 @@
 	d.figures.Gauge("refused_demand_jobs", func() float64 { return float64(d.keeper.RefusedJobs()) })
 	d.figures.LabelledGauge("write_age_ms", []string{"part"}, d.writeAges)
 	d.figures.LabelledGauge("evacuated_runs", []string{"zone", "service"}, d.evacuatedRuns)
+	for name, of := range map[string]func(underway.Use) float64{
+		"under_way":             func(use underway.Use) float64 { return float64(use.Taken) },
+		"under_way_limit":       func(use underway.Use) float64 { return float64(use.Most) },
+		"under_way_peak":        func(use underway.Use) float64 { return float64(use.Peak) },
+		"under_way_waits_total": func(use underway.Use) float64 { return float64(use.Waits) },
+	} {
+		d.figures.LabelledGauge(name, []string{"kind"}, func() []figures.Sample { return d.underWayUses(of) })
+	}
+	d.figures.Gauge("heap_bytes", heapBytes)
+	d.figures.Gauge("goroutines", func() float64 { return float64(runtime.NumGoroutine()) })
 	for name, of := range map[string]func(owner.QuotaState) quota.Share{
 		"quota_held":  func(state owner.QuotaState) quota.Share { return state.Held },
 		"quota_used":  func(state owner.QuotaState) quota.Share { return state.Used },
@@ -39,6 +52,28 @@
 	return d.operator.Age()
 }
 
+// underWayUses returns one figure of each bound on what is under way.
+func (d *Daemon) underWayUses(of func(underway.Use) float64) []figures.Sample {
+	var samples []figures.Sample
+	for kind, use := range d.underWay.Uses() {
+		samples = append(samples, figures.Sample{
+			Labels: []string{kind},
+			Value:  of(use),
+		})
+	}
+	return samples
+}
+
+// heapBytes returns the bytes of the heap that objects take, also those that the collector has not freed
+// yet.
+func heapBytes() float64 {
+	sample := []metrics.Sample{{
+		Name: "/memory/classes/heap/objects:bytes",
+	}}
+	metrics.Read(sample)
+	return float64(sample[0].Value.Uint64())
+}
+
 // evacuatedRuns returns how many runs of the services that this entry owns are in evacuated zones.
 func (d *Daemon) evacuatedRuns() []figures.Sample {
 	var samples []figures.Sample
--- a/scheduler/limits.go
+++ b/scheduler/limits.go
@@ -8,6 +8,7 @@
 
 	"lemonstream.dev/lemonstream/conns"
 	"lemonstream.dev/lemonstream/peer"
+	"lemonstream.dev/lemonstream/site"
 )
 
 // Defaults of what bounds connections; see Options. The lines are more than a head of 16 KiB can
@@ -100,10 +101,7 @@
 
 // boundOptions returns the options of a listener's bound by the machine's limits.
 func (d *Daemon) boundOptions(name string, share listenerShare) conns.BoundOptions {
-	memory, descriptors := d.settings.Memory, d.settings.Descriptors
-	if memory == 0 {
-		memory = defaultMemory
-	}
+	memory, descriptors := memoryOf(d.settings), d.settings.Descriptors
 	if descriptors == 0 {
 		descriptors = defaultDescriptors
 	}
@@ -118,6 +116,14 @@
 	}
 }
 
+// memoryOf returns the machine's memory in bytes.
+func memoryOf(settings site.Settings) int64 {
+	if settings.Memory == 0 {
+		return defaultMemory
+	}
+	return settings.Memory
+}
+
 // newBound returns a bound whose use is shown with the figures.
 func (d *Daemon) newBound(options conns.BoundOptions) *conns.Bound {
 	bound := conns.NewBound(options)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -31,6 +31,7 @@
 	"lemonstream.dev/lemonstream/roster"
 	"lemonstream.dev/lemonstream/shard"
 	"lemonstream.dev/lemonstream/site"
+	"lemonstream.dev/lemonstream/underway"
 )
 
 const (
@@ -94,6 +95,9 @@
 	// evacuations are known before the first configuration is.
 	evacuations *catalog.Evacuations
 
+	// underWay bounds what the services of this entry have under way.
+	underWay *underway.Limits
+
 	roster  *roster.Roster
 	keeper  *owner.Keeper
 	servers []*conns.Server
@@ -168,6 +172,7 @@
 		owners:   newCopy(settings, options, now),
 
 		evacuations: catalog.NewEvacuations(log),
+		underWay:    underway.NewLimits(memoryOf(settings), settings.Cores),
 
 		figures:  set,
 		waves:    make(map[string]outside.Wave),
@@ -222,6 +227,7 @@
 		Workers:  d.workers,
 		Catalog:  d.catalog.Current,
 		Registry: registry,
+		UnderWay: d.underWay,
 		Owners:   d.owners,
 		Overdue:  d.overdue,
 		Usable:   d.operator.Usable,
--- a/shard/calls.go
+++ b/shard/calls.go
@@ -1,6 +1,8 @@
 package shard
 
 import (
+	"time"
+
 	"lemonstream.dev/lemonstream/job"
 	"lemonstream.dev/lemonstream/outside"
 )
@@ -62,6 +64,74 @@
 	Fence  int64
 }
 
+// maxWorkerOrders bounds the starts, and the stops, that are under way at one worker. Over the few
+// connections to a worker they are answered long before any of them counts as unanswered, and a worker
+// that is silent holds up no more of them.
+const maxWorkerOrders = 64
+
+// orderStart orders the start of a run, unless too many starts are under way. It reports whether it did.
+func (s *Shard) orderStart(r *run) bool {
+	w := r.worker
+	if w.starts >= maxWorkerOrders || !s.opts.UnderWay.Starts.Take() {
+		return false
+	}
+	w.starts++
+	r.call = s.nextCall()
+	s.startCalls[r.call] = w
+	r.order.Fence = s.fenceAt(w.reg.ID)
+	s.orders.Starts = append(s.orders.Starts, Start{
+		Call:   r.call,
+		Worker: w.ref(),
+		Order:  r.order,
+	})
+	return true
+}
+
+// startAnswered handles that a start is no longer under way.
+func (s *Shard) startAnswered(call int64) {
+	w, found := s.startCalls[call]
+	if !found {
+		return
+	}
+	delete(s.startCalls, call)
+	w.starts--
+	s.opts.UnderWay.Starts.Done(1)
+}
+
+// orderStop orders the stop of a run, unless too many stops are under way.
+func (s *Shard) orderStop(r *run, now time.Time) {
+	w := r.worker
+	if w.stops >= maxWorkerOrders || !s.opts.UnderWay.Stops.Take() {
+		return
+	}
+	w.stops++
+	r.call = s.nextCall()
+	s.stopCalls[r.call] = w
+	r.stopOrderedAt = now
+	if r.percent >= fullPercent {
+		s.logBudgetExceeded("stop", r.id, r.number, w)
+	}
+	s.logRun("stop ordered", r.id, r.number, w, "reason", r.reason)
+	s.orders.Stops = append(s.orders.Stops, Stop{
+		Call:   r.call,
+		Worker: w.ref(),
+		Task:   r.id,
+		Run:    r.number,
+		Fence:  s.fenceAt(w.reg.ID),
+	})
+}
+
+// stopAnswered handles that a stop is no longer under way.
+func (s *Shard) stopAnswered(call int64) {
+	w, found := s.stopCalls[call]
+	if !found {
+		return
+	}
+	delete(s.stopCalls, call)
+	w.stops--
+	s.opts.UnderWay.Stops.Done(1)
+}
+
 // nextCall returns the number of the next order. An answer counts only if its order's number is
 // still awaited: one that arrives after its worker was given up or has restarted says nothing about
 // the incarnation that is known by then.
--- a/shard/eligibility.go
+++ b/shard/eligibility.go
@@ -57,6 +57,9 @@
 	// or its state is not known.
 	ineligibleUnusable eligibility = "unusable"
 
+	// ineligibleBusy means that as many starts are under way at the worker as may be.
+	ineligibleBusy eligibility = "busy"
+
 	// eligible means that the worker can take the task.
 	eligible eligibility = ""
 )
@@ -120,6 +123,8 @@
 		return ineligibleDuplicate
 	case c.spec.PerWorker > 0 && w.countRuns(c.id) >= c.spec.PerWorker:
 		return ineligibleSpread
+	case w.starts+w.unsent >= maxWorkerOrders:
+		return ineligibleBusy
 	default:
 		return eligible
 	}
--- a/shard/events.go
+++ b/shard/events.go
@@ -24,6 +24,7 @@
 // longer awaited. Such an answer can come from an incarnation that was given up: attributed to the
 // newer one, it made the tasks that ran there start a second time elsewhere.
 func (s *Shard) Polled(poll Poll, sent, now time.Time, glance outside.WorkerStatus, err error) {
+	s.opts.UnderWay.Polls.Done(1)
 	id := poll.Worker.ID
 	w, found := s.workers[id]
 	if !found || w.pollCall != poll.Call {
@@ -206,6 +207,9 @@
 // attachRun adds a run to its worker, its task and the quota usage of its organisation. j and t are
 // nil if its job is unknown.
 func (s *Shard) attachRun(r *run, j *jobState, t *taskState) {
+	if r.worker.runs[r.id] != r {
+		s.opts.UnderWay.Runs.Add(1)
+	}
 	r.worker.runs[r.id] = r
 	r.worker.used = r.worker.used.Add(r.charge)
 	if r.unsized {
@@ -262,6 +266,8 @@
 		s.recordUnansweredStart(r, now)
 	}
 	delete(r.worker.runs, r.id)
+	s.opts.UnderWay.Runs.Done(1)
+	s.dropUnsent(r)
 	r.worker.used = r.worker.used.Sub(r.charge)
 	if r.unsized {
 		r.worker.unsized--
--- a/shard/eviction.go
+++ b/shard/eviction.go
@@ -76,7 +76,7 @@
 		s.logRun("stop given up", r.id, r.number, r.worker, "tries", r.tries)
 		r.phase = phaseRunning
 		r.answeredAt = now
-		delete(s.dueRuns, r)
+		s.dueRuns.remove(r)
 	}
 	return true
 }
--- a/shard/gang.go
+++ b/shard/gang.go
@@ -41,6 +41,9 @@
 		s.waitForQuota(g.job, spec, step.idle)
 		return
 	}
+	if !s.mayAddGang(step.idle) {
+		return
+	}
 	for _, rack := range room.racksFor(spec, step.idle) {
 		chosen := s.assignGang(g, step, spec, rack, false, now)
 		if chosen == nil {
--- a/shard/isolation.go
+++ b/shard/isolation.go
@@ -47,6 +47,9 @@
 			s.waitForQuota(a.group.job, spec, 1)
 			continue
 		}
+		if !s.mayAddRun(a.group.job, spec) {
+			continue
+		}
 		w := s.choose(id, spec, t, now)
 		if w == nil {
 			s.recordWait(a.group, a.step(), spec, now)
--- a/shard/lease.go
+++ b/shard/lease.go
@@ -1,7 +1,10 @@
 package shard
 
 import (
+	"cmp"
 	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"lemonstream.dev/lemonstream/outside"
@@ -140,9 +143,9 @@
 	if s.standbyUnread {
 		return
 	}
-	for _, w := range s.workers {
-		if w.pollCall != 0 || now.Before(w.nextPollAt) {
-			continue
+	for _, w := range s.duePolls(now) {
+		if !s.opts.UnderWay.Polls.Take() {
+			return
 		}
 		if s.writtenBatch >= w.ackBatch || s.allWritten() {
 			w.acked = w.lastAcknowledgeable()
@@ -168,6 +171,30 @@
 	}
 }
 
+// duePolls returns the workers whose poll is due, those first that have waited longest.
+func (s *Shard) duePolls(now time.Time) []*workerState {
+	var due []*workerState
+	for _, w := range s.workers {
+		if w.pollCall == 0 && !now.Before(w.nextPollAt) {
+			due = append(due, w)
+		}
+	}
+	slices.SortFunc(due, func(a, b *workerState) int {
+		return cmp.Or(a.nextPollAt.Compare(b.nextPollAt), strings.Compare(a.reg.ID, b.reg.ID))
+	})
+	return due
+}
+
+// sharedWait shortens the time that a poll waits at its worker, if there are more workers than polls may
+// be under way: each gets its turn as often as without the bound.
+func (s *Shard) sharedWait(wait time.Duration) time.Duration {
+	most := s.opts.UnderWay.Polls.Limit()
+	if most >= len(s.workers) {
+		return wait
+	}
+	return wait * time.Duration(most) / time.Duration(len(s.workers))
+}
+
 // acknowledgement returns the number of the last end that a poll lets the worker forget, 0 for
 // none. It is repeated until the worker has forgotten the ends. It is not sent to a silent worker:
 // an unanswered poll may be carried out late, by the next incarnation, which would then forget ends
@@ -240,5 +267,5 @@
 		// The lease is renewed by the first poll after the transaction.
 		wait = min(wait, handoverPollWait)
 	}
-	return wait
+	return s.sharedWait(wait)
 }
--- a/shard/loss.go
+++ b/shard/loss.go
@@ -118,7 +118,7 @@
 		}
 	}
 	for id, r := range w.runs {
-		if step, found := s.stepOf(id); found && (!step.Lasting || !r.isProven(now)) {
+		if step, found := s.stepOf(id); found && !r.unsent && (!step.Lasting || !r.isProven(now)) {
 			lost[id] = lostTask{
 				beside: newest.Sub(r.startedAt) > suspect.AttributionSlack,
 				shared: s.isShared(id, w.incarnation().String()),
@@ -152,7 +152,7 @@
 func (w *workerState) newestStart() time.Time {
 	var newest time.Time
 	for _, r := range w.runs {
-		if !r.found {
+		if !r.found && !r.unsent {
 			newest = latestOf(newest, r.startedAt)
 		}
 	}
--- a/shard/orders.go
+++ b/shard/orders.go
@@ -27,7 +27,7 @@
 	r.stopWithinBudget = false
 	r.heldBackLogged = false
 	r.notStarted = false
-	s.dueRuns[r] = struct{}{}
+	s.dueRuns.add(r)
 }
 
 // stopAgain stops a run again that a worker still lists although it has answered the stop and the
@@ -35,12 +35,13 @@
 func (s *Shard) stopAgain(r *run) {
 	r.phase = phaseStopping
 	r.tries = max(1, r.tries)
-	s.dueRuns[r] = struct{}{}
+	s.dueRuns.add(r)
 	s.logRun("run still listed after its stop", r.id, r.number, r.worker, "reason", r.reason)
 }
 
 // Started handles the answer to a start. clock is the worker's clock.
 func (s *Shard) Started(start Start, now time.Time, clock time.Duration, err error) {
+	s.startAnswered(start.Call)
 	r := s.awaitingRun(start.Worker.ID, start.Order.Task, start.Call)
 	if r == nil {
 		return
@@ -84,7 +85,7 @@
 		}
 		r.phase = phaseUncertain
 		r.uncertainAt = now
-		s.dueRuns[r] = struct{}{}
+		s.dueRuns.add(r)
 		if r.tries >= maxStartAttempts {
 			s.giveUpStart(r)
 		}
@@ -139,12 +140,13 @@
 	s.deposed = true
 }
 
-// orderDueRuns orders the stops that are due and repeats starts that got no answer.
+// orderDueRuns orders the stops that are due and repeats starts that got no answer, in the order in
+// which they became due. Those for which there is no room under way wait.
 func (s *Shard) orderDueRuns(now time.Time) {
-	for r := range s.dueRuns {
+	for r := range s.dueRuns.all() {
 		w := r.worker
 		if w.runs[r.id] != r {
-			delete(s.dueRuns, r)
+			s.dueRuns.remove(r)
 			continue
 		}
 		if r.call != 0 {
@@ -159,38 +161,25 @@
 			if s.startsHeld || w.failures > 0 || r.tries >= maxStartAttempts {
 				continue
 			}
-			r.call = s.nextCall()
-			r.order.Fence = s.fenceAt(w.reg.ID)
-			s.orders.Starts = append(s.orders.Starts, Start{
-				Call:   r.call,
-				Worker: w.ref(),
-				Order:  r.order,
-			})
+			s.orderStart(r)
 		case phaseStopping:
-			if (w.failures > 0 && r.tries > 0) || now.Before(r.nextStopAt) || s.holdsBackStop(r, now) {
+			if r.unsent {
+				s.withdrawStart(r, now)
 				continue
 			}
-			r.call = s.nextCall()
-			r.stopOrderedAt = now
-			if r.percent >= fullPercent {
-				s.logBudgetExceeded("stop", r.id, r.number, w)
+			if (w.failures > 0 && r.tries > 0) || now.Before(r.nextStopAt) || s.holdsBackStop(r, now) {
+				continue
 			}
-			s.logRun("stop ordered", r.id, r.number, w, "reason", r.reason)
-			s.orders.Stops = append(s.orders.Stops, Stop{
-				Call:   r.call,
-				Worker: w.ref(),
-				Task:   r.id,
-				Run:    r.number,
-				Fence:  s.fenceAt(w.reg.ID),
-			})
+			s.orderStop(r, now)
 		default:
-			delete(s.dueRuns, r)
+			s.dueRuns.remove(r)
 		}
 	}
 }
 
 // Stopped handles the answer to a stop. clock is the worker's clock.
 func (s *Shard) Stopped(stop Stop, now time.Time, clock time.Duration, err error) {
+	s.stopAnswered(stop.Call)
 	r := s.awaitingRun(stop.Worker.ID, stop.Task, stop.Call)
 	if r == nil {
 		return
--- a/shard/pace.go
+++ b/shard/pace.go
@@ -30,6 +30,7 @@
 
 // Paced handles the answer to a Pace order.
 func (s *Shard) Paced(pace Pace, err error) {
+	s.opts.UnderWay.Paces.Done(1)
 	w, found := s.workers[pace.Worker.ID]
 	if !found {
 		return
@@ -93,7 +94,8 @@
 	if wanted < minFillerShare && worst > slowDownAt {
 		wanted = 0
 	}
-	if wanted == r.share {
+	if wanted == r.share || !s.opts.UnderWay.Paces.Take() {
+		// What has to wait is ordered after the next poll.
 		return
 	}
 	s.opts.LogEvent("filler paced", "task", r.id.String(), "worker", w.reg.ID, "from", r.share, "to", wanted, "worst_tail", worst)
--- a/shard/place.go
+++ b/shard/place.go
@@ -80,18 +80,20 @@
 // place starts the tasks that may start and fit, the most urgent ones first.
 func (s *Shard) place(now time.Time) {
 	s.refreshUnseen(now)
+	s.sendStarts(now)
 	if len(s.waiting) == 0 {
 		return
 	}
 	unobserved := s.unobserved(now)
 	s.nextStartAt = time.Time{}
+	s.startsWait = false
 	groups := s.groups(now, unobserved.all)
 	s.placeGroups(groups, unobserved, now)
 	s.placeIsolated(groups, unobserved, now)
 }
 
-// placeGroups starts the tasks of the groups, except isolated ones. It stops as soon as the
-// budget for start orders is used up.
+// placeGroups starts the tasks of the groups, except isolated ones. It stops as soon as no more
+// orders to start tasks may be sent.
 func (s *Shard) placeGroups(groups []group, unobserved unobservedTasks, now time.Time) {
 	p := &placement{
 		failed:     &unplaced{},
@@ -123,9 +125,9 @@
 	}
 }
 
-// placeGroup starts tasks of one group. It does nothing once the budget for start orders is used up.
+// placeGroup starts tasks of one group. It does nothing once no more orders to start tasks may be sent.
 func (s *Shard) placeGroup(g group, p *placement, now time.Time) {
-	if !s.nextStartAt.IsZero() || p.share.isExceeded(g) {
+	if !s.nextStartAt.IsZero() || s.startsWait || p.share.isExceeded(g) {
 		return
 	}
 	step := g.state()
@@ -178,6 +180,9 @@
 			s.waitForQuota(g.job, spec, left+1)
 			return
 		}
+		if !s.mayAddRun(g.job, spec) {
+			return
+		}
 		w := choices.choose(id, spec, t)
 		if w != nil && !s.takeStartBudget(spec, g.job, 1, now) {
 			return
@@ -195,9 +200,12 @@
 }
 
 // takeStartBudget charges orders to start tasks of a step to the link budget, and reports whether
-// they may be sent now. If not, nextStartAt is set, and less urgent tasks wait as well.
-// Long-running tasks never wait: every second without one counts, and they are few.
+// they may be sent now. If not, nextStartAt or startsWait is set, and less urgent tasks wait as well.
+// Long-running tasks never wait for the link: every second without one counts, and they are few.
 func (s *Shard) takeStartBudget(spec *job.Step, j *jobState, orders int, now time.Time) bool {
+	if !s.maySendStart() {
+		return false
+	}
 	bytes := orders * (len(j.record.Spec.Text) + startOverheadBytes)
 	if s.opts.Starts.Take(bytes, now) || spec.Lasting {
 		return true
@@ -329,14 +337,12 @@
 	s.startRun(j, t, spec, id, w, t.lastRun, now)
 }
 
-// startRun orders the start of a run with a given number.
+// startRun decides on the start of a run with a given number. sendStarts orders it.
 func (s *Shard) startRun(j *jobState, t *taskState, spec *job.Step, id job.TaskID, w *workerState, number int64, now time.Time) {
 	order := outside.StartOrder{
 		Task:       id,
 		Run:        number,
 		Text:       j.record.Spec.Text,
-		Until:      w.leaseDeadline(now, s.opts.Lease),
-		Fence:      s.fenceAt(w.reg.ID),
 		Checkpoint: t.checkpoint,
 		Ticket:     s.ticketFor(id, w),
 	}
@@ -348,7 +354,7 @@
 		charge:    spec.Charge(),
 		startedAt: now,
 		share:     fullPercent,
-		call:      s.nextCall(),
+		unsent:    true,
 		order:     order,
 	}
 	if len(t.runs) == 0 {
@@ -365,21 +371,17 @@
 		s.addPossibleCrash(id, w.incarnation().String())
 	}
 	s.recordCompany(w)
-	s.logStart(j, r, now)
-	s.orders.Starts = append(s.orders.Starts, Start{
-		Call:   r.call,
-		Worker: w.ref(),
-		Order:  order,
-	})
+	w.unsent++
+	s.unsentStarts.add(r)
 }
 
 // logStart logs the order to start a run. While workers may run tasks of earlier owners that this
 // owner has not observed, it also logs how many workers, and whether the job can have no such task.
-func (s *Shard) logStart(j *jobState, r *run, now time.Time) {
+func (s *Shard) logStart(r *run, now time.Time) {
 	w := r.worker
 	fields := []any{"rack", w.reg.Rack, "closed", now.Before(w.closedUntil), "free_cpu", w.free().MilliCPU,
 		"look_age_ms", now.Sub(w.clockReadAt).Milliseconds()}
-	if s.unobservedWorkers > 0 {
+	if j := s.jobs[r.id.Job]; j != nil && s.unobservedWorkers > 0 {
 		fields = append(fields, "unobserved", s.unobservedWorkers, "fresh", j.fresh)
 	}
 	s.logRun("start ordered", r.id, r.number, w, fields...)
--- a/shard/restart.go
+++ b/shard/restart.go
@@ -131,7 +131,7 @@
 // isUnlisted reports whether the order for a run was answered and no answer to a poll has listed the
 // run, so that any incarnation of its worker may have begun it.
 func (r *run) isUnlisted() bool {
-	return r.call == 0 && !r.unanswered && !r.found && r.listedAt.IsZero()
+	return r.call == 0 && !r.unsent && !r.unanswered && !r.found && r.listedAt.IsZero()
 }
 
 // transferRun moves one run to the next incarnation of its worker. The run is stopped there if it
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -16,6 +16,7 @@
 	"lemonstream.dev/lemonstream/job"
 	"lemonstream.dev/lemonstream/link"
 	"lemonstream.dev/lemonstream/outlier"
+	"lemonstream.dev/lemonstream/underway"
 )
 
 const (
@@ -94,6 +95,9 @@
 	// Starts bounds the bytes of orders to start tasks; nil means no bound.
 	Starts *link.Budget
 
+	// UnderWay bounds what this owner has under way at workers; its zero value bounds nothing.
+	UnderWay underway.Shares
+
 	// EjectShare is the maximum share of the workers that are ejected at one time because they
 	// fail what they start; 0 ejects none. ProbeAfter is the time from an ejection to the first
 	// probe.
@@ -153,8 +157,14 @@
 	// repeating holds the jobs with occurrences that were not opened yet.
 	repeating map[string]*jobState
 
-	// dueRuns holds the runs that need an order: to be stopped, or to be started once more.
-	dueRuns map[*run]struct{}
+	// dueRuns holds the runs that need an order: to be stopped, or to be started once more. unsentStarts
+	// holds the runs that were decided on and whose order to start has to wait, see sendStarts.
+	dueRuns      runQueue
+	unsentStarts runQueue
+
+	// startCalls and stopCalls hold, by call, the workers of the starts and stops under way.
+	startCalls map[int64]*workerState
+	stopCalls  map[int64]*workerState
 
 	// possibleCrashes holds, by worker incarnation, the tasks whose run there may have crashed it.
 	possibleCrashes map[string]map[job.TaskID]struct{}
@@ -332,8 +342,9 @@
 	missedDeadlineAt time.Time
 
 	// nextStartAt is when the next start that had to wait for the link may be sent; zero if none
-	// waits.
+	// waits. startsWait says that starts wait for others to be answered, or for runs to end.
 	nextStartAt time.Time
+	startsWait  bool
 
 	// answerLatency reports whether this owner itself is late in handling answers.
 	answerLatency answerLatency
@@ -366,7 +377,8 @@
 		workers:            make(map[string]*workerState),
 		waiting:            make(map[string]*jobState),
 		repeating:          make(map[string]*jobState),
-		dueRuns:            make(map[*run]struct{}),
+		startCalls:         make(map[int64]*workerState),
+		stopCalls:          make(map[int64]*workerState),
 		tickets:            make(map[string]*stepTickets),
 		dirty:              make(map[string]*jobState),
 		pending:            make(map[string]int),
@@ -457,6 +469,7 @@
 	s.logUnobserved(now)
 	s.place(now)
 	s.speculate(now)
+	s.sendStarts(now)
 	s.orderDueRuns(now)
 	s.orderPolls(now)
 	s.orderLookup(now)
@@ -483,7 +496,7 @@
 		}
 		earlier(w.avoidUntil)
 	}
-	for r := range s.dueRuns {
+	for r := range s.dueRuns.all() {
 		earlier(r.nextStopAt)
 	}
 	earlier(s.nextStartAt)
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -109,8 +109,10 @@
 	nextStopAt    time.Time
 	stopOrderedAt time.Time
 
-	// call is the number of the order for the run that is under way; 0 for none.
-	call int64
+	// call is the number of the order for the run that is under way; 0 for none. unsent says that the
+	// order to start the run was decided on and not sent yet.
+	call   int64
+	unsent bool
 
 	// order is the order that starts the run. A repeated order is the same but for the fence.
 	order outside.StartOrder
@@ -230,8 +232,12 @@
 	leaseEnd time.Time
 	deadline time.Duration
 
-	// runs holds the runs that may exist on the worker, by task.
-	runs map[job.TaskID]*run
+	// runs holds the runs that may exist on the worker, by task. starts and stops count the orders to
+	// start and to stop runs there that are under way, unsent those that are decided on and not sent yet.
+	runs   map[job.TaskID]*run
+	starts int
+	stops  int
+	unsent int
 
 	// used is the sum of the resources of all runs, including those that are being stopped.
 	used job.Room
--- a/shard/world_calls_test.go
+++ b/shard/world_calls_test.go
@@ -40,13 +40,29 @@
 	sortCalls(w, orders.Polls, func(p shard.Poll) string { return p.Worker.ID })
 	sortCalls(w, orders.Stops, func(s shard.Stop) string { return s.Worker.ID + " " + s.Task.String() })
 	for _, h := range orders.Polls {
-		w.executePoll(core, h, answer)
+		w.executePoll(core, h, w.counted("polls", answer))
 	}
 	for _, s := range orders.Starts {
-		w.executeStart(core, s, answer)
+		w.executeStart(core, s, w.counted("starts", answer))
 	}
 	for _, s := range orders.Stops {
-		w.executeStop(core, s, answer)
+		w.executeStop(core, s, w.counted("stops", answer))
+	}
+}
+
+// counted counts an order as unanswered until it is answered.
+func (w *world) counted(kind string, answer answerFunc) answerFunc {
+	w.unanswered[kind]++
+	w.mostUnanswered[kind] = max(w.mostUnanswered[kind], w.unanswered[kind])
+	answered := false
+	return func(after time.Duration, take func()) {
+		answer(after, func() {
+			if !answered {
+				answered = true
+				w.unanswered[kind]--
+			}
+			take()
+		})
 	}
 }
 
--- a/shard/world_owner_test.go
+++ b/shard/world_owner_test.go
@@ -127,6 +127,8 @@
 		unobserved = testLease + testLease/10 + activeFor
 	}
 	epoch := w.epoch
+	w.shares.Close()
+	w.shares = w.limits.Shares()
 	w.core = shard.New("s", w.epoch, w.version, w.now, shard.Options{
 		Lease:         testLease,
 		LeaseLimit:    testMaxLease,
@@ -137,6 +139,7 @@
 		JobRetention:  time.Hour,
 		UnobservedFor: unobserved,
 		Starts:        w.starts,
+		UnderWay:      w.shares,
 		Evacuated:     w.isEvacuated,
 		Usable:        func() bool { return !w.operatorUnknown },
 		EjectShare:    w.ejectShare,
--- a/shard/world_test.go
+++ b/shard/world_test.go
@@ -12,6 +12,7 @@
 	"lemonstream.dev/lemonstream/outlier"
 	"lemonstream.dev/lemonstream/outside"
 	"lemonstream.dev/lemonstream/shard"
+	"lemonstream.dev/lemonstream/underway"
 )
 
 const (
@@ -145,6 +146,14 @@
 	batch      *shard.Batch
 	batchAt    time.Time
 
+	// limits bound what owners have under way; nil bounds nothing. shares is what the owner has of them.
+	// unanswered counts the orders of each kind that were not answered yet, mostUnanswered the most at one
+	// time.
+	limits         *underway.Limits
+	shares         underway.Shares
+	unanswered     map[string]int
+	mostUnanswered map[string]int
+
 	// wire is the owner's link; nil for a link without delay. starts is the budget for
 	// start orders on it.
 	wire   *wire
@@ -330,6 +339,8 @@
 		startAnswerDelay:    tick,
 		startErrorDelay:     100 * time.Millisecond,
 		waitReasons:         make(map[string]int),
+		unanswered:          make(map[string]int),
+		mostUnanswered:      make(map[string]int),
 		delayedStops:        make(map[shard.Stop]bool),
 		lastPoll:            make(map[string]int64),
 		refused:             make(map[string]shard.Refusal),
