owner: rows at a takeover are decoded page by page

An owner that took a service over held all rows of a table beside what they say, which doubles the memory of a long backlog. Each page is decoded as it arrives.

--- a/owner/restore.go
+++ b/owner/restore.go
@@ -9,63 +9,92 @@
 	"lemonstream.dev/lemonstream/shard"
 )
 
+// storedRecord is a record that was read, or why it can't be.
+type storedRecord struct {
+	key     outside.Key
+	record  shard.Record
+	version int64
+	err     error
+}
+
 // load reads all rows of the service and restores the shard from them. It returns the version
-// from which changes of the jobs are followed.
+// from which changes of the jobs are followed. Each page is decoded as it arrives, so that the rows are
+// not held beside what they say.
 func (d *Duty) load(ctx context.Context) (int64, error) {
-	records, since, err := d.readWithHeartbeat(ctx, prefixIntake+d.service)
+	var records []storedRecord
+	var cancelled []string
+	since, err := d.readWithHeartbeat(ctx, prefixIntake+d.service, func(row outside.Row) {
+		if id, found := strings.CutPrefix(row.Key.Name, prefixCancel); found {
+			cancelled = append(cancelled, id)
+			return
+		}
+		record, err := shard.DecodeRecord(row.Value)
+		records = append(records, storedRecord{
+			key:     row.Key,
+			record:  record,
+			version: row.Version,
+			err:     err,
+		})
+	})
 	if err != nil {
 		return 0, err
 	}
-	rows, _, err := d.readWithHeartbeat(ctx, tableProgress)
+	progress := make(map[string]*shard.Progress)
+	_, err = d.readWithHeartbeat(ctx, tableProgress, func(row outside.Row) {
+		p, err := shard.DecodeProgress(row.Value)
+		if err != nil {
+			d.logLeftOut(row.Key, err)
+			return
+		}
+		progress[row.Key.Name] = &p
+	})
 	if err != nil {
 		return 0, err
 	}
-	used, _, err := d.readWithHeartbeat(ctx, tableUsed)
+	var used, refused []outside.Row
+	_, err = d.readWithHeartbeat(ctx, tableUsed, func(row outside.Row) { used = append(used, row) })
 	if err != nil {
 		return 0, err
 	}
-	refused, _, err := d.readWithHeartbeat(ctx, tableRefused)
+	_, err = d.readWithHeartbeat(ctx, tableRefused, func(row outside.Row) { refused = append(refused, row) })
 	if err != nil {
 		return 0, err
 	}
 	now := d.deps.Clock.Now()
 	d.restoreWorkers(ctx, used, now)
 	d.restoreRefusals(refused)
-	progress := make(map[string]*shard.Progress, len(rows))
+	d.restoreJobs(records, progress, now)
+	for _, id := range cancelled {
+		d.core.CancelByRow(id, now)
+	}
+	d.deps.Log.Info("shard loaded", "service", d.service, "epoch", d.tenure.epoch, "records", len(records), "progress", len(progress))
+	return since, nil
+}
+
+// restoreJobs restores the jobs from their records and the rows of their progress.
+func (d *Duty) restoreJobs(records []storedRecord, progress map[string]*shard.Progress, now time.Time) {
 	d.orphanProgress = make(map[string]shard.Progress)
-	for _, row := range rows {
-		p, err := shard.DecodeProgress(row.Value)
-		if err != nil {
-			d.deps.Log.Error("row left out", "table", row.Key.Table, "key", row.Key.Name, "error", err)
-			continue
-		}
-		progress[row.Key.Name] = &p
+	for id, p := range progress {
 		if p.State.Final() {
-			d.core.RestoreEnded(row.Key.Name, p)
+			d.core.RestoreEnded(id, *p)
 			continue
 		}
-		d.orphanProgress[row.Key.Name] = p
+		d.orphanProgress[id] = *p
 	}
-	for _, row := range records {
-		if strings.HasPrefix(row.Key.Name, prefixCancel) {
-			continue
-		}
-		delete(d.orphanProgress, row.Key.Name)
-		record, err := shard.DecodeRecord(row.Value)
+	for _, stored := range records {
+		delete(d.orphanProgress, stored.key.Name)
+		err := stored.err
 		if err == nil {
-			err = d.core.Restore(record, row.Version, progress[row.Key.Name], now)
+			err = d.core.Restore(stored.record, stored.version, progress[stored.key.Name], now)
 		}
 		if err != nil {
-			d.deps.Log.Error("row left out", "table", row.Key.Table, "key", row.Key.Name, "error", err)
+			d.logLeftOut(stored.key, err)
 		}
 	}
-	for _, row := range records {
-		if id, found := strings.CutPrefix(row.Key.Name, prefixCancel); found {
-			d.core.CancelByRow(id, now)
-		}
-	}
-	d.deps.Log.Info("shard loaded", "service", d.service, "epoch", d.tenure.epoch, "records", len(records), "progress", len(rows))
-	return since, nil
+}
+
+func (d *Duty) logLeftOut(key outside.Key, err error) {
+	d.deps.Log.Error("row left out", "table", key.Table, "key", key.Name, "error", err)
 }
 
 // restoreRefusals restores the refusals of jobs by earlier owners.
@@ -73,24 +102,24 @@
 	for _, row := range rows {
 		refusal, err := shard.DecodeRefusal(row.Value)
 		if err != nil {
-			d.deps.Log.Error("row left out", "table", row.Key.Table, "key", row.Key.Name, "error", err)
+			d.logLeftOut(row.Key, err)
 			continue
 		}
 		d.core.RestoreRefusal(row.Key.Name, refusal)
 	}
 }
 
-// readWithHeartbeat reads the rows of the service in a table and writes heartbeats meanwhile:
-// with a long backlog and a slow link, reading takes longer than an owner may be silent.
-// Without the heartbeats each new owner lost the service while it was reading, and none ever
+// readWithHeartbeat reads the rows of the service in a table, calls each with every row, and writes
+// heartbeats meanwhile: with a long backlog and a slow link, reading takes longer than an owner may be
+// silent. Without the heartbeats each new owner lost the service while it was reading, and none ever
 // served: over links of 2 Mbit/s, one service had 36 owners in a row.
-func (d *Duty) readWithHeartbeat(ctx context.Context, table string) ([]outside.Row, int64, error) {
-	var rows []outside.Row
-	version, err := d.deps.Table.ReadPages(ctx, table, d.service, func(page []outside.Row) error {
-		rows = append(rows, page...)
+func (d *Duty) readWithHeartbeat(ctx context.Context, table string, each func(outside.Row)) (int64, error) {
+	return d.deps.Table.ReadPages(ctx, table, d.service, func(page []outside.Row) error {
+		for _, row := range page {
+			each(row)
+		}
 		return d.writeDueHeartbeat(ctx)
 	})
-	return rows, version, err
 }
 
 // writeDueHeartbeat writes a heartbeat if one is due. It repeats the content of the claim's
--- a/owner/standby.go
+++ b/owner/standby.go
@@ -157,39 +157,40 @@
 // and skipped. A younger row is that of a newer owner, and reported as a *LostError.
 func (d *Duty) readStandby(ctx context.Context, claimed int64) ([]shard.Record, map[string]shard.Progress, error) {
 	part := prefixStandby + d.service
-	rows, _, err := d.deps.Table.ReadAll(ctx, tableProgress, part)
-	if err != nil {
-		return nil, nil, err
-	}
-	ended := make(map[string]shard.Progress, len(rows))
-	for _, row := range rows {
-		progress, err := shard.DecodeProgress(row.Value)
-		if err != nil {
-			d.deps.Log.Error("row left out", "table", row.Key.Table, "part", part, "key", row.Key.Name, "error", err)
-			continue
+	ended := make(map[string]shard.Progress)
+	_, err := d.deps.Table.ReadPages(ctx, tableProgress, part, func(page []outside.Row) error {
+		for _, row := range page {
+			progress, err := shard.DecodeProgress(row.Value)
+			if err != nil {
+				d.deps.Log.Error("row left out", "table", row.Key.Table, "part", part, "key", row.Key.Name, "error", err)
+				continue
+			}
+			ended[row.Key.Name] = progress
 		}
-		ended[row.Key.Name] = progress
-	}
-	rows, _, err = d.deps.Table.ReadAll(ctx, prefixIntake+d.service, part)
+		return nil
+	})
 	if err != nil {
 		return nil, nil, err
 	}
-	records := make([]shard.Record, 0, len(rows))
-	for _, row := range rows {
-		if row.Version > claimed {
-			return nil, nil, &LostError{
-				Part:   part,
-				Reason: "a newer owner has written to it",
+	var records []shard.Record
+	_, err = d.deps.Table.ReadPages(ctx, prefixIntake+d.service, part, func(page []outside.Row) error {
+		for _, row := range page {
+			if row.Version > claimed {
+				return &LostError{
+					Part:   part,
+					Reason: "a newer owner has written to it",
+				}
 			}
+			record, err := shard.DecodeRecord(row.Value)
+			if err != nil {
+				d.deps.Log.Error("row left out", "table", row.Key.Table, "part", part, "key", row.Key.Name, "error", err)
+				continue
+			}
+			records = append(records, record)
 		}
-		record, err := shard.DecodeRecord(row.Value)
-		if err != nil {
-			d.deps.Log.Error("row left out", "table", row.Key.Table, "part", part, "key", row.Key.Name, "error", err)
-			continue
-		}
-		records = append(records, record)
-	}
-	return records, ended, nil
+		return nil
+	})
+	return records, ended, err
 }
 
 // commitStandby writes to the standby partition while the service's own partition rejects
