owner: the controller of the instances writes at most 64 waves at a time

It now holds 64 of them and 512 KiB, and the next one the others.

The stand-in's table rejects transactions by entries, bytes and the size of a row, as the platform does.

--- a/internal/standin/rows.go
+++ b/internal/standin/rows.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"net/http"
 	"sort"
 	"sync"
 	"time"
@@ -9,6 +11,13 @@
 	"lemonstream.dev/lemonstream/outside"
 )
 
+const (
+	// MaxRowBytes is the most bytes of a row, maxTransactionBytes that of a transaction. A transaction
+	// with more is rejected.
+	MaxRowBytes         = 65_536
+	maxTransactionBytes = 1_000_000
+)
+
 // Rows is the stand-in's transactional table as the users' platform describes
 // it: rows in parts, one version for each transaction, and a history of changes.
 type Rows struct {
@@ -183,7 +192,43 @@
 	return receipt, r.After(ctx, call)
 }
 
+// rejection returns why the platform never takes a transaction; empty if it does.
+func rejection(tx outside.Transaction) string {
+	bytes := 0
+	parts := make(map[string]bool)
+	for _, check := range tx.Checks {
+		parts[check.Key.Part] = true
+	}
+	for _, key := range tx.Removes {
+		parts[key.Part] = true
+	}
+	for _, put := range tx.Puts {
+		parts[put.Key.Part] = true
+		bytes += len(put.Value)
+		if len(put.Value) > MaxRowBytes {
+			return fmt.Sprintf("row %s/%s has %d bytes, at most %d", put.Key.Table, put.Key.Name, len(put.Value), MaxRowBytes)
+		}
+	}
+	switch entries := len(tx.Checks) + len(tx.Puts) + len(tx.Removes); {
+	case len(parts) > 1:
+		return "more than one part"
+	case entries > outside.MaxEntries:
+		return fmt.Sprintf("%d entries, at most %d", entries, outside.MaxEntries)
+	case bytes > maxTransactionBytes:
+		return fmt.Sprintf("%d bytes, at most %d", bytes, maxTransactionBytes)
+	default:
+		return ""
+	}
+}
+
 func (r *Rows) apply(tx outside.Transaction) (outside.Receipt, error) {
+	if reason := rejection(tx); reason != "" {
+		return outside.Receipt{}, &outside.NotDoneError{
+			Call:   "transaction",
+			Status: http.StatusBadRequest,
+			Reason: reason,
+		}
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	conflict := false
--- a/internal/standin/storeserver.go
+++ b/internal/standin/storeserver.go
@@ -89,6 +89,8 @@
 		c.JSON(http.StatusPreconditionFailed, storeAnswer{
 			Rows: toStore(conflict.Rows),
 		})
+	case outside.IsRejected(err):
+		c.String(http.StatusBadRequest, err.Error())
 	default:
 		c.Status(http.StatusServiceUnavailable)
 	}
--- a/outside/table.go
+++ b/outside/table.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"time"
 )
 
@@ -168,6 +169,13 @@
 	return !IsUncertain(err) && errors.As(err, &notDone)
 }
 
+// IsRejected reports whether err means that the other side rejects a call for what it says, so that it will
+// never take it.
+func IsRejected(err error) bool {
+	var notDone *NotDoneError
+	return IsNotDone(err) && errors.As(err, &notDone) && notDone.Status == http.StatusBadRequest
+}
+
 // IsUncertain reports whether err means that a call may or may not have taken effect.
 func IsUncertain(err error) bool {
 	var uncertain *UncertainError
--- a/owner/fleetwrite.go
+++ b/owner/fleetwrite.go
@@ -13,6 +13,14 @@
 // while the next rounds run, and the orders that it names are sent once it is applied.
 const announceWait = 300 * time.Millisecond
 
+// maxWaveRows and maxWaveBytes bound the rows of waves in one transaction, so that it stays below the
+// entries and the bytes that a transaction may hold beside the rows of the tenure. The others are in the
+// next one.
+const (
+	maxWaveRows  = 64
+	maxWaveBytes = 512 << 10
+)
+
 // fleetWrite is a transaction of the instance controller whose result is not known yet.
 type fleetWrite struct {
 	// builtAt is when the transaction was built.
@@ -69,11 +77,16 @@
 		}
 	}
 	var puts []outside.Put
+	bytes := maxWaveBytes
 	for number, state := range f.waves {
 		if state.Number == 0 || state.written {
 			continue
 		}
-		puts = append(puts, state.put(number))
+		put := state.put(number)
+		if bytes -= len(put.Value); len(puts) > 0 && (bytes < 0 || len(puts) >= maxWaveRows) {
+			break
+		}
+		puts = append(puts, put)
 		state.written = true
 		w.waves = append(w.waves, storedWave{
 			state:     state,
