shard: the row of a job's progress holds its history packed, and batches are bounded by bytes

A job whose row is three quarters full starts no task without a history until others have ended; one whose row is too large all the same fails, and others go on. Batches hold 512 KiB of rows, which take turns by job, also for the standby part. Rows of earlier versions are read as they are.

The soak hands in large jobs whose tasks all fail.

--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -17,7 +17,10 @@
 
 	// LongText is the text of a job whose tasks run for longTime, longer than a lease lasts.
 	LongText = "long"
-	longTime = 12 * time.Second
+
+	// FailingText is the text of a job whose tasks all fail.
+	FailingText = "fails"
+	longTime    = 12 * time.Second
 
 	// lastingTime is longer than any stand-in is used.
 	lastingTime = 24 * time.Hour
@@ -50,6 +53,7 @@
 // How a run ends.
 const (
 	endDone    = "done"
+	endFailed  = "failed"
 	endLapsed  = "lapsed"
 	endStopped = "stopped"
 )
@@ -93,6 +97,9 @@
 }
 
 type workerRun struct {
+	// fails says that the run ends failed.
+	fails bool
+
 	run    int64
 	ends   time.Time
 	stopAt time.Time
@@ -233,9 +240,10 @@
 	w.top[order.Task] = order.RunID
 	now := time.Now()
 	w.runs[order.Task] = &workerRun{
-		run:  order.RunID,
-		ends: now.Add(lengthOf(order.Spec)),
-		seen: w.oracle.start(order.Task, order.RunID, w.life(), now),
+		run:   order.RunID,
+		ends:  now.Add(lengthOf(order.Spec)),
+		fails: order.Spec == FailingText,
+		seen:  w.oracle.start(order.Task, order.RunID, w.life(), now),
 	}
 	if order.Spec == CrashText {
 		w.oracle.crash(order.Task)
@@ -369,6 +377,9 @@
 // endOf returns how and when a run ends if no other call comes.
 func (w *Worker) endOf(r *workerRun) (string, time.Time) {
 	how, at := endDone, r.ends
+	if r.fails {
+		how = endFailed
+	}
 	if !r.stopAt.IsZero() && r.stopAt.Before(at) {
 		how, at = endStopped, r.stopAt
 	}
--- a/owner/commit.go
+++ b/owner/commit.go
@@ -230,7 +230,7 @@
 	}
 	rows.puts = append(rows.puts, outside.Put{
 		Key:   key,
-		Value: write.Progress.Encode(),
+		Value: write.Row,
 	})
 	if write.RemoveRecord {
 		rows.removes = append(rows.removes, IntakeKey(d.service, write.ID))
--- a/owner/duty.go
+++ b/owner/duty.go
@@ -239,10 +239,9 @@
 		done:          make(chan struct{}),
 	}
 	options.UnderWay = d.underWay
-	options.LogEvent = func(event string, fields ...any) {
-		deps.Count("decision", event)
-		log.Info(event, fields...)
-	}
+	options.RowBytes = deps.Site.RowBytes
+	options.LogEvent = deps.countingLog(log.Info)
+	options.LogError = deps.countingLog(log.Error)
 	options.CountRefusal = func(reason string) { deps.Count("task_refused_seconds", reason) }
 	options.PublishState = func(id string, state job.State) {
 		if state == "" {
@@ -285,6 +284,14 @@
 	return d
 }
 
+// countingLog returns a function that writes a log line and counts it by its event.
+func (d Deps) countingLog(write func(event string, fields ...any)) func(event string, fields ...any) {
+	return func(event string, fields ...any) {
+		d.Count("decision", event)
+		write(event, fields...)
+	}
+}
+
 // applyHandover applies the handover of the previous owner, and logs how long this owner may have to
 // wait for workers that it does not reach.
 func (d *Duty) applyHandover(won claim, now time.Time, log *slog.Logger) {
--- a/owner/standby.go
+++ b/owner/standby.go
@@ -229,7 +229,7 @@
 	for _, write := range batch.Ended {
 		rows.puts = append(rows.puts, outside.Put{
 			Key:   StandbyProgressKey(d.service, write.ID),
-			Value: write.Progress.Encode(),
+			Value: write.Row,
 		})
 	}
 	d.transactStandby(ctx, rows, func(err error, at time.Time) {
--- a/shard/batch.go
+++ b/shard/batch.go
@@ -1,7 +1,8 @@
 package shard
 
 import (
-	"sort"
+	"maps"
+	"slices"
 	"time"
 
 	"lemonstream.dev/lemonstream/job"
@@ -18,9 +19,9 @@
 	// withdrawn come on top, and that on the fence of its queue for the first record of the queue.
 	entriesPerRecord = 2
 
-	// maxRecordBytes bounds the size of all records of one batch. It is half of the
-	// platform's limit for one transaction.
-	maxRecordBytes = 512 << 10
+	// maxBatchBytes bounds the size of all rows of one batch. It is half of the platform's limit for
+	// one transaction. A batch always takes one row.
+	maxBatchBytes = 512 << 10
 )
 
 // MaxSubmitted bounds the jobs whose record waits for a batch. It is what an owner writes in about
@@ -63,6 +64,9 @@
 	ID       string
 	Progress Progress
 
+	// Row is Progress, encoded.
+	Row []byte
+
 	// RemoveRecord says that the record of the job is removed, RemoveCancelRequest that the
 	// row that requests its cancellation is.
 	RemoveRecord        bool
@@ -174,13 +178,16 @@
 		return Batch{}, false
 	}
 	var b Batch
+	bytes := maxBatchBytes
 	entries -= s.addRefusals(&b, entries/2, now)
 	forRecords := entries
 	if len(s.dirty) > 0 {
 		forRecords = entries / 2
+		bytes /= 2
 	}
-	entries -= s.addRecords(&b, forRecords)
-	entries -= entriesPerProgress * s.addProgress(&b, entries/entriesPerProgress)
+	taken, size := s.addRecords(&b, forRecords, bytes)
+	entries -= taken
+	entries -= entriesPerProgress * s.addProgress(&b, entries/entriesPerProgress, maxBatchBytes-size, now)
 	s.addRemoved(&b, entries)
 	return b, true
 }
@@ -191,18 +198,18 @@
 }
 
 // addRecords moves records of submitted jobs into a batch and returns the number of transaction
-// entries that they take. A transaction can't require two versions of one fence.
-func (s *Shard) addRecords(b *Batch, entries int) int {
-	size, taken := 0, 0
+// entries and of bytes that they take. A transaction can't require two versions of one fence.
+func (s *Shard) addRecords(b *Batch, entries, bytes int) (taken, size int) {
 	fences := make(fences)
 	for len(s.submitted) > 0 {
 		j := s.submitted[0]
 		conditions, compatible := fences.conditions(j.record)
 		needed := entriesPerRecord + conditions
-		size += len(j.record.Encode())
-		if !compatible || taken+needed > entries || (size > maxRecordBytes && len(b.Records) > 0) {
+		more := len(j.record.Encode())
+		if !compatible || taken+needed > entries || (size+more > bytes && len(b.Records) > 0) {
 			break
 		}
+		size += more
 		fences.require(j.record.Fence)
 		taken += needed
 		s.submitted = s.submitted[1:]
@@ -210,35 +217,70 @@
 		j.batched = true
 		b.Records = append(b.Records, j.record)
 	}
-	return taken
+	return taken, size
 }
 
-// addProgress moves due progress rows into a batch and returns their number.
-func (s *Shard) addProgress(b *Batch, most int) int {
-	ids := make([]string, 0, len(s.dirty))
-	for id := range s.dirty {
-		ids = append(ids, id)
+// addProgress moves due progress rows into a batch and returns their number. Rows that don't fit are
+// next in the batch after it.
+func (s *Shard) addProgress(b *Batch, most, bytes int, now time.Time) int {
+	for _, id := range s.dueProgress() {
+		if len(b.Writes) >= most {
+			break
+		}
+		write := s.progressWrite(s.dirty[id], now)
+		if len(write.Row) > bytes && len(b.Writes)+len(b.Records) > 0 {
+			break
+		}
+		bytes -= len(write.Row)
+		s.takeProgress(b, write)
 	}
-	sort.Strings(ids)
-	b.complete = len(ids) <= most
+	s.numberBatch(b)
+	return len(b.Writes)
+}
+
+// dueProgress returns the jobs whose row is behind, first those after the last one that a batch took.
+func (s *Shard) dueProgress() []string {
+	ids := slices.Sorted(maps.Keys(s.dirty))
+	next, _ := slices.BinarySearch(ids, s.lastProgress+"\x00")
+	return slices.Concat(ids[next:], ids[:next])
+}
+
+// takeProgress moves a progress row into a batch.
+func (s *Shard) takeProgress(b *Batch, write Write) {
+	delete(s.dirty, write.ID)
+	s.lastProgress = write.ID
+	b.Writes = append(b.Writes, write)
+}
+
+// numberBatch gives a batch its number. It is complete if no progress row is left that was due.
+func (s *Shard) numberBatch(b *Batch) {
+	b.complete = len(s.dirty) == 0
 	if b.complete {
 		s.lastBatch++
-	} else {
-		ids = ids[:most]
 	}
 	b.number = s.lastBatch
-	for _, id := range ids {
-		j := s.dirty[id]
-		delete(s.dirty, id)
-		b.Writes = append(b.Writes, Write{
-			ID:                  id,
-			Progress:            j.progress(),
-			RemoveRecord:        j.state.Final() && !j.needsNoRecord(),
-			RequireNoRecord:     j.needsNoRecord(),
-			RemoveCancelRequest: j.state.Final() && j.cancelRow,
-		})
+}
+
+// progressWrite returns the write of a job's progress row. A job whose row would be too large to be
+// stored fails: nothing that happens to it could be stored any more, and its ends would hold up those of
+// all other jobs.
+func (s *Shard) progressWrite(j *jobState, now time.Time) Write {
+	progress := j.progress()
+	row := progress.Encode()
+	if most := s.opts.RowBytes; most > 0 && len(row) > most && !j.state.Final() {
+		s.failUnstorable(j, len(row), now)
+		progress = j.progress()
+		row = progress.Encode()
+	}
+	j.rowBytes = len(row)
+	return Write{
+		ID:                  j.record.ID,
+		Progress:            progress,
+		Row:                 row,
+		RemoveRecord:        j.state.Final() && !j.needsNoRecord(),
+		RequireNoRecord:     j.needsNoRecord(),
+		RemoveCancelRequest: j.state.Final() && j.cancelRow,
 	}
-	return len(ids)
 }
 
 // needsNoRecord reports whether the job has ended before its record was written, so that a record
--- a/shard/jobstate.go
+++ b/shard/jobstate.go
@@ -67,6 +67,9 @@
 	endedAt time.Time
 	failure *Failure
 
+	// rowBytes is the size of the row of progress as it was written last.
+	rowBytes int
+
 	// activeRuns counts the runs on workers, including those that are being stopped.
 	activeRuns int
 
--- a/shard/place.go
+++ b/shard/place.go
@@ -164,7 +164,7 @@
 	for index := range step.idleTasks() {
 		id, t := g.task(index), step.task(index)
 		left--
-		if p.share.isExceeded(g) {
+		if p.share.isExceeded(g) || !s.mayAddRun(g.job, spec, step.isUntouched(index)) {
 			return
 		}
 		if p.unobserved.contains(id) || s.isBlocked(id, t, now) || t.needsIsolation() {
@@ -180,9 +180,6 @@
 			s.waitForQuota(g.job, spec, left+1)
 			return
 		}
-		if !s.mayAddRun(g.job, spec) {
-			return
-		}
 		w := choices.choose(id, spec, t)
 		if w != nil && !s.takeStartBudget(spec, g.job, 1, now) {
 			return
--- a/shard/progressmarks.go
+++ b/shard/progressmarks.go
@@ -94,7 +94,7 @@
 		}
 	}
 	for key, bits := range marks {
-		if key == endedKey {
+		if key == endedKey || key == packedKey {
 			continue
 		}
 		k, s, err := parseMarkKey(key)
--- a/shard/readyroom.go
+++ b/shard/readyroom.go
@@ -144,6 +144,9 @@
 			return false
 		}
 	}
+	if room.shard.isRowFull(j) {
+		return false
+	}
 	for step := range j.record.Spec.Steps {
 		spec := &j.record.Spec.Steps[step]
 		if len(spec.After) > 0 {
--- a/shard/record.go
+++ b/shard/record.go
@@ -63,6 +63,10 @@
 	// which other tasks ran, of which no row may tell. Rows written by earlier versions have none.
 	SharedCrashes map[string][]string `cbor:"11,keyasint,omitempty"`
 
+	// History takes the place of Failed and of the lists of crashes where they would be long. Rows written
+	// by earlier versions have none.
+	History *History `cbor:"12,keyasint,omitempty"`
+
 	// EndedMillis is when a final state was reached, in Unix milliseconds.
 	EndedMillis int64 `cbor:"5,keyasint,omitempty"`
 
@@ -91,6 +95,9 @@
 
 	// Beside are those of Crashed on which another task was started later.
 	Beside []string `cbor:"6,keyasint,omitempty"`
+
+	// RowBytes is the size of the row of progress that could not be stored; 0 for any other reason.
+	RowBytes int `cbor:"7,keyasint,omitempty"`
 }
 
 // DecodeProgress decodes a row written by Progress.Encode.
@@ -149,10 +156,14 @@
 	if f == nil {
 		return nil
 	}
-	return []any{
+	fields := []any{
 		"failed_under", f.Epoch, "task", f.Task, "failed_runs", f.FailedRuns, "crashed", f.Crashed,
 		"beside", f.Beside, "possibly_crashed", f.PossiblyCrashed,
 	}
+	if f.RowBytes > 0 {
+		fields = append(fields, "row_bytes", f.RowBytes)
+	}
+	return fields
 }
 
 // Encode returns the row in CBOR.
@@ -201,11 +212,7 @@
 		return p
 	}
 	p.Done = j.doneMarks()
-	j.forEachState(func(id job.TaskID, t *taskState) {
-		if !t.done {
-			p.addTask(stepKey(id.Occurrence, id.Step)+"."+strconv.Itoa(id.Index), t, j.record.Spec.Steps[id.Step].Lasting)
-		}
-	})
+	j.addHistory(&p)
 	return p
 }
 
@@ -258,6 +265,9 @@
 	if err := j.restoreCrashes(p); err != nil {
 		return err
 	}
+	if err := j.restoreHistory(p.History); err != nil {
+		return err
+	}
 	j.sortReturned()
 	return nil
 }
@@ -330,6 +340,11 @@
 	return numbers[0], numbers[1], numbers[2], nil
 }
 
+// taskKey returns the key of a task in a row of progress.
+func taskKey(id job.TaskID) string {
+	return stepKey(id.Occurrence, id.Step) + "." + strconv.Itoa(id.Index)
+}
+
 func stepKey(occurrence, step int) string {
 	return strconv.Itoa(occurrence) + "." + strconv.Itoa(step)
 }
--- a/shard/refuse.go
+++ b/shard/refuse.go
@@ -170,19 +170,24 @@
 	}
 	count := min(len(s.refusing), maxRefusalsPerBatch, (entries-taken)/entriesPerRefusal)
 	for _, r := range s.refusing[:count] {
-		b.Refused = append(b.Refused, Refused{
-			ID: r.id,
-			Refusal: Refusal{
-				AtMillis:    now.UnixMilli(),
-				FirstMillis: r.firstMillis,
-			},
-			pending: r,
-		})
+		s.takeRefusal(b, r, now)
 	}
 	s.refusing = s.refusing[count:]
 	return taken + entriesPerRefusal*count
 }
 
+// takeRefusal moves a pending refusal into a batch.
+func (s *Shard) takeRefusal(b *Batch, r *refusing, now time.Time) {
+	b.Refused = append(b.Refused, Refused{
+		ID: r.id,
+		Refusal: Refusal{
+			AtMillis:    now.UnixMilli(),
+			FirstMillis: r.firstMillis,
+		},
+		pending: r,
+	})
+}
+
 // confirmRefusals records that the refusals of a batch are stored, and answers those who wait for
 // them.
 func (s *Shard) confirmRefusals(b Batch, now time.Time) {
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -56,6 +56,9 @@
 	// StopTimeout is the longest time that a task takes to stop.
 	StopTimeout time.Duration
 
+	// RowBytes is the most bytes that the store takes in one row; 0 means no limit.
+	RowBytes int
+
 	// JobRetention is how long an ended job is kept.
 	JobRetention time.Duration
 
@@ -117,6 +120,9 @@
 	// LogEvent writes one log line for each decision that affects a job.
 	LogEvent func(event string, fields ...any)
 
+	// LogError writes one log line for each fault that costs a job; nil writes none.
+	LogError func(event string, fields ...any)
+
 	// CountRefusal counts, by reason, the seconds in which workers refuse a task that has waited
 	// for some time; nil counts nothing.
 	CountRefusal func(reason string)
@@ -199,10 +205,15 @@
 	// submitted holds, in order of submission, the jobs whose record is in no batch yet.
 	submitted []*jobState
 
-	// dirty holds jobs whose row is behind; removedJobs holds IDs of jobs whose rows are to be
-	// deleted.
-	dirty       map[string]*jobState
-	removedJobs []string
+	// dirty holds jobs whose row is behind, lastProgress is the last one whose row a batch took;
+	// removedJobs holds IDs of jobs whose rows are to be deleted.
+	dirty        map[string]*jobState
+	lastProgress string
+	removedJobs  []string
+
+	// singles holds jobs of which a batch was refused by the store. Each is written in a batch of its own,
+	// to find those that are refused.
+	singles []string
 
 	// deferredCancels names jobs whose cancellation can't be decided yet. Either the job is not in
 	// memory, or its record or final state may be in the standby partition, which is not read yet.
--- a/shard/standby.go
+++ b/shard/standby.go
@@ -115,8 +115,9 @@
 func (s *Shard) NextStandbyBatch(entries int) StandbyBatch {
 	var b StandbyBatch
 	fences := make(fences)
+	bytes := maxBatchBytes
 	for id, j := range s.jobs {
-		if entries <= 0 {
+		if entries <= 0 || bytes <= 0 {
 			break
 		}
 		switch {
@@ -124,10 +125,13 @@
 		case j.state.Final():
 			j.offeredStandby = true
 			entries--
+			progress := j.progress()
 			b.Ended = append(b.Ended, Write{
 				ID:       id,
-				Progress: j.progress(),
+				Progress: progress,
+				Row:      progress.Encode(),
 			})
+			bytes -= len(b.Ended[len(b.Ended)-1].Row)
 		case j.unwritten && j.rejected == nil:
 			conditions, compatible := fences.conditions(j.record)
 			if !compatible || entries < 1+conditions {
@@ -136,6 +140,7 @@
 			fences.require(j.record.Fence)
 			j.offeredStandby = true
 			entries -= 1 + conditions
+			bytes -= len(j.record.Encode())
 			b.Records = append(b.Records, j.record)
 		}
 	}
--- a/shard/world_owner_test.go
+++ b/shard/world_owner_test.go
@@ -140,6 +140,7 @@
 		UnobservedFor: unobserved,
 		Starts:        w.starts,
 		UnderWay:      w.shares,
+		RowBytes:      maxRowBytes,
 		Evacuated:     w.isEvacuated,
 		Usable:        func() bool { return !w.operatorUnknown },
 		EjectShare:    w.ejectShare,
--- a/shard/world_rows_test.go
+++ b/shard/world_rows_test.go
@@ -4,8 +4,12 @@
 	"lemonstream.dev/lemonstream/shard"
 )
 
-// maxRowBytes is the most bytes of a row that the platform takes.
-const maxRowBytes = 65_536
+// maxRowBytes is the most bytes of a row that the platform takes, maxTransactionBytes that of a
+// transaction, with room for the rows of the tenure.
+const (
+	maxRowBytes         = 65_536
+	maxTransactionBytes = 800_000
+)
 
 // hasRow reports whether a row names a worker as one that may have runs.
 func (w *world) hasRow(id string) bool {
@@ -90,6 +94,16 @@
 	if w.undo(b) {
 		return
 	}
+	bytes := 0
+	for _, one := range b.Writes {
+		bytes += len(one.Row)
+	}
+	for _, record := range b.Records {
+		bytes += len(record.Encode())
+	}
+	if bytes > maxTransactionBytes {
+		w.addViolation("a batch has %d bytes", bytes)
+	}
 	for _, record := range b.Records {
 		w.store(record)
 	}
--- a/shard/world_test.go
+++ b/shard/world_test.go
@@ -154,6 +154,9 @@
 	unanswered     map[string]int
 	mostUnanswered map[string]int
 
+	// rejects says which batches the store never takes; nil takes all.
+	rejects func(shard.Batch) bool
+
 	// wire is the owner's link; nil for a link without delay. starts is the budget for
 	// start orders on it.
 	wire   *wire
--- a/soak/large_test.go
+++ b/soak/large_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"lemonstream.dev/lemonstream/internal/standin"
 )
 
 const (
@@ -81,9 +83,12 @@
 	}
 	const once = `{"spec":"200ms","steps":[%s]}`
 	const repeats = `{"spec":"200ms","repeatCount":10000,"firstRunMs":%d,"intervalMs":%d,"steps":[%s]}`
-	switch random.Intn(3) {
+	switch random.Intn(4) {
 	case 0:
 		return fmt.Sprintf(once, steps)
+	case 3:
+		// Thousands of tasks that run at a time, and all fail.
+		return fmt.Sprintf(`{"spec":"%s","steps":[{"count":%d,"cpu":1,"estimateMs":200}]}`, standin.FailingText, 1000+random.Intn(5000))
 	case 1:
 		// Occurrences come faster than they end.
 		return fmt.Sprintf(repeats, time.Now().UnixMilli(), 1+random.Intn(100), steps)
