owner: a transaction that the store rejects stops no service

A 400 says that the transaction will never do. It is no outage and is not sent again. Each row of the rejected batch is written alone, and one that is rejected alone is given up: a job that has not ended fails, a record or a refusal is answered as not taken, a final state is left to the next owner. A heartbeat that is rejected alone lists no workers the next times.

--- a/owner/commit.go
+++ b/owner/commit.go
@@ -18,6 +18,10 @@
 // sequence number, the witnesses, the keys and lengths of the fields, and the evidence.
 const handoverOverheadBytes = 512 + maxEvidenceBytes
 
+// plainBeatsAfterRejection is how many heartbeats list no workers after the store has rejected one that
+// was alone in its transaction.
+const plainBeatsAfterRejection = 16
+
 // maxIncompleteCommits bounds the transactions during a release that are too full to hold every
 // end. Each holds about 30 jobs, so they cover several hundred jobs in about the time that a
 // release may take.
@@ -52,7 +56,12 @@
 	if d.releasing && !complete {
 		d.incompleteCommits++
 	}
-	handover := d.core.BuildHandover(now, releasing && complete, d.deps.Site.RowBytes-handoverOverheadBytes)
+	handoverBytes := d.deps.Site.RowBytes - handoverOverheadBytes
+	if d.plainBeats > 0 {
+		d.plainBeats--
+		handoverBytes = 0
+	}
+	handover := d.core.BuildHandover(now, releasing && complete, handoverBytes)
 	if releasing {
 		d.deps.Log.Info("service released", "service", d.service, "epoch", d.tenure.epoch, "whole", complete,
 			"idle", len(handover.Idle), "leased", len(handover.Leased))
@@ -83,6 +92,18 @@
 	if err == nil {
 		return false
 	}
+	if outside.IsRejected(err) {
+		d.deps.Log.Error("transaction rejected", "service", d.service, "epoch", d.tenure.epoch, "records", len(batch.Records),
+			"writes", len(batch.Writes), "refused", len(batch.Refused), "error", err.Error())
+		d.deps.Count("transaction_rejected", d.service)
+		d.core.UndoBatch(batch, nil, now)
+		if !d.core.RejectBatch(batch, now) {
+			// Without the rows of jobs, only what the heartbeat lists can be too much.
+			d.plainBeats = plainBeatsAfterRejection
+		}
+		d.retryAt = now.Add(commitRetryInterval)
+		return true
+	}
 	if outside.IsNotDone(err) {
 		d.core.UndoBatch(batch, nil, now)
 		d.retryAt = now.Add(commitRetryInterval)
--- a/owner/duty.go
+++ b/owner/duty.go
@@ -200,6 +200,9 @@
 	// retryAt is when the next transaction may be sent after one that was not applied.
 	retryAt time.Time
 
+	// plainBeats is how many more heartbeats list no workers.
+	plainBeats int
+
 	committing bool
 	released   chan struct{}
 	releasing  bool
--- /dev/null
+++ b/owner/rejected_test.go
@@ -0,0 +1,74 @@
+package owner_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"lemonstream.dev/lemonstream/internal/standin"
+	"lemonstream.dev/lemonstream/job"
+	"lemonstream.dev/lemonstream/outside"
+	"lemonstream.dev/lemonstream/owner"
+	"lemonstream.dev/lemonstream/shard"
+)
+
+// rejectingRows returns a table that never takes a transaction with a row of which reject reports true.
+func rejectingRows(table outside.Table, reject func(outside.Put) bool) outside.Table {
+	transact := table.Transact
+	table.Transact = func(ctx context.Context, tx outside.Transaction) (outside.Receipt, error) {
+		for _, put := range tx.Puts {
+			if reject(put) {
+				return outside.Receipt{}, &outside.NotDoneError{
+					Call:   "transaction",
+					Status: http.StatusBadRequest,
+					Reason: "row " + put.Key.Name,
+				}
+			}
+		}
+		return transact(ctx, tx)
+	}
+	return table
+}
+
+// TestRejectedTransactionStopsNoService guards against one row that the store rejects and that is written
+// again with everything else: no job of the service began, and each next owner met the same.
+func TestRejectedTransactionStopsNoService(t *testing.T) {
+	is := is.New(t)
+	rows := standin.NewRows()
+	workers := newFakeWorkers(rows, "w0")
+	table := rejectingRows(rows.Table(), func(put outside.Put) bool {
+		if put.Key != owner.ProgressKey("s", "bad") {
+			return false
+		}
+		progress, err := shard.DecodeProgress(put.Value)
+		return err != nil || !progress.State.Final()
+	})
+	e := newEntryWith(t, "a", table, alive("a"), workers.deps)
+	until(t, "the worker is polled", func() bool { return workers.pollsOf("w0") > 0 })
+	duty, _ := e.keeper.Duty("s")
+	bad := record("bad")
+	bad.Spec.Steps = append(bad.Spec.Steps, job.Step{
+		Count: 1,
+		After: []int{0},
+	})
+	is.NoErr(duty.Submit(t.Context(), bad))
+	is.NoErr(duty.Submit(t.Context(), record("a")))
+	until(t, "both run", func() bool { return workers.startsOf("bad") == 1 && workers.startsOf("a") == 1 })
+	workers.finish("w0") // The row of bad says that its first step has ended, and is rejected.
+	for i := range 5 {
+		id := fmt.Sprintf("later%d", i)
+		is.NoErr(duty.Submit(t.Context(), record(id)))
+		until(t, id+" runs", func() bool { return workers.startsOf(id) == 1 })
+	}
+	until(t, "the job that can't be stored has failed", func() bool {
+		row, err := rows.Table().Row(t.Context(), owner.ProgressKey("s", "bad"))
+		if err != nil || row == nil {
+			return false
+		}
+		progress, err := shard.DecodeProgress(row.Value)
+		return err == nil && progress.State == job.Failed
+	})
+}
--- a/owner/tenure.go
+++ b/owner/tenure.go
@@ -264,9 +264,9 @@
 }
 
 // needsRetry reports whether a transaction with this error has to be sent again, either because
-// it was not applied or because its result is not known.
+// it was not applied or because its result is not known. A rejected one is never applied.
 func needsRetry(err error) bool {
-	return outside.IsNotDone(err) || outside.IsUncertain(err)
+	return (outside.IsNotDone(err) && !outside.IsRejected(err)) || outside.IsUncertain(err)
 }
 
 // writeOnce sends a transaction once.
@@ -284,6 +284,11 @@
 		t.failures.Store(0)
 		return t.resolveConflict(conflict, string(tx.Puts[0].Value))
 	}
+	if outside.IsRejected(err) {
+		// The store serves this entry, but never takes this transaction.
+		t.failures.Store(0)
+		return 0, err
+	}
 	t.failures.Add(1)
 	t.log.Warn("transaction without success", "part", t.part, "epoch", t.epoch, "error", err.Error())
 	if !needsRetry(err) {
--- a/shard/batch.go
+++ b/shard/batch.go
@@ -177,6 +177,9 @@
 	if len(s.dirty) == 0 && len(s.removedJobs) == 0 && len(s.submitted) == 0 && len(s.refusing) == 0 {
 		return Batch{}, false
 	}
+	if b, found := s.nextSingle(now); found {
+		return b, true
+	}
 	var b Batch
 	bytes := maxBatchBytes
 	entries -= s.addRefusals(&b, entries/2, now)
--- a/shard/world_rows_test.go
+++ b/shard/world_rows_test.go
@@ -94,6 +94,11 @@
 	if w.undo(b) {
 		return
 	}
+	if w.rejects != nil && w.rejects(b) {
+		w.core.UndoBatch(b, nil, w.now)
+		w.core.RejectBatch(b, w.now)
+		return
+	}
 	bytes := 0
 	for _, one := range b.Writes {
 		bytes += len(one.Row)
