owner: no job is given up while the store rejects everything

A row that is rejected says nothing of its job where the store rejects each transaction. After one that was rejected the owner writes a heartbeat alone, and goes on with the rows, one by one, once that has been applied; a row is given up only when it is rejected alone after that. TestStoreThatRejectsEverythingFailsNoJob.

--- a/owner/commit.go
+++ b/owner/commit.go
@@ -45,23 +45,18 @@
 		// may run tasks, and the handover would not cover it.
 		workers.Used = nil
 	}
-	batch, found := d.core.NextBatch(outside.MaxEntries-maxTenureEntries-len(workers.Used)-len(workers.Ended), now)
-	due := now.Sub(d.tenure.lastWrite) >= beatInterval || !workers.Empty() || d.core.NeedsConfirmation()
+	batch, found := d.nextBatch(workers, now)
+	due := d.probing || now.Sub(d.tenure.lastWrite) >= beatInterval || !workers.Empty() || d.core.NeedsConfirmation()
 	if !found && !due && !d.releasing {
 		return
 	}
 	d.committing = true
-	complete := !found || batch.IsComplete()
+	complete := !d.probing && (!found || batch.IsComplete())
 	releasing := d.releasing && (complete || d.incompleteCommits >= maxIncompleteCommits)
 	if d.releasing && !complete {
 		d.incompleteCommits++
 	}
-	handoverBytes := d.deps.Site.RowBytes - handoverOverheadBytes
-	if d.plainBeats > 0 {
-		d.plainBeats--
-		handoverBytes = 0
-	}
-	handover := d.core.BuildHandover(now, releasing && complete, handoverBytes)
+	handover := d.core.BuildHandover(now, releasing && complete, d.handoverBytes())
 	if releasing {
 		d.deps.Log.Info("service released", "service", d.service, "epoch", d.tenure.epoch, "whole", complete,
 			"idle", len(handover.Idle), "leased", len(handover.Leased))
@@ -74,6 +69,7 @@
 			if d.handleCommitFailure(batch, err, at) {
 				return
 			}
+			d.probing = false
 			d.tenure.beatVersion = version
 			d.tenure.recordWrite(now)
 			d.core.Confirm(workers, now)
@@ -86,6 +82,24 @@
 	})
 }
 
+// nextBatch returns the rows of jobs for the next transaction, beside the rows of workers; false if there
+// are none.
+func (d *Duty) nextBatch(workers shard.WorkerRows, now time.Time) (shard.Batch, bool) {
+	if d.probing {
+		return shard.Batch{}, false
+	}
+	return d.core.NextBatch(outside.MaxEntries-maxTenureEntries-len(workers.Used)-len(workers.Ended), now)
+}
+
+// handoverBytes returns how many bytes the list of workers may take in the next heartbeat.
+func (d *Duty) handoverBytes() int {
+	if d.plainBeats > 0 {
+		d.plainBeats--
+		return 0
+	}
+	return d.deps.Site.RowBytes - handoverOverheadBytes
+}
+
 // handleCommitFailure handles the error of a transaction that was not applied. It reports false if
 // there was no error.
 func (d *Duty) handleCommitFailure(batch shard.Batch, err error, now time.Time) bool {
@@ -97,6 +111,8 @@
 			"writes", len(batch.Writes), "refused", len(batch.Refused), "error", err.Error())
 		d.deps.Count("transaction_rejected", d.service)
 		d.core.UndoBatch(batch, nil, now)
+		// A store that rejects everything says nothing about the rows of jobs.
+		d.probing = true
 		if !d.core.RejectBatch(batch, now) {
 			// Without the rows of jobs, only what the heartbeat lists can be too much.
 			d.plainBeats = plainBeatsAfterRejection
--- a/owner/duty.go
+++ b/owner/duty.go
@@ -200,7 +200,9 @@
 	// retryAt is when the next transaction may be sent after one that was not applied.
 	retryAt time.Time
 
-	// plainBeats is how many more heartbeats list no workers.
+	// probing says that the store has rejected the last transaction, and that the next one holds no rows of
+	// jobs. plainBeats is how many more heartbeats list no workers.
+	probing    bool
 	plainBeats int
 
 	committing bool
--- a/owner/rejected_test.go
+++ b/owner/rejected_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"testing"
 
 	"github.com/matryer/is"
@@ -72,3 +73,44 @@
 		return err == nil && progress.State == job.Failed
 	})
 }
+
+// TestStoreThatRejectsEverythingFailsNoJob guards against jobs that are given up for a row that is not at
+// fault.
+func TestStoreThatRejectsEverythingFailsNoJob(t *testing.T) {
+	is := is.New(t)
+	rows := standin.NewRows()
+	workers := newFakeWorkers(rows, "w0")
+	var rejects atomic.Bool
+	var rejected atomic.Int32
+	table := rejectingRows(rows.Table(), func(put outside.Put) bool {
+		if !rejects.Load() || put.Key.Part != "s" {
+			return false
+		}
+		rejected.Add(1)
+		return true
+	})
+	e := newEntryWith(t, "a", table, alive("a"), workers.deps)
+	until(t, "the worker is polled", func() bool { return workers.pollsOf("w0") > 0 })
+	duty, _ := e.keeper.Duty("s")
+	two := record("a")
+	two.Spec.Steps = append(two.Spec.Steps, job.Step{
+		Count: 1,
+		After: []int{0},
+	})
+	is.NoErr(duty.Submit(t.Context(), two))
+	until(t, "it runs", func() bool { return workers.startsOf("a") == 1 })
+	rejects.Store(true)
+	workers.finish("w0")
+	until(t, "the store has rejected several transactions", func() bool { return rejected.Load() >= 5 })
+	rejects.Store(false)
+	until(t, "the second step runs", func() bool { return workers.startsOf("a") == 2 })
+	workers.finish("w0")
+	until(t, "the job is completed", func() bool {
+		row, err := rows.Table().Row(t.Context(), owner.ProgressKey("s", "a"))
+		if err != nil || row == nil {
+			return false
+		}
+		progress, err := shard.DecodeProgress(row.Value)
+		return err == nil && progress.State == job.Completed
+	})
+}
--- a/shard/batch.go
+++ b/shard/batch.go
@@ -42,9 +42,10 @@
 	ExpiredRefusals []string
 
 	// number is the number of the batch. complete says that it leaves out no progress row
-	// that was due.
+	// that was due, single that its only row was in a batch that the store rejected.
 	number   int64
 	complete bool
+	single   bool
 }
 
 // IsComplete reports whether, once the batch is written, every end that was handled before it was
--- a/shard/rejectedbatch.go
+++ b/shard/rejectedbatch.go
@@ -19,7 +19,7 @@
 	for _, refused := range b.Refused {
 		ids = append(ids, refused.ID)
 	}
-	if len(ids) != 1 {
+	if !b.single {
 		s.singles = append(s.singles, ids...)
 		return len(ids) > 0
 	}
@@ -40,7 +40,9 @@
 	for len(s.singles) > 0 {
 		id := s.singles[0]
 		s.singles = s.singles[1:]
-		var b Batch
+		b := Batch{
+			single: true,
+		}
 		j := s.jobs[id]
 		refusal := slices.IndexFunc(s.refusing, func(r *refusing) bool { return r.id == id })
 		removed := slices.Index(s.removedJobs, id)
--- a/underway/limits.go
+++ b/underway/limits.go
@@ -1,6 +1,9 @@
 package underway
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
 // Shares of an entry's memory that each kind may take. Connections take a share of their own, see
 // package conns; the rest is for the jobs, copies of tables and what the collector has not freed yet.
@@ -26,12 +29,12 @@
 )
 
 const (
-	// orderTime is the processor time that an entry needs for an order and its answer, in seconds.
-	orderTime = 250e-6
+	// orderTime is the processor time that an entry needs for an order and its answer.
+	orderTime = 250 * time.Microsecond
 
-	// orderWait is how long an order may wait for processor time, in seconds: half of the time after
-	// which it counts as unanswered.
-	orderWait = 0.35
+	// orderWait is how long an order may wait for processor time: half of the time after which it counts
+	// as unanswered.
+	orderWait = 350 * time.Millisecond
 )
 
 // leastOrders and leastRuns are the smallest bounds: a machine that is too small for them is too small
@@ -64,7 +67,7 @@
 
 // NewLimits returns the bounds of an entry with so many bytes of memory and so many cores.
 func NewLimits(memory int64, cores float64) *Limits {
-	byTime := int(math.Round(cores * orderWait / orderTime))
+	byTime := int(math.Round(cores * float64(orderWait/orderTime)))
 	orders := func(share float64) *Bound {
 		return NewBound(max(leastOrders, min(byTime, fit(memory, share, orderBytes))))
 	}
