shard: one table of a task's crashes, and one walk over the tasks of a row

The four lists of crashes were paired with their kinds and with the maps of a row in six places, and each write of a row walked all tasks twice. Rows and their bytes are the same.

--- a/shard/history.go
+++ b/shard/history.go
@@ -24,14 +24,6 @@
 	packedKey = "packed"
 )
 
-// Kinds of a mark that the crash of a worker leaves on a task; one mark may be of several.
-const (
-	markCrashed = 1 << iota
-	markBeside
-	markPossible
-	markShared
-)
-
 // History holds what has happened to the tasks of a job that have not succeeded: what a row without it
 // lists task by task. It is kept by run number and by worker, with the tasks as sets of numbers: a task has
 // the number of its occurrence times the tasks of an occurrence, plus those of the steps before its own,
@@ -50,8 +42,10 @@
 	_ struct{} `cbor:",toarray"`
 
 	Worker string
-	Kinds  int
-	Tasks  []byte
+
+	// Kinds has a bit for each list of taskState.crashLists that names the worker.
+	Kinds int
+	Tasks []byte
 }
 
 // crashMark is a worker with the kinds of its mark on a task.
@@ -60,30 +54,40 @@
 	kinds  int
 }
 
+// crashLists returns the lists of the workers that crashed under a task; the mark of list i has the kind
+// 1<<i.
+func (t *taskState) crashLists() [4]*suspect.Crashes {
+	return [4]*suspect.Crashes{&t.crashes, &t.besideCrashes, &t.possibleCrashes, &t.sharedCrashes}
+}
+
 // marks returns the marks on a task by worker.
 func (t *taskState) marks() map[string]int {
 	marks := make(map[string]int)
-	for kind, workers := range map[int]suspect.Crashes{
-		markCrashed:  t.crashes,
-		markBeside:   t.besideCrashes,
-		markPossible: t.possibleCrashes,
-		markShared:   t.sharedCrashes,
-	} {
-		for _, worker := range workers {
-			marks[worker] |= kind
+	for i, workers := range t.crashLists() {
+		for _, worker := range *workers {
+			marks[worker] |= 1 << i
 		}
 	}
 	return marks
 }
 
+// addMark adds the mark of a crash to a task.
+func (t *taskState) addMark(mark CrashMarks) {
+	for i, workers := range t.crashLists() {
+		if mark.Kinds&(1<<i) != 0 {
+			*workers = append(*workers, mark.Worker)
+		}
+	}
+}
+
 // listedBytes returns how many bytes the history of a task takes in a row at most, listed by itself.
 func (t *taskState) listedBytes(lasting bool) int {
 	size := 0
-	for _, workers := range []suspect.Crashes{t.crashes, t.besideCrashes, t.possibleCrashes, t.sharedCrashes} {
-		if len(workers) > 0 {
+	for _, workers := range t.crashLists() {
+		if len(*workers) > 0 {
 			size += listedTaskBytes
 		}
-		for _, worker := range workers {
+		for _, worker := range *workers {
 			size += listedRunBytes + len(worker)
 		}
 	}
@@ -93,52 +97,63 @@
 	return size
 }
 
+// taskHistory is a task that has not succeeded and has a history.
+type taskHistory struct {
+	id      job.TaskID
+	state   *taskState
+	lasting bool
+}
+
 // addHistory adds the history of the tasks of a job to its row, listed or packed.
 func (j *jobState) addHistory(p *Progress) {
+	var tasks []taskHistory
 	size := 0
 	j.forEachState(func(id job.TaskID, t *taskState) {
-		if !t.done {
-			size += t.listedBytes(j.record.Spec.Steps[id.Step].Lasting)
+		lasting := j.record.Spec.Steps[id.Step].Lasting
+		listed := t.listedBytes(lasting)
+		if t.done || listed == 0 {
+			return
 		}
+		size += listed
+		tasks = append(tasks, taskHistory{
+			id:      id,
+			state:   t,
+			lasting: lasting,
+		})
 	})
-	if size > maxListedHistory {
-		p.History = j.history()
-		if p.Done == nil {
-			p.Done = make(map[string][]byte)
+	if size <= maxListedHistory {
+		for _, one := range tasks {
+			p.addTask(taskKey(one.id), one.state, one.lasting)
 		}
-		p.Done[packedKey] = []byte{}
 		return
 	}
-	j.forEachState(func(id job.TaskID, t *taskState) {
-		if !t.done {
-			p.addTask(taskKey(id), t, j.record.Spec.Steps[id.Step].Lasting)
-		}
-	})
+	p.History = j.pack(tasks)
+	if p.Done == nil {
+		p.Done = make(map[string][]byte)
+	}
+	p.Done[packedKey] = []byte{}
 }
 
-// history returns the packed history of the tasks of a job.
-func (j *jobState) history() *History {
+// pack returns the packed history of tasks, which are in order.
+func (j *jobState) pack(tasks []taskHistory) *History {
 	failed := make(map[int64][]int)
 	marks := make(map[crashMark][]int)
-	j.forEachState(func(id job.TaskID, t *taskState) {
-		if t.done {
-			return
-		}
-		number := j.taskNumber(id)
-		for worker, kinds := range t.marks() {
+	for _, one := range tasks {
+		number := j.taskNumber(one.id)
+		for worker, kinds := range one.state.marks() {
 			mark := crashMark{
 				worker: worker,
 				kinds:  kinds,
 			}
 			marks[mark] = append(marks[mark], number)
 		}
-		if j.record.Spec.Steps[id.Step].Lasting {
-			return
+		if one.lasting {
+			continue
 		}
-		for _, run := range t.failedRuns {
+		for _, run := range one.state.failedRuns {
 			failed[run] = append(failed[run], number)
 		}
-	})
+	}
 	h := &History{}
 	if len(failed) > 0 {
 		h.Failed = make(map[int64][]byte, len(failed))
@@ -179,20 +194,6 @@
 	return nil
 }
 
-// addMark adds the mark of a crash to a task.
-func (t *taskState) addMark(mark CrashMarks) {
-	for kind, workers := range map[int]*suspect.Crashes{
-		markCrashed:  &t.crashes,
-		markBeside:   &t.besideCrashes,
-		markPossible: &t.possibleCrashes,
-		markShared:   &t.sharedCrashes,
-	} {
-		if mark.Kinds&kind != 0 {
-			*workers = append(*workers, mark.Worker)
-		}
-	}
-}
-
 // forEachNumber calls do for each task of an encoded set that is not done.
 func (j *jobState) forEachNumber(encoded []byte, do func(id job.TaskID, t *taskState)) error {
 	numbers, err := decodeNumbers(encoded)
--- a/shard/record.go
+++ b/shard/record.go
@@ -219,10 +219,10 @@
 // addTask adds the crashes and failed runs of a task that has not succeeded. Failed runs of
 // long-running tasks are not stored.
 func (p *Progress) addTask(key string, t *taskState, lasting bool) {
-	p.Crashed = withMarks(p.Crashed, key, t.crashes)
-	p.BesideCrashes = withMarks(p.BesideCrashes, key, t.besideCrashes)
-	p.PossibleCrashes = withMarks(p.PossibleCrashes, key, t.possibleCrashes)
-	p.SharedCrashes = withMarks(p.SharedCrashes, key, t.sharedCrashes)
+	rows := p.crashRows()
+	for i, workers := range t.crashLists() {
+		*rows[i] = withMarks(*rows[i], key, *workers)
+	}
 	if len(t.failedRuns) == 0 || lasting {
 		return
 	}
@@ -274,40 +274,25 @@
 
 // restoreCrashes applies the crashes in a row of progress to a newly built job.
 func (j *jobState) restoreCrashes(p Progress) error {
-	for _, list := range []struct {
-		rows  map[string][]string
-		apply func(t *taskState, workers []string)
-	}{
-		{
-			rows:  p.Crashed,
-			apply: func(t *taskState, workers []string) { t.crashes = workers },
-		},
-		{
-			rows:  p.BesideCrashes,
-			apply: func(t *taskState, workers []string) { t.besideCrashes = workers },
-		},
-		{
-			rows:  p.PossibleCrashes,
-			apply: func(t *taskState, workers []string) { t.possibleCrashes = workers },
-		},
-		{
-			rows:  p.SharedCrashes,
-			apply: func(t *taskState, workers []string) { t.sharedCrashes = workers },
-		},
-	} {
-		for key, workers := range list.rows {
+	for i, rows := range p.crashRows() {
+		for key, workers := range *rows {
 			id, err := j.taskByKey(key)
 			if err != nil {
 				return err
 			}
 			if !j.isTaskDone(id) {
-				list.apply(j.ownTask(id), workers)
+				*j.ownTask(id).crashLists()[i] = workers
 			}
 		}
 	}
 	return nil
 }
 
+// crashRows returns the maps of the row for the lists of taskState.crashLists.
+func (p *Progress) crashRows() [4]*map[string][]string {
+	return [4]*map[string][]string{&p.Crashed, &p.BesideCrashes, &p.PossibleCrashes, &p.SharedCrashes}
+}
+
 // taskByKey returns the task for a key of a row of progress.
 func (j *jobState) taskByKey(key string) (job.TaskID, error) {
 	k, s, i, err := parseKey(key)
