--- a/shard/calls.go
+++ b/shard/calls.go
@@ -5,6 +5,7 @@
 
 	"lemonstream.dev/lemonstream/job"
 	"lemonstream.dev/lemonstream/outside"
+	"lemonstream.dev/lemonstream/underway"
 )
 
 // TicketRequest is an order to request tickets with which workers may run a step.
@@ -69,15 +70,54 @@
 // that is silent holds up no more of them.
 const maxWorkerOrders = 64
 
+// openOrders are the orders of one kind that are under way.
+type openOrders struct {
+	// share is what the owner may have under way of this kind.
+	share *underway.Share
+
+	// workers holds, by call, the worker of each order, counts how many each worker has.
+	workers map[int64]*workerState
+	counts  map[*workerState]int
+}
+
+func newOpenOrders(share *underway.Share) openOrders {
+	return openOrders{
+		share:   share,
+		workers: make(map[int64]*workerState),
+		counts:  make(map[*workerState]int),
+	}
+}
+
+// open takes an order to a worker in, unless too many are under way, and reports whether it did.
+func (o openOrders) open(w *workerState, call int64) bool {
+	if o.counts[w] >= maxWorkerOrders || !o.share.Take() {
+		return false
+	}
+	o.workers[call] = w
+	o.counts[w]++
+	return true
+}
+
+// answered handles that an order is no longer under way.
+func (o openOrders) answered(call int64) {
+	w, found := o.workers[call]
+	if !found {
+		return
+	}
+	delete(o.workers, call)
+	if o.counts[w]--; o.counts[w] == 0 {
+		delete(o.counts, w)
+	}
+	o.share.Done(1)
+}
+
 // orderStart orders the start of a run, unless too many starts are under way. It reports whether it did.
 func (s *Shard) orderStart(r *run) bool {
-	w := r.worker
-	if w.starts >= maxWorkerOrders || !s.opts.UnderWay.Starts.Take() {
+	w, call := r.worker, s.nextCall()
+	if !s.openStarts.open(w, call) {
 		return false
 	}
-	w.starts++
-	r.call = s.nextCall()
-	s.startCalls[r.call] = w
+	r.call = call
 	r.order.Fence = s.fenceAt(w.reg.ID)
 	s.orders.Starts = append(s.orders.Starts, Start{
 		Call:   r.call,
@@ -87,26 +127,13 @@
 	return true
 }
 
-// startAnswered handles that a start is no longer under way.
-func (s *Shard) startAnswered(call int64) {
-	w, found := s.startCalls[call]
-	if !found {
-		return
-	}
-	delete(s.startCalls, call)
-	w.starts--
-	s.opts.UnderWay.Starts.Done(1)
-}
-
 // orderStop orders the stop of a run, unless too many stops are under way.
 func (s *Shard) orderStop(r *run, now time.Time) {
-	w := r.worker
-	if w.stops >= maxWorkerOrders || !s.opts.UnderWay.Stops.Take() {
+	w, call := r.worker, s.nextCall()
+	if !s.openStops.open(w, call) {
 		return
 	}
-	w.stops++
-	r.call = s.nextCall()
-	s.stopCalls[r.call] = w
+	r.call = call
 	r.stopOrderedAt = now
 	if r.percent >= fullPercent {
 		s.logBudgetExceeded("stop", r.id, r.number, w)
@@ -121,17 +148,6 @@
 	})
 }
 
-// stopAnswered handles that a stop is no longer under way.
-func (s *Shard) stopAnswered(call int64) {
-	w, found := s.stopCalls[call]
-	if !found {
-		return
-	}
-	delete(s.stopCalls, call)
-	w.stops--
-	s.opts.UnderWay.Stops.Done(1)
-}
-
 // nextCall returns the number of the next order. An answer counts only if its order's number is
 // still awaited: one that arrives after its worker was given up or has restarted says nothing about
 // the incarnation that is known by then.
--- a/shard/eligibility.go
+++ b/shard/eligibility.go
@@ -123,7 +123,7 @@
 		return ineligibleDuplicate
 	case c.spec.PerWorker > 0 && w.countRuns(c.id) >= c.spec.PerWorker:
 		return ineligibleSpread
-	case w.starts+w.unsent >= maxWorkerOrders:
+	case s.openStarts.counts[w]+w.unsent >= maxWorkerOrders:
 		return ineligibleBusy
 	default:
 		return eligible
--- a/shard/orders.go
+++ b/shard/orders.go
@@ -41,7 +41,7 @@
 
 // Started handles the answer to a start. clock is the worker's clock.
 func (s *Shard) Started(start Start, now time.Time, clock time.Duration, err error) {
-	s.startAnswered(start.Call)
+	s.openStarts.answered(start.Call)
 	r := s.awaitingRun(start.Worker.ID, start.Order.Task, start.Call)
 	if r == nil {
 		return
@@ -179,7 +179,7 @@
 
 // Stopped handles the answer to a stop. clock is the worker's clock.
 func (s *Shard) Stopped(stop Stop, now time.Time, clock time.Duration, err error) {
-	s.stopAnswered(stop.Call)
+	s.openStops.answered(stop.Call)
 	r := s.awaitingRun(stop.Worker.ID, stop.Task, stop.Call)
 	if r == nil {
 		return
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -168,9 +168,9 @@
 	dueRuns      runQueue
 	unsentStarts runQueue
 
-	// startCalls and stopCalls hold, by call, the workers of the starts and stops under way.
-	startCalls map[int64]*workerState
-	stopCalls  map[int64]*workerState
+	// openStarts and openStops are the orders to start and to stop runs that are under way.
+	openStarts openOrders
+	openStops  openOrders
 
 	// possibleCrashes holds, by worker incarnation, the tasks whose run there may have crashed it.
 	possibleCrashes map[string]map[job.TaskID]struct{}
@@ -388,8 +388,8 @@
 		workers:            make(map[string]*workerState),
 		waiting:            make(map[string]*jobState),
 		repeating:          make(map[string]*jobState),
-		startCalls:         make(map[int64]*workerState),
-		stopCalls:          make(map[int64]*workerState),
+		openStarts:         newOpenOrders(opts.UnderWay.Starts),
+		openStops:          newOpenOrders(opts.UnderWay.Stops),
 		tickets:            make(map[string]*stepTickets),
 		dirty:              make(map[string]*jobState),
 		pending:            make(map[string]int),
--- a/shard/underway.go
+++ b/shard/underway.go
@@ -61,7 +61,7 @@
 		switch {
 		case r.phase != phaseStarting || s.isEvacuated(w):
 			s.withdrawStart(r, now)
-		case w.failures > 0 || !w.uncertainAt.IsZero() || w.starts >= maxWorkerOrders:
+		case w.failures > 0 || !w.uncertainAt.IsZero() || s.openStarts.counts[w] >= maxWorkerOrders:
 		case s.opts.UnderWay.Starts.Room() == 0:
 			s.opts.UnderWay.Starts.Wait()
 			return
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -232,11 +232,9 @@
 	leaseEnd time.Time
 	deadline time.Duration
 
-	// runs holds the runs that may exist on the worker, by task. starts and stops count the orders to
-	// start and to stop runs there that are under way, unsent those that are decided on and not sent yet.
+	// runs holds the runs that may exist on the worker, by task. unsent counts those whose order to start
+	// is decided on and not sent yet.
 	runs   map[job.TaskID]*run
-	starts int
-	stops  int
 	unsent int
 
 	// used is the sum of the resources of all runs, including those that are being stopped.
