--- a/internal/standin/storeserver.go
+++ b/internal/standin/storeserver.go
@@ -50,16 +50,13 @@
 		return
 	}
 	tx := outside.Transaction{}
-	parts := make(map[string]bool)
 	for _, row := range request.ExpectedRev {
-		parts[row.Part] = true
 		tx.Checks = append(tx.Checks, outside.Check{
 			Key:     row.key(),
 			Version: row.Ver,
 		})
 	}
 	for _, row := range request.Put {
-		parts[row.Part] = true
 		if len(row.Value) == 0 || row.Key == "" || row.Table == "" {
 			c.String(http.StatusBadRequest, "a table, key or value is missing")
 			return
@@ -70,13 +67,8 @@
 		})
 	}
 	for _, row := range request.Remove {
-		parts[row.Part] = true
 		tx.Removes = append(tx.Removes, row.key())
 	}
-	if len(parts) > 1 || len(tx.Checks)+len(tx.Puts)+len(tx.Removes) > outside.MaxEntries {
-		c.String(http.StatusBadRequest, "a transaction holds one part and at most 100 entries")
-		return
-	}
 	receipt, err := table.Transact(c.Request.Context(), tx)
 	var conflict *outside.ConflictError
 	switch {
