shard, owner: waits of a step in one place, starts sent once a round

Starts that wait are sent once a round, after placement, which counts them anyway. What makes a step's tasks wait is asked in one function, without a flag that only one caller sets. The tests of rejected rows share how they build a job and read its state. What is placed, sent and asserted is the same.

--- a/owner/rejected_test.go
+++ b/owner/rejected_test.go
@@ -34,6 +34,30 @@
 	return table
 }
 
+// recordOfTwoSteps returns a job of two tasks, one after the other, so that a row is due when the first ends.
+func recordOfTwoSteps(id string) shard.Record {
+	two := record(id)
+	two.Spec.Steps = append(two.Spec.Steps, job.Step{
+		Count: 1,
+		After: []int{0},
+	})
+	return two
+}
+
+// storedState returns the state in the row of a job's progress; empty if there is none.
+func storedState(t *testing.T, rows *standin.Rows, id string) job.State {
+	t.Helper()
+	row, err := rows.Table().Row(t.Context(), owner.ProgressKey("s", id))
+	if err != nil || row == nil {
+		return ""
+	}
+	progress, err := shard.DecodeProgress(row.Value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return progress.State
+}
+
 // TestRejectedTransactionStopsNoService guards against one row that the store rejects and that is written
 // again with everything else: no job of the service began, and each next owner met the same.
 func TestRejectedTransactionStopsNoService(t *testing.T) {
@@ -50,12 +74,7 @@
 	e := newEntryWith(t, "a", table, alive("a"), workers.deps)
 	until(t, "the worker is polled", func() bool { return workers.pollsOf("w0") > 0 })
 	duty, _ := e.keeper.Duty("s")
-	bad := record("bad")
-	bad.Spec.Steps = append(bad.Spec.Steps, job.Step{
-		Count: 1,
-		After: []int{0},
-	})
-	is.NoErr(duty.Submit(t.Context(), bad))
+	is.NoErr(duty.Submit(t.Context(), recordOfTwoSteps("bad")))
 	is.NoErr(duty.Submit(t.Context(), record("a")))
 	until(t, "both run", func() bool { return workers.startsOf("bad") == 1 && workers.startsOf("a") == 1 })
 	workers.finish("w0") // The row of bad says that its first step has ended, and is rejected.
@@ -64,14 +83,7 @@
 		is.NoErr(duty.Submit(t.Context(), record(id)))
 		until(t, id+" runs", func() bool { return workers.startsOf(id) == 1 })
 	}
-	until(t, "the job that can't be stored has failed", func() bool {
-		row, err := rows.Table().Row(t.Context(), owner.ProgressKey("s", "bad"))
-		if err != nil || row == nil {
-			return false
-		}
-		progress, err := shard.DecodeProgress(row.Value)
-		return err == nil && progress.State == job.Failed
-	})
+	until(t, "the job that can't be stored has failed", func() bool { return storedState(t, rows, "bad") == job.Failed })
 }
 
 // TestStoreThatRejectsEverythingFailsNoJob guards against jobs that are given up for a row that is not at
@@ -92,12 +104,7 @@
 	e := newEntryWith(t, "a", table, alive("a"), workers.deps)
 	until(t, "the worker is polled", func() bool { return workers.pollsOf("w0") > 0 })
 	duty, _ := e.keeper.Duty("s")
-	two := record("a")
-	two.Spec.Steps = append(two.Spec.Steps, job.Step{
-		Count: 1,
-		After: []int{0},
-	})
-	is.NoErr(duty.Submit(t.Context(), two))
+	is.NoErr(duty.Submit(t.Context(), recordOfTwoSteps("a")))
 	until(t, "it runs", func() bool { return workers.startsOf("a") == 1 })
 	rejects.Store(true)
 	workers.finish("w0")
@@ -105,12 +112,5 @@
 	rejects.Store(false)
 	until(t, "the second step runs", func() bool { return workers.startsOf("a") == 2 })
 	workers.finish("w0")
-	until(t, "the job is completed", func() bool {
-		row, err := rows.Table().Row(t.Context(), owner.ProgressKey("s", "a"))
-		if err != nil || row == nil {
-			return false
-		}
-		progress, err := shard.DecodeProgress(row.Value)
-		return err == nil && progress.State == job.Completed
-	})
+	until(t, "the job is completed", func() bool { return storedState(t, rows, "a") == job.Completed })
 }
--- a/shard/isolation.go
+++ b/shard/isolation.go
@@ -47,7 +47,7 @@
 			s.waitForQuota(a.group.job, spec, 1)
 			continue
 		}
-		if !s.mayAddRun(a.group.job, spec, false) {
+		if !s.mayAddRun(a.group.job, spec) {
 			continue
 		}
 		w := s.choose(id, spec, t, now)
--- a/shard/place.go
+++ b/shard/place.go
@@ -80,7 +80,6 @@
 // place starts the tasks that may start and fit, the most urgent ones first.
 func (s *Shard) place(now time.Time) {
 	s.refreshUnseen(now)
-	s.sendStarts(now)
 	if len(s.waiting) == 0 {
 		return
 	}
@@ -164,7 +163,7 @@
 	for index := range step.idleTasks() {
 		id, t := g.task(index), step.task(index)
 		left--
-		if p.share.isExceeded(g) || !s.mayAddRun(g.job, spec, step.isUntouched(index)) {
+		if s.mustWait(g, step, index, p.share) {
 			return
 		}
 		if p.unobserved.contains(id) || s.isBlocked(id, t, now) || t.needsIsolation() {
@@ -196,6 +195,14 @@
 	}
 }
 
+// mustWait reports whether a task and those of its step after it wait for what their job, or the owner, has
+// already: the job has its share of the runs, its row is full and nothing has happened to the task yet, or
+// no more runs may be followed.
+func (s *Shard) mustWait(g group, step *stepState, index int, share *runShare) bool {
+	spec := &g.job.record.Spec.Steps[g.step]
+	return share.isExceeded(g) || (step.isUntouched(index) && !spec.Lasting && s.isRowFull(g.job)) || !s.mayAddRun(g.job, spec)
+}
+
 // takeStartBudget charges orders to start tasks of a step to the link budget, and reports whether
 // they may be sent now. If not, nextStartAt or startsWait is set, and less urgent tasks wait as well.
 // Long-running tasks never wait for the link: every second without one counts, and they are few.
--- a/shard/priority.go
+++ b/shard/priority.go
@@ -199,7 +199,7 @@
 		if t == nil || len(t.runs) != 1 || t.lossesElsewhere(r.worker) > 0 || !s.withinQuota(j, spec, 1) {
 			continue
 		}
-		if !s.mayAddRun(j, spec, false) || !s.maySendStart() {
+		if !s.mayAddRun(j, spec) || !s.maySendStart() {
 			return
 		}
 		if other := s.choose(r.id, spec, t, now); other != nil {
--- a/shard/standby.go
+++ b/shard/standby.go
@@ -126,12 +126,13 @@
 			j.offeredStandby = true
 			entries--
 			progress := j.progress()
+			row := progress.Encode()
+			bytes -= len(row)
 			b.Ended = append(b.Ended, Write{
 				ID:       id,
 				Progress: progress,
-				Row:      progress.Encode(),
+				Row:      row,
 			})
-			bytes -= len(b.Ended[len(b.Ended)-1].Row)
 		case j.unwritten && j.rejected == nil:
 			conditions, compatible := fences.conditions(j.record)
 			if !compatible || entries < 1+conditions {
--- a/shard/underway.go
+++ b/shard/underway.go
@@ -12,12 +12,8 @@
 
 // mayAddRun reports whether the owner may follow one more run of a job. A job may have as many runs as
 // the service may still add, so that a job with many long tasks leaves some for those that come later. A
-// long-running task waits only if there is no room at all. untouched says that nothing has happened to the
-// task yet: such tasks also wait while the row of their job is full.
-func (s *Shard) mayAddRun(j *jobState, spec *job.Step, untouched bool) bool {
-	if untouched && !spec.Lasting && s.isRowFull(j) {
-		return false
-	}
+// long-running task waits only if there is no room at all.
+func (s *Shard) mayAddRun(j *jobState, spec *job.Step) bool {
 	room := s.opts.UnderWay.Runs.Room()
 	if room == 0 {
 		s.opts.UnderWay.Runs.Wait()
